--- /dev/null
+++ b/arbutuscove/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Administration API."""
--- /dev/null
+++ b/arbutuscove/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission: which request goes next, and which is refused."""
--- /dev/null
+++ b/arbutuscove/admission/work.py
@@ -0,0 +1,45 @@
+"""Values shared by admission, routing and limits."""
+
+import dataclasses
+import datetime
+
+from arbutuscove.config import model as config_model
+from arbutuscove.replicas import model as replica_model
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Work:
+    """One request as admission sees it; times are monotonic."""
+
+    request_id: str
+    service: config_model.Service
+    account: config_model.Account
+    rank: config_model.Rank
+    tokens: int  # estimate of prompt and answer together
+    arrived: datetime.timedelta
+    deadline: datetime.timedelta
+    prefix: str = ""  # digest of the prompt's beginning, for cache affinity
+    digest: str = ""  # identity of account and content
+    excluded: frozenset[str] = frozenset()  # replicas not to use
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Refusal:
+    """Why a request is not served now; it was not run.
+
+    `retry_after` is when to come back; None when coming back does not help.
+    """
+
+    status: int
+    code: str
+    message: str
+    retry_after: datetime.timedelta | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Ticket:
+    """Permission to run on one replica until `Admission.finish`."""
+
+    work: Work
+    replica: replica_model.Serving
+    admitted: datetime.timedelta
--- /dev/null
+++ b/arbutuscove/audit/__init__.py
@@ -0,0 +1,1 @@
+"""Audit trail of changes and of decisions with lasting effect."""
--- /dev/null
+++ b/arbutuscove/config/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration: immutable service versions in one order of changes."""
--- /dev/null
+++ b/arbutuscove/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: settings, assembly of its services, and its life."""
--- /dev/null
+++ b/arbutuscove/daemon/assembly.py
@@ -0,0 +1,149 @@
+"""Builds the services of a daemon in the order in which they depend."""
+
+import random
+import uuid
+
+from arbutuscove.admin import api as admin_api
+from arbutuscove.admission import service as admission_service
+from arbutuscove.config import follower
+from arbutuscove.daemon import settings as settings_module
+from arbutuscove.entry import app
+from arbutuscove.entry import chat
+from arbutuscove.entry import entries
+from arbutuscove.entry import plain
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.kernel import loop
+from arbutuscove.kernel import services
+from arbutuscove.leases import holder
+from arbutuscove.limits import service as limits_service
+from arbutuscove.membership import service as membership_service
+from arbutuscove.observe import metrics as metrics_module
+from arbutuscove.peers import client as peer_client
+from arbutuscove.peers import peer_pb2
+from arbutuscove.peers import server as peer_server
+from arbutuscove.platform import http
+from arbutuscove.platform import inventory as inventory_module
+from arbutuscove.platform import objects as objects_module
+from arbutuscove.platform import table as table_module
+from arbutuscove.replicas import board as board_module
+from arbutuscove.replicas import controller
+from arbutuscove.replicas import directory as directory_module
+from arbutuscove.requests import claims
+from arbutuscove.requests import flow
+from arbutuscove.requests import once
+from arbutuscove.requests import resume
+from arbutuscove.routing import service as routing_service
+from arbutuscove.upstreams import pool
+
+
+def build_kernel(settings: settings_module.Settings) -> services.Kernel:
+    """Returns a kernel with all services of a daemon, not yet started."""
+    clock = clock_module.SystemClock()
+    # Unique to the process: a restarted daemon must not pass for its former
+    # self as the holder of a lease or the owner of a claim.
+    identity = f"{settings.name}.{uuid.uuid4().hex[:12]}"
+    generator = random.Random(identity)
+    table = table_module.HttpTable(http.Address.parse(settings.table))
+    objects = objects_module.HttpObjectStore(
+        http.Address.parse(settings.objects)
+    )
+    inventory = inventory_module.HttpInventory(
+        http.Address.parse(settings.inventory)
+    )
+    lag = loop.LagMonitor(clock)
+    metrics = metrics_module.Metrics()
+    config = follower.ConfigFollower(table, clock)
+    peers = peer_client.PeerClient()
+    membership = membership_service.Membership(
+        _build_member(settings), settings.peers, clock, peers, config
+    )
+    engines = pool.EnginePool()
+    board = board_module.StatusBoard(inventory, engines, clock)
+    directory = directory_module.ReplicaDirectory(table, board, clock)
+    leases = holder.LeaseHolder(identity, table, clock, lag)
+    control = controller.ReplicaController(
+        identity, table, clock, config, leases, board, engines
+    )
+    limits = limits_service.Limits()
+    routing = routing_service.Routing(clock, directory)
+    admission = admission_service.Admission(clock, routing, lag)
+    tokens = resume.ResumeTokens(settings.resume_secret)
+    requests = flow.RequestFlow(
+        clock, admission, limits, engines, tokens, generator
+    )
+    at_most_once = once.AtMostOnce(
+        claims.Claims(table, clock, identity), objects
+    )
+    admin = admin_api.AdminServer(
+        http.Address.parse(settings.admin_listen),
+        settings.admin_key_digest,
+        clock,
+        table,
+        config,
+        directory,
+    )
+    entry = app.EntryServer(
+        http.Address.parse(settings.listen),
+        clock,
+        config,
+        chat.ChatHandler(clock, requests, at_most_once, tokens, metrics),
+        plain.PlainHandler(at_most_once, generator),
+        lambda: _list_entries(membership),
+        metrics,
+        settings_module.read_keep(settings),
+    )
+    kernel = services.Kernel()
+    for name, service in (
+        (loop.SERVICE_NAME, lag),
+        (metrics_module.SERVICE_NAME, metrics),
+        (follower.SERVICE_NAME, config),
+        (peer_client.SERVICE_NAME, peers),
+        (
+            peer_server.SERVICE_NAME,
+            peer_server.PeerServer(settings.peer_listen, membership),
+        ),
+        (pool.SERVICE_NAME, engines),
+        (board_module.SERVICE_NAME, board),
+        (directory_module.SERVICE_NAME, directory),
+        (holder.SERVICE_NAME, leases),
+        (controller.SERVICE_NAME, control),
+        (limits_service.SERVICE_NAME, limits),
+        (routing_service.SERVICE_NAME, routing),
+        (admission_service.SERVICE_NAME, admission),
+        (flow.SERVICE_NAME, requests),
+        (once.SERVICE_NAME, at_most_once),
+        (admin_api.SERVICE_NAME, admin),
+        (app.SERVICE_NAME, entry),
+        # Last, so that it is drained first: peers then leave this daemon out
+        # of their answers while the entry server still serves.
+        (membership_service.SERVICE_NAME, membership),
+    ):
+        kernel.register(name, service)
+    return kernel
+
+
+def _build_member(settings: settings_module.Settings) -> peer_pb2.Member:
+    return peer_pb2.Member(
+        name=settings.name,
+        peer_address=settings.peer_listen,
+        entry_address=settings.advertise,
+        region=settings.region,
+        failure_domain=settings.failure_domain,
+        state=peer_pb2.ALIVE,
+    )
+
+
+def _list_entries(
+    membership: membership_service.Membership,
+) -> list[entries.Entry]:
+    members = membership.alive()
+    if membership.own().state == peer_pb2.ALIVE:
+        members.append(membership.own())
+    return [
+        entries.Entry(
+            url="http://" + member.entry_address,
+            failure_domain=member.failure_domain,
+            load=member.load,
+        )
+        for member in members
+    ]
--- /dev/null
+++ b/arbutuscove/entry/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface towards callers."""
--- /dev/null
+++ b/arbutuscove/entry/app.py
@@ -0,0 +1,244 @@
+"""The callers' HTTP server."""
+
+import datetime
+import typing
+import uuid
+from collections import abc
+
+import eliot
+import msgspec
+from gevent import pywsgi
+from werkzeug import exceptions
+from werkzeug import routing
+from werkzeug import wrappers
+
+from arbutuscove.admission import work as work_module
+from arbutuscove.config import follower
+from arbutuscove.config import model as config_model
+from arbutuscove.entry import callers
+from arbutuscove.entry import chat
+from arbutuscove.entry import entries as entries_module
+from arbutuscove.entry import headers
+from arbutuscove.entry import plain
+from arbutuscove.entry import refusals
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.kernel import services
+from arbutuscove.observe import metrics as metrics_module
+from arbutuscove.platform import http
+from arbutuscove.requests import failures
+
+SERVICE_NAME = "entry"
+BODY_LIMIT = 4 << 20  # bytes
+NOT_READY_RETRY = datetime.timedelta(seconds=2)
+DRAIN_POLL = datetime.timedelta(milliseconds=50)
+PLAIN_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
+
+Entries = abc.Callable[[], list[entries_module.Entry]]
+
+
+class EntryServer(services.BaseService):
+    """Routes callers' requests and drains before it stops."""
+
+    def __init__(
+        self,
+        listen: http.Address,
+        clock: clock_module.Clock,
+        config: follower.ConfigFollower,
+        chat_handler: chat.ChatHandler,
+        plain_handler: plain.PlainHandler,
+        list_entries: Entries,
+        metrics: metrics_module.Metrics,
+        keep: datetime.timedelta = entries_module.KEEP,
+    ) -> None:
+        self._clock = clock
+        self._config = config
+        self._chat = chat_handler
+        self._plain = plain_handler
+        self._list_entries = list_entries
+        self._metrics = metrics
+        self._keep = keep
+        self._active = 0
+        self._draining = False
+        self._server = pywsgi.WSGIServer(
+            (listen.host, listen.port), self, log=None, error_log=None
+        )
+        self._map = routing.Map(
+            [
+                routing.Rule(
+                    "/v1/chat/completions", methods=["POST"], endpoint="chat"
+                ),
+                routing.Rule("/v1/models", methods=["GET"], endpoint="models"),
+                routing.Rule(
+                    "/v1/entries", methods=["GET"], endpoint="entries"
+                ),
+                routing.Rule(
+                    "/plain/<service>/<path:path>",
+                    methods=PLAIN_METHODS,
+                    endpoint="plain",
+                ),
+                routing.Rule("/healthz", methods=["GET"], endpoint="healthz"),
+                routing.Rule("/readyz", methods=["GET"], endpoint="readyz"),
+                routing.Rule("/metrics", methods=["GET"], endpoint="metrics"),
+            ]
+        )
+
+    def start(self, kernel: services.Kernel) -> None:
+        """Begins to accept connections."""
+        self._server.start()
+
+    def drain(self) -> None:
+        """Serves on while callers may hold this address, then to the end.
+
+        Waits for the keep time first, because callers who were given this
+        address may still connect; then for the last request.
+        """
+        self._draining = True
+        deadline = self._clock.monotonic() + self._keep
+        while self._clock.monotonic() < deadline:
+            self._clock.sleep(DRAIN_POLL)
+        self._server.stop_accepting()
+        longest = self._clock.monotonic() + callers.LONGEST_DEADLINE
+        while self._active and self._clock.monotonic() < longest:
+            self._clock.sleep(DRAIN_POLL)
+
+    def stop(self) -> None:
+        """Closes the server."""
+        self._server.stop(timeout=1)
+
+    def active(self) -> int:
+        """Returns the number of requests in progress."""
+        return self._active
+
+    def is_draining(self) -> bool:
+        """Returns whether the daemon is leaving."""
+        return self._draining
+
+    def __call__(
+        self, environ: dict[str, typing.Any], start_response: typing.Any
+    ) -> abc.Iterable[bytes]:
+        """Serves one request; counted until its last byte is sent."""
+        request_id = uuid.uuid4().hex
+        request = wrappers.Request(environ)
+        request.max_content_length = BODY_LIMIT
+        self._active += 1
+        try:
+            response = self._respond(request, request_id)
+            response.headers[headers.REQUEST_ID] = request_id
+            response.call_on_close(self._end_request)
+            return response(environ, start_response)
+        except BaseException:
+            self._end_request()
+            raise
+
+    def _end_request(self) -> None:
+        self._active -= 1
+
+    def _respond(
+        self, request: wrappers.Request, request_id: str
+    ) -> wrappers.Response:
+        with eliot.start_action(
+            action_type="entry:request",
+            request_id=request_id,
+            method=request.method,
+            path=request.path,
+        ):
+            try:
+                return self._route(request, request_id)
+            except refusals.BadRequestError as error:
+                return self._refuse(error.refusal, failures.Run.NOT_RUN)
+            except failures.RequestFailedError as error:
+                return self._refuse(error.refusal, error.run)
+            except exceptions.HTTPException as error:
+                status = error.code or 400
+                code = error.name.lower().replace(" ", "_")
+                bad = refusals.BadRequestError(status, code, error.name)
+                return self._refuse(bad.refusal, failures.Run.NOT_RUN)
+
+    def _refuse(
+        self, refusal: work_module.Refusal, run: failures.Run
+    ) -> wrappers.Response:
+        self._metrics.refusals.inc({"code": refusal.code})
+        eliot.log_message("entry:refused", code=refusal.code, run=run.value)
+        return refusals.build_response(refusal, run)
+
+    def _route(
+        self, request: wrappers.Request, request_id: str
+    ) -> wrappers.Response:
+        bound = self._map.bind_to_environ(request.environ)
+        endpoint, values = bound.match()
+        match endpoint:
+            case "healthz":
+                return wrappers.Response("ok\n")
+            case "readyz":
+                return self._report_readiness()
+            case "metrics":
+                accept = request.headers.get("Accept", "")
+                content, fields = self._metrics.render(accept)
+                return wrappers.Response(content, headers=fields)
+        snapshot = self._read_snapshot()
+        match endpoint:
+            case "entries":
+                return self._answer_entries(request, snapshot)
+            case "models":
+                return _answer_models(request, snapshot)
+            case "plain":
+                return self._plain.handle(request, snapshot, **values)
+            case _:
+                return self._chat.handle(request, snapshot, request_id)
+
+    def _read_snapshot(self) -> config_model.Snapshot:
+        reason = self._find_obstacle()
+        if reason is not None:
+            raise failures.RequestFailedError(
+                work_module.Refusal(
+                    status=503,
+                    code=reason,
+                    message="this daemon cannot admit requests now",
+                    retry_after=NOT_READY_RETRY,
+                ),
+                failures.Run.NOT_RUN,
+            )
+        return self._config.current()
+
+    def _find_obstacle(self) -> str | None:
+        if not self._config.is_loaded():
+            return "config_missing"
+        if self._config.is_stale():
+            return "config_stale"
+        return None
+
+    def _report_readiness(self) -> wrappers.Response:
+        reason = "draining" if self._draining else self._find_obstacle()
+        if reason is None:
+            return wrappers.Response("ready\n")
+        return wrappers.Response(reason + "\n", 503)
+
+    def _answer_entries(
+        self, request: wrappers.Request, snapshot: config_model.Snapshot
+    ) -> wrappers.Response:
+        account = callers.find_callers(snapshot, request)[0].account
+        ranked = entries_module.rank_entries(self._list_entries(), account.name)
+        body = {
+            "entries": [
+                {"url": item.url, "failure_domain": item.failure_domain}
+                for item in ranked
+            ],
+            "keep_seconds": int(self._keep.total_seconds()),
+        }
+        return wrappers.Response(
+            msgspec.json.encode(body), content_type=refusals.JSON_TYPE
+        )
+
+
+def _answer_models(
+    request: wrappers.Request, snapshot: config_model.Snapshot
+) -> wrappers.Response:
+    models = [
+        {"id": caller.service.model.model, "object": "model"}
+        for caller in callers.find_callers(snapshot, request)
+        if caller.service.model is not None
+    ]
+    body = {"object": "list", "data": models}
+    return wrappers.Response(
+        msgspec.json.encode(body), content_type=refusals.JSON_TYPE
+    )
--- /dev/null
+++ b/arbutuscove/entry/chat.py
@@ -0,0 +1,270 @@
+"""Chat completions: streamed as events or assembled whole."""
+
+import typing
+import uuid
+from collections import abc
+
+import eliot
+import msgspec
+from werkzeug import wrappers
+
+from arbutuscove.config import model as config_model
+from arbutuscove.entry import callers
+from arbutuscove.entry import headers
+from arbutuscove.entry import refusals
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.observe import metrics as metrics_module
+from arbutuscove.requests import answers
+from arbutuscove.requests import claims as claims_module
+from arbutuscove.requests import failures
+from arbutuscove.requests import flow as flow_module
+from arbutuscove.requests import once as once_module
+from arbutuscove.requests import resume as resume_module
+
+EVENT_STREAM = "text/event-stream"
+ERROR_CODE = "answer_incomplete"
+
+
+class AnswerCutShortError(ConnectionError):
+    """Makes the server close without the final chunk of the response."""
+
+
+class ChatHandler:
+    """Serves `POST /v1/chat/completions`."""
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        flow: flow_module.RequestFlow,
+        once: once_module.AtMostOnce,
+        tokens: resume_module.ResumeTokens,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._clock = clock
+        self._flow = flow
+        self._once = once
+        self._tokens = tokens
+        self._metrics = metrics
+
+    def handle(
+        self,
+        request: wrappers.Request,
+        snapshot: config_model.Snapshot,
+        request_id: str,
+    ) -> wrappers.Response:
+        """Returns the response, whose body may still be streaming.
+
+        Raises:
+            BadRequestError: the request is at fault.
+            RequestFailedError: there is no answer.
+        """
+        arrived = self._clock.monotonic()
+        found = callers.find_callers(snapshot, request)
+        content = request.get_data()
+        body = _decode_body(content)
+        caller = _select_caller(found, str(body.get("model")))
+        work = callers.build_work(
+            request, caller, content, request_id, arrived, body
+        )
+        token = request.headers.get(headers.RESUME)
+        if token is not None:
+            answer = self._resume(request, token, caller, work.digest)
+            return self._stream(answer, None)
+        repeat = request.headers.get(headers.REPEAT, "")
+        repeatable = repeat.lower() != headers.NEVER
+        held = None
+        if not repeatable:
+            try:
+                held = self._claim(request, caller, work.digest)
+            except once_module.AlreadyRanError as ran:
+                return _replay(ran)
+        answer = self._start(
+            flow_module.ModelRequest(
+                work=work, body=body, repeatable=repeatable
+            ),
+            held,
+        )
+        waited = self._clock.monotonic() - arrived
+        labels = {"service": work.service.name, "rank": work.rank.name}
+        self._metrics.first_token.observe(labels, waited.total_seconds())
+        self._metrics.requests.inc(
+            {**labels, "account": work.account.name, "code": "started"}
+        )
+        if body.get("stream"):
+            return self._stream(answer, held)
+        return self._assemble(answer, held)
+
+    def _claim(
+        self, request: wrappers.Request, caller: callers.Caller, digest: str
+    ) -> claims_module.HeldClaim:
+        key = request.headers.get(headers.IDEMPOTENCY_KEY, "")
+        if not key:
+            raise refusals.BadRequestError(
+                400,
+                "missing_idempotency_key",
+                f"{headers.REPEAT}: never needs {headers.IDEMPOTENCY_KEY}",
+            )
+        attempt = uuid.uuid4().hex
+        return self._once.begin(caller.account.name, key, attempt, digest)
+
+    def _start(
+        self,
+        request: flow_module.ModelRequest,
+        held: claims_module.HeldClaim | None,
+    ) -> flow_module.Answer:
+        try:
+            return self._flow.run(request)
+        except failures.RequestFailedError as error:
+            if held is None or error.run != failures.Run.NOT_RUN:
+                raise
+            run = self._once.give_up(held)
+            raise failures.RequestFailedError(error.refusal, run) from error
+
+    def _resume(
+        self,
+        request: wrappers.Request,
+        token: str,
+        caller: callers.Caller,
+        digest: str,
+    ) -> flow_module.Answer:
+        try:
+            point = self._tokens.check(token, caller.account.name, digest)
+        except resume_module.ResumeRefusedError as error:
+            raise refusals.BadRequestError(
+                400, "invalid_resume_token", str(error)
+            ) from error
+        last = request.headers.get(headers.LAST_EVENT_ID, "")
+        stream, _, number = last.rpartition("-")
+        if last and (stream != point.stream or not number.isdigit()):
+            raise refusals.BadRequestError(
+                400, "invalid_last_event_id", "event of another stream"
+            )
+        return self._flow.resume(point, int(number) if last else -1)
+
+    def _stream(
+        self,
+        answer: flow_module.Answer,
+        held: claims_module.HeldClaim | None,
+    ) -> wrappers.Response:
+        response = wrappers.Response(
+            self._relay(answer, held), content_type=EVENT_STREAM
+        )
+        response.headers[headers.RESUME] = answer.token
+        response.headers["Cache-Control"] = "no-store"
+        return response
+
+    def _relay(
+        self,
+        answer: flow_module.Answer,
+        held: claims_module.HeldClaim | None,
+    ) -> abc.Iterator[bytes]:
+        kept: list[bytes] = []
+        try:
+            for event in answer.events:
+                if held is not None:
+                    kept.append(event)
+                yield event
+        except answers.AnswerIncompleteError as error:
+            eliot.log_message("answer:incomplete", reason=str(error))
+            yield _build_error_event(str(error))
+            raise AnswerCutShortError(104, ERROR_CODE) from error
+        finally:
+            _close(answer.events)
+        if held is not None:
+            whole = assemble_answer(kept)
+            self._once.finish(held, msgspec.json.encode(whole))
+
+    def _assemble(
+        self,
+        answer: flow_module.Answer,
+        held: claims_module.HeldClaim | None,
+    ) -> wrappers.Response:
+        try:
+            events = list(answer.events)
+        except answers.AnswerIncompleteError as error:
+            refusal = refusals.BadRequestError(
+                502, ERROR_CODE, str(error)
+            ).refusal
+            run = failures.Run.UNKNOWN
+            raise failures.RequestFailedError(refusal, run) from error
+        finally:
+            _close(answer.events)
+        body = msgspec.json.encode(assemble_answer(events))
+        if held is not None:
+            self._once.finish(held, body)
+        return wrappers.Response(body, content_type=refusals.JSON_TYPE)
+
+
+def assemble_answer(events: list[bytes]) -> dict[str, typing.Any]:
+    """Returns the whole completion of a complete list of events."""
+    parts: list[str] = []
+    last: dict[str, typing.Any] = {}
+    finish = None
+    usage: dict[str, typing.Any] = {}
+    for event in events:
+        data = event.partition(b"data: ")[2].strip()
+        if data == b"[DONE]" or not data:
+            continue
+        last = msgspec.json.decode(data)
+        usage = last.get("usage") or usage
+        for choice in last.get("choices", []):
+            parts.append(choice.get("delta", {}).get("content") or "")
+            finish = choice.get("finish_reason") or finish
+    message = {"role": "assistant", "content": "".join(parts)}
+    return {
+        "id": last.get("id"),
+        "object": "chat.completion",
+        "created": last.get("created"),
+        "model": last.get("model"),
+        "choices": [{"index": 0, "message": message, "finish_reason": finish}],
+        "usage": usage,
+    }
+
+
+def _decode_body(content: bytes) -> dict[str, typing.Any]:
+    try:
+        body = msgspec.json.decode(content)
+    except msgspec.DecodeError as error:
+        raise refusals.BadRequestError(
+            400, "malformed_json", f"the body is not JSON: {error}"
+        ) from error
+    if not isinstance(body, dict) or not isinstance(body.get("messages"), list):
+        raise refusals.BadRequestError(
+            400, "invalid_body", "the body must be an object with messages"
+        )
+    return body
+
+
+def _select_caller(found: list[callers.Caller], model: str) -> callers.Caller:
+    for caller in found:
+        backend = caller.service.model
+        if backend is None:
+            continue
+        if model in (caller.service.name, backend.model):
+            return caller
+    raise refusals.BadRequestError(
+        404, "unknown_model", f"no model {model!r} for this key"
+    )
+
+
+def _replay(ran: once_module.AlreadyRanError) -> wrappers.Response:
+    if ran.answer is None:
+        refusal = refusals.BadRequestError(
+            409, "already_ran", "the request ran; its answer is not kept"
+        ).refusal
+        raise failures.RequestFailedError(refusal, failures.Run.RAN)
+    response = wrappers.Response(ran.answer, content_type=refusals.JSON_TYPE)
+    response.headers[headers.REPLAYED] = "true"
+    response.headers[headers.RUN] = failures.Run.RAN.value
+    return response
+
+
+def _build_error_event(message: str) -> bytes:
+    refusal = refusals.BadRequestError(502, ERROR_CODE, message).refusal
+    body = refusals.build_body(refusal, failures.Run.UNKNOWN)
+    return b"data: " + msgspec.json.encode(body) + b"\n\n"
+
+
+def _close(events: abc.Iterator[bytes]) -> None:
+    if isinstance(events, abc.Generator):
+        events.close()
--- /dev/null
+++ b/arbutuscove/entry/plain.py
@@ -0,0 +1,160 @@
+"""Calls of plain services under `/plain/<service>/<path>`."""
+
+import datetime
+import random
+import uuid
+
+import msgspec
+from werkzeug import wrappers
+
+from arbutuscove.admission import work as work_module
+from arbutuscove.config import model as config_model
+from arbutuscove.entry import callers
+from arbutuscove.entry import headers
+from arbutuscove.entry import refusals
+from arbutuscove.requests import claims as claims_module
+from arbutuscove.requests import failures
+from arbutuscove.requests import once as once_module
+from arbutuscove.upstreams import errors
+from arbutuscove.upstreams import plain as plain_upstream
+
+RETRY_AFTER = datetime.timedelta(seconds=2)
+STORED_LIMIT = 1 << 20  # bytes of an answer kept for its idempotency key
+
+
+class PlainHandler:
+    """Forwards calls; a call that may not be repeated is sent once."""
+
+    def __init__(
+        self, once: once_module.AtMostOnce, generator: random.Random
+    ) -> None:
+        self._once = once
+        self._random = generator
+
+    def handle(
+        self,
+        request: wrappers.Request,
+        snapshot: config_model.Snapshot,
+        service: str,
+        path: str,
+    ) -> wrappers.Response:
+        """Returns the upstream's whole answer.
+
+        Raises:
+            BadRequestError: the request is at fault.
+            RequestFailedError: there is no answer.
+        """
+        found = callers.find_callers(snapshot, request)
+        caller = next((c for c in found if c.service.name == service), None)
+        if caller is None or caller.service.plain is None:
+            raise refusals.BadRequestError(
+                404, "unknown_service", f"no plain service {service!r}"
+            )
+        backend = caller.service.plain
+        never = request.headers.get(headers.REPEAT, "").lower()
+        repeatable = (
+            request.method in backend.repeatable_methods
+            and never != headers.NEVER
+        )
+        query = request.query_string.decode("latin-1")
+        call = plain_upstream.PlainCall(
+            attempt_id=uuid.uuid4().hex,
+            method=request.method,
+            path="/" + path + ("?" + query if query else ""),
+            content_type=request.content_type or refusals.JSON_TYPE,
+            body=request.get_data(),
+        )
+        timeout = callers.read_deadline(request)
+        key = request.headers.get(headers.IDEMPOTENCY_KEY, "")
+        if never == headers.NEVER and not key:
+            raise refusals.BadRequestError(
+                400,
+                "missing_idempotency_key",
+                f"{headers.REPEAT}: never needs {headers.IDEMPOTENCY_KEY}",
+            )
+        if repeatable or not key:
+            answer = self._send(backend, call, timeout, repeatable)
+            return _respond(answer)
+        return self._send_once(backend, call, timeout, caller, key)
+
+    def _send_once(
+        self,
+        backend: config_model.PlainBackend,
+        call: plain_upstream.PlainCall,
+        timeout: datetime.timedelta,
+        caller: callers.Caller,
+        key: str,
+    ) -> wrappers.Response:
+        content = f"{call.method} {call.path}\0".encode() + call.body
+        digest = callers.digest_key(content.decode("latin-1"))
+        account = f"{caller.service.name}.{caller.account.name}"
+        try:
+            held = self._once.begin(account, key, call.attempt_id, digest)
+        except once_module.AlreadyRanError as ran:
+            return _replay(ran)
+        try:
+            answer = self._send(backend, call, timeout, repeatable=False)
+        except failures.RequestFailedError as error:
+            if error.run != failures.Run.NOT_RUN:
+                raise
+            run = self._once.give_up(held)
+            raise failures.RequestFailedError(error.refusal, run) from error
+        self._store(held, answer)
+        return _respond(answer)
+
+    def _store(
+        self,
+        held: claims_module.HeldClaim,
+        answer: plain_upstream.PlainAnswer,
+    ) -> None:
+        kept = answer if len(answer.body) <= STORED_LIMIT else None
+        self._once.finish(held, msgspec.json.encode(kept))
+
+    def _send(
+        self,
+        backend: config_model.PlainBackend,
+        call: plain_upstream.PlainCall,
+        timeout: datetime.timedelta,
+        repeatable: bool,
+    ) -> plain_upstream.PlainAnswer:
+        addresses = list(backend.addresses)
+        self._random.shuffle(addresses)
+        run = failures.Run.NOT_RUN
+        for address in addresses:
+            result = plain_upstream.send_call(address, call, timeout)
+            if result.is_ok():
+                return result.ok
+            if not isinstance(result.error, errors.NotDispatchedError):
+                run = failures.Run.UNKNOWN
+                if not repeatable:
+                    break
+        refusal = work_module.Refusal(
+            status=503,
+            code="upstream_failed",
+            message="no upstream answered the call",
+            retry_after=RETRY_AFTER,
+        )
+        raise failures.RequestFailedError(refusal, run)
+
+
+def _respond(answer: plain_upstream.PlainAnswer) -> wrappers.Response:
+    return wrappers.Response(
+        answer.body, answer.status, content_type=answer.content_type
+    )
+
+
+def _replay(ran: once_module.AlreadyRanError) -> wrappers.Response:
+    stored = None
+    if ran.answer is not None:
+        stored = msgspec.json.decode(
+            ran.answer, type=plain_upstream.PlainAnswer | None
+        )
+    if stored is None:
+        refusal = refusals.BadRequestError(
+            409, "already_ran", "the call ran; its answer is not kept"
+        ).refusal
+        raise failures.RequestFailedError(refusal, failures.Run.RAN)
+    response = _respond(stored)
+    response.headers[headers.REPLAYED] = "true"
+    response.headers[headers.RUN] = failures.Run.RAN.value
+    return response
--- /dev/null
+++ b/arbutuscove/kernel/clock.py
@@ -0,0 +1,78 @@
+"""Time as an interface, so that decisions can be tested on a manual clock.
+
+Durations come from a monotonic clock and are `datetime.timedelta`. Wall-clock
+time is only recorded for people to read; no decision compares it between
+machines.
+"""
+
+import datetime
+import time
+import typing
+
+import gevent
+
+
+class Clock(typing.Protocol):
+    """Source of time for every module that needs it."""
+
+    def monotonic(self) -> datetime.timedelta:
+        """Returns time since an arbitrary fixed point; never goes back."""
+
+    def now(self) -> datetime.datetime:
+        """Returns wall-clock time in UTC, for records only."""
+
+    def sleep(self, duration: datetime.timedelta) -> None:
+        """Suspends the calling greenlet for `duration`."""
+
+
+class SystemClock:
+    """The clock of the machine."""
+
+    def monotonic(self) -> datetime.timedelta:
+        """Returns time since an arbitrary fixed point; never goes back."""
+        return datetime.timedelta(seconds=time.monotonic())
+
+    def now(self) -> datetime.datetime:
+        """Returns wall-clock time in UTC, for records only."""
+        return datetime.datetime.now(datetime.UTC)
+
+    def sleep(self, duration: datetime.timedelta) -> None:
+        """Suspends the calling greenlet for `duration`."""
+        gevent.sleep(duration.total_seconds())
+
+
+class ManualClock:
+    """A clock that moves only when told to, for tests and benchmarks.
+
+    Example:
+        >>> clock = ManualClock()
+        >>> clock.advance(datetime.timedelta(seconds=2))
+        >>> clock.monotonic()
+        datetime.timedelta(seconds=2)
+    """
+
+    def __init__(self) -> None:
+        self._elapsed = datetime.timedelta()
+        self._origin = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+
+    def advance(self, duration: datetime.timedelta) -> None:
+        """Moves the clock forward.
+
+        Raises:
+            ValueError: `duration` is negative.
+        """
+        if duration < datetime.timedelta():
+            raise ValueError(f"duration must not be negative: {duration}")
+        self._elapsed += duration
+
+    def monotonic(self) -> datetime.timedelta:
+        """Returns the time advanced so far."""
+        return self._elapsed
+
+    def now(self) -> datetime.datetime:
+        """Returns a fixed date plus the time advanced so far."""
+        return self._origin + self._elapsed
+
+    def sleep(self, duration: datetime.timedelta) -> None:
+        """Advances the clock and returns at once."""
+        self.advance(duration)
--- /dev/null
+++ b/arbutuscove/kernel/loop.py
@@ -0,0 +1,53 @@
+"""Lag of the event loop: how late a timer fires.
+
+One loop on one thread serves everything, so its lag is the first sign of
+overload. New work is shed above `SHED_LAG`; leases are no longer renewed above
+`RELEASE_LAG`, so that another daemon takes the duties before a lease is held
+by a process too busy to honour it.
+"""
+
+import datetime
+
+import gevent
+
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.kernel import services
+
+SERVICE_NAME = "loop"
+SAMPLE_INTERVAL = datetime.timedelta(milliseconds=100)
+SHED_LAG = datetime.timedelta(milliseconds=250)
+RELEASE_LAG = datetime.timedelta(seconds=1)
+DECAY = 0.8  # keeps a spike visible for about one second of samples
+
+
+class LagMonitor(services.BaseService):
+    """Measures how late the loop runs its timers."""
+
+    def __init__(self, clock: clock_module.Clock) -> None:
+        self._clock = clock
+        self._lag = datetime.timedelta()
+        self._greenlet: gevent.Greenlet | None = None
+
+    def start(self, kernel: services.Kernel) -> None:
+        """Begins sampling."""
+        self._greenlet = gevent.spawn(self._sample)
+
+    def stop(self) -> None:
+        """Ends sampling."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+
+    def lag(self) -> datetime.timedelta:
+        """Returns the recent peak lag, decaying over about a second."""
+        return self._lag
+
+    def record(self, late: datetime.timedelta) -> None:
+        """Takes one sample into the decaying peak."""
+        self._lag = max(late, self._lag * DECAY)
+
+    def _sample(self) -> None:
+        while True:
+            before = self._clock.monotonic()
+            self._clock.sleep(SAMPLE_INTERVAL)
+            late = self._clock.monotonic() - before - SAMPLE_INTERVAL
+            self.record(max(late, datetime.timedelta()))
--- /dev/null
+++ b/arbutuscove/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Leases on control duties, with epochs as fencing tokens."""
--- /dev/null
+++ b/arbutuscove/leases/holder.py
@@ -0,0 +1,143 @@
+"""Takes and renews the leases on this daemon's candidate duties."""
+
+import datetime
+
+import eliot
+import gevent
+import msgspec
+
+from arbutuscove.audit import trail
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.kernel import loop
+from arbutuscove.kernel import services
+from arbutuscove.leases import lease
+from arbutuscove.platform import table as table_module
+
+SERVICE_NAME = "leases"
+ROW_PREFIX = "lease/"
+
+
+class LeaseHolder(services.BaseService):
+    """Holds leases for one process; `identity` is unique to the process."""
+
+    def __init__(
+        self,
+        identity: str,
+        table: table_module.Table,
+        clock: clock_module.Clock,
+        lag: loop.LagMonitor,
+    ) -> None:
+        self._identity = identity
+        self._table = table
+        self._clock = clock
+        self._lag = lag
+        self._duties: set[str] = set()
+        self._observed: dict[str, lease.Observation] = {}
+        self._held: dict[str, lease.Held] = {}
+        self._draining = False
+        self._greenlet: gevent.Greenlet | None = None
+
+    def start(self, kernel: services.Kernel) -> None:
+        """Begins to take and renew leases."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def drain(self) -> None:
+        """Stops renewing; others take over when the term has passed."""
+        self._draining = True
+        self._held.clear()
+
+    def stop(self) -> None:
+        """Ends renewals."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+
+    def stand_for(self, duty: str) -> None:
+        """Makes this process a candidate for a duty."""
+        self._duties.add(duty)
+
+    def epoch(self, duty: str) -> int | None:
+        """Returns the fencing epoch if effects may start now, else None.
+
+        Callers ask immediately before each effect, because the process may
+        have been paused since it last asked.
+        """
+        held = self._held.get(duty)
+        if not lease.may_act(held, self._clock.monotonic()):
+            return None
+        return None if held is None else held.epoch
+
+    def step(self, duty: str) -> None:
+        """Reads one lease row and writes it if this process should.
+
+        Raises:
+            TableError: the row could not be read or written.
+        """
+        row = self._table.read(ROW_PREFIX + duty)
+        version = table_module.ABSENT if row is None else row.version
+        value = None if row is None else row.decode(lease.LeaseRow)
+        now = self._clock.monotonic()
+        observation = lease.observe(
+            self._observed.get(duty), version, value, now
+        )
+        self._observed[duty] = observation
+        held = self._held.get(duty)
+        match lease.decide(observation, held, self._identity, now):
+            case lease.Wait():
+                self._held.pop(duty, None)
+            case lease.Renew() | lease.TakeOver() as action:
+                self._write(duty, version, action)
+
+    def _write(
+        self, duty: str, version: int, action: lease.Renew | lease.TakeOver
+    ) -> None:
+        key = ROW_PREFIX + duty
+        transaction = table_module.Transaction(
+            conditions=(table_module.Condition(key=key, version=version),),
+            writes=(
+                table_module.Write(
+                    key=key, value=msgspec.to_builtins(action.row)
+                ),
+            ),
+        )
+        if isinstance(action, lease.TakeOver):
+            transaction = self._audit(duty, action, transaction)
+        sent = self._clock.monotonic()
+        if table_module.commit(self._table, transaction, self._clock).is_ok():
+            granted = lease.grant(action, sent, self._held.get(duty))
+            self._held[duty] = granted
+        else:
+            self._held.pop(duty, None)
+
+    def _audit(
+        self,
+        duty: str,
+        action: lease.TakeOver,
+        transaction: table_module.Transaction,
+    ) -> table_module.Transaction:
+        epoch = action.row.epoch
+        eliot.log_message("lease:take_over", duty=duty, epoch=epoch)
+        entry = trail.Entry(
+            actor=self._identity,
+            action="lease.taken",
+            subject=duty,
+            before=str(epoch - 1),
+            after=str(epoch),
+            reason="the row was absent or unchanged for a whole term",
+            time=self._clock.now(),
+        )
+        return trail.append_to(self._table, transaction, duty, entry)
+
+    def _run(self) -> None:
+        pause = datetime.timedelta(0)
+        while not self._draining:
+            self._clock.sleep(pause)
+            pause = lease.RENEW_INTERVAL
+            if self._lag.lag() > loop.RELEASE_LAG:
+                continue
+            for duty in sorted(self._duties):
+                try:
+                    self.step(duty)
+                except table_module.TableError as error:
+                    eliot.log_message(
+                        "lease:step_failed", duty=duty, reason=str(error)
+                    )
--- /dev/null
+++ b/arbutuscove/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on spend, shared by all daemons through slices."""
--- /dev/null
+++ b/arbutuscove/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics and logs."""
--- /dev/null
+++ b/arbutuscove/peers/__init__.py
@@ -0,0 +1,1 @@
+"""gRPC transport between daemons."""
--- /dev/null
+++ b/arbutuscove/peers/client.py
@@ -0,0 +1,100 @@
+"""Calls to other daemons over gRPC."""
+
+import collections
+import datetime
+
+import grpc
+
+from arbutuscove.kernel import services
+from arbutuscove.peers import peer_pb2
+from arbutuscove.peers import peer_pb2_grpc
+
+SERVICE_NAME = "peer-client"
+CHANNEL_LIMIT = 64  # open channels; the least recently used is closed
+CHANNEL_OPTIONS = [
+    ("grpc.enable_retries", 0),
+    ("grpc.max_reconnect_backoff_ms", 2000),
+]
+
+
+class PeerUnreachableError(Exception):
+    """The peer gave no answer in time."""
+
+
+class PeerClient(services.BaseService):
+    """Keeps channels to the peers that were called lately."""
+
+    def __init__(self) -> None:
+        self._channels: collections.OrderedDict[str, grpc.Channel] = (
+            collections.OrderedDict()
+        )
+
+    def probe(
+        self,
+        address: str,
+        gossip: peer_pb2.Gossip,
+        timeout: datetime.timedelta,
+    ) -> peer_pb2.Gossip:
+        """Exchanges gossip with a peer.
+
+        Raises:
+            PeerUnreachableError: no answer in time.
+        """
+        try:
+            return self._stub(address).Probe(
+                gossip, timeout=timeout.total_seconds()
+            )
+        except grpc.RpcError as error:
+            raise PeerUnreachableError(address) from error
+
+    def probe_indirect(
+        self,
+        address: str,
+        request: peer_pb2.IndirectProbe,
+        timeout: datetime.timedelta,
+    ) -> bool:
+        """Asks a peer to probe a third one; returns whether it answered.
+
+        Raises:
+            PeerUnreachableError: the asked peer gave no answer in time.
+        """
+        try:
+            return (
+                self._stub(address)
+                .ProbeIndirect(request, timeout=timeout.total_seconds())
+                .reached
+            )
+        except grpc.RpcError as error:
+            raise PeerUnreachableError(address) from error
+
+    def fetch_changes(
+        self, address: str, after: int, timeout: datetime.timedelta
+    ) -> peer_pb2.ChangesReply:
+        """Fetches configuration changes after a sequence number.
+
+        Raises:
+            PeerUnreachableError: no answer in time.
+        """
+        request = peer_pb2.ChangesRequest(after=after)
+        try:
+            return self._stub(address).FetchChanges(
+                request, timeout=timeout.total_seconds()
+            )
+        except grpc.RpcError as error:
+            raise PeerUnreachableError(address) from error
+
+    def stop(self) -> None:
+        """Closes all channels."""
+        for channel in self._channels.values():
+            channel.close()
+        self._channels.clear()
+
+    def _stub(self, address: str) -> peer_pb2_grpc.PeerStub:
+        channel = self._channels.pop(address, None)
+        if channel is None:
+            channel = grpc.insecure_channel(address, options=CHANNEL_OPTIONS)
+        self._channels[address] = channel
+        if len(self._channels) > CHANNEL_LIMIT:
+            _, oldest = self._channels.popitem(last=False)
+            oldest.close()
+        return peer_pb2_grpc.PeerStub(channel)
--- /dev/null
+++ b/arbutuscove/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to the platform: table service, object store, VM list."""
--- /dev/null
+++ b/arbutuscove/platform/objects.py
@@ -0,0 +1,61 @@
+"""The platform's object store: whole bodies under string keys."""
+
+import typing
+import urllib.parse
+
+from arbutuscove.platform import http
+
+SERVICE_NAME = "objects"
+
+
+class ObjectStoreUnavailableError(Exception):
+    """The object store did not carry out a request."""
+
+
+class ObjectStore(typing.Protocol):
+    """What the rest of the system asks of the object store."""
+
+    def put(self, key: str, body: bytes) -> None:
+        """Stores a body under a key that is never written again."""
+
+    def get(self, key: str) -> bytes | None:
+        """Returns the body, or None if there is none."""
+
+
+class HttpObjectStore:
+    """The object store over its HTTP protocol."""
+
+    def __init__(self, address: http.Address) -> None:
+        self._client = http.JsonClient(address)
+
+    def put(self, key: str, body: bytes) -> None:
+        """Stores a body under a key.
+
+        Raises:
+            ObjectStoreUnavailableError: the body may not have been stored.
+        """
+        reply = self._send("PUT", key, body.decode())
+        if reply.status != 200:
+            raise ObjectStoreUnavailableError(f"status {reply.status}")
+
+    def get(self, key: str) -> bytes | None:
+        """Returns the body, or None if there is none.
+
+        Raises:
+            ObjectStoreUnavailableError: no answer was received.
+        """
+        reply = self._send("GET", key, None)
+        match reply.status:
+            case 200:
+                return str(reply.json()).encode()
+            case 404:
+                return None
+            case status:
+                raise ObjectStoreUnavailableError(f"status {status}")
+
+    def _send(self, method: str, key: str, body: str | None) -> http.Reply:
+        path = "/objects/" + urllib.parse.quote(key, safe="/")
+        try:
+            return self._client.send(method, path, body)
+        except http.HttpError as error:
+            raise ObjectStoreUnavailableError(str(error)) from error
--- /dev/null
+++ b/arbutuscove/questionnaire/__init__.py
@@ -0,0 +1,1 @@
+"""From a team's answers to a generated configuration."""
--- /dev/null
+++ b/arbutuscove/questionnaire/answers.py
@@ -0,0 +1,95 @@
+"""The questionnaire: what a team says about its work, callers and limits."""
+
+import dataclasses
+import pathlib
+
+import msgspec
+import yaml
+
+FORMAT = 1
+
+
+class AnswersInvalidError(Exception):
+    """The answer file cannot be read or has missing or unknown answers."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Work:
+    """One kind of work, from most to least urgent in the list.
+
+    `first_token_seconds` is the target; `keep_percent` is what the work keeps
+    while other work floods in; `at_most_percent` is the most it may take.
+    """
+
+    name: str
+    worth: float
+    first_token_seconds: float
+    keep_percent: float
+    at_most_percent: float = 100.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Caller:
+    """A client account; `key_digests` are SHA-256 in hexadecimal."""
+
+    name: str
+    key_digests: tuple[str, ...]
+    share: float = 1.0
+    urgent_tokens_per_second: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Model:
+    """The model and the machines that it needs."""
+
+    name: str
+    vms_per_replica: int
+    replicas: int
+    spares_per_fabric_domain: int = 0
+    engines_check_fencing: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Plain:
+    """A plain service; methods that are safe to repeat."""
+
+    addresses: tuple[str, ...]
+    repeatable_methods: tuple[str, ...] = ("GET", "HEAD")
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Approval:
+    """What the operators approved; tokens in each period, zero: no limit."""
+
+    accelerators: int
+    tokens_per_day: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Answers:
+    """All answers about one service."""
+
+    format: int
+    service: str
+    team: str
+    work: tuple[Work, ...]
+    callers: tuple[Caller, ...]
+    approval: Approval
+    model: Model | None = None
+    plain: Plain | None = None
+
+
+def read_answers(path: pathlib.Path) -> Answers:
+    """Returns the answers of a YAML file.
+
+    Raises:
+        AnswersInvalidError: the file cannot be read or does not fit the schema.
+    """
+    try:
+        loaded = yaml.safe_load(path.read_text())
+        answers = msgspec.convert(loaded, Answers)
+    except (OSError, yaml.YAMLError, msgspec.ValidationError) as error:
+        raise AnswersInvalidError(f"{path}: {error}") from error
+    if answers.format != FORMAT:
+        raise AnswersInvalidError(f"{path}: format {answers.format} is unknown")
+    return answers
--- /dev/null
+++ b/arbutuscove/replicas/__init__.py
@@ -0,0 +1,1 @@
+"""Replicas: which VMs form which replica, and which replicas serve."""
--- /dev/null
+++ b/arbutuscove/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Life of a request: claims, attempts, whole answers, resumption."""
--- /dev/null
+++ b/arbutuscove/requests/answers.py
@@ -0,0 +1,165 @@
+"""Integrity of a streamed answer.
+
+Engine events carry `id: <stream>-<n>`, numbered from 0 without gaps. An
+answer is whole when each number arrived once, in order, from its own stream,
+and the terminal event came last.
+"""
+
+import dataclasses
+import typing
+from collections import abc
+
+from arbutuscove.upstreams import engine
+from arbutuscove.upstreams import errors
+from arbutuscove.upstreams import protocol
+
+RESUME_LIMIT = 5  # resumptions in a row without a new event
+
+
+class AnswerIncompleteError(Exception):
+    """The rest of the answer cannot be had.
+
+    `delivered` is the number of events already passed on.
+    """
+
+    def __init__(self, reason: str, delivered: int) -> None:
+        super().__init__(reason)
+        self.delivered = delivered
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Deliver:
+    """The event is the next one."""
+
+    terminal: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Drop:
+    """The event was delivered before."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Refetch:
+    """Events before this one are missing; resume after the last good one."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Foreign:
+    """The event belongs to another stream or has no number."""
+
+
+Verdict = Deliver | Drop | Refetch | Foreign
+
+
+def check_event(event: bytes, stream_id: bytes, expected: int) -> Verdict:
+    r"""Returns what to do with an event.
+
+    Example:
+        >>> check_event(b"id: a-0\ndata: {}\n\n", b"a", 0)
+        Deliver(terminal=False)
+        >>> check_event(b"id: a-2\ndata: {}\n\n", b"a", 1)
+        Refetch()
+        >>> check_event(b"id: b-1\ndata: {}\n\n", b"a", 1)
+        Foreign()
+    """
+    if not event:
+        return Refetch()
+    line, separator, rest = event.partition(b"\n")
+    prefix = b"id: " + stream_id + b"-"
+    number = line[len(prefix) :]
+    if not separator or not line.startswith(prefix) or not number.isdigit():
+        return Foreign()
+    if int(number) < expected:
+        return Drop()
+    if int(number) > expected:
+        return Refetch()
+    return Deliver(terminal=rest.startswith(protocol.DONE))
+
+
+class Upstream(typing.Protocol):
+    """The part of the engine client that an answer needs."""
+
+    def resume_stream(self, stream_id: str, after: int) -> engine.EventReader:
+        """Continues a stream after an event number."""
+
+
+def read_answer(
+    client: Upstream,
+    stream_id: str,
+    reader: engine.EventReader | None,
+    start: int = 0,
+) -> abc.Iterator[bytes]:
+    """Yields the events of one answer, each once and in order.
+
+    A broken or gappy connection is resumed at the engine.
+
+    Args:
+        client: where to resume.
+        stream_id: identity of the engine stream.
+        reader: the open connection, or None to resume first.
+        start: number of the first event to deliver.
+
+    Raises:
+        AnswerIncompleteError: the terminal event did not come.
+    """
+    source = _Source(client, stream_id, reader)
+    expected = start
+    failures = 0
+    encoded = stream_id.encode()
+    try:
+        while True:
+            event = source.read(expected)
+            match check_event(event, encoded, expected):
+                case Deliver(terminal=terminal):
+                    yield event
+                    expected += 1
+                    failures = 0
+                    if terminal:
+                        return
+                case Drop():
+                    continue
+                case Foreign():
+                    raise AnswerIncompleteError(
+                        "event of another stream", expected
+                    )
+                case Refetch():
+                    failures += 1
+                    if failures > RESUME_LIMIT:
+                        raise AnswerIncompleteError("stream broken", expected)
+                    source.disconnect()
+    finally:
+        source.disconnect()
+
+
+class _Source:
+    """A connection to an engine stream that is reopened where it broke."""
+
+    def __init__(
+        self,
+        client: Upstream,
+        stream_id: str,
+        reader: engine.EventReader | None,
+    ) -> None:
+        self._client = client
+        self._stream_id = stream_id
+        self._reader = reader
+
+    def read(self, expected: int) -> bytes:
+        """Returns an event, or b"" when the connection broke or ended."""
+        try:
+            if self._reader is None:
+                self._reader = self._client.resume_stream(
+                    self._stream_id, expected - 1
+                )
+            return self._reader.read()
+        except errors.StreamLostError as error:
+            raise AnswerIncompleteError(str(error), expected) from error
+        except errors.StreamBrokenError:
+            return b""
+
+    def disconnect(self) -> None:
+        """Closes the connection; the next read resumes."""
+        if self._reader is not None:
+            self._reader.close()
+        self._reader = None
--- /dev/null
+++ b/arbutuscove/requests/once.py
@@ -0,0 +1,107 @@
+"""Runs a request at most once under the caller's idempotency key."""
+
+import datetime
+
+import eliot
+
+from arbutuscove.admission import work as work_module
+from arbutuscove.kernel import services
+from arbutuscove.platform import objects as objects_module
+from arbutuscove.requests import claims as claims_module
+from arbutuscove.requests import failures
+
+SERVICE_NAME = "once"
+ANSWER_PREFIX = "answers/"
+RETRY_AFTER = datetime.timedelta(seconds=5)
+
+
+class AlreadyRanError(Exception):
+    """The request ran before; `answer` is its stored answer, if kept."""
+
+    def __init__(self, answer: bytes | None) -> None:
+        super().__init__("the request already ran")
+        self.answer = answer
+
+
+class AtMostOnce(services.BaseService):
+    """Claims before dispatch and stored answers after it."""
+
+    def __init__(
+        self,
+        claims: claims_module.Claims,
+        objects: objects_module.ObjectStore,
+    ) -> None:
+        self._claims = claims
+        self._objects = objects
+
+    def begin(
+        self, account: str, key: str, attempt_id: str, digest: str
+    ) -> claims_module.HeldClaim:
+        """Claims the request; only after this may it be dispatched.
+
+        Raises:
+            RequestFailedError: it must not be dispatched.
+            AlreadyRanError: it ran to the end before.
+        """
+        row_key = claims_module.build_key(account, key)
+        try:
+            taken = self._claims.take(row_key, attempt_id, digest)
+        except claims_module.ClaimUnavailableError as error:
+            raise _fail(503, "claims_unavailable", str(error)) from error
+        except claims_module.ClaimUnknownError as error:
+            raise _fail(503, "claim_unsettled", str(error)) from error
+        if taken.is_ok():
+            return taken.ok
+        raise self._explain(taken.error, digest)
+
+    def give_up(self, held: claims_module.HeldClaim) -> failures.Run:
+        """Abandons a claim before dispatch and returns what may be said."""
+        if self._claims.abandon(held):
+            return failures.Run.NOT_RUN
+        return failures.Run.UNKNOWN
+
+    def finish(self, held: claims_module.HeldClaim, answer: bytes) -> None:
+        """Records that the request ran, and stores its answer if possible."""
+        object_key = ANSWER_PREFIX + held.key
+        try:
+            self._objects.put(object_key, answer)
+        except objects_module.ObjectStoreUnavailableError as error:
+            eliot.log_message("once:answer_not_stored", reason=str(error))
+            object_key = ""
+        if not self._claims.finish(held, object_key):
+            eliot.log_message("once:finish_not_recorded", key=held.key)
+
+    def _explain(
+        self, found: claims_module.Claim, digest: str
+    ) -> failures.RequestFailedError | AlreadyRanError:
+        if found.digest != digest:
+            return _fail(
+                422,
+                "idempotency_key_reused",
+                "the idempotency key belongs to another request",
+            )
+        if found.state == claims_module.ClaimState.DONE:
+            return AlreadyRanError(self._load(found.answer))
+        refusal = work_module.Refusal(
+            status=409,
+            code="outcome_unknown",
+            message="the request is running or its outcome is unknown",
+            retry_after=RETRY_AFTER,
+        )
+        return failures.RequestFailedError(refusal, failures.Run.UNKNOWN)
+
+    def _load(self, object_key: str) -> bytes | None:
+        if not object_key:
+            return None
+        try:
+            return self._objects.get(object_key)
+        except objects_module.ObjectStoreUnavailableError:
+            return None
+
+
+def _fail(status: int, code: str, message: str) -> failures.RequestFailedError:
+    retry_after = RETRY_AFTER if status == 503 else None
+    refusal = work_module.Refusal(
+        status=status, code=code, message=message, retry_after=retry_after
+    )
+    return failures.RequestFailedError(refusal, failures.Run.NOT_RUN)
--- /dev/null
+++ b/arbutuscove/requests/tests/test_answers.py
@@ -0,0 +1,89 @@
+"""Guards against answers that are cut short, doubled or another's."""
+
+import pytest
+
+from arbutuscove.requests import answers
+from arbutuscove.upstreams import errors
+
+
+def _event(number, stream="s", data=b"{}"):
+    return f"id: {stream}-{number}\ndata: ".encode() + data + b"\n\n"
+
+
+WHOLE = [_event(0), _event(1), _event(2), _event(3, data=b"[DONE]")]
+
+
+class _Reader:
+    """Returns prepared events, then breaks or ends."""
+
+    def __init__(self, events, broken=False):
+        self._events = list(events)
+        self._broken = broken
+
+    def read(self):
+        if self._events:
+            return self._events.pop(0)
+        if self._broken:
+            raise errors.StreamBrokenError("broken")
+        return b""
+
+    def close(self):
+        self._events.clear()
+
+
+class _Engine:
+    """Resumes the whole stream after an event number."""
+
+    def __init__(self, lost=False):
+        self.resumed = []
+        self._lost = lost
+
+    def resume_stream(self, stream_id, after):
+        self.resumed.append(after)
+        if self._lost:
+            raise errors.StreamLostError("unknown stream")
+        return _Reader(WHOLE[after + 1 :])
+
+
+@pytest.mark.parametrize(
+    "arrived",
+    [
+        WHOLE,
+        [WHOLE[0], WHOLE[0], *WHOLE[1:]],
+        [WHOLE[0], WHOLE[2], WHOLE[1], WHOLE[3]],
+        WHOLE[:2],
+        [],
+    ],
+    ids=["whole", "repeated", "reordered", "truncated", "empty"],
+)
+@pytest.mark.parametrize("broken", [False, True])
+def test_answer_delivers_each_event_once_in_order(arrived, broken):
+    """A repeated, late or missing event must not reach the caller."""
+    reader = _Reader(arrived, broken)
+    found = list(answers.read_answer(_Engine(), "s", reader))
+    assert found == WHOLE
+
+
+def test_answer_of_another_stream_is_refused():
+    """An event of another request must never reach the caller."""
+    reader = _Reader([WHOLE[0], _event(1, stream="other")])
+    events = answers.read_answer(_Engine(), "s", reader)
+    assert next(events) == WHOLE[0]
+    with pytest.raises(answers.AnswerIncompleteError):
+        next(events)
+
+
+def test_answer_without_terminal_event_fails():
+    """A truncated answer must not look complete."""
+    reader = _Reader(WHOLE[:3])
+    events = answers.read_answer(_Engine(lost=True), "s", reader)
+    with pytest.raises(answers.AnswerIncompleteError) as caught:
+        list(events)
+    assert caught.value.delivered == 3
+
+
+def test_answer_resumes_after_last_delivered_event():
+    """Resuming from the start would double the events already sent."""
+    engine = _Engine()
+    list(answers.read_answer(engine, "s", None, start=2))
+    assert engine.resumed == [1]
--- /dev/null
+++ b/arbutuscove/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing: which replica takes a request."""
--- /dev/null
+++ b/arbutuscove/standins/server.py
@@ -0,0 +1,60 @@
+"""HTTP scaffolding shared by the stand-ins."""
+
+import signal
+import sys
+import typing
+from collections import abc
+
+import gevent
+import msgspec
+from gevent import pywsgi
+from werkzeug import exceptions
+from werkzeug import routing
+from werkzeug import wrappers
+
+JSON_TYPE = "application/json"
+Handler = abc.Callable[..., wrappers.Response]
+
+
+def respond(body: typing.Any, status: int = 200) -> wrappers.Response:
+    """Returns a JSON response."""
+    encoded = msgspec.json.encode(body)
+    return wrappers.Response(encoded, status, content_type=JSON_TYPE)
+
+
+def read_json(request: wrappers.Request) -> typing.Any:
+    """Decodes the request body."""
+    return msgspec.json.decode(request.get_data())
+
+
+class App:
+    """A WSGI application made of (method, path pattern, handler) routes."""
+
+    def __init__(self, routes: list[tuple[str, str, Handler]]) -> None:
+        self._map = routing.Map(
+            [
+                routing.Rule(path, methods=[method], endpoint=handler)
+                for method, path, handler in routes
+            ]
+        )
+
+    def __call__(
+        self, environ: dict[str, typing.Any], start_response: typing.Any
+    ) -> abc.Iterable[bytes]:
+        """Serves one request."""
+        request = wrappers.Request(environ)
+        try:
+            endpoint, values = self._map.bind_to_environ(environ).match()
+            response = endpoint(request, **values)
+        except exceptions.HTTPException as error:
+            response = error.get_response(environ)
+        return response(environ, start_response)
+
+
+def serve(app: App, listen: str) -> None:
+    """Serves until SIGTERM, then ends without waiting for requests."""
+    host, _, port = listen.rpartition(":")
+    server = pywsgi.WSGIServer((host, int(port)), app, log=None)
+    gevent.signal_handler(signal.SIGTERM, sys.exit, 0)
+    gevent.signal_handler(signal.SIGINT, sys.exit, 0)
+    server.serve_forever()
--- /dev/null
+++ b/arbutuscove/standins/table.py
@@ -0,0 +1,213 @@
+"""Stand-in for the platform's transactional table service.
+
+Faults, set by `POST /faults`: `down` refuses all, `lose_confirmation` applies
+a write and drops its answer, `lose_request` drops it unapplied, `slow` delays
+each answer. The log of applied writes is the independent record for tests.
+"""
+
+import dataclasses
+import datetime
+import enum
+import time
+import typing
+
+import gevent
+import msgspec
+import sortedcontainers
+from werkzeug import wrappers
+
+from arbutuscove.platform import table
+from arbutuscove.standins import server
+
+WRITES_PER_SECOND = 300
+READS_PER_SECOND = 2000
+LOG_LIMIT = 200_000  # applied writes kept for tests
+
+
+class Mode(enum.StrEnum):
+    """How the stand-in answers."""
+
+    OK = "ok"
+    DOWN = "down"
+    SLOW = "slow"
+    LOSE_CONFIRMATION = "lose_confirmation"
+    LOSE_REQUEST = "lose_request"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Faults:
+    """What to do wrong; `count` limits lost messages, negative: all."""
+
+    mode: Mode = Mode.OK
+    delay: datetime.timedelta = datetime.timedelta(seconds=1)
+    count: int = -1
+    key_prefix: str = ""
+
+
+class RateLimit:
+    """Allows at most `rate` operations in each second."""
+
+    def __init__(self, rate: int) -> None:
+        self._rate = rate
+        self._second = 0
+        self._used = 0
+
+    def take(self) -> bool:
+        """Returns whether one more operation is allowed now."""
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second = second
+            self._used = 0
+        self._used += 1
+        return self._used <= self._rate
+
+
+class MemoryTable:
+    """Rows, transactions and the log of applied writes; also used in tests."""
+
+    def __init__(self) -> None:
+        self.rows: sortedcontainers.SortedDict = sortedcontainers.SortedDict()
+        self.log: list[dict[str, typing.Any]] = []
+        self._versions: dict[str, int] = {}
+
+    def read(self, key: str) -> table.Row | None:
+        """Returns the row, or None if there is none."""
+        return self.rows.get(key)
+
+    def scan(
+        self, prefix: str, after: str = "", limit: int = table.SCAN_LIMIT
+    ) -> list[table.Row]:
+        """Returns rows by prefix in key order, after a key."""
+        found: list[table.Row] = []
+        start = max(prefix, after)
+        for key in self.rows.irange(start, inclusive=(start != after, True)):
+            if not key.startswith(prefix) or len(found) >= limit:
+                break
+            found.append(self.rows[key])
+        return found
+
+    def transact(self, transaction: table.Transaction) -> table.Outcome:
+        """Applies the transaction if all conditions hold."""
+        for condition in transaction.conditions:
+            row = self.rows.get(condition.key)
+            found = table.ABSENT if row is None else row.version
+            if found != condition.version:
+                conflict = table.Conflict(key=condition.key, found=found)
+                return table.expression.Error(conflict)
+        versions = {}
+        for write in transaction.writes:
+            versions[write.key] = self._apply(write, transaction.write_id)
+        return table.expression.Ok(table.Committed(versions=versions))
+
+    def _apply(self, write: table.Write, write_id: str) -> int:
+        # Versions go on after a deletion, so that a delayed write conditioned
+        # on an old version can never apply to a later row of the same key.
+        version = self._versions.get(write.key, 0) + 1
+        self._versions[write.key] = version
+        value = msgspec.to_builtins(write.value)
+        if value is None:
+            self.rows.pop(write.key, None)
+        else:
+            self.rows[write.key] = table.Row(
+                key=write.key, version=version, write_id=write_id, value=value
+            )
+        if len(self.log) < LOG_LIMIT:
+            self.log.append(
+                {"key": write.key, "version": version, "value": value}
+            )
+        return version
+
+
+class TableStandin:
+    """HTTP interface of the table stand-in."""
+
+    def __init__(self) -> None:
+        self._table = MemoryTable()
+        self._faults = Faults()
+        self._writes = RateLimit(WRITES_PER_SECOND)
+        self._reads = RateLimit(READS_PER_SECOND)
+        self._counts = {"reads": 0, "writes": 0}
+
+    def build_app(self) -> server.App:
+        """Returns the WSGI application."""
+        return server.App(
+            [
+                ("GET", "/rows/<path:key>", self._read),
+                ("GET", "/scan", self._scan),
+                ("POST", "/transact", self._transact),
+                ("POST", "/faults", self._set_faults),
+                ("GET", "/log", self._log),
+                ("GET", "/counts", self._count),
+            ]
+        )
+
+    def _refuse(self, limit: RateLimit) -> wrappers.Response | None:
+        if self._faults.mode == Mode.SLOW:
+            gevent.sleep(self._faults.delay.total_seconds())
+        if self._faults.mode == Mode.DOWN:
+            return server.respond({"error": "down"}, 503)
+        if not limit.take():
+            return server.respond({"error": "rate"}, 429)
+        return None
+
+    def _read(self, request: wrappers.Request, key: str) -> wrappers.Response:
+        self._counts["reads"] += 1
+        refusal = self._refuse(self._reads)
+        if refusal is not None:
+            return refusal
+        row = self._table.read(key)
+        if row is None:
+            return server.respond({"error": "absent"}, 404)
+        return server.respond(row)
+
+    def _scan(self, request: wrappers.Request) -> wrappers.Response:
+        self._counts["reads"] += 1
+        refusal = self._refuse(self._reads)
+        if refusal is not None:
+            return refusal
+        args = request.args
+        rows = self._table.scan(
+            args["prefix"], args.get("after", ""), int(args["limit"])
+        )
+        return server.respond(rows)
+
+    def _transact(self, request: wrappers.Request) -> wrappers.Response:
+        self._counts["writes"] += 1
+        refusal = self._refuse(self._writes)
+        if refusal is not None:
+            return refusal
+        transaction = msgspec.json.decode(
+            request.get_data(), type=table.Transaction
+        )
+        lost = self._take_loss(transaction)
+        if lost == Mode.LOSE_REQUEST:
+            return server.respond({"error": "lost"}, 504)
+        outcome = self._table.transact(transaction)
+        if lost == Mode.LOSE_CONFIRMATION:
+            return server.respond({"error": "lost"}, 504)
+        if outcome.is_ok():
+            return server.respond(outcome.ok)
+        return server.respond(outcome.error, 409)
+
+    def _take_loss(self, transaction: table.Transaction) -> Mode | None:
+        faults = self._faults
+        losing = (Mode.LOSE_CONFIRMATION, Mode.LOSE_REQUEST)
+        if faults.mode not in losing or faults.count == 0:
+            return None
+        prefix = faults.key_prefix
+        if not any(w.key.startswith(prefix) for w in transaction.writes):
+            return None
+        if faults.count > 0:
+            count = faults.count - 1
+            self._faults = dataclasses.replace(faults, count=count)
+        return faults.mode
+
+    def _set_faults(self, request: wrappers.Request) -> wrappers.Response:
+        self._faults = msgspec.json.decode(request.get_data(), type=Faults)
+        return server.respond({})
+
+    def _log(self, request: wrappers.Request) -> wrappers.Response:
+        return server.respond(self._table.log)
+
+    def _count(self, request: wrappers.Request) -> wrappers.Response:
+        return server.respond(self._counts)
--- /dev/null
+++ b/arbutuscove/tool/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool, a client of the administration API."""
--- /dev/null
+++ b/arbutuscove/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to upstreams: model engines and plain services."""
--- /dev/null
+++ b/arbutuscove/upstreams/engine.py
@@ -0,0 +1,158 @@
+"""Client of the model engine on one VM."""
+
+import dataclasses
+import datetime
+import typing
+import urllib.parse
+
+import expression
+import msgspec
+from geventhttpclient import response as response_module
+
+from arbutuscove.platform import http
+from arbutuscove.upstreams import errors
+from arbutuscove.upstreams import protocol
+
+STATUS_TIMEOUT = datetime.timedelta(seconds=1)
+ORDER_TIMEOUT = datetime.timedelta(seconds=2)
+STALL_TIMEOUT = datetime.timedelta(seconds=5)  # longest gap between events
+STREAM_CONNECTIONS = 512  # per engine; bounds sockets of one daemon
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Dispatch:
+    """One attempt of a request at the leader of a replica."""
+
+    attempt_id: str
+    replica: str
+    generation: int
+    priority: int
+    body: dict[str, typing.Any]
+
+
+class EventReader:
+    """Reads raw events from one connection to an engine."""
+
+    def __init__(self, response: response_module.HTTPSocketPoolResponse):
+        self._response = response
+
+    def read(self) -> bytes:
+        """Returns the next event with its terminator, or b"" at the end.
+
+        Raises:
+            StreamBrokenError: the connection was lost or stalled.
+        """
+        try:
+            return self._response.readline(protocol.EVENT_END)
+        except (OSError, ValueError) as error:
+            raise errors.StreamBrokenError(str(error)) from error
+
+    def close(self) -> None:
+        """Closes the connection; the engine keeps the stream for a while."""
+        self._response.release()
+
+
+class EngineClient:
+    """Sends dispatches, orders and status reads to one engine."""
+
+    def __init__(self, address: str) -> None:
+        parsed = http.Address.parse(address)
+        self._control = http.JsonClient(parsed, ORDER_TIMEOUT)
+        self._status = http.JsonClient(parsed, STATUS_TIMEOUT, 2)
+        self._streams = http.JsonClient(
+            parsed, STALL_TIMEOUT, STREAM_CONNECTIONS
+        )
+
+    def read_status(self) -> protocol.Status:
+        """Returns what the VM says of itself.
+
+        Raises:
+            UnreachableError: no valid answer was received.
+        """
+        try:
+            reply = self._status.send("GET", "/status")
+            return msgspec.convert(reply.json(), protocol.Status)
+        except (http.HttpError, msgspec.ValidationError) as error:
+            raise errors.UnreachableError(str(error)) from error
+
+    def send_order(
+        self, order: protocol.Order
+    ) -> expression.Result[protocol.Status, errors.OrderRefused]:
+        """Sends an idempotent order.
+
+        Raises:
+            UnreachableError: the order may or may not have been taken.
+        """
+        try:
+            reply = self._control.send("POST", "/orders", order)
+            if reply.status == 200:
+                status = msgspec.convert(reply.json(), protocol.Status)
+                return expression.Ok(status)
+            return expression.Error(
+                errors.OrderRefused(code=str(reply.json().get("code")))
+            )
+        except (http.HttpError, msgspec.ValidationError) as error:
+            raise errors.UnreachableError(str(error)) from error
+
+    def open_stream(
+        self, dispatch: Dispatch
+    ) -> expression.Result[EventReader, errors.DispatchRefused]:
+        """Starts an answer.
+
+        Raises:
+            NotDispatchedError: the connection was refused, nothing ran.
+            DispatchUnknownError: the request may have begun to run.
+        """
+        headers = {
+            protocol.REQUEST_ID: dispatch.attempt_id,
+            protocol.REPLICA: dispatch.replica,
+            protocol.GENERATION: str(dispatch.generation),
+            protocol.PRIORITY: str(dispatch.priority),
+        }
+        try:
+            response = self._streams.open(
+                "POST", "/v1/chat/completions", dispatch.body, headers
+            )
+        except http.NotSentError as error:
+            raise errors.NotDispatchedError(str(error)) from error
+        except http.HttpError as error:
+            raise errors.DispatchUnknownError(str(error)) from error
+        if response.status_code == 200:
+            return expression.Ok(EventReader(response))
+        response.read()
+        return expression.Error(
+            errors.DispatchRefused(status=response.status_code)
+        )
+
+    def resume_stream(self, stream_id: str, after: int) -> EventReader:
+        """Continues a stream after an event number (-1: from the start).
+
+        Raises:
+            StreamLostError: the engine does not know the stream any more.
+            StreamBrokenError: the engine could not be reached.
+        """
+        path = f"/v1/streams/{urllib.parse.quote(stream_id)}?after={after}"
+        try:
+            response = self._streams.open("GET", path)
+        except http.HttpError as error:
+            raise errors.StreamBrokenError(str(error)) from error
+        if response.status_code == 200:
+            return EventReader(response)
+        response.read()
+        raise errors.StreamLostError(f"status {response.status_code}")
+
+    def cancel_stream(self, stream_id: str) -> None:
+        """Asks the engine to end a stream; failures are ignored.
+
+        The engine also ends streams that nobody reads.
+        """
+        path = "/v1/streams/" + urllib.parse.quote(stream_id)
+        try:
+            self._control.send("DELETE", path)
+        except http.HttpError:
+            return
+
+    def close(self) -> None:
+        """Closes all pooled connections."""
+        for client in (self._control, self._status, self._streams):
+            client.close()
