--- a/arbutuscove/admin/api.py
+++ b/arbutuscove/admin/api.py
@@ -9,67 +9,39 @@
 from werkzeug import routing
 from werkzeug import wrappers
 
-from arbutuscove.audit import trail
-from arbutuscove.config import acceptance
-from arbutuscove.config import follower
+from arbutuscove.admin import drains
+from arbutuscove.admin import errors
+from arbutuscove.admin import operations as operations_module
+from arbutuscove.admin import resources
+from arbutuscove.admin import routes
 from arbutuscove.entry import callers
 from arbutuscove.entry import refusals
-from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
 from arbutuscove.platform import http
 from arbutuscove.platform import table as table_module
-from arbutuscove.replicas import directory as directory_module
 
 SERVICE_NAME = "admin"
+BODY_LIMIT = 1 << 20  # bytes
 
 
 class AdminServer(services.BaseService):
-    """Serves operators; every call needs the administration key."""
+    """Serves operators and teams; every call needs an administration key."""
 
     def __init__(
-        self,
-        listen: http.Address,
-        key_digest: str,
-        clock: clock_module.Clock,
-        table: table_module.Table,
-        config: follower.ConfigFollower,
-        directory: directory_module.ReplicaDirectory,
+        self, listen: http.Address, operations: operations_module.Operations
     ) -> None:
-        self._key_digest = key_digest
-        self._clock = clock
-        self._table = table
-        self._config = config
-        self._directory = directory
+        self._operations = operations
         self._server = pywsgi.WSGIServer(
             (listen.host, listen.port), self, log=None, error_log=None
         )
         self._map = routing.Map(
             [
                 routing.Rule(
-                    "/admin/v1/services",
-                    methods=["GET"],
-                    endpoint=self._list_services,
-                ),
-                routing.Rule(
-                    "/admin/v1/services/<name>",
-                    methods=["GET"],
-                    endpoint=self._get_service,
-                ),
-                routing.Rule(
-                    "/admin/v1/services/<name>",
-                    methods=["PUT"],
-                    endpoint=self._accept,
-                ),
-                routing.Rule(
-                    "/admin/v1/status",
-                    methods=["GET"],
-                    endpoint=self._get_status,
-                ),
-                routing.Rule(
-                    "/admin/v1/audit/<path:scope>",
-                    methods=["GET"],
-                    endpoint=self._read_audit,
-                ),
+                    routes.PREFIX + route.path,
+                    methods=[route.method],
+                    endpoint=route,
+                )
+                for route in routes.ROUTES
             ]
         )
 
@@ -86,88 +58,69 @@
     ) -> abc.Iterable[bytes]:
         """Serves one request."""
         request = wrappers.Request(environ)
-        try:
-            if callers.digest_key(callers.read_key(request)) != (
-                self._key_digest
-            ):
-                raise refusals.BadRequestError(401, "wrong_key", "unknown key")
-            bound = self._map.bind_to_environ(environ)
-            endpoint, values = bound.match()
-            response = endpoint(request, **values)
-        except refusals.BadRequestError as error:
-            response = _respond(
-                {"code": error.refusal.code, "message": str(error)},
-                error.refusal.status,
-            )
-        except table_module.TableUnavailableError as error:
-            response = _respond(
-                {"code": "table_unavailable", "message": str(error)}, 503
-            )
-        except exceptions.HTTPException as error:
-            response = _respond(
-                {"code": error.name, "message": str(error)}, error.code or 400
-            )
+        request.max_content_length = BODY_LIMIT
+        response = self._respond(request)
         return response(environ, start_response)
 
-    def _list_services(self, request: wrappers.Request) -> wrappers.Response:
-        versions = self._config.current().services.values()
-        return _respond(list(versions))
-
-    def _get_service(
-        self, request: wrappers.Request, name: str
-    ) -> wrappers.Response:
-        found = self._config.current().services.get(name)
-        if found is None:
-            raise refusals.BadRequestError(404, "unknown_service", name)
-        return _respond(found)
-
-    def _accept(
-        self, request: wrappers.Request, name: str
-    ) -> wrappers.Response:
-        try:
-            proposal = msgspec.json.decode(
-                request.get_data(), type=acceptance.Proposal
-            )
-        except msgspec.DecodeError as error:
-            raise refusals.BadRequestError(
-                400, "invalid_body", str(error)
-            ) from error
-        if proposal.service.name != name:
-            raise refusals.BadRequestError(400, "invalid_body", "name differs")
+    def _respond(self, request: wrappers.Request) -> wrappers.Response:
         try:
-            result = acceptance.accept(self._table, self._clock, proposal)
-        except acceptance.AcceptanceUnavailableError as error:
-            return _respond(
-                {"code": "table_unavailable", "message": str(error)}, 503
+            return _encode(self._call(request), 200)
+        except errors.AdminError as error:
+            problem = resources.Problem(
+                code=error.code,
+                message=str(error),
+                details=error.details or {},
             )
-        except acceptance.AcceptanceUnknownError as error:
-            return _respond(
-                {"code": "outcome_unknown", "message": str(error)}, 504
-            )
-        if result.is_error():
-            return _respond(
-                {"code": "version_conflict", "conflict": result.error}, 409
-            )
-        return _respond(result.ok)
-
-    def _get_status(self, request: wrappers.Request) -> wrappers.Response:
-        snapshot = self._config.current()
-        names = [item.service.name for item in snapshot.services.values()]
-        body = {
-            "sequence": snapshot.sequence,
-            "replicas": list(self._directory.rows().values()),
-            "serving": {name: self._directory.serving(name) for name in names},
-        }
-        return _respond(body)
-
-    def _read_audit(
-        self, request: wrappers.Request, scope: str
-    ) -> wrappers.Response:
-        after = int(request.args.get("after", 0))
-        return _respond(trail.read_scope(self._table, scope, after))
-
-
-def _respond(body: typing.Any, status: int = 200) -> wrappers.Response:
+            return _encode(problem, error.status)
+        except refusals.BadRequestError as error:
+            return _refuse(error.refusal.status, error.refusal.code, str(error))
+        except (table_module.TableError, drains.DrainUndecidedError) as error:
+            return _refuse(503, "table_unavailable", str(error))
+        except exceptions.HTTPException as error:
+            code = error.name.lower().replace(" ", "_")
+            return _refuse(error.code or 400, code, error.name)
+
+    def _call(self, request: wrappers.Request) -> typing.Any:
+        bound = self._map.bind_to_environ(request.environ)
+        route, values = bound.match()
+        digest = callers.digest_key(callers.read_key(request))
+        caller = self._operations.identify(digest)
+        arguments: dict[str, typing.Any] = dict(values)
+        for name, default in route.query:
+            arguments[name] = _read_parameter(request, name, default)
+        if route.body is not None:
+            arguments["body"] = _decode(request.get_data(), route.body)
+        return route.operation(self._operations, caller, **arguments)
+
+
+def _read_parameter(
+    request: wrappers.Request, name: str, default: str | int
+) -> str | int:
+    text = request.args.get(name)
+    if text is None or isinstance(default, str):
+        return text if text is not None else default
+    if not text.isdigit():
+        raise errors.AdminError(400, "invalid_parameter", f"{name}: {text}")
+    value = int(text)
+    if name == "limit" and not 1 <= value <= routes.PAGE_LIMIT:
+        raise errors.AdminError(
+            400, "invalid_parameter", f"limit is 1 to {routes.PAGE_LIMIT}"
+        )
+    return value
+
+
+def _decode(content: bytes, kind: type) -> typing.Any:
+    try:
+        return msgspec.json.decode(content, type=kind)
+    except msgspec.DecodeError as error:
+        raise errors.AdminError(400, "invalid_body", str(error)) from error
+
+
+def _refuse(status: int, code: str, message: str) -> wrappers.Response:
+    return _encode(resources.Problem(code=code, message=message), status)
+
+
+def _encode(body: typing.Any, status: int) -> wrappers.Response:
     return wrappers.Response(
         msgspec.json.encode(body), status, content_type=refusals.JSON_TYPE
     )
--- /dev/null
+++ b/arbutuscove/admin/drains.py
@@ -0,0 +1,71 @@
+"""VMs that operators take out of service.
+
+A drained VM is treated like one that the platform lists as leaving: it gets no
+new work, and its replica is repaired without it.
+"""
+
+import msgspec
+
+from arbutuscove.admin import resources
+from arbutuscove.audit import trail
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.platform import table as table_module
+
+PREFIX = "drain/"
+AUDIT_SCOPE = "drains"
+ATTEMPTS = 5  # lost races with other changes of the same scope
+
+
+class DrainUndecidedError(Exception):
+    """The change lost too many races; nothing was written."""
+
+
+def read_drains(table: table_module.Table) -> list[resources.Drain]:
+    """Returns the VMs being drained.
+
+    Raises:
+        TableUnavailableError: the table could not be read.
+    """
+    rows = table_module.read_all(table, PREFIX)
+    return [row.decode(resources.Drain) for row in rows]
+
+
+def set_drain(
+    table: table_module.Table,
+    clock: clock_module.Clock,
+    actor: str,
+    vm: str,
+    drain: resources.Drain | None,
+) -> None:
+    """Begins a drain, or ends it with None; the same call changes nothing.
+
+    Raises:
+        TableError: the table could not be read or written.
+        DrainUndecidedError: too many races were lost.
+    """
+    key = PREFIX + vm
+    for _ in range(ATTEMPTS):
+        row = table.read(key)
+        held = None if row is None else row.decode(resources.Drain)
+        if held == drain:
+            return
+        version = table_module.ABSENT if row is None else row.version
+        transaction = table_module.Transaction(
+            conditions=(table_module.Condition(key=key, version=version),),
+            writes=(
+                table_module.Write(key=key, value=msgspec.to_builtins(drain)),
+            ),
+        )
+        entry = trail.Entry(
+            actor=actor,
+            action="vm.drain" if drain is not None else "vm.undrain",
+            subject=vm,
+            before="" if held is None else held.reason,
+            after="" if drain is None else drain.reason,
+            reason="administration call",
+            time=clock.now(),
+        )
+        transaction = trail.append_to(table, transaction, AUDIT_SCOPE, entry)
+        if table_module.commit(table, transaction, clock).is_ok():
+            return
+    raise DrainUndecidedError(vm)
--- /dev/null
+++ b/arbutuscove/admin/operations.py
@@ -0,0 +1,385 @@
+"""What each administration call does, apart from HTTP."""
+
+import dataclasses
+import re
+
+from arbutuscove.admin import drains
+from arbutuscove.admin import errors
+from arbutuscove.admin import keys as keys_module
+from arbutuscove.admin import resources
+from arbutuscove.admin import status as status_module
+from arbutuscove.admission import service as admission_module
+from arbutuscove.audit import trail
+from arbutuscove.config import acceptance
+from arbutuscove.config import follower
+from arbutuscove.config import keys as config_keys
+from arbutuscove.config import model as config_model
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.membership import service as membership_module
+from arbutuscove.observe import journal as journal_module
+from arbutuscove.platform import table as table_module
+from arbutuscove.questionnaire import review as review_module
+from arbutuscove.replicas import board as board_module
+from arbutuscove.replicas import directory as directory_module
+
+QUARANTINE_PREFIX = "quarantine/"
+DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
+
+
+class Operations:
+    """The administration calls of one daemon."""
+
+    def __init__(
+        self,
+        daemon: str,
+        table: table_module.Table,
+        clock: clock_module.Clock,
+        keys: keys_module.AdminKeys,
+        config: follower.ConfigFollower,
+        directory: directory_module.ReplicaDirectory,
+        board: board_module.StatusBoard,
+        admission: admission_module.Admission,
+        membership: membership_module.Membership,
+        journal: journal_module.Journal,
+    ) -> None:
+        self._daemon = daemon
+        self._table = table
+        self._clock = clock
+        self._keys = keys
+        self._config = config
+        self._directory = directory
+        self._board = board
+        self._admission = admission
+        self._membership = membership
+        self._journal = journal
+
+    def identify(self, digest: str) -> keys_module.Identity:
+        """Returns who has the key with this digest."""
+        return self._keys.identify(digest)
+
+    def list_services(
+        self, caller: keys_module.Identity, after: str, limit: int
+    ) -> resources.ServicePage:
+        """Returns a page of the services that the caller may see."""
+        services = self._config.current().services
+        visible = [
+            services[name]
+            for name in sorted(services)
+            if name > after and caller.may_see(services[name].service.team)
+        ]
+        more = len(visible) > limit
+        return resources.ServicePage(
+            items=tuple(visible[:limit]),
+            next=visible[limit - 1].service.name if more else "",
+        )
+
+    def get_service(
+        self, caller: keys_module.Identity, name: str
+    ) -> config_model.ServiceVersion:
+        """Returns the newest accepted version of a service."""
+        row = self._table.read(config_keys.service_key(name))
+        found = None
+        if row is not None:
+            found = row.decode(config_model.ServiceVersion)
+        if found is None or not caller.may_see(found.service.team):
+            raise errors.AdminError(404, "unknown_service", name)
+        return found
+
+    def review(
+        self,
+        caller: keys_module.Identity,
+        name: str,
+        body: config_model.Service,
+    ) -> review_module.Review:
+        """Returns a proposal beside what is in force."""
+        _check_name(name, body)
+        return review_module.build_review(self._find(caller, name), body)
+
+    def accept(
+        self,
+        caller: keys_module.Identity,
+        name: str,
+        body: acceptance.Proposal,
+    ) -> resources.AcceptedChange:
+        """Puts a proposal in force if the reviewed version still is."""
+        _check_name(name, body.service)
+        in_force = self._find(caller, name)
+        if not caller.may_change(body.service.team):
+            raise errors.AdminError(403, "forbidden", "not your team")
+        proposal = dataclasses.replace(
+            body, author=f"{caller.name} ({body.author})"
+        )
+        return self._accept(proposal, in_force)
+
+    def set_account_keys(
+        self,
+        caller: keys_module.Identity,
+        name: str,
+        account: str,
+        body: resources.AccountKey,
+    ) -> resources.AcceptedChange:
+        """Rotates the keys of a client account; keys come as digests."""
+        if not all(DIGEST_PATTERN.fullmatch(d) for d in body.key_digests):
+            raise errors.AdminError(400, "invalid_digest", "not SHA-256")
+        version = self.get_service(caller, name)
+        service = version.service
+        if not caller.may_change(service.team):
+            raise errors.AdminError(403, "forbidden", "not your team")
+        if account not in {item.name for item in service.accounts}:
+            raise errors.AdminError(404, "unknown_account", account)
+        accounts = tuple(
+            dataclasses.replace(item, key_digests=body.key_digests)
+            if item.name == account
+            else item
+            for item in service.accounts
+        )
+        proposal = acceptance.Proposal(
+            service=dataclasses.replace(service, accounts=accounts),
+            base_version=body.base_version,
+            author=caller.name,
+            reason=f"keys of account {account} rotated",
+        )
+        return self._accept(proposal, version)
+
+    def list_keys(
+        self, caller: keys_module.Identity, after: str, limit: int
+    ) -> resources.KeyPage:
+        """Returns a page of administration keys, without the keys."""
+        _require_operator(caller)
+        found = self._keys.list_keys(after, limit + 1)
+        more = len(found) > limit
+        return resources.KeyPage(
+            items=tuple(found[:limit]),
+            next=found[limit - 1].digest if more else "",
+        )
+
+    def put_key(
+        self,
+        caller: keys_module.Identity,
+        digest: str,
+        body: keys_module.Identity,
+    ) -> keys_module.AdminKey:
+        """Adds or changes an administration key by its digest."""
+        _require_operator(caller)
+        if not DIGEST_PATTERN.fullmatch(digest):
+            raise errors.AdminError(400, "invalid_digest", "not SHA-256")
+        key = keys_module.AdminKey(digest=digest, identity=body)
+        return self._keys.put(caller.name, key)
+
+    def delete_key(
+        self, caller: keys_module.Identity, digest: str
+    ) -> resources.KeyPage:
+        """Removes an administration key."""
+        _require_operator(caller)
+        self._keys.delete(caller.name, digest)
+        return resources.KeyPage(items=(), next="")
+
+    def list_drains(self, caller: keys_module.Identity) -> resources.DrainList:
+        """Returns the VMs that operators take out of service."""
+        return resources.DrainList(items=tuple(drains.read_drains(self._table)))
+
+    def put_drain(
+        self, caller: keys_module.Identity, vm: str, body: resources.Drain
+    ) -> resources.DrainList:
+        """Takes a VM out of service."""
+        _require_operator(caller)
+        drain = dataclasses.replace(body, vm=vm)
+        drains.set_drain(self._table, self._clock, caller.name, vm, drain)
+        return self.list_drains(caller)
+
+    def delete_drain(
+        self, caller: keys_module.Identity, vm: str
+    ) -> resources.DrainList:
+        """Returns a VM to service."""
+        _require_operator(caller)
+        drains.set_drain(self._table, self._clock, caller.name, vm, None)
+        return self.list_drains(caller)
+
+    def list_quarantine(
+        self, caller: keys_module.Identity
+    ) -> resources.QuarantineList:
+        """Returns the digests of quarantined requests."""
+        _require_operator(caller)
+        rows = table_module.read_all(self._table, QUARANTINE_PREFIX)
+        return resources.QuarantineList(
+            digests=tuple(
+                row.key.removeprefix(QUARANTINE_PREFIX) for row in rows
+            )
+        )
+
+    def get_status(
+        self, caller: keys_module.Identity
+    ) -> resources.SystemStatus:
+        """Returns the system as this daemon sees it."""
+        snapshot = self._config.current()
+        serving = {
+            replica.replica: replica
+            for name in snapshot.services
+            for replica in self._directory.serving(name)
+        }
+        observed = status_module.Observation(
+            daemon=self._daemon,
+            snapshot=snapshot,
+            waiting=self._admission.waiting(),
+            rows=self._directory.rows(),
+            serving=serving,
+            vms=self._board.vms(),
+            seen=self._board.seen(),
+            daemons=self._list_daemons(),
+        )
+        return status_module.build_status(observed, caller)
+
+    def explain(
+        self, caller: keys_module.Identity, request_id: str
+    ) -> resources.Explanation:
+        """Returns the steps of a request that this daemon took."""
+        if caller.role == keys_module.Role.TEAM:
+            raise errors.AdminError(403, "forbidden", "not for teams")
+        daemon = request_id.rpartition(".")[0]
+        if daemon != self._daemon:
+            raise errors.AdminError(
+                404, "other_daemon", f"ask daemon {daemon!r}"
+            )
+        steps = self._journal.read(request_id)
+        if not steps:
+            raise errors.AdminError(404, "unknown_request", "no longer kept")
+        return resources.Explanation(
+            request_id=request_id,
+            daemon=daemon,
+            events=tuple(
+                resources.RequestEvent(
+                    time=step.time, step=step.name, detail=step.detail
+                )
+                for step in steps
+            ),
+        )
+
+    def list_audit_scopes(
+        self, caller: keys_module.Identity
+    ) -> resources.AuditScopes:
+        """Returns the audit scopes and their newest numbers."""
+        _require_not_team(caller)
+        rows = table_module.read_all(self._table, trail.HEAD_PREFIX)
+        return resources.AuditScopes(
+            newest={
+                row.key.removeprefix(trail.HEAD_PREFIX): int(
+                    row.value["number"]
+                )
+                for row in rows
+            }
+        )
+
+    def read_audit(
+        self,
+        caller: keys_module.Identity,
+        scope: str,
+        after: int,
+        limit: int,
+    ) -> resources.AuditPage:
+        """Returns a page of audit entries of one scope."""
+        _require_not_team(caller)
+        found = trail.read_scope(self._table, scope, after, limit)
+        return resources.AuditPage(
+            items=tuple(found),
+            gaps=tuple(trail.find_gaps(found)),
+            next=found[-1].number if len(found) == limit else 0,
+        )
+
+    def _find(
+        self, caller: keys_module.Identity, name: str
+    ) -> config_model.ServiceVersion | None:
+        row = self._table.read(config_keys.service_key(name))
+        if row is None:
+            return None
+        found = row.decode(config_model.ServiceVersion)
+        if not caller.may_see(found.service.team):
+            raise errors.AdminError(403, "forbidden", "not your team")
+        return found
+
+    def _accept(
+        self,
+        proposal: acceptance.Proposal,
+        in_force: config_model.ServiceVersion | None,
+    ) -> resources.AcceptedChange:
+        try:
+            result = acceptance.accept(self._table, self._clock, proposal)
+        except acceptance.AcceptanceUnavailableError as error:
+            raise errors.AdminError(
+                503, "table_unavailable", str(error)
+            ) from error
+        except acceptance.AcceptanceUnknownError as error:
+            raise errors.AdminError(
+                504, "outcome_unknown", f"review again: {error}"
+            ) from error
+        if result.is_error():
+            raise self._build_conflict(proposal, result.error)
+        change = result.ok
+        daemons = self._list_daemons()
+        return resources.AcceptedChange(
+            change=change,
+            in_force=tuple(
+                d.name for d in daemons if d.sequence >= change.sequence
+            ),
+            not_yet=tuple(
+                d.name for d in daemons if d.sequence < change.sequence
+            ),
+        )
+
+    def _build_conflict(
+        self,
+        proposal: acceptance.Proposal,
+        conflict: acceptance.VersionConflict,
+    ) -> errors.AdminError:
+        row = self._table.read(config_keys.service_key(conflict.service))
+        found = None
+        if row is not None:
+            found = row.decode(config_model.ServiceVersion).service
+        differences = review_module.find_differences(found, proposal.service)
+        details = {item.setting: str(item) for item in differences}
+        return errors.AdminError(
+            409,
+            "version_conflict",
+            f"version {conflict.found} is in force, {conflict.reviewed} was "
+            "reviewed; the details show what the proposal would change",
+            details,
+        )
+
+    def _list_daemons(self) -> tuple[resources.DaemonState, ...]:
+        own = self._config.current().sequence
+        members = [(self._membership.own(), own)]
+        members += [
+            (member, self._membership.get_sequence(member.name))
+            for member in self._membership.alive()
+        ]
+        return tuple(
+            resources.DaemonState(
+                name=member.name,
+                failure_domain=member.failure_domain,
+                load=member.load,
+                sequence=sequence,
+            )
+            for member, sequence in members
+        )
+
+
+def _check_name(name: str, service: config_model.Service) -> None:
+    if service.name != name:
+        raise errors.AdminError(400, "invalid_body", "the name differs")
+    try:
+        service.backend()
+    except ValueError as error:
+        raise errors.AdminError(400, "invalid_body", str(error)) from error
+    if not service.ranks or not service.accounts:
+        raise errors.AdminError(
+            400, "invalid_body", "ranks and accounts must not be empty"
+        )
+
+
+def _require_operator(caller: keys_module.Identity) -> None:
+    if caller.role != keys_module.Role.OPERATOR:
+        raise errors.AdminError(403, "forbidden", "operators only")
+
+
+def _require_not_team(caller: keys_module.Identity) -> None:
+    if caller.role == keys_module.Role.TEAM:
+        raise errors.AdminError(403, "forbidden", "not for teams")
--- /dev/null
+++ b/arbutuscove/admin/resources.py
@@ -0,0 +1,149 @@
+"""Bodies of the administration API; the OpenAPI file is made from them."""
+
+import dataclasses
+import datetime
+
+from arbutuscove.admin import keys
+from arbutuscove.audit import trail
+from arbutuscove.config import model as config_model
+from arbutuscove.replicas import model as replica_model
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Problem:
+    """Why a call failed."""
+
+    code: str
+    message: str
+    details: dict[str, str] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServicePage:
+    """Services in order of their names; `next` continues, empty at the end."""
+
+    items: tuple[config_model.ServiceVersion, ...]
+    next: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class KeyPage:
+    """Administration keys; `next` continues, empty at the end."""
+
+    items: tuple[keys.AdminKey, ...]
+    next: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AuditPage:
+    """Entries of a scope; `gaps` are missing numbers among them."""
+
+    items: tuple[trail.NumberedEntry, ...]
+    gaps: tuple[int, ...]
+    next: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AuditScopes:
+    """Names of the audit scopes and the newest number of each."""
+
+    newest: dict[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AcceptedChange:
+    """The accepted change, and the daemons that already have it in force."""
+
+    change: config_model.Change
+    in_force: tuple[str, ...]
+    not_yet: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AccountKey:
+    """The digest of a client account's key; an empty list removes all."""
+
+    base_version: int
+    key_digests: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StrandedVm:
+    """A VM that is paid for but cannot serve, and why."""
+
+    vm: str
+    fabric_domain: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DaemonState:
+    """What is known of a daemon; `sequence` is its configuration."""
+
+    name: str
+    failure_domain: str
+    load: int
+    sequence: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ReplicaState:
+    """A replica and whether this daemon may route to it."""
+
+    row: replica_model.ReplicaRow
+    serving: bool
+    running: int = 0
+    slots: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SystemStatus:
+    """The system as the answering daemon sees it."""
+
+    daemon: str
+    sequence: int
+    waiting: int
+    replicas: tuple[ReplicaState, ...]
+    stranded: tuple[StrandedVm, ...]
+    daemons: tuple[DaemonState, ...]
+    serving: dict[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RequestEvent:
+    """One step in the life of a request."""
+
+    time: datetime.datetime
+    step: str
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Explanation:
+    """Why a request was queued, routed or refused, step by step."""
+
+    request_id: str
+    daemon: str
+    events: tuple[RequestEvent, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Drain:
+    """A VM that an operator takes out of service."""
+
+    vm: str
+    reason: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DrainList:
+    """VMs being drained, in order of their names."""
+
+    items: tuple[Drain, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class QuarantineList:
+    """Digests of quarantined requests, in order."""
+
+    digests: tuple[str, ...]
--- /dev/null
+++ b/arbutuscove/admin/status.py
@@ -0,0 +1,112 @@
+"""The system as one daemon sees it, for operators."""
+
+import dataclasses
+import typing
+from collections import abc
+
+from arbutuscove.admin import resources
+from arbutuscove.config import model as config_model
+from arbutuscove.platform import inventory
+from arbutuscove.replicas import model as replica_model
+from arbutuscove.upstreams import protocol
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Observation:
+    """What the status is made from."""
+
+    daemon: str
+    snapshot: config_model.Snapshot
+    waiting: int
+    rows: abc.Mapping[str, replica_model.ReplicaRow]
+    serving: abc.Mapping[str, replica_model.Serving]
+    vms: abc.Mapping[str, inventory.Vm]
+    seen: abc.Mapping[str, replica_model.Seen]
+    daemons: tuple[resources.DaemonState, ...]
+
+
+class Visibility(typing.Protocol):
+    """Which teams' services a caller sees."""
+
+    def may_see(self, team: str) -> bool:
+        """Returns whether the services of a team are visible."""
+
+
+def build_status(
+    observed: Observation, caller: Visibility
+) -> resources.SystemStatus:
+    """Returns the status with the services that the caller may see."""
+    names = {
+        name
+        for name, version in observed.snapshot.services.items()
+        if caller.may_see(version.service.team)
+    }
+    rows = [row for row in observed.rows.values() if row.service in names]
+    serving = dict.fromkeys(sorted(names), 0)
+    for replica in observed.serving.values():
+        if replica.service in serving:
+            serving[replica.service] += 1
+    return resources.SystemStatus(
+        daemon=observed.daemon,
+        sequence=observed.snapshot.sequence,
+        waiting=observed.waiting,
+        replicas=tuple(_describe(observed, row) for row in rows),
+        stranded=tuple(find_stranded(observed)),
+        daemons=observed.daemons,
+        serving=serving,
+    )
+
+
+def find_stranded(observed: Observation) -> list[resources.StrandedVm]:
+    """Returns the VMs that are paid for but cannot serve, with the reason."""
+    rows = observed.rows.values()
+    members = {member.name: row for row in rows for member in row.members}
+    spares = {member.name: row for row in rows for member in row.spares}
+    found = []
+    for name, vm in sorted(observed.vms.items()):
+        row = members.get(name)
+        if row is not None and row.replica in observed.serving:
+            continue
+        reason = _explain(observed, vm, row, spares.get(name))
+        found.append(
+            resources.StrandedVm(
+                vm=name, fabric_domain=vm.fabric_domain, reason=reason
+            )
+        )
+    return found
+
+
+def _explain(
+    observed: Observation,
+    vm: inventory.Vm,
+    row: replica_model.ReplicaRow | None,
+    reserved: replica_model.ReplicaRow | None,
+) -> str:
+    report = observed.seen.get(vm.name)
+    if vm.state == inventory.VmState.LEAVING:
+        return "leaving"
+    if report is None:
+        return "no status received"
+    if row is None and reserved is not None:
+        return f"spare of {reserved.replica}"
+    if row is None:
+        return "in no replica"
+    if report.status.state == protocol.State.LOADING:
+        return f"loading for {row.replica}"
+    if (report.status.replica, report.status.generation) != (
+        row.replica,
+        row.generation,
+    ):
+        return f"order of {row.replica} not yet taken"
+    return f"{row.replica} is incomplete"
+
+
+def _describe(
+    observed: Observation, row: replica_model.ReplicaRow
+) -> resources.ReplicaState:
+    serving = observed.serving.get(row.replica)
+    if serving is None:
+        return resources.ReplicaState(row=row, serving=False)
+    return resources.ReplicaState(
+        row=row, serving=True, running=serving.running, slots=serving.slots
+    )
--- /dev/null
+++ b/arbutuscove/admin/tests/test_api.py
@@ -0,0 +1,173 @@
+"""Guards against an administration API that differs from its description."""
+
+import hashlib
+import re
+
+import jsonschema
+import pytest
+
+from arbutuscove.admin import openapi
+from arbutuscove.admin import routes
+from arbutuscove.config import acceptance
+from arbutuscove.questionnaire import answers as answers_module
+from arbutuscove.questionnaire import generation
+from arbutuscove.standins import cluster as cluster_module
+from arbutuscove.standins import demo
+
+DESCRIPTION = openapi.build_description()
+TEAM_KEY = "team-key"
+DIGEST = hashlib.sha256(TEAM_KEY.encode()).hexdigest()
+
+
+@pytest.fixture(scope="module", name="cluster")
+def fixture_cluster(tmp_path_factory):
+    layout = cluster_module.Layout(daemons=1, vms=2)
+    cluster = cluster_module.Cluster(tmp_path_factory.mktemp("admin"), layout)
+    try:
+        cluster.start()
+        demo.create_services(cluster)
+        cluster_module.wait_for(
+            "configuration",
+            lambda: cluster.admin("GET", "/services").json()["items"],
+        )
+        yield cluster
+    finally:
+        cluster.stop()
+
+
+def _load_service(name="demo.yaml"):
+    path = demo.EXAMPLES / name
+    return generation.generate(answers_module.read_answers(path))
+
+
+def _validate(reply, method, path):
+    operation = DESCRIPTION["paths"][path][method.lower()]
+    status = "200" if reply.status == 200 else "default"
+    content = operation["responses"][status]["content"]
+    schema = {
+        **content["application/json"]["schema"],
+        "components": DESCRIPTION["components"],
+    }
+    jsonschema.validate(reply.json(), schema)
+
+
+def _call_with(cluster, key, method, path, body=None):
+    return cluster_module.call(
+        cluster.addresses["entry-0.admin"],
+        method,
+        "/admin/v1" + path,
+        body,
+        {"Authorization": f"Bearer {key}"},
+    )
+
+
+def test_admin_every_call_matches_its_description(cluster):
+    """Clients generated from the description must work."""
+    service = _load_service()
+    bodies = {
+        "review": service,
+        "accept": acceptance.Proposal(
+            service=service, base_version=99, author="a", reason="r"
+        ),
+        "set_account_keys": {"base_version": 99, "key_digests": [DIGEST]},
+        "put_key": {"name": "team", "role": "team", "team": "demo"},
+        "put_drain": {"vm": "vm-0", "reason": "repair"},
+    }
+    values = {
+        "name": service.name,
+        "account": "helpdesk",
+        "digest": DIGEST,
+        "vm": "vm-absent",
+        "request_id": "entry-0.unknown",
+        "scope": "config",
+    }
+    for route in routes.ROUTES:
+        path = re.sub(
+            openapi.PARAMETER_PATTERN, lambda m: values[m.group(1)], route.path
+        )
+        template = routes.PREFIX + re.sub(
+            openapi.PARAMETER_PATTERN, r"{\1}", route.path
+        )
+        body = bodies.get(route.operation.__name__)
+        reply = cluster.admin(route.method, path, body)
+        assert reply.status in (200, 404, 409), (path, reply)
+        _validate(reply, route.method, template)
+
+
+def test_admin_second_acceptance_of_old_version_is_refused(cluster):
+    """Two operators who reviewed the same version must not both win."""
+    service = _load_service()
+    found = cluster.admin("GET", "/services/assistant").json()["version"]
+    proposal = acceptance.Proposal(
+        service=service, base_version=found, author="first", reason="r"
+    )
+    first = cluster.admin("PUT", "/services/assistant", proposal)
+    second = cluster.admin("PUT", "/services/assistant", proposal)
+    assert (first.status, second.status) == (200, 409)
+    assert second.json()["code"] == "version_conflict"
+
+
+def test_admin_team_sees_and_changes_only_its_services(cluster):
+    """One team must not read or change what another team runs."""
+    identity = {"name": "outsiders", "role": "team", "team": "other"}
+    assert cluster.admin("PUT", "/keys/" + DIGEST, identity).status == 200
+    listed = _call_with(cluster, TEAM_KEY, "GET", "/services")
+    assert listed.json()["items"] == []
+    proposal = acceptance.Proposal(
+        service=_load_service(), base_version=1, author="x", reason="x"
+    )
+    for method, path, body in (
+        ("GET", "/services/assistant", None),
+        ("PUT", "/services/assistant", proposal),
+        ("GET", "/audit/config", None),
+        ("GET", "/keys", None),
+    ):
+        reply = _call_with(cluster, TEAM_KEY, method, path, body)
+        assert reply.status in (403, 404), path
+
+
+def test_admin_wrong_key_and_bad_input_are_refused(cluster):
+    """Bad calls need a clear answer and must not change anything."""
+    assert _call_with(cluster, "wrong", "GET", "/services").status == 401
+    bad = cluster.admin("PUT", "/services/assistant", {"service": 7})
+    assert (bad.status, bad.json()["code"]) == (400, "invalid_body")
+    reply = cluster.admin("GET", "/services?limit=100000")
+    assert reply.status == 400
+
+
+def test_admin_audit_has_no_gaps(cluster):
+    """A missing number would hide a change from the operators."""
+    newest = cluster.admin("GET", "/audit").json()["newest"]
+    assert newest["config"] >= 2
+    for scope in newest:
+        page = cluster.admin("GET", "/audit/" + scope).json()
+        numbers = [item["number"] for item in page["items"]]
+        assert numbers == list(range(1, len(numbers) + 1))
+        assert page["gaps"] == []
+
+
+def test_admin_rotated_key_replaces_the_old_one(cluster):
+    """A withdrawn key that still works defeats its rotation."""
+    version = cluster.admin("GET", "/services/assistant").json()["version"]
+    body = {"base_version": version, "key_digests": [DIGEST]}
+    path = "/services/assistant/accounts/helpdesk/keys"
+    reply = cluster.admin("PUT", path, body)
+    assert reply.status == 200
+    sequence = reply.json()["change"]["sequence"]
+    cluster_module.wait_for(
+        "the change to be in force",
+        lambda: cluster.admin("GET", "/status").json()["sequence"] >= sequence,
+    )
+    models = [
+        cluster_module.call(
+            cluster.addresses["entry-0"],
+            "GET",
+            "/v1/models",
+            None,
+            {"Authorization": f"Bearer {key}"},
+        )
+        for key in (TEAM_KEY, demo.API_KEY)
+    ]
+    assert [model["id"] for model in models[0].json()["data"]] == ["demo-model"]
+    # The old key still opens the plain service, whose keys were not rotated.
+    assert models[1].json()["data"] == []
--- a/arbutuscove/config/model.py
+++ b/arbutuscove/config/model.py
@@ -66,12 +66,14 @@
     """What the operators approved.
 
     `tokens_per_period` bounds generated tokens in each budget period, which is
-    how spend is metered; zero means that there is no such limit.
+    how spend is metered; zero means that there is no such limit. The price
+    of an accelerator is for one hour, in the operators' currency.
     """
 
     accelerators: int
     tokens_per_period: int = 0
     period: datetime.timedelta = datetime.timedelta(days=1)
+    price_per_accelerator_hour: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -4,6 +4,8 @@
 import uuid
 
 from arbutuscove.admin import api as admin_api
+from arbutuscove.admin import keys as admin_keys
+from arbutuscove.admin import operations as operations_module
 from arbutuscove.admission import service as admission_service
 from arbutuscove.config import follower
 from arbutuscove.daemon import settings as settings_module
@@ -17,6 +19,7 @@
 from arbutuscove.leases import holder
 from arbutuscove.limits import service as limits_service
 from arbutuscove.membership import service as membership_service
+from arbutuscove.observe import journal as journal_module
 from arbutuscove.observe import metrics as metrics_module
 from arbutuscove.peers import client as peer_client
 from arbutuscove.peers import peer_pb2
@@ -74,13 +77,21 @@
     at_most_once = once.AtMostOnce(
         claims.Claims(table, clock, identity), objects
     )
-    admin = admin_api.AdminServer(
-        http.Address.parse(settings.admin_listen),
-        settings.admin_key_digest,
-        clock,
+    journal = journal_module.Journal(settings.name, clock)
+    operations = operations_module.Operations(
+        settings.name,
         table,
+        clock,
+        admin_keys.AdminKeys(table, clock, settings.admin_key_digest),
         config,
         directory,
+        board,
+        admission,
+        membership,
+        journal,
+    )
+    admin = admin_api.AdminServer(
+        http.Address.parse(settings.admin_listen), operations
     )
     entry = app.EntryServer(
         http.Address.parse(settings.listen),
@@ -96,6 +107,7 @@
     for name, service in (
         (loop.SERVICE_NAME, lag),
         (metrics_module.SERVICE_NAME, metrics),
+        (journal_module.SERVICE_NAME, journal),
         (follower.SERVICE_NAME, config),
         (peer_client.SERVICE_NAME, peers),
         (
--- /dev/null
+++ b/arbutuscove/entry/reasons.py
@@ -0,0 +1,131 @@
+"""Reason codes of refusals towards callers, with their meaning."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Reason:
+    """A code, what it means and what a caller can do."""
+
+    code: str
+    meaning: str
+    advice: str
+
+
+REASONS = (
+    Reason(
+        code="already_ran",
+        meaning="The non-repeatable request ran; its answer is not kept.",
+        advice="Do not send it again.",
+    ),
+    Reason(
+        code="answer_incomplete",
+        meaning="The answer broke off and could not be resumed.",
+        advice="Resume with the resume token, or send it again.",
+    ),
+    Reason(
+        code="claim_unsettled",
+        meaning="The table service did not confirm the claim; nothing ran.",
+        advice="Ask again under the same key to learn the outcome.",
+    ),
+    Reason(
+        code="claims_unavailable",
+        meaning="The table service is down; nothing was claimed or run.",
+        advice="Come back after Retry-After.",
+    ),
+    Reason(
+        code="config_missing",
+        meaning="This daemon has no configuration yet.",
+        advice="Use another entry address.",
+    ),
+    Reason(
+        code="config_stale",
+        meaning="This daemon cannot know whether its configuration is current.",
+        advice="Use another entry address.",
+    ),
+    Reason(
+        code="deadline",
+        meaning="There is no capacity before the deadline.",
+        advice="Come back after Retry-After.",
+    ),
+    Reason(
+        code="idempotency_key_reused",
+        meaning="The idempotency key belongs to another request.",
+        advice="Use a new key for a new request.",
+    ),
+    Reason(
+        code="invalid_body",
+        meaning="The body lacks a field or has one of the wrong type.",
+        advice="Correct the request.",
+    ),
+    Reason(
+        code="invalid_deadline",
+        meaning="The deadline header is not a permitted number of seconds.",
+        advice="Correct the request.",
+    ),
+    Reason(
+        code="invalid_last_event_id",
+        meaning="Last-Event-ID names an event of another stream.",
+        advice="Send the last event identity of this stream.",
+    ),
+    Reason(
+        code="invalid_resume_token",
+        meaning="The resume token is forged, too old or of another request.",
+        advice="Send the request without it.",
+    ),
+    Reason(
+        code="malformed_json",
+        meaning="The body is not JSON.",
+        advice="Correct the request.",
+    ),
+    Reason(
+        code="missing_idempotency_key",
+        meaning="A non-repeatable request needs an idempotency key.",
+        advice="Add the header.",
+    ),
+    Reason(
+        code="missing_key",
+        meaning="There is no bearer key.",
+        advice="Add the Authorization header.",
+    ),
+    Reason(
+        code="outcome_unknown",
+        meaning="The request is running, or its outcome cannot be known.",
+        advice="It is never run again; find out by other means.",
+    ),
+    Reason(
+        code="overloaded",
+        meaning="The daemon is too busy to take more work.",
+        advice="Come back after Retry-After, or use another address.",
+    ),
+    Reason(
+        code="queue_full",
+        meaning="Too many requests are waiting.",
+        advice="Come back after Retry-After.",
+    ),
+    Reason(
+        code="unknown_model",
+        meaning="The key opens no such model.",
+        advice="See GET /v1/models.",
+    ),
+    Reason(
+        code="unknown_rank",
+        meaning="The service has no such rank.",
+        advice="Use a rank that the message lists.",
+    ),
+    Reason(
+        code="unknown_service",
+        meaning="The key opens no such plain service.",
+        advice="Correct the path.",
+    ),
+    Reason(
+        code="upstream_failed",
+        meaning="No upstream completed the request.",
+        advice="Look at Arbutuscove-Run, then come back.",
+    ),
+    Reason(
+        code="wrong_key",
+        meaning="No account has this key.",
+        advice="Correct the key.",
+    ),
+)
--- a/arbutuscove/membership/service.py
+++ b/arbutuscove/membership/service.py
@@ -43,6 +43,7 @@
         self._config = config
         self._members: dict[str, peer_pb2.Member] = {}
         self._heard: dict[str, datetime.timedelta] = {}
+        self._sequences: dict[str, int] = {}
         self._fetching = False
         self._greenlet: gevent.Greenlet | None = None
 
@@ -77,6 +78,10 @@
             and member.state == peer_pb2.ALIVE
         ]
 
+    def get_sequence(self, name: str) -> int:
+        """Returns the newest configuration that a peer said it has."""
+        return self._sequences.get(name, 0)
+
     def answer_probe(self, gossip: peer_pb2.Gossip) -> peer_pb2.Gossip:
         """Takes a peer's gossip and returns one's own."""
         self._learn(gossip)
@@ -126,6 +131,7 @@
             return
         self._members[sender.name] = sender
         self._heard[sender.name] = self._clock.monotonic()
+        self._sequences[sender.name] = gossip.config_sequence
         self._confirm_config()
         behind = gossip.config_sequence > self._config.current().sequence
         if behind and not self._fetching:
--- a/arbutuscove/observe/metrics.py
+++ b/arbutuscove/observe/metrics.py
@@ -1,6 +1,7 @@
 """Metrics in Prometheus form; each name carries its unit."""
 
 import aioprometheus
+from aioprometheus import collectors
 from aioprometheus import renderer
 
 from arbutuscove.kernel import services
@@ -37,6 +38,11 @@
             buckets=LATENCY_BUCKETS,
         )
 
+    def list_collectors(self) -> list[collectors.Collector]:
+        """Returns all metrics in order of their names."""
+        found = self._registry.get_all()
+        return sorted(found, key=lambda item: item.name)
+
     def render(self, accept: str) -> tuple[bytes, dict[str, str]]:
         """Returns the metrics page and its headers."""
         return renderer.render(self._registry, [accept or "text/plain"])
--- a/arbutuscove/questionnaire/answers.py
+++ b/arbutuscove/questionnaire/answers.py
@@ -17,6 +17,7 @@
 class Work:
     """One kind of work, from most to least urgent in the list.
 
+    `someone_waits` says that a person waits for the answer.
     `first_token_seconds` is the target; `keep_percent` is what the work keeps
     while other work floods in; `at_most_percent` is the most it may take.
     """
@@ -26,6 +27,7 @@
     first_token_seconds: float
     keep_percent: float
     at_most_percent: float = 100.0
+    someone_waits: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -40,11 +42,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Model:
-    """The model and the machines that it needs."""
+    """The model and the machines that it needs.
+
+    `vms_per_fabric_domain` is the size of the largest fabric domain, which a
+    replica cannot exceed.
+    """
 
     name: str
     vms_per_replica: int
     replicas: int
+    accelerators_per_vm: int = 1
+    vms_per_fabric_domain: int = 0
     spares_per_fabric_domain: int = 0
     engines_check_fencing: bool = False
 
@@ -59,10 +67,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Approval:
-    """What the operators approved; tokens in each period, zero: no limit."""
+    """What the operators approved; zero tokens or bill: no such limit.
+
+    The price and the bill are in the same currency.
+    """
 
     accelerators: int
     tokens_per_day: int = 0
+    price_per_accelerator_hour: float = 0.0
+    bill_per_day: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/arbutuscove/questionnaire/checks.py
@@ -0,0 +1,194 @@
+"""Finds answers that contradict each other or cannot be met.
+
+All faults are reported together, in the terms of the questionnaire.
+"""
+
+import collections
+import dataclasses
+import re
+
+from arbutuscove.questionnaire import answers as answers_module
+
+DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
+NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}")
+HOURS_PER_DAY = 24
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Fault:
+    """An answer that is wrong, why, and what would be right."""
+
+    answer: str
+    problem: str
+
+    def __str__(self) -> str:
+        return f"{self.answer}: {self.problem}"
+
+
+def find_faults(answers: answers_module.Answers) -> list[Fault]:
+    """Returns all faults; an empty list means that the answers fit."""
+    faults: list[Fault] = []
+    for answer, name in (("service", answers.service), ("team", answers.team)):
+        if not NAME_PATTERN.fullmatch(name):
+            faults.append(
+                Fault(
+                    answer=answer,
+                    problem=f"{name!r} must be lower-case letters, digits, "
+                    "dots or hyphens",
+                )
+            )
+    if (answers.model is None) == (answers.plain is None):
+        faults.append(
+            Fault(
+                answer="model, plain",
+                problem="answer exactly one of the two sections",
+            )
+        )
+    faults += _check_work(answers.work)
+    faults += _check_callers(answers.callers)
+    if answers.model is not None:
+        faults += _check_model(answers.model, answers.approval)
+    return faults
+
+
+def _check_work(work: tuple[answers_module.Work, ...]) -> list[Fault]:
+    if not work:
+        return [Fault(answer="work", problem="name at least one kind of work")]
+    faults = _find_repeated("work", [item.name for item in work])
+    kept = sum(item.keep_percent for item in work)
+    if kept > 100:
+        faults.append(
+            Fault(
+                answer="work.keep_percent",
+                problem=f"the kinds keep {kept:g}% together; at most 100%",
+            )
+        )
+    if not work[0].someone_waits:
+        faults.append(
+            Fault(
+                answer="work[0].someone_waits",
+                problem="the first kind must be urgent work that someone "
+                "waits for",
+            )
+        )
+    for index, item in enumerate(work):
+        faults += _check_kind(f"work[{index}]", item)
+    return faults
+
+
+def _check_kind(answer: str, item: answers_module.Work) -> list[Fault]:
+    faults = []
+    if not 0 <= item.keep_percent <= item.at_most_percent <= 100:
+        faults.append(
+            Fault(
+                answer=f"{answer}.keep_percent, at_most_percent",
+                problem=f"{item.name!r} keeps {item.keep_percent:g}% and may "
+                f"take {item.at_most_percent:g}%; need 0 <= keep <= most <= "
+                "100",
+            )
+        )
+    if item.first_token_seconds <= 0:
+        faults.append(
+            Fault(
+                answer=f"{answer}.first_token_seconds",
+                problem=f"{item.first_token_seconds:g} must be over 0",
+            )
+        )
+    if item.worth <= 0:
+        faults.append(
+            Fault(
+                answer=f"{answer}.worth",
+                problem=f"{item.worth:g} must be over 0",
+            )
+        )
+    return faults
+
+
+def _check_callers(callers: tuple[answers_module.Caller, ...]) -> list[Fault]:
+    if not callers:
+        return [Fault(answer="callers", problem="name at least one caller")]
+    faults = _find_repeated("callers", [item.name for item in callers])
+    digests = [digest for item in callers for digest in item.key_digests]
+    faults += _find_repeated("callers.key_digests", digests)
+    for index, item in enumerate(callers):
+        if item.share <= 0:
+            faults.append(
+                Fault(
+                    answer=f"callers[{index}].share",
+                    problem=f"{item.share:g} must be over 0",
+                )
+            )
+        for digest in item.key_digests:
+            if not DIGEST_PATTERN.fullmatch(digest):
+                faults.append(
+                    Fault(
+                        answer=f"callers[{index}].key_digests",
+                        problem=f"{digest!r} is not a SHA-256 digest",
+                    )
+                )
+    return faults
+
+
+def _check_model(
+    model: answers_module.Model, approval: answers_module.Approval
+) -> list[Fault]:
+    faults = []
+    counts = (model.vms_per_replica, model.replicas, model.accelerators_per_vm)
+    if min(counts) < 1:
+        faults.append(
+            Fault(
+                answer="model",
+                problem="VMs per replica, replicas and accelerators per VM "
+                "must be at least 1",
+            )
+        )
+        return faults
+    size = model.vms_per_replica
+    domain = model.vms_per_fabric_domain
+    if domain and size + model.spares_per_fabric_domain > domain:
+        faults.append(
+            Fault(
+                answer="model.vms_per_replica",
+                problem=f"a replica of {size} VMs and its spares exceed a "
+                f"fabric domain of {domain}",
+            )
+        )
+    needed = size * model.accelerators_per_vm
+    if approval.accelerators < needed:
+        faults.append(
+            Fault(
+                answer="approval.accelerators",
+                problem=f"{approval.accelerators} approved; one replica "
+                f"needs {needed}",
+            )
+        )
+    cost = needed * HOURS_PER_DAY * approval.price_per_accelerator_hour
+    if 0 < approval.bill_per_day < cost:
+        faults.append(
+            Fault(
+                answer="approval.bill_per_day",
+                problem=f"{approval.bill_per_day:g} is under the cost of one "
+                f"replica, {cost:g}",
+            )
+        )
+    most = approval.accelerators * HOURS_PER_DAY
+    worst = most * approval.price_per_accelerator_hour
+    if approval.bill_per_day and worst > approval.bill_per_day >= cost:
+        faults.append(
+            Fault(
+                answer="approval.accelerators",
+                problem=f"{approval.accelerators} accelerators can cost "
+                f"{worst:g} a day, over the bill of "
+                f"{approval.bill_per_day:g}",
+            )
+        )
+    return faults
+
+
+def _find_repeated(answer: str, names: list[str]) -> list[Fault]:
+    counts = collections.Counter(names)
+    return [
+        Fault(answer=answer, problem=f"{name!r} is named {count} times")
+        for name, count in counts.items()
+        if count > 1
+    ]
--- a/arbutuscove/questionnaire/generation.py
+++ b/arbutuscove/questionnaire/generation.py
@@ -1,5 +1,6 @@
 """Generates a service configuration from answers, always the same way."""
 
+import dataclasses
 import datetime
 
 from arbutuscove.config import model
@@ -7,6 +8,32 @@
 
 DAY = datetime.timedelta(days=1)
 
+# Setting and the answer that it comes from; empty: from position or fixed.
+RANK_ORIGINS = {
+    "name": "name",
+    "priority": "",
+    "worth": "worth",
+    "first_token_target": "first_token_seconds",
+    "floor_share": "keep_percent",
+    "ceiling_share": "at_most_percent",
+}
+ACCOUNT_ORIGINS = {
+    "name": "name",
+    "key_digests": "key_digests",
+    "weight": "share",
+    "urgent_tokens_per_second": "urgent_tokens_per_second",
+}
+LIMIT_ORIGINS = {
+    "accelerators": "accelerators",
+    "tokens_per_period": "tokens_per_day",
+    "period": "",
+    "price_per_accelerator_hour": "price_per_accelerator_hour",
+}
+MODEL_RENAMED = {
+    "model": "name",
+    "upstreams_check_fencing": "engines_check_fencing",
+}
+
 
 def generate(answers: answers_module.Answers) -> model.Service:
     """Returns the service that the answers describe."""
@@ -30,6 +57,9 @@
             accelerators=answers.approval.accelerators,
             tokens_per_period=answers.approval.tokens_per_day,
             period=DAY,
+            price_per_accelerator_hour=(
+                answers.approval.price_per_accelerator_hour
+            ),
         ),
         model=_generate_model(answers.model),
         plain=_generate_plain(answers.plain),
@@ -70,3 +100,55 @@
         addresses=answer.addresses,
         repeatable_methods=answer.repeatable_methods,
     )
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Origin:
+    """A generated value and the answer that it came from."""
+
+    setting: str
+    value: str
+    answer: str
+
+
+def trace_origins(answers: answers_module.Answers) -> list[Origin]:
+    """Returns the origin of each generated value, in order of the settings."""
+    service = generate(answers)
+    origins = [
+        Origin(setting="name", value=service.name, answer="service"),
+        Origin(setting="team", value=service.team, answer="team"),
+    ]
+    for index, rank in enumerate(service.ranks):
+        for field, answer in RANK_ORIGINS.items():
+            value = str(getattr(rank, field))
+            setting = f"ranks[{index}].{field}"
+            origin = f"work[{index}].{answer}" if answer else "order of work"
+            origins.append(Origin(setting=setting, value=value, answer=origin))
+    for index, account in enumerate(service.accounts):
+        for field, answer in ACCOUNT_ORIGINS.items():
+            value = str(getattr(account, field))
+            setting = f"accounts[{index}].{field}"
+            origin = f"callers[{index}].{answer}"
+            origins.append(Origin(setting=setting, value=value, answer=origin))
+    for field, answer in LIMIT_ORIGINS.items():
+        value = str(getattr(service.limits, field))
+        origin = f"approval.{answer}" if answer else "always one day"
+        setting = f"limits.{field}"
+        origins.append(Origin(setting=setting, value=value, answer=origin))
+    return origins + _trace_backend(service)
+
+
+def _trace_backend(service: model.Service) -> list[Origin]:
+    match service.backend():
+        case model.ModelBackend() as backend:
+            section, renamed = "model", MODEL_RENAMED
+        case model.PlainBackend() as backend:
+            section, renamed = "plain", {}
+    return [
+        Origin(
+            setting=f"{section}.{field.name}",
+            value=str(getattr(backend, field.name)),
+            answer=f"{section}.{renamed.get(field.name, field.name)}",
+        )
+        for field in dataclasses.fields(backend)
+    ]
--- /dev/null
+++ b/arbutuscove/questionnaire/tests/test_questionnaire.py
@@ -0,0 +1,70 @@
+"""Guards against configurations that nobody approved or that cannot work."""
+
+import dataclasses
+import pathlib
+
+import pytest
+
+from arbutuscove.config import model
+from arbutuscove.questionnaire import answers as answers_module
+from arbutuscove.questionnaire import checks
+from arbutuscove.questionnaire import generation
+from arbutuscove.questionnaire import review
+
+EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
+
+
+@pytest.mark.parametrize("path", sorted(EXAMPLES.glob("*.yaml")), ids=str)
+def test_questionnaire_examples_are_valid(path):
+    """A shipped example that is refused would stop every newcomer."""
+    assert checks.find_faults(answers_module.read_answers(path)) == []
+
+
+def test_questionnaire_reports_all_contradictions_together():
+    """Faults reported one at a time make operators accept by attrition."""
+    answers = answers_module.read_answers(EXAMPLES / "nilavu.yaml")
+    kinds = tuple(
+        dataclasses.replace(item, keep_percent=50.0, someone_waits=False)
+        for item in answers.work
+    )
+    broken = dataclasses.replace(
+        answers,
+        work=kinds,
+        model=dataclasses.replace(answers.model, vms_per_replica=40),
+        approval=dataclasses.replace(
+            answers.approval, accelerators=8, bill_per_day=10.0
+        ),
+    )
+    found = {fault.answer for fault in checks.find_faults(broken)}
+    assert found >= {
+        "work.keep_percent",
+        "work[0].someone_waits",
+        "model.vms_per_replica",
+        "approval.accelerators",
+        "approval.bill_per_day",
+    }
+
+
+def test_questionnaire_traces_every_setting():
+    """A generated value without an origin cannot be reviewed."""
+    answers = answers_module.read_answers(EXAMPLES / "siam.yaml")
+    traced = {item.setting for item in generation.trace_origins(answers)}
+    service = generation.generate(answers)
+    shown = review.find_differences(None, service)
+    settings = {item.setting.partition("[")[0] for item in shown}
+    assert settings <= {name.partition("[")[0] for name in traced}
+
+
+def test_review_shows_only_what_changes():
+    """A review that hides or invents a change misleads the operator."""
+    answers = answers_module.read_answers(EXAMPLES / "siam.yaml")
+    old = generation.generate(answers)
+    ranks = (dataclasses.replace(old.ranks[0], worth=7.0), *old.ranks[1:])
+    new = dataclasses.replace(old, ranks=ranks)
+    version = model.ServiceVersion(sequence=4, version=2, service=old)
+    found = review.build_review(version, new)
+    assert [str(item) for item in found.differences] == [
+        "ranks[bid].worth: 1000.0 -> 7.0"
+    ]
+    assert found.base_version == 2
+    assert found.refused_first[0] == "catalogue"
--- a/arbutuscove/standins/cluster.py
+++ b/arbutuscove/standins/cluster.py
@@ -266,7 +266,7 @@
             return 0
         if reply.status != 200:
             return 0
-        return len(reply.json()["serving"].get(service, []))
+        return int(reply.json()["serving"].get(service, 0))
 
     def _start_standin(self, name: str, arguments: list[str]) -> None:
         address = self.get_address(name)
--- a/arbutuscove/standins/demo.py
+++ b/arbutuscove/standins/demo.py
@@ -134,21 +134,19 @@
         raise DemoFailedError(reason)
 
 
-def _print_access(cluster: cluster_module.Cluster) -> None:
+def list_access(cluster: cluster_module.Cluster) -> dict[str, str]:
+    """Returns the names and values that `--keep` prints."""
     urls = [
         "http://" + cluster.addresses[f"entry-{number}"]
         for number in range(cluster.layout.daemons)
     ]
-    admin_url = "http://" + cluster.addresses["entry-0.admin"]
-    for name, value in (
-        ("ENTRY_URLS", ",".join(urls)),
-        ("API_KEY", API_KEY),
-        ("MODEL", MODEL),
-        ("ADMIN_URL", admin_url),
-        ("ADMIN_KEY", cluster_module.ADMIN_KEY),
-    ):
-        click.echo(f"{name}={value}")
-    sys.stdout.flush()
+    return {
+        "ENTRY_URLS": ",".join(urls),
+        "API_KEY": API_KEY,
+        "MODEL": MODEL,
+        "ADMIN_URL": "http://" + cluster.addresses["entry-0.admin"],
+        "ADMIN_KEY": cluster_module.ADMIN_KEY,
+    }
 
 
 def _run(cluster: cluster_module.Cluster, keep: bool) -> None:
@@ -161,7 +159,9 @@
     if not keep:
         run_requests(cluster)
         return
-    _print_access(cluster)
+    for name, value in list_access(cluster).items():
+        click.echo(f"{name}={value}")
+    sys.stdout.flush()
     while True:
         time.sleep(1)
 
--- a/arbutuscove/tool/client.py
+++ b/arbutuscove/tool/client.py
@@ -5,17 +5,21 @@
 from arbutuscove.platform import http
 
 
-class AdminFailedError(Exception):
-    """The administration API refused or could not be reached."""
+class AdminUnreachableError(Exception):
+    """No complete answer was received; the call may have taken effect."""
 
-    def __init__(self, status: int, body: typing.Any) -> None:
-        super().__init__(f"{status}: {body}")
-        self.status = status
-        self.body = body
+
+class AdminRefusedError(Exception):
+    """The administration API refused the call."""
+
+    def __init__(self, status: int, problem: dict[str, typing.Any]) -> None:
+        code = problem.get("code", "")
+        super().__init__(f"{status} {code}: {problem.get('message', '')}")
+        self.details: dict[str, str] = problem.get("details") or {}
 
 
 class AdminClient:
-    """Sends calls with the operator's key; `url` is `http://host:port`."""
+    """Sends calls with an administration key; `url` is `http://host:port`."""
 
     def __init__(self, url: str, key: str) -> None:
         address = http.Address.parse(url.removeprefix("http://").rstrip("/"))
@@ -28,14 +32,16 @@
         """Returns the decoded response.
 
         Raises:
-            AdminFailedError: the status is not 200, or no answer was received.
+            AdminRefusedError: the status is not 200.
+            AdminUnreachableError: no answer was received.
         """
         try:
             reply = self._client.send(
                 method, "/admin/v1" + path, body, self._headers
             )
+            decoded = reply.json()
         except http.HttpError as error:
-            raise AdminFailedError(0, str(error)) from error
+            raise AdminUnreachableError(str(error)) from error
         if reply.status != 200:
-            raise AdminFailedError(reply.status, reply.json())
-        return reply.json()
+            raise AdminRefusedError(reply.status, decoded)
+        return decoded
--- /dev/null
+++ b/arbutuscove/tool/display.py
@@ -0,0 +1,118 @@
+"""Text output of the tool: tables of aligned columns."""
+
+import typing
+from collections import abc
+
+
+def build_table(
+    titles: abc.Sequence[str], rows: abc.Iterable[abc.Sequence[typing.Any]]
+) -> str:
+    """Returns rows under titles in aligned columns.
+
+    Example:
+        >>> print(build_table(["name", "size"], [["a", 1], ["long", 22]]))
+        name  size
+        a     1
+        long  22
+    """
+    cells = [list(titles)] + [[str(cell) for cell in row] for row in rows]
+    widths = [
+        max(len(cell) for cell in column) for column in zip(*cells, strict=True)
+    ]
+    lines = []
+    for row in cells:
+        padded = [
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ]
+        lines.append("  ".join(padded).rstrip())
+    return "\n".join(lines)
+
+
+def show_status(status: dict[str, typing.Any]) -> str:
+    """Returns a system status as text."""
+    replicas = [
+        (
+            item["row"]["replica"],
+            item["row"]["fabric_domain"],
+            item["row"]["generation"],
+            "serving" if item["serving"] else "not serving",
+            f"{item['running']}/{item['slots']}",
+        )
+        for item in status["replicas"]
+    ]
+    stranded = [
+        (item["vm"], item["fabric_domain"], item["reason"])
+        for item in status["stranded"]
+    ]
+    daemons = [
+        (d["name"], d["failure_domain"], d["sequence"], d["load"])
+        for d in status["daemons"]
+    ]
+    serving = [(name, n) for name, n in status["serving"].items()]
+    parts = [
+        f"daemon {status['daemon']}: configuration {status['sequence']}, "
+        f"{status['waiting']} requests waiting",
+        build_table(["service", "serving replicas"], serving),
+        build_table(
+            ["replica", "fabric domain", "generation", "state", "slots used"],
+            replicas,
+        ),
+        build_table(["stranded VM", "fabric domain", "reason"], stranded),
+        build_table(
+            ["daemon", "failure domain", "configuration", "requests"], daemons
+        ),
+    ]
+    return "\n\n".join(parts)
+
+
+def show_review(review: dict[str, typing.Any]) -> str:
+    """Returns a review as text."""
+    changes = [
+        (item["setting"], item["before"], item["after"])
+        for item in review["differences"]
+    ]
+    facts = [
+        ("reviewed version", review["base_version"]),
+        ("promised replicas", review["promised_replicas"]),
+        ("approved accelerators", review["accelerators"]),
+        ("worst bill per day", f"{review['worst_bill_per_day']:.2f}"),
+        ("tokens per period", review["tokens_per_period"] or "no limit"),
+        ("refused first", ", ".join(review["refused_first"])),
+    ]
+    parts = [
+        build_table(["setting", "in force", "proposed"], changes),
+        build_table(["fact", "value"], facts),
+        f"To accept: arbutuscove accept FILE --base-version "
+        f"{review['base_version']}",
+    ]
+    return "\n\n".join(parts)
+
+
+def show_audit(page: dict[str, typing.Any]) -> str:
+    """Returns audit entries as text, with gaps pointed out."""
+    rows = []
+    for item in page["items"]:
+        entry = item["entry"]
+        change = f"{entry['before']} -> {entry['after']}"
+        rows.append(
+            (
+                item["number"],
+                entry["time"],
+                entry["actor"],
+                entry["action"],
+                entry["subject"],
+                change,
+                entry["reason"],
+            )
+        )
+    titles = ["no", "time", "actor", "action", "subject", "change", "reason"]
+    text = build_table(titles, rows)
+    if page["gaps"]:
+        text += f"\nmissing entries: {page['gaps']}"
+    return text
+
+
+def show_explanation(explanation: dict[str, typing.Any]) -> str:
+    """Returns the steps of a request as text."""
+    rows = [(e["time"], e["step"], e["detail"]) for e in explanation["events"]]
+    return build_table(["time", "step", "detail"], rows)
--- a/arbutuscove/tool/main.py
+++ b/arbutuscove/tool/main.py
@@ -1,25 +1,54 @@
 """Command line of `arbutuscove`."""
 
+import collections
+import hashlib
 import pathlib
+import secrets
 import sys
+import time
 import typing
+import urllib.parse
+from collections import abc
 
 import click
 import msgspec
+from click import shell_completion
 
 import arbutuscove
+from arbutuscove.admin import openapi
 from arbutuscove.config import acceptance
+from arbutuscove.config import model as config_model
 from arbutuscove.questionnaire import answers as answers_module
+from arbutuscove.questionnaire import checks
 from arbutuscove.questionnaire import generation
+from arbutuscove.questionnaire import interview
 from arbutuscove.tool import client as client_module
+from arbutuscove.tool import display
+from arbutuscove.tool import report as report_module
 
-EXIT_REFUSED = 3
-EXIT_ANSWERS = 4
+EXIT_REFUSED = 3  # the administration API refused the call
+EXIT_ANSWERS = 4  # the answers contradict each other or cannot be read
+EXIT_UNREACHABLE = 5  # no answer from the administration API
+KEY_BYTES = 32
+SAMPLE_LIMIT = 10_000  # samples of a report
 
 ANSWER_FILE = click.Path(dir_okay=False, path_type=pathlib.Path)
+OUTPUT_FILE = click.Path(dir_okay=False, writable=True, path_type=pathlib.Path)
+Render = abc.Callable[[dict[str, typing.Any]], str]
 
 
-@click.group()
+class Context(typing.NamedTuple):
+    """Options of the whole command line."""
+
+    url: str
+    key: str
+    output: str
+
+
+@click.group(
+    epilog="Exit codes: 0 done, 2 wrong usage, 3 refused, 4 wrong answers, "
+    "5 unreachable."
+)
 @click.version_option(arbutuscove.__version__)
 @click.option(
     "--admin-url",
@@ -29,40 +58,129 @@
     help="Administration address of any daemon.",
 )
 @click.option(
-    "--admin-key", envvar="ARBUTUSCOVE_ADMIN_KEY", help="Operator's key."
+    "--admin-key",
+    envvar="ARBUTUSCOVE_ADMIN_KEY",
+    default="",
+    help="Administration key.",
+)
+@click.option(
+    "--output",
+    envvar="ARBUTUSCOVE_OUTPUT",
+    type=click.Choice(["text", "json"]),
+    default="text",
+    show_default=True,
 )
 @click.pass_context
-def main(context: click.Context, admin_url: str, admin_key: str) -> None:
+def main(
+    context: click.Context, admin_url: str, admin_key: str, output: str
+) -> None:
     """Administers an arbutuscove system.
 
-    Example: arbutuscove accept examples/demo.yaml --base-version 0
+    Example: arbutuscove questionnaire > answers.yaml
+
+    Example: arbutuscove review answers.yaml
     """
-    context.obj = (admin_url, admin_key or "")
+    context.obj = Context(admin_url, admin_key, output)
+
+
+@main.command()
+def questionnaire() -> None:
+    """Asks about a service and prints an answer file.
+
+    Example: arbutuscove questionnaire > answers.yaml
+    """
+
+    def ask(question: str, default: str) -> str:
+        return str(click.prompt(question, default=default, err=True))
+
+    def confirm(question: str) -> bool:
+        return click.confirm(question + "?", err=True)
+
+    found = interview.Interview(ask, confirm).run()
+    click.echo(interview.write_answers(found), nl=False)
+
+
+@main.command()
+def schema() -> None:
+    """Prints the JSON schema of answer files."""
+    _print_json(msgspec.json.schema(answers_module.Answers))
+
+
+@main.command("openapi")
+def print_openapi() -> None:
+    """Prints the OpenAPI description of the administration API."""
+    _print_json(openapi.build_description())
+
+
+@main.command("new-key")
+def create_key() -> None:
+    """Prints a new key and its digest; the key is shown only now.
+
+    Give the key to its holder and put the digest into the answer file, or
+    into `keys set` or `rotate`.
+    """
+    key = secrets.token_urlsafe(KEY_BYTES)
+    click.echo(f"key     {key}")
+    click.echo(f"digest  {hashlib.sha256(key.encode()).hexdigest()}")
 
 
 @main.command()
 @click.argument("answers", type=ANSWER_FILE)
-def generate(answers: pathlib.Path) -> None:
-    """Prints the configuration generated from an answer file."""
-    _print(generation.generate(_read(answers)))
+@click.option(
+    "--trace", is_flag=True, help="Show the answer behind each value."
+)
+def generate(answers: pathlib.Path, trace: bool) -> None:
+    """Prints the configuration generated from an answer file.
+
+    Example: arbutuscove generate --trace examples/nilavu.yaml
+    """
+    found = _read(answers)
+    if not trace:
+        _print_json(generation.generate(found))
+        return
+    rows = [
+        (item.setting, item.value, item.answer)
+        for item in generation.trace_origins(found)
+    ]
+    click.echo(display.build_table(["setting", "value", "answer"], rows))
 
 
 @main.command()
 @click.argument("answers", type=ANSWER_FILE)
-@click.option("--base-version", type=int, required=True)
+@click.pass_obj
+def review(context: Context, answers: pathlib.Path) -> None:
+    """Shows generated configuration beside what is in force.
+
+    Example: arbutuscove review examples/nilavu.yaml
+    """
+    service = generation.generate(_read(answers))
+    path = f"/services/{service.name}/review"
+    _show(context, _call(context, "POST", path, service), display.show_review)
+
+
+@main.command()
+@click.argument("answers", type=ANSWER_FILE)
+@click.option(
+    "--base-version",
+    type=int,
+    required=True,
+    help="The version that was reviewed; 0 for a new service.",
+)
 @click.option("--author", default="operator", show_default=True)
 @click.option("--reason", default="", help="Kept in the audit trail.")
-@click.pass_context
+@click.pass_obj
 def accept(
-    context: click.Context,
+    context: Context,
     answers: pathlib.Path,
     base_version: int,
     author: str,
     reason: str,
 ) -> None:
-    """Puts the generated configuration in force.
+    """Puts generated configuration in force.
+
+    Refused with the differences if another version was accepted meanwhile.
 
-    The base version is the one that was reviewed; 0 for a new service.
+    Example: arbutuscove accept examples/nilavu.yaml --base-version 0
     """
     service = generation.generate(_read(answers))
     proposal = acceptance.Proposal(
@@ -71,45 +189,287 @@
         author=author,
         reason=reason,
     )
-    _print(_call(context, "PUT", "/services/" + service.name, proposal))
+    answer = _call(context, "PUT", "/services/" + service.name, proposal)
+    _show(context, answer, _describe_acceptance)
 
 
 @main.command()
-@click.pass_context
-def status(context: click.Context) -> None:
-    """Shows replicas and the configuration sequence in force."""
-    _print(_call(context, "GET", "/status"))
+@click.argument("service")
+@click.argument("account")
+@click.option("--digest", "digests", multiple=True, help="Key digests to keep.")
+@click.option("--base-version", type=int, required=True)
+@click.pass_obj
+def rotate(
+    context: Context,
+    service: str,
+    account: str,
+    digests: tuple[str, ...],
+    base_version: int,
+) -> None:
+    """Replaces the key digests of a client account.
+
+    Give the old and the new digest first, and the new one alone when all
+    callers use it.
+    """
+    body = {"base_version": base_version, "key_digests": digests}
+    path = f"/services/{service}/accounts/{account}/keys"
+    answer = _call(context, "PUT", path, body)
+    _show(context, answer, _describe_acceptance)
+
+
+@main.command()
+@click.pass_obj
+def services(context: Context) -> None:
+    """Lists the services in force."""
+    items: list[typing.Any] = []
+    after = ""
+    while True:
+        page = _call(context, "GET", "/services?after=" + after)
+        items += page["items"]
+        after = page["next"]
+        if not after:
+            break
+    rows = [
+        (i["service"]["name"], i["service"]["team"], i["version"])
+        for i in items
+    ]
+    titles = ["service", "team", "version"]
+    answer = {"items": items}
+    _show(context, answer, lambda _: display.build_table(titles, rows))
 
 
 @main.command()
-@click.argument("scope")
+@click.option("--watch", is_flag=True, help="Repeat until Ctrl-C.")
+@click.option("--interval", default=2.0, show_default=True, help="Seconds.")
+@click.pass_obj
+def status(context: Context, watch: bool, interval: float) -> None:
+    """Shows replicas, stranded VMs, daemons and configuration in force."""
+    while True:
+        answer = _call(context, "GET", "/status")
+        if watch and context.output == "text":
+            click.clear()
+        _show(context, answer, display.show_status)
+        if not watch:
+            return
+        time.sleep(interval)
+
+
+@main.command()
+@click.argument("request_id")
+@click.pass_obj
+def explain(context: Context, request_id: str) -> None:
+    """Shows why a recent request was queued, routed or refused.
+
+    Ask the daemon whose name begins the request identity.
+    """
+    answer = _call(context, "GET", "/requests/" + request_id)
+    _show(context, answer, display.show_explanation)
+
+
+@main.command()
+@click.argument("scope", required=False)
 @click.option("--after", default=0, help="Show entries after this number.")
-@click.pass_context
-def audit(context: click.Context, scope: str, after: int) -> None:
-    """Shows audit entries of a scope, for example `config`."""
-    _print(_call(context, "GET", f"/audit/{scope}?after={after}"))
+@click.pass_obj
+def audit(context: Context, scope: str | None, after: int) -> None:
+    """Shows audit entries of a scope, or the scopes there are.
+
+    Example: arbutuscove audit config
+    """
+    if scope is None:
+        answer = _call(context, "GET", "/audit")
+        rows = sorted(answer["newest"].items())
+        titles = ["scope", "newest"]
+        _show(context, answer, lambda _: display.build_table(titles, rows))
+        return
+    path = f"/audit/{urllib.parse.quote(scope)}?after={after}"
+    _show(context, _call(context, "GET", path), display.show_audit)
+
+
+@main.group()
+def drains() -> None:
+    """Takes VMs out of service and returns them."""
+
+
+@drains.command("list")
+@click.pass_obj
+def list_drains(context: Context) -> None:
+    """Lists the VMs being drained."""
+    _show(context, _call(context, "GET", "/drains"), _describe_drains)
+
+
+@drains.command("add")
+@click.argument("vm")
+@click.option("--reason", default="")
+@click.pass_obj
+def add_drain(context: Context, vm: str, reason: str) -> None:
+    """Takes a VM out of service; its replica is repaired without it."""
+    body = {"vm": vm, "reason": reason}
+    answer = _call(context, "PUT", "/drains/" + vm, body)
+    _show(context, answer, _describe_drains)
+
+
+@drains.command("remove")
+@click.argument("vm")
+@click.pass_obj
+def remove_drain(context: Context, vm: str) -> None:
+    """Returns a VM to service."""
+    answer = _call(context, "DELETE", "/drains/" + vm)
+    _show(context, answer, _describe_drains)
+
+
+@main.group()
+def keys() -> None:
+    """Administration keys, by digest."""
+
+
+@keys.command("list")
+@click.pass_obj
+def list_keys(context: Context) -> None:
+    """Lists administration keys."""
+    answer = _call(context, "GET", "/keys")
+    rows = [
+        (k["digest"][:16], k["identity"]["name"], k["identity"]["role"])
+        for k in answer["items"]
+    ]
+    titles = ["digest", "name", "role"]
+    _show(context, answer, lambda _: display.build_table(titles, rows))
+
+
+@keys.command("set")
+@click.argument("digest")
+@click.option("--name", required=True)
+@click.option(
+    "--role",
+    type=click.Choice(["operator", "team", "read-only"]),
+    required=True,
+)
+@click.option("--team", default="", help="The team of a team key.")
+@click.pass_obj
+def set_key(
+    context: Context, digest: str, name: str, role: str, team: str
+) -> None:
+    """Adds or changes an administration key (see new-key)."""
+    body = {"name": name, "role": role, "team": team}
+    answer = _call(context, "PUT", "/keys/" + digest, body)
+    _show(context, answer, lambda _: "done")
+
+
+@keys.command("remove")
+@click.argument("digest")
+@click.pass_obj
+def remove_key(context: Context, digest: str) -> None:
+    """Removes an administration key."""
+    answer = _call(context, "DELETE", "/keys/" + digest)
+    _show(context, answer, lambda _: "done")
+
+
+@main.command()
+@click.pass_obj
+def quarantine(context: Context) -> None:
+    """Lists digests of requests that crash upstreams."""
+    answer = _call(context, "GET", "/quarantine")
+    _show(context, answer, lambda a: "\n".join(a["digests"]))
+
+
+@main.command()
+@click.option("--seconds", default=60.0, show_default=True, help="Period.")
+@click.option("--interval", default=1.0, show_default=True, help="Seconds.")
+@click.option("--file", "path", type=OUTPUT_FILE, required=True)
+@click.pass_obj
+def report(
+    context: Context, seconds: float, interval: float, path: pathlib.Path
+) -> None:
+    """Samples the status for a period and writes a page with plots."""
+    samples: collections.deque[report_module.Sample] = collections.deque(
+        maxlen=SAMPLE_LIMIT
+    )
+    begun = time.monotonic()
+    while True:
+        elapsed = time.monotonic() - begun
+        sampled = _call(context, "GET", "/status")
+        samples.append(report_module.Sample(seconds=elapsed, status=sampled))
+        if elapsed + interval > seconds:
+            break
+        time.sleep(interval)
+    try:
+        path.write_text(report_module.build_page(samples))
+    except report_module.PlotterMissingError as error:
+        raise click.ClickException(str(error)) from error
+    click.echo(f"wrote {path}")
+
+
+@main.command()
+@click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
+def completion(shell: str) -> None:
+    """Prints the completion script of a shell.
+
+    Example: arbutuscove completion bash > ~/.arbutuscove-completion
+    """
+    kind = shell_completion.get_completion_class(shell)
+    if kind is None:
+        raise click.ClickException(f"no completion for {shell}")
+    script = kind(main, {}, "arbutuscove", "_ARBUTUSCOVE_COMPLETE")
+    click.echo(script.source())
 
 
 def _call(
-    context: click.Context, method: str, path: str, body: typing.Any = None
+    context: Context, method: str, path: str, body: typing.Any = None
 ) -> typing.Any:
-    client = client_module.AdminClient(*context.obj)
     try:
+        client = client_module.AdminClient(context.url, context.key)
         return client.call(method, path, body)
-    except client_module.AdminFailedError as error:
-        click.echo(str(error), err=True)
+    except ValueError as error:
+        raise click.UsageError(f"--admin-url: {error}") from error
+    except client_module.AdminUnreachableError as error:
+        click.echo(f"unreachable: {error}", err=True)
+        sys.exit(EXIT_UNREACHABLE)
+    except client_module.AdminRefusedError as error:
+        click.echo(f"refused: {error}", err=True)
+        for detail in error.details.values():
+            click.echo(f"  {detail}", err=True)
         sys.exit(EXIT_REFUSED)
 
 
 def _read(path: pathlib.Path) -> answers_module.Answers:
     try:
-        return answers_module.read_answers(path)
+        found = answers_module.read_answers(path)
     except answers_module.AnswersInvalidError as error:
         click.echo(str(error), err=True)
         sys.exit(EXIT_ANSWERS)
+    faults = checks.find_faults(found)
+    for fault in faults:
+        click.echo(str(fault), err=True)
+    if faults:
+        sys.exit(EXIT_ANSWERS)
+    return found
+
+
+def _describe_acceptance(answer: dict[str, typing.Any]) -> str:
+    change = msgspec.convert(answer["change"], config_model.Change)
+    waiting = ", ".join(answer["not_yet"]) or "none"
+    return (
+        f"{change.service.name}: version {change.version} accepted as change "
+        f"{change.sequence}\n"
+        f"in force at: {', '.join(answer['in_force']) or 'none'}\n"
+        f"not yet at: {waiting}"
+    )
+
+
+def _describe_drains(answer: dict[str, typing.Any]) -> str:
+    rows = [(item["vm"], item["reason"]) for item in answer["items"]]
+    return display.build_table(["VM", "reason"], rows)
+
+
+def _show(
+    context: Context, answer: dict[str, typing.Any], render: Render
+) -> None:
+    if context.output == "json":
+        _print_json(answer)
+    else:
+        click.echo(render(answer))
 
 
-def _print(value: typing.Any) -> None:
+def _print_json(value: typing.Any) -> None:
     encoded = msgspec.json.encode(value)
     click.echo(msgspec.json.format(encoded, indent=2).decode())
 
