Measure what control costs an idle daemon

Cause: the design gives control 1.2% of a core, 64 MB and 3 KB/s for a daemon, and nothing measured it. Ruled out: counting bytes in the client, which misses HTTP/2 and HTTP framing; the kernel's counters of each connection include both.

--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -53,7 +53,7 @@
     lag = loop.LagMonitor(clock)
     metrics = metrics_module.Metrics()
     config = follower.ConfigFollower(table, clock)
-    peers = peer_client.PeerClient()
+    peers = peer_client.PeerClient(metrics.peer_calls.inc)
     membership = membership_service.Membership(
         _build_member(settings), settings.peers, clock, peers, config
     )
--- a/arbutuscove/observe/metrics.py
+++ b/arbutuscove/observe/metrics.py
@@ -36,6 +36,11 @@
             registry=registry,
             buckets=LATENCY_BUCKETS,
         )
+        self.peer_calls = aioprometheus.Counter(
+            "arbutuscove_peer_calls_total",
+            "Calls sent to other daemons, by method",
+            registry=registry,
+        )
 
     def render(self, accept: str) -> tuple[bytes, dict[str, str]]:
         """Returns the metrics page and its headers."""
--- a/arbutuscove/peers/client.py
+++ b/arbutuscove/peers/client.py
@@ -2,6 +2,7 @@
 
 import collections
 import datetime
+from collections import abc
 
 import grpc
 
@@ -24,7 +25,10 @@
 class PeerClient(services.BaseService):
     """Keeps channels to the peers that were called lately."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, count: abc.Callable[[dict[str, str]], None] | None = None
+    ) -> None:
+        self._count = count
         self._channels: collections.OrderedDict[str, grpc.Channel] = (
             collections.OrderedDict()
         )
@@ -41,7 +45,7 @@
             PeerUnreachableError: no answer in time.
         """
         try:
-            return self._stub(address).Probe(
+            return self._stub(address, "Probe").Probe(
                 gossip, timeout=timeout.total_seconds()
             )
         except grpc.RpcError as error:
@@ -60,7 +64,7 @@
         """
         try:
             return (
-                self._stub(address)
+                self._stub(address, "ProbeIndirect")
                 .ProbeIndirect(request, timeout=timeout.total_seconds())
                 .reached
             )
@@ -77,7 +81,7 @@
         """
         request = peer_pb2.ChangesRequest(after=after)
         try:
-            return self._stub(address).FetchChanges(
+            return self._stub(address, "FetchChanges").FetchChanges(
                 request, timeout=timeout.total_seconds()
             )
         except grpc.RpcError as error:
@@ -89,7 +93,9 @@
             channel.close()
         self._channels.clear()
 
-    def _stub(self, address: str) -> peer_pb2_grpc.PeerStub:
+    def _stub(self, address: str, method: str) -> peer_pb2_grpc.PeerStub:
+        if self._count is not None:
+            self._count({"method": method})
         channel = self._channels.pop(address, None)
         if channel is None:
             channel = grpc.insecure_channel(address, options=CHANNEL_OPTIONS)
