--- a/arbutuscove/observe/metrics.py
+++ b/arbutuscove/observe/metrics.py
@@ -37,6 +37,11 @@
             registry=registry,
             buckets=LATENCY_BUCKETS,
         )
+        self.peer_calls = aioprometheus.Counter(
+            "arbutuscove_peer_calls_total",
+            "Calls sent to other daemons, by method",
+            registry=registry,
+        )
 
     def list_collectors(self) -> list[collectors.Collector]:
         """Returns all metrics in order of their names."""
