Keep a drained lease holder from acting

Cause: a renewal that is in flight while the daemon drains is confirmed after the leases were cleared and puts the lease back, so a leaving daemon may act. Ruled out: waiting for the renewal in the drain, which takes up to the commit timeout of 3 s when the table is down. Change: no epoch is given out once the drain has begun. The last known lease row can be read, for repairs during a table outage. Conclusion: a drained holder has no effects left.

--- a/arbutuscove/leases/holder.py
+++ b/arbutuscove/leases/holder.py
@@ -61,11 +61,25 @@
         Callers ask immediately before each effect, because the process may
         have been paused since it last asked.
         """
+        # A renewal in progress may be confirmed after `drain`.
+        if self._draining:
+            return None
         held = self._held.get(duty)
         if not lease.may_act(held, self._clock.monotonic()):
             return None
         return None if held is None else held.epoch
 
+    def last_row(self, duty: str) -> lease.LeaseRow | None:
+        """Returns the lease row as last read or written; it may be outdated."""
+        observation = self._observed.get(duty)
+        held = self._held.get(duty)
+        row = None if observation is None else observation.row
+        if held is not None and (row is None or row.epoch <= held.epoch):
+            return lease.LeaseRow(
+                holder=self._identity, epoch=held.epoch, renewals=0
+            )
+        return row
+
     def step(self, duty: str) -> None:
         """Reads one lease row and writes it if this process should.
 
--- a/arbutuscove/leases/tests/test_lease.py
+++ b/arbutuscove/leases/tests/test_lease.py
@@ -92,3 +92,28 @@
         first.step(DUTY)
         clock.advance(lease.RENEW_INTERVAL)
     assert first.epoch(DUTY) == 1
+
+
+class _DrainingTable(table_standin.MemoryTable):
+    """Drains a holder while its second write is in progress."""
+
+    draining: holder.LeaseHolder | None = None
+
+    def transact(self, transaction):
+        outcome = super().transact(transaction)
+        if self.draining is not None:
+            self.draining.drain()
+        return outcome
+
+
+def test_lease_renewal_confirmed_after_drain_does_not_restore_it():
+    """A renewal in flight at the drain would let a leaving daemon act."""
+    table = _DrainingTable()
+    clock = clock_module.ManualClock()
+    first = _build("a", table, clock)
+    first.step(DUTY)
+    clock.advance(lease.ORDER_TIMEOUT)
+    table.draining = first
+    first.step(DUTY)
+    clock.advance(lease.ORDER_TIMEOUT)
+    assert first.epoch(DUTY) is None
