Draw spend slices from the table by transaction

Change: `slices.py` holds the pure rules, `service.py` draws, reserves, settles and returns. A draw writes the row of the rank and a total row (`budget/<service>/<period>/*`) and also requires the version of the accepted configuration, so that a daemon that follows late cannot draw under a limit that was lowered. The slice size follows recent use and is at most 1/20 of what is left; the urgent rank holds 10 minutes of recent use. Free and reserved tokens together are at most the slice size or one larger request, so the tokens stranded are at most daemons times slice size.

Ruled out: a sum over the rank rows instead of a total row, since two daemons with different sets of ranks could each miss the other's row; returning tokens through `table.commit`, since a lost confirmation followed by another draw hides whether the return took effect, and the second return then exceeds the limit. Returns are sent once; a lost one counts as spent.

Seen failing: with the return sent through `commit`, test_limits_repeated_return_after_lost_confirmation fails; without the total row's condition, test_limits_concurrent_draws_of_two_ranks; without the condition on the configuration row, test_limits_draw_while_limit_is_lowered; without the period check after a draw, test_limits_draw_while_period_ends. Dropping only the rank row's condition changes nothing, because the total row orders all draws of a service.

`standins/faulty.py` is new: a table whose calls a test interleaves, loses or delays.

Before: no tests, no limit.

--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -64,7 +64,7 @@
     control = controller.ReplicaController(
         identity, table, clock, config, leases, board, engines
     )
-    limits = limits_service.Limits()
+    limits = limits_service.Limits(table, clock, config, generator)
     routing = routing_service.Routing(clock, directory)
     admission = admission_service.Admission(clock, routing, lag)
     tokens = resume.ResumeTokens(settings.resume_secret)
