Bound what one caller's connection may cost

Cause: the callers' server was a plain gevent WSGI server. It sets no timeout, reads 6.5 MB of headers, reads a refused body to its end, prints tracebacks for malformed heads, and answers them without a reason code. Deeply nested JSON and Last-Event-ID with superscript digits raised inside the handlers; max_tokens had no upper bound.

Ruled out: limits in front of the daemon (there is no load balancer), and a pool of greenlets in the server, which stops accepting and leaves callers waiting without a reason.

Change: entry/connections.py bounds head size and time, body time, idle time, stalled writes, and connections in total and by address. Each passed bound ends one connection with a 4xx or 503 with code and run state, and is counted in arbutuscove_refusals_total. Ambiguous framing (RFC 9112) is refused. Internal errors answer 500 with run "unknown" in the OpenAI form.

Conclusion: bad input gets a clear refusal and the next caller is served.

--- a/arbutuscove/entry/app.py
+++ b/arbutuscove/entry/app.py
@@ -7,7 +7,6 @@
 
 import eliot
 import msgspec
-from gevent import pywsgi
 from werkzeug import exceptions
 from werkzeug import routing
 from werkzeug import wrappers
@@ -17,6 +16,7 @@
 from arbutuscove.config import model as config_model
 from arbutuscove.entry import callers
 from arbutuscove.entry import chat
+from arbutuscove.entry import connections
 from arbutuscove.entry import entries as entries_module
 from arbutuscove.entry import headers
 from arbutuscove.entry import plain
@@ -30,7 +30,18 @@
 SERVICE_NAME = "entry"
 BODY_LIMIT = 4 << 20  # bytes
 NOT_READY_RETRY = datetime.timedelta(seconds=2)
+DEFAULT_BOUNDS = connections.Bounds()
 DRAIN_POLL = datetime.timedelta(milliseconds=50)
+# Reason codes of the faults that werkzeug finds, by HTTP status.
+HTTP_CODES = {
+    400: "invalid_request",
+    404: "unknown_path",
+    405: "method_not_allowed",
+    413: "body_too_large",
+}
+INTERNAL_ERROR = work_module.Refusal(
+    status=500, code="internal_error", message="the daemon failed"
+)
 PLAIN_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
 
 Entries = abc.Callable[[], list[entries_module.Entry]]
@@ -49,6 +60,7 @@
         list_entries: Entries,
         metrics: metrics_module.Metrics,
         keep: datetime.timedelta = entries_module.KEEP,
+        bounds: connections.Bounds = DEFAULT_BOUNDS,
     ) -> None:
         self._clock = clock
         self._config = config
@@ -59,8 +71,8 @@
         self._keep = keep
         self._active = 0
         self._draining = False
-        self._server = pywsgi.WSGIServer(
-            (listen.host, listen.port), self, log=None, error_log=None
+        self._server = connections.CallerServer(
+            listen, self, bounds, self._count_refusal
         )
         self._map = routing.Map(
             [
@@ -150,17 +162,25 @@
                 return self._refuse(error.refusal, error.run)
             except exceptions.HTTPException as error:
                 status = error.code or 400
-                code = error.name.lower().replace(" ", "_")
+                code = HTTP_CODES.get(status, "invalid_request")
                 bad = refusals.BadRequestError(status, code, error.name)
                 return self._refuse(bad.refusal, failures.Run.NOT_RUN)
+            except Exception:
+                # A fault of the daemon: the caller still learns that nothing
+                # can be said about its request.
+                eliot.write_traceback()
+                return self._refuse(INTERNAL_ERROR, failures.Run.UNKNOWN)
 
     def _refuse(
         self, refusal: work_module.Refusal, run: failures.Run
     ) -> wrappers.Response:
-        self._metrics.refusals.inc({"code": refusal.code})
+        self._count_refusal(refusal.code)
         eliot.log_message("entry:refused", code=refusal.code, run=run.value)
         return refusals.build_response(refusal, run)
 
+    def _count_refusal(self, code: str) -> None:
+        self._metrics.refusals.inc({"code": code})
+
     def _route(
         self, request: wrappers.Request, request_id: str
     ) -> wrappers.Response:
--- a/arbutuscove/entry/callers.py
+++ b/arbutuscove/entry/callers.py
@@ -18,6 +18,7 @@
 LONGEST_DEADLINE = datetime.timedelta(seconds=600)
 BYTES_PER_TOKEN = 4  # rough size of a token in a prompt
 DEFAULT_ANSWER_TOKENS = 256
+ANSWER_TOKENS_LIMIT = 1_000_000  # beyond the context length of any engine
 PREFIX_BYTES = 1024  # of the prompt, for cache affinity
 
 
@@ -93,9 +94,12 @@
             400, "unknown_rank", f"{headers.RANK} must be one of: {names}"
         )
     answer_tokens = body.get("max_tokens") or DEFAULT_ANSWER_TOKENS
-    if not isinstance(answer_tokens, int) or answer_tokens < 1:
+    whole = isinstance(answer_tokens, int)
+    if not whole or not 1 <= answer_tokens <= ANSWER_TOKENS_LIMIT:
         raise refusals.BadRequestError(
-            400, "invalid_body", "max_tokens must be a positive integer"
+            400,
+            "invalid_body",
+            f"max_tokens must be between 1 and {ANSWER_TOKENS_LIMIT}",
         )
     digest = hashlib.sha256(caller.account.name.encode() + b"\0" + content)
     return work_module.Work(
--- a/arbutuscove/entry/chat.py
+++ b/arbutuscove/entry/chat.py
@@ -1,5 +1,6 @@
 """Chat completions: streamed as events or assembled whole."""
 
+import re
 import typing
 import uuid
 from collections import abc
@@ -22,6 +23,8 @@
 from arbutuscove.requests import resume as resume_module
 
 EVENT_STREAM = "text/event-stream"
+NAME_SHOWN = 100  # characters of an unknown model's name in the refusal
+EVENT_NUMBER = re.compile(r"[0-9]{1,9}")
 ERROR_CODE = "answer_incomplete"
 
 
@@ -135,7 +138,8 @@
             ) from error
         last = request.headers.get(headers.LAST_EVENT_ID, "")
         stream, _, number = last.rpartition("-")
-        if last and (stream != point.stream or not number.isdigit()):
+        valid = EVENT_NUMBER.fullmatch(number) is not None
+        if last and (stream != point.stream or not valid):
             raise refusals.BadRequestError(
                 400, "invalid_last_event_id", "event of another stream"
             )
@@ -224,7 +228,7 @@
 def _decode_body(content: bytes) -> dict[str, typing.Any]:
     try:
         body = msgspec.json.decode(content)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise refusals.BadRequestError(
             400, "malformed_json", f"the body is not JSON: {error}"
         ) from error
@@ -243,7 +247,7 @@
         if model in (caller.service.name, backend.model):
             return caller
     raise refusals.BadRequestError(
-        404, "unknown_model", f"no model {model!r} for this key"
+        404, "unknown_model", f"no model {model[:NAME_SHOWN]!r} for this key"
     )
 
 
--- /dev/null
+++ b/arbutuscove/entry/connections.py
@@ -0,0 +1,316 @@
+"""Bounds on what one connection of a caller may cost the others.
+
+The WSGI server of gevent sets no timeout, reads up to 6.5 MB of headers and
+reads a refused body to its end. `CallerServer` bounds time, size and number,
+and answers a bad request head with a reason code. A bound that is passed ends
+only the connection that passed it.
+"""
+
+import collections
+import dataclasses
+import datetime
+import http.client
+import re
+import socket
+import time
+import typing
+from collections import abc
+
+import gevent
+import msgspec
+from gevent import pywsgi
+
+from arbutuscove.admission import work as work_module
+from arbutuscove.entry import refusals
+from arbutuscove.platform import http as platform_http
+from arbutuscove.requests import failures
+
+RETRY_AFTER = datetime.timedelta(seconds=2)
+LINGER = datetime.timedelta(seconds=1)  # lets a refusal reach its client
+LINGER_LIMIT = 256  # refused connections that may linger at once
+READ_SIZE = 65536  # bytes
+NAME_PATTERN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+TRANSFER_ENCODINGS = ("", "chunked")
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Bounds:
+    """What one connection may take.
+
+    `head_timeout` runs from the first byte of a request to the end of its
+    headers, `body_timeout` from the first read of the body to its end;
+    `write_timeout` bounds one write to a client that does not read.
+    """
+
+    head_size: int = 32768  # bytes; the largest documented header is 2 KB
+    head_timeout: datetime.timedelta = datetime.timedelta(seconds=5)
+    body_timeout: datetime.timedelta = datetime.timedelta(seconds=20)
+    idle_timeout: datetime.timedelta = datetime.timedelta(seconds=60)
+    write_timeout: datetime.timedelta = datetime.timedelta(seconds=10)
+    connections: int = 4096
+    # A quarter, so that one client host cannot keep the others out.
+    connections_per_address: int = 1024
+
+
+class _HeadReader:
+    """Reads header lines and refuses to read more than the bound."""
+
+    def __init__(self, stream: typing.Any, left: int) -> None:
+        self._stream = stream
+        self._left = left
+
+    def readline(self, limit: int) -> bytes:
+        """Returns the next line.
+
+        Raises:
+            BadRequestError: the headers are too large.
+        """
+        line: bytes = self._stream.readline(min(limit, self._left + 1))
+        self._left -= len(line)
+        if self._left < 0:
+            raise refusals.BadRequestError(
+                431, "headers_too_large", "the request headers are too large"
+            )
+        return line
+
+
+class _Body(pywsgi.Input):
+    """A request body that must arrive in time and is not read on refusal."""
+
+    def __init__(
+        self, handler: "CallerHandler", stream: typing.Any, chunked: bool
+    ) -> None:
+        super().__init__(
+            stream, handler.content_length, handler.socket, chunked
+        )
+        self._handler = handler
+        self._ends: float | None = None
+        if not handler.headers.get("Expect"):
+            self.socket = None  # no interim response was asked for
+
+    def read(self, length: int | None = None) -> bytes:
+        """Returns part of the body.
+
+        Raises:
+            BadRequestError: the body did not arrive in time.
+        """
+        if self._ends is None:
+            timeout = self._handler.server.bounds.body_timeout
+            self._ends = time.monotonic() + timeout.total_seconds()
+        left = max(0.0, self._ends - time.monotonic())
+        late = refusals.BadRequestError(
+            408, "body_timeout", "the request body did not arrive in time"
+        )
+        with gevent.Timeout(left, late):
+            return bytes(super().read(length))
+
+    def _discard(self) -> None:
+        unread = self.position < (self.content_length or 0)
+        if self.chunked_input and self.chunk_length != 0:
+            unread = True
+        if unread:
+            self._handler.close_connection = True
+            _linger(self._handler.socket, shut=False)
+
+
+class CallerHandler(pywsgi.WSGIHandler):
+    """Serves the requests of one connection."""
+
+    def handle_one_request(self) -> typing.Any:
+        """Serves one request; None ends the connection."""
+        bounds = self.server.bounds
+        try:
+            self.socket.settimeout(bounds.idle_timeout.total_seconds())
+            if not self.rfile.peek(1):
+                return None
+            self.socket.settimeout(bounds.write_timeout.total_seconds())
+        except (OSError, ValueError):
+            return None
+        timer = gevent.Timeout.start_new(bounds.head_timeout.total_seconds())
+        self._timer = timer
+        try:
+            result = super().handle_one_request()
+        except gevent.Timeout as expired:
+            if expired is not timer:
+                raise
+            late = refusals.BadRequestError(
+                408, "headers_timeout", "the headers did not arrive in time"
+            )
+            return self._refuse(late)
+        except refusals.BadRequestError as error:
+            return self._refuse(error)
+        finally:
+            timer.close()
+        if isinstance(result, tuple):
+            error = refusals.BadRequestError(
+                int(result[0]), "invalid_request", "the request is not HTTP/1.1"
+            )
+            return self._refuse(error)
+        return result
+
+    def MessageClass(  # noqa: N802 - name given by pywsgi
+        self, *args: typing.Any
+    ) -> typing.Any:
+        """Returns the parsed headers, bounded in size."""
+        reader = _HeadReader(self.rfile, self.server.bounds.head_size)
+        return super().MessageClass(reader)
+
+    def read_request(self, raw_requestline: str) -> bool:
+        """Reads the headers and refuses ambiguous ones."""
+        read = super().read_request(raw_requestline)
+        _check_headers(self.headers)
+        return bool(read)
+
+    def get_environ(self) -> dict[str, typing.Any]:
+        """Returns the WSGI environment; the head has arrived by then."""
+        self._timer.close()
+        environ: dict[str, typing.Any] = super().get_environ()
+        chunked = self.headers.get("Transfer-Encoding", "") != ""
+        self.wsgi_input = _Body(self, self.rfile, chunked)
+        environ["wsgi.input"] = self.wsgi_input
+        environ["wsgi.input_terminated"] = True
+        return environ
+
+    def handle_error(self, *error: typing.Any) -> None:
+        """Ends the connection after a failure inside the response."""
+        if isinstance(error[1], OSError):
+            stalled = isinstance(error[1], TimeoutError)
+            self.server.count("write_stalled" if stalled else "client_lost")
+            self.close_connection = True
+            return
+        super().handle_error(*error)
+
+    def _handle_client_error(self, error: Exception) -> None:
+        if isinstance(error, refusals.BadRequestError):
+            raise error
+        raise refusals.BadRequestError(
+            400, "invalid_headers", "the request head is malformed"
+        ) from error
+
+    def _refuse(self, error: refusals.BadRequestError) -> None:
+        self.server.count(error.refusal.code)
+        _send_refusal(self.socket, error.refusal)
+
+
+class CallerServer(pywsgi.WSGIServer):
+    """Accepts connections of callers up to the bounds.
+
+    Args:
+        listen: where to listen.
+        application: the WSGI application.
+        bounds: what each connection may take.
+        count: called with the reason code of each refused connection.
+    """
+
+    handler_class = CallerHandler
+
+    def __init__(
+        self,
+        listen: platform_http.Address,
+        application: typing.Any,
+        bounds: Bounds,
+        count: abc.Callable[[str], None],
+    ) -> None:
+        # Without these names the server looks its host up in the DNS.
+        names = {"SERVER_NAME": listen.host, "SERVER_PORT": str(listen.port)}
+        super().__init__(
+            (listen.host, listen.port),
+            application,
+            log=None,
+            error_log=None,
+            environ=names,
+        )
+        self.bounds = bounds
+        self.count = count
+        self._by_address: collections.Counter[str] = collections.Counter()
+        self._lingering = 0
+
+    def handle(self, sock: typing.Any, address: typing.Any) -> None:
+        """Serves a connection, or refuses it when there are too many."""
+        host = address[0]
+        full = self._by_address.total() >= self.bounds.connections
+        crowded = self._by_address[host] >= self.bounds.connections_per_address
+        if full or crowded:
+            self._turn_away(sock)
+            return
+        self._by_address[host] += 1
+        try:
+            super().handle(sock, address)
+        finally:
+            self._by_address[host] -= 1
+            if not self._by_address[host]:
+                del self._by_address[host]
+
+    def _turn_away(self, sock: typing.Any) -> None:
+        self.count("too_many_connections")
+        refusal = work_module.Refusal(
+            status=503,
+            code="too_many_connections",
+            message="too many connections are open",
+            retry_after=RETRY_AFTER,
+        )
+        try:
+            if self._lingering < LINGER_LIMIT:
+                self._lingering += 1
+                _send_refusal(sock, refusal)
+                self._lingering -= 1
+        finally:
+            sock.close()
+
+
+def _check_headers(message: typing.Any) -> None:
+    """Refuses what two HTTP parsers could read in two ways (RFC 9112)."""
+    malformed = bool(message.defects) or bool(message.get_payload())
+    if malformed or not all(map(NAME_PATTERN.fullmatch, message.keys())):
+        raise refusals.BadRequestError(
+            400, "invalid_headers", "a header line is malformed"
+        )
+    lengths = message.get_all("Content-Length", [])
+    encoding = message.get("Transfer-Encoding", "").lower()
+    if len(lengths) > 1 or not all(
+        text.isascii() and text.isdigit() for text in lengths
+    ):
+        raise refusals.BadRequestError(
+            400, "invalid_content_length", "Content-Length must be one number"
+        )
+    if encoding not in TRANSFER_ENCODINGS:
+        raise refusals.BadRequestError(
+            400,
+            "unsupported_transfer_encoding",
+            "only the chunked transfer encoding is supported",
+        )
+
+
+def _send_refusal(sock: typing.Any, refusal: work_module.Refusal) -> None:
+    run = failures.Run.NOT_RUN
+    body = msgspec.json.encode(refusals.build_body(refusal, run))
+    fields = refusals.build_fields(refusal, run)
+    fields["Content-Type"] = refusals.JSON_TYPE
+    fields["Content-Length"] = str(len(body))
+    fields["Connection"] = "close"
+    reason = http.client.responses.get(refusal.status, "Refused")
+    lines = [f"HTTP/1.1 {refusal.status} {reason}"]
+    lines += [f"{name}: {value}" for name, value in fields.items()]
+    head = "\r\n".join([*lines, "", ""]).encode("latin-1")
+    try:
+        sock.settimeout(LINGER.total_seconds())
+        sock.sendall(head + body)
+    except OSError:
+        return
+    _linger(sock, shut=True)
+
+
+def _linger(sock: typing.Any, shut: bool) -> None:
+    """Reads for a moment what the client still sends.
+
+    Closing a socket with unread data resets the connection, and the reset
+    can overtake the response that says why.
+    """
+    with gevent.Timeout(LINGER.total_seconds(), False):
+        try:
+            if shut:
+                sock.shutdown(socket.SHUT_WR)
+            while sock.recv(READ_SIZE):
+                pass
+        except OSError:
+            return
--- a/arbutuscove/entry/refusals.py
+++ b/arbutuscove/entry/refusals.py
@@ -46,8 +46,16 @@
     """Returns the response to a refused request."""
     body = msgspec.json.encode(build_body(refusal, run))
     response = wrappers.Response(body, refusal.status, content_type=JSON_TYPE)
-    response.headers[headers.RUN] = run.value
+    response.headers.extend(build_fields(refusal, run))
+    return response
+
+
+def build_fields(
+    refusal: work_module.Refusal, run: failures.Run
+) -> dict[str, str]:
+    """Returns the response headers of a refusal."""
+    fields = {headers.RUN: run.value}
     if refusal.retry_after is not None:
         seconds = math.ceil(refusal.retry_after.total_seconds())
-        response.headers[headers.RETRY_AFTER] = str(seconds)
-    return response
+        fields[headers.RETRY_AFTER] = str(seconds)
+    return fields
--- /dev/null
+++ b/arbutuscove/entry/tests/serving.py
@@ -0,0 +1,175 @@
+"""An entry server in the test process, in front of a prepared answer."""
+
+import datetime
+import pathlib
+import socket
+
+import msgspec
+
+from arbutuscove.config import model as config_model
+from arbutuscove.entry import app
+from arbutuscove.entry import chat
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.observe import metrics as metrics_module
+from arbutuscove.platform import http
+from arbutuscove.questionnaire import answers as answers_module
+from arbutuscove.questionnaire import generation
+from arbutuscove.requests import answers
+from arbutuscove.requests import flow
+from arbutuscove.requests import resume
+
+EXAMPLE = pathlib.Path(__file__).parents[3] / "examples" / "demo.yaml"
+KEY = "demo-key"
+MODEL = "demo-model"
+STREAM = "stream"
+
+
+def build_event(number, word=None, finish=None):
+    """Returns one event of an answer."""
+    choice = {"index": 0, "delta": {}, "finish_reason": finish}
+    if word is not None:
+        choice["delta"] = {"content": word}
+    chunk = {
+        "id": "chatcmpl-1",
+        "object": "chat.completion.chunk",
+        "created": 1,
+        "model": MODEL,
+        "choices": [choice],
+    }
+    head = f"id: {STREAM}-{number}\ndata: ".encode()
+    return head + msgspec.json.encode(chunk) + b"\n\n"
+
+
+def build_answer(words):
+    """Returns all events of an answer."""
+    events = [build_event(i, word) for i, word in enumerate(words)]
+    events.append(build_event(len(words), finish="stop"))
+    events.append(f"id: {STREAM}-{len(events)}\ndata: [DONE]\n\n".encode())
+    return events
+
+
+class Flow:
+    """Answers with the same events; `cut` and `lost` break them off."""
+
+    def __init__(self):
+        self.events = build_answer(["one ", "two "])
+        self.cut = False
+        self.lost = False
+        self.error = None
+        self.ran = 0
+
+    def run(self, request):
+        self.ran += 1
+        if self.error is not None:
+            raise self.error
+        return flow.Answer(
+            token="token", attempt_id=STREAM, events=self._deliver()
+        )
+
+    def _deliver(self):
+        for event in self.events:
+            yield event
+            if self.cut:
+                raise answers.AnswerIncompleteError("stream broken", 1)
+            if self.lost:
+                raise ConnectionResetError(104, "lost")
+
+
+class Config:
+    """A configuration that is always in force."""
+
+    def __init__(self):
+        service = generation.generate(answers_module.read_answers(EXAMPLE))
+        version = config_model.ServiceVersion(
+            sequence=1, version=1, service=service
+        )
+        self.snapshot = config_model.Snapshot(
+            sequence=1, services={service.name: version}
+        )
+
+    def current(self):
+        return self.snapshot
+
+    def is_loaded(self):
+        return True
+
+    def is_stale(self):
+        return False
+
+
+class Server:
+    """A running entry server and its address."""
+
+    def __init__(self, bounds):
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            self.address = http.Address(*probe.getsockname())
+        self.flow = Flow()
+        self.metrics = metrics_module.Metrics()
+        clock = clock_module.SystemClock()
+        tokens = resume.ResumeTokens("a secret for tests")
+        handler = chat.ChatHandler(clock, self.flow, None, tokens, self.metrics)
+        self.entry = app.EntryServer(
+            self.address,
+            clock,
+            Config(),
+            handler,
+            None,
+            list,
+            self.metrics,
+            datetime.timedelta(0),
+            bounds,
+        )
+        self.entry.start(None)
+
+    def connect(self):
+        """Returns a connected socket."""
+        return socket.create_connection(self.address, timeout=10)
+
+    def exchange(self, request):
+        """Sends bytes and returns all that comes back until the close."""
+        with self.connect() as client:
+            client.sendall(request)
+            return read_all(client)
+
+    def count(self, code):
+        """Returns how often a reason code was counted."""
+        page = self.metrics.render("")[0].decode()
+        wanted = f'arbutuscove_refusals_total{{code="{code}"}}'
+        for line in page.splitlines():
+            name, _, value = line.rpartition(" ")
+            if name == wanted:
+                return int(float(value))
+        return 0
+
+
+def read_all(client):
+    """Reads a socket to its end; a reset counts as the end."""
+    found = b""
+    while True:
+        try:
+            part = client.recv(65536)
+        except ConnectionError:
+            return found
+        if not part:
+            return found
+        found += part
+
+
+def build_request(body=None, extra="", path="/v1/chat/completions", key=KEY):
+    """Returns the bytes of a request that closes its connection."""
+    if body is None:
+        body = build_body()
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+        f"Authorization: Bearer {key}\r\nContent-Length: {len(body)}\r\n"
+        f"{extra}\r\n"
+    )
+    return head.encode("latin-1") + body
+
+
+def build_body(**fields):
+    """Returns the body of a chat request."""
+    messages = [{"role": "user", "content": "hello"}]
+    body = {"model": MODEL, "messages": messages, **fields}
+    return msgspec.json.encode(body)
--- /dev/null
+++ b/arbutuscove/entry/tests/test_connections.py
@@ -0,0 +1,219 @@
+"""Guards against callers who harm the daemon or one another."""
+
+import datetime
+
+import gevent
+import msgspec
+import pytest
+
+from arbutuscove.entry import app
+from arbutuscove.entry import connections
+from arbutuscove.entry.tests import serving
+
+SHORT = datetime.timedelta(milliseconds=200)
+BOUNDS = connections.Bounds(
+    head_timeout=SHORT,
+    body_timeout=SHORT,
+    idle_timeout=SHORT,
+    write_timeout=SHORT,
+    connections=8,
+    connections_per_address=8,
+)
+BIG = b'{"a": "' + b"x" * app.BODY_LIMIT + b'"}'
+
+
+@pytest.fixture
+def server():
+    running = serving.Server(BOUNDS)
+    yield running
+    running.entry.stop()
+
+
+def _read_refusal(response):
+    head, _, body = response.partition(b"\r\n\r\n")
+    status = int(head.split(b" ")[1])
+    return status, msgspec.json.decode(body)["error"]
+
+
+def _serves(server):
+    response = server.exchange(serving.build_request())
+    return response.startswith(b"HTTP/1.1 200") and b"one two " in response
+
+
+def _line(name, value):
+    return f"{name}: {value}\r\n"
+
+
+BAD = {
+    "malformed_json": (400, serving.build_request(b'{"messages": [')),
+    "malformed_json deep": (
+        400,
+        serving.build_request(b'{"messages": ' + b"[" * 100_000),
+    ),
+    "malformed_json text": (400, serving.build_request(b"\xff\xfe")),
+    "invalid_body": (400, serving.build_request(b"[]")),
+    "invalid_body tokens": (
+        400,
+        serving.build_request(serving.build_body(max_tokens=10**9)),
+    ),
+    "unknown_model": (
+        404,
+        serving.build_request(serving.build_body(model="x" * 10_000)),
+    ),
+    "wrong_key": (401, serving.build_request(key="no")),
+    "missing_key": (401, serving.build_request(key="")),
+    "body_too_large": (413, serving.build_request(BIG)),
+    "unknown_path": (404, serving.build_request(path="/v2")),
+    "unknown_rank": (
+        400,
+        serving.build_request(extra=_line("Arbutuscove-Rank", "no")),
+    ),
+    "invalid_deadline": (
+        400,
+        serving.build_request(extra=_line("Arbutuscove-Deadline", "nan")),
+    ),
+    "invalid_resume_token": (
+        400,
+        serving.build_request(extra=_line("Arbutuscove-Resume", "\xb2")),
+    ),
+    "headers_too_large": (
+        431,
+        serving.build_request(extra=_line("X", "y" * 60_000) * 20),
+    ),
+    "invalid_headers many": (
+        400,
+        serving.build_request(extra=_line("X", "y") * 200),
+    ),
+    "invalid_headers colon": (
+        400,
+        serving.build_request(extra="no colon here\r\n"),
+    ),
+    "invalid_headers space": (
+        400,
+        serving.build_request(extra="Content-Length : 5\r\n"),
+    ),
+    "invalid_content_length": (
+        400,
+        serving.build_request(extra=_line("Content-Length", "5")),
+    ),
+    "invalid_content_length sign": (
+        400,
+        b"POST / HTTP/1.1\r\nContent-Length: +5\r\n\r\n",
+    ),
+    "unsupported_transfer_encoding": (
+        400,
+        serving.build_request(extra=_line("Transfer-Encoding", "gzip")),
+    ),
+    "invalid_request line": (
+        414,
+        b"GET /" + b"x" * 9000 + b" HTTP/1.1\r\n\r\n",
+    ),
+    "invalid_headers protocol": (400, b"\x16\x03\x01\x02\x00\x01\r\n\r\n"),
+}
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_caller_bad_input_is_refused_and_counted(server, name):
+    """Bad input must get a clear 4xx and leave the server as it was."""
+    status, request = BAD[name]
+    code = name.partition(" ")[0]
+    found, error = _read_refusal(server.exchange(request))
+    assert (found, error["code"], error["run"]) == (status, code, "not_run")
+    assert server.count(code) == 1
+    assert server.flow.ran == 0
+    assert len(error["message"]) < 300
+    assert _serves(server)
+
+
+def test_caller_failing_handler_gets_json_error(server):
+    """A fault of the daemon must not claim that nothing ran."""
+    server.flow.error = RuntimeError("fault")
+    status, error = _read_refusal(server.exchange(serving.build_request()))
+    assert (status, error["run"]) == (500, "unknown")
+    assert server.count("internal_error") == 1
+
+
+def test_caller_trickling_headers_is_cut(server):
+    """A head that trickles in must not hold a connection for long."""
+    with server.connect() as client:
+        client.sendall(b"POST /v1/chat/completions HTTP/1.1\r\n")
+        trickle = gevent.spawn(_trickle, client, b"X: y\r\n")
+        status, error = _read_refusal(serving.read_all(client))
+        trickle.kill()
+    assert (status, error["code"]) == (408, "headers_timeout")
+    assert server.count("headers_timeout") == 1
+
+
+def test_caller_trickling_body_is_cut(server):
+    """A body that trickles in must not hold a request for long."""
+    with server.connect() as client:
+        client.sendall(serving.build_request()[:-20])
+        trickle = gevent.spawn(_trickle, client, b" ")
+        status, error = _read_refusal(serving.read_all(client))
+        trickle.kill()
+    assert (status, error["code"]) == (408, "body_timeout")
+    assert server.count("body_timeout") == 1
+    assert server.flow.ran == 0
+
+
+def _trickle(client, data):
+    for _ in range(19):
+        gevent.sleep(0.05)
+        try:
+            client.sendall(data)
+        except OSError:
+            return
+
+
+def test_caller_stalled_reader_is_cut(server):
+    """A client that reads nothing must not hold its answer for ever."""
+    words = ["w" * 50_000] * 400
+    server.flow.events = serving.build_answer(words)
+    body = serving.build_body(stream=True)
+    with server.connect() as client:
+        client.sendall(serving.build_request(body))
+        while not server.count("write_stalled"):
+            gevent.sleep(0.01)
+        assert server.entry.active() == 0
+        assert not serving.read_all(client).endswith(b"0\r\n\r\n")
+
+
+def test_caller_idle_connection_is_closed(server):
+    """A client that vanished must not keep its connection for ever."""
+    with server.connect() as client:
+        assert serving.read_all(client) == b""
+
+
+def test_caller_connections_are_bounded(server):
+    """Too many connections get a reason, and room again when they close."""
+    clients = [server.connect() for _ in range(BOUNDS.connections)]
+    gevent.sleep(0.02)
+    status, error = _read_refusal(server.exchange(serving.build_request()))
+    assert (status, error["code"]) == (503, "too_many_connections")
+    assert error["run"] == "not_run"
+    assert server.count("too_many_connections") == 1
+    for client in clients:
+        client.close()
+    gevent.sleep(0.02)
+    assert _serves(server)
+
+
+def test_caller_others_are_served_beside_bad_clients(server):
+    """Slow and broken clients must not delay anyone else."""
+    clients = [server.connect() for _ in range(4)]
+    for client in clients:
+        client.sendall(serving.build_request()[:-20])
+    assert all(_serves(server) for _ in range(20))
+    for client in clients:
+        client.close()
+
+
+def test_caller_unread_body_does_not_become_a_request(server):
+    """A body left unread after a refusal must not be parsed as a request."""
+    inner = serving.build_request()
+    outer = serving.build_request(inner, path="/no").replace(
+        b"Connection: close\r\n", b"", 1
+    )
+    response = server.exchange(outer)
+    assert response.count(b"HTTP/1.1 ") == 1
+    assert server.flow.ran == 0
