Add a failing TCP forwarder and times to the independent records

Cause: process-level tests need connections that are cut, delayed, half-open or lossy in one direction, and records whose entries can be ordered.

The variable that shadowed an exception name in entry/connections.py, which mypy reports, is renamed.

Ruled out: firewall rules, which need rights on the machine.

--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -125,7 +125,7 @@
 def _build_member(settings: settings_module.Settings) -> peer_pb2.Member:
     return peer_pb2.Member(
         name=settings.name,
-        peer_address=settings.peer_listen,
+        peer_address=settings.peer_advertise,
         entry_address=settings.advertise,
         region=settings.region,
         failure_domain=settings.failure_domain,
--- a/arbutuscove/daemon/main.py
+++ b/arbutuscove/daemon/main.py
@@ -55,6 +55,12 @@
         default="",
         help="Address that callers are given; --listen by default.",
     ),
+    click.option(
+        "--peer-advertise",
+        envvar="ARBUTUSCOVE_PEER_ADVERTISE",
+        default="",
+        help="Address that peers are given; --peer-listen by default.",
+    ),
     click.option(
         "--peers",
         envvar="ARBUTUSCOVE_PEERS",
@@ -153,6 +159,7 @@
     peers = given["peers"].split(",")
     given["peers"] = tuple(peer.strip() for peer in peers if peer.strip())
     given["advertise"] = given["advertise"] or given["listen"]
+    given["peer_advertise"] = given["peer_advertise"] or given["peer_listen"]
     given["keep_seconds"] = float(values["keep_seconds"])
     return settings_module.Settings(**given)
 
--- a/arbutuscove/daemon/settings.py
+++ b/arbutuscove/daemon/settings.py
@@ -36,6 +36,7 @@
     admin_listen: str
     peer_listen: str
     advertise: str
+    peer_advertise: str
     peers: tuple[str, ...]
     table: str
     objects: str
@@ -53,6 +54,7 @@
         "--admin-listen": settings.admin_listen,
         "--peer-listen": settings.peer_listen,
         "--advertise": settings.advertise,
+        "--peer-advertise": settings.peer_advertise,
         "--table": settings.table,
         "--objects": settings.objects,
         "--inventory": settings.inventory,
--- a/arbutuscove/entry/connections.py
+++ b/arbutuscove/entry/connections.py
@@ -142,10 +142,10 @@
         finally:
             timer.close()
         if isinstance(result, tuple):
-            error = refusals.BadRequestError(
+            bad = refusals.BadRequestError(
                 int(result[0]), "invalid_request", "the request is not HTTP/1.1"
             )
-            return self._refuse(error)
+            return self._refuse(bad)
         return result
 
     def MessageClass(  # noqa: N802 - name given by pywsgi
--- a/arbutuscove/standins/__main__.py
+++ b/arbutuscove/standins/__main__.py
@@ -10,8 +10,10 @@
 import click  # noqa: E402
 import msgspec  # noqa: E402
 
+from arbutuscove.platform import http  # noqa: E402
 from arbutuscove.platform import inventory as inventory_module  # noqa: E402
 from arbutuscove.standins import engine as engine_module  # noqa: E402
+from arbutuscove.standins import forwarder as forwarder_module  # noqa: E402
 from arbutuscove.standins import inventory as inventory_standin  # noqa: E402
 from arbutuscove.standins import objects as objects_module  # noqa: E402
 from arbutuscove.standins import plain as plain_module  # noqa: E402
@@ -101,5 +103,19 @@
     server.serve(engine_module.EngineStandin(settings).build_app(), listen)
 
 
+@main.command()
+@click.option("--listen", required=True, help="Address for commands.")
+@click.option("--forward", required=True, help="Address to accept on.")
+@click.option("--target", required=True)
+def forwarder(listen: str, forward: str, target: str) -> None:
+    """Forwards TCP connections and fails on command."""
+    running = forwarder_module.Forwarder(
+        http.Address.parse(forward), http.Address.parse(target)
+    )
+    running.start()
+    standin = forwarder_module.ForwarderStandin(running)
+    server.serve(standin.build_app(), listen)
+
+
 if __name__ == "__main__":
     main()
--- a/arbutuscove/standins/cluster.py
+++ b/arbutuscove/standins/cluster.py
@@ -98,6 +98,8 @@
         self.record = directory / "record.jsonl"
         self.addresses: dict[str, str] = {}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        # Flags of one daemon that differ from the layout, by its name.
+        self.overrides: dict[str, dict[str, str]] = {}
         self._commands: dict[str, list[str]] = {}
 
     def start(self) -> None:
@@ -175,7 +177,7 @@
         number = int(name.rpartition("-")[2])
         layout = self.layout
         peers = [
-            self.get_address(f"entry-{other}.peer")
+            self._get_peer_address(f"entry-{other}")
             for other in range(layout.daemons)
         ]
         flags = {
@@ -192,6 +194,7 @@
             "--resume-secret": RESUME_SECRET,
             "--admin-key-digest": callers.digest_key(ADMIN_KEY),
             "--keep-seconds": str(layout.keep_seconds),
+            **self.overrides.get(name, {}),
         }
         command = [sys.executable, "-m", "arbutuscove.daemon.main", "serve"]
         for flag, value in flags.items():
@@ -200,6 +203,10 @@
         if wait:
             wait_for(f"{name} to answer", lambda: self._answers(name))
 
+    def _get_peer_address(self, name: str) -> str:
+        own = self.get_address(name + ".peer")
+        return self.overrides.get(name, {}).get("--peer-advertise", own)
+
     def restart(self, name: str) -> None:
         """Starts a stand-in that has ended again with the same command."""
         self._spawn(name, self._commands[name])
--- a/arbutuscove/standins/engine.py
+++ b/arbutuscove/standins/engine.py
@@ -274,7 +274,6 @@
         self._record(
             {
                 "ran": stream.stream_id,
-                "vm": self._settings.vm,
                 "replica": order.replica,
                 "generation": order.generation,
                 "epoch": order.epoch,
@@ -369,6 +368,8 @@
         return server.respond({})
 
     def _record(self, entry: dict[str, typing.Any]) -> None:
+        # The monotonic clock is the same for all processes of one machine.
+        entry = {**entry, "vm": self._settings.vm, "at": time.monotonic()}
         if self._settings.record is not None:
             with self._settings.record.open("ab") as stream:
                 stream.write(msgspec.json.encode(entry) + b"\n")
--- /dev/null
+++ b/arbutuscove/standins/forwarder.py
@@ -0,0 +1,163 @@
+"""A TCP forwarder that fails on command, for tests only.
+
+It stands between two processes and can cut, delay, half-open or silence the
+connections that pass through it, in one direction or both.
+"""
+
+import dataclasses
+import datetime
+import enum
+import socket
+import typing
+
+import gevent
+import msgspec
+from gevent import event
+from gevent import server as gevent_server
+from werkzeug import wrappers
+
+from arbutuscove.platform import http
+from arbutuscove.standins import server
+
+READ_SIZE = 65536  # bytes
+CONNECT_TIMEOUT = 2.0  # seconds
+
+
+class Mode(enum.StrEnum):
+    """What happens to connections; `DROP_*` lose bytes silently."""
+
+    PASS = "pass"
+    CUT = "cut"  # open connections are reset, new ones closed at once
+    DROP_TO_TARGET = "drop_to_target"
+    DROP_TO_CLIENT = "drop_to_client"
+    HALF_OPEN = "half_open"  # accepted, but no byte passes either way
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Faults:
+    """How to fail; `delay` holds back each piece of data."""
+
+    mode: Mode = Mode.PASS
+    delay: datetime.timedelta = datetime.timedelta(0)
+
+
+class Forwarder:
+    """Forwards connections from one address to another.
+
+    Bytes that were dropped are gone: a connection on which some were lost is
+    closed when the fault ends, as a real one would fail in the end.
+    """
+
+    def __init__(self, listen: http.Address, target: http.Address) -> None:
+        self._target = target
+        self._faults = Faults()
+        self._lossy: set[socket.socket] = set()
+        self._open: set[socket.socket] = set()
+        self._changed = event.Event()
+        self._server = gevent_server.StreamServer(
+            (listen.host, listen.port), self._forward
+        )
+
+    def start(self) -> None:
+        """Begins to accept connections."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Closes all connections."""
+        self._server.stop(timeout=1)
+        self._close(self._open)
+
+    def connections(self) -> int:
+        """Returns the number of open connections."""
+        return len(self._open)
+
+    def set_faults(self, faults: Faults) -> None:
+        """Fails from now on as told, also on open connections."""
+        self._faults = faults
+        if faults.mode == Mode.CUT:
+            self._close(self._open)
+        elif faults.mode == Mode.PASS:
+            self._close(self._lossy)
+        self._changed.set()
+        self._changed.clear()
+
+    def _close(self, sockets: set[socket.socket]) -> None:
+        for item in list(sockets):
+            _shut(item)
+        sockets.clear()
+
+    def _forward(self, client: typing.Any, address: typing.Any) -> None:
+        if self._faults.mode == Mode.CUT:
+            client.close()
+            return
+        self._open.add(client)
+        try:
+            if self._faults.mode == Mode.HALF_OPEN:
+                self._lossy.add(client)
+                while self._faults.mode == Mode.HALF_OPEN:
+                    self._changed.wait()
+                return
+            self._join(client)
+        except OSError:
+            return
+        finally:
+            self._open.discard(client)
+            self._lossy.discard(client)
+            client.close()
+
+    def _join(self, client: socket.socket) -> None:
+        target = socket.create_connection(self._target, CONNECT_TIMEOUT)
+        target.settimeout(None)
+        there = gevent.spawn(
+            self._copy, client, target, client, Mode.DROP_TO_TARGET
+        )
+        back = gevent.spawn(
+            self._copy, target, client, client, Mode.DROP_TO_CLIENT
+        )
+        gevent.joinall([there, back])
+        target.close()
+
+    def _copy(
+        self,
+        source: socket.socket,
+        sink: socket.socket,
+        client: socket.socket,
+        dropped_in: Mode,
+    ) -> None:
+        try:
+            while True:
+                data = source.recv(READ_SIZE)
+                if not data:
+                    break
+                gevent.sleep(self._faults.delay.total_seconds())
+                if self._faults.mode in (dropped_in, Mode.HALF_OPEN):
+                    self._lossy.add(client)
+                    continue
+                sink.sendall(data)
+        except OSError:
+            _shut(source)
+        _shut(sink)
+
+
+class ForwarderStandin:
+    """Control interface of a forwarder that runs as its own process."""
+
+    def __init__(self, forwarder: Forwarder) -> None:
+        self._forwarder = forwarder
+
+    def build_app(self) -> server.App:
+        """Returns the WSGI application."""
+        return server.App([("POST", "/faults", self._set_faults)])
+
+    def _set_faults(self, request: wrappers.Request) -> wrappers.Response:
+        self._forwarder.set_faults(
+            msgspec.json.decode(request.get_data(), type=Faults)
+        )
+        return server.respond({})
+
+
+def _shut(item: socket.socket) -> None:
+    try:
+        item.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        return
--- a/arbutuscove/standins/table.py
+++ b/arbutuscove/standins/table.py
@@ -113,7 +113,13 @@
             )
         if len(self.log) < LOG_LIMIT:
             self.log.append(
-                {"key": write.key, "version": version, "value": value}
+                {
+                    "key": write.key,
+                    "version": version,
+                    "value": value,
+                    "write_id": write_id,
+                    "at": time.monotonic(),
+                }
             )
         return version
 
