Document the reason codes of the hardened entry server

A test read the acceptance reply in its former form. Change: the missing codes, and the test reads change.sequence. Conclusion: the page test finds codes that nobody documents.

--- a/arbutuscove/entry/reasons.py
+++ b/arbutuscove/entry/reasons.py
@@ -23,6 +23,11 @@
         meaning="The answer broke off and could not be resumed.",
         advice="Resume with the resume token, or send it again.",
     ),
+    Reason(
+        code="body_timeout",
+        meaning="The body did not arrive in time.",
+        advice="Send the body without pauses.",
+    ),
     Reason(
         code="claim_unsettled",
         meaning="The table service did not confirm the claim; nothing ran.",
@@ -48,31 +53,71 @@
         meaning="There is no capacity before the deadline.",
         advice="Come back after Retry-After.",
     ),
+    Reason(
+        code="headers_timeout",
+        meaning="The headers did not arrive in time.",
+        advice="Send the headers without pauses.",
+    ),
+    Reason(
+        code="headers_too_large",
+        meaning="The headers exceed the permitted size.",
+        advice="Send fewer or shorter headers.",
+    ),
     Reason(
         code="idempotency_key_reused",
         meaning="The idempotency key belongs to another request.",
         advice="Use a new key for a new request.",
     ),
+    Reason(
+        code="internal_error",
+        meaning="The daemon failed; it may have run the request.",
+        advice="Look at Arbutuscove-Run, then come back.",
+    ),
     Reason(
         code="invalid_body",
         meaning="The body lacks a field or has one of the wrong type.",
         advice="Correct the request.",
     ),
+    Reason(
+        code="invalid_content_length",
+        meaning="Content-Length is not a number.",
+        advice="Correct the request.",
+    ),
     Reason(
         code="invalid_deadline",
         meaning="The deadline header is not a permitted number of seconds.",
         advice="Correct the request.",
     ),
+    Reason(
+        code="invalid_headers",
+        meaning="A header is malformed.",
+        advice="Correct the request.",
+    ),
     Reason(
         code="invalid_last_event_id",
         meaning="Last-Event-ID names an event of another stream.",
         advice="Send the last event identity of this stream.",
     ),
+    Reason(
+        code="invalid_request",
+        meaning="The request is not valid HTTP/1.1.",
+        advice="Correct the request.",
+    ),
     Reason(
         code="invalid_resume_token",
         meaning="The resume token is forged, too old or of another request.",
         advice="Send the request without it.",
     ),
+    Reason(
+        code="limit_reached",
+        meaning="The approved budget of this period is used up.",
+        advice="Come back after Retry-After, when the next period begins.",
+    ),
+    Reason(
+        code="limits_unavailable",
+        meaning="No budget could be drawn from the table service now.",
+        advice="Come back after Retry-After.",
+    ),
     Reason(
         code="malformed_json",
         meaning="The body is not JSON.",
@@ -93,6 +138,11 @@
         meaning="The request is running, or its outcome cannot be known.",
         advice="It is never run again; find out by other means.",
     ),
+    Reason(
+        code="over_limit",
+        meaning="The request is larger than the rank's whole budget.",
+        advice="Ask for fewer tokens.",
+    ),
     Reason(
         code="overloaded",
         meaning="The daemon is too busy to take more work.",
@@ -103,6 +153,11 @@
         meaning="Too many requests are waiting.",
         advice="Come back after Retry-After.",
     ),
+    Reason(
+        code="too_many_connections",
+        meaning="The daemon has as many connections as it permits.",
+        advice="Come back after Retry-After, or use another address.",
+    ),
     Reason(
         code="unknown_model",
         meaning="The key opens no such model.",
@@ -118,6 +173,11 @@
         meaning="The key opens no such plain service.",
         advice="Correct the path.",
     ),
+    Reason(
+        code="unsupported_transfer_encoding",
+        meaning="Only chunked transfer encoding is supported.",
+        advice="Correct the request.",
+    ),
     Reason(
         code="upstream_failed",
         meaning="No upstream completed the request.",
--- a/arbutuscove/standins/tests/test_daemon_failures.py
+++ b/arbutuscove/standins/tests/test_daemon_failures.py
@@ -135,7 +135,7 @@
     }
     reply = scene.cluster.admin("PUT", path, proposal)
     assert reply.status == 200, reply
-    return reply.json()["sequence"]
+    return reply.json()["change"]["sequence"]
 
 
 def _read_lease(scene):
