Detect failures with SWIM and read the head with two daemons a region

Cause: every daemon knew only the peers that it had probed itself, in turn, so views of a large fleet would be hours old; nobody suspected, refuted or forgot anyone; every daemon read the head each second. Ruled out: a new random probe order in each round (two probes of one member then lie up to two rounds apart and a majority of 4 of 7 lost sight of itself for seconds); counting members believed alive as contact (the smaller side of a cut of the target fleet needs about 40 s to learn who is gone). Change: membership/swim.py is the pure core, membership/service.py the I/O; records carry the sequence in force; config/readers.py picks two readers in each region; acceptance reports which daemons apply the change.

--- a/arbutuscove/admin/api.py
+++ b/arbutuscove/admin/api.py
@@ -1,5 +1,6 @@
 """HTTP server of the administration API under `/admin/v1/`."""
 
+import datetime
 import typing
 from collections import abc
 
@@ -21,6 +22,9 @@
 from arbutuscove.replicas import directory as directory_module
 
 SERVICE_NAME = "admin"
+FORCE_TIMEOUT = datetime.timedelta(seconds=3)  # promise P8 at 7 daemons
+
+WaitInForce = abc.Callable[[int, datetime.timedelta], typing.Any]
 
 
 class AdminServer(services.BaseService):
@@ -34,7 +38,9 @@
         table: table_module.Table,
         config: follower.ConfigFollower,
         directory: directory_module.ReplicaDirectory,
+        wait_in_force: WaitInForce,
     ) -> None:
+        self._wait_in_force = wait_in_force
         self._key_digest = key_digest
         self._clock = clock
         self._table = table
@@ -148,7 +154,12 @@
             return _respond(
                 {"code": "version_conflict", "conflict": result.error}, 409
             )
-        return _respond(result.ok)
+        change = result.ok
+        report = self._wait_in_force(change.sequence, FORCE_TIMEOUT)
+        body = msgspec.to_builtins(change)
+        body["in_force"] = list(report.reached)
+        body["not_yet_in_force"] = list(report.missing)
+        return _respond(body)
 
     def _get_status(self, request: wrappers.Request) -> wrappers.Response:
         snapshot = self._config.current()
--- a/arbutuscove/config/follower.py
+++ b/arbutuscove/config/follower.py
@@ -4,10 +4,12 @@
 order only; a lower sequence number is ignored, so the configuration in force
 never reverts. A daemon that has seen neither the table nor most of its peers
 for `STALE_AFTER` reports itself stale, since a newer version may be in force
-elsewhere.
+elsewhere. So does one that has not seen them since its start, or that heard
+of a newer change which it cannot obtain.
 """
 
 import datetime
+from collections import abc
 
 import eliot
 import gevent
@@ -36,7 +38,11 @@
         self._snapshot = model.Snapshot()
         self._recent: dict[int, model.Change] = {}
         self._loaded = False
-        self._confirmed_at = clock.monotonic()
+        self._heard = 0
+        self._confirmed_at: datetime.timedelta | None = None
+        self._read_at: datetime.timedelta | None = None
+        self._should_read: abc.Callable[[], bool] = lambda: True
+        self._announce: abc.Callable[[], None] = lambda: None
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self, kernel: services.Kernel) -> None:
@@ -48,6 +54,15 @@
         if self._greenlet is not None:
             self._greenlet.kill()
 
+    def schedule(
+        self,
+        should_read: abc.Callable[[], bool],
+        announce: abc.Callable[[], None],
+    ) -> None:
+        """Sets when to read the head and what to call when it has moved."""
+        self._should_read = should_read
+        self._announce = announce
+
     def current(self) -> model.Snapshot:
         """Returns the configuration in force."""
         return self._snapshot
@@ -58,12 +73,35 @@
 
     def is_stale(self) -> bool:
         """Returns whether a newer version may be in force elsewhere."""
+        if self._confirmed_at is None:
+            return True
         age = self._clock.monotonic() - self._confirmed_at
         return age > STALE_AFTER
 
-    def confirm(self) -> None:
-        """Records contact with the table or with most peers."""
-        self._confirmed_at = self._clock.monotonic()
+    def is_behind(self) -> bool:
+        """Returns whether a newer change is known to be accepted."""
+        return self._heard > self._snapshot.sequence
+
+    def read_age(self) -> datetime.timedelta | None:
+        """Returns the time since the head was last read, None if never."""
+        if self._read_at is None:
+            return None
+        return self._clock.monotonic() - self._read_at
+
+    def hear(self, sequence: int) -> None:
+        """Records that a change of this number has been accepted."""
+        self._heard = max(self._heard, sequence)
+
+    def confirm(self, seen_at: datetime.timedelta) -> None:
+        """Records contact with the table or with most peers at a time.
+
+        Contact proves nothing to a daemon that has no configuration or lacks
+        a change that it heard of.
+        """
+        if not self._loaded or self.is_behind():
+            return
+        if self._confirmed_at is None or seen_at > self._confirmed_at:
+            self._confirmed_at = seen_at
 
     def offer(self, changes: list[model.Change]) -> None:
         """Applies the changes that are next in sequence; ignores others."""
@@ -72,6 +110,7 @@
             if applied is self._snapshot:
                 continue
             self._snapshot = applied
+            self._loaded = True  # sequence 1 is the first change of all
             self._remember(change)
             eliot.log_message(
                 "config:applied",
@@ -81,9 +120,13 @@
             )
 
     def adopt(self, snapshot: model.Snapshot) -> None:
-        """Takes a whole snapshot if it is newer than the one in force."""
-        if not self._loaded or snapshot.sequence > self._snapshot.sequence:
-            self._snapshot = snapshot
+        """Takes a whole snapshot unless it is older than the one in force.
+
+        Only a snapshot of a daemon that is itself loaded, or of the table,
+        may be passed; an empty one then means that nothing was accepted yet.
+        """
+        if snapshot.sequence > self._snapshot.sequence or not self._loaded:
+            self._snapshot = self._snapshot.merge(snapshot)
             self._loaded = True
 
     def changes_after(self, sequence: int) -> list[model.Change] | None:
@@ -97,21 +140,26 @@
             return None
         return [self._recent[number] for number in wanted]
 
-    def poll_once(self) -> None:
-        """Reads the head and fetches what is newer.
+    def poll_once(self) -> bool:
+        """Reads the head, fetches what is newer, returns if there was any.
 
         Raises:
             TableUnavailableError: the table could not be read.
         """
+        sent = self._clock.monotonic()
+        before = self._snapshot.sequence
         head = acceptance.read_head(self._table)
+        self.hear(head.sequence)
         behind = head.sequence - self._snapshot.sequence
         if not self._loaded or behind > RECENT_CHANGES:
             self.adopt(self._read_snapshot(head))
         elif behind > 0:
             after = keys.change_key(self._snapshot.sequence)
-            rows = self._table.scan(keys.CHANGE_PREFIX, after)
+            rows = self._table.scan(keys.CHANGE_PREFIX, after, RECENT_CHANGES)
             self.offer([row.decode(model.Change) for row in rows])
-        self.confirm()
+        self._read_at = sent
+        self.confirm(sent)
+        return self._snapshot.sequence > before
 
     def _read_snapshot(self, head: model.Head) -> model.Snapshot:
         # The head is read before the services. A service row may be newer
@@ -130,7 +178,8 @@
     def _poll(self) -> None:
         while True:
             try:
-                self.poll_once()
+                if self._should_read() and self.poll_once():
+                    self._announce()
             except table_module.TableUnavailableError as error:
                 eliot.log_message("config:poll_failed", reason=str(error))
             self._clock.sleep(POLL_INTERVAL)
--- a/arbutuscove/config/model.py
+++ b/arbutuscove/config/model.py
@@ -166,6 +166,20 @@
             )
         return Snapshot(sequence=change.sequence, services=services)
 
+    def merge(self, other: "Snapshot") -> "Snapshot":
+        """Returns the newest of both, service by service.
+
+        A snapshot read from the table may hold a service that is newer than
+        its sequence number; taking another snapshot whole would revert it.
+        """
+        services = dict(self.services)
+        for name, found in other.services.items():
+            held = services.get(name)
+            if held is None or held.sequence < found.sequence:
+                services[name] = found
+        sequence = max(self.sequence, other.sequence)
+        return Snapshot(sequence=sequence, services=services)
+
 
 class Head(typing.NamedTuple):
     """Sequence number of the newest change and the row version it came in."""
--- /dev/null
+++ b/arbutuscove/config/tests/test_follower.py
@@ -0,0 +1,275 @@
+"""Guards against configuration that reverts, is served unproven or is late."""
+
+import dataclasses
+import datetime
+
+import hypothesis
+import msgspec
+import pytest
+from hypothesis import strategies
+
+from arbutuscove.config import acceptance
+from arbutuscove.config import follower
+from arbutuscove.config import keys
+from arbutuscove.config import model
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.platform import table as table_module
+from arbutuscove.standins import table as table_standin
+
+SECOND = datetime.timedelta(seconds=1)
+
+
+class FaultyTable(table_standin.MemoryTable):
+    """Can be down, and can lose the confirmation of one write."""
+
+    def __init__(self):
+        super().__init__()
+        self.down = False
+        self.lose = 0
+
+    def read(self, key):
+        self._check()
+        return super().read(key)
+
+    def scan(self, prefix, after="", limit=table_module.SCAN_LIMIT):
+        self._check()
+        return super().scan(prefix, after, limit)
+
+    def transact(self, transaction):
+        self._check()
+        outcome = super().transact(transaction)
+        if self.lose:
+            self.lose -= 1
+            raise table_module.OutcomeUnknownError("confirmation lost")
+        return outcome
+
+    def _check(self):
+        if self.down:
+            raise table_module.TableUnavailableError("down")
+
+
+def build_service(name="chat", team="desk"):
+    return model.Service(
+        name=name,
+        team=team,
+        ranks=(),
+        accounts=(),
+        limits=model.Limits(accelerators=4),
+        plain=model.PlainBackend(addresses=("127.0.0.1:1",)),
+    )
+
+
+def accept(table, clock, base, name="chat", team="desk"):
+    proposal = acceptance.Proposal(
+        service=build_service(name, team),
+        base_version=base,
+        author="ann",
+        reason="test",
+    )
+    return acceptance.accept(table, clock, proposal)
+
+
+@pytest.fixture(name="world")
+def _world():
+    table, clock = FaultyTable(), clock_module.ManualClock()
+    return table, clock, follower.ConfigFollower(table, clock)
+
+
+def test_follower_start_does_not_claim_freshness(world):
+    """A daemon that has seen nobody yet must not admit on what it has."""
+    _, _, config = world
+    assert config.is_stale()
+    assert not config.is_loaded()
+
+
+def test_follower_unloaded_peer_proves_nothing(world):
+    """Contact with peers cannot confirm a configuration that is missing."""
+    _, clock, config = world
+    config.confirm(clock.monotonic())
+    assert config.is_stale()
+
+
+def test_follower_first_table_read_does_not_revert(world):
+    """The first load from the table once replaced newer changes of peers."""
+    table, clock, config = world
+    accept(table, clock, 0)
+    old = model.Snapshot(sequence=1, services={"chat": _version(table, "chat")})
+    accept(table, clock, 1, team="newer")
+    changes = [
+        row.decode(model.Change) for row in table.scan(keys.CHANGE_PREFIX)
+    ]
+    config.offer(changes)
+    assert config.is_loaded()
+    config.adopt(old)
+    assert config.current().sequence == 2
+    assert config.current().find("chat").team == "newer"
+
+
+def _version(table, name):
+    return table.read(keys.service_key(name)).decode(model.ServiceVersion)
+
+
+def test_follower_snapshot_keeps_newer_service(world):
+    """A snapshot of a higher number can hold an older body of a service."""
+    _, _, config = world
+    newest = model.ServiceVersion(
+        sequence=12, version=3, service=build_service(team="newest")
+    )
+    older = dataclasses.replace(newest, sequence=9, version=2)
+    config.adopt(model.Snapshot(sequence=10, services={"chat": newest}))
+    config.adopt(model.Snapshot(sequence=11, services={"chat": older}))
+    assert config.current().sequence == 11
+    assert config.current().services["chat"] == newest
+
+
+def test_follower_heard_change_that_is_missing_makes_stale(world):
+    """A daemon that knows of a newer version must not serve on for ever."""
+    table, clock, config = world
+    accept(table, clock, 0)
+    config.poll_once()
+    assert not config.is_stale()
+    config.hear(2)
+    clock.advance(11 * SECOND)
+    config.confirm(clock.monotonic())
+    assert config.is_stale()
+
+
+def test_follower_table_failure_keeps_what_is_in_force(world):
+    """An outage must not unload the configuration."""
+    table, clock, config = world
+    accept(table, clock, 0)
+    config.poll_once()
+    table.down = True
+    with pytest.raises(table_module.TableUnavailableError):
+        config.poll_once()
+    assert config.current().sequence == 1
+    clock.advance(9 * SECOND)
+    assert not config.is_stale()
+    clock.advance(2 * SECOND)
+    assert config.is_stale()
+
+
+def test_acceptance_two_operators_at_once_one_conflicts(world):
+    """Both reviewed version 1; only one body may follow it."""
+    table, clock, config = world
+    accept(table, clock, 0)
+    first = accept(table, clock, 1, team="first")
+    second = accept(table, clock, 1, team="second")
+    assert first.is_ok()
+    assert second.is_error()
+    config.poll_once()
+    assert config.current().find("chat").team == "first"
+
+
+def test_acceptance_lost_confirmation_is_one_change(world):
+    """An operator must hear that a change took effect, and once only."""
+    table, clock, config = world
+    table.lose = 1
+    result = accept(table, clock, 0)
+    assert result.is_ok()
+    assert acceptance.read_head(table).sequence == 1
+    config.poll_once()
+    assert config.current().sequence == 1
+
+
+STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(
+            ["accept", "poll", "exchange", "old", "down", "up", "lose"]
+        ),
+        strategies.integers(0, 3),
+        strategies.integers(0, 3),
+    ),
+    max_size=60,
+)
+
+
+class Followers:
+    """Four daemons that exchange JSON changes, some of them delayed."""
+
+    def __init__(self):
+        self.table = FaultyTable()
+        self.clock = clock_module.ManualClock()
+        self.all = [
+            follower.ConfigFollower(self.table, self.clock) for _ in range(4)
+        ]
+        self.kept = []
+        self.bases = {"a": 0, "b": 0}
+
+    def act(self, kind, one, two):
+        match kind:
+            case "accept":
+                self._accept("ab"[one % 2], str(two))
+            case "poll":
+                self._poll(self.all[one])
+            case "exchange":
+                self._exchange(self.all[one], self.all[two])
+            case "old" if self.kept:
+                self._deliver(self.all[one], self.kept[two % len(self.kept)])
+            case "down" | "up":
+                self.table.down = kind == "down"
+            case "lose":
+                self.table.lose = 1
+
+    def _accept(self, name, team):
+        base = self.bases[name]
+        try:
+            result = accept(self.table, self.clock, base, name, team)
+        except acceptance.AcceptanceUnavailableError:
+            return
+        if result.is_ok():
+            self.bases[name] = result.ok.version
+
+    def _poll(self, config):
+        try:
+            config.poll_once()
+        except table_module.TableUnavailableError:
+            return
+
+    def _exchange(self, source, target):
+        if not source.is_loaded():
+            return
+        after = target.current().sequence
+        changes = source.changes_after(after)
+        message = changes if changes is not None else source.current()
+        self.kept = [*self.kept[-3:], msgspec.json.encode(message)]
+        self._deliver(target, self.kept[-1])
+
+    def _deliver(self, target, encoded):
+        if encoded.startswith(b"["):
+            target.offer(msgspec.json.decode(encoded, type=list[model.Change]))
+        else:
+            target.adopt(msgspec.json.decode(encoded, type=model.Snapshot))
+
+
+def _read(config):
+    snapshot = config.current()
+    versions = {
+        name: found.version for name, found in snapshot.services.items()
+    }
+    return snapshot.sequence, versions
+
+
+@hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
+@hypothesis.given(STEPS)
+def test_follower_never_reverts_in_any_trace(steps):
+    """No order of polls, peers, outages and races takes a version back."""
+    fleet = Followers()
+    before = [_read(config) for config in fleet.all]
+    for kind, one, two in steps:
+        fleet.act(kind, one, two)
+        after = [_read(config) for config in fleet.all]
+        for (old, held), (new, found) in zip(before, after, strict=True):
+            assert new >= old
+            assert all(found[name] >= held[name] for name in held)
+        before = after
+    accepted = [
+        entry["value"]["sequence"]
+        for entry in fleet.table.log
+        if entry["key"] == keys.HEAD
+    ]
+    assert accepted == list(range(1, len(accepted) + 1))
+    fleet.table.down = False
+    for config in fleet.all:
+        fleet._poll(config)
+        assert config.current().sequence == len(accepted)
--- /dev/null
+++ b/arbutuscove/config/tests/test_readers.py
@@ -0,0 +1,70 @@
+"""Guards against a head that nobody reads, and against too many readers."""
+
+import datetime
+
+import pytest
+
+from arbutuscove.config import readers
+
+SECOND = datetime.timedelta(seconds=1)
+NAMES = [f"entry-{number}" for number in range(7)]
+
+
+def build(own="entry-0", **changes):
+    values = {
+        "own": own,
+        "region": "north",
+        "neighbours": [name for name in NAMES if name != own],
+        "fleet": 7,
+        "peers_age": SECOND,
+        "read_age": SECOND,
+        "loaded": True,
+    }
+    return readers.Standing(**{**values, **changes})
+
+
+def test_readers_are_two_of_the_region():
+    """With all daemons reading, reads would grow with the fleet."""
+    reading = [name for name in NAMES if readers.should_read(build(name))]
+    assert len(reading) == readers.READERS
+
+
+def test_readers_are_replaced_when_both_die():
+    """The head must be read after the loss of both readers."""
+    lost = readers.pick_readers("north", NAMES)
+    left = [name for name in NAMES if name not in lost]
+    reading = [
+        name
+        for name in left
+        if readers.should_read(
+            build(name, neighbours=[n for n in left if n != name])
+        )
+    ]
+    assert len(reading) == readers.READERS
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"loaded": False},
+        {"read_age": None},
+        {"peers_age": None},
+        {"peers_age": 8 * SECOND},
+        {"read_age": 11 * SECOND},
+    ],
+)
+def test_readers_daemon_in_doubt_reads_for_itself(changes):
+    """A daemon that no peer informs would stay on an old version."""
+    reading = readers.pick_readers("north", NAMES)
+    other = next(name for name in NAMES if name not in reading)
+    assert not readers.should_read(build(other))
+    assert readers.should_read(build(other, **changes))
+
+
+def test_readers_safety_reads_stay_bounded_at_target_size():
+    """1,900 daemons may add ten reads a second in all, not 190."""
+    names = [f"entry-{number}" for number in range(317)]
+    reading = readers.pick_readers("north", names)
+    other = next(name for name in names if name not in reading)
+    standing = build(other, neighbours=names, fleet=1900, read_age=180 * SECOND)
+    assert not readers.should_read(standing)
--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -55,7 +55,7 @@
     config = follower.ConfigFollower(table, clock)
     peers = peer_client.PeerClient(metrics.peer_calls.inc)
     membership = membership_service.Membership(
-        _build_member(settings), settings.peers, clock, peers, config
+        _build_member(settings), settings.peers, clock, peers, config, lag
     )
     engines = pool.EnginePool()
     board = board_module.StatusBoard(inventory, engines, clock)
@@ -81,6 +81,7 @@
         table,
         config,
         directory,
+        membership.wait_in_force,
     )
     entry = app.EntryServer(
         http.Address.parse(settings.listen),
@@ -92,6 +93,7 @@
         metrics,
         settings_module.read_keep(settings),
     )
+    membership.watch_load(entry.active)
     kernel = services.Kernel()
     for name, service in (
         (loop.SERVICE_NAME, lag),
--- a/arbutuscove/membership/service.py
+++ b/arbutuscove/membership/service.py
@@ -1,11 +1,14 @@
 """Probes peers and spreads what daemons know of each other.
 
 Membership is a hint. It never decides who may act; leases and transactions in
-the table service do.
+the table service do. The decisions are in `swim`; this module sends, receives
+and keeps time. Gossip also carries the configuration sequence, and a daemon
+that hears a higher one fetches what it lacks.
 """
 
+import dataclasses
 import datetime
-import itertools
+from collections import abc
 
 import eliot
 import gevent
@@ -13,16 +16,33 @@
 
 from arbutuscove.config import follower
 from arbutuscove.config import model as config_model
+from arbutuscove.config import readers
 from arbutuscove.kernel import clock as clock_module
+from arbutuscove.kernel import loop
 from arbutuscove.kernel import services
+from arbutuscove.membership import swim
+from arbutuscove.membership import wire
 from arbutuscove.peers import client as client_module
 from arbutuscove.peers import peer_pb2
+from arbutuscove.platform import table as table_module
 
 SERVICE_NAME = "membership"
-PROBE_INTERVAL = datetime.timedelta(seconds=1)
-PROBE_TIMEOUT = datetime.timedelta(milliseconds=500)
-ALIVE_FOR = datetime.timedelta(seconds=10)
 FETCH_TIMEOUT = datetime.timedelta(seconds=2)
+LEAVE_TIMEOUT = datetime.timedelta(seconds=1)
+HELP_TIMEOUT_LIMIT = datetime.timedelta(seconds=5)  # asked of us by a peer
+CHANGES_PAGE = 100  # changes in one reply, far below gRPC's 4 MB
+FETCH_PAGES = 20  # pages fetched from one peer in a row
+SMALL_FLEET = 16  # up to this, a new change is sent to all peers at once
+FORCE_POLL = datetime.timedelta(milliseconds=200)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class InForce:
+    """Which live daemons have said that they apply a change."""
+
+    sequence: int
+    reached: tuple[str, ...]
+    missing: tuple[str, ...]
 
 
 class Membership(services.BaseService):
@@ -35,24 +55,28 @@
         clock: clock_module.Clock,
         client: client_module.PeerClient,
         config: follower.ConfigFollower,
+        lag: loop.LagMonitor | None = None,
     ) -> None:
-        self._own = own
-        self._seeds = tuple(s for s in seeds if s != own.peer_address)
+        others = tuple(seed for seed in seeds if seed != own.peer_address)
+        self._view = swim.View(own=wire.decode_member(own), seeds=others)
         self._clock = clock
         self._client = client
         self._config = config
-        self._members: dict[str, peer_pb2.Member] = {}
-        self._heard: dict[str, datetime.timedelta] = {}
+        self._lag = lag
+        self._read_load: abc.Callable[[], int] | None = None
         self._fetching = False
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self, kernel: services.Kernel) -> None:
         """Begins to probe."""
+        self._config.schedule(self._should_read_head, self.announce)
         self._greenlet = gevent.spawn(self._run)
 
     def drain(self) -> None:
-        """Tells peers with the next messages that this daemon leaves."""
-        self._own.state = peer_pb2.LEFT
+        """Tells some peers at once that this daemon leaves."""
+        effects = self._step(swim.Leave())
+        jobs = [gevent.spawn(self._carry_out, effect) for effect in effects]
+        gevent.joinall(jobs, timeout=LEAVE_TIMEOUT.total_seconds())
 
     def stop(self) -> None:
         """Ends probing."""
@@ -61,99 +85,251 @@
 
     def set_load(self, load: int) -> None:
         """Publishes the number of requests in progress."""
-        self._own.load = load
+        self._read_load = lambda: load
 
-    def own(self) -> peer_pb2.Member:
+    def watch_load(self, read_load: abc.Callable[[], int]) -> None:
+        """Publishes what `read_load` returns with each message."""
+        self._read_load = read_load
+
+    def own(self) -> swim.Member:
         """Returns this daemon's own record."""
-        return self._own
+        self._refresh_own()
+        return self._view.own
 
-    def alive(self) -> list[peer_pb2.Member]:
+    def alive(self) -> list[swim.Member]:
         """Returns the peers that seem alive, without this daemon."""
-        now = self._clock.monotonic()
-        return [
-            member
-            for name, member in self._members.items()
-            if now - self._heard[name] <= ALIVE_FOR
-            and member.state == peer_pb2.ALIVE
-        ]
+        return swim.list_alive(self._view)
+
+    def report_in_force(self, sequence: int) -> InForce:
+        """Returns which live daemons apply a change, as far as heard."""
+        members = sorted(
+            [self.own(), *self.alive()], key=lambda member: member.name
+        )
+        done = [m.name for m in members if m.config_sequence >= sequence]
+        rest = [m.name for m in members if m.config_sequence < sequence]
+        return InForce(
+            sequence=sequence, reached=tuple(done), missing=tuple(rest)
+        )
+
+    def wait_in_force(
+        self, sequence: int, timeout: datetime.timedelta
+    ) -> InForce:
+        """Spreads an accepted change and waits until all live peers have it.
+
+        A large fleet is told by gossip alone, so the report is then partial.
+        """
+        deadline = self._clock.monotonic() + timeout
+        self._config.hear(sequence)
+        self._read_table()
+        while True:
+            self.announce()
+            self._clock.sleep(FORCE_POLL)
+            report = self.report_in_force(sequence)
+            if not report.missing or self._clock.monotonic() > deadline:
+                return report
+
+    def announce(self) -> None:
+        """Exchanges gossip with all peers now, if the fleet is small."""
+        peers = self.alive()
+        if len(peers) >= SMALL_FLEET:
+            return
+        for peer in peers:
+            if peer.config_sequence < self._config.current().sequence:
+                gevent.spawn(self._probe, peer.name, peer.peer_address)
 
     def answer_probe(self, gossip: peer_pb2.Gossip) -> peer_pb2.Gossip:
         """Takes a peer's gossip and returns one's own."""
         self._learn(gossip)
-        return self._build_gossip()
+        self._refresh_own()
+        request = wire.decode_message(gossip)
+        self._view, message = swim.answer(self._view, request)
+        return self._encode(message)
 
     def answer_indirect(self, request: peer_pb2.IndirectProbe) -> bool:
         """Probes the target and returns whether it answered."""
-        return self._probe(request.target_address)
+        timeout = datetime.timedelta(milliseconds=request.timeout_ms)
+        timeout = min(timeout or swim.PROBE_TIMEOUT, HELP_TIMEOUT_LIMIT)
+        return bool(self._probe("", request.target_address, timeout))
 
     def answer_changes(self, after: int) -> peer_pb2.ChangesReply:
         """Returns configuration changes after a sequence number."""
+        if not self._config.is_loaded():
+            return peer_pb2.ChangesReply(loaded=False)
         changes = self._config.changes_after(after)
         if changes is None:
             snapshot = msgspec.json.encode(self._config.current())
-            return peer_pb2.ChangesReply(snapshot=snapshot)
+            return peer_pb2.ChangesReply(snapshot=snapshot, loaded=True)
+        page = changes[:CHANGES_PAGE]
         return peer_pb2.ChangesReply(
-            changes=[msgspec.json.encode(change) for change in changes]
+            changes=[msgspec.json.encode(change) for change in page],
+            loaded=True,
         )
 
     def _run(self) -> None:
-        for turn in itertools.count():
-            targets = sorted({m.peer_address for m in self._members.values()})
-            targets = sorted(set(targets) | set(self._seeds))
-            if targets:
-                self._probe(targets[turn % len(targets)])
-            self._clock.sleep(PROBE_INTERVAL)
-
-    def _probe(self, address: str) -> bool:
+        for seed in self._view.seeds[:SMALL_FLEET]:
+            gevent.spawn(self._probe, "", seed)
+        while True:
+            lag = self._lag.lag() if self._lag else datetime.timedelta()
+            for effect in self._step(swim.Tick(lag=lag)):
+                gevent.spawn(self._carry_out, effect)
+            self._confirm_config()
+            self._clock.sleep(swim.PROBE_INTERVAL)
+
+    def _step(self, event: swim.Event) -> tuple[swim.Effect, ...]:
+        now = self._clock.monotonic()
+        self._view, effects = swim.step(self._view, event, now)
+        return effects
+
+    def _carry_out(self, effect: swim.Effect) -> None:
+        match effect:
+            case swim.Probe(name=name, address=address, timeout=timeout):
+                found = self._probe(name, address, timeout)
+                if not name:
+                    return
+                event = swim.ProbeEnded(name=name, answered=found == name)
+                for further in self._step(event):
+                    self._carry_out(further)
+                self._confirm_config()
+            case swim.ProbeThrough():
+                self._probe_through(effect)
+
+    def _probe(
+        self,
+        name: str,
+        address: str,
+        timeout: datetime.timedelta = swim.PROBE_TIMEOUT,
+    ) -> str:
+        """Returns the name of the daemon that answered, "" for none."""
         try:
             gossip = self._client.probe(
-                address, self._build_gossip(), PROBE_TIMEOUT
+                address, self._build_gossip(name), timeout
             )
         except client_module.PeerUnreachableError:
-            return False
+            return ""
         self._learn(gossip)
-        return True
+        return str(gossip.sender.name)
+
+    def _probe_through(self, effect: swim.ProbeThrough) -> None:
+        jobs = [
+            gevent.spawn(self._ask_helper, helper, effect)
+            for helper in effect.helpers
+        ]
+        gevent.joinall(jobs)
+        answers = [job.value for job in jobs]
+        self._step(
+            swim.IndirectEnded(
+                name=effect.target.name,
+                reached=True in answers,
+                helped=sum(answer is not None for answer in answers),
+            )
+        )
 
-    def _build_gossip(self) -> peer_pb2.Gossip:
+    def _ask_helper(
+        self, helper: swim.Member, effect: swim.ProbeThrough
+    ) -> bool | None:
+        inner = effect.timeout / 2
+        request = peer_pb2.IndirectProbe(
+            gossip=self._build_gossip(helper.name),
+            target_address=effect.target.peer_address,
+            timeout_ms=int(inner.total_seconds() * 1000),
+        )
+        try:
+            return self._client.probe_indirect(
+                helper.peer_address, request, effect.timeout
+            )
+        except client_module.PeerUnreachableError:
+            return None
+
+    def _build_gossip(self, to: str) -> peer_pb2.Gossip:
+        self._refresh_own()
+        self._view, message = swim.write_message(self._view, to)
+        return self._encode(message)
+
+    def _encode(self, message: swim.Message) -> peer_pb2.Gossip:
         return peer_pb2.Gossip(
-            sender=self._own,
+            sender=wire.encode_member(message.sender),
+            updates=[wire.encode_member(item) for item in message.updates],
+            whole=message.whole,
             config_sequence=self._config.current().sequence,
+            config_loaded=self._config.is_loaded(),
         )
 
     def _learn(self, gossip: peer_pb2.Gossip) -> None:
-        sender = gossip.sender
-        if sender.name == self._own.name:
+        self._step(swim.Received(message=wire.decode_message(gossip)))
+        if gossip.sender.name == self._view.own.name:
             return
-        self._members[sender.name] = sender
-        self._heard[sender.name] = self._clock.monotonic()
-        self._confirm_config()
+        self._config.hear(gossip.config_sequence)
+        missing = gossip.config_loaded and not self._config.is_loaded()
         behind = gossip.config_sequence > self._config.current().sequence
-        if behind and not self._fetching:
+        if (behind or missing) and not self._fetching:
             self._fetching = True
-            gevent.spawn(self._fetch, sender.peer_address)
+            gevent.spawn(self._fetch, gossip.sender.peer_address)
+
+    def _refresh_own(self) -> None:
+        own = self._view.own
+        load = own.load if self._read_load is None else self._read_load()
+        sequence = self._config.current().sequence
+        if (load, sequence) != (own.load, own.config_sequence):
+            own = dataclasses.replace(own, load=load, config_sequence=sequence)
+            self._view = dataclasses.replace(self._view, own=own)
 
     def _confirm_config(self) -> None:
-        peers = max(len(self._members), len(self._seeds))
-        if self._config.is_loaded() and len(self.alive()) * 2 > peers:
-            self._config.confirm()
+        seen_at = swim.date_majority(self._view, self._clock.monotonic())
+        if seen_at is not None:
+            self._config.confirm(seen_at)
+
+    def _should_read_head(self) -> bool:
+        now = self._clock.monotonic()
+        seen_at = swim.date_majority(self._view, now)
+        own = self._view.own
+        alive = self.alive()
+        standing = readers.Standing(
+            own=own.name,
+            region=own.region,
+            neighbours=[m.name for m in alive if m.region == own.region],
+            fleet=len(alive) + 1,
+            peers_age=None if seen_at is None else now - seen_at,
+            read_age=self._config.read_age(),
+            loaded=self._config.is_loaded(),
+        )
+        return readers.should_read(standing) or self._config.is_behind()
 
     def _fetch(self, address: str) -> None:
-        after = self._config.current().sequence
         try:
-            reply = self._client.fetch_changes(address, after, FETCH_TIMEOUT)
-            if reply.snapshot:
-                self._config.adopt(
-                    msgspec.json.decode(
-                        reply.snapshot, type=config_model.Snapshot
-                    )
-                )
-            self._config.offer(
-                [
-                    msgspec.json.decode(item, type=config_model.Change)
-                    for item in reply.changes
-                ]
-            )
+            for _ in range(FETCH_PAGES):
+                if not self._fetch_page(address):
+                    break
         except client_module.PeerUnreachableError as error:
             eliot.log_message("membership:fetch_failed", reason=str(error))
         finally:
             self._fetching = False
+        if self._config.is_behind():
+            self._read_table()
+        self._confirm_config()
+
+    def _fetch_page(self, address: str) -> bool:
+        """Returns whether the peer gave something and more is missing."""
+        before = self._config.current().sequence
+        reply = self._client.fetch_changes(address, before, FETCH_TIMEOUT)
+        if not reply.loaded:
+            return False
+        changes = [
+            msgspec.json.decode(item, type=config_model.Change)
+            for item in reply.changes
+        ]
+        if reply.snapshot:
+            snapshot = msgspec.json.decode(
+                reply.snapshot, type=config_model.Snapshot
+            )
+            self._config.adopt(snapshot)
+        elif not changes and not before:
+            self._config.adopt(config_model.Snapshot())
+        self._config.offer(changes)
+        advanced = self._config.current().sequence > before
+        return advanced and self._config.is_behind()
+
+    def _read_table(self) -> None:
+        try:
+            self._config.poll_once()
+        except table_module.TableUnavailableError as error:
+            eliot.log_message("membership:read_failed", reason=str(error))
--- /dev/null
+++ b/arbutuscove/membership/tests/test_swim.py
@@ -0,0 +1,210 @@
+"""Guards against live members taken for dead, and against growing cost."""
+
+import datetime
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from arbutuscove.membership import swim
+from arbutuscove.membership.tests import fleet as fleet_module
+
+HEAL_SECONDS = 60  # suspicion, reconnection and refutation at seven members
+
+
+def test_swim_paused_member_returns_everywhere():
+    """A member that slept past its death must not stay dead anywhere."""
+    fleet = fleet_module.Fleet(7, seed=1)
+    fleet.run(5)
+    fleet.pause("entry-3")
+    fleet.run(60)
+    assert fleet.states("entry-3") == {swim.State.DEAD}
+    fleet.resume("entry-3")
+    fleet.run(HEAL_SECONDS)
+    assert fleet.all_alive()
+
+
+def test_swim_paused_member_declares_nobody_dead():
+    """Suspicions from before a pause must not become deaths on waking."""
+    fleet = fleet_module.Fleet(7, seed=2)
+    fleet.run(5)
+    fleet.cut(["entry-0"], ["entry-1"])
+    fleet.cut(["entry-0"], [f"entry-{n}" for n in range(2, 7)])
+    fleet.run(3)
+    fleet.pause("entry-0")
+    fleet.cuts.clear()
+    fleet.run(30)
+    fleet.resume("entry-0")
+    fleet.run(0.02)
+    dead = [
+        member
+        for member in fleet.views["entry-0"].members.values()
+        if member.state == swim.State.DEAD
+    ]
+    assert not dead
+
+
+def test_swim_one_way_cut_keeps_member_alive():
+    """One broken path must not kill a member that others reach."""
+    fleet = fleet_module.Fleet(7, seed=3)
+    fleet.cut(["entry-0"], ["entry-1"])
+    for _ in range(40):
+        fleet.run(3)
+        assert swim.State.DEAD not in fleet.states("entry-1")
+
+
+def test_swim_region_cut_heals_after_an_hour():
+    """Both sides of a long cut must find each other again."""
+    fleet = fleet_module.Fleet(14, seed=4)
+    names = list(fleet.views)
+    fleet.cut(names[:4], names[4:])
+    fleet.cut(names[4:], names[:4])
+    fleet.run(3600)
+    assert fleet.states("entry-0") == {swim.State.ALIVE, swim.State.DEAD}
+    fleet.cuts.clear()
+    fleet.run(2 * HEAL_SECONDS)
+    assert fleet.all_alive()
+
+
+def test_swim_dead_member_is_found_and_forgotten():
+    """A record of a dead daemon that stays for ever would leak memory."""
+    fleet = fleet_module.Fleet(7, seed=5)
+    fleet.down.add("entry-6")
+    fleet.run(40)
+    assert fleet.states("entry-6") == {swim.State.DEAD}
+    fleet.run(swim.FORGET_AFTER.total_seconds() + 60)
+    assert fleet.states("entry-6") == {None}
+
+
+def test_swim_leave_is_known_at_once():
+    """Callers must not be sent to a daemon that has said it leaves."""
+    fleet = fleet_module.Fleet(7, seed=6)
+    fleet.run(3)
+    fleet.step("entry-2", swim.Leave())
+    fleet.run(0.1)
+    assert fleet.states("entry-2") == {swim.State.LEFT}
+
+
+def test_swim_restarted_member_replaces_its_former_self():
+    """A new process starts at incarnation 0 and must overcome old records."""
+    fleet = fleet_module.Fleet(7, seed=7)
+    fleet.step("entry-2", swim.Leave())
+    fleet.run(2)
+    fleet.down.add("entry-2")
+    fleet.run(5)
+    fleet.restart("entry-2")
+    fleet.run(HEAL_SECONDS)
+    assert fleet.all_alive()
+
+
+def test_swim_cold_start_finds_everybody():
+    """Daemons that start together know only the seeds."""
+    fleet = fleet_module.Fleet(50, seed=8, known=False)
+    fleet.run(60)
+    assert fleet.all_alive()
+
+
+@pytest.mark.parametrize("size", [7, 50, 200, 1900])
+def test_swim_messages_do_not_grow_with_size(size):
+    """Cost that grows with the fleet would break the target size."""
+    fleet = fleet_module.Fleet(size, seed=9)
+    seconds = 3 if size > 1000 else 10
+    fleet.run(seconds)
+    assert fleet.messages <= 2 * size * (seconds + 1)
+    assert fleet.largest <= swim.UPDATES_LIMIT
+
+
+def test_swim_lag_and_failures_lengthen_timeouts():
+    """A slow daemon must doubt itself before it accuses others."""
+    fleet = fleet_module.Fleet(3)
+    now = datetime.timedelta(seconds=9)
+    view, (probe,) = swim.step(fleet.views["entry-0"], swim.Tick(), now)
+    assert probe.timeout == swim.PROBE_TIMEOUT
+    late = swim.Tick(lag=datetime.timedelta(seconds=1))
+    _, (probe,) = swim.step(view, late, now)
+    assert probe.timeout == swim.PROBE_TIMEOUT + 2 * late.lag
+    ended = swim.IndirectEnded(name="entry-1", reached=False, helped=0)
+    view, _ = swim.step(view, ended, now)
+    _, (probe,) = swim.step(view, swim.Tick(), now)
+    assert probe.timeout == 2 * swim.PROBE_TIMEOUT
+
+
+def test_swim_helpers_come_from_other_domains():
+    """Helpers in the domain of the accuser would share its fault."""
+    fleet = fleet_module.Fleet(50, domains=6)
+    ended = swim.ProbeEnded(name="entry-1", answered=False)
+    _, (through,) = swim.step(
+        fleet.views["entry-0"], ended, datetime.timedelta()
+    )
+    domains = {helper.failure_domain for helper in through.helpers}
+    assert len(domains) == swim.HELPERS
+    assert not domains & {"zone-0", "zone-1"}
+
+
+def test_swim_minority_loses_contact_and_majority_keeps_it():
+    """The smaller side of a cut must not confirm its configuration."""
+    fleet = fleet_module.Fleet(7, seed=10)
+    fleet.run(12)
+    cut_at = fleet.now
+    names = list(fleet.views)
+    fleet.cut(names[:3], names[3:])
+    fleet.cut(names[3:], names[:3])
+    for _ in range(60):
+        fleet.run(1)
+        for name in names[:3]:
+            seen = swim.date_majority(fleet.views[name], fleet.now)
+            assert seen is None or seen <= cut_at
+        for name in names[3:]:
+            seen = swim.date_majority(fleet.views[name], fleet.now)
+            assert seen is not None
+            assert fleet.now - seen < swim.WINDOW
+
+
+ACTIONS = strategies.one_of(
+    strategies.tuples(strategies.just("pause"), strategies.integers(0, 6)),
+    strategies.tuples(strategies.just("resume"), strategies.integers(0, 6)),
+    strategies.tuples(
+        strategies.just("cut"),
+        strategies.tuples(strategies.integers(0, 6), strategies.integers(0, 6)),
+    ),
+    strategies.tuples(strategies.just("loss"), strategies.floats(0, 0.4)),
+    strategies.tuples(strategies.just("twice"), strategies.floats(0, 0.5)),
+    strategies.tuples(strategies.just("delay"), strategies.integers(1, 400)),
+    strategies.tuples(strategies.just("run"), strategies.integers(1, 20)),
+)
+
+
+def _act(fleet, kind, value):
+    match kind:
+        case "pause":
+            fleet.pause(f"entry-{value}")
+        case "resume":
+            fleet.resume(f"entry-{value}")
+        case "cut":
+            fleet.cut([f"entry-{value[0]}"], [f"entry-{value[1]}"])
+        case "loss":
+            fleet.loss = value
+        case "twice":
+            fleet.duplicates = value
+        case "delay":
+            fleet.delay = datetime.timedelta(milliseconds=value)
+        case "run":
+            fleet.run(value)
+
+
+@hypothesis.settings(derandomize=True, max_examples=60, deadline=None)
+@hypothesis.given(
+    strategies.lists(ACTIONS, max_size=25), strategies.integers(0, 1000)
+)
+def test_swim_no_reachable_member_stays_dead(actions, seed):
+    """Whatever was lost, late, doubled, paused or cut, the fleet heals."""
+    fleet = fleet_module.Fleet(7, seed=seed)
+    for kind, value in actions:
+        _act(fleet, kind, value)
+    fleet.loss = fleet.duplicates = 0.0
+    fleet.delay = datetime.timedelta(milliseconds=5)
+    fleet.cuts.clear()
+    for name in list(fleet.paused):
+        fleet.resume(name)
+    fleet.run(2 * HEAL_SECONDS)
+    assert fleet.all_alive()
--- /dev/null
+++ b/arbutuscove/membership/wire.py
@@ -0,0 +1,51 @@
+"""Translation between membership records and gRPC messages."""
+
+import typing
+
+from arbutuscove.membership import swim
+from arbutuscove.peers import peer_pb2
+
+
+def encode_member(member: swim.Member) -> peer_pb2.Member:
+    """Returns the gRPC form of a record.
+
+    Example:
+        >>> one = swim.Member(name="a", peer_address="127.0.0.1:1")
+        >>> decode_member(encode_member(one)) == one
+        True
+    """
+    return peer_pb2.Member(
+        name=member.name,
+        peer_address=member.peer_address,
+        entry_address=member.entry_address,
+        region=member.region,
+        failure_domain=member.failure_domain,
+        incarnation=member.incarnation,
+        state=typing.cast(peer_pb2.MemberState, int(member.state)),
+        load=member.load,
+        config_sequence=member.config_sequence,
+    )
+
+
+def decode_member(member: peer_pb2.Member) -> swim.Member:
+    """Returns the record of a gRPC message."""
+    return swim.Member(
+        name=member.name,
+        peer_address=member.peer_address,
+        entry_address=member.entry_address,
+        region=member.region,
+        failure_domain=member.failure_domain,
+        incarnation=member.incarnation,
+        state=swim.State(member.state),
+        load=member.load,
+        config_sequence=member.config_sequence,
+    )
+
+
+def decode_message(gossip: peer_pb2.Gossip) -> swim.Message:
+    """Returns the membership part of a gossip message."""
+    return swim.Message(
+        sender=decode_member(gossip.sender),
+        updates=tuple(decode_member(item) for item in gossip.updates),
+        whole=gossip.whole,
+    )
