--- a/arbutuscove/admin/operations.py
+++ b/arbutuscove/admin/operations.py
@@ -1,6 +1,7 @@
 """What each administration call does, apart from HTTP."""
 
 import dataclasses
+import datetime
 import re
 
 from arbutuscove.admin import drains
@@ -22,6 +23,7 @@
 from arbutuscove.replicas import board as board_module
 from arbutuscove.replicas import directory as directory_module
 
+FORCE_TIMEOUT = datetime.timedelta(seconds=3)  # promise P8 at 7 daemons
 QUARANTINE_PREFIX = "quarantine/"
 DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
 
@@ -314,15 +316,9 @@
         if result.is_error():
             raise self._build_conflict(proposal, result.error)
         change = result.ok
-        daemons = self._list_daemons()
+        report = self._membership.wait_in_force(change.sequence, FORCE_TIMEOUT)
         return resources.AcceptedChange(
-            change=change,
-            in_force=tuple(
-                d.name for d in daemons if d.sequence >= change.sequence
-            ),
-            not_yet=tuple(
-                d.name for d in daemons if d.sequence < change.sequence
-            ),
+            change=change, in_force=report.reached, not_yet=report.missing
         )
 
     def _build_conflict(
@@ -345,20 +341,15 @@
         )
 
     def _list_daemons(self) -> tuple[resources.DaemonState, ...]:
-        own = self._config.current().sequence
-        members = [(self._membership.own(), own)]
-        members += [
-            (member, self._membership.get_sequence(member.name))
-            for member in self._membership.alive()
-        ]
+        members = [self._membership.own(), *self._membership.alive()]
         return tuple(
             resources.DaemonState(
                 name=member.name,
                 failure_domain=member.failure_domain,
                 load=member.load,
-                sequence=sequence,
+                sequence=member.config_sequence,
             )
-            for member, sequence in members
+            for member in members
         )
 
 
--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -58,10 +58,12 @@
     config = follower.ConfigFollower(table, clock)
     peers = peer_client.PeerClient(metrics.peer_calls.inc)
     membership = membership_service.Membership(
-        _build_member(settings), settings.peers, clock, peers, config
+        _build_member(settings), settings.peers, clock, peers, config, lag
     )
     engines = pool.EnginePool()
-    board = board_module.StatusBoard(inventory, engines, clock)
+    board = board_module.StatusBoard(
+        inventory, engines, clock, membership, peers, identity
+    )
     directory = directory_module.ReplicaDirectory(table, board, clock)
     leases = holder.LeaseHolder(identity, table, clock, lag)
     control = controller.ReplicaController(
@@ -103,6 +105,7 @@
         metrics,
         settings_module.read_keep(settings),
     )
+    membership.watch_load(entry.active)
     kernel = services.Kernel()
     for name, service in (
         (loop.SERVICE_NAME, lag),
@@ -112,7 +115,7 @@
         (peer_client.SERVICE_NAME, peers),
         (
             peer_server.SERVICE_NAME,
-            peer_server.PeerServer(settings.peer_listen, membership),
+            peer_server.PeerServer(settings.peer_listen, membership, board),
         ),
         (pool.SERVICE_NAME, engines),
         (board_module.SERVICE_NAME, board),
--- a/arbutuscove/standins/cluster.py
+++ b/arbutuscove/standins/cluster.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import datetime
 import os
 import pathlib
 import signal
@@ -26,6 +27,7 @@
 WAIT_SECONDS = 60.0  # bound on waits for an expected state
 STOP_SECONDS = 30.0
 POLL_SECONDS = 0.05
+CALL_TIMEOUT = datetime.timedelta(seconds=10)  # longest acceptance and more
 
 
 class WaitFailedError(Exception):
@@ -82,7 +84,7 @@
     headers: dict[str, str] | None = None,
 ) -> http.Reply:
     """Sends one request on a connection of its own."""
-    client = http.JsonClient(http.Address.parse(address))
+    client = http.JsonClient(http.Address.parse(address), CALL_TIMEOUT)
     try:
         return client.send(method, path, body, headers)
     finally:
--- a/arbutuscove/tool/client.py
+++ b/arbutuscove/tool/client.py
@@ -1,9 +1,13 @@
 """Calls of the administration API."""
 
+import datetime
 import typing
 
 from arbutuscove.platform import http
 
+# An acceptance waits up to 3 s for daemons to apply the change.
+CALL_TIMEOUT = datetime.timedelta(seconds=10)
+
 
 class AdminUnreachableError(Exception):
     """No complete answer was received; the call may have taken effect."""
@@ -23,7 +27,7 @@
 
     def __init__(self, url: str, key: str) -> None:
         address = http.Address.parse(url.removeprefix("http://").rstrip("/"))
-        self._client = http.JsonClient(address)
+        self._client = http.JsonClient(address, CALL_TIMEOUT)
         self._headers = {"Authorization": f"Bearer {key}"}
 
     def call(
