Test claims under loss, delay and death; name accounts by service

Change: a state machine interleaves daemons at each table, object store and upstream call, with calls lost, delayed, unconfirmed, and daemons killed or paused; the upstream stand-in keeps its own record. `claims.name_owner` now qualifies accounts in chat, plain and resume tokens.

Seen failing: unconditioned claim writes and a takeover of claimed rows both break TestClaimsMachine; dispatching on an unsettled write breaks test_claims_unsettled_write_is_not_dispatched (the state machine alone did not reach it, since `commit` retries for 3 s). Saying `not_run` after an unsettled abandonment breaks no test, because the attempt that gave up is the only one that may dispatch; the code stays with `unknown` there, since a repeat of the key would be told `unknown` as well.

--- a/arbutuscove/entry/chat.py
+++ b/arbutuscove/entry/chat.py
@@ -105,7 +105,7 @@
                 f"{headers.REPEAT}: never needs {headers.IDEMPOTENCY_KEY}",
             )
         attempt = uuid.uuid4().hex
-        return self._once.begin(caller.account.name, key, attempt, digest)
+        return self._once.begin(_name_owner(caller), key, attempt, digest)
 
     def _start(
         self,
@@ -128,7 +128,7 @@
         digest: str,
     ) -> flow_module.Answer:
         try:
-            point = self._tokens.check(token, caller.account.name, digest)
+            point = self._tokens.check(token, _name_owner(caller), digest)
         except resume_module.ResumeRefusedError as error:
             raise refusals.BadRequestError(
                 400, "invalid_resume_token", str(error)
@@ -221,6 +221,10 @@
     }
 
 
+def _name_owner(caller: callers.Caller) -> str:
+    return claims_module.name_owner(caller.service.name, caller.account.name)
+
+
 def _decode_body(content: bytes) -> dict[str, typing.Any]:
     try:
         body = msgspec.json.decode(content)
--- a/arbutuscove/entry/plain.py
+++ b/arbutuscove/entry/plain.py
@@ -87,7 +87,9 @@
     ) -> wrappers.Response:
         content = f"{call.method} {call.path}\0".encode() + call.body
         digest = callers.digest_key(content.decode("latin-1"))
-        account = f"{caller.service.name}.{caller.account.name}"
+        account = claims_module.name_owner(
+            caller.service.name, caller.account.name
+        )
         try:
             held = self._once.begin(account, key, call.attempt_id, digest)
         except once_module.AlreadyRanError as ran:
--- a/arbutuscove/requests/claims.py
+++ b/arbutuscove/requests/claims.py
@@ -56,6 +56,19 @@
     """The claim may have been written; nothing was dispatched."""
 
 
+def name_owner(service: str, account: str) -> str:
+    """Returns the identity of an account over all services.
+
+    Account names are unique only inside a service. Without the service, two
+    clients with the same name and content would share claims and answers.
+
+    Example:
+        >>> name_owner("bids", "desk")
+        'bids/desk'
+    """
+    return f"{service}/{account}"
+
+
 def build_key(account: str, idempotency_key: str) -> str:
     """Returns the key of a claim row.
 
--- a/arbutuscove/requests/flow.py
+++ b/arbutuscove/requests/flow.py
@@ -19,6 +19,7 @@
 from arbutuscove.kernel import services
 from arbutuscove.limits import service as limits_module
 from arbutuscove.requests import answers
+from arbutuscove.requests import claims
 from arbutuscove.requests import failures
 from arbutuscove.requests import resume
 from arbutuscove.upstreams import engine as engine_module
@@ -173,7 +174,9 @@
             generation=replica.generation,
             address=replica.leader.address,
             stream=dispatch.attempt_id,
-            account=ticket.work.account.name,
+            account=claims.name_owner(
+                ticket.work.service.name, ticket.work.account.name
+            ),
             digest=ticket.work.digest,
         )
         return Answer(
--- /dev/null
+++ b/arbutuscove/requests/tests/test_claims.py
@@ -0,0 +1,225 @@
+"""Guards against a second run of a key and against a false `not_run`."""
+
+import hypothesis
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies
+
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.platform import objects as objects_module
+from arbutuscove.requests import claims
+from arbutuscove.requests import failures
+from arbutuscove.requests import once
+from arbutuscove.standins import faulty
+from arbutuscove.standins import table as table_standin
+
+DAEMONS = 3
+Fate = faulty.Fate
+
+
+class _Objects:
+    """Keeps answers, and fails when told to."""
+
+    def __init__(self):
+        self.kept = {}
+
+    def put(self, key, content):
+        if faulty.ask_fate() != Fate.ANSWERED:
+            raise objects_module.ObjectStoreUnavailableError("down")
+        self.kept[key] = content
+
+    def get(self, key):
+        if faulty.ask_fate() != Fate.ANSWERED:
+            raise objects_module.ObjectStoreUnavailableError("down")
+        return self.kept[key]
+
+
+class _Upstream:
+    """Runs what arrives and keeps its own record."""
+
+    def __init__(self):
+        self.runs = []
+
+    def run(self, key, attempt):
+        """Returns whether the caller saw an answer; None: never arrived."""
+        match faulty.ask_fate():
+            case Fate.REFUSED:
+                return None
+            case Fate.ANSWERED:
+                self.runs.append((key, attempt))
+                return True
+            case Fate.UNCONFIRMED | Fate.LATE:
+                self.runs.append((key, attempt))
+        return False
+
+
+class ClaimsMachine(stateful.RuleBasedStateMachine):
+    """Callers repeat keys at daemons that die, pause and lose messages."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = clock_module.ManualClock()
+        self.table = faulty.FaultyTable(table_standin.MemoryTable())
+        self.objects = _Objects()
+        self.upstream = _Upstream()
+        self.operations = {}
+        self.attempts = 0
+        self.told = {}
+        self.replayed = []
+        self.expected = {}
+
+    def _handle(self, daemon, key, body, attempt):
+        """Does what the entry does with one non-repeatable request."""
+        service = once.AtMostOnce(
+            claims.Claims(self.table, self.clock, f"daemon-{daemon}"),
+            self.objects,
+        )
+        try:
+            held = service.begin("desk", key, attempt, body)
+        except once.AlreadyRanError as ran:
+            self.told[attempt] = failures.Run.RAN
+            self.replayed.append((key, ran.answer))
+            return
+        except failures.RequestFailedError as error:
+            self.told[attempt] = error.run
+            return
+        answered = self.upstream.run(key, attempt)
+        if answered is None:
+            self.told[attempt] = service.give_up(held)
+        elif answered:
+            self.expected[key] = attempt.encode()
+            service.finish(held, attempt.encode())
+            self.told[attempt] = failures.Run.RAN
+        else:
+            self.told[attempt] = failures.Run.UNKNOWN
+
+    @stateful.rule(
+        daemon=strategies.integers(0, DAEMONS - 1),
+        key=strategies.sampled_from(["k", "k", "k", "other"]),
+        body=strategies.sampled_from(["b", "b", "b", "changed"]),
+    )
+    def send(self, daemon, key, body):
+        self.attempts += 1
+        attempt = f"a{self.attempts}"
+        operation = faulty.Operation(
+            lambda: self._handle(daemon, key, body, attempt)
+        )
+        self.operations.setdefault(daemon, []).append(operation)
+
+    @stateful.rule(
+        daemon=strategies.integers(0, DAEMONS - 1),
+        which=strategies.integers(0, 2),
+        fate=strategies.sampled_from([Fate.ANSWERED] * 6 + list(Fate)),
+        count=strategies.sampled_from([1, 1, 2, 3, 5, 40]),
+    )
+    def step(self, daemon, which, fate, count):
+        running = [
+            operation
+            for operation in self.operations.get(daemon, [])
+            if operation.is_running()
+        ]
+        if which < len(running):
+            for _ in range(count):
+                running[which].step(fate)
+
+    @stateful.rule(daemon=strategies.integers(0, DAEMONS - 1))
+    def die(self, daemon):
+        for operation in self.operations.pop(daemon, []):
+            operation.kill()
+
+    @stateful.rule()
+    def deliver_late(self):
+        self.table.deliver_late()
+
+    @stateful.invariant()
+    def key_runs_at_most_once(self):
+        keys = [key for key, _ in self.upstream.runs]
+        assert len(keys) == len(set(keys))
+
+    @stateful.invariant()
+    def not_run_is_true(self):
+        ran = {attempt for _, attempt in self.upstream.runs}
+        for attempt, run in self.told.items():
+            assert run != failures.Run.NOT_RUN or attempt not in ran
+
+    @stateful.invariant()
+    def replay_is_the_answer_of_the_run(self):
+        for key, answer in self.replayed:
+            assert answer in (None, self.expected[key])
+
+
+TestClaimsMachine = ClaimsMachine.TestCase
+TestClaimsMachine.settings = hypothesis.settings(
+    max_examples=250, stateful_step_count=40
+)
+
+
+def _begin(table, attempt, digest="b"):
+    clock = clock_module.ManualClock()
+    held = claims.Claims(table, clock, "d")
+    service = once.AtMostOnce(held, _Objects())
+    return service, service.begin("desk", "k", attempt, digest)
+
+
+def test_claims_abandoned_key_runs_again():
+    """A caller told `not_run` must be able to repeat with the same key."""
+    table = table_standin.MemoryTable()
+    service, held = _begin(table, "a1")
+    assert service.give_up(held) == failures.Run.NOT_RUN
+    _, again = _begin(table, "a2")
+    assert again.claim.attempt_id == "a2"
+
+
+def test_claims_vanished_owner_is_unknown_for_ever():
+    """A claim whose owner died after dispatch must never run again."""
+    table = table_standin.MemoryTable()
+    _begin(table, "a1")
+    for _ in range(3):
+        with pytest.raises(failures.RequestFailedError) as caught:
+            _begin(table, "a2")
+        assert caught.value.run == failures.Run.UNKNOWN
+
+
+def test_claims_reused_key_of_another_body():
+    """Another request under the same key must not get the first's answer."""
+    table = table_standin.MemoryTable()
+    _begin(table, "a1")
+    with pytest.raises(failures.RequestFailedError) as caught:
+        _begin(table, "a2", digest="changed")
+    assert caught.value.refusal.code == "idempotency_key_reused"
+
+
+def test_claims_outage_refuses_without_run():
+    """Without the table nothing may be dispatched."""
+    table = faulty.SwitchedTable(table_standin.MemoryTable())
+    table.down = True
+    with pytest.raises(failures.RequestFailedError) as caught:
+        _begin(table, "a1")
+    assert caught.value.run == failures.Run.NOT_RUN
+    assert caught.value.refusal.retry_after is not None
+
+
+def test_claims_of_two_services_are_apart():
+    """Accounts of one name in two services must not share a key."""
+    first = claims.build_key(claims.name_owner("chat", "desk"), "k")
+    second = claims.build_key(claims.name_owner("bids", "desk"), "k")
+    assert first != second
+
+
+@pytest.mark.parametrize("fate", [Fate.LOST, Fate.LATE])
+def test_claims_unsettled_write_is_not_dispatched(fate):
+    """Without a settled claim a second daemon may hold it and run too."""
+    table = faulty.FaultyTable(table_standin.MemoryTable())
+    failed = []
+
+    def begin():
+        with pytest.raises(failures.RequestFailedError) as caught:
+            _begin(table, "a1")
+        failed.append(caught.value)
+
+    operation = faulty.Operation(begin)
+    operation.step(Fate.ANSWERED)
+    while operation.is_running():
+        operation.step(fate)
+    assert failed[0].refusal.code == "claim_unsettled"
+    assert failed[0].run == failures.Run.NOT_RUN
--- a/arbutuscove/standins/faulty.py
+++ b/arbutuscove/standins/faulty.py
@@ -34,7 +34,7 @@
 
     def read(self, key: str) -> table_module.Row | None:
         """Returns the row, or None if there is none."""
-        if _ask_fate() != Fate.ANSWERED:
+        if ask_fate() != Fate.ANSWERED:
             raise table_module.TableUnavailableError("lost")
         return self.inner.read(key)
 
@@ -42,7 +42,7 @@
         self, prefix: str, after: str = "", limit: int = table_module.SCAN_LIMIT
     ) -> list[table_module.Row]:
         """Returns rows by prefix in key order, after a key."""
-        if _ask_fate() != Fate.ANSWERED:
+        if ask_fate() != Fate.ANSWERED:
             raise table_module.TableUnavailableError("lost")
         return self.inner.scan(prefix, after, limit)
 
@@ -50,7 +50,7 @@
         self, transaction: table_module.Transaction
     ) -> table_module.Outcome:
         """Applies a transaction as the test decides."""
-        match _ask_fate():
+        match ask_fate():
             case Fate.ANSWERED:
                 return self.inner.transact(transaction)
             case Fate.REFUSED:
@@ -95,7 +95,8 @@
     operation.parent = greenlet.getcurrent()
 
 
-def _ask_fate() -> Fate:
+def ask_fate() -> Fate:
+    """Stops the running `Operation` until the test decides; else answers."""
     current = greenlet.getcurrent()
     if type(current) is not greenlet.greenlet or current.parent is None:
         return Fate.ANSWERED
