Quarantine requests that crash the upstreams which run them

Cause: a request that crashes its upstream was sent to another replica by the flow's own retry and again by its caller, without a bound.

Change: `quarantine.py` is the pure core (records, hints, standing), `suspects.py` follows runs. A death is named by replica and generation and laid to every request that ran there, also to those whose callers left. It is written to `quarantine/<digest>` and told to all live peers at once (`Membership.spread`, suspicions on each probe) before the failure is reported or the request retried. A suspect runs only in a trial: one for each service in the whole fleet, held by the row `quarantine/trial.<service>`, on the least loaded replica. A whole answer clears it; a second death quarantines it.

A death is concluded from a broken stream and a leader that says it is not ready in that generation, or a replica that serves in a newer generation. A leader that still is ready means a cut connection, which counts for nothing. An unreachable leader counts as a first death after 3 s, but never as a second: then the trial stays held until the leader answers.

Ruled out: counting second deaths by hint (a daemon cannot tell from a number whether it knows the same death already); a read of the table for each request (31,000 per second against 2,000 reads); blaming bystanders: a request in progress twice beside a crashing one has the same two deaths, so one that was never on trial is excused by one that was.

Not covered: copies of one request that are in progress at several daemons before its first death, and daemons that the spread does not reach.

Conclusion: the bound of 2 holds where suspicions are delivered before the request is sent again.

--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -33,6 +33,7 @@
 from arbutuscove.requests import flow
 from arbutuscove.requests import once
 from arbutuscove.requests import resume
+from arbutuscove.requests import suspects
 from arbutuscove.routing import service as routing_service
 from arbutuscove.upstreams import pool
 
@@ -70,8 +71,19 @@
     admission = admission_service.Admission(clock, routing, lag)
     tokens = resume.ResumeTokens(settings.resume_secret)
     budget = attempts.RetryBudget()
+    suspected = suspects.Suspects(
+        table, clock, identity, engines, directory.serving, membership.spread
+    )
+    membership.carry(suspected)
     requests = flow.RequestFlow(
-        clock, admission, limits, engines, tokens, generator, budget
+        clock,
+        admission,
+        limits,
+        engines,
+        tokens,
+        generator,
+        budget,
+        suspected,
     )
     at_most_once = once.AtMostOnce(
         claims.Claims(table, clock, identity), objects
@@ -112,6 +124,7 @@
         (limits_service.SERVICE_NAME, limits),
         (routing_service.SERVICE_NAME, routing),
         (admission_service.SERVICE_NAME, admission),
+        (suspects.SERVICE_NAME, suspected),
         (flow.SERVICE_NAME, requests),
         (once.SERVICE_NAME, at_most_once),
         (admin_api.SERVICE_NAME, admin),
--- a/arbutuscove/membership/service.py
+++ b/arbutuscove/membership/service.py
@@ -6,6 +6,8 @@
 
 import datetime
 import itertools
+import typing
+from collections import abc
 
 import eliot
 import gevent
@@ -21,10 +23,21 @@
 SERVICE_NAME = "membership"
 PROBE_INTERVAL = datetime.timedelta(seconds=1)
 PROBE_TIMEOUT = datetime.timedelta(milliseconds=500)
+SPREAD_TIMEOUT = datetime.timedelta(seconds=1)  # of a probe of all peers
 ALIVE_FOR = datetime.timedelta(seconds=10)
 FETCH_TIMEOUT = datetime.timedelta(seconds=2)
 
 
+class Suspicions(typing.Protocol):
+    """What learns and tells of requests that crash upstreams."""
+
+    def list_suspicions(self) -> list[peer_pb2.Suspicion]:
+        """Returns what to tell peers."""
+
+    def learn_suspicions(self, found: abc.Iterable[peer_pb2.Suspicion]) -> None:
+        """Takes what a peer tells."""
+
+
 class Membership(services.BaseService):
     """Probes one peer each interval and answers the probes of others."""
 
@@ -44,6 +57,7 @@
         self._members: dict[str, peer_pb2.Member] = {}
         self._heard: dict[str, datetime.timedelta] = {}
         self._fetching = False
+        self._suspicions: Suspicions | None = None
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self, kernel: services.Kernel) -> None:
@@ -59,6 +73,18 @@
         if self._greenlet is not None:
             self._greenlet.kill()
 
+    def carry(self, suspicions: Suspicions) -> None:
+        """Sets whose suspicions travel on each probe."""
+        self._suspicions = suspicions
+
+    def spread(self) -> None:
+        """Probes all peers at once, for news that cannot wait its turn."""
+        jobs = [
+            gevent.spawn(self._probe, member.peer_address)
+            for member in self.alive()
+        ]
+        gevent.joinall(jobs, timeout=SPREAD_TIMEOUT.total_seconds())
+
     def set_load(self, load: int) -> None:
         """Publishes the number of requests in progress."""
         self._own.load = load
@@ -118,6 +144,9 @@
         return peer_pb2.Gossip(
             sender=self._own,
             config_sequence=self._config.current().sequence,
+            suspicions=(
+                self._suspicions.list_suspicions() if self._suspicions else ()
+            ),
         )
 
     def _learn(self, gossip: peer_pb2.Gossip) -> None:
@@ -126,6 +155,8 @@
             return
         self._members[sender.name] = sender
         self._heard[sender.name] = self._clock.monotonic()
+        if self._suspicions is not None:
+            self._suspicions.learn_suspicions(gossip.suspicions)
         self._confirm_config()
         behind = gossip.config_sequence > self._config.current().sequence
         if behind and not self._fetching:
--- a/arbutuscove/requests/flow.py
+++ b/arbutuscove/requests/flow.py
@@ -25,6 +25,7 @@
 from arbutuscove.requests import claims
 from arbutuscove.requests import failures
 from arbutuscove.requests import resume
+from arbutuscove.requests import suspects as suspects_module
 from arbutuscove.upstreams import engine as engine_module
 from arbutuscove.upstreams import errors
 from arbutuscove.upstreams import pool
@@ -73,25 +74,32 @@
 
 
 class _Held:
-    """Ticket and reservation of one attempt, given back exactly once."""
+    """What one attempt holds, given back exactly once."""
 
     def __init__(
         self,
         admission: admission_module.Admission,
         limits: limits_module.Limits,
+        suspects: suspects_module.Suspects,
         reservation: limits_module.Reservation,
+        run: suspects_module.Run,
     ) -> None:
         self._admission = admission
         self._limits = limits
+        self._suspects = suspects
         self._reservation: limits_module.Reservation | None = reservation
+        self.run = run
         self.ticket: work_module.Ticket | None = None
 
-    def release(self, tokens: int, used: int | None) -> None:
-        """Gives both back; further calls have no effect.
+    def release(
+        self, tokens: int, used: int | None, whole: bool = False
+    ) -> None:
+        """Gives all back; further calls have no effect.
 
         Args:
             tokens: tokens that reached the caller.
             used: tokens generated, None if unknown.
+            whole: whether the answer was whole.
         """
         reservation = self._reservation
         if reservation is None:
@@ -100,6 +108,7 @@
         if self.ticket is not None:
             self._admission.finish(self.ticket, tokens)
         self._limits.settle(reservation, used)
+        self._suspects.end(self.run, whole)
 
 
 class RequestFlow(services.BaseService):
@@ -114,6 +123,7 @@
         tokens: resume.ResumeTokens,
         generator: random.Random,
         budget: attempts_module.RetryBudget,
+        suspects: suspects_module.Suspects,
     ) -> None:
         self._clock = clock
         self._admission = admission
@@ -122,6 +132,7 @@
         self._tokens = tokens
         self._random = generator
         self._budget = budget
+        self._suspects = suspects
 
     def run(self, request: ModelRequest) -> Answer:
         """Returns the answer once its first event is there.
@@ -146,7 +157,9 @@
                 made, request.repeatable, left, self._budget
             ):
                 raise failures.RequestFailedError(_refuse_failed(), made.run)
-            excluded = work.excluded | {outcome.replica}
+            excluded = self._suspects.find_excluded(
+                work.service.name, outcome.replica
+            )
             work = dataclasses.replace(work, excluded=excluded)
             self._clock.sleep(
                 attempts_module.pick_pause(made.made, self._random)
@@ -182,10 +195,24 @@
     ) -> Answer | _Lost:
         # Each attempt has its own reservation, since a lost attempt may have
         # generated as many tokens as were reserved for it.
+        begun = self._suspects.begin(work)
+        if begun.is_error():
+            raise failures.RequestFailedError(begun.error, run)
+        excluded = work.excluded | begun.ok.excluded
+        if begun.ok.trial is not None:
+            excluded = begun.ok.excluded
+        work = dataclasses.replace(work, excluded=excluded)
         reserved = self._limits.reserve(work)
         if reserved.is_error():
+            self._suspects.end(begun.ok, whole=False)
             raise failures.RequestFailedError(reserved.error, run)
-        held = _Held(self._admission, self._limits, reserved.ok)
+        held = _Held(
+            self._admission,
+            self._limits,
+            self._suspects,
+            reserved.ok,
+            begun.ok,
+        )
         used: int | None = 0
         try:
             admitted = self._admission.admit(work)
@@ -198,7 +225,12 @@
             held.release(0, used)
             raise
         if isinstance(outcome, _Lost):
-            known = 0 if outcome.run == failures.Run.NOT_RUN else None
+            known: int | None = 0
+            if outcome.run == failures.Run.NOT_RUN:
+                self._suspects.cancel(begun.ok)
+            else:
+                known = None
+                self._suspects.report_loss(begun.ok, work.deadline)
             held.release(0, known)
         return outcome
 
@@ -220,6 +252,7 @@
             replica=replica.replica,
         )
         client = self._engines.get(replica.leader.address)
+        self._suspects.dispatch(held.run, replica)
         reader: engine_module.EventReader | None = None
         try:
             opened = client.open_stream(dispatch)
@@ -271,8 +304,13 @@
         except answers.DeadlinePassedError:
             gevent.spawn(client.cancel_stream, dispatch.attempt_id)
             raise
+        except answers.AnswerIncompleteError:
+            if held.ticket is not None:
+                deadline = held.ticket.work.deadline
+                self._suspects.report_loss(held.run, deadline)
+            raise
         finally:
-            held.release(count, used)
+            held.release(count, used, whole=used is not None)
 
 
 def _find_point(
--- a/arbutuscove/requests/tests/fleet.py
+++ b/arbutuscove/requests/tests/fleet.py
@@ -15,6 +15,8 @@
 from arbutuscove.requests import attempts
 from arbutuscove.requests import flow
 from arbutuscove.requests import resume
+from arbutuscove.requests import suspects
+from arbutuscove.standins import table as table_standin
 from arbutuscove.upstreams import errors
 from arbutuscove.upstreams import protocol
 
@@ -226,27 +228,32 @@
     admission: Admission
     limits: Limits
     flow: flow.RequestFlow
+    suspects: suspects.Suspects
 
 
-def build_daemon(fleet, *extra):
+def build_daemon(fleet, table=None, name="d", spread=lambda: None):
     """Returns a daemon in front of a fleet."""
     admission = Admission(fleet)
     limits = Limits()
-    return Daemon(
+    suspected = suspects.Suspects(
+        table or table_standin.MemoryTable(),
+        fleet.clock,
+        name,
         fleet,
+        fleet.serving,
+        spread,
+    )
+    requests = flow.RequestFlow(
+        fleet.clock,
         admission,
         limits,
-        flow.RequestFlow(
-            fleet.clock,
-            admission,
-            limits,
-            fleet,
-            resume.ResumeTokens("secret"),
-            random.Random(1),
-            attempts.RetryBudget(),
-            *extra,
-        ),
+        fleet,
+        resume.ResumeTokens("secret"),
+        random.Random(1),
+        attempts.RetryBudget(),
+        suspected,
     )
+    return Daemon(fleet, admission, limits, requests, suspected)
 
 
 def build_request(
--- /dev/null
+++ b/arbutuscove/requests/tests/test_quarantine.py
@@ -0,0 +1,332 @@
+"""Guards against a request that crashes one replica after another."""
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.requests import answers
+from arbutuscove.requests import claims
+from arbutuscove.requests import failures
+from arbutuscove.requests import once
+from arbutuscove.requests import quarantine
+from arbutuscove.requests import suspects
+from arbutuscove.requests.tests import fleet as fleet_module
+from arbutuscove.standins import faulty
+from arbutuscove.standins import table as table_standin
+
+DAEMONS = 3
+CRASH = fleet_module.CRASH
+
+
+class _System:
+    """Daemons that share a fleet, a table and their suspicions."""
+
+    def __init__(self, replicas=4):
+        self.fleet = fleet_module.Fleet(replicas)
+        self.table = faulty.SwitchedTable(table_standin.MemoryTable())
+        self.daemons = [
+            fleet_module.build_daemon(
+                self.fleet, self.table, f"d{number}", self.gossip
+            )
+            for number in range(DAEMONS)
+        ]
+        self.attempts = 0
+
+    def gossip(self):
+        for sender in self.daemons:
+            told = sender.suspects.list_suspicions()
+            for other in self.daemons:
+                other.suspects.learn_suspicions(told)
+
+    def send(self, daemon, text, key=None):
+        """Sends a request; with a key it is non-repeatable. Returns events."""
+        one = self.daemons[daemon]
+        request = fleet_module.build_request(
+            self.fleet, text, repeatable=key is None
+        )
+        if key is None:
+            return one.flow.run(request).events
+        service = once.AtMostOnce(
+            claims.Claims(self.table, clock_module.ManualClock(), str(daemon)),
+            None,
+        )
+        self.attempts += 1
+        held = service.begin("desk", key, f"a{self.attempts}", text)
+        try:
+            return one.flow.run(request).events
+        except failures.RequestFailedError as error:
+            if error.run == failures.Run.NOT_RUN:
+                service.give_up(held)
+            raise
+
+    def try_send(self, daemon, text, key=None):
+        """Returns None, or the code of the refusal."""
+        try:
+            list(self.send(daemon, text, key))
+        except failures.RequestFailedError as error:
+            return error.refusal.code
+        except answers.AnswerIncompleteError:
+            return "answer_incomplete"
+        return None
+
+    def open(self, daemon, text):
+        """Begins an answer and leaves it in progress."""
+        events = self.send(daemon, text)
+        next(events)
+        return events
+
+    def settle(self):
+        """Rebuilds replicas and lets all watches end."""
+        self.fleet.rebuild()
+        for daemon in self.daemons:
+            daemon.suspects.watch_once()
+        self.fleet.clock.advance(suspects.DETACHED_AGE)
+        for daemon in self.daemons:
+            daemon.suspects.watch_once()
+
+
+@pytest.mark.parametrize("keys", ["none", "same", "new"])
+def test_quarantine_crashing_request_costs_two_replicas(keys):
+    """A caller that sends it again must not take the fleet down."""
+    system = _System()
+    codes = []
+    for number in range(12):
+        key = {"none": None, "same": "k", "new": f"k{number}"}[keys]
+        codes.append(system.try_send(number % DAEMONS, CRASH, key))
+        system.settle()
+    assert len(system.fleet.deaths) <= quarantine.DEATHS_TO_QUARANTINE
+    assert keys == "same" or codes[-1] == "request_quarantined"
+
+
+def test_quarantine_innocent_beside_is_served():
+    """A request that ran beside a crashing one must not be refused for good."""
+    system = _System(replicas=2)
+    beside = [(n % DAEMONS, f"innocent {n}") for n in range(8)]
+    for round_ in range(4):
+        running = []
+        for daemon, text in beside:
+            try:
+                running.append(system.open(daemon, text))
+            except failures.RequestFailedError:
+                continue
+        system.try_send(round_ % DAEMONS, CRASH)
+        for events in running:
+            with_end = _read(events)
+            assert with_end in ("whole", "incomplete")
+        system.settle()
+    for daemon, text in beside:
+        other = (daemon + 1) % DAEMONS
+        assert system.try_send(other, text) is None
+        system.settle()
+        assert system.try_send(daemon, text) is None
+    assert len(system.fleet.deaths) <= quarantine.DEATHS_TO_QUARANTINE
+
+
+def _read(events):
+    try:
+        list(events)
+    except answers.AnswerIncompleteError:
+        return "incomplete"
+    return "whole"
+
+
+def test_quarantine_suspects_run_one_at_a_time():
+    """Two suspects on one replica could both be blamed for its death."""
+    system = _System()
+    running = [system.open(0, f"innocent {n}") for n in range(8)]
+    system.try_send(1, CRASH, "k")
+    lost = [n for n, e in enumerate(running) if _read(e) == "incomplete"]
+    system.settle()
+    trial = system.open(0, f"innocent {lost[0]}")
+    assert system.try_send(1, CRASH, "l") == "request_suspected"
+    assert _read(trial) == "whole"
+    assert system.try_send(1, CRASH, "m") == "upstream_failed"
+    assert system.try_send(2, CRASH, "n") == "request_quarantined"
+    assert system.try_send(2, f"innocent {lost[0]}") is None
+
+
+def test_quarantine_innocent_beside_both_deaths():
+    """An innocent request in progress twice may see both deaths."""
+    system = _System(replicas=2)
+    running = [system.open(daemon, "innocent") for daemon in (0, 1)]
+    for daemon, key in enumerate("kl"):
+        system.try_send(daemon, CRASH, key)
+    assert len(system.fleet.deaths) == 2
+    assert [_read(events) for events in running] == ["incomplete"] * 2
+    system.settle()
+    for daemon in range(DAEMONS):
+        assert system.try_send(daemon, "innocent") is None
+        assert system.try_send(daemon, CRASH) == "request_quarantined"
+
+
+def test_quarantine_caller_leaves_before_the_crash():
+    """A crash that no caller waits for must still be counted."""
+    system = _System()
+    events = system.open(0, "slow")
+    events.close()
+    name = next(n for n, e in system.fleet.engines.items() if e.streams)
+    system.fleet.engines[name].die()
+    system.daemons[0].suspects.watch_once()
+    system.gossip()
+    hints = system.daemons[2].suspects.list_suspicions()
+    assert [(h.digest, h.deaths) for h in hints] == [("slow", 1)]
+
+
+def test_quarantine_cut_connection_is_no_death():
+    """A daemon cut off from a replica must not blame its requests."""
+    system = _System(replicas=1)
+    engine = system.fleet.engines["r0"]
+    for _ in range(3):
+        events = system.open(0, "innocent")
+        engine.streams.clear()  # the engine ended the stream, and serves on
+        assert _read(events) == "incomplete"
+        system.settle()
+    assert system.daemons[0].suspects.list_suspicions() == []
+
+
+def test_quarantine_unreachable_replica_is_no_second_death():
+    """Two network partitions must not refuse a request for good."""
+    system = _System(replicas=2)
+    engines = system.fleet.engines
+    for name, other in (("r0", "r1"), ("r1", "r0")):
+        engines[other].streams.add("makes the other replica preferable")
+        events = system.open(0, "innocent")
+        engines[name].reachable = False
+        engines[name].streams.clear()
+        assert _read(events) == "incomplete"
+        assert system.try_send(1, "innocent") != "request_quarantined"
+        engines[name].reachable = True
+        engines[other].streams.clear()
+        system.settle()
+        system.settle()
+    assert system.try_send(1, "innocent") is None
+
+
+def test_quarantine_replica_in_doubt_keeps_its_trial():
+    """A suspect whose replica cannot be reached must not try another one."""
+    system = _System(replicas=2)
+    system.try_send(0, CRASH, "k")
+    system.settle()
+    work = fleet_module.build_request(system.fleet, CRASH).work
+    run = system.daemons[0].suspects.begin(work).ok
+    (replica,) = (
+        item
+        for item in system.fleet.serving("chat")
+        if item.replica not in run.excluded
+    )
+    system.daemons[0].suspects.dispatch(run, replica)
+    system.fleet.engines[replica.replica].reachable = False
+    system.daemons[0].suspects.report_loss(run, work.deadline)
+    system.daemons[0].suspects.end(run, whole=False)
+    system.settle()
+    assert system.try_send(1, CRASH) == "request_suspected"
+    system.fleet.engines[replica.replica].reachable = True
+    system.fleet.engines[replica.replica].die()
+    system.settle()
+    assert system.try_send(1, CRASH) == "request_quarantined"
+
+
+def test_quarantine_outage_runs_no_suspect():
+    """Without the table two daemons could try two suspects at once."""
+    system = _System()
+    system.table.down = True
+    system.try_send(0, CRASH)
+    system.settle()
+    for daemon in range(DAEMONS):
+        assert system.try_send(daemon, CRASH) == "request_suspected"
+    assert len(system.fleet.deaths) == 1
+    system.table.down = False
+    for daemon in range(DAEMONS):
+        system.try_send(daemon, CRASH)
+        system.settle()
+    assert len(system.fleet.deaths) == quarantine.DEATHS_TO_QUARANTINE
+    assert system.try_send(0, CRASH) == "request_quarantined"
+
+
+def test_quarantine_survives_restart_of_all_daemons():
+    """A restart must not give a crashing request two more replicas."""
+    system = _System()
+    for daemon in range(DAEMONS):
+        system.try_send(daemon, CRASH)
+        system.settle()
+    deaths = len(system.fleet.deaths)
+    fresh = fleet_module.build_daemon(system.fleet, system.table, "new")
+    fresh.suspects.load()
+    with pytest.raises(failures.RequestFailedError) as caught:
+        fresh.flow.run(fleet_module.build_request(system.fleet, CRASH))
+    assert caught.value.refusal.code == "request_quarantined"
+    assert len(system.fleet.deaths) == deaths
+
+
+def test_quarantine_trial_of_a_dead_daemon_ends():
+    """A daemon that died in a trial must not hold up all suspects for ever."""
+    system = _System()
+    system.try_send(0, CRASH, "k")
+    system.settle()
+    work = fleet_module.build_request(system.fleet, CRASH).work
+    assert system.daemons[0].suspects.begin(work).is_ok()
+    other = system.daemons[1].suspects
+    assert other.begin(work).error.code == "request_suspected"
+    system.fleet.clock.advance(suspects.TRIAL_TERM)
+    assert other.begin(work).is_ok()
+
+
+def _act(system, running, daemon, action, text):
+    match action:
+        case "open":
+            try:
+                running.append(system.open(daemon, text))
+            except failures.RequestFailedError:
+                return
+        case "read" if running:
+            _read(running.pop(0))
+        case "leave" if running:
+            running.pop().close()
+        case "send":
+            system.try_send(daemon, text)
+        case "settle":
+            system.settle()
+        case fleet_module.CRASH:
+            system.try_send(daemon, CRASH)
+            system.fleet.rebuild()
+
+
+ACTIONS = [CRASH, CRASH, "open", "open", "read", "send", "settle", "leave"]
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, DAEMONS - 1),
+            strategies.sampled_from(
+                [
+                    CRASH,
+                    CRASH,
+                    "open",
+                    "read",
+                    "read",
+                    "send",
+                    "settle",
+                    "leave",
+                ]
+            ),
+            strategies.sampled_from(["a", "b", "c", "d"]),
+        ),
+        max_size=60,
+    )
+)
+@hypothesis.settings(max_examples=300)
+def test_quarantine_bounds_hold_in_any_order(steps):
+    """At most two replicas are lost and every innocent is served at last."""
+    system = _System(replicas=3)
+    running = []
+    for daemon, action, text in steps:
+        _act(system, running, daemon, action, text)
+        assert len(system.fleet.deaths) <= quarantine.DEATHS_TO_QUARANTINE
+    for events in running:
+        _read(events)
+    for text in "abcd":
+        system.settle()
+        assert system.try_send(0, text) is None
+        assert system.try_send(1, text) is None
