--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -31,10 +31,12 @@
 from arbutuscove.replicas import board as board_module
 from arbutuscove.replicas import controller
 from arbutuscove.replicas import directory as directory_module
+from arbutuscove.requests import attempts
 from arbutuscove.requests import claims
 from arbutuscove.requests import flow
 from arbutuscove.requests import once
 from arbutuscove.requests import resume
+from arbutuscove.requests import suspects
 from arbutuscove.routing import service as routing_service
 from arbutuscove.upstreams import pool
 
@@ -73,8 +75,20 @@
     routing = routing_service.Routing(clock, directory)
     admission = admission_service.Admission(clock, routing, lag)
     tokens = resume.ResumeTokens(settings.resume_secret)
+    budget = attempts.RetryBudget()
+    suspected = suspects.Suspects(
+        table, clock, identity, engines, directory.serving, membership.spread
+    )
+    membership.carry(suspected)
     requests = flow.RequestFlow(
-        clock, admission, limits, engines, tokens, generator
+        clock,
+        admission,
+        limits,
+        engines,
+        tokens,
+        generator,
+        budget,
+        suspected,
     )
     at_most_once = once.AtMostOnce(
         claims.Claims(table, clock, identity), objects
@@ -125,6 +139,7 @@
         (limits_service.SERVICE_NAME, limits),
         (routing_service.SERVICE_NAME, routing),
         (admission_service.SERVICE_NAME, admission),
+        (suspects.SERVICE_NAME, suspected),
         (flow.SERVICE_NAME, requests),
         (once.SERVICE_NAME, at_most_once),
         (admin_api.SERVICE_NAME, admin),
--- a/arbutuscove/entry/chat.py
+++ b/arbutuscove/entry/chat.py
@@ -9,6 +9,7 @@
 import msgspec
 from werkzeug import wrappers
 
+from arbutuscove.admission import work as work_module
 from arbutuscove.config import model as config_model
 from arbutuscove.entry import callers
 from arbutuscove.entry import headers
@@ -71,7 +72,7 @@
         )
         token = request.headers.get(headers.RESUME)
         if token is not None:
-            answer = self._resume(request, token, caller, work.digest)
+            answer = self._resume(request, token, caller, work)
             return self._stream(answer, None)
         repeat = request.headers.get(headers.REPEAT, "")
         repeatable = repeat.lower() != headers.NEVER
@@ -108,7 +109,7 @@
                 f"{headers.REPEAT}: never needs {headers.IDEMPOTENCY_KEY}",
             )
         attempt = uuid.uuid4().hex
-        return self._once.begin(caller.account.name, key, attempt, digest)
+        return self._once.begin(_name_owner(caller), key, attempt, digest)
 
     def _start(
         self,
@@ -128,10 +129,11 @@
         request: wrappers.Request,
         token: str,
         caller: callers.Caller,
-        digest: str,
+        work: work_module.Work,
     ) -> flow_module.Answer:
         try:
-            point = self._tokens.check(token, caller.account.name, digest)
+            owner = _name_owner(caller)
+            point = self._tokens.check(token, owner, work.digest)
         except resume_module.ResumeRefusedError as error:
             raise refusals.BadRequestError(
                 400, "invalid_resume_token", str(error)
@@ -143,7 +145,8 @@
             raise refusals.BadRequestError(
                 400, "invalid_last_event_id", "event of another stream"
             )
-        return self._flow.resume(point, int(number) if last else -1)
+        after = int(number) if last else -1
+        return self._flow.resume(point, after, work.deadline)
 
     def _stream(
         self,
@@ -153,6 +156,8 @@
         response = wrappers.Response(
             self._relay(answer, held), content_type=EVENT_STREAM
         )
+        # A caller who leaves before the first event must not keep the ticket.
+        response.call_on_close(lambda: _close(answer.events))
         response.headers[headers.RESUME] = answer.token
         response.headers["Cache-Control"] = "no-store"
         return response
@@ -225,6 +230,10 @@
     }
 
 
+def _name_owner(caller: callers.Caller) -> str:
+    return claims_module.name_owner(caller.service.name, caller.account.name)
+
+
 def _decode_body(content: bytes) -> dict[str, typing.Any]:
     try:
         body = msgspec.json.decode(content)
--- a/arbutuscove/membership/service.py
+++ b/arbutuscove/membership/service.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import datetime
+import typing
 from collections import abc
 
 import eliot
@@ -28,6 +29,7 @@
 
 SERVICE_NAME = "membership"
 FETCH_TIMEOUT = datetime.timedelta(seconds=2)
+SPREAD_TIMEOUT = datetime.timedelta(seconds=1)  # of news to peers at once
 LEAVE_TIMEOUT = datetime.timedelta(seconds=1)
 HELP_TIMEOUT_LIMIT = datetime.timedelta(seconds=5)  # asked of us by a peer
 CHANGES_PAGE = 100  # changes in one reply, far below gRPC's 4 MB
@@ -45,6 +47,16 @@
     missing: tuple[str, ...]
 
 
+class Suspicions(typing.Protocol):
+    """What learns and tells of requests that crash upstreams."""
+
+    def list_suspicions(self) -> list[peer_pb2.Suspicion]:
+        """Returns what to tell peers."""
+
+    def learn_suspicions(self, found: abc.Iterable[peer_pb2.Suspicion]) -> None:
+        """Takes what a peer tells."""
+
+
 class Membership(services.BaseService):
     """Probes one peer each interval and answers the probes of others."""
 
@@ -65,6 +77,7 @@
         self._lag = lag
         self._read_load: abc.Callable[[], int] | None = None
         self._fetching = False
+        self._suspicions: Suspicions | None = None
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self, kernel: services.Kernel) -> None:
@@ -83,6 +96,21 @@
         if self._greenlet is not None:
             self._greenlet.kill()
 
+    def carry(self, suspicions: Suspicions) -> None:
+        """Sets whose suspicions travel on each probe."""
+        self._suspicions = suspicions
+
+    def spread(self) -> None:
+        """Probes peers at once, for news that cannot wait its turn.
+
+        In a large fleet only some are told; gossip tells the others.
+        """
+        jobs = [
+            gevent.spawn(self._probe, member.name, member.peer_address)
+            for member in self.alive()[:SMALL_FLEET]
+        ]
+        gevent.joinall(jobs, timeout=SPREAD_TIMEOUT.total_seconds())
+
     def set_load(self, load: int) -> None:
         """Publishes the number of requests in progress."""
         self._read_load = lambda: load
@@ -263,12 +291,17 @@
             whole=message.whole,
             config_sequence=self._config.current().sequence,
             config_loaded=self._config.is_loaded(),
+            suspicions=(
+                self._suspicions.list_suspicions() if self._suspicions else ()
+            ),
         )
 
     def _learn(self, gossip: peer_pb2.Gossip) -> None:
         self._step(swim.Received(message=wire.decode_message(gossip)))
         if gossip.sender.name == self._view.own.name:
             return
+        if self._suspicions is not None:
+            self._suspicions.learn_suspicions(gossip.suspicions)
         self._config.hear(gossip.config_sequence)
         missing = gossip.config_loaded and not self._config.is_loaded()
         behind = gossip.config_sequence > self._config.current().sequence
