Repair replicas in order of worth, and from plans in an outage

Cause: the former plan knew one repair (a spare of the replica itself) and dissolved otherwise, trusted a returning VM at once, ignored new versions and sizes, gave a leaving VM's replica new members while it still streamed, dissolved everything when the controller itself was cut off, and lost the accelerators of a VM that had left the VM list. No repair was possible while the table was down. The status board read only the first 32 VMs of the list.

Ruled out: a second phase that optimizes all VMs of a domain globally (each regroup costs running work); releasing approval by hints (the capacity row alone decides); condition repairs in an outage on the lease (it cannot be renewed then).

Change: formation goes own spares, free VMs, spares of siblings and smaller remains, dissolution; whole replicas before spares. Planned changes drain first, by a phase in the replica row. Distrust doubles from 30 s to 1 h. Loads start in order of worth per load. Rolls surge by one replica inside approval. A rise in assigned accelerators is conditioned on the newest accepted service row. A dark domain is dissolved by its own controller after 10 s, if any other VM can be seen; a domain that left the VM list keeps a controller while it has rows. In an outage the last holder (after 20 s any daemon) repairs from reserved spares for at most 15 min; entries accept the repair when all its VMs report it; the row adopts it and its audit entries are written first when the table returns.

--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -62,7 +62,7 @@
     directory = directory_module.ReplicaDirectory(table, board, clock)
     leases = holder.LeaseHolder(identity, table, clock, lag)
     control = controller.ReplicaController(
-        identity, table, clock, config, leases, board, engines
+        identity, table, clock, config, leases, board, directory, engines
     )
     limits = limits_service.Limits()
     routing = routing_service.Routing(clock, directory)
--- a/arbutuscove/replicas/assignment.py
+++ b/arbutuscove/replicas/assignment.py
@@ -30,6 +30,13 @@
         row = self.by_key.get(key)
         return table.ABSENT if row is None else row.version
 
+    def vm(
+        self, row: model.ReplicaRow, member: protocol.Member
+    ) -> model.VmRow | None:
+        """Returns the assignment of a VM, if there is one."""
+        found = self.by_key.get(_member_key(row, member))
+        return None if found is None else found.decode(model.VmRow)
+
     def capacity(self, service: str) -> model.CapacityRow:
         """Returns what is assigned to a service."""
         row = self.by_key.get(model.CAPACITY_PREFIX + service)
@@ -57,14 +64,28 @@
             return _build_form(decision, rows)
         case formation.Replace():
             return _build_replace(decision, vms, rows)
+        case formation.Drain():
+            return _build_drain(decision, rows)
         case formation.Dissolve():
             return _build_dissolve(decision, rows)
 
 
+def count_added(decision: formation.Decision, built: Assignment) -> int:
+    """Returns by how many accelerators a decision raises the assignment."""
+    match decision:
+        case formation.Form():
+            assert built.row is not None
+            return built.row.accelerators
+        case formation.Replace(row=old):
+            assert built.row is not None
+            return built.row.accelerators - old.accelerators
+        case _:
+            return 0
+
+
 def _build_form(decision: formation.Form, rows: Rows) -> Assignment:
     service = decision.service
     assert service.model is not None
-    every = decision.members + decision.spares
     row = model.ReplicaRow(
         replica=f"{service.name}-{uuid.uuid4().hex[:12]}",
         service=service.name,
@@ -72,19 +93,18 @@
         generation=1,
         model=service.model.model,
         members=tuple(_to_member(vm) for vm in decision.members),
-        spares=tuple(_to_member(vm) for vm in decision.spares),
-        accelerators=sum(vm.accelerators for vm in every),
+        accelerators=sum(vm.accelerators for vm in decision.members),
     )
+    counts = {vm.name: vm.accelerators for vm in decision.members}
     capacity = rows.capacity(service.name)
-    writes = {model.replica_key(row): msgspec.to_builtins(row)}
-    writes.update(_assign(row, row.members, spare=False))
-    writes.update(_assign(row, row.spares, spare=True))
-    writes[model.CAPACITY_PREFIX + service.name] = msgspec.to_builtins(
-        model.CapacityRow(
-            replicas=capacity.replicas + 1,
-            accelerators=capacity.accelerators + row.accelerators,
-        )
+    after = dataclasses.replace(
+        capacity,
+        replicas=capacity.replicas + 1,
+        accelerators=capacity.accelerators + row.accelerators,
     )
+    writes = {model.replica_key(row): msgspec.to_builtins(row)}
+    writes.update(_assign(row, counts))
+    writes[model.CAPACITY_PREFIX + service.name] = msgspec.to_builtins(after)
     return Assignment(transaction=_condition(writes, rows), row=row)
 
 
@@ -96,30 +116,47 @@
     old = decision.row
     new = dataclasses.replace(
         old,
-        generation=old.generation + 1,
+        generation=decision.generation,
         members=decision.members,
         spares=decision.spares,
+        phase=model.Phase.SERVING,
     )
-    kept = {member.name for member in new.members + new.spares}
+    counts = {}
+    for member in new.members + new.spares:
+        held = rows.vm(old, member)
+        if held is not None:
+            counts[member.name] = held.accelerators
+        else:
+            counts[member.name] = vms[member.name].accelerators
+    new = dataclasses.replace(new, accelerators=sum(counts.values()))
     writes: dict[str, object] = {}
     for member in old.members + old.spares:
-        if member.name not in kept:
+        if member.name not in counts:
             writes[_member_key(old, member)] = None
-    writes.update(_assign(new, new.members, spare=False))
-    writes.update(_assign(new, new.spares, spare=True))
-    freed = sum(
-        vms[member.name].accelerators if member.name in vms else 0
-        for member in old.members + old.spares
-        if member.name not in kept
-    )
-    new = dataclasses.replace(new, accelerators=old.accelerators - freed)
+    writes.update(_assign(new, counts))
     writes[model.replica_key(new)] = msgspec.to_builtins(new)
     capacity = rows.capacity(old.service)
-    writes[model.CAPACITY_PREFIX + old.service] = msgspec.to_builtins(
-        dataclasses.replace(
-            capacity, accelerators=capacity.accelerators - freed
-        )
+    after = dataclasses.replace(
+        capacity,
+        accelerators=capacity.accelerators
+        + new.accelerators
+        - old.accelerators,
+        draining=capacity.draining - _count_draining(old),
     )
+    writes[model.CAPACITY_PREFIX + old.service] = msgspec.to_builtins(after)
+    return Assignment(transaction=_condition(writes, rows), row=new)
+
+
+def _build_drain(decision: formation.Drain, rows: Rows) -> Assignment:
+    old = decision.row
+    new = dataclasses.replace(old, phase=decision.phase)
+    capacity = rows.capacity(old.service)
+    change = _count_draining(new) - _count_draining(old)
+    after = dataclasses.replace(capacity, draining=capacity.draining + change)
+    writes: dict[str, object] = {
+        model.replica_key(new): msgspec.to_builtins(new),
+        model.CAPACITY_PREFIX + old.service: msgspec.to_builtins(after),
+    }
     return Assignment(transaction=_condition(writes, rows), row=new)
 
 
@@ -133,20 +170,30 @@
         model.CapacityRow(
             replicas=capacity.replicas - 1,
             accelerators=capacity.accelerators - old.accelerators,
+            draining=capacity.draining - _count_draining(old),
         )
     )
     return Assignment(transaction=_condition(writes, rows), row=None)
 
 
+def _count_draining(row: model.ReplicaRow) -> int:
+    return int(row.phase == model.Phase.DRAINING)
+
+
 def _assign(
-    row: model.ReplicaRow, members: tuple[protocol.Member, ...], spare: bool
+    row: model.ReplicaRow, accelerators: abc.Mapping[str, int]
 ) -> dict[str, object]:
-    value = model.VmRow(
-        replica=row.replica, generation=row.generation, spare=spare
-    )
+    spares = {member.name for member in row.spares}
     return {
-        _member_key(row, member): msgspec.to_builtins(value)
-        for member in members
+        _member_key(row, member): msgspec.to_builtins(
+            model.VmRow(
+                replica=row.replica,
+                generation=row.generation,
+                spare=member.name in spares,
+                accelerators=accelerators[member.name],
+            )
+        )
+        for member in row.members + row.spares
     }
 
 
--- a/arbutuscove/replicas/board.py
+++ b/arbutuscove/replicas/board.py
@@ -20,7 +20,9 @@
 
 SERVICE_NAME = "board"
 READ_INTERVAL = datetime.timedelta(milliseconds=500)
-CONCURRENT_READS = 32
+# A VM that does not answer keeps a reader for the status timeout of 1 s; a
+# dark domain must not delay the statuses of the others beyond their 3 s.
+CONCURRENT_READS = 64
 
 
 class StatusBoard(services.BaseService):
@@ -37,6 +39,8 @@
         self._clock = clock
         self._vms: dict[str, inventory_module.Vm] = {}
         self._seen: dict[str, model.Seen] = {}
+        self._asked: dict[str, datetime.timedelta] = {}
+        self._reading: set[str] = set()
         self._greenlet: gevent.Greenlet | None = None
         self._readers = greenlet_pool.Pool(CONCURRENT_READS)
 
@@ -65,11 +69,25 @@
             self._vms = {vm.name: vm for vm in vms}
         except inventory_module.InventoryUnavailableError as error:
             eliot.log_message("board:inventory_failed", reason=str(error))
-        for name in set(self._seen) - set(self._vms):
-            del self._seen[name]
-        for vm in list(self._vms.values()):
-            if not self._readers.full():
-                self._readers.spawn(self._read_status, vm)
+        for known in (self._seen, self._asked):
+            for name in set(known) - set(self._vms):
+                known.pop(name, None)
+        # A VM that does not answer keeps its reader for a second, so those
+        # that were asked longest ago come first and none is left out.
+        waiting = sorted(
+            (vm for vm in self._vms.values() if vm.name not in self._reading),
+            key=lambda vm: self._asked.get(vm.name, datetime.timedelta(-1)),
+        )
+        for vm in waiting:
+            if self._readers.full():
+                break
+            self._reading.add(vm.name)
+            self._asked[vm.name] = self._clock.monotonic()
+            self._readers.spawn(self._read_status, vm)
+
+    def join(self) -> None:
+        """Waits until the status reads that were started have ended."""
+        self._readers.join()
 
     def _read_status(self, vm: inventory_module.Vm) -> None:
         sent = self._clock.monotonic()
@@ -77,6 +95,8 @@
             status = self._engines.get(vm.address).read_status()
         except errors.UnreachableError:
             return
+        finally:
+            self._reading.discard(vm.name)
         if status.vm != vm.name:
             return
         known = self._seen.get(vm.name)
--- a/arbutuscove/replicas/model.py
+++ b/arbutuscove/replicas/model.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import datetime
+import enum
 
 from arbutuscove.platform import inventory
 from arbutuscove.upstreams import protocol
@@ -11,13 +12,30 @@
 CAPACITY_PREFIX = "capacity/"
 
 
+class Phase(enum.StrEnum):
+    """Whether a replica takes new work.
+
+    `REPLACING` finishes its work before a leaving member is replaced,
+    `DRAINING` before the replica is dissolved.
+    """
+
+    SERVING = "serving"
+    REPLACING = "replacing"
+    DRAINING = "draining"
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class VmRow:
-    """Exclusive assignment of a VM to one replica, as member or spare."""
+    """Exclusive assignment of a VM to one replica, as member or spare.
+
+    `accelerators` is what the capacity row counts for this VM. It is kept
+    here because a VM that left the VM list must still be subtracted.
+    """
 
     replica: str
     generation: int
     spare: bool = False
+    accelerators: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -36,14 +54,21 @@
     members: tuple[protocol.Member, ...]
     spares: tuple[protocol.Member, ...] = ()
     accelerators: int = 0
+    phase: Phase = Phase.SERVING
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CapacityRow:
-    """What is assigned to a service over all fabric domains."""
+    """What is assigned to a service over all fabric domains.
+
+    `draining` counts those of `replicas` that will be dissolved. Controllers
+    of several domains that want to end a replica conflict on it, so that they
+    never end more than one for the same reason.
+    """
 
     replicas: int = 0
     accelerators: int = 0
+    draining: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/arbutuscove/replicas/tests/test_formation.py
@@ -0,0 +1,336 @@
+"""Guards against replicas that stay down, and VMs that stay stranded."""
+
+import dataclasses
+import datetime
+
+from arbutuscove.audit import trail
+from arbutuscove.replicas import controller
+from arbutuscove.replicas import model
+from arbutuscove.replicas import trust
+from arbutuscove.replicas import worth
+from arbutuscove.replicas.tests import world as world_module
+from arbutuscove.standins import fleet as fleet_module
+
+SECOND = datetime.timedelta(seconds=1)
+
+
+def _build(sizes, daemons=1, **backend):
+    service = world_module.build_service(**backend)
+    world = world_module.World(sizes, [service], daemons)
+    world.advance(100)
+    return world
+
+
+def _names(members):
+    return {member.name for member in members}
+
+
+def test_formation_forms_what_is_promised():
+    """Promised replicas must all serve, with a spare from what is left."""
+    world = _build({"a": 5}, spares_per_fabric_domain=1)
+    assert len(world.serving()) == 2
+    assert sum(len(row.spares) for row in world.rows()) == 1
+    assert world.capacity() == model.CapacityRow(replicas=2, accelerators=20)
+
+
+def test_formation_replaces_lost_member_by_spare_first():
+    """A rebuild although a spare is reserved wastes a whole load."""
+    world = _build({"a": 5}, spares_per_fabric_domain=1)
+    row = next(row for row in world.rows() if row.spares)
+    world.fleet.vms[row.members[1].name].up = False
+    world.advance(8)
+    repaired = next(r for r in world.rows() if r.replica == row.replica)
+    assert _names(repaired.members) == _names((row.members[0], *row.spares))
+    assert repaired.generation == row.generation + 1
+    world.advance(70)
+    assert len(world.serving()) == 2
+
+
+def test_formation_takes_spare_of_sibling_before_dissolving():
+    """A spare idles beside a broken replica of the same service."""
+    world = _build({"a": 5}, spares_per_fabric_domain=1)
+    row = next(row for row in world.rows() if not row.spares)
+    world.fleet.vms[row.members[0].name].up = False
+    world.advance(80)
+    assert len(world.serving()) == 2
+    assert row.replica in {item.replica for item in world.rows()}
+
+
+def test_formation_merges_remains_into_larger_replica():
+    """Two replicas that each lost a member strand the VMs of both."""
+    world = _build({"a": 8}, vms_per_replica=4)
+    first, second = world.rows()
+    for member in (first.members[0], second.members[0], second.members[1]):
+        world.fleet.vms[member.name].up = False
+    world.advance(80)
+    (row,) = world.rows()
+    assert row.replica == first.replica
+    assert len(world.serving()) == 1
+
+
+def test_formation_rebuilds_dark_domain_within_approval():
+    """Rows of a dark domain block its capacity for ever."""
+    world = _build({"a": 4, "b": 4}, approved=16)
+    dark = {row.fabric_domain for row in world.rows()}
+    assert dark == {"a"}
+    for name, vm in world.fleet.vms.items():
+        vm.up = not name.startswith("a")
+    world.advance(100)
+    assert {row.fabric_domain for row in world.rows()} == {"b"}
+    assert len(world.serving()) == 2
+    assert world.capacity().accelerators == 16
+
+
+def test_formation_frees_rows_of_domain_that_left_the_vm_list():
+    """A domain without listed VMs has no controller to free its rows."""
+    world = _build({"a": 4, "b": 4}, approved=16)
+    for name, vm in world.fleet.vms.items():
+        if name.startswith("a"):
+            vm.up = False
+            world.fleet.unlisted.add(name)
+    world.advance(100)
+    assert {row.fabric_domain for row in world.rows()} == {"b"}
+    assert world.capacity() == model.CapacityRow(replicas=2, accelerators=16)
+
+
+def test_formation_decides_nothing_without_any_status():
+    """A controller that is cut off itself would dissolve everything."""
+    world = _build({"a": 4, "b": 4})
+    before = world.rows()
+    world.daemons[0].engines.cut.update(world.fleet.vms)
+    world.advance(60)
+    assert world.rows() == before
+
+
+def test_formation_distrusts_returning_vm_for_doubling_time():
+    """A flapping VM would take its replica down with each return."""
+    world = _build({"a": 3}, replicas=1)
+    (row,) = world.rows()
+    flapping = row.members[1].name
+    world.fleet.vms[flapping].up = False
+    world.advance(10)
+    (repaired,) = world.rows()
+    assert flapping not in _names(repaired.members)
+    world.fleet.vms[flapping].restart()
+    world.fleet.vms[repaired.members[0].name].up = False
+    world.advance(20)
+    assert world.rows() == []
+    world.advance(90)
+    assert flapping in _names(world.rows()[0].members)
+
+
+def test_trust_doubles_to_an_hour_and_decays():
+    """A fixed time suits neither one restart nor endless flapping."""
+    now = 0 * SECOND
+    record = trust.observe(None, True, now)
+    waits = []
+    for _ in range(9):
+        record = trust.observe(record, False, now)
+        now += 10 * SECOND
+        record = trust.observe(record, True, now)
+        waits.append((record.until - now) / SECOND)
+        now += 10 * SECOND
+    assert waits[:4] == [30, 60, 120, 240]
+    assert waits[-1] == 3600
+    now += 10 * trust.DECAY
+    record = trust.observe(record, False, now)
+    record = trust.observe(record, True, now + SECOND)
+    assert record.until - now - SECOND == trust.FIRST
+
+
+def test_formation_finishes_work_before_leaving_member_is_replaced():
+    """Orders end streams: a planned leave must not cut off requests."""
+    world = _build({"a": 3}, replicas=1, spares_per_fabric_domain=1)
+    (row,) = world.rows()
+    world.fleet.vms[row.members[0].name].running = 1
+    world.set_leaving(row.members[1].name)
+    world.advance(30)
+    (waiting,) = world.rows()
+    assert waiting.phase == model.Phase.REPLACING
+    assert waiting.generation == row.generation
+    assert world.serving() == []
+    world.fleet.vms[row.members[0].name].running = 0
+    world.advance(5)
+    (replaced,) = world.rows()
+    assert row.members[1].name not in _names(replaced.members)
+    world.advance(70)
+    assert len(world.serving()) == 1
+
+
+def test_formation_rolls_version_without_dropping_below_promise():
+    """A roll that ends old replicas first breaks promised capacity."""
+    world = _build({"a": 6}, approved=24)
+    service = world_module.build_service(approved=24, model="m2")
+    fleet_module.accept(world.table, world.clock, service, base_version=1)
+    for _ in range(400):
+        world.advance(1)
+        assert len(world.serving()) >= 2
+        assert world.capacity().accelerators <= 24
+    assert {row.model for row in world.rows()} == {"m2"}
+    assert len(world.rows()) == 2
+
+
+def test_formation_rolls_size_of_replicas():
+    """A new number of VMs per replica must reach running replicas."""
+    world = _build({"a": 8})
+    service = world_module.build_service(vms_per_replica=3)
+    fleet_module.accept(world.table, world.clock, service, base_version=1)
+    world.advance(400)
+    assert [len(row.members) for row in world.rows()] == [3, 3]
+
+
+def test_formation_ends_replicas_beyond_lowered_approval():
+    """Lowered approval binds replicas that run already."""
+    world = _build({"a": 4})
+    service = world_module.build_service(approved=8)
+    fleet_module.accept(world.table, world.clock, service, base_version=1)
+    world.advance(30)
+    assert world.capacity() == model.CapacityRow(replicas=1, accelerators=8)
+
+
+def test_formation_binds_to_newest_approval_not_the_one_in_force():
+    """A daemon with an older configuration would assign too much."""
+    world = world_module.World(
+        {"a": 4}, [world_module.build_service(approved=16)]
+    )
+    (daemon,) = world.daemons
+    daemon.observe()
+    lowered = world_module.build_service(approved=8)
+    fleet_module.accept(world.table, world.clock, lowered, base_version=1)
+    daemon.config.poll_once = lambda: None
+    world.advance(60)
+    assert world.capacity().accelerators == 8
+
+
+def test_formation_repairs_most_valuable_replica_first():
+    """One free VM must go where it restores most worth."""
+    services = [
+        world_module.build_service("bulk", worth=1.0, replicas=1),
+        world_module.build_service("urgent", worth=100.0, replicas=1),
+    ]
+    world = world_module.World({"a": 5}, services)
+    world.advance(100)
+    for row in world.rows():
+        world.fleet.vms[row.members[0].name].up = False
+    world.advance(80)
+    assert len(world.serving("urgent")) == 1
+    assert world.serving("bulk") == []
+
+
+def test_worth_loads_most_valuable_replica_first():
+    """Loads in order of names would hold up the urgent service."""
+    chosen = worth.choose_loads(
+        {"a": 1.0, "b": 9.0, "c": 2.0}, {"a": 4, "b": 4, "c": 0}, 0, 4
+    )
+    assert chosen == {"b", "c"}
+
+
+def test_board_reads_every_vm_of_a_large_fleet():
+    """Reads that always begin with the same VMs never reach the last ones."""
+    world = world_module.World({"a": 200}, [])
+    for _ in range(5):
+        world.daemons[0].observe()
+        world.clock.advance(SECOND / 2)
+    assert len(world.daemons[0].board.seen()) == 200
+
+
+def _start_outage(world):
+    for daemon in world.daemons:
+        daemon.table.down = True
+    world.advance(7)
+
+
+def test_outage_repairs_from_reserved_spare_and_audits_first():
+    """A long table outage must not leave a replica down beside its spare."""
+    world = _build({"a": 4}, replicas=1, spares_per_fabric_domain=1)
+    (row,) = world.rows()
+    _start_outage(world)
+    world.fleet.vms[row.members[0].name].up = False
+    world.advance(80)
+    (serving,) = world.serving()
+    assert serving.generation > row.generation
+    assert world.rows() == [row]
+    count = len(world.table.log)
+    world.daemons[0].table.down = False
+    world.advance(12)
+    written = [entry["key"] for entry in world.table.log[count:]]
+    written = [key for key in written if not key.startswith("lease/")]
+    assert written[0] == "audit-head/fabric/a"
+    (adopted,) = world.rows()
+    assert adopted.generation == serving.generation
+    assert len(world.serving()) == 1
+    entries = trail.read_scope(world.table, "fabric/a")
+    assert trail.find_gaps(entries) == []
+    actions = [item.entry.action for item in entries]
+    assert actions.count("replica.repaired_from_plan") == 1
+
+
+def test_outage_leaves_free_vms_alone():
+    """A VM without a reservation may have been given to another replica."""
+    world = _build({"a": 4}, replicas=1)
+    (row,) = world.rows()
+    _start_outage(world)
+    count = len(world.fleet.record)
+    world.fleet.vms[row.members[0].name].up = False
+    world.advance(80)
+    assert len(world.fleet.record) == count
+    assert world.serving() == []
+
+
+def test_outage_repair_by_other_daemon_when_holder_is_dead():
+    """The last lease holder may die in the same outage."""
+    world = _build({"a": 3}, daemons=2, replicas=1, spares_per_fabric_domain=1)
+    (row,) = world.rows()
+    holder = world.daemons[0]
+    _start_outage(world)
+    world.fleet.vms[row.members[0].name].up = False
+    world.advance(110, paused=[holder])
+    assert len(world.serving(daemon=1)) == 1
+
+
+def test_outage_plan_expires():
+    """An old plan may reserve VMs that the table has long given away."""
+    world = _build({"a": 3}, replicas=1, spares_per_fabric_domain=1)
+    (row,) = world.rows()
+    _start_outage(world)
+    world.advance(int(controller.PLAN_VALID_FOR / SECOND))
+    count = len(world.fleet.record)
+    world.fleet.vms[row.members[0].name].up = False
+    world.advance(60)
+    assert len(world.fleet.record) == count
+
+
+def test_outage_audit_entry_with_lost_confirmation_is_written_once():
+    """A second entry for one repair would report a repair that was not."""
+    world = _build({"a": 3}, replicas=1, spares_per_fabric_domain=1)
+    (row,) = world.rows()
+    _start_outage(world)
+    world.fleet.vms[row.members[0].name].up = False
+    world.advance(80)
+    table = world.daemons[0].table
+    table.down = False
+
+    def fail_after_write():
+        table.lose_confirmations = 1000
+
+    table.before_transact = fail_after_write
+    world.daemons[0].control()
+    table.lose_confirmations = 0
+    world.advance(20)
+    entries = trail.read_scope(world.table, "fabric/a")
+    actions = [item.entry.action for item in entries]
+    assert actions.count("replica.repaired_from_plan") == 1
+
+
+def test_assignment_counts_vm_that_left_the_list():
+    """A replaced VM that is not listed any more keeps its approval."""
+    world = _build({"a": 5}, approved=20, spares_per_fabric_domain=1)
+    (row, *_) = world.rows()
+    name = row.members[0].name
+    world.fleet.vms[name].up = False
+    world.fleet.unlisted.add(name)
+    world.advance(30)
+    assigned = world.table.scan(model.VM_PREFIX)
+    expected = world_module.ACCELERATORS * len(assigned)
+    assert world.capacity().accelerators == expected
+    assert dataclasses.asdict(world.capacity())["replicas"] == 2
