Prove exclusivity under races, sleeps and lost confirmations

Cause: nothing showed that two controllers, one of them stale, keep a VM in one replica, nor that approval holds when controllers of two domains decide at once.

Ruled out: checks against the product's own state (they share its faults); shrinking in the test run (a failing run took over 100 s).

Change: a state machine drives two daemons over formation, assignment, lease and controller, with engines that check tokens and ones that ignore them. It sleeps inside transactions and before orders, loses confirmations, delivers old orders, cuts one way, takes the table down and lets VMs return as if nothing had happened. Checked after each transaction on the rows and after each second on the VMs' own record. Direct tests cover the single races.

--- /dev/null
+++ b/arbutuscove/replicas/tests/test_fencing.py
@@ -0,0 +1,452 @@
+"""Guards exclusivity while daemons race, sleep and lose confirmations.
+
+A state machine drives two daemons over the real decisions, leases,
+transactions and orders. What holds is checked against records that the
+product does not write: every transaction that the table applied, and what
+each VM itself ran.
+"""
+
+import datetime
+
+import hypothesis
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies
+
+from arbutuscove.audit import trail
+from arbutuscove.config import keys
+from arbutuscove.config import model as config_model
+from arbutuscove.replicas import assignment
+from arbutuscove.replicas import controller
+from arbutuscove.replicas import formation
+from arbutuscove.replicas import model
+from arbutuscove.replicas import serving
+from arbutuscove.replicas.tests import world as world_module
+from arbutuscove.standins import fleet as fleet_module
+from arbutuscove.standins import table as table_standin
+
+SECOND = datetime.timedelta(seconds=1)
+SIZES = {"a": 5, "b": 4}
+VM_NAMES = [vm.name for vm in world_module.build_vms(SIZES)]
+# Shrinking would take minutes; the failing steps are printed as found.
+SETTINGS = hypothesis.settings(
+    max_examples=10,
+    stateful_step_count=30,
+    phases=[hypothesis.Phase.explicit, hypothesis.Phase.generate],
+)
+HEALING = 240  # seconds: leases, drains and two loads one after the other
+names = strategies.sampled_from(VM_NAMES)
+indexes = strategies.sampled_from([0, 1])
+counts = strategies.integers(1, 12)
+
+
+class CheckedTable(table_standin.MemoryTable):
+    """Checks what the rows say after each transaction that took effect."""
+
+    def transact(self, transaction):
+        before = self._sum_capacity()
+        generations = {r.replica: r.generation for r in self._replicas()}
+        outcome = super().transact(transaction)
+        for row in self._replicas():
+            assert row.generation >= generations.get(row.replica, 0)
+        self._check_assignment()
+        self._check_approval(before)
+        return outcome
+
+    def _replicas(self):
+        rows = self.scan(model.REPLICA_PREFIX)
+        return [row.decode(model.ReplicaRow) for row in rows]
+
+    def _sum_capacity(self):
+        rows = self.scan(model.CAPACITY_PREFIX)
+        return {
+            row.key.removeprefix(model.CAPACITY_PREFIX): row.decode(
+                model.CapacityRow
+            )
+            for row in rows
+        }
+
+    def _check_assignment(self):
+        expected = {}
+        for row in self._replicas():
+            for member in row.members + row.spares:
+                key = f"{model.VM_PREFIX}{row.fabric_domain}/{member.name}"
+                assert key not in expected, "a VM is in two replicas"
+                spare = member in row.spares
+                expected[key] = (row.replica, row.generation, spare)
+        found = {}
+        for row in self.scan(model.VM_PREFIX):
+            vm = row.decode(model.VmRow)
+            found[row.key] = (vm.replica, vm.generation, vm.spare)
+        assert found == expected
+
+    def _check_approval(self, before):
+        assigned = len(self.scan(model.VM_PREFIX))
+        for name, capacity in self._sum_capacity().items():
+            used = assigned * world_module.ACCELERATORS
+            assert capacity.accelerators == used
+            rows = self._replicas()
+            assert capacity.replicas == len(rows)
+            draining = [r for r in rows if r.phase == model.Phase.DRAINING]
+            assert capacity.draining == len(draining)
+            old = before.get(name, model.CapacityRow())
+            if capacity.accelerators > old.accelerators:
+                body = self.read(keys.service_key(name))
+                service = body.decode(config_model.ServiceVersion).service
+                assert capacity.accelerators <= service.limits.accelerators
+
+
+class FencingMachine(stateful.RuleBasedStateMachine):
+    """Two daemons, nine VMs in two domains, and every fault."""
+
+    check_fencing = True
+
+    def __init__(self):
+        super().__init__()
+        self.version = 1
+        self.backend = {"replicas": 3, "spares_per_fabric_domain": 1}
+        self.approved = 28
+        service = world_module.build_service(approved=28, **self.backend)
+        self.world = world_module.World(
+            SIZES, [service], 2, self.check_fencing, CheckedTable()
+        )
+        self.went_down = {}
+        # Each daemon starts with one domain, so that they race on the
+        # capacity row.
+        for daemon, domain in zip(self.world.daemons, SIZES, strict=True):
+            daemon.leases.step(controller.DUTY_PREFIX + domain)
+        self.world.advance(90)
+
+    def _daemon(self, index):
+        return self.world.daemons[index]
+
+    def _advance(self, seconds, paused):
+        for _ in range(seconds):
+            self.world.advance(1, paused)
+            self.check_serving()
+
+    @stateful.rule(seconds=counts)
+    def run_both(self, seconds):
+        self._advance(seconds, ())
+
+    @stateful.rule(index=indexes, seconds=counts)
+    def run_while_other_sleeps(self, index, seconds):
+        self._advance(seconds, [self._daemon(index)])
+
+    @stateful.rule(index=indexes)
+    def wake_without_observing(self, index):
+        self._daemon(index).control()
+
+    @stateful.rule(index=indexes, seconds=counts)
+    def sleep_inside_next_transaction(self, index, seconds):
+        sleeper = self._daemon(index)
+        sleeper.table.before_transact = lambda: self.world.advance(
+            seconds, [sleeper]
+        )
+
+    @stateful.rule(index=indexes, seconds=counts)
+    def sleep_before_next_order(self, index, seconds):
+        sleeper = self._daemon(index)
+        sleeper.table.after_scan[model.CAPACITY_PREFIX] = lambda: (
+            self.world.advance(seconds, [sleeper])
+        )
+
+    @stateful.rule(index=indexes, seconds=counts)
+    def decide_at_once(self, index, seconds):
+        self._advance(seconds, self.world.daemons)
+        first, second = self._daemon(index), self._daemon(1 - index)
+        for daemon in (first, second):
+            daemon.observe()
+            daemon.renew()
+        first.table.before_transact = second.control
+        first.control()
+        first.table.before_transact = None
+
+    @stateful.rule(index=indexes, count=strategies.sampled_from([1, 2, 40]))
+    def lose_confirmations(self, index, count):
+        # 40 is more than `commit` tries in its time: the outcome stays unknown.
+        self._daemon(index).table.lose_confirmations = count
+
+    @stateful.rule(index=indexes)
+    def confirm_again(self, index):
+        self._daemon(index).table.lose_confirmations = 0
+
+    @stateful.rule(down=strategies.booleans())
+    def set_table(self, down):
+        for daemon in self.world.daemons:
+            daemon.table.down = down
+
+    @stateful.rule(index=indexes, down=strategies.booleans())
+    def cut_daemon_from_table(self, index, down):
+        self._daemon(index).table.down = down
+
+    @stateful.rule(index=indexes, holds=strategies.booleans())
+    def hold_orders(self, index, holds):
+        self._daemon(index).engines.holds_orders = holds
+
+    @stateful.rule(index=indexes)
+    def deliver_old_orders(self, index):
+        self._daemon(index).engines.deliver_held()
+
+    @stateful.rule(index=indexes, name=names)
+    def cut_daemon_from_vm(self, index, name):
+        self._daemon(index).engines.cut.add(name)
+
+    @stateful.rule(name=names)
+    def cut_orders_to_vm(self, name):
+        for daemon in self.world.daemons:
+            daemon.engines.deaf.add(name)
+
+    @stateful.rule(index=indexes)
+    def reconnect_daemon(self, index):
+        self._daemon(index).engines.cut.clear()
+        self._daemon(index).engines.deaf.clear()
+
+    def _lose(self, name):
+        vm = self.world.fleet.vms[name]
+        if vm.up:
+            self.went_down[name] = self.world.clock.monotonic()
+        vm.up = False
+
+    @stateful.rule(name=names)
+    def lose_vm(self, name):
+        self._lose(name)
+
+    @stateful.rule(domain=strategies.sampled_from(sorted(SIZES)))
+    def lose_domain(self, domain):
+        for name in VM_NAMES:
+            if name.startswith(domain):
+                self._lose(name)
+
+    @stateful.rule(name=names)
+    def return_as_if_nothing_happened(self, name):
+        self.world.fleet.vms[name].up = True
+
+    @stateful.rule(name=names)
+    def restart_vm(self, name):
+        self.world.fleet.vms[name].restart()
+
+    @stateful.rule(name=names)
+    def announce_leaving(self, name):
+        self.world.fleet.vms[name].leaving = True
+
+    @stateful.rule(
+        approved=strategies.sampled_from([8, 20, 28, 36]),
+        wanted=strategies.sampled_from(["m1", "m2"]),
+    )
+    def accept_version(self, approved, wanted):
+        self.approved = approved
+        service = world_module.build_service(
+            approved=approved, model=wanted, **self.backend
+        )
+        fleet_module.accept(
+            self.world.table, self.world.clock, service, self.version
+        )
+        self.version += 1
+
+    @stateful.invariant()
+    def check_leases(self):
+        for domain in SIZES:
+            duty = controller.DUTY_PREFIX + domain
+            epochs = [d.leases.epoch(duty) for d in self.world.daemons]
+            assert epochs.count(None) >= 1
+
+    @stateful.invariant()
+    def check_serving(self):
+        for index, daemon in enumerate(self.world.daemons):
+            used = []
+            for found in self.world.serving(daemon=index):
+                size = len(daemon.directory.rows()[found.replica].members)
+                members = self._find_members(found)
+                assert len(set(members)) == size
+                used.extend(members)
+            assert len(used) == len(set(used)), "a VM serves in two replicas"
+
+    def _find_members(self, found):
+        """Returns the members by the VMs' own record; each must have run."""
+        run = self._find_run(found.leader.name, found)
+        for name in run.members:
+            assert self._find_run(name, found).members == run.members
+            went_down = self.went_down.get(name)
+            if not self.world.fleet.vms[name].up:
+                now = self.world.clock.monotonic()
+                assert now - went_down <= serving.FRESH_FOR
+        return run.members
+
+    def _find_run(self, name, found):
+        now = self.world.clock.monotonic()
+        until = now + SECOND
+        for run in reversed(self.world.fleet.record):
+            if run.vm != name:
+                continue
+            wanted = (found.replica, found.generation)
+            if (run.replica, run.generation) == wanted:
+                # It ran this until the next order, which may be recent.
+                assert until >= now - serving.FRESH_FOR
+                return run
+            until = run.at
+        raise AssertionError(f"{name} never ran {found}")
+
+    def teardown(self):
+        """Everything heals: promised replicas return, audit has no gap."""
+        for daemon in self.world.daemons:
+            daemon.table.down = False
+            daemon.table.lose_confirmations = 0
+            daemon.table.before_transact = None
+            daemon.table.after_scan.clear()
+            daemon.engines.cut.clear()
+            daemon.engines.deaf.clear()
+            daemon.engines.holds_orders = False
+            daemon.engines.held.clear()
+        for vm in self.world.fleet.vms.values():
+            vm.up = True
+            vm.leaving = False
+        self.world.advance(2)
+        self.world.clock.advance(datetime.timedelta(hours=2))
+        self._advance(HEALING, ())
+        size = 2 * world_module.ACCELERATORS
+        expected = min(3, self.approved // size)
+        rows = self.world.rows()
+        assert len(self.world.serving()) == expected, rows
+        for domain in SIZES:
+            scope = controller.DUTY_PREFIX + domain
+            entries = trail.read_scope(self.world.table, scope, limit=9999)
+            assert trail.find_gaps(entries) == []
+
+
+def _race(sizes, approved, **backend):
+    """Returns a world in which two daemons decide inside one transaction."""
+    world = world_module.World(sizes, [], 2, table=CheckedTable())
+    for daemon, domain in zip(world.daemons, "ab", strict=True):
+        daemon.observe()
+        daemon.leases.step(controller.DUTY_PREFIX + domain)
+    world.advance(4)
+    service = world_module.build_service(approved=approved, **backend)
+    fleet_module.accept(world.table, world.clock, service)
+    first, second = world.daemons
+    for daemon in world.daemons:
+        daemon.observe()
+    first.table.before_transact = second.control
+    first.control()
+    return world
+
+
+def test_controllers_of_two_domains_stay_within_approval():
+    """Each alone is within approval; both together are not."""
+    world = _race({"a": 2, "b": 2}, approved=8)
+    assert len(world.rows()) == 1
+    world.advance(90)
+    assert len(world.rows()) == 1
+
+
+def test_controllers_of_two_domains_end_only_one_surplus_replica():
+    """Each sees one replica too many and would drain its own."""
+    world = _race({"a": 2, "b": 2}, approved=16, replicas=2)
+    world.advance(90)
+    assert len(world.serving()) == 2
+    service = world_module.build_service(replicas=1)
+    fleet_module.accept(world.table, world.clock, service, base_version=1)
+    for daemon in world.daemons:
+        daemon.observe()
+    first, second = world.daemons
+    first.table.before_transact = second.control
+    first.control()
+    world.advance(30)
+    assert len(world.rows()) == 1
+
+
+@pytest.mark.parametrize("check_fencing", [True, False])
+def test_stale_controller_cannot_claim_a_vm_twice(check_fencing):
+    """A controller that believes in its lapsed lease decides with old rows."""
+    service = world_module.build_service(replicas=1)
+    world = world_module.World(
+        {"a": 4}, [service], 2, check_fencing, CheckedTable()
+    )
+    for daemon in world.daemons:
+        daemon.observe()
+        daemon.leases.epoch = lambda duty: 1
+    stale, other = world.daemons
+    stale.engines.holds_orders = True
+    stale.table.before_transact = other.control
+    stale.control()
+    world.advance(20, paused=[stale])
+    (row,) = world.rows()
+    world.fleet.vms[row.members[1].name].up = False
+    world.advance(20, paused=[stale])
+    world.fleet.vms[row.members[1].name].up = True
+    stale.engines.deliver_held()
+    world.advance(100, paused=[stale])
+    (repaired,) = world.rows()
+    assert repaired.generation == row.generation + 1
+    assert len(world.serving(daemon=1)) == 1
+
+
+def test_holder_that_slept_before_its_orders_sends_none():
+    """Engines that ignore tokens would follow the lapsed holder's orders."""
+    service = world_module.build_service(replicas=1)
+    world = world_module.World(
+        {"a": 4}, [service], 2, check_fencing=False, table=CheckedTable()
+    )
+    sleeper = world.daemons[0]
+    sleeper.engines.deaf.update(world.fleet.vms)
+    world.advance(4)
+    (row,) = world.rows()
+    sleeper.engines.deaf.clear()
+
+    def sleep():
+        world.fleet.vms[row.members[1].name].up = False
+        world.advance(30, paused=[sleeper])
+        world.fleet.vms[row.members[1].name].up = True
+
+    sleeper.table.after_scan[model.CAPACITY_PREFIX] = sleep
+    sleeper.control()
+    world.advance(1)
+    (repaired,) = world.rows()
+    assert repaired.generation == row.generation + 1
+    old = [r for r in world.fleet.record if r.generation == row.generation]
+    assert old == []
+
+
+def test_replica_does_not_serve_while_a_member_is_in_the_old_generation():
+    """One member that orders do not reach would answer for the old group."""
+    service = world_module.build_service(
+        vms_per_replica=3, replicas=1, spares_per_fabric_domain=1
+    )
+    world = world_module.World({"a": 4}, [service])
+    world.advance(90)
+    (row,) = world.rows()
+    (daemon,) = world.daemons
+    daemon.engines.deaf.add(row.members[0].name)
+    world.fleet.vms[row.members[2].name].up = False
+    world.advance(90)
+    assert world.rows()[0].generation == row.generation + 1
+    assert world.serving() == []
+    daemon.engines.deaf.clear()
+    world.advance(20)
+    assert len(world.serving()) == 1
+
+
+def test_transaction_is_conditioned_on_every_row_that_it_writes():
+    """An unconditioned row may be overwritten by a stale controller."""
+    (vm, *rest) = world_module.build_vms({"a": 2})
+    decision = formation.Form(
+        service=world_module.build_service(),
+        members=(vm, *rest),
+        reason="",
+    )
+    rows = assignment.Rows(by_key={})
+    transaction = assignment.build(decision, {}, rows).transaction
+    written = {write.key for write in transaction.writes}
+    assert {item.key for item in transaction.conditions} == written
+
+
+class IgnoringMachine(FencingMachine):
+    """The same with engines that ignore fencing tokens."""
+
+    check_fencing = False
+
+
+TestFencing = FencingMachine.TestCase
+TestFencing.settings = SETTINGS
+TestIgnoring = IgnoringMachine.TestCase
+TestIgnoring.settings = SETTINGS
--- a/arbutuscove/replicas/tests/world.py
+++ b/arbutuscove/replicas/tests/world.py
@@ -50,9 +50,11 @@
 class World:
     """Table, VMs and daemons on one manual clock."""
 
-    def __init__(self, sizes, services, daemons=1, check_fencing=True):
+    def __init__(
+        self, sizes, services, daemons=1, check_fencing=True, table=None
+    ):
         self.clock = clock_module.ManualClock()
-        self.table = table_standin.MemoryTable()
+        self.table = table or table_standin.MemoryTable()
         self.fleet = fleet_module.Fleet(
             self.clock, build_vms(sizes), check_fencing
         )
--- a/arbutuscove/standins/fleet.py
+++ b/arbutuscove/standins/fleet.py
@@ -161,6 +161,9 @@
     def __init__(self, fleet: Fleet) -> None:
         self._by_address = {vm.vm.address: vm for vm in fleet.vms.values()}
         self.cut: set[str] = set()
+        # VMs whose statuses arrive although nothing reaches them: a one-way
+        # partition.
+        self.deaf: set[str] = set()
         self.holds_orders = False
         self.held: list[tuple[FleetVm, protocol.Order]] = []
 
@@ -201,6 +204,8 @@
             UnreachableError: the order may or may not have been taken.
         """
         self._check()
+        if self._vm.vm.name in self._engines.deaf:
+            raise errors.UnreachableError(self._vm.vm.name)
         if self._engines.holds_orders:
             self._engines.held.append((self._vm, order))
             raise errors.UnreachableError("no answer in time")
@@ -220,6 +225,8 @@
         self.lose_confirmations = 0
         # Called before a transaction is applied, to interleave others.
         self.before_transact: abc.Callable[[], None] | None = None
+        # Called after the next scan, to let the daemon sleep there.
+        self.after_scan: dict[str, abc.Callable[[], None]] = {}
 
     def read(self, key: str) -> table_module.Row | None:
         """Returns a row."""
@@ -231,7 +238,11 @@
     ) -> list[table_module.Row]:
         """Returns rows by prefix."""
         self._check()
-        return self._table.scan(prefix, after, limit)
+        rows = self._table.scan(prefix, after, limit)
+        sleep = self.after_scan.pop(prefix, None)
+        if sleep is not None:
+            sleep()
+        return rows
 
     def transact(
         self, transaction: table_module.Transaction
