--- a/arbutuscove/replicas/controller.py
+++ b/arbutuscove/replicas/controller.py
@@ -74,6 +74,8 @@
         self._engines = engines
         self._watching_since = clock.monotonic()
         self._trust: dict[str, trust.Record] = {}
+        # Since when each fabric domain has had any VM present.
+        self._sighted: dict[str, datetime.timedelta] = {}
         self._phases: dict[str, tuple[model.Phase, datetime.timedelta]] = {}
         self._broken: dict[str, datetime.timedelta] = {}
         self._repaired: dict[str, model.ReplicaRow] = {}
@@ -185,16 +187,23 @@
         """Records which VMs are present, lost or back."""
         now = self._clock.monotonic()
         seen = self._board.seen()
-        names = set(self._board.vms())
-        for name in names:
-            report = seen.get(name)
-            if report is None and name not in self._trust:
-                continue
-            fresh = formation.LOST_AFTER
-            present = report is not None and now - report.at <= fresh
-            known = self._trust.get(name)
-            self._trust[name] = trust.observe(known, present, now)
-        for name in set(self._trust) - names:
+        vms = self._board.vms()
+        present = {
+            name
+            for name in vms
+            if name in seen and now - seen[name].at <= formation.LOST_AFTER
+        }
+        sighted = {vms[name].fabric_domain for name in present}
+        for domain in set(self._sighted) - sighted:
+            del self._sighted[domain]
+        for domain in sighted:
+            self._sighted.setdefault(domain, now)
+        for name, vm in vms.items():
+            if name in seen or name in self._trust:
+                known = self._trust.get(name)
+                since = self._sighted.get(vm.fabric_domain)
+                self._trust[name] = _judge(known, name in present, since, now)
+        for name in set(self._trust) - set(vms):
             record = trust.observe(self._trust[name], False, now)
             self._trust[name] = record
             if now - record.since > trust.LONGEST:
@@ -502,6 +511,25 @@
         return self._clock.monotonic() - read_at >= OUTAGE_AFTER
 
 
+def _judge(
+    known: trust.Record | None,
+    present: bool,
+    sighted: datetime.timedelta | None,
+    now: datetime.timedelta,
+) -> trust.Record:
+    """Returns the record of a VM; a dark domain is no fault of its VMs."""
+    if present or known is None:
+        return trust.observe(known, present, now)
+    if sighted is None:
+        # Statuses are not all of one age: some VMs counted as lost first.
+        if not known.present and now - known.since <= formation.LOST_AFTER:
+            return dataclasses.replace(known, present=True)
+        return known
+    if now - sighted < formation.LOST_AFTER:
+        return known
+    return trust.observe(known, False, now)
+
+
 def _is_ahead(report: model.Seen | None, row: model.ReplicaRow) -> bool:
     """Returns whether a VM follows a newer plan than this repair."""
     if report is None:
--- a/arbutuscove/replicas/formation.py
+++ b/arbutuscove/replicas/formation.py
@@ -218,8 +218,28 @@
         default=view.watching_since,
     )
     age = view.now - newest
-    sighted = any(not _is_gone(view, name) for name in view.vms)
-    return not sighted and age < DARK_AFTER
+    if any(not _is_gone(view, name) for name in view.vms):
+        return False
+    return age < DARK_AFTER or not _can_rebuild_elsewhere(view)
+
+
+def _can_rebuild_elsewhere(view: View) -> bool:
+    # Replicas of a dark domain come back whole with it. Dissolving them only
+    # helps where another domain has the VMs for one.
+    used = {
+        member.name
+        for row in view.others.values()
+        for member in row.members + row.spares
+    }
+    free: dict[str, int] = {}
+    for name, vm in view.fleet.items():
+        report = view.seen.get(name)
+        fresh = report is not None and view.now - report.at <= LOST_AFTER
+        if fresh and name not in used and name not in view.vms:
+            domain = vm.fabric_domain
+            free[domain] = free.get(domain, 0) + 1
+    sizes = [len(row.members) for row in view.replicas.values()]
+    return max(free.values(), default=0) >= min(sizes, default=0)
 
 
 def _adopt_repairs(view: View, draft: _Draft) -> None:
--- a/arbutuscove/replicas/tests/test_formation.py
+++ b/arbutuscove/replicas/tests/test_formation.py
@@ -119,6 +119,34 @@
     assert flapping in _names(world.rows()[0].members)
 
 
+def test_formation_keeps_replicas_of_dark_domain_without_substitute():
+    """Dissolving them delays their return and restores nothing meanwhile."""
+    world = _build({"a": 4, "b": 1})
+    before = world.rows()
+    for name, vm in world.fleet.vms.items():
+        vm.up = not name.startswith("a")
+    world.advance(60)
+    assert world.rows() == before
+    for vm in world.fleet.vms.values():
+        vm.up = True
+    world.advance(2)
+    assert len(world.serving()) == 2
+
+
+def test_trust_holds_dark_domain_against_no_vm():
+    """Distrust after a switch failure would keep a whole domain idle."""
+    world = _build({"a": 4, "b": 5})
+    for name, vm in world.fleet.vms.items():
+        vm.up = not name.startswith("a")
+    world.advance(100)
+    assert {row.fabric_domain for row in world.rows()} == {"b"}
+    for name, vm in world.fleet.vms.items():
+        vm.up = name.startswith("a")
+    world.advance(100)
+    assert {row.fabric_domain for row in world.rows()} == {"a"}
+    assert len(world.serving()) == 2
+
+
 def test_trust_doubles_to_an_hour_and_decays():
     """A fixed time suits neither one restart nor endless flapping."""
     now = 0 * SECOND
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the product, each run as a module."""
