--- a/arbutuscove/replicas/controller.py
+++ b/arbutuscove/replicas/controller.py
@@ -47,6 +47,9 @@
 FALLBACK_AFTER = datetime.timedelta(seconds=20)
 # Written plans permit repairs for this long after they were last read.
 PLAN_VALID_FOR = datetime.timedelta(minutes=15)
+# An engine may not report weights that it holds outside a replica, so an order
+# to load them is not repeated sooner.
+PRELOAD_INTERVAL = datetime.timedelta(minutes=2)
 JOURNAL_LIMIT = 1000  # audit entries kept in an outage; then repairs stop
 
 
@@ -74,6 +77,7 @@
         self._engines = engines
         self._watching_since = clock.monotonic()
         self._trust: dict[str, trust.Record] = {}
+        self._preloaded: dict[str, datetime.timedelta] = {}
         # Since when each fabric domain has had any VM present.
         self._sighted: dict[str, datetime.timedelta] = {}
         self._phases: dict[str, tuple[model.Phase, datetime.timedelta]] = {}
@@ -391,8 +395,31 @@
             for name in view.vms
             if name not in waiting
         }
+        if not waiting:
+            orders.update(self._preload(view, orders))
         self._send_all(duty, view, orders, from_plan=False)
 
+    def _preload(
+        self,
+        view: formation.View,
+        orders: dict[str, protocol.Order | None],
+    ) -> dict[str, protocol.Order | None]:
+        """Returns orders by which VMs outside replicas load weights."""
+        now = self._clock.monotonic()
+        wanted = formation.choose_preloads(view)
+        for name in set(self._preloaded) - set(view.fleet):
+            del self._preloaded[name]
+        found: dict[str, protocol.Order | None] = {}
+        for name, kind in wanted.items():
+            last = self._preloaded.get(name)
+            recent = last is not None and now - last < PRELOAD_INTERVAL
+            if orders.get(name) is None and not recent:
+                self._preloaded[name] = now
+                found[name] = protocol.Order(
+                    replica="", generation=0, epoch=0, model=kind
+                )
+        return found
+
     def _choose_loads(self, view: formation.View) -> list[model.ReplicaRow]:
         loads: dict[str, int] = {}
         values: dict[str, float] = {}
--- a/arbutuscove/replicas/formation.py
+++ b/arbutuscove/replicas/formation.py
@@ -189,6 +189,33 @@
     return repairs
 
 
+def choose_preloads(view: View) -> dict[str, str]:
+    """Returns which weights VMs outside replicas should load ahead.
+
+    Spares load their replica's model, and free VMs that of the most valuable
+    service, while they are distrusted too. A repair with them then costs a
+    regroup instead of a load.
+    """
+    services = [service for service in view.services if service.model]
+    if not services:
+        return {}
+    best = max(services, key=worth.weigh_service).model
+    assert best is not None
+    wanted = {
+        name: best.model for name in view.vms if name not in view.assigned
+    }
+    for row in view.replicas.values():
+        wanted.update({member.name: row.model for member in row.spares})
+    return {
+        name: kind
+        for name, kind in wanted.items()
+        if name in view.vms
+        and not _is_lost(view, name)
+        and not view.seen[name].status.replica
+        and view.seen[name].status.model != kind
+    }
+
+
 def weigh_replica(view: View, row: model.ReplicaRow) -> float:
     """Returns the value of completing a replica, worth per load time."""
     service = _find_service(view, row.service)
--- a/arbutuscove/replicas/tests/test_formation.py
+++ b/arbutuscove/replicas/tests/test_formation.py
@@ -362,3 +362,13 @@
     expected = world_module.ACCELERATORS * len(assigned)
     assert world.capacity().accelerators == expected
     assert dataclasses.asdict(world.capacity())["replicas"] == 2
+
+
+def test_formation_preloads_spares():
+    """A spare without weights makes a repair as slow as a rebuild."""
+    world = _build({"a": 5}, replicas=2, spares_per_fabric_domain=1)
+    world.advance(70)
+    row = next(row for row in world.rows() if row.spares)
+    world.fleet.vms[row.members[1].name].up = False
+    world.advance(20)
+    assert len(world.serving()) == 2
--- a/arbutuscove/standins/fleet.py
+++ b/arbutuscove/standins/fleet.py
@@ -62,6 +62,7 @@
         self._record = record
         self._highest_epoch = 0
         self._model = ""
+        self._preload = ""
         self._ready_at = datetime.timedelta()
 
     def restart(self) -> None:
@@ -72,11 +73,15 @@
         self.order = None
         self._highest_epoch = 0
         self._model = ""
+        self._preload = ""
 
     def read_status(self) -> protocol.Status:
         """Returns what the VM says of itself."""
         order = self.order
         if order is None:
+            ready = self._clock.monotonic() >= self._ready_at
+            if self._preload and ready:
+                self._model = self._preload
             return protocol.Status(
                 vm=self.vm.name,
                 state=protocol.State.IDLE,
@@ -114,10 +119,18 @@
     def _adopt(self, order: protocol.Order) -> None:
         self.order = order if order.replica else None
         self.running = 0
-        loads = order.model != self._model
-        pause = LOAD_TIME if loads else REGROUP_TIME
-        self._ready_at = self._clock.monotonic() + pause
-        self._model = order.model or self._model
+        now = self._clock.monotonic()
+        if order.model == self._model:
+            self._ready_at = now + REGROUP_TIME
+        elif order.model and order.model == self._preload:
+            # A load of these weights that has begun goes on.
+            self._ready_at = max(self._ready_at, now + REGROUP_TIME)
+        else:
+            self._ready_at = now + LOAD_TIME
+        # Weights of an order without a replica count when they are loaded.
+        self._preload = "" if order.replica else order.model
+        if order.replica:
+            self._model = order.model
         self._record.append(
             Run(
                 at=self._clock.monotonic(),
