--- a/arbutuscove/replicas/formation.py
+++ b/arbutuscove/replicas/formation.py
@@ -189,6 +189,33 @@
     return repairs
 
 
+def choose_preloads(view: View) -> dict[str, str]:
+    """Returns which weights VMs outside replicas should load ahead.
+
+    Spares load their replica's model, and free VMs that of the most valuable
+    service, while they are distrusted too. A repair with them then costs a
+    regroup instead of a load.
+    """
+    services = [service for service in view.services if service.model]
+    if not services:
+        return {}
+    best = max(services, key=worth.weigh_service).model
+    assert best is not None
+    wanted = {
+        name: best.model for name in view.vms if name not in view.assigned
+    }
+    for row in view.replicas.values():
+        wanted.update({member.name: row.model for member in row.spares})
+    return {
+        name: kind
+        for name, kind in wanted.items()
+        if name in view.vms
+        and not _is_lost(view, name)
+        and not view.seen[name].status.replica
+        and view.seen[name].status.model != kind
+    }
+
+
 def weigh_replica(view: View, row: model.ReplicaRow) -> float:
     """Returns the value of completing a replica, worth per load time."""
     service = _find_service(view, row.service)
@@ -218,8 +245,28 @@
         default=view.watching_since,
     )
     age = view.now - newest
-    sighted = any(not _is_gone(view, name) for name in view.vms)
-    return not sighted and age < DARK_AFTER
+    if any(not _is_gone(view, name) for name in view.vms):
+        return False
+    return age < DARK_AFTER or not _can_rebuild_elsewhere(view)
+
+
+def _can_rebuild_elsewhere(view: View) -> bool:
+    # Replicas of a dark domain come back whole with it. Dissolving them only
+    # helps where another domain has the VMs for one.
+    used = {
+        member.name
+        for row in view.others.values()
+        for member in row.members + row.spares
+    }
+    free: dict[str, int] = {}
+    for name, vm in view.fleet.items():
+        report = view.seen.get(name)
+        fresh = report is not None and view.now - report.at <= LOST_AFTER
+        if fresh and name not in used and name not in view.vms:
+            domain = vm.fabric_domain
+            free[domain] = free.get(domain, 0) + 1
+    sizes = [len(row.members) for row in view.replicas.values()]
+    return max(free.values(), default=0) >= min(sizes, default=0)
 
 
 def _adopt_repairs(view: View, draft: _Draft) -> None:
--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of the product; none of them asserts a wall time."""
+"""Benchmarks and measurements; run as `python -m bench.<name>`."""
