Treat a connection closed before the headers as no response

Cause: a trial with real processes and a request that crashes its engine answered 500 `Internal Server Error` without `Arbutuscove-Run`, and counted no death. The HTTP client raises `HTTPParseError` when a server closes before the headers are complete, and this is neither an `OSError` nor a `ValueError`.

Change: `platform.http.READ_ERRORS` names what reading raises, and the engine client uses it. A refused connection is now told apart from an unreachable host (`NotListeningError`), because it shows at once that the engine process is gone; before, the verdict took the whole 3 s of doubt.

--- a/arbutuscove/platform/http.py
+++ b/arbutuscove/platform/http.py
@@ -15,6 +15,9 @@
 CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
 REQUEST_TIMEOUT = datetime.timedelta(seconds=2)
 POOL_CONNECTIONS = 8  # per address; bounds sockets towards one server
+# What reading a response raises; `HTTPParseError` also stands for a connection
+# that was closed before the headers were complete and is no `OSError`.
+READ_ERRORS = (OSError, ValueError, response_module.HTTPParseError)
 
 
 class HttpError(Exception):
@@ -25,6 +28,10 @@
     """The connection could not be made; the request had no effect."""
 
 
+class RefusedError(NotSentError):
+    """The host answered that no process listens on the port."""
+
+
 class NoResponseError(HttpError):
     """The request was sent but its response was lost."""
 
@@ -108,7 +115,7 @@
         response = self.open(method, path, body, headers)
         try:
             content = bytes(response.read())
-        except (OSError, ValueError) as error:
+        except READ_ERRORS as error:
             raise NoResponseError(f"{self.address}: {error}") from error
         if not response.message_complete:
             raise NoResponseError(f"{self.address}: response was cut short")
@@ -132,12 +139,12 @@
         try:
             return self._client.request(method, path, encoded, fields)
         except ConnectionRefusedError as error:
-            raise NotSentError(f"{self.address}: {error}") from error
+            raise RefusedError(f"{self.address}: {error}") from error
         except OSError as error:
             if error.errno in (errno.EHOSTUNREACH, errno.ENETUNREACH):
                 raise NotSentError(f"{self.address}: {error}") from error
             raise NoResponseError(f"{self.address}: {error}") from error
-        except (TimeoutError, ValueError) as error:
+        except READ_ERRORS as error:
             raise NoResponseError(f"{self.address}: {error}") from error
 
     def close(self) -> None:
--- a/arbutuscove/requests/suspects.py
+++ b/arbutuscove/requests/suspects.py
@@ -1,10 +1,11 @@
 """Follows running requests, counts deaths and shares suspicions.
 
 A daemon concludes that a replica died with a request when the stream broke
-and the replica's leader says that it is not ready in that generation, or the
-replica's row has moved to another generation. A leader that still is ready
-means that only the connection was cut. While neither can be found out, the
-death counts as a first one (which costs a trial) but never as a second.
+and the replica's leader says that it is not ready in that generation, its VM
+refuses connections, or the replica serves in a newer generation. A leader that
+still is ready means that only the connection was cut. While neither can be
+found out, the death counts as a first one (which costs a trial) but never as a
+second.
 """
 
 import dataclasses
@@ -270,6 +271,8 @@
         client = self._engines.get(replica.leader.address)
         try:
             status = client.read_status()
+        except errors.NotListeningError:
+            return Verdict.DEAD
         except errors.UnreachableError:
             serving = self._serving(replica.service)
             moved = any(
--- /dev/null
+++ b/arbutuscove/requests/tests/test_crash.py
@@ -0,0 +1,39 @@
+"""Guards against a crashing request in front of real processes."""
+
+import pytest
+
+from arbutuscove.entry import headers
+from arbutuscove.requests import quarantine
+from arbutuscove.standins import cluster as cluster_module
+from arbutuscove.standins import demo
+from arbutuscove.standins import engine
+
+
+@pytest.fixture(name="cluster")
+def fixture_cluster(tmp_path):
+    layout = cluster_module.Layout(vms=12)
+    cluster = cluster_module.Cluster(tmp_path, layout)
+    try:
+        cluster.start()
+        demo.create_services(cluster)
+        demo.wait_until_serving(cluster)
+        yield cluster
+    finally:
+        cluster.stop()
+
+
+def test_crash_of_engines_ends_after_two(cluster):
+    """Sent to each daemon under new keys, it must stop at two engines."""
+    text = "please " + engine.CRASH_MARKER
+    codes = []
+    for number in range(9):
+        extra = {}
+        if number % 2:
+            extra[headers.REPEAT] = headers.NEVER
+            extra[headers.IDEMPOTENCY_KEY] = f"key-{number}"
+        daemon = number % cluster.layout.daemons
+        reply = demo.send_chat(cluster, text, extra, daemon=daemon)
+        codes.append(reply.json()["error"]["code"])
+    ran = [entry for entry in cluster.read_record() if "ran" in entry]
+    assert 1 <= len(ran) <= quarantine.DEATHS_TO_QUARANTINE
+    assert codes[-1] in ("request_quarantined", "request_suspected")
--- a/arbutuscove/upstreams/engine.py
+++ b/arbutuscove/upstreams/engine.py
@@ -44,7 +44,7 @@
         """
         try:
             return self._response.readline(protocol.EVENT_END)
-        except (OSError, ValueError) as error:
+        except http.READ_ERRORS as error:
             raise errors.StreamBrokenError(str(error)) from error
 
     def close(self) -> None:
@@ -72,6 +72,8 @@
         try:
             reply = self._status.send("GET", "/status")
             return msgspec.convert(reply.json(), protocol.Status)
+        except http.RefusedError as error:
+            raise errors.NotListeningError(str(error)) from error
         except (http.HttpError, msgspec.ValidationError) as error:
             raise errors.UnreachableError(str(error)) from error
 
@@ -119,7 +121,7 @@
             raise errors.DispatchUnknownError(str(error)) from error
         if response.status_code == 200:
             return expression.Ok(EventReader(response))
-        response.read()
+        _skip_body(response)
         return expression.Error(
             errors.DispatchRefused(status=response.status_code)
         )
@@ -138,7 +140,7 @@
             raise errors.StreamBrokenError(str(error)) from error
         if response.status_code == 200:
             return EventReader(response)
-        response.read()
+        _skip_body(response)
         raise errors.StreamLostError(f"status {response.status_code}")
 
     def cancel_stream(self, stream_id: str) -> None:
@@ -156,3 +158,11 @@
         """Closes all pooled connections."""
         for client in (self._control, self._status, self._streams):
             client.close()
+
+
+def _skip_body(response: response_module.HTTPSocketPoolResponse) -> None:
+    """Reads the rest, so that the connection can be used again."""
+    try:
+        response.read()
+    except http.READ_ERRORS:
+        return  # the status is known, and the connection is dropped
--- a/arbutuscove/upstreams/errors.py
+++ b/arbutuscove/upstreams/errors.py
@@ -11,6 +11,10 @@
     """A status or order got no valid answer."""
 
 
+class NotListeningError(UnreachableError):
+    """The VM answers but its engine process is gone."""
+
+
 class NotDispatchedError(UpstreamError):
     """The request never reached the upstream; nothing ran."""
 
