Give plain calls the shared retry budget, limits and one deadline

Cause: a call went to each address in turn without a budget, with its whole deadline for each, and a socket timeout that began again with each piece of the answer. A limit on a plain service was ignored. Answers of any size were held in memory.

Change: calls follow `attempts.may_retry` with the budget that model requests share, a refused connection moves on for any call, a lost one only for a repeatable call. An address that failed is tried last for 5 s. A timer bounds the whole answer, which may have 16 MiB.

Ruled out: admission queues and tickets for plain calls, since their servers have no slots to hold credits for.

Seen failing: with addresses in plain random order test_plain_failed_address_spends_little_of_the_budget; without the timer test_plain_trickling_answer_ends_with_the_deadline; without the length check test_plain_truncated_answer_is_not_whole.

Conclusion: plain calls are bounded like model requests.

--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -101,7 +101,7 @@
         clock,
         config,
         chat.ChatHandler(clock, requests, at_most_once, tokens, metrics),
-        plain.PlainHandler(at_most_once, generator),
+        plain.PlainHandler(at_most_once, generator, clock, limits, budget),
         lambda: _list_entries(membership),
         metrics,
         settings_module.read_keep(settings),
--- a/arbutuscove/entry/plain.py
+++ b/arbutuscove/entry/plain.py
@@ -1,5 +1,6 @@
 """Calls of plain services under `/plain/<service>/<path>`."""
 
+import dataclasses
 import datetime
 import random
 import uuid
@@ -12,6 +13,9 @@
 from arbutuscove.entry import callers
 from arbutuscove.entry import headers
 from arbutuscove.entry import refusals
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.limits import service as limits_module
+from arbutuscove.requests import attempts as attempts_module
 from arbutuscove.requests import claims as claims_module
 from arbutuscove.requests import failures
 from arbutuscove.requests import once as once_module
@@ -19,6 +23,7 @@
 from arbutuscove.upstreams import plain as plain_upstream
 
 RETRY_AFTER = datetime.timedelta(seconds=2)
+AVOID_TIME = datetime.timedelta(seconds=5)  # for an address that failed
 STORED_LIMIT = 1 << 20  # bytes of an answer kept for its idempotency key
 
 
@@ -26,10 +31,21 @@
     """Forwards calls; a call that may not be repeated is sent once."""
 
     def __init__(
-        self, once: once_module.AtMostOnce, generator: random.Random
+        self,
+        once: once_module.AtMostOnce,
+        generator: random.Random,
+        clock: clock_module.Clock,
+        limits: limits_module.Limits,
+        budget: attempts_module.RetryBudget,
     ) -> None:
         self._once = once
         self._random = generator
+        self._clock = clock
+        self._limits = limits
+        self._budget = budget
+        # Addresses that failed, and until when they are tried last; bounded
+        # by the addresses of configured services.
+        self._failed: dict[str, datetime.timedelta] = {}
 
     def handle(
         self,
@@ -64,7 +80,14 @@
             content_type=request.content_type or refusals.JSON_TYPE,
             body=request.get_data(),
         )
-        timeout = callers.read_deadline(request)
+        arrived = self._clock.monotonic()
+        # A call counts as one token of a limit, since it generates none.
+        work = dataclasses.replace(
+            callers.build_work(
+                request, caller, call.body, call.attempt_id, arrived, {}
+            ),
+            tokens=1,
+        )
         key = request.headers.get(headers.IDEMPOTENCY_KEY, "")
         if never == headers.NEVER and not key:
             raise refusals.BadRequestError(
@@ -73,15 +96,15 @@
                 f"{headers.REPEAT}: never needs {headers.IDEMPOTENCY_KEY}",
             )
         if repeatable or not key:
-            answer = self._send(backend, call, timeout, repeatable)
+            answer = self._send(backend, call, work, repeatable)
             return _respond(answer)
-        return self._send_once(backend, call, timeout, caller, key)
+        return self._send_once(backend, call, work, caller, key)
 
     def _send_once(
         self,
         backend: config_model.PlainBackend,
         call: plain_upstream.PlainCall,
-        timeout: datetime.timedelta,
+        work: work_module.Work,
         caller: callers.Caller,
         key: str,
     ) -> wrappers.Response:
@@ -95,7 +118,7 @@
         except once_module.AlreadyRanError as ran:
             return _replay(ran)
         try:
-            answer = self._send(backend, call, timeout, repeatable=False)
+            answer = self._send(backend, call, work, repeatable=False)
         except failures.RequestFailedError as error:
             if error.run != failures.Run.NOT_RUN:
                 raise
@@ -116,27 +139,74 @@
         self,
         backend: config_model.PlainBackend,
         call: plain_upstream.PlainCall,
-        timeout: datetime.timedelta,
+        work: work_module.Work,
         repeatable: bool,
     ) -> plain_upstream.PlainAnswer:
-        addresses = list(backend.addresses)
-        self._random.shuffle(addresses)
-        run = failures.Run.NOT_RUN
-        for address in addresses:
-            result = plain_upstream.send_call(address, call, timeout)
+        reserved = self._limits.reserve(work)
+        if reserved.is_error():
+            raise failures.RequestFailedError(
+                reserved.error, failures.Run.NOT_RUN
+            )
+        used = 1
+        try:
+            return self._send_attempts(backend, call, work, repeatable)
+        except failures.RequestFailedError as error:
+            used = 0 if error.run == failures.Run.NOT_RUN else 1
+            raise
+        finally:
+            self._limits.settle(reserved.ok, used)
+
+    def _send_attempts(
+        self,
+        backend: config_model.PlainBackend,
+        call: plain_upstream.PlainCall,
+        work: work_module.Work,
+        repeatable: bool,
+    ) -> plain_upstream.PlainAnswer:
+        self._budget.record_request()
+        addresses = self._order(backend)
+        made = attempts_module.Attempts()
+        while True:
+            address = addresses[made.made % len(addresses)]
+            left = work.deadline - self._clock.monotonic()
+            result = plain_upstream.send_call(address, call, left)
             if result.is_ok():
+                self._failed.pop(address, None)
                 return result.ok
-            if not isinstance(result.error, errors.NotDispatchedError):
-                run = failures.Run.UNKNOWN
-                if not repeatable:
-                    break
-        refusal = work_module.Refusal(
-            status=503,
-            code="upstream_failed",
-            message="no upstream answered the call",
-            retry_after=RETRY_AFTER,
+            self._failed[address] = self._clock.monotonic() + AVOID_TIME
+            refused = isinstance(result.error, errors.NotDispatchedError)
+            made = made.add(
+                failures.Run.NOT_RUN if refused else failures.Run.UNKNOWN
+            )
+            left = work.deadline - self._clock.monotonic()
+            if not attempts_module.may_retry(
+                made, repeatable, left, self._budget
+            ):
+                raise failures.RequestFailedError(_refuse_failed(), made.run)
+            self._clock.sleep(
+                attempts_module.pick_pause(made.made, self._random)
+            )
+
+    def _order(self, backend: config_model.PlainBackend) -> list[str]:
+        """Returns addresses in random order, those that failed lately last.
+
+        Otherwise one server of three that is down would use up the budget.
+        """
+        now = self._clock.monotonic()
+        addresses = list(backend.addresses)
+        self._random.shuffle(addresses)
+        return sorted(
+            addresses, key=lambda item: self._failed.get(item, now) > now
         )
-        raise failures.RequestFailedError(refusal, run)
+
+
+def _refuse_failed() -> work_module.Refusal:
+    return work_module.Refusal(
+        status=503,
+        code="upstream_failed",
+        message="no upstream answered the call",
+        retry_after=RETRY_AFTER,
+    )
 
 
 def _respond(answer: plain_upstream.PlainAnswer) -> wrappers.Response:
--- /dev/null
+++ b/arbutuscove/entry/tests/test_plain.py
@@ -0,0 +1,116 @@
+"""Guards against calls of plain services that run twice or wait too long."""
+
+import datetime
+import random
+
+import gevent
+import pytest
+from gevent import server
+
+from arbutuscove.config import model
+from arbutuscove.entry import plain
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.requests import attempts
+from arbutuscove.requests import failures
+from arbutuscove.requests.tests import fleet as fleet_module
+from arbutuscove.upstreams import plain as plain_upstream
+
+CALL = plain_upstream.PlainCall(
+    attempt_id="a", method="POST", path="/", content_type="", body=b""
+)
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class _Server:
+    """Counts calls and answers with fixed pieces, then closes."""
+
+    def __init__(self, *pieces, pause=0.0):
+        self.calls = 0
+        self._pieces = pieces
+        self._pause = pause
+        self._server = server.StreamServer(("127.0.0.1", 0), self._handle)
+        self._server.start()
+        self.address = f"127.0.0.1:{self._server.server_port}"
+
+    def _handle(self, connection, peer):
+        connection.recv(65536)
+        self.calls += 1
+        for piece in self._pieces:
+            connection.sendall(piece)
+            gevent.sleep(self._pause)
+        connection.close()
+
+    def stop(self):
+        self._server.stop()
+
+
+def _send(addresses, repeatable, handler=None, seconds=5):
+    handler = handler or _build_handler()
+    fleet = fleet_module.Fleet()
+    work = fleet_module.build_request(fleet, seconds=seconds).work
+    backend = model.PlainBackend(addresses=tuple(addresses))
+    return handler._send(backend, CALL, work, repeatable)
+
+
+def _build_handler():
+    return plain.PlainHandler(
+        None,
+        random.Random(1),
+        clock_module.ManualClock(),
+        fleet_module.Limits(),
+        attempts.RetryBudget(),
+    )
+
+
+@pytest.mark.parametrize(("repeatable", "calls"), [(False, 1), (True, 3)])
+def test_plain_lost_call_is_sent_again_only_if_repeatable(repeatable, calls):
+    """A settlement whose answer was lost must not run a second time."""
+    broken = _Server(b"")
+    with pytest.raises(failures.RequestFailedError) as caught:
+        _send([broken.address], repeatable)
+    broken.stop()
+    assert caught.value.run == failures.Run.UNKNOWN
+    assert broken.calls == calls
+
+
+def test_plain_refused_connection_goes_elsewhere():
+    """A server that is down ran nothing, so that any call may move on."""
+    gone = _Server()
+    gone.stop()
+    good = _Server(WHOLE)
+    for _ in range(5):
+        answer = _send([gone.address, good.address], repeatable=False)
+        assert answer.body == b"ok"
+    good.stop()
+
+
+def test_plain_failed_address_spends_little_of_the_budget():
+    """One server of two that is down must not use up the retries."""
+    gone = _Server()
+    gone.stop()
+    good = _Server(WHOLE)
+    handler = _build_handler()
+    for _ in range(60):
+        _send([gone.address, good.address], False, handler)
+    good.stop()
+    assert good.calls == 60
+
+
+def test_plain_truncated_answer_is_not_whole():
+    """A cut answer must not reach the caller as whole."""
+    cut = _Server(WHOLE[:-1])
+    with pytest.raises(failures.RequestFailedError) as caught:
+        _send([cut.address], repeatable=False)
+    cut.stop()
+    assert caught.value.run == failures.Run.UNKNOWN
+
+
+def test_plain_trickling_answer_ends_with_the_deadline():
+    """A server that sends a byte now and then must not hold a caller."""
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n"
+    slow = _Server(head, *([b"x"] * 1000), pause=0.02)
+    result = plain_upstream.send_call(
+        slow.address, CALL, datetime.timedelta(seconds=0.2)
+    )
+    slow.stop()
+    assert result.is_error()
--- a/arbutuscove/upstreams/plain.py
+++ b/arbutuscove/upstreams/plain.py
@@ -11,11 +11,14 @@
 import socket
 
 import expression
+import gevent
 
 from arbutuscove.platform import http as platform_http
 from arbutuscove.upstreams import errors
 
 CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
+SHORTEST_TIMEOUT = datetime.timedelta(milliseconds=1)  # zero means no wait
+ANSWER_LIMIT = 16 << 20  # bytes of an answer held in memory
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -41,36 +44,56 @@
 def send_call(
     address: str, call: PlainCall, timeout: datetime.timedelta
 ) -> expression.Result[PlainAnswer, errors.UpstreamError]:
-    """Sends a call once.
+    """Sends a call once and waits at most `timeout` for the whole answer.
 
     Returns the whole answer, or `NotDispatchedError` when nothing ran and
     `DispatchUnknownError` when the call may have run.
     """
     parsed = platform_http.Address.parse(address)
+    connect = max(SHORTEST_TIMEOUT, min(CONNECT_TIMEOUT, timeout))
     connection = http.client.HTTPConnection(
-        parsed.host, parsed.port, timeout=CONNECT_TIMEOUT.total_seconds()
+        parsed.host, parsed.port, timeout=connect.total_seconds()
     )
     try:
         connection.connect()
     except OSError as error:
         return expression.Error(errors.NotDispatchedError(str(error)))
+    # The timer bounds the whole answer; the timeout of the socket would start
+    # again with each piece. The connection is not used again.
+    timer = gevent.Timeout(timeout.total_seconds(), TimeoutError("deadline"))
     try:
-        assert isinstance(connection.sock, socket.socket)
-        connection.sock.settimeout(timeout.total_seconds())
-        headers = {
-            "Content-Type": call.content_type,
-            "X-Request-Id": call.attempt_id,
-        }
-        connection.request(call.method, call.path, call.body, headers)
-        response = connection.getresponse()
-        return expression.Ok(
-            PlainAnswer(
-                status=response.status,
-                content_type=response.getheader("Content-Type", ""),
-                body=response.read(),
-            )
-        )
+        with timer:
+            assert isinstance(connection.sock, socket.socket)
+            connection.sock.settimeout(timeout.total_seconds())
+            return _exchange(connection, call)
     except (OSError, http.client.HTTPException) as error:
         return expression.Error(errors.DispatchUnknownError(str(error)))
     finally:
         connection.close()
+
+
+def _exchange(
+    connection: http.client.HTTPConnection, call: PlainCall
+) -> expression.Result[PlainAnswer, errors.UpstreamError]:
+    headers = {
+        "Content-Type": call.content_type,
+        "X-Request-Id": call.attempt_id,
+    }
+    connection.request(call.method, call.path, call.body, headers)
+    response = connection.getresponse()
+    body = response.read(ANSWER_LIMIT + 1)
+    if len(body) > ANSWER_LIMIT:
+        return expression.Error(
+            errors.DispatchUnknownError("the answer is too large")
+        )
+    if response.length:
+        return expression.Error(
+            errors.DispatchUnknownError("the answer was cut short")
+        )
+    return expression.Ok(
+        PlainAnswer(
+            status=response.status,
+            content_type=response.getheader("Content-Type", ""),
+            body=body,
+        )
+    )
