Delete rows of suspects that did not come back

Cause: each death writes a row for every request that ran there, and most of these requests never come back, so the rows grew without a bound, and with them the reads of all rows every 30 s.

Rows are read at the start and every 10 minutes. Quarantined rows stay.

--- a/arbutuscove/requests/suspects.py
+++ b/arbutuscove/requests/suspects.py
@@ -34,7 +34,9 @@
 PREFIX = "quarantine/"
 TRIAL_PREFIX = PREFIX + "trial."
 WATCH_INTERVAL = datetime.timedelta(seconds=1)
-LOAD_INTERVAL = datetime.timedelta(seconds=30)  # reads of all rows
+LOAD_INTERVAL = datetime.timedelta(minutes=10)  # reads of all rows
+LOAD_RETRY = datetime.timedelta(seconds=30)  # after a failed read of them
+SUSPECT_TERM = datetime.timedelta(days=1)  # rows of suspects never seen again
 JUDGE_TIME = datetime.timedelta(seconds=3)  # bound on the doubt about a replica
 JUDGE_INTERVAL = datetime.timedelta(milliseconds=250)
 DETACHED_AGE = datetime.timedelta(seconds=30)  # engines end such streams sooner
@@ -111,6 +113,8 @@
         self._runs: set[Run] = set()
         self._judged: dict[str, event.AsyncResult] = {}
         self._trials: dict[str, tuple[int, datetime.timedelta]] = {}
+        # Versions of the rows and since when each is unchanged.
+        self._seen: dict[str, tuple[int, datetime.timedelta]] = {}
         # Deaths that the table does not hold yet; the oldest is dropped.
         self._unwritten: dict[str, str] = {}
         self._greenlet: gevent.Greenlet | None = None
@@ -249,11 +253,28 @@
         Raises:
             TableUnavailableError: the rows could not be read.
         """
-        for digest, record in self._read_records().items():
+        rows = self._read_rows()
+        for digest, row in rows.items():
             known = self._ledger.find(digest)
-            found = known.merge(record)
+            found = known.merge(row.decode(quarantine.Record))
             if found != known:
                 self._ledger.put(digest, found, self._clock.monotonic())
+        self._drop_old(rows)
+
+    def _drop_old(self, rows: dict[str, table_module.Row]) -> None:
+        """Deletes suspects that did not come back; most never do."""
+        now = self._clock.monotonic()
+        seen: dict[str, tuple[int, datetime.timedelta]] = {}
+        for digest, row in rows.items():
+            version, since = self._seen.get(digest, (row.version, now))
+            if version != row.version:
+                since = now
+            seen[digest] = (row.version, since)
+            standing = row.decode(quarantine.Record).standing()
+            old = now - since >= SUSPECT_TERM
+            if old and standing == quarantine.Standing.SUSPECT:
+                self._write(PREFIX + digest, row, None)
+        self._seen = seen
 
     def _judge(
         self, replica: replica_model.Serving, time: datetime.timedelta
@@ -361,8 +382,15 @@
         return _refuse_quarantined()
 
     def _read_records(self) -> dict[str, quarantine.Record]:
+        rows = self._read_rows()
+        return {
+            digest: row.decode(quarantine.Record)
+            for digest, row in rows.items()
+        }
+
+    def _read_rows(self) -> dict[str, table_module.Row]:
         return {
-            row.key.removeprefix(PREFIX): row.decode(quarantine.Record)
+            row.key.removeprefix(PREFIX): row
             for row in table_module.read_all(self._table, PREFIX)
             if not row.key.startswith(TRIAL_PREFIX)
         }
@@ -455,14 +483,15 @@
         return result.ok.versions[key] if result.is_ok() else None
 
     def _watch(self) -> None:
-        loaded = self._clock.monotonic() - LOAD_INTERVAL
+        due = self._clock.monotonic()
         while True:
             self.watch_once()
-            if self._clock.monotonic() - loaded >= LOAD_INTERVAL:
-                loaded = self._clock.monotonic()
+            if self._clock.monotonic() >= due:
+                due = self._clock.monotonic() + LOAD_INTERVAL
                 try:
                     self.load()
                 except table_module.TableError as error:
+                    due = self._clock.monotonic() + LOAD_RETRY
                     eliot.log_message("quarantine:not_read", reason=str(error))
             self._clock.sleep(WATCH_INTERVAL)
 
--- a/arbutuscove/requests/tests/test_quarantine.py
+++ b/arbutuscove/requests/tests/test_quarantine.py
@@ -259,6 +259,23 @@
     assert len(system.fleet.deaths) == deaths
 
 
+def test_quarantine_rows_of_lost_suspects_end():
+    """Suspects that never come back must not fill the table."""
+    system = _System()
+    running = [system.open(0, f"innocent {n}") for n in range(8)]
+    for daemon in range(DAEMONS):
+        system.try_send(daemon, CRASH)
+        system.settle()
+    for events in running:
+        _read(events)
+    one = system.daemons[0].suspects
+    one.load()
+    assert len(one._read_records()) > 1
+    system.fleet.clock.advance(suspects.SUSPECT_TERM)
+    one.load()
+    assert list(one._read_records()) == [CRASH]
+
+
 def test_quarantine_trial_of_a_dead_daemon_ends():
     """A daemon that died in a trial must not hold up all suspects for ever."""
     system = _System()
