Report lost upstream connections as lost; tests of upstreams and platform

Only 4xx and 503 are refusals now. - A request whose attempts had failed at every replica waited for one that was not excluded until its deadline of 120 s.

Ruled out: catching Exception, which would hide faults of the daemon.

Change: platform/http.LOST names what a lost connection raises. The engine stand-in reorders events once instead of losing one for ever.

--- a/arbutuscove/config/follower.py
+++ b/arbutuscove/config/follower.py
@@ -72,6 +72,9 @@
             if applied is self._snapshot:
                 continue
             self._snapshot = applied
+            # Changes apply from the first on without gaps, so they make a
+            # whole configuration even when no snapshot was ever read.
+            self._loaded = True
             self._remember(change)
             eliot.log_message(
                 "config:applied",
--- a/arbutuscove/platform/http.py
+++ b/arbutuscove/platform/http.py
@@ -7,6 +7,7 @@
 import datetime
 import errno
 import typing
+from http import client as http_client
 
 import geventhttpclient
 import msgspec
@@ -16,6 +17,10 @@
 REQUEST_TIMEOUT = datetime.timedelta(seconds=2)
 POOL_CONNECTIONS = 8  # per address; bounds sockets towards one server
 
+# What geventhttpclient raises for a connection that is lost, stalled or speaks
+# no HTTP. Its own errors derive from HTTPException and not from OSError.
+LOST = (OSError, ValueError, http_client.HTTPException)
+
 
 class HttpError(Exception):
     """A request to an address failed below HTTP."""
@@ -108,7 +113,7 @@
         response = self.open(method, path, body, headers)
         try:
             content = bytes(response.read())
-        except (OSError, ValueError) as error:
+        except LOST as error:
             raise NoResponseError(f"{self.address}: {error}") from error
         if not response.message_complete:
             raise NoResponseError(f"{self.address}: response was cut short")
@@ -137,7 +142,7 @@
             if error.errno in (errno.EHOSTUNREACH, errno.ENETUNREACH):
                 raise NotSentError(f"{self.address}: {error}") from error
             raise NoResponseError(f"{self.address}: {error}") from error
-        except (TimeoutError, ValueError) as error:
+        except LOST as error:
             raise NoResponseError(f"{self.address}: {error}") from error
 
     def close(self) -> None:
--- a/arbutuscove/routing/choice.py
+++ b/arbutuscove/routing/choice.py
@@ -17,6 +17,9 @@
         own: this daemon's requests in progress on each replica.
         excluded: replicas not to use.
     """
+    if all(replica.replica in excluded for replica in candidates):
+        # Waiting for another replica would last until the deadline.
+        excluded = frozenset()
     free = [
         replica
         for replica in candidates
--- a/arbutuscove/standins/cluster.py
+++ b/arbutuscove/standins/cluster.py
@@ -112,7 +112,7 @@
     def start_platform(self) -> None:
         """Starts table, objects, weights and VM list."""
         for name in ("table", "objects", "weights"):
-            self._start_standin(name, [name])
+            self.start_standin(name)
         self._start_standin(
             "inventory",
             [
@@ -275,6 +275,10 @@
             return 0
         return len(reply.json()["serving"].get(service, []))
 
+    def start_standin(self, name: str) -> None:
+        """Starts a stand-in that needs no arguments."""
+        self._start_standin(name, [name])
+
     def _start_standin(self, name: str, arguments: list[str]) -> None:
         address = self.get_address(name)
         command = [sys.executable, "-m", "arbutuscove.standins"]
--- a/arbutuscove/standins/engine.py
+++ b/arbutuscove/standins/engine.py
@@ -68,6 +68,7 @@
         self.events: list[bytes] = []
         self.finished = False
         self.cancelled = False
+        self.swapped = False  # whether the fault was applied once
         self.detached_at: float | None = None
         self.changed = event.Event()
 
@@ -357,10 +358,12 @@
             return [data, data]
         if number == faults.foreign_at:
             return [data.replace(stream.stream_id.encode(), b"another", 1)]
-        if number == faults.swap_at and number + 1 < len(stream.events):
-            return [stream.events[number + 1]]
-        if number == faults.swap_at + 1 and faults.swap_at >= 0:
-            return [stream.events[number - 1]]
+        if faults.swap_at >= 0 and not stream.swapped:
+            if number == faults.swap_at:
+                return []
+            if number == faults.swap_at + 1:
+                stream.swapped = True
+                return [data, stream.events[number - 1]]
         return [data]
 
     def _set_faults(self, request: wrappers.Request) -> wrappers.Response:
--- a/arbutuscove/upstreams/engine.py
+++ b/arbutuscove/upstreams/engine.py
@@ -44,7 +44,7 @@
         """
         try:
             return self._response.readline(protocol.EVENT_END)
-        except (OSError, ValueError) as error:
+        except http.LOST as error:
             raise errors.StreamBrokenError(str(error)) from error
 
     def close(self) -> None:
@@ -119,10 +119,12 @@
             raise errors.DispatchUnknownError(str(error)) from error
         if response.status_code == 200:
             return expression.Ok(EventReader(response))
-        response.read()
-        return expression.Error(
-            errors.DispatchRefused(status=response.status_code)
-        )
+        _discard(response)
+        status = response.status_code
+        if status >= 500 and status != protocol.NOT_READY:
+            # A failure inside the engine says nothing about what ran before.
+            raise errors.DispatchUnknownError(f"status {status}")
+        return expression.Error(errors.DispatchRefused(status=status))
 
     def resume_stream(self, stream_id: str, after: int) -> EventReader:
         """Continues a stream after an event number (-1: from the start).
@@ -138,7 +140,7 @@
             raise errors.StreamBrokenError(str(error)) from error
         if response.status_code == 200:
             return EventReader(response)
-        response.read()
+        _discard(response)
         raise errors.StreamLostError(f"status {response.status_code}")
 
     def cancel_stream(self, stream_id: str) -> None:
@@ -156,3 +158,11 @@
         """Closes all pooled connections."""
         for client in (self._control, self._status, self._streams):
             client.close()
+
+
+def _discard(response: response_module.HTTPSocketPoolResponse) -> None:
+    """Reads a refusal to its end, so that the connection can be reused."""
+    try:
+        response.read()
+    except http.LOST:
+        response.release()
--- a/arbutuscove/upstreams/protocol.py
+++ b/arbutuscove/upstreams/protocol.py
@@ -15,6 +15,7 @@
 PRIORITY = "X-Priority"
 STALE_EPOCH = "stale_epoch"
 STALE_GENERATION = "stale_generation"
+NOT_READY = 503  # status of a dispatch that was refused unrun
 DONE = b"data: [DONE]"
 EVENT_END = b"\n\n"
 
