--- /dev/null
+++ b/arbutuscove/config/tests/test_order.py
@@ -0,0 +1,73 @@
+"""Guards against a configuration that reverts to an older one."""
+
+import pathlib
+
+from arbutuscove.config import acceptance
+from arbutuscove.config import follower
+from arbutuscove.config import model
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.questionnaire import answers
+from arbutuscove.questionnaire import generation
+from arbutuscove.standins import table as table_standin
+
+EXAMPLE = pathlib.Path(__file__).parents[3] / "examples" / "demo.yaml"
+SERVICE = generation.generate(answers.read_answers(EXAMPLE))
+
+
+def _change(sequence):
+    return model.Change(
+        sequence=sequence,
+        version=sequence,
+        base_version=sequence - 1,
+        service=SERVICE,
+        author="a",
+        reason="r",
+    )
+
+
+def _build():
+    clock = clock_module.ManualClock()
+    return follower.ConfigFollower(table_standin.MemoryTable(), clock)
+
+
+def test_config_older_change_is_ignored():
+    """A change offered late by a peer that was away must not apply."""
+    config = _build()
+    config.offer([_change(1), _change(2), _change(3)])
+    config.offer([_change(2)])
+    assert config.current().sequence == 3
+    assert config.current().services[SERVICE.name].version == 3
+
+
+def test_config_change_after_a_gap_is_ignored():
+    """A change whose predecessor is missing must wait for it."""
+    config = _build()
+    config.offer([_change(1), _change(3)])
+    assert config.current().sequence == 1
+
+
+def test_config_older_snapshot_is_ignored():
+    """A snapshot of a peer that was away must not revert this daemon."""
+    config = _build()
+    config.offer([_change(1), _change(2)])
+    config.adopt(model.Snapshot(sequence=1))
+    assert config.current().sequence == 2
+
+
+def test_config_changes_from_the_first_make_it_loaded():
+    """A daemon that got all changes from a peer was never ready."""
+    config = _build()
+    assert not config.is_loaded()
+    config.offer([_change(1)])
+    assert config.is_loaded()
+
+
+def test_config_second_operator_conflicts():
+    """Two operators who reviewed the same version must not both win."""
+    table = table_standin.MemoryTable()
+    clock = clock_module.ManualClock()
+    proposal = acceptance.Proposal(
+        service=SERVICE, base_version=0, author="a", reason="r"
+    )
+    assert acceptance.accept(table, clock, proposal).is_ok()
+    assert acceptance.accept(table, clock, proposal).is_error()
--- a/arbutuscove/entry/app.py
+++ b/arbutuscove/entry/app.py
@@ -31,6 +31,8 @@
 BODY_LIMIT = 4 << 20  # bytes
 NOT_READY_RETRY = datetime.timedelta(seconds=2)
 DEFAULT_BOUNDS = connections.Bounds()
+# Peers may still give this address until they have heard that it leaves.
+LEAVE_SPREAD = datetime.timedelta(seconds=1)
 DRAIN_POLL = datetime.timedelta(milliseconds=50)
 # Reason codes of the faults that werkzeug finds, by HTTP status.
 HTTP_CODES = {
@@ -102,10 +104,11 @@
         """Serves on while callers may hold this address, then to the end.
 
         Waits for the keep time first, because callers who were given this
-        address may still connect; then for the last request.
+        address may still connect; then for the last request. Responses ask
+        for the end of their connections meanwhile.
         """
         self._draining = True
-        deadline = self._clock.monotonic() + self._keep
+        deadline = self._clock.monotonic() + self._keep + LEAVE_SPREAD
         while self._clock.monotonic() < deadline:
             self._clock.sleep(DRAIN_POLL)
         self._server.stop_accepting()
@@ -136,6 +139,8 @@
         try:
             response = self._respond(request, request_id)
             response.headers[headers.REQUEST_ID] = request_id
+            if self._draining:
+                response.headers["Connection"] = "close"
             response.call_on_close(self._end_request)
             return response(environ, start_response)
         except BaseException:
--- a/arbutuscove/entry/tests/serving.py
+++ b/arbutuscove/entry/tests/serving.py
@@ -1,6 +1,7 @@
 """An entry server in the test process, in front of a prepared answer."""
 
 import datetime
+import hashlib
 import pathlib
 import socket
 
@@ -56,6 +57,7 @@
         self.cut = False
         self.lost = False
         self.error = None
+        self.wait = None
         self.ran = 0
 
     def run(self, request):
@@ -66,7 +68,14 @@
             token="token", attempt_id=STREAM, events=self._deliver()
         )
 
+    def resume(self, point, after):
+        return flow.Answer(
+            token="token", attempt_id=STREAM, events=self._deliver()
+        )
+
     def _deliver(self):
+        if self.wait is not None:
+            self.wait.wait()
         for event in self.events:
             yield event
             if self.cut:
@@ -100,7 +109,7 @@
 class Server:
     """A running entry server and its address."""
 
-    def __init__(self, bounds):
+    def __init__(self, bounds, once=None):
         with socket.socket() as probe:
             probe.bind(("127.0.0.1", 0))
             self.address = http.Address(*probe.getsockname())
@@ -108,7 +117,8 @@
         self.metrics = metrics_module.Metrics()
         clock = clock_module.SystemClock()
         tokens = resume.ResumeTokens("a secret for tests")
-        handler = chat.ChatHandler(clock, self.flow, None, tokens, self.metrics)
+        self.tokens = tokens
+        handler = chat.ChatHandler(clock, self.flow, once, tokens, self.metrics)
         self.entry = app.EntryServer(
             self.address,
             clock,
@@ -122,6 +132,10 @@
         )
         self.entry.start(None)
 
+    def digest(self, content):
+        """Returns the identity of a request of the example's account."""
+        return hashlib.sha256(b"helpdesk\0" + content).hexdigest()
+
     def connect(self):
         """Returns a connected socket."""
         return socket.create_connection(self.address, timeout=10)
--- /dev/null
+++ b/arbutuscove/entry/tests/test_chat.py
@@ -0,0 +1,82 @@
+"""Guards against early dispatch, foreign resumption and silent cuts."""
+
+import gevent
+import pytest
+from gevent import event
+
+from arbutuscove.admission import work as work_module
+from arbutuscove.entry import connections
+from arbutuscove.entry.tests import serving
+from arbutuscove.requests import failures
+from arbutuscove.requests import resume
+
+NEVER = "Arbutuscove-Repeat: never\r\nIdempotency-Key: k\r\n"
+
+
+class _Once:
+    """Refuses every claim, as when the table service is down."""
+
+    def begin(self, account, key, attempt_id, digest):
+        refusal = work_module.Refusal(
+            status=503, code="claims_unavailable", message="down"
+        )
+        raise failures.RequestFailedError(refusal, failures.Run.NOT_RUN)
+
+
+@pytest.fixture
+def server():
+    running = serving.Server(connections.Bounds(), _Once())
+    yield running
+    running.entry.stop()
+
+
+def test_chat_nothing_is_dispatched_without_a_claim(server):
+    """`not_run` must be true when the claim could not be written."""
+    response = server.exchange(serving.build_request(extra=NEVER))
+    assert response.startswith(b"HTTP/1.1 503")
+    assert b"Arbutuscove-Run: not_run" in response
+    assert server.flow.ran == 0
+
+
+def test_chat_cut_stream_lacks_the_final_chunk(server):
+    """A client that ignores error events must still see the cut."""
+    server.flow.cut = True
+    body = serving.build_body(stream=True)
+    response = server.exchange(serving.build_request(body))
+    assert b"answer_incomplete" in response
+    assert not response.endswith(b"0\r\n\r\n")
+
+
+@pytest.mark.parametrize("field", ["account", "digest"])
+def test_chat_resume_token_of_another_is_refused(server, field):
+    """A token must not open another account's or request's answer."""
+    point = {
+        "service": "assistant",
+        "replica": "r",
+        "generation": 1,
+        "address": "127.0.0.1:1",
+        "stream": serving.STREAM,
+        "account": "helpdesk",
+        "digest": server.digest(serving.build_body()),
+    }
+    right = resume.ResumePoint(**point)
+    wrong = resume.ResumePoint(**{**point, field: "another"})
+    for issued, status in ((right, b"200"), (wrong, b"400")):
+        extra = f"Arbutuscove-Resume: {server.tokens.issue(issued)}\r\n"
+        response = server.exchange(serving.build_request(extra=extra))
+        assert response.split(b" ")[1] == status
+
+
+def test_chat_drain_waits_for_the_last_answer(server):
+    """A planned stop must not end an answer in progress."""
+    server.flow.wait = event.Event()
+    body = serving.build_body(stream=True)
+    answer = gevent.spawn(server.exchange, serving.build_request(body))
+    while not server.entry.active():
+        gevent.sleep(0.001)
+    drain = gevent.spawn(server.entry.drain)
+    gevent.sleep(0.2)
+    assert not drain.ready()
+    server.flow.wait.set()
+    drain.join()
+    assert answer.get().endswith(b"0\r\n\r\n")
--- a/arbutuscove/membership/service.py
+++ b/arbutuscove/membership/service.py
@@ -22,6 +22,7 @@
 PROBE_INTERVAL = datetime.timedelta(seconds=1)
 PROBE_TIMEOUT = datetime.timedelta(milliseconds=500)
 ALIVE_FOR = datetime.timedelta(seconds=10)
+LEAVE_MESSAGES = 64  # sent at once; members beyond it hear by gossip
 FETCH_TIMEOUT = datetime.timedelta(seconds=2)
 
 
@@ -51,8 +52,16 @@
         self._greenlet = gevent.spawn(self._run)
 
     def drain(self) -> None:
-        """Tells peers with the next messages that this daemon leaves."""
+        """Tells the peers that this daemon leaves.
+
+        A peer that is not reached here hears it with the next messages.
+        """
         self._own.state = peer_pb2.LEFT
+        members = list(self._members.values())[:LEAVE_MESSAGES]
+        gevent.joinall(
+            [gevent.spawn(self._probe, item.peer_address) for item in members],
+            timeout=PROBE_TIMEOUT.total_seconds(),
+        )
 
     def stop(self) -> None:
         """Ends probing."""
--- a/arbutuscove/requests/tests/test_answers.py
+++ b/arbutuscove/requests/tests/test_answers.py
@@ -64,9 +64,10 @@
     assert found == WHOLE
 
 
-def test_answer_of_another_stream_is_refused():
+@pytest.mark.parametrize("other", ["other", "t"])
+def test_answer_of_another_stream_is_refused(other):
     """An event of another request must never reach the caller."""
-    reader = _Reader([WHOLE[0], _event(1, stream="other")])
+    reader = _Reader([WHOLE[0], _event(1, stream=other)])
     events = answers.read_answer(_Engine(), "s", reader)
     assert next(events) == WHOLE[0]
     with pytest.raises(answers.AnswerIncompleteError):
--- a/arbutuscove/standins/tests/scene.py
+++ b/arbutuscove/standins/tests/scene.py
@@ -7,7 +7,6 @@
 import contextlib
 import dataclasses
 import http.client
-import signal
 import typing
 
 import gevent
--- /dev/null
+++ b/mutations/catalog.py
@@ -0,0 +1,184 @@
+"""The mutations: what is removed and which test must then fail."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Mutation:
+    """A replacement of `old`, found once in `path`, by `new`."""
+
+    promise: str
+    path: str
+    old: str
+    new: str
+    test: str
+
+
+MUTATIONS = (
+    Mutation(
+        promise="a holder stops at the end of its lease",
+        path="leases/lease.py",
+        old="return held.effective_from <= now < held.expires - GUARD",
+        new="return held.effective_from <= now",
+        test="leases/tests/test_lease.py::"
+        "test_lease_paused_holder_wakes_without_lease",
+    ),
+    Mutation(
+        promise="a new holder waits for orders in flight",
+        path="leases/lease.py",
+        old="effective_from=sent + ORDER_TIMEOUT",
+        new="effective_from=sent",
+        test="leases/tests/test_lease.py::"
+        "test_lease_new_holder_waits_out_term_and_orders",
+    ),
+    Mutation(
+        promise="a candidate waits a whole term",
+        path="leases/lease.py",
+        old="if now - observation.first_seen < TERM:",
+        new="if False:",
+        test="leases/tests/test_lease.py::"
+        "test_lease_new_holder_waits_out_term_and_orders",
+    ),
+    Mutation(
+        promise="the claim comes before dispatch",
+        path="entry/chat.py",
+        old="held = self._claim(request, caller, work.digest)",
+        new="held = None",
+        test="entry/tests/test_chat.py::"
+        "test_chat_nothing_is_dispatched_without_a_claim",
+    ),
+    Mutation(
+        promise="one attempt wins a claim",
+        path="requests/claims.py",
+        old="table_module.Condition(key=key, version=version),",
+        new="",
+        test="requests/tests/test_once_claim.py::"
+        "test_claim_race_has_one_winner",
+    ),
+    Mutation(
+        promise="a claim of a dead daemon stays unknown",
+        path="requests/claims.py",
+        old="if not abandoned or found.digest != digest:",
+        new="if found.digest != digest:",
+        test="requests/tests/test_once_claim.py::"
+        "test_claim_left_by_a_dead_daemon_is_not_taken_again",
+    ),
+    Mutation(
+        promise="only the next change applies",
+        path="config/model.py",
+        old="if change.sequence != self.sequence + 1:",
+        new="if False:",
+        test="config/tests/test_order.py::test_config_older_change_is_ignored",
+    ),
+    Mutation(
+        promise="an older snapshot is ignored",
+        path="config/follower.py",
+        old="snapshot.sequence > self._snapshot.sequence",
+        new="snapshot",
+        test="config/tests/test_order.py::"
+        "test_config_older_snapshot_is_ignored",
+    ),
+    Mutation(
+        promise="acceptance compares the reviewed version",
+        path="config/acceptance.py",
+        old="if found != proposal.base_version:",
+        new="if False:",
+        test="config/tests/test_order.py::test_config_second_operator_conflicts",
+    ),
+    Mutation(
+        promise="a member of another generation does not serve",
+        path="replicas/directory.py",
+        old="and status.generation == row.generation",
+        new="",
+        test="replicas/tests/test_serving.py::"
+        "test_serving_never_with_a_member_in_doubt",
+    ),
+    Mutation(
+        promise="a member of another group does not serve",
+        path="replicas/directory.py",
+        old="and status.members == names",
+        new="",
+        test="replicas/tests/test_serving.py::"
+        "test_serving_never_with_a_member_in_doubt",
+    ),
+    Mutation(
+        promise="a VM that says it leaves gets no work",
+        path="replicas/directory.py",
+        old="and not status.leaving",
+        new="",
+        test="replicas/tests/test_serving.py::"
+        "test_serving_never_with_a_member_in_doubt",
+    ),
+    Mutation(
+        promise="a status older than 3 s does not count",
+        path="replicas/directory.py",
+        old="if report is None or now - report.at > FRESH_FOR:",
+        new="if report is None:",
+        test="replicas/tests/test_serving.py::"
+        "test_serving_never_on_an_old_status",
+    ),
+    Mutation(
+        promise="an answer ends with its terminal event",
+        path="requests/answers.py",
+        old="    if not event:\n        return Refetch()",
+        new="    if not event:\n        return Deliver(terminal=True)",
+        test="requests/tests/test_answers.py::"
+        "test_answer_without_terminal_event_fails",
+    ),
+    Mutation(
+        promise="a repeated event is dropped",
+        path="requests/answers.py",
+        old="    if int(number) < expected:\n        return Drop()\n",
+        new="",
+        test="requests/tests/test_answers.py::"
+        "test_answer_delivers_each_event_once_in_order",
+    ),
+    Mutation(
+        promise="an event of another stream is refused",
+        path="requests/answers.py",
+        old="or not line.startswith(prefix)",
+        new="",
+        test="requests/tests/test_answers.py::"
+        "test_answer_of_another_stream_is_refused",
+    ),
+    Mutation(
+        promise="a cut answer lacks the final chunk",
+        path="entry/chat.py",
+        old="raise AnswerCutShortError(104, ERROR_CODE) from error",
+        new="return",
+        test="entry/tests/test_chat.py::"
+        "test_chat_cut_stream_lacks_the_final_chunk",
+    ),
+    Mutation(
+        promise="a resume token opens its own account's answer only",
+        path="requests/resume.py",
+        old="if (point.account, point.digest) != (account, digest):",
+        new="if point.digest != digest:",
+        test="entry/tests/test_chat.py::"
+        "test_chat_resume_token_of_another_is_refused",
+    ),
+    Mutation(
+        promise="a lost confirmation is settled by reading back",
+        path="platform/table.py",
+        old="row.write_id == transaction.write_id",
+        new="False",
+        test="platform/tests/test_table.py::"
+        "test_table_commit_settles_lost_confirmation",
+    ),
+    Mutation(
+        promise="a planned stop waits for the last answer",
+        path="entry/app.py",
+        old="while self._active and self._clock.monotonic() < longest:",
+        new="while False:",
+        test="entry/tests/test_chat.py::"
+        "test_chat_drain_waits_for_the_last_answer",
+    ),
+    Mutation(
+        promise="a trickling body ends in time",
+        path="entry/connections.py",
+        old="with gevent.Timeout(left, late):",
+        new="with gevent.Timeout(None, late):",
+        test="entry/tests/test_connections.py::"
+        "test_caller_trickling_body_is_cut",
+    ),
+)
