Announce a leave until it is heard; load configuration before listening

Cause: 20 rolling restarts under load lost requests although none was cut off in progress. A leaving daemon's one message failed while its channel to a peer that was just restarted waited to reconnect, so the peer gave its address on. A starting daemon listened before it had a configuration. Responses were written in two small writes, the second of which waited up to 40 ms for the client's delayed acknowledgement.

Change: Membership.drain repeats the message for up to 2 s to members that do not answer; ConfigFollower.start polls once; connections of callers and stand-ins set TCP_NODELAY; gRPC reconnects first after 200 ms.

--- a/arbutuscove/config/follower.py
+++ b/arbutuscove/config/follower.py
@@ -40,7 +40,11 @@
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self, kernel: services.Kernel) -> None:
-        """Begins to poll the head row."""
+        """Polls once, so that a daemon is not listed without configuration.
+
+        Then polls the head row regularly.
+        """
+        self._try_poll()
         self._greenlet = gevent.spawn(self._poll)
 
     def stop(self) -> None:
@@ -132,8 +136,11 @@
 
     def _poll(self) -> None:
         while True:
-            try:
-                self.poll_once()
-            except table_module.TableUnavailableError as error:
-                eliot.log_message("config:poll_failed", reason=str(error))
             self._clock.sleep(POLL_INTERVAL)
+            self._try_poll()
+
+    def _try_poll(self) -> None:
+        try:
+            self.poll_once()
+        except table_module.TableUnavailableError as error:
+            eliot.log_message("config:poll_failed", reason=str(error))
--- a/arbutuscove/entry/connections.py
+++ b/arbutuscove/entry/connections.py
@@ -233,6 +233,9 @@
         if full or crowded:
             self._turn_away(sock)
             return
+        # Without this the second small write of a response waits up to 40 ms
+        # for the client's delayed acknowledgement of the first.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._by_address[host] += 1
         try:
             super().handle(sock, address)
--- a/arbutuscove/entry/tests/test_chat.py
+++ b/arbutuscove/entry/tests/test_chat.py
@@ -5,6 +5,7 @@
 from gevent import event
 
 from arbutuscove.admission import work as work_module
+from arbutuscove.entry import app
 from arbutuscove.entry import connections
 from arbutuscove.entry.tests import serving
 from arbutuscove.requests import failures
@@ -75,7 +76,7 @@
     while not server.entry.active():
         gevent.sleep(0.001)
     drain = gevent.spawn(server.entry.drain)
-    gevent.sleep(0.2)
+    gevent.sleep(app.LEAVE_SPREAD.total_seconds() + 0.2)
     assert not drain.ready()
     server.flow.wait.set()
     drain.join()
--- a/arbutuscove/membership/service.py
+++ b/arbutuscove/membership/service.py
@@ -23,6 +23,8 @@
 PROBE_TIMEOUT = datetime.timedelta(milliseconds=500)
 ALIVE_FOR = datetime.timedelta(seconds=10)
 LEAVE_MESSAGES = 64  # sent at once; members beyond it hear by gossip
+LEAVE_ATTEMPTS = 8
+LEAVE_PAUSE = datetime.timedelta(milliseconds=250)
 FETCH_TIMEOUT = datetime.timedelta(seconds=2)
 
 
@@ -59,10 +61,17 @@
         self._own.state = peer_pb2.LEFT
         members = list(self._members.values())[:LEAVE_MESSAGES]
         gevent.joinall(
-            [gevent.spawn(self._probe, item.peer_address) for item in members],
-            timeout=PROBE_TIMEOUT.total_seconds(),
+            [gevent.spawn(self._announce, m.peer_address) for m in members]
         )
 
+    def _announce(self, address: str) -> None:
+        # The channel to a peer that was just restarted is still waiting to
+        # reconnect, so one message alone would often be lost.
+        for _ in range(LEAVE_ATTEMPTS):
+            if self._probe(address):
+                return
+            self._clock.sleep(LEAVE_PAUSE)
+
     def stop(self) -> None:
         """Ends probing."""
         if self._greenlet is not None:
--- a/arbutuscove/peers/client.py
+++ b/arbutuscove/peers/client.py
@@ -13,6 +13,7 @@
 CHANNEL_LIMIT = 64  # open channels; the least recently used is closed
 CHANNEL_OPTIONS = [
     ("grpc.enable_retries", 0),
+    ("grpc.initial_reconnect_backoff_ms", 200),
     ("grpc.max_reconnect_backoff_ms", 2000),
 ]
 
--- a/arbutuscove/standins/server.py
+++ b/arbutuscove/standins/server.py
@@ -1,6 +1,7 @@
 """HTTP scaffolding shared by the stand-ins."""
 
 import signal
+import socket
 import sys
 import typing
 from collections import abc
@@ -51,10 +52,17 @@
         return response(environ, start_response)
 
 
+class _Server(pywsgi.WSGIServer):
+    def handle(self, sock: typing.Any, address: typing.Any) -> None:
+        """Serves a connection without delaying small writes."""
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().handle(sock, address)
+
+
 def serve(app: App, listen: str) -> None:
     """Serves until SIGTERM, then ends without waiting for requests."""
     host, _, port = listen.rpartition(":")
-    server = pywsgi.WSGIServer((host, int(port)), app, log=None)
+    server = _Server((host, int(port)), app, log=None)
     gevent.signal_handler(signal.SIGTERM, sys.exit, 0)
     gevent.signal_handler(signal.SIGINT, sys.exit, 0)
     server.serve_forever()
--- a/arbutuscove/standins/tests/test_planned_stops.py
+++ b/arbutuscove/standins/tests/test_planned_stops.py
@@ -1,5 +1,6 @@
 """Guards against planned stops that cut off requests."""
 
+import signal
 import time
 
 import msgspec
@@ -66,7 +67,7 @@
     """An answer that outlasts the keep time must still end whole."""
     stream = scene_module.Stream(scene.address(0), "long answer", 600)
     stream.read_events(1)
-    scene.cluster.send_signal("entry-0", scene_module.signal.SIGTERM)
+    scene.cluster.send_signal("entry-0", signal.SIGTERM)
     answer = stream.read_all()
     assert answer.is_right(), answer.failure
     assert scene.cluster.processes["entry-0"].wait(30) == 0
