--- a/arbutuscove/membership/service.py
+++ b/arbutuscove/membership/service.py
@@ -30,7 +30,9 @@
 SERVICE_NAME = "membership"
 FETCH_TIMEOUT = datetime.timedelta(seconds=2)
 SPREAD_TIMEOUT = datetime.timedelta(seconds=1)  # of news to peers at once
-LEAVE_TIMEOUT = datetime.timedelta(seconds=1)
+LEAVE_TIMEOUT = datetime.timedelta(seconds=2)
+LEAVE_ATTEMPTS = 8
+LEAVE_PAUSE = datetime.timedelta(milliseconds=250)
 HELP_TIMEOUT_LIMIT = datetime.timedelta(seconds=5)  # asked of us by a peer
 CHANGES_PAGE = 100  # changes in one reply, far below gRPC's 4 MB
 FETCH_PAGES = 20  # pages fetched from one peer in a row
@@ -86,11 +88,25 @@
         self._greenlet = gevent.spawn(self._run)
 
     def drain(self) -> None:
-        """Tells some peers at once that this daemon leaves."""
-        effects = self._step(swim.Leave())
-        jobs = [gevent.spawn(self._carry_out, effect) for effect in effects]
+        """Tells peers at once that this daemon leaves.
+
+        A peer that is not reached here hears it by gossip.
+        """
+        self._step(swim.Leave())
+        jobs = [
+            gevent.spawn(self._announce_leave, peer)
+            for peer in self.alive()[:SMALL_FLEET]
+        ]
         gevent.joinall(jobs, timeout=LEAVE_TIMEOUT.total_seconds())
 
+    def _announce_leave(self, peer: swim.Member) -> None:
+        # The channel to a peer that was just restarted may still wait to
+        # reconnect, so one message alone would often be lost.
+        for _ in range(LEAVE_ATTEMPTS):
+            if self._probe(peer.name, peer.peer_address):
+                return
+            self._clock.sleep(LEAVE_PAUSE)
+
     def stop(self) -> None:
         """Ends probing."""
         if self._greenlet is not None:
