Add rank, account and deadline order, credits and corrected choice

Cause: work waited in arrival order and replicas were chosen from own requests alone, so 7 daemons overfilled engines. Ruled out: importing routing from admission, which the package table forbids; admission now declares the protocol that it needs.

--- a/arbutuscove/admission/queue.py
+++ b/arbutuscove/admission/queue.py
@@ -1,53 +1,515 @@
-"""Order of waiting work, as a pure deterministic state machine."""
+"""Order of waiting work, as a pure deterministic state machine.
+
+Work of one service waits by *rank*, then by *client account*, then by
+deadline. Three rules choose what goes next:
+
+* Ranks go in order of priority, but a rank whose share of the tokens served
+  lately is below its floor goes first, and one whose running work fills its
+  ceiling waits.
+* Inside a rank the account with the smallest virtual token counter goes next:
+  tokens sent off, divided by the account's weight (Sheng et al., Fairness in
+  Serving Large Language Models, 2024).
+* Inside an account the earliest deadline that can still be met goes next.
+
+Work marked as most urgent beyond its account's entitlement is served with the
+next rank: it waits in a line of its own there, which takes turns with the
+rank's own line by tokens and has no floor, so that a flood of it cannot take
+the floor of that rank.
+
+Work is refused when it arrives, or taken back out, as soon as its deadline
+cannot be met or its own account is overloaded in its rank. Overload is judged
+from queueing delay (Zhou et al., Overload Control for Scaling WeChat
+Microservices, 2018) and never from queue length; the length limits only bound
+memory. Each operation costs at most logarithmic time in the queue length.
+"""
 
 import dataclasses
 import datetime
+import math
+from collections import abc
 
 import sortedcontainers
 
+from arbutuscove.admission import rates
 from arbutuscove.admission import work as work_module
+from arbutuscove.config import model as config_model
+
+SECOND = datetime.timedelta(seconds=1)
+RETRY_SHORTEST = SECOND
+RETRY_LONGEST = 60 * SECOND
+RETRY_SPREAD = 0.25  # callers refused together must not return together
+GOLDEN = 0.6180339887498949  # spreads successive numbers evenly over [0, 1)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class QueueSettings:
+    """Bounds and time constants of the queue of one service.
+
+    `service_limit`, `rank_limit` and `account_limit` are waiting requests in
+    one daemon. `urgent_burst` is how much unused entitlement to the urgent
+    rank an account may save up. `floor_window` is the time over which floors
+    are kept. `drain_window` is the memory of the measured drain rates, and
+    `evidence` the shortest busy period from which a wait is predicted.
+    `delay_share` is the part of a rank's first-token target that may pass in
+    the queue before the rank refuses the account that waits. `patience` is
+    how far a predicted wait must pass the time left before waiting work is
+    given up; new work is refused without it.
+    """
+
+    service_limit: int = 16_000
+    rank_limit: int = 12_000
+    account_limit: int = 4_000
+    urgent_burst: datetime.timedelta = 10 * SECOND
+    floor_window: datetime.timedelta = 10 * SECOND
+    drain_window: datetime.timedelta = 5 * SECOND
+    evidence: datetime.timedelta = SECOND / 2
+    delay_share: float = 0.5
+    patience: float = 2.0
+
 
-QUEUE_LIMIT = 10_000  # waiting requests of one service in one daemon
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Refused:
+    """Work that was taken out of the queue, and why."""
+
+    work: work_module.Work
+    refusal: work_module.Refusal
+    due: datetime.timedelta  # when it became certain
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Expired:
-    """Work whose deadline has passed while it waited."""
+class _Entry:
+    """One waiting request; `key` orders it inside its account."""
 
     work: work_module.Work
+    key: tuple[datetime.timedelta, int]
+    latest_start: datetime.timedelta
+
+
+class _AccountQueue:
+    """Waiting work of one account in one rank."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.counter = 0.0
+        self.entries: sortedcontainers.SortedDict = (
+            sortedcontainers.SortedDict()
+        )
+        self.tokens = 0
+        self.delay = datetime.timedelta()  # of the last work sent off
+        self.drain = rates.BusyRate(SECOND, datetime.timedelta())
+
+    def predict_wait(
+        self,
+        key: tuple[datetime.timedelta, int],
+        now: datetime.timedelta,
+        evidence: datetime.timedelta,
+    ) -> datetime.timedelta:
+        """Returns the wait of an entry, zero while there is no evidence."""
+        count = len(self.entries)
+        elapsed = self.drain.elapsed(now)
+        if count == 0 or elapsed < evidence:
+            return datetime.timedelta()
+        ahead = self.entries.bisect_left(key)
+        size = self.tokens / count
+        # One more request than was sent bounds the rate from above, so that a
+        # period without any dispatch predicts a long but finite wait.
+        rate = max(self.drain.read(now), size / elapsed.total_seconds())
+        return datetime.timedelta(seconds=ahead * size / rate)
+
+
+class _RankQueue:
+    """Waiting work of one rank."""
+
+    def __init__(self, settings: QueueSettings) -> None:
+        self.length = 0
+        self.running = 0
+        self.floor = 0.0
+        self.ceiling = 1.0
+        self.accounts: dict[str, _AccountQueue] = {}
+        self.active: sortedcontainers.SortedList = sortedcontainers.SortedList()
+        self.sent = rates.DecayedSum(settings.floor_window)
+        self.pace = 0.0  # seconds of running time per token
+        self.level = 0.0  # virtual counter of the last work sent off
 
 
 class WorkQueue:
-    """Waiting work of one service: rank first, then arrival."""
+    """Waiting work of one service; time is passed in.
 
-    def __init__(self) -> None:
-        self._items: sortedcontainers.SortedDict = sortedcontainers.SortedDict()
+    Example:
+        >>> WorkQueue().select(datetime.timedelta()) is None
+        True
+    """
+
+    def __init__(self, settings: QueueSettings | None = None) -> None:
+        self._settings = settings or QueueSettings()
+        self._entries: dict[str, _Entry] = {}
+        self._ranks: sortedcontainers.SortedDict = sortedcontainers.SortedDict()
+        self._latest: sortedcontainers.SortedList = (
+            sortedcontainers.SortedList()
+        )
+        self._entitlements: dict[str, rates.TokenBucket] = {}
+        self._evicted: list[Refused] = []
+        self._sent = rates.DecayedSum(self._settings.floor_window)
+        self._number = 0
 
     def __len__(self) -> int:
-        return len(self._items)
-
-    def push(self, work: work_module.Work) -> work_module.Refusal | None:
-        """Adds work, or refuses it when the queue is full."""
-        if len(self._items) >= QUEUE_LIMIT:
-            return work_module.Refusal(
-                status=429,
-                code="queue_full",
-                message="too many requests are waiting",
-                retry_after=datetime.timedelta(seconds=5),
+        return len(self._entries)
+
+    def __contains__(self, request_id: str) -> bool:
+        return request_id in self._entries
+
+    def push(
+        self, work: work_module.Work, now: datetime.timedelta
+    ) -> work_module.Refusal | None:
+        """Adds work, or returns at once why it is refused."""
+        if work.request_id in self._entries:
+            return _refuse(409, "duplicate", "request id is in use", SECOND)
+        self._number += 1
+        work = self._apply_entitlement(work, now)
+        rank = self._open_rank(work)
+        account = self._open_account(rank, work.account)
+        key = (work.deadline, self._number)
+        entry = _Entry(
+            work=work,
+            key=key,
+            latest_start=_find_latest_start(rank, work),
+        )
+        refusal = self._check_delay(account, entry, now)
+        if refusal is None:
+            refusal = self._make_room(rank, account, work, now)
+        if refusal is None:
+            self._insert(rank, account, entry, now)
+        return refusal
+
+    def select(
+        self,
+        now: datetime.timedelta,
+        slots: int | None = None,
+        blocked: abc.Set[int] = frozenset(),
+        blocked_accounts: abc.Set[tuple[int, str]] = frozenset(),
+    ) -> work_module.Work | None:
+        """Returns the work that goes next, without taking it out.
+
+        Args:
+            now: monotonic time.
+            slots: requests that may run at once, for ceilings; None if
+                unknown.
+            blocked: priorities that cannot be sent off now.
+            blocked_accounts: priorities and accounts whose first work cannot.
+        """
+        total = self._sent.read(now)
+        first: work_module.Work | None = None
+        best: tuple[int, float] | None = None
+        for (priority, _), rank in self._ranks.items():
+            if priority in blocked or not rank.active:
+                continue
+            if not self._has_room(priority, slots):
+                continue
+            work = self._find_first(priority, rank, blocked_accounts)
+            if work is None:
+                continue
+            sent = rank.sent.read(now)
+            if sent < rank.floor * total:
+                return work
+            if best is None or (priority, sent) < best:
+                first, best = work, (priority, sent)
+        return first
+
+    def take(self, request_id: str, now: datetime.timedelta) -> bool:
+        """Takes work out to run it; returns whether it was waiting.
+
+        Each work taken must be given back with `finish`.
+        """
+        entry = self._entries.get(request_id)
+        if entry is None:
+            return False
+        work = entry.work
+        rank = self._ranks[_line(work)]
+        account = rank.accounts[work.account.name]
+        self._remove(entry)
+        rank.level = max(rank.level, account.counter)
+        self._charge(rank, account, work.tokens / work.account.weight)
+        account.delay = now - work.arrived
+        account.drain.add(work.tokens, now)
+        rank.sent.add(work.tokens, now)
+        self._sent.add(work.tokens, now)
+        rank.running += 1
+        return True
+
+    def finish(
+        self,
+        work: work_module.Work,
+        tokens: int,
+        duration: datetime.timedelta,
+    ) -> None:
+        """Counts the end of work that was taken.
+
+        Args:
+            work: the work as it was selected.
+            tokens: tokens generated; 0 gives the account its charge back.
+            duration: time from dispatch to the end.
+        """
+        rank = self._ranks[_line(work)]
+        rank.running = max(0, rank.running - 1)
+        if tokens == 0:
+            account = rank.accounts.get(work.account.name)
+            if account is not None:
+                self._charge(rank, account, -work.tokens / work.account.weight)
+            return
+        pace = duration.total_seconds() / work.tokens
+        # A tenth of each new value follows a change of pace within some tens
+        # of answers and forgets a single outlier.
+        rank.pace += 0.1 * (pace - rank.pace) if rank.pace else pace
+
+    def withdraw(self, request_id: str) -> bool:
+        """Takes out work whose caller has gone; returns whether it waited."""
+        entry = self._entries.get(request_id)
+        if entry is None:
+            return False
+        self._remove(entry)
+        return True
+
+    def give_up(self, now: datetime.timedelta) -> list[Refused]:
+        """Takes out and returns the work that cannot be served in time.
+
+        That is work past its latest start, work that had to make room for
+        more urgent work, and the last work of an account whose predicted wait
+        is far beyond the time it has left.
+        """
+        given_up = self._evicted
+        self._evicted = []
+        while self._latest and self._latest[0][0] <= now:
+            entry = self._entries[self._latest[0][1]]
+            given_up.append(
+                self._give_up_entry(entry, RETRY_SHORTEST, entry.latest_start)
+            )
+        for rank in self._ranks.values():
+            for _, name in list(rank.active):
+                given_up.extend(self._trim(rank.accounts[name], now))
+        return given_up
+
+    def _apply_entitlement(
+        self, work: work_module.Work, now: datetime.timedelta
+    ) -> work_module.Work:
+        ranks = sorted(work.service.ranks, key=lambda rank: rank.priority)
+        if len(ranks) < 2 or work.rank.priority != ranks[0].priority:
+            return work
+        name = work.account.name
+        bucket = self._entitlements.get(name)
+        if bucket is None:
+            if len(self._entitlements) >= self._settings.service_limit:
+                self._entitlements.pop(next(iter(self._entitlements)))
+            bucket = rates.TokenBucket(self._settings.urgent_burst)
+            self._entitlements[name] = bucket
+        rate = work.account.urgent_tokens_per_second
+        if bucket.take(work.tokens, rate, now):
+            return work
+        return dataclasses.replace(work, rank=ranks[1], entitled=False)
+
+    def _open_rank(self, work: work_module.Work) -> _RankQueue:
+        queue = self._ranks.get(_line(work))
+        if queue is None:
+            queue = _RankQueue(self._settings)
+            self._ranks[_line(work)] = queue
+        queue.floor = work.rank.floor_share if work.entitled else 0.0
+        queue.ceiling = work.rank.ceiling_share
+        return queue
+
+    def _has_room(self, priority: int, slots: int | None) -> bool:
+        """Returns whether the rank's running work is below its ceiling."""
+        lines = [
+            self._ranks[key]
+            for key in ((priority, False), (priority, True))
+            if key in self._ranks
+        ]
+        ceiling = min(line.ceiling for line in lines)
+        if slots is None or ceiling >= 1.0:
+            return True
+        running = sum(line.running for line in lines)
+        return running < max(1, math.ceil(ceiling * slots))
+
+    def _open_account(
+        self, rank: _RankQueue, account: config_model.Account
+    ) -> _AccountQueue:
+        queue = rank.accounts.get(account.name)
+        if queue is not None:
+            return queue
+        if len(rank.accounts) >= self._settings.rank_limit:
+            idle = [n for n, a in rank.accounts.items() if not a.entries]
+            if idle:
+                rank.accounts.pop(idle[0])
+        queue = _AccountQueue(account.name)
+        rank.accounts[account.name] = queue
+        return queue
+
+    def _check_delay(
+        self, account: _AccountQueue, entry: _Entry, now: datetime.timedelta
+    ) -> work_module.Refusal | None:
+        wait = account.predict_wait(entry.key, now, self._settings.evidence)
+        left = entry.latest_start - now
+        if left <= datetime.timedelta() or wait > left:
+            return _refuse(
+                503,
+                "deadline",
+                "the deadline cannot be met",
+                self._spread(wait - left),
             )
-        self._items[_order(work)] = work
+        target = entry.work.rank.first_token_target * self._settings.delay_share
+        if min(account.delay, wait) > target:
+            return _refuse(
+                429,
+                "overloaded",
+                "this account's work of this rank waits too long",
+                self._spread(wait - target),
+            )
+        return None
+
+    def _make_room(
+        self,
+        rank: _RankQueue,
+        account: _AccountQueue,
+        work: work_module.Work,
+        now: datetime.timedelta,
+    ) -> work_module.Refusal | None:
+        settings = self._settings
+        if len(account.entries) >= settings.account_limit:
+            return self._refuse_full("account")
+        if rank.length >= settings.rank_limit:
+            largest = max(rank.accounts.values(), key=lambda a: len(a.entries))
+            if len(largest.entries) <= len(account.entries) + 1:
+                return self._refuse_full("rank")
+            self._evict(largest, now)
+        if len(self._entries) >= settings.service_limit:
+            lower = [
+                other
+                for (priority, _), other in self._ranks.items()
+                if priority > work.rank.priority and other.length
+            ]
+            if not lower:
+                return self._refuse_full("service")
+            accounts = lower[-1].accounts.values()
+            self._evict(max(accounts, key=lambda a: len(a.entries)), now)
         return None
 
-    def peek(self) -> work_module.Work | None:
-        """Returns the work that goes next."""
-        return self._items.peekitem(0)[1] if self._items else None
+    def _refuse_full(self, scope: str) -> work_module.Refusal:
+        return _refuse(
+            429,
+            "queue_full",
+            f"too many requests of this {scope} are waiting",
+            self._spread(RETRY_SHORTEST),
+        )
+
+    def _evict(self, account: _AccountQueue, now: datetime.timedelta) -> None:
+        entry = account.entries.peekitem(-1)[1]
+        self._evicted.append(self._give_up_entry(entry, RETRY_SHORTEST, now))
+
+    def _trim(
+        self, account: _AccountQueue, now: datetime.timedelta
+    ) -> list[Refused]:
+        given_up = []
+        while account.entries:
+            entry = account.entries.peekitem(-1)[1]
+            wait = account.predict_wait(entry.key, now, self._settings.evidence)
+            left = entry.latest_start - now
+            if wait <= left * self._settings.patience:
+                break
+            given_up.append(self._give_up_entry(entry, wait - left, now))
+        return given_up
+
+    def _give_up_entry(
+        self,
+        entry: _Entry,
+        retry_after: datetime.timedelta,
+        due: datetime.timedelta,
+    ) -> Refused:
+        self._remove(entry)
+        refusal = _refuse(
+            503,
+            "deadline",
+            "the deadline cannot be met any more",
+            self._spread(retry_after),
+        )
+        return Refused(work=entry.work, refusal=refusal, due=due)
+
+    def _insert(
+        self,
+        rank: _RankQueue,
+        account: _AccountQueue,
+        entry: _Entry,
+        now: datetime.timedelta,
+    ) -> None:
+        work = entry.work
+        if not account.entries:
+            # An account that was idle must not claim the past: it starts
+            # level with the accounts that wait.
+            level = rank.active[0][0] if rank.active else rank.level
+            account.counter = max(account.counter, level)
+            account.drain = rates.BusyRate(self._settings.drain_window, now)
+            account.delay = datetime.timedelta()
+            rank.active.add((account.counter, account.name))
+        account.entries[entry.key] = entry
+        account.tokens += work.tokens
+        rank.length += 1
+        self._entries[work.request_id] = entry
+        self._latest.add((entry.latest_start, work.request_id))
+
+    def _remove(self, entry: _Entry) -> None:
+        work = entry.work
+        rank = self._ranks[_line(work)]
+        account = rank.accounts[work.account.name]
+        del account.entries[entry.key]
+        account.tokens -= work.tokens
+        rank.length -= 1
+        del self._entries[work.request_id]
+        self._latest.remove((entry.latest_start, work.request_id))
+        if not account.entries:
+            rank.active.remove((account.counter, account.name))
+
+    def _charge(
+        self, rank: _RankQueue, account: _AccountQueue, amount: float
+    ) -> None:
+        if account.entries:
+            rank.active.remove((account.counter, account.name))
+        account.counter += amount
+        if account.entries:
+            rank.active.add((account.counter, account.name))
+
+    def _find_first(
+        self,
+        priority: int,
+        rank: _RankQueue,
+        blocked_accounts: abc.Set[tuple[int, str]],
+    ) -> work_module.Work | None:
+        for _, name in rank.active:
+            if (priority, name) not in blocked_accounts:
+                return rank.accounts[name].entries.peekitem(0)[1].work
+        return None
+
+    def _spread(self, duration: datetime.timedelta) -> datetime.timedelta:
+        bounded = min(max(duration, RETRY_SHORTEST), RETRY_LONGEST)
+        return bounded * (1.0 + RETRY_SPREAD * (self._number * GOLDEN % 1.0))
+
+
+def _line(work: work_module.Work) -> tuple[int, bool]:
+    """Returns the key of the line in which the work waits."""
+    return (work.rank.priority, not work.entitled)
+
+
+def _find_latest_start(
+    rank: _RankQueue, work: work_module.Work
+) -> datetime.timedelta:
+    """Returns the last time at which the work can begin and still finish.
 
-    def remove(self, work: work_module.Work) -> bool:
-        """Takes work out; returns whether it was still waiting."""
-        return self._items.pop(_order(work), None) is not None
+    At most half of the time allowed is kept for running, because the pace is
+    an average: a work that is quicker than it must not be refused for it.
+    """
+    running = datetime.timedelta(seconds=rank.pace * work.tokens)
+    return work.deadline - min(running, (work.deadline - work.arrived) / 2)
 
 
-def _order(
-    work: work_module.Work,
-) -> tuple[int, datetime.timedelta, str]:
-    return (work.rank.priority, work.arrived, work.request_id)
+def _refuse(
+    status: int, code: str, message: str, retry_after: datetime.timedelta
+) -> work_module.Refusal:
+    return work_module.Refusal(
+        status=status, code=code, message=message, retry_after=retry_after
+    )
--- a/arbutuscove/admission/service.py
+++ b/arbutuscove/admission/service.py
@@ -1,20 +1,23 @@
 """Admits requests to replicas; work waits here and not in the engines."""
 
 import datetime
+from collections import abc
 
 import expression
 import gevent
 from gevent import event
 
+from arbutuscove.admission import dispatch
 from arbutuscove.admission import queue
 from arbutuscove.admission import work as work_module
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import loop
 from arbutuscove.kernel import services
-from arbutuscove.routing import service as routing_module
 
 SERVICE_NAME = "admission"
-DISPATCH_INTERVAL = datetime.timedelta(milliseconds=50)
+# Longest time until waiting work that cannot be served any more is refused;
+# below the 50 ms in which a refusal must be answered.
+DISPATCH_INTERVAL = datetime.timedelta(milliseconds=25)
 RETRY_AFTER = datetime.timedelta(seconds=2)
 
 Admitted = expression.Result[work_module.Ticket, work_module.Refusal]
@@ -26,14 +29,17 @@
     def __init__(
         self,
         clock: clock_module.Clock,
-        routing: routing_module.Routing,
+        routing: dispatch.Router,
         lag: loop.LagMonitor,
+        publish_load: abc.Callable[[int], None] | None = None,
     ) -> None:
         self._clock = clock
         self._routing = routing
         self._lag = lag
+        self._publish_load = publish_load
         self._queues: dict[str, queue.WorkQueue] = {}
         self._waiting: dict[str, event.AsyncResult] = {}
+        self._running = 0
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self, kernel: services.Kernel) -> None:
@@ -52,52 +58,73 @@
     def admit(self, work: work_module.Work) -> Admitted:
         """Waits until the work may run, or returns why it may not.
 
-        The answer comes at the latest at the work's deadline. A ticket must be
-        given back with `finish`.
+        A refusal is returned as soon as it is certain, at the latest at the
+        work's deadline. A ticket must be given back with `finish`.
         """
         if self._lag.lag() > loop.SHED_LAG:
             return expression.Error(_refuse("overloaded", "daemon overloaded"))
-        waiting = self._queues.setdefault(work.service.name, queue.WorkQueue())
-        refusal = waiting.push(work)
+        name = work.service.name
+        waiting = self._queues.setdefault(name, queue.WorkQueue())
+        refusal = waiting.push(work, self._clock.monotonic())
         if refusal is not None:
             return expression.Error(refusal)
         result: event.AsyncResult = event.AsyncResult()
         self._waiting[work.request_id] = result
         try:
-            self._dispatch(work.service.name)
+            self._dispatch(name)
             left = work.deadline - self._clock.monotonic()
-            seconds = max(0.0, left.total_seconds())
-            return expression.Ok(result.get(timeout=seconds))
+            return result.get(timeout=max(0.0, left.total_seconds()))
         except gevent.Timeout:
+            if result.ready():  # granted just as the time ran out
+                return result.get()
             return expression.Error(
                 _refuse("deadline", "no capacity before the deadline")
             )
+        except BaseException:
+            # The caller was killed after a ticket was granted to it.
+            if result.ready() and result.value.is_ok():
+                self.finish(result.value.ok, 0)
+            raise
         finally:
-            waiting.remove(work)
+            waiting.withdraw(work.request_id)
             self._waiting.pop(work.request_id, None)
 
     def finish(self, ticket: work_module.Ticket, tokens: int) -> None:
         """Gives a ticket back after `tokens` were generated."""
-        self._routing.release(ticket)
-        self._dispatch(ticket.work.service.name)
+        name = ticket.work.service.name
+        self._running -= 1
+        self._routing.release(ticket, tokens)
+        waiting = self._queues.get(name)
+        if waiting is not None:
+            duration = self._clock.monotonic() - ticket.admitted
+            waiting.finish(ticket.work, tokens, duration)
+        self._dispatch(name)
 
     def _dispatch(self, service: str) -> None:
         waiting = self._queues.get(service)
-        while waiting is not None:
-            work = waiting.peek()
-            if work is None:
-                return
-            ticket = self._routing.choose(work)
-            if ticket is None:
-                return
-            waiting.remove(work)
-            self._waiting[work.request_id].set(ticket)
+        if waiting is None:
+            return
+        now = self._clock.monotonic()
+        for refused in waiting.give_up(now):
+            self._answer(
+                refused.work.request_id, expression.Error(refused.refusal)
+            )
+        for ticket in dispatch.dispatch(waiting, self._routing, service, now):
+            self._running += 1
+            self._answer(ticket.work.request_id, expression.Ok(ticket))
+
+    def _answer(self, request_id: str, answer: Admitted) -> None:
+        result = self._waiting.get(request_id)
+        if result is not None:
+            result.set(answer)
 
     def _run(self) -> None:
         while True:
             self._clock.sleep(DISPATCH_INTERVAL)
             for service in list(self._queues):
                 self._dispatch(service)
+            if self._publish_load is not None:
+                self._publish_load(self._running + len(self._waiting))
 
 
 def _refuse(code: str, message: str) -> work_module.Refusal:
--- a/arbutuscove/admission/work.py
+++ b/arbutuscove/admission/work.py
@@ -21,6 +21,8 @@
     prefix: str = ""  # digest of the prompt's beginning, for cache affinity
     digest: str = ""  # identity of account and content
     excluded: frozenset[str] = frozenset()  # replicas not to use
+    suspect: bool = False  # ran where an upstream died; must run alone
+    entitled: bool = True  # False: beyond the account's urgent entitlement
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -32,6 +32,7 @@
 from arbutuscove.requests import flow
 from arbutuscove.requests import once
 from arbutuscove.requests import resume
+from arbutuscove.routing import credits
 from arbutuscove.routing import service as routing_service
 from arbutuscove.upstreams import pool
 
@@ -65,8 +66,12 @@
         identity, table, clock, config, leases, board, engines
     )
     limits = limits_service.Limits()
-    routing = routing_service.Routing(clock, directory)
-    admission = admission_service.Admission(clock, routing, lag)
+    routing = routing_service.Routing(
+        clock, directory, lambda: _read_demands(membership), generator
+    )
+    admission = admission_service.Admission(
+        clock, routing, lag, membership.set_load
+    )
     tokens = resume.ResumeTokens(settings.resume_secret)
     requests = flow.RequestFlow(
         clock, admission, limits, engines, tokens, generator
@@ -133,6 +138,15 @@
     )
 
 
+def _read_demands(
+    membership: membership_service.Membership,
+) -> credits.Demands:
+    own = membership.own()
+    loads = {member.name: member.load for member in membership.alive()}
+    loads[own.name] = own.load
+    return credits.Demands(own=own.name, loads=loads)
+
+
 def _list_entries(
     membership: membership_service.Membership,
 ) -> list[entries.Entry]:
--- a/arbutuscove/replicas/directory.py
+++ b/arbutuscove/replicas/directory.py
@@ -52,6 +52,7 @@
         running=report.status.running,
         queued=report.status.queued,
         reported_at=report.at,
+        kv_used=report.status.kv_used,
     )
 
 
--- a/arbutuscove/replicas/model.py
+++ b/arbutuscove/replicas/model.py
@@ -67,6 +67,7 @@
     running: int
     queued: int
     reported_at: datetime.timedelta
+    kv_used: float = 0.0
 
 
 def vm_key(vm: inventory.Vm) -> str:
--- a/arbutuscove/routing/choice.py
+++ b/arbutuscove/routing/choice.py
@@ -1,28 +1,345 @@
-"""Choice of a replica as a pure function of load."""
+"""Choice of a replica, as a pure deterministic state machine.
 
+One `Chooser` holds what a daemon knows of the replicas of one service: their
+load reports, its own work since those reports, its credits, its latencies. The
+choice among the replicas with a free credit is made by the power of two
+choices (Mitzenmacher, 2001): of two drawn at random the less loaded one is
+taken. Random draws keep daemons that see the same lagging reports from all
+choosing the same idle replica.
+"""
+
+import collections
+import dataclasses
+import datetime
+import random
+import statistics
 from collections import abc
 
 from arbutuscove.replicas import model
+from arbutuscove.routing import credits
+
+SECOND = datetime.timedelta(seconds=1)
+URGENT = 0  # priority of the most urgent rank
 
 
-def choose(
-    candidates: abc.Sequence[model.Serving],
-    own: abc.Mapping[str, int],
-    excluded: frozenset[str],
-) -> model.Serving | None:
-    """Returns the candidate with most free slots, or None if none has any.
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ChoiceSettings:
+    """Limits of the choice of a replica.
 
-    Args:
-        candidates: replicas that may take work.
-        own: this daemon's requests in progress on each replica.
-        excluded: replicas not to use.
+    `urgent_share` is the share of a replica's slots that only the most urgent
+    rank may use. `bulk_kv` and `urgent_kv` are the fractions of KV memory
+    beyond which less urgent and urgent work are not sent. `affinity_bound` is
+    how far the load of a replica that holds the prefix may pass the mean (a
+    factor, as in consistent hashing with bounded loads, Mirrokni et al.,
+    2018). `straggler_ratio` is the time per token relative to the group's
+    median from which a replica counts as a straggler, and `straggler_most`
+    bounds how far its slots are reduced. `sample_age` is how long a latency
+    counts. `prefix_limit` and `homes` bound the prefixes remembered and the
+    replicas of each.
     """
-    free = [
-        replica
-        for replica in candidates
-        if replica.replica not in excluded
-        and own.get(replica.replica, 0) < replica.slots
-    ]
-    if not free:
-        return None
-    return min(free, key=lambda item: (own.get(item.replica, 0), item.replica))
+
+    urgent_share: float = 0.25
+    bulk_kv: float = 0.85
+    urgent_kv: float = 0.97
+    affinity_bound: float = 1.25
+    straggler_ratio: float = 1.5
+    straggler_most: float = 4.0
+    sample_age: datetime.timedelta = 30 * SECOND
+    prefix_limit: int = 10_000
+    homes: int = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Request:
+    """What the choice needs to know of a request."""
+
+    priority: int
+    prefix: str = ""
+    excluded: frozenset[str] = frozenset()
+    suspect: bool = False
+
+
+EVENT_LIMIT = 4096  # own starts and ends since a report, for each replica
+
+
+class _Replica:
+    """What this daemon knows of one replica."""
+
+    def __init__(self, serving: model.Serving) -> None:
+        self.serving = serving
+        self.bulk_credits = 0
+        self.urgent_credits = 0
+        self.own_bulk = 0
+        self.own_urgent = 0
+        self.alone = False  # a suspect runs here
+        self.events: collections.deque[tuple[datetime.timedelta, int]] = (
+            collections.deque(maxlen=EVENT_LIMIT)
+        )
+        self.change = 0  # sum of `events`
+        self.token_time = 0.0  # seconds for a token, averaged
+        self.sampled_at: datetime.timedelta | None = None
+        self.slowdown = 1.0
+
+    def own(self) -> int:
+        """Returns this daemon's requests here."""
+        return self.own_bulk + self.own_urgent
+
+    def load(self) -> int:
+        """Returns the reported load, corrected by own work since then."""
+        reported = self.serving.running + self.serving.queued
+        return max(self.own(), reported + self.change)
+
+    def count(self, now: datetime.timedelta, change: int) -> None:
+        """Counts a start or an end of own work."""
+        if len(self.events) == EVENT_LIMIT:
+            self.change -= self.events[0][1]
+        self.events.append((now, change))
+        self.change += change
+
+    def report(self, serving: model.Serving) -> None:
+        """Takes a load report; work that it includes is not counted twice."""
+        self.serving = serving
+        while self.events and self.events[0][0] <= serving.reported_at:
+            self.change -= self.events.popleft()[1]
+
+    def excess(self) -> int:
+        """Returns how many more requests run here than credits allow."""
+        return max(0, self.own() - self.bulk_credits - self.urgent_credits)
+
+    def has_credit(self, priority: int) -> bool:
+        """Returns whether a credit is free; urgent work may use any."""
+        if priority == URGENT and self.own_urgent < self.urgent_credits:
+            return True
+        spilled = max(0, self.own_urgent - self.urgent_credits)
+        return self.own_bulk + spilled < self.bulk_credits
+
+    def has_memory(self, limit: float) -> bool:
+        """Returns whether KV memory is below a limit, own work included."""
+        used = self.serving.kv_used
+        each = used / max(1, self.serving.running)
+        return used + max(0, self.change) * each < limit
+
+
+class Chooser:
+    """Chooses among the replicas of one service; time is passed in."""
+
+    def __init__(
+        self,
+        generator: random.Random,
+        settings: ChoiceSettings | None = None,
+    ) -> None:
+        self._random = generator
+        self._settings = settings or ChoiceSettings()
+        self._replicas: dict[str, _Replica] = {}
+        self._serving: list[_Replica] = []
+        self._homes: collections.OrderedDict[str, tuple[str, ...]] = (
+            collections.OrderedDict()
+        )
+        self._demands = credits.Demands(own="", loads={"": 0})
+
+    def refresh(
+        self,
+        servings: abc.Iterable[model.Serving],
+        demands: credits.Demands,
+        now: datetime.timedelta,
+    ) -> None:
+        """Takes the replicas that serve now and divides their credits."""
+        self._serving = []
+        for serving in servings:
+            held = self._replicas.get(serving.replica)
+            if held is None:
+                held = _Replica(serving)
+                self._replicas[serving.replica] = held
+            held.report(serving)
+            self._serving.append(held)
+        names = {held.serving.replica for held in self._serving}
+        for name in list(self._replicas):
+            if name not in names and self._replicas[name].own() == 0:
+                del self._replicas[name]
+        self._demands = demands
+        self._judge_latency(now)
+        self._divide()
+
+    def choose(
+        self, request: Request, now: datetime.timedelta
+    ) -> model.Serving | None:
+        """Returns the replica that takes the request, or None.
+
+        The request then counts as this daemon's until `end`.
+        """
+        able = [
+            held
+            for held in self._serving
+            if held.has_credit(request.priority)
+            and self._may_take(held, request)
+        ]
+        chosen = self._pick(able or self._borrow(request), request)
+        if chosen is None:
+            return None
+        if request.priority == URGENT:
+            chosen.own_urgent += 1
+        else:
+            chosen.own_bulk += 1
+        chosen.alone = request.suspect
+        chosen.count(now, 1)
+        self._remember(request.prefix, chosen.serving.replica)
+        return chosen.serving
+
+    def end(
+        self,
+        replica: str,
+        request: Request,
+        tokens: int,
+        duration: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> None:
+        """Counts the end of a request that was chosen for a replica.
+
+        Args:
+            replica: the replica that took it.
+            request: the request as it was chosen.
+            tokens: tokens generated; 0 if it failed.
+            duration: time since the choice.
+            now: monotonic time.
+        """
+        held = self._replicas.get(replica)
+        if held is None:
+            return
+        if request.priority == URGENT:
+            held.own_urgent -= 1
+        else:
+            held.own_bulk -= 1
+        if request.suspect:
+            held.alone = False
+        held.count(now, -1)
+        if tokens > 0:
+            sample = duration.total_seconds() / tokens
+            weight = 0.2 if held.sampled_at else 1.0
+            held.token_time += weight * (sample - held.token_time)
+            held.sampled_at = now
+
+    def slots(self) -> int:
+        """Returns this daemon's credits over all replicas."""
+        return sum(h.bulk_credits + h.urgent_credits for h in self._serving)
+
+    def load(self, replica: str) -> int:
+        """Returns the corrected load of a replica."""
+        return self._replicas[replica].load()
+
+    def slowdown(self, replica: str) -> float:
+        """Returns latency relative to the group, 1 unless a straggler."""
+        return self._replicas[replica].slowdown
+
+    def in_progress(self) -> int:
+        """Returns this daemon's requests on all replicas."""
+        return sum(held.own() for held in self._replicas.values())
+
+    def _may_take(self, held: _Replica, request: Request) -> bool:
+        if held.alone or held.serving.replica in request.excluded:
+            return False
+        if request.suspect:
+            return held.load() == 0 and not self._has_suspect()
+        urgent = request.priority == URGENT
+        limit = self._settings.urgent_kv if urgent else self._settings.bulk_kv
+        return held.load() < held.serving.slots and held.has_memory(limit)
+
+    def _has_suspect(self) -> bool:
+        return any(held.alone for held in self._replicas.values())
+
+    def _borrow(self, request: Request) -> list[_Replica]:
+        """Returns replicas for one request beyond the credits.
+
+        A daemon whose part gives it no free credit could otherwise never
+        begin, when replicas are few or its hints are wrong. One request at a
+        time bounds the overfill to one for each daemon.
+        """
+        if any(held.excess() for held in self._replicas.values()):
+            return []
+        bulk = request.priority != URGENT
+        return [
+            held
+            for held in self._serving
+            if self._may_take(held, request)
+            and not (bulk and held.load() >= self._count_bulk(held))
+        ]
+
+    def _pick(self, able: list[_Replica], request: Request) -> _Replica | None:
+        if not able:
+            return None
+        homes = self._find_homes(able, request)
+        pool = homes or able
+        first = pool[self._random.randrange(len(pool))]
+        second = pool[self._random.randrange(len(pool))]
+        return min(first, second, key=_cost)
+
+    def _find_homes(
+        self, able: list[_Replica], request: Request
+    ) -> list[_Replica]:
+        names = self._homes.get(request.prefix) if request.prefix else None
+        if not names:
+            return []
+        homes = [held for held in able if held.serving.replica in names]
+        if not homes:
+            return []
+        mean = sum(held.load() for held in self._serving) / len(self._serving)
+        bound = self._settings.affinity_bound * mean + 1
+        return [h for h in homes if h.load() < bound and h.slowdown == 1.0]
+
+    def _remember(self, prefix: str, replica: str) -> None:
+        if not prefix:
+            return
+        names = self._homes.pop(prefix, ())
+        others = tuple(name for name in names if name != replica)
+        self._homes[prefix] = (replica, *others)[: self._settings.homes]
+        if len(self._homes) > self._settings.prefix_limit:
+            self._homes.popitem(last=False)
+
+    def _judge_latency(self, now: datetime.timedelta) -> None:
+        oldest = now - self._settings.sample_age
+        sampled = [
+            held
+            for held in self._serving
+            if held.sampled_at is not None and held.sampled_at >= oldest
+        ]
+        for held in self._serving:
+            held.slowdown = 1.0
+        # With fewer than three there is no group to be compared with.
+        if len(sampled) < 3:
+            return
+        median = statistics.median(held.token_time for held in sampled)
+        for held in sampled:
+            ratio = held.token_time / median if median > 0.0 else 1.0
+            if ratio >= self._settings.straggler_ratio:
+                held.slowdown = min(ratio, self._settings.straggler_most)
+
+    def _divide(self) -> None:
+        capacity = sum(self._usable(held) for held in self._serving)
+        # Room to grow by a quarter and one request: demand is published with
+        # a lag, and a daemon must not wait for it to take its next request.
+        wanted = {
+            name: load * 1.25 + 1 for name, load in self._demands.loads.items()
+        }
+        by_demand = credits.divide(wanted, capacity)
+        equal = credits.divide_equally(wanted)
+        own = self._demands.own
+        bulk_part = by_demand.get(own, credits.WHOLE)
+        urgent_part = equal.get(own, credits.WHOLE)
+        for held in self._serving:
+            name = held.serving.replica
+            bulk = self._count_bulk(held)
+            urgent = self._usable(held) - bulk
+            held.bulk_credits = credits.count(bulk_part, bulk, name)
+            held.urgent_credits = credits.count(
+                urgent_part, urgent, name + "/urgent"
+            )
+
+    def _usable(self, held: _Replica) -> int:
+        return max(1, int(held.serving.slots / held.slowdown))
+
+    def _count_bulk(self, held: _Replica) -> int:
+        usable = self._usable(held)
+        return max(1, int(usable * (1.0 - self._settings.urgent_share)))
+
+
+def _cost(held: _Replica) -> float:
+    return (held.load() + 1) * held.slowdown / max(1, held.serving.slots)
--- a/arbutuscove/routing/service.py
+++ b/arbutuscove/routing/service.py
@@ -1,12 +1,21 @@
-"""Routing with this daemon's own work in progress."""
+"""Routing: the choice of replicas with the daemon's hints wired in."""
+
+import datetime
+import random
+from collections import abc
 
 from arbutuscove.admission import work as work_module
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
 from arbutuscove.replicas import directory as directory_module
 from arbutuscove.routing import choice
+from arbutuscove.routing import credits
 
 SERVICE_NAME = "routing"
+# Age of the view that choices use. Building it reads every member of every
+# replica; it adds this much to the 3 s bound on work to a leaving VM.
+VIEW_AGE = datetime.timedelta(milliseconds=100)
+SERVICE_LIMIT = 1024  # services with a view; the oldest is dropped beyond it
 
 
 class Routing(services.BaseService):
@@ -16,31 +25,79 @@
         self,
         clock: clock_module.Clock,
         directory: directory_module.ReplicaDirectory,
+        read_demands: abc.Callable[[], credits.Demands] | None = None,
+        generator: random.Random | None = None,
+        settings: choice.ChoiceSettings | None = None,
     ) -> None:
         self._clock = clock
         self._directory = directory
-        self._own: dict[str, int] = {}
+        self._read_demands = read_demands or _read_single
+        self._random = generator or random.Random()
+        self._settings = settings
+        self._choosers: dict[str, choice.Chooser] = {}
+        self._refreshed: dict[str, datetime.timedelta] = {}
 
     def choose(self, work: work_module.Work) -> work_module.Ticket | None:
         """Returns a ticket on the best replica, or None if none is free."""
-        candidates = self._directory.serving(work.service.name)
-        chosen = choice.choose(candidates, self._own, work.excluded)
+        now = self._clock.monotonic()
+        chooser = self._open(work.service.name, now)
+        chosen = chooser.choose(_build_request(work), now)
         if chosen is None:
             return None
-        self._own[chosen.replica] = self._own.get(chosen.replica, 0) + 1
-        return work_module.Ticket(
-            work=work, replica=chosen, admitted=self._clock.monotonic()
+        return work_module.Ticket(work=work, replica=chosen, admitted=now)
+
+    def release(self, ticket: work_module.Ticket, tokens: int = 0) -> None:
+        """Counts the end of a ticket's work and of `tokens` generated."""
+        chooser = self._choosers.get(ticket.work.service.name)
+        if chooser is None:
+            return
+        now = self._clock.monotonic()
+        chooser.end(
+            ticket.replica.replica,
+            _build_request(ticket.work),
+            tokens,
+            now - ticket.admitted,
+            now,
         )
 
-    def release(self, ticket: work_module.Ticket) -> None:
-        """Counts the end of a ticket's work."""
-        name = ticket.replica.replica
-        left = self._own.get(name, 0) - 1
-        if left > 0:
-            self._own[name] = left
-        else:
-            self._own.pop(name, None)
+    def slots(self, service: str) -> int:
+        """Returns how many requests this daemon may run at once."""
+        return self._open(service, self._clock.monotonic()).slots()
 
     def in_progress(self) -> int:
         """Returns the number of tickets in use."""
-        return sum(self._own.values())
+        return sum(c.in_progress() for c in self._choosers.values())
+
+    def _open(self, service: str, now: datetime.timedelta) -> choice.Chooser:
+        chooser = self._choosers.get(service)
+        if chooser is None:
+            chooser = choice.Chooser(self._random, self._settings)
+            self._choosers[service] = chooser
+            if len(self._choosers) > SERVICE_LIMIT:
+                self._drop_idle()
+        refreshed = self._refreshed.get(service)
+        if refreshed is None or now - refreshed >= VIEW_AGE:
+            servings = self._directory.serving(service)
+            chooser.refresh(servings, self._read_demands(), now)
+            self._refreshed[service] = now
+        return chooser
+
+    def _drop_idle(self) -> None:
+        for name, chooser in list(self._choosers.items()):
+            if chooser.in_progress() == 0:
+                del self._choosers[name]
+                self._refreshed.pop(name, None)
+                return
+
+
+def _build_request(work: work_module.Work) -> choice.Request:
+    return choice.Request(
+        priority=work.rank.priority,
+        prefix=work.prefix,
+        excluded=work.excluded,
+        suspect=work.suspect,
+    )
+
+
+def _read_single() -> credits.Demands:
+    return credits.Demands(own="", loads={"": 0})
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decision code; not part of the daemon."""
--- /dev/null
+++ b/bench/users.py
@@ -0,0 +1,176 @@
+"""The two users at today's sizes: fleet, ranks, accounts, usual load.
+
+Token counts, times and shares are assumptions of the benchmark, chosen so that
+the ranks lie far apart and the usual load is about 65% of the slots.
+"""
+
+import dataclasses
+import datetime
+
+from arbutuscove.config import model
+
+DAEMONS = tuple(f"entry-{number}" for number in range(1, 8))
+# Shares of the load by account; the last one is the smallest.
+SHARES = (0.26, 0.18, 0.14, 0.11, 0.09, 0.07, 0.06, 0.04, 0.03, 0.02)
+URGENT_HEADROOM = 3.0  # entitlement relative to the usual urgent load
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RankLoad:
+    """What requests of a rank look like; times in seconds.
+
+    `usual` is the share of all slots that the rank uses on a normal day.
+    """
+
+    name: str
+    target: float
+    deadline: float
+    answer_tokens: int
+    prefill: float
+    usual: float
+    floor: float
+    worth: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class User:
+    """One of the users and its fleet."""
+
+    name: str
+    replicas: int
+    vms_per_replica: int
+    slots: int
+    token_interval: float
+    ranks: tuple[RankLoad, ...]
+
+    def total_slots(self) -> int:
+        """Returns the requests that the whole fleet runs at once."""
+        return self.replicas * self.slots
+
+    def run_time(self, rank: RankLoad) -> float:
+        """Returns the mean seconds for which a request holds a slot."""
+        return rank.prefill + rank.answer_tokens * self.token_interval
+
+    def capacity(self, rank: RankLoad) -> float:
+        """Returns requests per second if the fleet ran only this rank."""
+        return self.total_slots() / self.run_time(rank)
+
+    def build_service(self) -> model.Service:
+        """Returns the service configuration."""
+        urgent = self.ranks[0]
+        usual_tokens = (
+            urgent.usual * self.capacity(urgent) * urgent.answer_tokens
+        )
+        return model.Service(
+            name=self.name,
+            team=self.name,
+            ranks=tuple(
+                model.Rank(
+                    name=rank.name,
+                    priority=priority,
+                    worth=rank.worth,
+                    first_token_target=datetime.timedelta(seconds=rank.target),
+                    floor_share=rank.floor,
+                )
+                for priority, rank in enumerate(self.ranks)
+            ),
+            accounts=tuple(
+                model.Account(
+                    name=f"account-{number}",
+                    key_digests=(),
+                    urgent_tokens_per_second=(
+                        share * usual_tokens * URGENT_HEADROOM
+                    ),
+                )
+                for number, share in enumerate(SHARES)
+            ),
+            limits=model.Limits(accelerators=self.replicas * 8),
+            model=model.ModelBackend(
+                model="model",
+                vms_per_replica=self.vms_per_replica,
+                replicas=self.replicas,
+            ),
+        )
+
+
+NILAVU = User(
+    name="nilavu",
+    replicas=24,
+    vms_per_replica=2,
+    slots=8,
+    token_interval=0.02,
+    ranks=(
+        RankLoad(
+            name="resident",
+            target=1.5,
+            deadline=15.0,
+            answer_tokens=120,
+            prefill=0.1,
+            usual=0.15,
+            floor=0.5,
+            worth=100.0,
+        ),
+        RankLoad(
+            name="letter",
+            target=10.0,
+            deadline=60.0,
+            answer_tokens=250,
+            prefill=0.2,
+            usual=0.25,
+            floor=0.2,
+            worth=10.0,
+        ),
+        RankLoad(
+            name="review",
+            target=30.0,
+            deadline=120.0,
+            answer_tokens=500,
+            prefill=0.5,
+            usual=0.25,
+            floor=0.1,
+            worth=1.0,
+        ),
+    ),
+)
+
+SIAM = User(
+    name="siam",
+    replicas=12,
+    vms_per_replica=4,
+    slots=16,
+    token_interval=0.025,
+    ranks=(
+        RankLoad(
+            name="bid",
+            target=1.0,
+            deadline=6.0,
+            answer_tokens=50,
+            prefill=0.1,
+            usual=0.12,
+            floor=0.4,
+            worth=200.0,
+        ),
+        RankLoad(
+            name="lot",
+            target=8.0,
+            deadline=40.0,
+            answer_tokens=200,
+            prefill=0.2,
+            usual=0.3,
+            floor=0.25,
+            worth=20.0,
+        ),
+        RankLoad(
+            name="catalogue",
+            target=45.0,
+            deadline=180.0,
+            answer_tokens=600,
+            prefill=0.5,
+            usual=0.25,
+            floor=0.1,
+            worth=1.0,
+        ),
+    ),
+)
+
+USERS = (NILAVU, SIAM)
