Divide credits by rank and keep slots free for urgent work

Credits followed the total load of a daemon, so a daemon with much urgent or floor work got no more than one with bulk work. Bulk sent under an older division still ran when the new holder of a credit filled it, and so took the slots meant for urgent work. Floors counted work beyond its urgent entitlement, and were kept over 10 s, which let a rank starve until the usual load before the flood was forgotten. Change: demands by rank; floors set aside first and turned into each daemon's own floors; less urgent work leaves 20% of a replica's slots free by the load report unless its rank is below its floor, and uses a credit only after three divisions; work beyond its entitlement waits in a line without a floor.

--- a/arbutuscove/admission/dispatch.py
+++ b/arbutuscove/admission/dispatch.py
@@ -9,25 +9,27 @@
 
 from arbutuscove.admission import queue
 from arbutuscove.admission import work as work_module
+from arbutuscove.config import model as config_model
 
 
 class Router(typing.Protocol):
     """What admission needs of routing."""
 
-    def choose(self, work: work_module.Work) -> work_module.Ticket | None:
+    def choose(
+        self, work: work_module.Work, below_floor: bool = False
+    ) -> work_module.Ticket | None:
         """Returns a ticket on a replica, or None if none may take the work."""
 
     def release(self, ticket: work_module.Ticket, tokens: int = 0) -> None:
         """Counts the end of a ticket's work."""
 
-    def slots(self, service: str) -> int:
-        """Returns how many requests this daemon may run at once."""
+    def capacity(self, service: config_model.Service) -> work_module.Capacity:
+        """Returns what this daemon may use of a service now."""
 
 
 def dispatch(
     waiting: queue.WorkQueue,
     router: Router,
-    service: str,
     now: datetime.timedelta,
 ) -> list[work_module.Ticket]:
     """Returns tickets for all work that can be sent off now.
@@ -39,14 +41,16 @@
     tickets: list[work_module.Ticket] = []
     blocked: set[int] = set()
     blocked_accounts: set[tuple[int, str]] = set()
-    if not len(waiting):
+    first = waiting.select(now)
+    if first is None:
         return tickets
-    slots = router.slots(service)
+    capacity = router.capacity(first.work.service)
     while True:
-        work = waiting.select(now, slots, blocked, blocked_accounts)
-        if work is None:
+        chosen = waiting.select(now, capacity, blocked, blocked_accounts)
+        if chosen is None:
             return tickets
-        ticket = router.choose(work)
+        work = chosen.work
+        ticket = router.choose(work, chosen.below_floor)
         if ticket is not None:
             waiting.take(work.request_id, now)
             tickets.append(ticket)
--- a/arbutuscove/admission/queue.py
+++ b/arbutuscove/admission/queue.py
@@ -60,7 +60,7 @@
     rank_limit: int = 12_000
     account_limit: int = 4_000
     urgent_burst: datetime.timedelta = 10 * SECOND
-    floor_window: datetime.timedelta = 10 * SECOND
+    floor_window: datetime.timedelta = 5 * SECOND
     drain_window: datetime.timedelta = 5 * SECOND
     evidence: datetime.timedelta = SECOND / 2
     delay_share: float = 0.5
@@ -76,6 +76,14 @@
     due: datetime.timedelta  # when it became certain
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Next:
+    """Work that goes next; `below_floor` if its rank is owed capacity."""
+
+    work: work_module.Work
+    below_floor: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _Entry:
     """One waiting request; `key` orders it inside its account."""
@@ -151,6 +159,7 @@
         self._evicted: list[Refused] = []
         self._sent = rates.DecayedSum(self._settings.floor_window)
         self._number = 0
+        self._rank_count = 0
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -165,6 +174,7 @@
         if work.request_id in self._entries:
             return _refuse(409, "duplicate", "request id is in use", SECOND)
         self._number += 1
+        self._rank_count = len(work.service.ranks)
         work = self._apply_entitlement(work, now)
         rank = self._open_rank(work)
         account = self._open_account(rank, work.account)
@@ -184,36 +194,40 @@
     def select(
         self,
         now: datetime.timedelta,
-        slots: int | None = None,
+        capacity: work_module.Capacity | None = None,
         blocked: abc.Set[int] = frozenset(),
         blocked_accounts: abc.Set[tuple[int, str]] = frozenset(),
-    ) -> work_module.Work | None:
+    ) -> Next | None:
         """Returns the work that goes next, without taking it out.
 
         Args:
             now: monotonic time.
-            slots: requests that may run at once, for ceilings; None if
-                unknown.
+            capacity: slots for ceilings and floors in force here; None if
+                unknown, when there is no ceiling.
             blocked: priorities that cannot be sent off now.
             blocked_accounts: priorities and accounts whose first work cannot.
         """
         total = self._sent.read(now)
         first: work_module.Work | None = None
         best: tuple[int, float] | None = None
-        for (priority, _), rank in self._ranks.items():
+        floors = capacity.floors if capacity else ()
+        for (priority, demoted), rank in self._ranks.items():
             if priority in blocked or not rank.active:
                 continue
-            if not self._has_room(priority, slots):
+            if not self._has_room(priority, capacity):
                 continue
             work = self._find_first(priority, rank, blocked_accounts)
             if work is None:
                 continue
             sent = rank.sent.read(now)
-            if sent < rank.floor * total:
-                return work
+            floor = rank.floor
+            if not demoted and 0 < priority < len(floors):
+                floor = max(floor, floors[priority])
+            if sent < floor * total:
+                return Next(work=work, below_floor=True)
             if best is None or (priority, sent) < best:
                 first, best = work, (priority, sent)
-        return first
+        return None if first is None else Next(work=first, below_floor=False)
 
     def take(self, request_id: str, now: datetime.timedelta) -> bool:
         """Takes work out to run it; returns whether it was waiting.
@@ -261,6 +275,19 @@
         # of answers and forgets a single outlier.
         rank.pace += 0.1 * (pace - rank.pace) if rank.pace else pace
 
+    def demands(self) -> tuple[int, ...]:
+        """Returns requests running and waiting, by priority.
+
+        One more number at the end counts work beyond its urgent entitlement:
+        it must not draw the capacity that keeps another rank's floor.
+        """
+        counts = [0] * (self._rank_count + 1)
+        for (priority, demoted), line in self._ranks.items():
+            if priority < self._rank_count:
+                position = self._rank_count if demoted else priority
+                counts[position] += line.running + line.length
+        return tuple(counts)
+
     def withdraw(self, request_id: str) -> bool:
         """Takes out work whose caller has gone; returns whether it waited."""
         entry = self._entries.get(request_id)
@@ -315,18 +342,20 @@
         queue.ceiling = work.rank.ceiling_share
         return queue
 
-    def _has_room(self, priority: int, slots: int | None) -> bool:
+    def _has_room(
+        self, priority: int, capacity: work_module.Capacity | None
+    ) -> bool:
         """Returns whether the rank's running work is below its ceiling."""
-        lines = [
-            self._ranks[key]
-            for key in ((priority, False), (priority, True))
-            if key in self._ranks
-        ]
+        lines = self._find_lines(priority)
         ceiling = min(line.ceiling for line in lines)
-        if slots is None or ceiling >= 1.0:
+        if capacity is None or ceiling >= 1.0:
             return True
         running = sum(line.running for line in lines)
-        return running < max(1, math.ceil(ceiling * slots))
+        return running < max(1, math.ceil(ceiling * capacity.slots))
+
+    def _find_lines(self, priority: int) -> list[_RankQueue]:
+        keys = ((priority, False), (priority, True))
+        return [self._ranks[key] for key in keys if key in self._ranks]
 
     def _open_account(
         self, rank: _RankQueue, account: config_model.Account
--- a/arbutuscove/admission/service.py
+++ b/arbutuscove/admission/service.py
@@ -1,6 +1,7 @@
 """Admits requests to replicas; work waits here and not in the engines."""
 
 import datetime
+import itertools
 from collections import abc
 
 import expression
@@ -31,15 +32,14 @@
         clock: clock_module.Clock,
         routing: dispatch.Router,
         lag: loop.LagMonitor,
-        publish_load: abc.Callable[[int], None] | None = None,
+        publish_loads: abc.Callable[[tuple[int, ...]], None] | None = None,
     ) -> None:
         self._clock = clock
         self._routing = routing
         self._lag = lag
-        self._publish_load = publish_load
+        self._publish_loads = publish_loads
         self._queues: dict[str, queue.WorkQueue] = {}
         self._waiting: dict[str, event.AsyncResult] = {}
-        self._running = 0
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self, kernel: services.Kernel) -> None:
@@ -55,6 +55,12 @@
         """Returns the number of waiting requests."""
         return len(self._waiting)
 
+    def loads(self) -> tuple[int, ...]:
+        """Returns requests running and waiting by priority, all services."""
+        demands = [waiting.demands() for waiting in self._queues.values()]
+        columns = itertools.zip_longest(*demands, fillvalue=0)
+        return tuple(sum(column) for column in columns)
+
     def admit(self, work: work_module.Work) -> Admitted:
         """Waits until the work may run, or returns why it may not.
 
@@ -92,7 +98,6 @@
     def finish(self, ticket: work_module.Ticket, tokens: int) -> None:
         """Gives a ticket back after `tokens` were generated."""
         name = ticket.work.service.name
-        self._running -= 1
         self._routing.release(ticket, tokens)
         waiting = self._queues.get(name)
         if waiting is not None:
@@ -109,8 +114,7 @@
             self._answer(
                 refused.work.request_id, expression.Error(refused.refusal)
             )
-        for ticket in dispatch.dispatch(waiting, self._routing, service, now):
-            self._running += 1
+        for ticket in dispatch.dispatch(waiting, self._routing, now):
             self._answer(ticket.work.request_id, expression.Ok(ticket))
 
     def _answer(self, request_id: str, answer: Admitted) -> None:
@@ -123,8 +127,8 @@
             self._clock.sleep(DISPATCH_INTERVAL)
             for service in list(self._queues):
                 self._dispatch(service)
-            if self._publish_load is not None:
-                self._publish_load(self._running + len(self._waiting))
+            if self._publish_loads is not None:
+                self._publish_loads(self.loads())
 
 
 def _refuse(code: str, message: str) -> work_module.Refusal:
--- a/arbutuscove/admission/work.py
+++ b/arbutuscove/admission/work.py
@@ -45,3 +45,17 @@
     work: Work
     replica: replica_model.Serving
     admitted: datetime.timedelta
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Capacity:
+    """What one daemon may use of a service now.
+
+    `slots` is how many requests it may run at once. `floors` are the shares of
+    its service that it keeps for each rank, by priority; they differ from the
+    configured floors because a rank's work is spread unevenly over daemons.
+    Empty floors mean that the configured ones apply.
+    """
+
+    slots: int
+    floors: tuple[float, ...] = ()
--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -70,7 +70,7 @@
         clock, directory, lambda: _read_demands(membership), generator
     )
     admission = admission_service.Admission(
-        clock, routing, lag, membership.set_load
+        clock, routing, lag, lambda loads: membership.set_load(sum(loads))
     )
     tokens = resume.ResumeTokens(settings.resume_secret)
     requests = flow.RequestFlow(
@@ -142,8 +142,8 @@
     membership: membership_service.Membership,
 ) -> credits.Demands:
     own = membership.own()
-    loads = {member.name: member.load for member in membership.alive()}
-    loads[own.name] = own.load
+    members = [*membership.alive(), own]
+    loads = {member.name: (member.load,) for member in members}
     return credits.Demands(own=own.name, loads=loads)
 
 
--- a/arbutuscove/routing/choice.py
+++ b/arbutuscove/routing/choice.py
@@ -27,7 +27,12 @@
     """Limits of the choice of a replica.
 
     `urgent_share` is the share of a replica's slots that only the most urgent
-    rank may use. `bulk_kv` and `urgent_kv` are the fractions of KV memory
+    rank holds credits for. `headroom` is the share that less urgent work
+    leaves free by the load report, unless its rank is below its floor: credits
+    alone cannot keep slots free while work sent under an earlier division
+    still runs. `handover` is how many divisions (one a second) less urgent
+    work must have held a credit for, so that the daemon that loses it has
+    stopped using it. `bulk_kv` and `urgent_kv` are the fractions of KV memory
     beyond which less urgent and urgent work are not sent. `affinity_bound` is
     how far the load of a replica that holds the prefix may pass the mean (a
     factor, as in consistent hashing with bounded loads, Mirrokni et al.,
@@ -39,6 +44,8 @@
     """
 
     urgent_share: float = 0.25
+    headroom: float = 0.2
+    handover: int = 3
     bulk_kv: float = 0.85
     urgent_kv: float = 0.97
     affinity_bound: float = 1.25
@@ -57,9 +64,11 @@
     prefix: str = ""
     excluded: frozenset[str] = frozenset()
     suspect: bool = False
+    below_floor: bool = False  # its rank is owed capacity
 
 
 EVENT_LIMIT = 4096  # own starts and ends since a report, for each replica
+DIVISION_INTERVAL = SECOND  # hints change no faster than daemons gossip
 
 
 class _Replica:
@@ -67,7 +76,8 @@
 
     def __init__(self, serving: model.Serving) -> None:
         self.serving = serving
-        self.bulk_credits = 0
+        self.bulk_credits = 0  # for less urgent work, held long enough
+        self.common_credits = 0  # for urgent work, by the newest division
         self.urgent_credits = 0
         self.own_bulk = 0
         self.own_urgent = 0
@@ -79,6 +89,10 @@
         self.token_time = 0.0  # seconds for a token, averaged
         self.sampled_at: datetime.timedelta | None = None
         self.slowdown = 1.0
+        self.usable = serving.slots  # slots, fewer on a straggler
+        self.bulk = serving.slots  # of these, slots that any rank may use
+        self.bulk_limit = serving.slots  # load from which bulk stays away
+        self.held: collections.deque[int] = collections.deque()
 
     def own(self) -> int:
         """Returns this daemon's requests here."""
@@ -104,14 +118,17 @@
 
     def excess(self) -> int:
         """Returns how many more requests run here than credits allow."""
-        return max(0, self.own() - self.bulk_credits - self.urgent_credits)
+        return max(0, self.own() - self.common_credits - self.urgent_credits)
 
     def has_credit(self, priority: int) -> bool:
         """Returns whether a credit is free; urgent work may use any."""
-        if priority == URGENT and self.own_urgent < self.urgent_credits:
-            return True
         spilled = max(0, self.own_urgent - self.urgent_credits)
-        return self.own_bulk + spilled < self.bulk_credits
+        if priority != URGENT:
+            return self.own_bulk + spilled < self.bulk_credits
+        return (
+            self.own_urgent < self.urgent_credits
+            or self.own_bulk + spilled < self.common_credits
+        )
 
     def has_memory(self, limit: float) -> bool:
         """Returns whether KV memory is below a limit, own work included."""
@@ -135,15 +152,26 @@
         self._homes: collections.OrderedDict[str, tuple[str, ...]] = (
             collections.OrderedDict()
         )
-        self._demands = credits.Demands(own="", loads={"": 0})
+        self._division = credits.Division()
+        self._divided_at: datetime.timedelta | None = None
+        # Priority and floor claim of the last work that found no replica.
+        self._nothing_for: tuple[int, bool] | None = None
 
     def refresh(
         self,
         servings: abc.Iterable[model.Serving],
         demands: credits.Demands,
+        floors: abc.Sequence[float],
         now: datetime.timedelta,
     ) -> None:
-        """Takes the replicas that serve now and divides their credits."""
+        """Takes the replicas that serve now and divides their credits.
+
+        Args:
+            servings: replicas with their newest load reports.
+            demands: what each daemon asks for.
+            floors: floor shares of the ranks, by priority.
+            now: monotonic time.
+        """
         self._serving = []
         for serving in servings:
             held = self._replicas.get(serving.replica)
@@ -156,9 +184,9 @@
         for name in list(self._replicas):
             if name not in names and self._replicas[name].own() == 0:
                 del self._replicas[name]
-        self._demands = demands
+        self._nothing_for = None
         self._judge_latency(now)
-        self._divide()
+        self._divide(demands, floors, now)
 
     def choose(
         self, request: Request, now: datetime.timedelta
@@ -167,6 +195,8 @@
 
         The request then counts as this daemon's until `end`.
         """
+        if self._is_hopeless(request):
+            return None
         able = [
             held
             for held in self._serving
@@ -175,6 +205,8 @@
         ]
         chosen = self._pick(able or self._borrow(request), request)
         if chosen is None:
+            if not request.excluded and not request.suspect:
+                self._nothing_for = (request.priority, request.below_floor)
             return None
         if request.priority == URGENT:
             chosen.own_urgent += 1
@@ -212,6 +244,7 @@
         if request.suspect:
             held.alone = False
         held.count(now, -1)
+        self._nothing_for = None
         if tokens > 0:
             sample = duration.total_seconds() / tokens
             weight = 0.2 if held.sampled_at else 1.0
@@ -220,7 +253,11 @@
 
     def slots(self) -> int:
         """Returns this daemon's credits over all replicas."""
-        return sum(h.bulk_credits + h.urgent_credits for h in self._serving)
+        return sum(h.common_credits + h.urgent_credits for h in self._serving)
+
+    def floors(self) -> tuple[float, ...]:
+        """Returns this daemon's floors by priority, empty if unknown."""
+        return self._division.floors
 
     def load(self, replica: str) -> int:
         """Returns the corrected load of a replica."""
@@ -240,8 +277,22 @@
         if request.suspect:
             return held.load() == 0 and not self._has_suspect()
         urgent = request.priority == URGENT
-        limit = self._settings.urgent_kv if urgent else self._settings.bulk_kv
-        return held.load() < held.serving.slots and held.has_memory(limit)
+        if urgent:
+            slots, memory = held.serving.slots, self._settings.urgent_kv
+        else:
+            full = held.serving.slots
+            slots = full if request.below_floor else held.bulk_limit
+            memory = self._settings.bulk_kv
+        return held.load() < slots and held.has_memory(memory)
+
+    def _is_hopeless(self, request: Request) -> bool:
+        """Returns whether work with at least the same rights found nothing."""
+        if self._nothing_for is None:
+            return False
+        priority, below_floor = self._nothing_for
+        if request.below_floor and not below_floor and priority != URGENT:
+            return False
+        return request.priority >= priority
 
     def _has_suspect(self) -> bool:
         return any(held.alone for held in self._replicas.values())
@@ -255,13 +306,7 @@
         """
         if any(held.excess() for held in self._replicas.values()):
             return []
-        bulk = request.priority != URGENT
-        return [
-            held
-            for held in self._serving
-            if self._may_take(held, request)
-            and not (bulk and held.load() >= self._count_bulk(held))
-        ]
+        return [h for h in self._serving if self._may_take(h, request)]
 
     def _pick(self, able: list[_Replica], request: Request) -> _Replica | None:
         if not able:
@@ -312,33 +357,41 @@
             if ratio >= self._settings.straggler_ratio:
                 held.slowdown = min(ratio, self._settings.straggler_most)
 
-    def _divide(self) -> None:
-        capacity = sum(self._usable(held) for held in self._serving)
-        # Room to grow by a quarter and one request: demand is published with
-        # a lag, and a daemon must not wait for it to take its next request.
-        wanted = {
-            name: load * 1.25 + 1 for name, load in self._demands.loads.items()
-        }
-        by_demand = credits.divide(wanted, capacity)
-        equal = credits.divide_equally(wanted)
-        own = self._demands.own
-        bulk_part = by_demand.get(own, credits.WHOLE)
-        urgent_part = equal.get(own, credits.WHOLE)
+    def _divide(
+        self,
+        demands: credits.Demands,
+        floors: abc.Sequence[float],
+        now: datetime.timedelta,
+    ) -> None:
+        settings = self._settings
         for held in self._serving:
-            name = held.serving.replica
-            bulk = self._count_bulk(held)
-            urgent = self._usable(held) - bulk
-            held.bulk_credits = credits.count(bulk_part, bulk, name)
-            held.urgent_credits = credits.count(
-                urgent_part, urgent, name + "/urgent"
-            )
-
-    def _usable(self, held: _Replica) -> int:
-        return max(1, int(held.serving.slots / held.slowdown))
-
-    def _count_bulk(self, held: _Replica) -> int:
-        usable = self._usable(held)
-        return max(1, int(usable * (1.0 - self._settings.urgent_share)))
+            held.usable = max(1, int(held.serving.slots / held.slowdown))
+            held.bulk = max(1, int(held.usable * (1 - settings.urgent_share)))
+            free = round(held.serving.slots * settings.headroom)
+            held.bulk_limit = max(1, held.serving.slots - free)
+        common = sum(held.bulk for held in self._serving)
+        reserve = sum(held.usable for held in self._serving) - common
+        last = self._divided_at
+        again = last is None or now - last >= DIVISION_INTERVAL
+        if again:
+            self._division = credits.divide(demands, floors, common, reserve)
+            self._divided_at = now
+        for held in self._serving:
+            self._grant(held, again)
+
+    def _grant(self, held: _Replica, again: bool) -> None:
+        part = self._division
+        name = held.serving.replica
+        held.common_credits = credits.count(part.common, held.bulk, name)
+        held.urgent_credits = credits.count(
+            part.reserve, held.usable - held.bulk, name + "/urgent"
+        )
+        if not again and held.held:
+            held.held.pop()
+        held.held.append(held.common_credits)
+        while len(held.held) > self._settings.handover:
+            held.held.popleft()
+        held.bulk_credits = min(held.held)
 
 
 def _cost(held: _Replica) -> float:
--- a/arbutuscove/routing/service.py
+++ b/arbutuscove/routing/service.py
@@ -5,6 +5,7 @@
 from collections import abc
 
 from arbutuscove.admission import work as work_module
+from arbutuscove.config import model as config_model
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
 from arbutuscove.replicas import directory as directory_module
@@ -31,17 +32,25 @@
     ) -> None:
         self._clock = clock
         self._directory = directory
-        self._read_demands = read_demands or _read_single
+        self._read_demands = read_demands or (lambda: credits.SINGLE)
         self._random = generator or random.Random()
         self._settings = settings
         self._choosers: dict[str, choice.Chooser] = {}
         self._refreshed: dict[str, datetime.timedelta] = {}
 
-    def choose(self, work: work_module.Work) -> work_module.Ticket | None:
-        """Returns a ticket on the best replica, or None if none is free."""
+    def choose(
+        self, work: work_module.Work, below_floor: bool = False
+    ) -> work_module.Ticket | None:
+        """Returns a ticket on the best replica, or None if none is free.
+
+        Args:
+            work: what is to run.
+            below_floor: the work's rank is owed capacity, so that it may use
+                the slots kept free for urgent work.
+        """
         now = self._clock.monotonic()
-        chooser = self._open(work.service.name, now)
-        chosen = chooser.choose(_build_request(work), now)
+        chooser = self._open(work.service, now)
+        chosen = chooser.choose(_build_request(work, below_floor), now)
         if chosen is None:
             return None
         return work_module.Ticket(work=work, replica=chosen, admitted=now)
@@ -60,26 +69,34 @@
             now,
         )
 
-    def slots(self, service: str) -> int:
-        """Returns how many requests this daemon may run at once."""
-        return self._open(service, self._clock.monotonic()).slots()
+    def capacity(self, service: config_model.Service) -> work_module.Capacity:
+        """Returns what this daemon may use of a service now."""
+        chooser = self._open(service, self._clock.monotonic())
+        return work_module.Capacity(
+            slots=chooser.slots(), floors=chooser.floors()
+        )
 
     def in_progress(self) -> int:
         """Returns the number of tickets in use."""
         return sum(c.in_progress() for c in self._choosers.values())
 
-    def _open(self, service: str, now: datetime.timedelta) -> choice.Chooser:
-        chooser = self._choosers.get(service)
+    def _open(
+        self, service: config_model.Service, now: datetime.timedelta
+    ) -> choice.Chooser:
+        name = service.name
+        chooser = self._choosers.get(name)
         if chooser is None:
             chooser = choice.Chooser(self._random, self._settings)
-            self._choosers[service] = chooser
+            self._choosers[name] = chooser
             if len(self._choosers) > SERVICE_LIMIT:
                 self._drop_idle()
-        refreshed = self._refreshed.get(service)
+        refreshed = self._refreshed.get(name)
         if refreshed is None or now - refreshed >= VIEW_AGE:
-            servings = self._directory.serving(service)
-            chooser.refresh(servings, self._read_demands(), now)
-            self._refreshed[service] = now
+            ranks = sorted(service.ranks, key=lambda rank: rank.priority)
+            floors = [rank.floor_share for rank in ranks]
+            servings = self._directory.serving(name)
+            chooser.refresh(servings, self._read_demands(), floors, now)
+            self._refreshed[name] = now
         return chooser
 
     def _drop_idle(self) -> None:
@@ -90,14 +107,13 @@
                 return
 
 
-def _build_request(work: work_module.Work) -> choice.Request:
+def _build_request(
+    work: work_module.Work, below_floor: bool = False
+) -> choice.Request:
     return choice.Request(
         priority=work.rank.priority,
         prefix=work.prefix,
         excluded=work.excluded,
         suspect=work.suspect,
+        below_floor=below_floor,
     )
-
-
-def _read_single() -> credits.Demands:
-    return credits.Demands(own="", loads={"": 0})
--- /dev/null
+++ b/arbutuscove/routing/tests/test_bounds.py
@@ -0,0 +1,91 @@
+"""The bounds of design section 1.2 on 7 daemons with the bench's fakes.
+
+Each test guards against a policy change that passes the unit tests and still
+lets one kind of work starve another across daemons. Seeds are fixed.
+"""
+
+import functools
+
+import pytest
+
+from bench import scenarios
+from bench import simulation
+from bench import users
+
+SEED = 1
+LENGTH = 30.0  # seconds of disturbance
+SMALL_ACCOUNTS = ("account-7", "account-8", "account-9")
+USERS = pytest.mark.parametrize("user", users.USERS, ids=lambda u: u.name)
+
+
+@functools.lru_cache(maxsize=16)
+def _run(user, build):
+    scenario = build(user, LENGTH)
+    run = simulation.Simulation(user, scenario, simulation.CURRENT, SEED)
+    run.run()
+    return run
+
+
+def _measure(run, rank, accounts):
+    matching = [
+        record
+        for record in run.measured()
+        if record.rank == rank and record.account in accounts
+    ]
+    assert matching
+    in_time = sum(r.outcome == simulation.Outcome.IN_TIME for r in matching)
+    return in_time / len(matching)
+
+
+@USERS
+def test_bounds_urgent_in_bulk_flood(user):
+    """Bulk work that holds the slots makes urgent work late."""
+    run = _run(user, scenarios.build_bulk_flood)
+    urgent = user.ranks[0].name
+    assert simulation.measure_in_time(run.measured(), urgent) >= 0.95
+
+
+@USERS
+def test_bounds_floors_in_urgent_flood(user):
+    """A flood of urgent work takes the floors of the other ranks."""
+    shares = _run(user, scenarios.build_urgent_flood).slot_shares()
+    for rank in user.ranks[1:]:
+        assert shares[rank.name] >= 0.9 * rank.floor, rank.name
+
+
+@USERS
+def test_bounds_small_accounts_beside_large(user):
+    """An account at 50 times its usual load crowds out small accounts."""
+    urgent = user.ranks[0].name
+    calm = _run(user, scenarios.build_normal)
+    loud = _run(user, scenarios.build_large_account)
+    usual = _measure(calm, urgent, SMALL_ACCOUNTS)
+    assert _measure(loud, urgent, SMALL_ACCOUNTS) >= usual - 0.02
+
+
+@USERS
+@pytest.mark.parametrize(
+    "build", [scenarios.build_bulk_flood, scenarios.build_urgent_flood]
+)
+def test_bounds_refusals_at_once(user, build):
+    """Work that cannot be served is held back instead of being refused."""
+    run = _run(user, build)
+    refused = [
+        record
+        for record in run.measured()
+        if record.outcome
+        in (simulation.Outcome.REFUSED, simulation.Outcome.GIVEN_UP)
+    ]
+    assert refused
+    assert max(record.refusal_delay for record in refused) <= 0.05
+    assert all(record.retry_after >= 1.0 for record in refused)
+
+
+@USERS
+def test_bounds_every_request_has_one_outcome(user):
+    """A request that is neither answered nor refused has been lost."""
+    for build in (scenarios.build_normal, scenarios.build_urgent_flood):
+        run = _run(user, build)
+        outcomes = {record.outcome for record in run.records}
+        assert simulation.Outcome.OPEN not in outcomes
+        assert simulation.Outcome.LOST not in outcomes
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -53,8 +53,8 @@
     def finish(self, ticket: work_module.Ticket, tokens: int) -> None:
         """Ends a request."""
 
-    def load(self) -> int:
-        """Returns requests running and waiting."""
+    def loads(self) -> tuple[int, ...]:
+        """Returns requests running and waiting by priority."""
 
 
 class Current:
@@ -90,12 +90,7 @@
         now = self._clock.monotonic()
         for refused in self._queue.give_up(now):
             self._host.refuse(refused)
-        if not len(self._queue):
-            return
-        service = self._find_service()
-        for ticket in dispatch_module.dispatch(
-            self._queue, self._routing, service, now
-        ):
+        for ticket in dispatch_module.dispatch(self._queue, self._routing, now):
             self._host.send(self, ticket, ticket.work.rank.priority)
 
     def finish(self, ticket: work_module.Ticket, tokens: int) -> None:
@@ -105,13 +100,9 @@
         self._queue.finish(ticket.work, tokens, duration)
         self.tick()
 
-    def load(self) -> int:
-        """Returns requests running and waiting."""
-        return self._routing.in_progress() + len(self._queue)
-
-    def _find_service(self) -> str:
-        work = self._queue.select(self._clock.monotonic())
-        return work.service.name if work else ""
+    def loads(self) -> tuple[int, ...]:
+        """Returns requests running and waiting by priority."""
+        return self._queue.demands()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -182,9 +173,9 @@
         self.own[ticket.replica.replica] -= 1
         self.tick()
 
-    def load(self) -> int:
-        """Returns requests running and waiting."""
-        return self.own.total() + len(self._queue)
+    def loads(self) -> tuple[int, ...]:
+        """Returns requests running and waiting by priority."""
+        return (self.own.total() + len(self._queue),)
 
 
 def _choose_random(daemon: Baseline) -> fakes.model.Serving | None:
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -102,8 +102,7 @@
         self.records: list[Record] = []
         self._loop = events.EventLoop()
         self._service = user.build_service()
-        self._arrivals = random.Random(f"{seed}/arrivals")
-        self._decisions = random.Random(f"{seed}/decisions")
+        self._seed = seed
         self._by_request: dict[str, Record] = {}
         self.engines = {
             f"replica-{number:02}": fakes.Engine(
@@ -116,14 +115,17 @@
             for name in users.DAEMONS
         ]
         self._heard = {
-            name: dict.fromkeys(users.DAEMONS, 0) for name in users.DAEMONS
+            name: dict.fromkeys(users.DAEMONS, (0,)) for name in users.DAEMONS
         }
         self._turn = 0
 
     def run(self) -> None:
         """Runs the scenario and until its last request has an outcome."""
-        for flow in self.scenario.flows:
-            self._schedule(flow, flow.start)
+        for number, flow in enumerate(self.scenario.flows):
+            # One generator for each flow: the usual requests are the same in
+            # a calm and a disturbed run with the same seed.
+            generator = random.Random(f"{self._seed}/flow/{number}")
+            self._schedule(flow, flow.start, generator)
         for fault in self.scenario.faults:
             engine = list(self.engines.values())[fault.replica]
             self._loop.call_at(fault.at, lambda f=fault, e=engine: f.action(e))
@@ -250,18 +252,24 @@
             step = 1 + self._turn % (count - 1)
             peer = self._policies[(number + step) % count]
             for one, other in ((policy, peer), (peer, policy)):
-                self._heard[one.name][other.name] = other.load()
-                self._heard[one.name][one.name] = one.load()
+                self._heard[one.name][other.name] = other.loads()
+                self._heard[one.name][one.name] = one.loads()
 
-    def _schedule(self, flow: Flow, after: float) -> None:
+    def _schedule(
+        self, flow: Flow, after: float, generator: random.Random
+    ) -> None:
         if flow.rate <= 0.0:
             return
-        when = after + self._arrivals.expovariate(flow.rate)
+        when = after + generator.expovariate(flow.rate)
         if when < flow.end:
-            self._loop.call_at(when, lambda: self._arrive(flow, when))
+            self._loop.call_at(
+                when, lambda: self._arrive(flow, when, generator)
+            )
 
-    def _arrive(self, flow: Flow, when: float) -> None:
-        self._schedule(flow, when)
+    def _arrive(
+        self, flow: Flow, when: float, generator: random.Random
+    ) -> None:
+        self._schedule(flow, when, generator)
         rank = self.user.ranks[flow.rank]
         account = self._service.accounts[flow.account]
         record = Record(
@@ -273,7 +281,7 @@
         request_id = f"r{len(self.records):07}"
         self.records.append(record)
         self._by_request[request_id] = record
-        size = self._arrivals.uniform(0.5, 1.5)
+        size = generator.uniform(0.5, 1.5)
         arrived = self._loop.clock.monotonic()
         work = work_module.Work(
             request_id=request_id,
@@ -283,9 +291,9 @@
             tokens=max(1, round(rank.answer_tokens * size)),
             arrived=arrived,
             deadline=arrived + datetime.timedelta(seconds=rank.deadline),
-            prefix=f"{account.name}/{self._arrivals.randrange(4)}",
+            prefix=f"{account.name}/{generator.randrange(4)}",
         )
-        self._admit(self._find_policy(account), work)
+        self._admit(self._find_policy(account, generator), work)
 
     def _admit(self, policy: policies.Policy, work: work_module.Work) -> None:
         refusal = policy.arrive(work)
@@ -298,14 +306,16 @@
         record.delay = self._loop.now() - record.arrived
         self._note_retry(record, refusal)
 
-    def _find_policy(self, account: config_model.Account) -> policies.Policy:
+    def _find_policy(
+        self, account: config_model.Account, generator: random.Random
+    ) -> policies.Policy:
         ordered = sorted(
             self._policies,
             key=lambda p: xxhash.xxh3_64_intdigest(
                 f"{account.name}/{p.name}".encode()
             ),
         )
-        first = self._arrivals.random() < FIRST_DAEMON_SHARE
+        first = generator.random() < FIRST_DAEMON_SHARE
         return ordered[0] if first else ordered[1]
 
     def _answer(self, record: Record) -> None:
