Let process-level tests and the relay benchmark read the new status

Ruled out: a fault of the daemon; the same tests pass with the reader changed. Change: Cluster.list_serving gives the rows of serving replicas.

--- a/arbutuscove/standins/cluster.py
+++ b/arbutuscove/standins/cluster.py
@@ -267,6 +267,17 @@
             {"Authorization": f"Bearer {ADMIN_KEY}"},
         )
 
+    def list_serving(
+        self, service: str, daemon: int = 0
+    ) -> list[dict[str, typing.Any]]:
+        """Returns the rows of the replicas that a daemon may use."""
+        status = self.admin("GET", "/status", daemon=daemon).json()
+        return [
+            item["row"]
+            for item in status["replicas"]
+            if item["serving"] and item["row"]["service"] == service
+        ]
+
     def is_ready(self, daemon: int = 0) -> bool:
         """Returns whether a daemon admits requests."""
         try:
--- a/arbutuscove/standins/tests/scene.py
+++ b/arbutuscove/standins/tests/scene.py
@@ -191,8 +191,7 @@
 
     def serving(self, daemon=0):
         """Returns the replicas that a daemon reports, to aim faults at."""
-        reply = self.cluster.admin("GET", "/status", daemon=daemon)
-        return reply.json()["serving"][demo.SERVICE]
+        return self.cluster.list_serving(demo.SERVICE, daemon)
 
     def replica_rows(self):
         """Returns the replica rows from the table itself."""
--- a/arbutuscove/standins/tests/test_planned_stops.py
+++ b/arbutuscove/standins/tests/test_planned_stops.py
@@ -76,7 +76,7 @@
 
 def test_planned_stop_of_an_upstream_cuts_off_nothing(scene):
     """A VM that says it leaves may end its work before it stops."""
-    leader = scene.serving()[0]["leader"]["name"]
+    leader = scene.serving()[0]["members"][0]["name"]
     load = scene_module.Load(lambda n: scene.address(n % 3), name="drain")
     load.wait_for(30)
     scene.set_faults(leader, leaving=True)
--- a/arbutuscove/standins/tests/test_upstream_failures.py
+++ b/arbutuscove/standins/tests/test_upstream_failures.py
@@ -12,7 +12,7 @@
 
 
 def _count_same(scene, fault, runs):
-    leaders = [item["leader"]["name"] for item in scene.serving()]
+    leaders = [item["members"][0]["name"] for item in scene.serving()]
     answers = []
     with scene.faults(leaders, **fault):
         for number in range(runs):
@@ -35,7 +35,7 @@
 
 def test_upstream_failing_at_dispatch_is_retried_only_if_repeatable(scene):
     """A status 500 says nothing of what ran, so it must not be `not_run`."""
-    leaders = [item["leader"]["name"] for item in scene.serving()]
+    leaders = [item["members"][0]["name"] for item in scene.serving()]
     extra = scene_module.never("failed dispatch")
     with scene.faults(leaders, close_at=0):
         once = scene.send(0, "file at a failing engine", extra=extra)
@@ -89,7 +89,7 @@
 def test_upstream_pauses_past_its_replacement_and_returns(scene):
     """A VM that returns as if nothing had happened must change nothing."""
     victim = scene.serving()[0]
-    leader = victim["leader"]["name"]
+    leader = victim["members"][0]["name"]
     load = scene_module.Load(lambda n: scene.address(n % 3), name="pause")
     load.wait_for(30)
     scene.cluster.send_signal(leader, signal.SIGSTOP)
@@ -112,7 +112,7 @@
 
 def test_upstream_leaving_by_its_own_signal_gets_no_new_work(scene):
     """The VM list lags; the VM's own word must be enough within 3 s."""
-    leader = scene.serving()[0]["leader"]["name"]
+    leader = scene.serving()[0]["members"][0]["name"]
     load = scene_module.Load(lambda n: scene.address(n % 3), name="leave")
     load.wait_for(30)
     with scene.faults([leader], leaving=True):
@@ -128,7 +128,7 @@
 
 def test_upstream_leaving_by_the_list_gets_no_new_work(scene):
     """The VM list alone must be enough within 3 s, too."""
-    leader = scene.serving()[0]["leader"]["name"]
+    leader = scene.serving()[0]["members"][0]["name"]
     vms = scene.ask("inventory", "GET", "/vms")
     marked = [
         {**vm, "state": "leaving"} if vm["name"] == leader else vm for vm in vms
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -160,8 +160,7 @@
 def _build_targets(
     cluster: cluster_module.Cluster, bare: "subprocess.Popen[bytes]"
 ) -> tuple[Target, Target, Target]:
-    reply = cluster.admin("GET", "/status").json()
-    replica = reply["serving"][demo.SERVICE][0]
+    replica = cluster.list_serving(demo.SERVICE)[0]
     fields = {
         "Content-Type": "application/json",
         protocol.REPLICA: replica["replica"],
@@ -172,7 +171,7 @@
     return (
         Target(
             name="engine",
-            address=replica["leader"]["address"],
+            address=replica["members"][0]["address"],
             process=None,
             fields=fields,
         ),
@@ -194,8 +193,8 @@
 def _start_bare(
     cluster: cluster_module.Cluster,
 ) -> "subprocess.Popen[bytes]":
-    reply = cluster.admin("GET", "/status").json()
-    leader = reply["serving"][demo.SERVICE][0]["leader"]["address"]
+    replica = cluster.list_serving(demo.SERVICE)[0]
+    leader = replica["members"][0]["address"]
     command = [sys.executable, "-m", "bench.relay", "bare"]
     command += ["--listen", cluster.get_address("bare"), "--target", leader]
     process = subprocess.Popen(command)
