Obey drains and explain requests from the structured log

Change: the status board marks drained VMs as leaving, from rows kept through an outage; request identities begin with the daemon's name. Conclusion: a streamed answer is logged after its request's action has ended, so explain does not show how it ended.

--- a/arbutuscove/admin/api.py
+++ b/arbutuscove/admin/api.py
@@ -9,7 +9,6 @@
 from werkzeug import routing
 from werkzeug import wrappers
 
-from arbutuscove.admin import drains
 from arbutuscove.admin import errors
 from arbutuscove.admin import operations as operations_module
 from arbutuscove.admin import resources
@@ -19,6 +18,7 @@
 from arbutuscove.kernel import services
 from arbutuscove.platform import http
 from arbutuscove.platform import table as table_module
+from arbutuscove.replicas import drains
 
 SERVICE_NAME = "admin"
 BODY_LIMIT = 1 << 20  # bytes
--- a/arbutuscove/admin/operations.py
+++ b/arbutuscove/admin/operations.py
@@ -4,7 +4,6 @@
 import datetime
 import re
 
-from arbutuscove.admin import drains
 from arbutuscove.admin import errors
 from arbutuscove.admin import keys as keys_module
 from arbutuscove.admin import resources
@@ -22,6 +21,7 @@
 from arbutuscove.questionnaire import review as review_module
 from arbutuscove.replicas import board as board_module
 from arbutuscove.replicas import directory as directory_module
+from arbutuscove.replicas import drains
 
 # How long an acceptance waits for daemons to apply it. Short, so that the
 # report comes before clients with a timeout of 2 s give up.
@@ -183,7 +183,7 @@
         return resources.DrainList(items=tuple(drains.read_drains(self._table)))
 
     def put_drain(
-        self, caller: keys_module.Identity, vm: str, body: resources.Drain
+        self, caller: keys_module.Identity, vm: str, body: drains.Drain
     ) -> resources.DrainList:
         """Takes a VM out of service."""
         _require_operator(caller)
--- a/arbutuscove/admin/resources.py
+++ b/arbutuscove/admin/resources.py
@@ -6,6 +6,7 @@
 from arbutuscove.admin import keys
 from arbutuscove.audit import trail
 from arbutuscove.config import model as config_model
+from arbutuscove.replicas import drains
 from arbutuscove.replicas import model as replica_model
 
 
@@ -127,19 +128,11 @@
     events: tuple[RequestEvent, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Drain:
-    """A VM that an operator takes out of service."""
-
-    vm: str
-    reason: str = ""
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class DrainList:
     """VMs being drained, in order of their names."""
 
-    items: tuple[Drain, ...]
+    items: tuple[drains.Drain, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/arbutuscove/admin/routes.py
+++ b/arbutuscove/admin/routes.py
@@ -10,6 +10,7 @@
 from arbutuscove.config import acceptance
 from arbutuscove.config import model as config_model
 from arbutuscove.questionnaire import review
+from arbutuscove.replicas import drains
 
 PREFIX = "/admin/v1"
 PAGE_LIMIT = 100  # items of a page at most, and by default
@@ -112,7 +113,7 @@
         summary="Takes a VM out of service.",
         operation=Calls.put_drain,
         answer=resources.DrainList,
-        body=resources.Drain,
+        body=drains.Drain,
     ),
     Route(
         method="DELETE",
--- a/arbutuscove/admin/tests/test_api.py
+++ b/arbutuscove/admin/tests/test_api.py
@@ -9,6 +9,7 @@
 from arbutuscove.admin import openapi
 from arbutuscove.admin import routes
 from arbutuscove.config import acceptance
+from arbutuscove.entry import headers
 from arbutuscove.questionnaire import answers as answers_module
 from arbutuscove.questionnaire import generation
 from arbutuscove.standins import cluster as cluster_module
@@ -146,6 +147,43 @@
         assert page["gaps"] == []
 
 
+def test_admin_drained_vm_leaves_its_replica(cluster):
+    """A VM that an operator drains must get no more work."""
+    cluster_module.wait_for(
+        "a replica", lambda: cluster.count_serving(demo.SERVICE)
+    )
+    path = "/drains/vm-1"
+    reply = cluster.admin("PUT", path, {"vm": "vm-1", "reason": "repair"})
+    assert reply.status == 200
+    cluster_module.wait_for(
+        "the replica to stop serving",
+        lambda: not cluster.count_serving(demo.SERVICE),
+    )
+    stranded = cluster.admin("GET", "/status").json()["stranded"]
+    reasons = {item["vm"]: item["reason"] for item in stranded}
+    assert reasons["vm-1"] == "leaving"
+    assert cluster.admin("DELETE", path).status == 200
+    cluster_module.wait_for(
+        "the replica to serve again",
+        lambda: cluster.count_serving(demo.SERVICE),
+    )
+
+
+def test_admin_explains_a_refused_request(cluster):
+    """An operator must see why a request got no answer."""
+    reply = cluster_module.call(
+        cluster.addresses["entry-0"],
+        "POST",
+        "/v1/chat/completions",
+        {"model": "absent", "messages": []},
+        {"Authorization": f"Bearer {demo.API_KEY}"},
+    )
+    assert reply.status == 404
+    request_id = reply.headers[headers.REQUEST_ID]
+    explained = cluster.admin("GET", "/requests/" + request_id).json()
+    assert any("unknown_model" in e["detail"] for e in explained["events"])
+
+
 def test_admin_rotated_key_replaces_the_old_one(cluster):
     """A withdrawn key that still works defeats its rotation."""
     version = cluster.admin("GET", "/services/assistant").json()["version"]
--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -31,6 +31,7 @@
 from arbutuscove.replicas import board as board_module
 from arbutuscove.replicas import controller
 from arbutuscove.replicas import directory as directory_module
+from arbutuscove.replicas import drains
 from arbutuscove.requests import attempts
 from arbutuscove.requests import claims
 from arbutuscove.requests import flow
@@ -58,6 +59,7 @@
     )
     lag = loop.LagMonitor(clock)
     metrics = metrics_module.Metrics()
+    journal = journal_module.Journal(settings.name, clock)
     config = follower.ConfigFollower(table, clock)
     peers = peer_client.PeerClient(metrics.peer_calls.inc)
     membership = membership_service.Membership(
@@ -65,7 +67,13 @@
     )
     engines = pool.EnginePool()
     board = board_module.StatusBoard(
-        inventory, engines, clock, membership, peers, identity
+        inventory,
+        engines,
+        clock,
+        membership,
+        peers,
+        identity,
+        drains.DrainedVms(table).read,
     )
     directory = directory_module.ReplicaDirectory(table, board, clock)
     leases = holder.LeaseHolder(identity, table, clock, lag)
@@ -98,7 +106,6 @@
     at_most_once = once.AtMostOnce(
         claims.Claims(table, clock, identity), objects
     )
-    journal = journal_module.Journal(settings.name, clock)
     operations = operations_module.Operations(
         settings.name,
         table,
@@ -122,6 +129,7 @@
         plain.PlainHandler(at_most_once, generator, clock, limits, budget),
         lambda: _list_entries(membership),
         metrics,
+        journal.create_id,
         settings_module.read_keep(settings),
     )
     kernel = services.Kernel()
--- a/arbutuscove/entry/app.py
+++ b/arbutuscove/entry/app.py
@@ -2,7 +2,6 @@
 
 import datetime
 import typing
-import uuid
 from collections import abc
 
 import eliot
@@ -61,6 +60,7 @@
         plain_handler: plain.PlainHandler,
         list_entries: Entries,
         metrics: metrics_module.Metrics,
+        create_id: abc.Callable[[], str],
         keep: datetime.timedelta = entries_module.KEEP,
         bounds: connections.Bounds = DEFAULT_BOUNDS,
     ) -> None:
@@ -70,6 +70,7 @@
         self._plain = plain_handler
         self._list_entries = list_entries
         self._metrics = metrics
+        self._create_id = create_id
         self._keep = keep
         self._active = 0
         self._draining = False
@@ -132,7 +133,7 @@
         self, environ: dict[str, typing.Any], start_response: typing.Any
     ) -> abc.Iterable[bytes]:
         """Serves one request; counted until its last byte is sent."""
-        request_id = uuid.uuid4().hex
+        request_id = self._create_id()
         request = wrappers.Request(environ)
         request.max_content_length = BODY_LIMIT
         self._active += 1
--- a/arbutuscove/entry/tests/serving.py
+++ b/arbutuscove/entry/tests/serving.py
@@ -4,6 +4,7 @@
 import hashlib
 import pathlib
 import socket
+import uuid
 
 import msgspec
 
@@ -68,7 +69,7 @@
             token="token", attempt_id=STREAM, events=self._deliver()
         )
 
-    def resume(self, point, after):
+    def resume(self, point, after, deadline):
         return flow.Answer(
             token="token", attempt_id=STREAM, events=self._deliver()
         )
@@ -127,6 +128,7 @@
             None,
             list,
             self.metrics,
+            lambda: uuid.uuid4().hex,
             datetime.timedelta(0),
             bounds,
         )
--- a/arbutuscove/observe/journal.py
+++ b/arbutuscove/observe/journal.py
@@ -1,20 +1,38 @@
 """Recent requests and the steps that each one took, for `explain`.
 
-Kept in memory and bounded; a request's identity begins with the name of the
-daemon that took it.
+The journal is a destination of the structured log: it keeps the messages that
+were logged while a request was handled. It is bounded and in memory; the
+identity of a request begins with the name of the daemon that took it.
 """
 
 import collections
 import dataclasses
 import datetime
+import typing
 import uuid
 
+import eliot
+
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
 
 SERVICE_NAME = "journal"
 REQUEST_LIMIT = 2000  # requests kept, oldest dropped first
+REQUEST_ACTION = "entry:request"  # its start names the request
 STEP_LIMIT = 50  # steps kept of one request
+# Fields that every log message has, and that say nothing of the request.
+LOG_FIELDS = frozenset(
+    {
+        "action_status",
+        "action_type",
+        "message_type",
+        "process",
+        "request_id",
+        "task_level",
+        "task_uuid",
+        "timestamp",
+    }
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -35,6 +53,40 @@
         self._steps: collections.OrderedDict[str, list[Step]] = (
             collections.OrderedDict()
         )
+        # Identity of the log task of each kept request.
+        self._tasks: collections.OrderedDict[str, str] = (
+            collections.OrderedDict()
+        )
+
+    def start(self, kernel: services.Kernel) -> None:
+        """Begins to receive log messages."""
+        eliot.add_destinations(self.take)
+
+    def stop(self) -> None:
+        """Ends receiving log messages."""
+        eliot.remove_destination(self.take)
+
+    def take(self, message: dict[str, typing.Any]) -> None:
+        """Keeps a log message if it belongs to a request."""
+        task = str(message.get("task_uuid"))
+        if message.get("action_type") == REQUEST_ACTION:
+            request_id = message.get("request_id")
+            if request_id is not None:
+                self._tasks[task] = str(request_id)
+        elif message.get("message_type") is None:
+            return
+        request_id = self._tasks.get(task)
+        if request_id is None:
+            return
+        fields = [
+            f"{key}={value}"
+            for key, value in message.items()
+            if key not in LOG_FIELDS
+        ]
+        name = message.get("message_type") or message.get("action_status")
+        self.record(request_id, str(name), " ".join(fields))
+        if len(self._tasks) > REQUEST_LIMIT:
+            self._tasks.popitem(last=False)
 
     def create_id(self) -> str:
         """Returns the identity of a new request."""
--- a/arbutuscove/platform/http.py
+++ b/arbutuscove/platform/http.py
@@ -7,6 +7,7 @@
 import datetime
 import errno
 import typing
+from collections import abc
 
 import geventhttpclient
 import msgspec
@@ -63,10 +64,11 @@
 
 
 class Reply(typing.NamedTuple):
-    """Status and body of a complete HTTP response."""
+    """Status, body and headers of a complete HTTP response."""
 
     status: int
     body: bytes
+    headers: abc.Mapping[str, str]
 
     def json(self) -> typing.Any:
         """Decodes the body.
@@ -119,7 +121,8 @@
             raise NoResponseError(f"{self.address}: {error}") from error
         if not response.message_complete:
             raise NoResponseError(f"{self.address}: response was cut short")
-        return Reply(response.status_code, content)
+        fields = dict(response.items())
+        return Reply(response.status_code, content, fields)
 
     def open(
         self,
--- a/arbutuscove/replicas/board.py
+++ b/arbutuscove/replicas/board.py
@@ -7,7 +7,9 @@
 freshness never rests on a peer.
 """
 
+import dataclasses
 import datetime
+from collections import abc
 
 import eliot
 import gevent
@@ -49,7 +51,10 @@
         membership: membership_service.Membership,
         peers: peer_client.PeerClient,
         process: str,
+        list_drained: abc.Callable[[], abc.Set[str]] = frozenset,
     ) -> None:
+        self._list_drained = list_drained
+        self._inventory_vms: list[inventory_module.Vm] = []
         self._membership = membership
         self._peers = peers
         self._outbox = sharing.Outbox(process)
@@ -139,11 +144,14 @@
 
     def _read_list(self) -> None:
         try:
-            vms = self._inventory.list_vms()
+            self._inventory_vms = self._inventory.list_vms()
         except inventory_module.InventoryUnavailableError as error:
             eliot.log_message("board:inventory_failed", reason=str(error))
-            return
-        self._vms = {vm.name: vm for vm in vms}
+        drained = self._list_drained()
+        self._vms = {
+            vm.name: _mark_leaving(vm) if vm.name in drained else vm
+            for vm in self._inventory_vms
+        }
         self._outbox.keep(self._vms)
         for known in (self._seen, self._asked):
             for name in set(known) - set(self._vms):
@@ -200,3 +208,7 @@
     # Half a turn of tolerance: a timer that fires a little early must not
     # put the work off by a whole turn.
     return started is None or now - started >= interval - INTERVAL / 2
+
+
+def _mark_leaving(vm: inventory_module.Vm) -> inventory_module.Vm:
+    return dataclasses.replace(vm, state=inventory_module.VmState.LEAVING)
