--- a/arbutuscove/tool/tests/test_documents.py
+++ b/arbutuscove/tool/tests/test_documents.py
@@ -82,3 +82,20 @@
     assert result.returncode == 0, result.stderr
     assert "data: [DONE]" in result.stdout
     assert "configuration.accepted" in result.stdout
+
+
+def test_packages_import_only_what_the_design_page_lists_before_them():
+    """A cycle between packages would make them impossible to read alone."""
+    page = (ROOT / "docs" / "design.md").read_text()
+    section = page.partition("## 4.")[2].partition("## 5.")[0]
+    order = re.findall(r"^\| `(\w+)` \|", section, re.M)
+    assert set(order) == {
+        path.parent.name for path in PACKAGE.glob("*/__init__.py")
+    }
+    for package in order:
+        for path in (PACKAGE / package).glob("*.py"):
+            names = re.findall(
+                r"^from arbutuscove\.(\w+)", path.read_text(), re.M
+            )
+            late = [n for n in names if order.index(n) > order.index(package)]
+            assert not late, (path, late)
