--- a/arbutuscove/config/follower.py
+++ b/arbutuscove/config/follower.py
@@ -124,14 +124,13 @@
             )
 
     def adopt(self, snapshot: model.Snapshot) -> None:
-        """Takes a whole snapshot unless it is older than the one in force.
+        """Takes what is newer in a whole snapshot; never reverts.
 
         Only a snapshot of a daemon that is itself loaded, or of the table,
         may be passed; an empty one then means that nothing was accepted yet.
         """
-        if snapshot.sequence > self._snapshot.sequence or not self._loaded:
-            self._snapshot = self._snapshot.merge(snapshot)
-            self._loaded = True
+        self._snapshot = self._snapshot.merge(snapshot)
+        self._loaded = True
 
     def changes_after(self, sequence: int) -> list[model.Change] | None:
         """Returns kept changes after a sequence number.
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -72,12 +72,20 @@
     ),
     Mutation(
         promise="an older snapshot is ignored",
-        path="config/follower.py",
-        old="snapshot.sequence > self._snapshot.sequence",
-        new="snapshot",
+        path="config/model.py",
+        old="sequence = max(self.sequence, other.sequence)",
+        new="sequence = other.sequence",
         test="config/tests/test_order.py::"
         "test_config_older_snapshot_is_ignored",
     ),
+    Mutation(
+        promise="a snapshot keeps the newer of two service bodies",
+        path="config/model.py",
+        old="if held is None or held.sequence < found.sequence:",
+        new="if True:",
+        test="config/tests/test_follower.py::"
+        "test_follower_snapshot_keeps_newer_service",
+    ),
     Mutation(
         promise="acceptance compares the reviewed version",
         path="config/acceptance.py",
@@ -87,7 +95,7 @@
     ),
     Mutation(
         promise="a member of another generation does not serve",
-        path="replicas/directory.py",
+        path="replicas/serving.py",
         old="and status.generation == row.generation",
         new="",
         test="replicas/tests/test_serving.py::"
@@ -95,7 +103,7 @@
     ),
     Mutation(
         promise="a member of another group does not serve",
-        path="replicas/directory.py",
+        path="replicas/serving.py",
         old="and status.members == names",
         new="",
         test="replicas/tests/test_serving.py::"
@@ -103,7 +111,7 @@
     ),
     Mutation(
         promise="a VM that says it leaves gets no work",
-        path="replicas/directory.py",
+        path="replicas/serving.py",
         old="and not status.leaving",
         new="",
         test="replicas/tests/test_serving.py::"
@@ -111,7 +119,7 @@
     ),
     Mutation(
         promise="a status older than 3 s does not count",
-        path="replicas/directory.py",
+        path="replicas/serving.py",
         old="if report is None or now - report.at > FRESH_FOR:",
         new="if report is None:",
         test="replicas/tests/test_serving.py::"
