Free the place of a caller that leaves; end answers at the deadline

Cause: nothing read the caller's socket while its request was queued, so a departed caller held its place until dispatch or its deadline. The deadline of a streamed answer was checked only after an event had come, so that a silent engine kept the answer and its ticket open for up to 5 s longer for each read. Ruled out: a timer for each token (cost of relaying); one timer for the whole answer, which could interrupt a write to the caller. Change: SocketPresence watches the socket while Admission.admit waits, and the request ends as caller_left (not_run; a claim is abandoned). A read is bounded by the deadline once that is nearer than the longest read. The fake flow of the entry tests takes the deadline of resume. Conclusion: a caller that pipelined a next request and then leaves is not noticed while queued; a caller that half-closes counts as gone.

--- a/arbutuscove/entry/chat.py
+++ b/arbutuscove/entry/chat.py
@@ -12,6 +12,7 @@
 from arbutuscove.admission import work as work_module
 from arbutuscove.config import model as config_model
 from arbutuscove.entry import callers
+from arbutuscove.entry import connections
 from arbutuscove.entry import headers
 from arbutuscove.entry import refusals
 from arbutuscove.kernel import clock as clock_module
@@ -84,7 +85,10 @@
                 return _replay(ran)
         answer = self._start(
             flow_module.ModelRequest(
-                work=work, body=body, repeatable=repeatable
+                work=work,
+                body=body,
+                repeatable=repeatable,
+                caller=request.environ.get(connections.PRESENCE),
             ),
             held,
         )
--- a/arbutuscove/entry/connections.py
+++ b/arbutuscove/entry/connections.py
@@ -24,12 +24,14 @@
 from arbutuscove.entry import refusals
 from arbutuscove.platform import http as platform_http
 from arbutuscove.requests import failures
+from arbutuscove.requests import presence
 
 RETRY_AFTER = datetime.timedelta(seconds=2)
 LINGER = datetime.timedelta(seconds=1)  # lets a refusal reach its client
 LINGER_LIMIT = 256  # refused connections that may linger at once
 READ_SIZE = 65536  # bytes
 NAME_PATTERN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+PRESENCE = "arbutuscove.presence"  # key in the WSGI environment
 TRANSFER_ENCODINGS = ("", "chunked")
 
 
@@ -169,6 +171,7 @@
         self.wsgi_input = _Body(self, self.rfile, chunked)
         environ["wsgi.input"] = self.wsgi_input
         environ["wsgi.input_terminated"] = True
+        environ[PRESENCE] = presence.SocketPresence(self.socket)
         return environ
 
     def handle_error(self, *error: typing.Any) -> None:
--- a/arbutuscove/entry/reasons.py
+++ b/arbutuscove/entry/reasons.py
@@ -28,6 +28,11 @@
         meaning="The body did not arrive in time.",
         advice="Send the body without pauses.",
     ),
+    Reason(
+        code="caller_left",
+        meaning="The caller closed its connection before the request ran.",
+        advice="Send it again; only logs and metrics show this code.",
+    ),
     Reason(
         code="claim_unsettled",
         meaning="The table service did not confirm the claim; nothing ran.",
--- a/arbutuscove/entry/tests/serving.py
+++ b/arbutuscove/entry/tests/serving.py
@@ -68,7 +68,7 @@
             token="token", attempt_id=STREAM, events=self._deliver()
         )
 
-    def resume(self, point, after):
+    def resume(self, point, after, deadline):
         return flow.Answer(
             token="token", attempt_id=STREAM, events=self._deliver()
         )
@@ -109,11 +109,11 @@
 class Server:
     """A running entry server and its address."""
 
-    def __init__(self, bounds, once=None):
+    def __init__(self, bounds, once=None, flow=None):
         with socket.socket() as probe:
             probe.bind(("127.0.0.1", 0))
             self.address = http.Address(*probe.getsockname())
-        self.flow = Flow()
+        self.flow = flow or Flow()
         self.metrics = metrics_module.Metrics()
         clock = clock_module.SystemClock()
         tokens = resume.ResumeTokens("a secret for tests")
--- a/arbutuscove/entry/tests/test_chat.py
+++ b/arbutuscove/entry/tests/test_chat.py
@@ -11,6 +11,7 @@
 from arbutuscove.requests import claims
 from arbutuscove.requests import failures
 from arbutuscove.requests import resume
+from arbutuscove.requests.tests import fleet as fleet_module
 
 NEVER = "Arbutuscove-Repeat: never\r\nIdempotency-Key: k\r\n"
 
@@ -82,3 +83,61 @@
     server.flow.wait.set()
     drain.join()
     assert answer.get().endswith(b"0\r\n\r\n")
+
+
+class _Queue:
+    """Admits nothing, and counts the requests that wait."""
+
+    def __init__(self):
+        self.waiting = 0
+
+    def admit(self, work):
+        self.waiting += 1
+        try:
+            event.Event().wait()
+        finally:
+            self.waiting -= 1
+
+
+@pytest.fixture
+def queue():
+    return _Queue()
+
+
+@pytest.fixture
+def queued(queue, monkeypatch):
+    """A client whose request waits in the queue, and its daemon."""
+    daemon = fleet_module.build_daemon(fleet_module.Fleet())
+    monkeypatch.setattr(daemon.admission, "admit", queue.admit)
+    running = serving.Server(connections.Bounds(), flow=daemon.flow)
+    client = running.connect()
+    client.sendall(serving.build_request())
+    _wait_until(lambda: queue.waiting == 1)
+    yield client, daemon, running
+    client.close()
+    running.entry.stop()
+
+
+def _wait_until(condition):
+    with gevent.Timeout(5):
+        while not condition():
+            gevent.sleep(0.001)
+
+
+def test_chat_caller_that_leaves_the_queue_frees_its_place(queue, queued):
+    """Nobody would read the answer that a departed caller waits for."""
+    client, daemon, running = queued
+    client.close()
+    _wait_until(lambda: queue.waiting == 0)
+    _wait_until(lambda: running.entry.active() == 0)
+    assert daemon.limits.open == 0
+    assert daemon.fleet.dispatches == 0
+    assert running.count("caller_left") == 1
+
+
+def test_chat_pipelined_request_is_no_departure(queue, queued):
+    """A caller that already sends its next request is still there."""
+    client, _, _ = queued
+    client.sendall(serving.build_request())
+    gevent.sleep(0.05)
+    assert queue.waiting == 1
--- a/arbutuscove/requests/answers.py
+++ b/arbutuscove/requests/answers.py
@@ -2,7 +2,8 @@
 
 Engine events carry `id: <stream>-<n>`, numbered from 0 without gaps. An
 answer is whole when each number arrived once, in order, from its own stream,
-and the terminal event came last.
+and the terminal event came last. An answer that outlives the caller's deadline
+ends there as an error, even while the engine is silent.
 """
 
 import dataclasses
@@ -11,12 +12,17 @@
 import typing
 from collections import abc
 
+import gevent
+
 from arbutuscove.kernel import clock as clock_module
+from arbutuscove.platform import http
 from arbutuscove.requests import attempts
 from arbutuscove.upstreams import engine
 from arbutuscove.upstreams import errors
 from arbutuscove.upstreams import protocol
 
+# Longest read of one event: a connection, its response head and the event.
+READ_LIMIT = http.CONNECT_TIMEOUT + 2 * engine.STALL_TIMEOUT
 RESUME_LIMIT = 5  # resumptions in a row without a new event
 
 
@@ -140,8 +146,8 @@
     encoded = stream_id.encode()
     try:
         while True:
-            event = source.read(expected)
-            if bounds is not None and bounds.has_passed():
+            event = _read_in_time(source, expected, bounds)
+            if event is None:
                 raise DeadlinePassedError("deadline passed", expected)
             match check_event(event, encoded, expected):
                 case Deliver(terminal=terminal):
@@ -167,6 +173,24 @@
         source.disconnect()
 
 
+def _read_in_time(
+    source: "_Source", expected: int, bounds: Bounds | None
+) -> bytes | None:
+    """Returns the next event, or None when the deadline has passed."""
+    if bounds is None:
+        return source.read(expected)
+    left = bounds.deadline - bounds.clock.monotonic()
+    if left > READ_LIMIT:
+        # The read gives up before the deadline, and a timer for each
+        # token would add to the cost of relaying.
+        event = source.read(expected)
+    else:
+        event = None
+        with gevent.Timeout(max(0.0, left.total_seconds()), False):
+            event = source.read(expected)
+    return None if bounds.has_passed() else event
+
+
 class _Source:
     """A connection to an engine stream that is reopened where it broke."""
 
--- a/arbutuscove/requests/flow.py
+++ b/arbutuscove/requests/flow.py
@@ -24,6 +24,7 @@
 from arbutuscove.requests import attempts as attempts_module
 from arbutuscove.requests import claims
 from arbutuscove.requests import failures
+from arbutuscove.requests import presence
 from arbutuscove.requests import resume
 from arbutuscove.requests import suspects as suspects_module
 from arbutuscove.upstreams import engine as engine_module
@@ -32,6 +33,11 @@
 
 SERVICE_NAME = "requests"
 RETRY_AFTER = datetime.timedelta(seconds=2)
+CALLER_LEFT = work_module.Refusal(
+    status=499,  # in common use for a client that closed its request
+    code="caller_left",
+    message="the caller closed its connection before the request ran",
+)
 LENGTH_FIELDS = ("max_tokens", "max_completion_tokens")
 REFUSED_BEFORE_RUN = (409, 429, 503)  # statuses of engines that ran nothing
 
@@ -47,11 +53,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ModelRequest:
-    """A request to a model; `repeatable` permits a second run."""
+    """A request to a model; `repeatable` permits a second run.
+
+    `caller` tells when the caller leaves; None where that is not known.
+    """
 
     work: work_module.Work
     body: dict[str, typing.Any]
     repeatable: bool
+    caller: presence.Presence | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -215,7 +225,7 @@
         )
         used: int | None = 0
         try:
-            admitted = self._admission.admit(work)
+            admitted = self._admit(request, work, run)
             if admitted.is_error():
                 raise failures.RequestFailedError(admitted.error, run)
             held.ticket = admitted.ok
@@ -234,6 +244,20 @@
             held.release(0, known)
         return outcome
 
+    def _admit(
+        self,
+        request: ModelRequest,
+        work: work_module.Work,
+        run: failures.Run,
+    ) -> admission_module.Admitted:
+        if request.caller is None:
+            return self._admission.admit(work)
+        try:
+            with request.caller.watch():
+                return self._admission.admit(work)
+        except presence.CallerLeftError as error:
+            raise failures.RequestFailedError(CALLER_LEFT, run) from error
+
     def _attempt(
         self, request: ModelRequest, ticket: work_module.Ticket, held: _Held
     ) -> Answer | _Lost:
--- a/arbutuscove/requests/tests/test_answers.py
+++ b/arbutuscove/requests/tests/test_answers.py
@@ -1,7 +1,13 @@
 """Guards against answers that are cut short, doubled or another's."""
 
+import datetime
+import random
+
+import gevent
 import pytest
+from gevent import event
 
+from arbutuscove.kernel import clock as clock_module
 from arbutuscove.requests import answers
 from arbutuscove.upstreams import errors
 
@@ -88,3 +94,35 @@
     engine = _Engine()
     list(answers.read_answer(engine, "s", None, start=2))
     assert engine.resumed == [1]
+
+
+class _SilentReader:
+    """Delivers one event, and then keeps its connection open in silence."""
+
+    def __init__(self):
+        self._events = [WHOLE[0]]
+        self.closed = False
+
+    def read(self):
+        if self._events:
+            return self._events.pop()
+        return event.Event().wait()
+
+    def close(self):
+        self.closed = True
+
+
+def test_answer_of_a_silent_engine_ends_at_the_deadline():
+    """A read that blocks must not keep the answer open past the deadline."""
+    clock = clock_module.SystemClock()
+    bounds = answers.Bounds(
+        clock=clock,
+        deadline=clock.monotonic() + datetime.timedelta(milliseconds=50),
+        generator=random.Random(1),
+    )
+    reader = _SilentReader()
+    events = answers.read_answer(_Engine(), "s", reader, bounds=bounds)
+    assert next(events) == WHOLE[0]
+    with gevent.Timeout(2), pytest.raises(answers.DeadlinePassedError):
+        next(events)
+    assert reader.closed
