Refuse claims at once while the table service hangs

Cause: each non-repeatable request read the table by itself, so that during a hang (connections accepted, no answer) each one was refused only after the 2 s timeout of its own call; 50 ms are permitted. Ruled out: a breaker in the table adapter, which would also refuse lease renewals and reads of rows that nobody waits for. Change: requests.breaker, used by Claims.take. One failure after 1 s or more refuses new claims for 5 s with Retry-After and not_run, then one claim at a time tries the table. Quick failures (refused, 503) do not open it. Conclusion: requests that arrive before the first timeout still wait for it, and so does one trial in each 5 s.

--- a/arbutuscove/requests/claims.py
+++ b/arbutuscove/requests/claims.py
@@ -4,7 +4,7 @@
 the attempt that created it may dispatch. `not_run` is reported only when there
 is no claim or the claim was abandoned by its own attempt before dispatch. A
 claim that is neither done nor abandoned is reported as unknown and never run
-again.
+again. While the table hangs, a breaker refuses new claims without a call.
 """
 
 import dataclasses
@@ -16,6 +16,7 @@
 
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.platform import table as table_module
+from arbutuscove.requests import breaker
 
 PREFIX = "claim/"
 
@@ -92,6 +93,7 @@
         self._table = table
         self._clock = clock
         self._daemon = daemon
+        self._breaker = breaker.Breaker(clock)
 
     def take(
         self, key: str, attempt_id: str, digest: str
@@ -104,28 +106,43 @@
             ClaimUnavailableError: nothing was written.
             ClaimUnknownError: the outcome could not be settled.
         """
+        if not self._breaker.permit():
+            raise ClaimUnavailableError("the table service does not answer")
+        started = self._clock.monotonic()
         try:
-            row = self._table.read(key)
-            version = table_module.ABSENT if row is None else row.version
-            if row is not None:
-                found = row.decode(Claim)
-                abandoned = found.state == ClaimState.ABANDONED
-                if not abandoned or found.digest != digest:
-                    return expression.Error(found)
-            claim = Claim(
-                attempt_id=attempt_id,
-                digest=digest,
-                state=ClaimState.CLAIMED,
-                daemon=self._daemon,
-            )
-            written = self._write(key, version, claim)
-            if written is not None:
-                return expression.Ok(written)
-            row = self._table.read(key)
+            taken = self._take(key, attempt_id, digest)
         except table_module.TableUnavailableError as error:
+            self._breaker.record_failure(started)
             raise ClaimUnavailableError(str(error)) from error
         except table_module.OutcomeUnknownError as error:
+            self._breaker.record_failure(started)
             raise ClaimUnknownError(str(error)) from error
+        except BaseException:
+            self._breaker.cancel()
+            raise
+        self._breaker.record_success()
+        return taken
+
+    def _take(
+        self, key: str, attempt_id: str, digest: str
+    ) -> expression.Result[HeldClaim, Claim]:
+        row = self._table.read(key)
+        version = table_module.ABSENT if row is None else row.version
+        if row is not None:
+            found = row.decode(Claim)
+            abandoned = found.state == ClaimState.ABANDONED
+            if not abandoned or found.digest != digest:
+                return expression.Error(found)
+        claim = Claim(
+            attempt_id=attempt_id,
+            digest=digest,
+            state=ClaimState.CLAIMED,
+            daemon=self._daemon,
+        )
+        written = self._write(key, version, claim)
+        if written is not None:
+            return expression.Ok(written)
+        row = self._table.read(key)
         if row is None:
             raise ClaimUnavailableError("the claim row changed meanwhile")
         return expression.Error(row.decode(Claim))
--- a/arbutuscove/requests/tests/test_claims.py
+++ b/arbutuscove/requests/tests/test_claims.py
@@ -1,5 +1,7 @@
 """Guards against a second run of a key and against a false `not_run`."""
 
+import datetime
+
 import hypothesis
 import pytest
 from hypothesis import stateful
@@ -7,6 +9,7 @@
 
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.platform import objects as objects_module
+from arbutuscove.platform import table as table_module
 from arbutuscove.requests import claims
 from arbutuscove.requests import failures
 from arbutuscove.requests import once
@@ -223,3 +226,55 @@
         operation.step(fate)
     assert failed[0].refusal.code == "claim_unsettled"
     assert failed[0].run == failures.Run.NOT_RUN
+
+
+class _HangingTable(table_standin.MemoryTable):
+    """Answers no read within its timeout while it hangs."""
+
+    def __init__(self, clock):
+        super().__init__()
+        self._clock = clock
+        self.hangs = True
+        self.reads = 0
+
+    def read(self, key):
+        self.reads += 1
+        if self.hangs:
+            self._clock.advance(datetime.timedelta(seconds=2))
+            raise table_module.TableUnavailableError("timed out")
+        return super().read(key)
+
+
+def _measure_refusal(service, clock):
+    began = clock.monotonic()
+    with pytest.raises(failures.RequestFailedError) as caught:
+        service.begin("desk", "k", "a", "b")
+    assert caught.value.run == failures.Run.NOT_RUN
+    assert caught.value.refusal.retry_after is not None
+    return clock.monotonic() - began
+
+
+def test_claims_hanging_table_refuses_at_once():
+    """Callers must not wait out one timeout after another."""
+    clock = clock_module.ManualClock()
+    table = _HangingTable(clock)
+    service = once.AtMostOnce(claims.Claims(table, clock, "d"), _Objects())
+    first = _measure_refusal(service, clock)
+    times = [_measure_refusal(service, clock) for _ in range(20)]
+    assert max(times) <= datetime.timedelta(milliseconds=50) < first
+    assert table.reads == 1
+
+
+def test_claims_are_taken_again_after_a_hang():
+    """One call in each open period must find that the table is back."""
+    clock = clock_module.ManualClock()
+    table = _HangingTable(clock)
+    service = once.AtMostOnce(claims.Claims(table, clock, "d"), _Objects())
+    _measure_refusal(service, clock)
+    clock.advance(once.RETRY_AFTER)
+    _measure_refusal(service, clock)
+    assert table.reads == 2
+    table.hangs = False
+    clock.advance(once.RETRY_AFTER)
+    assert service.begin("desk", "k", "a", "b").claim.attempt_id == "a"
+    assert service.begin("desk", "other", "a", "b").claim.attempt_id == "a"
