Use a distrusted VM when nothing else completes a replica

Cause: a free VM that was distrusted took part in no replica. Where it alone would have completed one, the other free VMs of its domain were stranded with it.

Change: free VMs that are distrusted are the last resort of a repair, after spares, free VMs, spares of siblings and remains of other replicas, and of a new replica, after spares. They are never reserved as spares.

test_formation_distrusts_returning_vm_for_doubling_time demanded that such a VM stays out even when nothing else completes the replica, which is the fault itself. The doubling is still checked by test_trust_doubles_to_an_hour_and_decays.

--- a/arbutuscove/replicas/formation.py
+++ b/arbutuscove/replicas/formation.py
@@ -8,9 +8,13 @@
 *remains*. Repairs go in order of the worth that they restore, each from the
 cheapest source that suffices: the replica's reserved spares, then free VMs,
 then spares of its siblings and the remains of replicas of lower value; if
-none suffices the replica is dissolved, which frees its approved accelerators
-for a rebuild elsewhere. Only whole replicas count, so spares are reserved
-last, from VMs that cannot form one.
+none suffices, distrusted VMs that are free; else the replica is dissolved,
+which frees its approved accelerators for a rebuild elsewhere. Only whole
+replicas count, so spares are reserved last, from VMs that cannot form one.
+
+A distrusted VM is the last resort because it may fail again soon. Leaving it
+out of a replica that only it can complete strands all other VMs of that
+replica as well, for up to an hour.
 """
 
 import dataclasses
@@ -122,7 +126,10 @@
 
     def __init__(self, view: View) -> None:
         free = [vm for vm in view.vms.values() if _is_free(view, vm)]
-        self.pool = sorted(free, key=lambda vm: vm.name)
+        free.sort(key=lambda vm: vm.name)
+        distrusted = view.distrusted
+        self.pool = [vm for vm in free if vm.name not in distrusted]
+        self.last_resort = [vm for vm in free if vm.name in distrusted]
         self.decisions: list[Decision] = []
         self.settled: set[str] = set()
 
@@ -135,12 +142,21 @@
         # VMs that hold the weights already save a load.
         ordered = sorted(
             self.pool,
-            key=lambda vm: (_reported_model(view, vm.name) != wanted, vm.name),
+            key=lambda vm: (
+                vm.name in view.distrusted,
+                _reported_model(view, vm.name) != wanted,
+                vm.name,
+            ),
         )
         taken = ordered[:count]
         self.pool = [vm for vm in self.pool if vm not in taken]
         return taken
 
+    def add_last_resort(self, count: int) -> None:
+        """Moves free VMs that are distrusted to the pool."""
+        self.pool += self.last_resort[:count]
+        del self.last_resort[:count]
+
 
 def plan(view: View) -> list[Decision]:
     """Returns what the controller should do now, most urgent first."""
@@ -382,6 +398,12 @@
     missing = len(row.members) - len(item.kept)
     spares = [m for m in row.spares if _is_usable(view, m.name)]
     short = missing - len(spares)
+    lacking = short - len(draft.pool)
+    if lacking > 0:
+        if _collect(view, draft, item, lacking, lower):
+            return
+        if lacking <= len(draft.last_resort):
+            draft.add_last_resort(lacking)
     if short <= len(draft.pool) and _fits_repair(view, draft, item, short):
         chosen = tuple(spares[:missing])
         free = draft.take(view, row.model, max(0, short))
@@ -394,7 +416,7 @@
                 reason="a member is lost or leaving",
             )
         )
-    elif not _collect(view, draft, item, short - len(draft.pool), lower):
+    else:
         draft.add(Dissolve(row=row, reason="its domain cannot complete it"))
 
 
@@ -457,11 +479,15 @@
         assert backend is not None
         if not _wants_more(view, service):
             continue
-        size = backend.vms_per_replica
-        if len(draft.pool) >= size:
+        lacking = backend.vms_per_replica - len(draft.pool)
+        spares = _count_spares(view, service)
+        if 0 < lacking - spares <= len(draft.last_resort):
+            draft.add_last_resort(lacking - spares)
+            lacking = spares
+        if lacking <= 0:
             _form_whole(view, draft, service)
-        elif len(draft.pool) + _count_spares(view, service) >= size:
-            _release_spares(view, draft, service, size - len(draft.pool))
+        elif lacking <= spares:
+            _release_spares(view, draft, service, lacking)
 
 
 def _form_whole(
@@ -601,7 +627,7 @@
 ) -> None:
     backend = service.model
     assert backend is not None
-    if not draft.pool:
+    if all(vm.name in view.distrusted for vm in draft.pool):
         return
     capacity = _capacity(view, service)
     missing = max(0, backend.replicas - capacity.replicas + capacity.draining)
@@ -738,7 +764,7 @@
 
 
 def _is_free(view: View, vm: inventory.Vm) -> bool:
-    return vm.name not in view.assigned and _is_usable(view, vm.name)
+    return vm.name not in view.assigned and not _is_lost(view, vm.name)
 
 
 def _is_usable(view: View, name: str) -> bool:
