Publish loads by rank for the division of credits

Credits are divided by demand by rank, but daemons published one number, which the division took as urgent work: a bulk flood at one daemon counted as urgent demand everywhere and floors fell back to the configured ones.

test_assembly_division_uses_loads_by_rank assembles three daemons, lets them gossip and was seen failing first: entry-2 counted as (942,) instead of (0, 40, 900, 2).

Member carries `rank_loads`; Admission's callback publishes it and `_read_demands` reads it. At most 8 numbers are sent and accepted, the last one sums the rest, so a record grows by at most 42 bytes (64 to 71 bytes with the loads of that test, 106 at most). A copy of a record keeps total and loads by rank together, since parts of different ages would contradict each other. `watch_load` had no caller and is gone.

Found on the way, with its test failing first (IndexError in credits.divide): a fleet without any request publishes no number for any rank. It counts as its total, zero. A member of an older version sends a total alone, so that all members then count as totals; mixing both would make its bulk work urgent.

Ruled out: a separate message for loads, which adds calls; loads by service, whose number is not bounded.

Services with different numbers of ranks still share one column by position.

--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -77,7 +77,7 @@
         clock, directory, lambda: _read_demands(membership), generator
     )
     admission = admission_service.Admission(
-        clock, routing, lag, lambda loads: membership.set_load(sum(loads))
+        clock, routing, lag, membership.set_loads
     )
     tokens = resume.ResumeTokens(settings.resume_secret)
     budget = attempts.RetryBudget()
@@ -172,7 +172,13 @@
 ) -> credits.Demands:
     own = membership.own()
     members = [*membership.alive(), own]
-    loads = {member.name: (member.load,) for member in members}
+    # A member of an older version publishes a total alone. Beside loads by
+    # rank it would count as urgent, so that all are then taken as totals.
+    known = all(member.rank_loads or not member.load for member in members)
+    loads = {
+        member.name: (known and member.rank_loads) or (member.load,)
+        for member in members
+    }
     return credits.Demands(own=own.name, loads=loads)
 
 
--- /dev/null
+++ b/arbutuscove/daemon/tests/test_assembly.py
@@ -0,0 +1,103 @@
+"""Guards what the services of an assembled daemon tell each other."""
+
+import pytest
+
+from arbutuscove.admission import service as admission_service
+from arbutuscove.daemon import assembly
+from arbutuscove.daemon import settings as settings_module
+from arbutuscove.membership import service as membership_service
+from arbutuscove.routing import credits
+from arbutuscove.routing import service as routing_service
+
+FLOORS = (0.4, 0.2, 0.1)
+LOADS = {
+    "entry-1": (5, 3, 20, 0),
+    "entry-2": (0, 40, 900, 2),
+    "entry-3": (1, 0, 0, 0),
+}
+
+
+class _Daemon:
+    """An assembled daemon that is not started."""
+
+    def __init__(self, name):
+        address = "127.0.0.1:0"  # the peer server binds, the rest does not
+        kernel = assembly.build_kernel(
+            settings_module.Settings(
+                name=name,
+                region="r",
+                failure_domain="f",
+                listen=address,
+                admin_listen=address,
+                peer_listen=address,
+                advertise=address,
+                peer_advertise=address,
+                peers=(),
+                table=address,
+                objects=address,
+                inventory=address,
+                resume_secret="0123456789abcdef",
+                admin_key_digest="0" * 64,
+                keep_seconds=30.0,
+            )
+        )
+        self.membership = kernel.find(
+            membership_service.SERVICE_NAME, membership_service.Membership
+        )
+        self._admission = kernel.find(
+            admission_service.SERVICE_NAME, admission_service.Admission
+        )
+        self._routing = kernel.find(
+            routing_service.SERVICE_NAME, routing_service.Routing
+        )
+
+    def publish(self, loads):
+        self._admission._publish_loads(loads)
+
+    def hear(self, other):
+        self.membership.answer_probe(other.membership._build_gossip(""))
+
+    def demands(self):
+        return self._routing._read_demands()
+
+
+@pytest.fixture(name="daemons")
+def build_daemons():
+    daemons = {name: _Daemon(name) for name in LOADS}
+    for name, daemon in daemons.items():
+        daemon.publish(LOADS[name])
+    for daemon in daemons.values():
+        for other in daemons.values():
+            if other is not daemon:
+                daemon.hear(other)
+    return daemons
+
+
+def test_assembly_division_uses_loads_by_rank(daemons):
+    """With totals alone, a bulk flood elsewhere takes urgent credits."""
+    for name, daemon in daemons.items():
+        demands = daemon.demands()
+        assert demands == credits.Demands(own=name, loads=LOADS)
+        division = credits.divide(demands, FLOORS, 144, 48)
+        assert len(division.floors) == len(FLOORS)
+
+
+def test_assembly_division_with_older_member_uses_totals(daemons):
+    """A total beside loads by rank would count as urgent work."""
+    told = daemons["entry-2"].membership._build_gossip("")
+    del told.sender.rank_loads[:]
+    daemons["entry-1"].membership.answer_probe(told)
+    loads = {name: (sum(load),) for name, load in LOADS.items()}
+    assert daemons["entry-1"].demands().loads == loads
+
+
+def test_assembly_division_of_idle_fleet(daemons):
+    """Daemons that have had no request publish no number for any rank."""
+    for daemon in daemons.values():
+        daemon.publish(())
+        for other in daemons.values():
+            if other is not daemon:
+                other.hear(daemon)
+    for daemon in daemons.values():
+        division = credits.divide(daemon.demands(), FLOORS, 144, 48)
+        assert division.common.end > division.common.start
--- a/arbutuscove/membership/service.py
+++ b/arbutuscove/membership/service.py
@@ -77,7 +77,7 @@
         self._client = client
         self._config = config
         self._lag = lag
-        self._read_load: abc.Callable[[], int] | None = None
+        self._rank_loads: tuple[int, ...] = ()
         self._fetching = False
         self._suspicions: Suspicions | None = None
         self._greenlet: gevent.Greenlet | None = None
@@ -127,13 +127,9 @@
         ]
         gevent.joinall(jobs, timeout=SPREAD_TIMEOUT.total_seconds())
 
-    def set_load(self, load: int) -> None:
-        """Publishes the number of requests in progress."""
-        self._read_load = lambda: load
-
-    def watch_load(self, read_load: abc.Callable[[], int]) -> None:
-        """Publishes what `read_load` returns with each message."""
-        self._read_load = read_load
+    def set_loads(self, loads: tuple[int, ...]) -> None:
+        """Publishes the requests running and waiting by priority."""
+        self._rank_loads = swim.bound_loads(loads)
 
     def own(self) -> swim.Member:
         """Returns this daemon's own record."""
@@ -327,10 +323,15 @@
 
     def _refresh_own(self) -> None:
         own = self._view.own
-        load = own.load if self._read_load is None else self._read_load()
+        loads = self._rank_loads
         sequence = self._config.current().sequence
-        if (load, sequence) != (own.load, own.config_sequence):
-            own = dataclasses.replace(own, load=load, config_sequence=sequence)
+        if (loads, sequence) != (own.rank_loads, own.config_sequence):
+            own = dataclasses.replace(
+                own,
+                load=sum(loads),
+                rank_loads=loads,
+                config_sequence=sequence,
+            )
             self._view = dataclasses.replace(self._view, own=own)
 
     def _confirm_config(self) -> None:
--- a/arbutuscove/membership/swim.py
+++ b/arbutuscove/membership/swim.py
@@ -35,6 +35,9 @@
 LEAVE_FANOUT = 6  # peers told at once of a leave: all of them at 7 daemons
 MEMBER_LIMIT = 4096  # records kept; twice the target size
 LEAST_ANSWERS = 5  # answers before a new daemon can judge a large fleet
+# Loads by rank in a record: at most 42 bytes. Both users have three ranks
+# and one more number for work beyond its urgent entitlement.
+RANK_LOADS_LIMIT = 8
 SAMPLE_LIMIT = 16  # probe outcomes kept; more than the window holds
 
 
@@ -49,7 +52,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Member:
-    """One daemon as it is known; `load` counts its requests in progress."""
+    """One daemon as it is known.
+
+    `load` counts its requests running and waiting, `rank_loads` the same by
+    priority; empty if the daemon has not said.
+    """
 
     name: str
     peer_address: str
@@ -60,6 +67,7 @@
     state: State = State.ALIVE
     load: int = 0
     config_sequence: int = 0
+    rank_loads: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -237,6 +245,21 @@
     return view, Message(sender=view.own, updates=tuple(told))
 
 
+def bound_loads(loads: abc.Sequence[int]) -> tuple[int, ...]:
+    """Returns loads by priority in at most `RANK_LOADS_LIMIT` numbers.
+
+    The last number then counts all less urgent work together.
+
+    Example:
+        >>> bound_loads([3, 0, 1, 1, 1, 1, 1, 1, 1])
+        (3, 0, 1, 1, 1, 1, 1, 2)
+    """
+    kept = RANK_LOADS_LIMIT - 1
+    if len(loads) <= kept:
+        return tuple(loads)
+    return (*loads[:kept], sum(loads[kept:]))
+
+
 def list_alive(view: View) -> list[Member]:
     """Returns the other members that are believed alive."""
     return [m for m in view.members.values() if m.state == State.ALIVE]
@@ -462,10 +485,20 @@
     sequence = max(known.config_sequence, update.config_sequence)
     newer = _order(update) > _order(known)
     base = update if newer else known
-    load = update.load if direct or newer else known.load
-    if not newer and (sequence, load) == (known.config_sequence, known.load):
+    loaded = update if direct or newer else known
+    found = (sequence, loaded.load, loaded.rank_loads)
+    if not newer and found == (
+        known.config_sequence,
+        known.load,
+        known.rank_loads,
+    ):
         return known
-    return dataclasses.replace(base, config_sequence=sequence, load=load)
+    return dataclasses.replace(
+        base,
+        config_sequence=sequence,
+        load=loaded.load,
+        rank_loads=loaded.rank_loads,
+    )
 
 
 def _refute(own: Member, update: Member) -> Member:
--- a/arbutuscove/membership/tests/test_swim.py
+++ b/arbutuscove/membership/tests/test_swim.py
@@ -1,5 +1,6 @@
 """Guards against live members taken for dead, and against growing cost."""
 
+import dataclasses
 import datetime
 
 import hypothesis
@@ -7,6 +8,7 @@
 from hypothesis import strategies
 
 from arbutuscove.membership import swim
+from arbutuscove.membership import wire
 from arbutuscove.membership.tests import fleet as fleet_module
 
 HEAL_SECONDS = 60  # suspicion, reconnection and refutation at seven members
@@ -208,3 +210,32 @@
         fleet.resume(name)
     fleet.run(2 * HEAL_SECONDS)
     assert fleet.all_alive()
+
+
+def test_swim_loads_by_rank_are_bounded():
+    """A service with many ranks must not make every message grow."""
+    loads = (7,) * 100
+    record = swim.Member(
+        name="a", peer_address="p", rank_loads=swim.bound_loads(loads)
+    )
+    assert len(record.rank_loads) == swim.RANK_LOADS_LIMIT
+    assert sum(record.rank_loads) == sum(loads)
+    sent = wire.encode_member(dataclasses.replace(record, rank_loads=loads))
+    received = wire.decode_member(sent)
+    assert received == record
+
+
+def test_swim_indirect_record_keeps_loads_together():
+    """A total and loads by rank of different ages would contradict."""
+    own = swim.Member(name="a", peer_address="1")
+    known = swim.Member(name="b", peer_address="2", load=3, rank_loads=(1, 2))
+    older = dataclasses.replace(known, load=9, rank_loads=(9, 0))
+    third = swim.Member(name="c", peer_address="3")
+    view = swim.View(own=own, members={"b": known, "c": third}, synced=True)
+    message = swim.Message(sender=third, updates=(older,))
+    event = swim.Received(message=message)
+    view, _ = swim.step(view, event, datetime.timedelta())
+    assert view.members["b"] == known
+    event = swim.Received(message=swim.Message(sender=older))
+    view, _ = swim.step(view, event, datetime.timedelta())
+    assert view.members["b"] == older
--- a/arbutuscove/membership/wire.py
+++ b/arbutuscove/membership/wire.py
@@ -24,6 +24,7 @@
         state=typing.cast(peer_pb2.MemberState, int(member.state)),
         load=member.load,
         config_sequence=member.config_sequence,
+        rank_loads=member.rank_loads,
     )
 
 
@@ -39,6 +40,7 @@
         state=swim.State(member.state),
         load=member.load,
         config_sequence=member.config_sequence,
+        rank_loads=swim.bound_loads(member.rank_loads),
     )
 
 
