Admit suspected requests as suspects

`Work.suspect` was never set, so that routing sent this daemon's other work to the replica of a trial; if the suspect then crashed it, that work was lost and suspected, too. test_quarantine_trial_keeps_own_work_off_its_replica runs the flow on the real admission and routing and was seen failing first: 4 requests on the replica of the trial instead of 1.

The flow sets the field for a run that holds a trial. Since a trial is allowed a single replica, three cases of the choice then mattered, each with a test: a suspect needs no credit (the daemon may have none on that replica, and one request on an empty replica takes a slot from nobody); a suspect that waits keeps its replica free of this daemon's other work; that ends 1 s after the suspect last asked. The three tests were run before the change and failed: the first two by what they assert, the third because KEEP_FREE did not exist.

Ruled out: running a suspect beside others when nothing is empty, which makes the others suspects.

Tests of admission, routing/test_choice, requests (114) and standins/test_upstream_failures (11) pass.

Open: other daemons may send work to the replica. In a full fleet of several daemons a trial now waits until its deadline and holds up the trials behind it, where before it ran beside other work.

--- a/arbutuscove/requests/flow.py
+++ b/arbutuscove/requests/flow.py
@@ -198,10 +198,11 @@
         begun = self._suspects.begin(work)
         if begun.is_error():
             raise failures.RequestFailedError(begun.error, run)
-        excluded = work.excluded | begun.ok.excluded
-        if begun.ok.trial is not None:
-            excluded = begun.ok.excluded
-        work = dataclasses.replace(work, excluded=excluded)
+        trial = begun.ok.trial is not None
+        excluded = begun.ok.excluded
+        if not trial:
+            excluded |= work.excluded
+        work = dataclasses.replace(work, excluded=excluded, suspect=trial)
         reserved = self._limits.reserve(work)
         if reserved.is_error():
             self._suspects.end(begun.ok, whole=False)
--- a/arbutuscove/requests/tests/fleet.py
+++ b/arbutuscove/requests/tests/fleet.py
@@ -231,9 +231,11 @@
     suspects: suspects.Suspects
 
 
-def build_daemon(fleet, table=None, name="d", spread=lambda: None):
+def build_daemon(
+    fleet, table=None, name="d", spread=lambda: None, admission=None
+):
     """Returns a daemon in front of a fleet."""
-    admission = Admission(fleet)
+    admission = admission or Admission(fleet)
     limits = Limits()
     suspected = suspects.Suspects(
         table or table_standin.MemoryTable(),
--- a/arbutuscove/requests/tests/test_quarantine.py
+++ b/arbutuscove/requests/tests/test_quarantine.py
@@ -1,10 +1,15 @@
 """Guards against a request that crashes one replica after another."""
 
+import random
+
 import hypothesis
 import pytest
 from hypothesis import strategies
 
+from arbutuscove.admission import service as admission_service
 from arbutuscove.kernel import clock as clock_module
+from arbutuscove.kernel import loop
+from arbutuscove.peers import peer_pb2
 from arbutuscove.requests import answers
 from arbutuscove.requests import claims
 from arbutuscove.requests import failures
@@ -12,6 +17,7 @@
 from arbutuscove.requests import quarantine
 from arbutuscove.requests import suspects
 from arbutuscove.requests.tests import fleet as fleet_module
+from arbutuscove.routing import service as routing_service
 from arbutuscove.standins import faulty
 from arbutuscove.standins import table as table_standin
 
@@ -347,3 +353,44 @@
         system.settle()
         assert system.try_send(0, text) is None
         assert system.try_send(1, text) is None
+
+
+def _build_routed(fleet):
+    """Returns a daemon with the real admission and routing."""
+    routing = routing_service.Routing(
+        fleet.clock, fleet, generator=random.Random(1)
+    )
+    admission = admission_service.Admission(
+        fleet.clock, routing, loop.LagMonitor(fleet.clock)
+    )
+    return fleet_module.build_daemon(fleet, admission=admission)
+
+
+def _suspect(daemon, digest):
+    hint = peer_pb2.Suspicion(digest=digest, deaths=1)
+    daemon.suspects.learn_suspicions([hint])
+
+
+def _open_stream(daemon, text):
+    events = daemon.flow.run(
+        fleet_module.build_request(daemon.fleet, text)
+    ).events
+    next(events)
+    return events
+
+
+def test_quarantine_trial_keeps_own_work_off_its_replica():
+    """Work beside a crashing suspect would be lost and suspected with it."""
+    fleet = fleet_module.Fleet(replicas=2)
+    daemon = _build_routed(fleet)
+    _suspect(daemon, "suspect")
+    trial = _open_stream(daemon, "suspect")
+    running = [_open_stream(daemon, f"innocent {n}") for n in range(6)]
+    alone = fleet.runs[0][1]
+    assert [replica for _, replica in fleet.runs].count(alone) == 1
+    assert [_read(events) for events in (trial, *running)] == ["whole"] * 7
+    fleet.engines[alone].streams.clear()
+    fleet.clock.advance(fleet_module.SECOND)
+    for n in range(6):
+        _open_stream(daemon, f"after {n}")
+    assert [replica for _, replica in fleet.runs].count(alone) > 1
--- a/arbutuscove/routing/choice.py
+++ b/arbutuscove/routing/choice.py
@@ -68,6 +68,8 @@
 
 
 EVENT_LIMIT = 4096  # own starts and ends since a report, for each replica
+# Waiting work asks again every 25 ms, so that this outlasts a slow loop.
+KEEP_FREE = SECOND  # time that a replica is kept free for a waiting suspect
 DIVISION_INTERVAL = SECOND  # hints change no faster than daemons gossip
 
 
@@ -82,6 +84,7 @@
         self.own_bulk = 0
         self.own_urgent = 0
         self.alone = False  # a suspect runs here
+        self.free_until = datetime.timedelta()  # kept free for a suspect
         self.events: collections.deque[tuple[datetime.timedelta, int]] = (
             collections.deque(maxlen=EVENT_LIMIT)
         )
@@ -194,18 +197,13 @@
         if all(h.serving.replica in request.excluded for h in self._serving):
             # Waiting for another replica would last until the deadline.
             request = dataclasses.replace(request, excluded=frozenset())
-        if self._is_hopeless(request):
+        if request.suspect:
+            chosen = self._pick_alone(request, now)
+        elif self._is_hopeless(request):
             return None
-        able = [
-            held
-            for held in self._serving
-            if held.has_credit(request.priority)
-            and self._may_take(held, request)
-        ]
-        chosen = self._pick(able or self._borrow(request), request)
+        else:
+            chosen = self._pick_shared(request, now)
         if chosen is None:
-            if not request.excluded and not request.suspect:
-                self._nothing_for = (request.priority, request.below_floor)
             return None
         if request.priority == URGENT:
             chosen.own_urgent += 1
@@ -270,11 +268,56 @@
         """Returns this daemon's requests on all replicas."""
         return sum(held.own() for held in self._replicas.values())
 
-    def _may_take(self, held: _Replica, request: Request) -> bool:
-        if held.alone or held.serving.replica in request.excluded:
+    def _pick_alone(
+        self, request: Request, now: datetime.timedelta
+    ) -> _Replica | None:
+        """Returns an empty replica for a suspect, or keeps one free for it.
+
+        A suspect needs no credit: it may be allowed a single replica, and one
+        request on an empty replica takes a slot from nobody.
+        """
+        if any(held.alone for held in self._replicas.values()):
+            return None
+        allowed = [
+            held
+            for held in self._serving
+            if held.serving.replica not in request.excluded
+        ]
+        if not allowed:
+            return None
+        least = min(allowed, key=_Replica.load)
+        if least.load() == 0:
+            least.free_until = now
+            return least
+        # The same one each time, since the least loaded one changes.
+        kept = min(
+            allowed, key=lambda held: (held.free_until <= now, held.load())
+        )
+        kept.free_until = now + KEEP_FREE
+        return None
+
+    def _pick_shared(
+        self, request: Request, now: datetime.timedelta
+    ) -> _Replica | None:
+        """Returns a replica with a free credit for ordinary work."""
+        able = [
+            held
+            for held in self._serving
+            if held.has_credit(request.priority)
+            and self._may_take(held, request, now)
+        ]
+        chosen = self._pick(able or self._borrow(request, now), request)
+        if chosen is None and not request.excluded:
+            self._nothing_for = (request.priority, request.below_floor)
+        return chosen
+
+    def _may_take(
+        self, held: _Replica, request: Request, now: datetime.timedelta
+    ) -> bool:
+        if held.alone or held.free_until > now:
+            return False
+        if held.serving.replica in request.excluded:
             return False
-        if request.suspect:
-            return held.load() == 0 and not self._has_suspect()
         urgent = request.priority == URGENT
         if urgent:
             slots, memory = held.serving.slots, self._settings.urgent_kv
@@ -293,10 +336,9 @@
             return False
         return request.priority >= priority
 
-    def _has_suspect(self) -> bool:
-        return any(held.alone for held in self._replicas.values())
-
-    def _borrow(self, request: Request) -> list[_Replica]:
+    def _borrow(
+        self, request: Request, now: datetime.timedelta
+    ) -> list[_Replica]:
         """Returns replicas for one request beyond the credits.
 
         A daemon whose part gives it no free credit could otherwise never
@@ -306,7 +348,7 @@
         """
         if self.in_progress():
             return []
-        return [h for h in self._serving if self._may_take(h, request)]
+        return [h for h in self._serving if self._may_take(h, request, now)]
 
     def _pick(self, able: list[_Replica], request: Request) -> _Replica | None:
         if not able:
--- a/arbutuscove/routing/tests/test_choice.py
+++ b/arbutuscove/routing/tests/test_choice.py
@@ -86,6 +86,47 @@
     assert chooser.choose(URGENT, SECOND).replica == "a"
 
 
+def test_choice_suspect_needs_no_credit():
+    """A trial on the one replica that it may use must not wait for credits."""
+    names = [f"r{number}" for number in range(20)]
+    loads = {"own": (0, 4, 0), "other": (400, 400, 400)}
+    demands = credits.Demands(own="own", loads=loads)
+    chooser = _build([_serve(name, slots=1) for name in names], demands)
+    assert len(_fill(chooser, URGENT)) < len(names)
+    used = {name for name in names if chooser.load(name)}
+    free = next(name for name in names if name not in used)
+    suspect = choice.Request(
+        priority=1, excluded=frozenset(names) - {free}, suspect=True
+    )
+    assert chooser.choose(suspect, ZERO).replica == free
+
+
+def test_choice_waiting_suspect_keeps_its_replica_free():
+    """Own work that follows each other must not make a trial wait for ever."""
+    chooser = _build([_serve("a"), _serve("b")])
+    work = choice.Request(priority=0, excluded=frozenset({"b"}))
+    chooser.choose(work, ZERO)
+    suspect = choice.Request(
+        priority=0, excluded=frozenset({"b"}), suspect=True
+    )
+    assert chooser.choose(suspect, ZERO) is None
+    assert set(_fill(chooser, URGENT)) == {"b"}
+    chooser.end("a", work, 10, SECOND, ZERO)
+    assert chooser.choose(suspect, ZERO).replica == "a"
+
+
+def test_choice_replica_kept_for_suspect_is_used_again():
+    """A suspect whose caller left must not idle a replica."""
+    chooser = _build([_serve("a", running=1), _serve("b")])
+    suspect = choice.Request(
+        priority=0, excluded=frozenset({"b"}), suspect=True
+    )
+    assert chooser.choose(suspect, ZERO) is None
+    later = ZERO + choice.KEEP_FREE
+    chooser.refresh([_serve("a"), _serve("b")], credits.SINGLE, FLOORS, later)
+    assert set(_fill(chooser, URGENT, later)) == {"a", "b"}
+
+
 def test_choice_affinity_is_bounded_by_load():
     """A popular prefix must not make its replica a hot spot."""
     names = [f"r{number}" for number in range(10)]
