Configure the slots kept for urgent work by service

Headroom and the urgent share are the settings of the choice of a replica on which the two users differ, and every service had the defaults of ChoiceSettings.

They are now `urgent_share` and `headroom` of ModelBackend, generated from the answers `urgent_only_percent` and `keep_free_percent` (0 <= x < 100, defaults 25 and 20 as before) with their origin, and Routing applies them each time it builds its view, so that an accepted change needs no restart.

Ruled out: `handover`, which both users would keep; fields of Service, since plain services have no slots.

A body sent to the administration API without the questionnaire is not range-checked, as for floors.

--- a/arbutuscove/config/model.py
+++ b/arbutuscove/config/model.py
@@ -44,13 +44,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ModelBackend:
-    """A model served by replicas that each span several VMs."""
+    """A model served by replicas that each span several VMs.
+
+    `urgent_share` is the share of a replica's slots that only the most urgent
+    rank holds credits for; `headroom` is the share that less urgent work
+    leaves free by the load report, unless its rank is below its floor.
+    """
 
     model: str
     vms_per_replica: int
     replicas: int
     spares_per_fabric_domain: int = 0
     upstreams_check_fencing: bool = False
+    urgent_share: float = 0.25
+    headroom: float = 0.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/arbutuscove/questionnaire/answers.py
+++ b/arbutuscove/questionnaire/answers.py
@@ -45,7 +45,10 @@
     """The model and the machines that it needs.
 
     `vms_per_fabric_domain` is the size of the largest fabric domain, which a
-    replica cannot exceed.
+    replica cannot exceed. `urgent_only_percent` of each replica is only for
+    the most urgent work. Less urgent work leaves `keep_free_percent` idle, so
+    that urgent work finds a free slot; a lower value uses accelerators better
+    and makes more urgent answers late in a flood.
     """
 
     name: str
@@ -55,6 +58,8 @@
     vms_per_fabric_domain: int = 0
     spares_per_fabric_domain: int = 0
     engines_check_fencing: bool = False
+    urgent_only_percent: float = 25.0
+    keep_free_percent: float = 20.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/arbutuscove/questionnaire/checks.py
+++ b/arbutuscove/questionnaire/checks.py
@@ -143,6 +143,7 @@
             )
         )
         return faults
+    faults += _check_shares(model)
     size = model.vms_per_replica
     domain = model.vms_per_fabric_domain
     if domain and size + model.spares_per_fabric_domain > domain:
@@ -185,6 +186,22 @@
     return faults
 
 
+def _check_shares(model: answers_module.Model) -> list[Fault]:
+    shares = {
+        "urgent_only_percent": model.urgent_only_percent,
+        "keep_free_percent": model.keep_free_percent,
+    }
+    return [
+        Fault(
+            answer=f"model.{name}",
+            problem=f"{value:g} must be at least 0 and under 100, so that "
+            "less urgent work can run",
+        )
+        for name, value in shares.items()
+        if not 0 <= value < 100
+    ]
+
+
 def _find_repeated(answer: str, names: list[str]) -> list[Fault]:
     counts = collections.Counter(names)
     return [
--- a/arbutuscove/questionnaire/generation.py
+++ b/arbutuscove/questionnaire/generation.py
@@ -32,6 +32,8 @@
 MODEL_RENAMED = {
     "model": "name",
     "upstreams_check_fencing": "engines_check_fencing",
+    "urgent_share": "urgent_only_percent",
+    "headroom": "keep_free_percent",
 }
 
 
@@ -88,6 +90,8 @@
         replicas=answer.replicas,
         spares_per_fabric_domain=answer.spares_per_fabric_domain,
         upstreams_check_fencing=answer.engines_check_fencing,
+        urgent_share=answer.urgent_only_percent / 100,
+        headroom=answer.keep_free_percent / 100,
     )
 
 
--- a/arbutuscove/questionnaire/interview.py
+++ b/arbutuscove/questionnaire/interview.py
@@ -36,6 +36,8 @@
     "vms_per_fabric_domain": "VMs of the largest fabric domain (0: unknown)",
     "spares_per_fabric_domain": "Spare VMs for each replica",
     "engines_check_fencing": "Do all engines refuse old fencing tokens",
+    "urgent_only_percent": "Percent of each replica for the most urgent work",
+    "keep_free_percent": "Percent of each replica that other work leaves free",
     "addresses": "Addresses, separated by commas",
     "repeatable_methods": "HTTP methods that may be repeated",
     "accelerators": "Accelerators approved",
--- a/arbutuscove/questionnaire/tests/test_questionnaire.py
+++ b/arbutuscove/questionnaire/tests/test_questionnaire.py
@@ -68,3 +68,28 @@
     ]
     assert found.base_version == 2
     assert found.refused_first[0] == "catalogue"
+
+
+def test_questionnaire_slots_kept_for_urgent_work():
+    """An answer that does not reach the configuration has no effect."""
+    answers = answers_module.read_answers(EXAMPLES / "siam.yaml")
+    backend = generation.generate(answers).model
+    assert (backend.headroom, backend.urgent_share) == (0.12, 0.25)
+    origins = {
+        item.setting: item.answer for item in generation.trace_origins(answers)
+    }
+    assert origins["model.headroom"] == "model.keep_free_percent"
+    assert origins["model.urgent_share"] == "model.urgent_only_percent"
+    other = answers_module.read_answers(EXAMPLES / "nilavu.yaml")
+    assert generation.generate(other).model.headroom == 0.2
+
+
+@pytest.mark.parametrize("value", [-1.0, 100.0, float("nan")])
+@pytest.mark.parametrize("name", ["keep_free_percent", "urgent_only_percent"])
+def test_questionnaire_refuses_impossible_shares(name, value):
+    """A share of 100% would leave no slot to less urgent work."""
+    answers = answers_module.read_answers(EXAMPLES / "siam.yaml")
+    asked = dataclasses.replace(answers.model, **{name: value})
+    broken = dataclasses.replace(answers, model=asked)
+    found = [fault.answer for fault in checks.find_faults(broken)]
+    assert found == [f"model.{name}"]
--- a/arbutuscove/routing/choice.py
+++ b/arbutuscove/routing/choice.py
@@ -26,6 +26,7 @@
 class ChoiceSettings:
     """Limits of the choice of a replica.
 
+    A service's configuration sets `urgent_share` and `headroom`.
     `urgent_share` is the share of a replica's slots that only the most urgent
     rank holds credits for. `headroom` is the share that less urgent work
     leaves free by the load report, unless its rank is below its floor: credits
@@ -156,6 +157,12 @@
         # Priority and floor claim of the last work that found no replica.
         self._nothing_for: tuple[int, bool] | None = None
 
+    def set_shares(self, urgent_share: float, headroom: float) -> None:
+        """Sets the shares of the slots kept from less urgent work."""
+        self._settings = dataclasses.replace(
+            self._settings, urgent_share=urgent_share, headroom=headroom
+        )
+
     def refresh(
         self,
         servings: abc.Iterable[model.Serving],
--- a/arbutuscove/routing/service.py
+++ b/arbutuscove/routing/service.py
@@ -30,6 +30,7 @@
         generator: random.Random | None = None,
         settings: choice.ChoiceSettings | None = None,
     ) -> None:
+        # Settings that are given replace what the configuration says.
         self._clock = clock
         self._directory = directory
         self._read_demands = read_demands or (lambda: credits.SINGLE)
@@ -95,6 +96,9 @@
             ranks = sorted(service.ranks, key=lambda rank: rank.priority)
             floors = [rank.floor_share for rank in ranks]
             servings = self._directory.serving(name)
+            backend = service.model
+            if backend is not None and self._settings is None:
+                chooser.set_shares(backend.urgent_share, backend.headroom)
             chooser.refresh(servings, self._read_demands(), floors, now)
             self._refreshed[name] = now
         return chooser
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -37,7 +37,7 @@
     "bulk flood 10x": (
         "Slots in use: bulk leaves `headroom` free for urgent work. Nilavu "
         "keeps 0.2; Siam, which pays for idle VMs, may choose 0.12 "
-        "(ChoiceSettings.headroom is the setting)."
+        "(keep_free_percent is the answer that sets it)."
     ),
     "urgent flood 3x": (
         "Urgent answers beyond the entitlement, for the floors of the other "
