Choose test ports that outgoing connections never take

Ruled out: a fault of the daemon; its log shows 'Address already in use'. Change: ports from 10,000 to 32,000, below the system's range for outgoing connections, at random. Conclusion: two runs at once can still choose the same port, in about one run of 300 (computed).

--- a/arbutuscove/entry/tests/serving.py
+++ b/arbutuscove/entry/tests/serving.py
@@ -19,6 +19,7 @@
 from arbutuscove.requests import answers
 from arbutuscove.requests import flow
 from arbutuscove.requests import resume
+from arbutuscove.standins import cluster
 
 EXAMPLE = pathlib.Path(__file__).parents[3] / "examples" / "demo.yaml"
 KEY = "demo-key"
@@ -111,9 +112,7 @@
     """A running entry server and its address."""
 
     def __init__(self, bounds, once=None, flow=None):
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            self.address = http.Address(*probe.getsockname())
+        self.address = http.Address("127.0.0.1", cluster.find_port())
         self.flow = flow or Flow()
         self.metrics = metrics_module.Metrics()
         clock = clock_module.SystemClock()
--- a/arbutuscove/standins/cluster.py
+++ b/arbutuscove/standins/cluster.py
@@ -7,6 +7,7 @@
 import datetime
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -22,6 +23,8 @@
 from arbutuscove.platform import inventory as inventory_module
 
 HOST = "127.0.0.1"
+PORTS = range(10_000, 32_000)  # below the ports of outgoing connections
+PORT_ATTEMPTS = 100
 ADMIN_KEY = "demo-admin-key"
 RESUME_SECRET = "a secret for loopback only"
 WAIT_SECONDS = 60.0  # bound on waits for an expected state
@@ -51,10 +54,23 @@
 
 
 def find_port() -> int:
-    """Returns a TCP port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+    """Returns a TCP port that was free a moment ago.
+
+    Ports from which the system picks those of outgoing connections are left
+    out: one of them was taken between this check and the start of a server.
+
+    Raises:
+        WaitFailedError: no free port was found.
+    """
+    for _ in range(PORT_ATTEMPTS):
+        port = random.SystemRandom().choice(PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        return port
+    raise WaitFailedError("no free port")
 
 
 def wait_for(
