--- a/arbutuscove/requests/flow.py
+++ b/arbutuscove/requests/flow.py
@@ -275,6 +275,8 @@
             request_id=ticket.work.request_id,
             attempt=dispatch.attempt_id,
             replica=replica.replica,
+            rank=ticket.work.rank.name,
+            waited=(ticket.admitted - ticket.work.arrived).total_seconds(),
         )
         client = self._engines.get(replica.leader.address)
         self._suspects.dispatch(held.run, replica)
