Let serving tests and mutations follow find_serving to its module

Cause: find_serving moved from replicas/directory.py to replicas/serving.py; its tests (8 failed with AttributeError) and four mutations still named the old module.

Change: names and paths only; every assertion is as before.

pytest arbutuscove/replicas/tests/test_serving.py: 8 failed before, all pass after. The four patterns each occur once in replicas/serving.py.

--- a/arbutuscove/replicas/tests/test_serving.py
+++ b/arbutuscove/replicas/tests/test_serving.py
@@ -6,8 +6,8 @@
 import pytest
 
 from arbutuscove.platform import inventory
-from arbutuscove.replicas import directory
 from arbutuscove.replicas import model
+from arbutuscove.replicas import serving
 from arbutuscove.upstreams import protocol
 
 NAMES = ("vm-0", "vm-1")
@@ -52,7 +52,7 @@
         "vm-0": model.Seen(status=STATUS, at=NOW),
         "vm-1": model.Seen(status=status, at=NOW - age),
     }
-    return directory.find_serving(ROW, vms, seen, NOW)
+    return serving.find_serving(ROW, vms, seen, NOW)
 
 
 def test_serving_with_all_members_in_generation():
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -87,7 +87,7 @@
     ),
     Mutation(
         promise="a member of another generation does not serve",
-        path="replicas/directory.py",
+        path="replicas/serving.py",
         old="and status.generation == row.generation",
         new="",
         test="replicas/tests/test_serving.py::"
@@ -95,7 +95,7 @@
     ),
     Mutation(
         promise="a member of another group does not serve",
-        path="replicas/directory.py",
+        path="replicas/serving.py",
         old="and status.members == names",
         new="",
         test="replicas/tests/test_serving.py::"
@@ -103,7 +103,7 @@
     ),
     Mutation(
         promise="a VM that says it leaves gets no work",
-        path="replicas/directory.py",
+        path="replicas/serving.py",
         old="and not status.leaving",
         new="",
         test="replicas/tests/test_serving.py::"
@@ -111,7 +111,7 @@
     ),
     Mutation(
         promise="a status older than 3 s does not count",
-        path="replicas/directory.py",
+        path="replicas/serving.py",
         old="if report is None or now - report.at > FRESH_FOR:",
         new="if report is None:",
         test="replicas/tests/test_serving.py::"
