Replace members that answer but do not become ready

Cause: only silence or a leave notice made a member lost. A VM whose load hangs, that takes no order, or a leader that stays broken beside ready members kept its replica down without end.

Ruled out: counting from assignment, since a replica may wait for a load permit for longer than a load takes; and blaming a leader that says broken while another member is not ready, which is the usual case and is repaired through that member.

Change: replicas/readiness.py finds members that are not ready 10 min after they may load, or broken for 30 s while all others are ready. Formation treats them as lost, and they are distrusted on release. The stand-in VM can report a fixed state.

--- a/arbutuscove/replicas/controller.py
+++ b/arbutuscove/replicas/controller.py
@@ -28,6 +28,7 @@
 from arbutuscove.replicas import directory as directory_module
 from arbutuscove.replicas import formation
 from arbutuscove.replicas import model
+from arbutuscove.replicas import readiness
 from arbutuscove.replicas import serving
 from arbutuscove.replicas import trust
 from arbutuscove.replicas import worth
@@ -81,6 +82,8 @@
         # Since when each fabric domain has had any VM present.
         self._sighted: dict[str, datetime.timedelta] = {}
         self._phases: dict[str, tuple[model.Phase, datetime.timedelta]] = {}
+        self._unready: dict[str, readiness.Unready] = {}
+        self._stuck: dict[str, frozenset[str]] = {}  # by fabric domain
         self._broken: dict[str, datetime.timedelta] = {}
         self._repaired: dict[str, model.ReplicaRow] = {}
         self._pending: table_module.Transaction | None = None
@@ -279,10 +282,27 @@
                 for name, record in self._trust.items()
                 if trust.is_distrusted(record, now)
             ),
+            stuck=self._find_stuck(fabric_domain, replicas, now),
             draining_since=self._note_phases(fabric_domain, replicas, now),
             watching_since=self._watching_since,
         )
 
+    def _find_stuck(
+        self,
+        fabric_domain: str,
+        replicas: dict[str, model.ReplicaRow],
+        now: datetime.timedelta,
+    ) -> frozenset[str]:
+        seen = self._board.seen()
+        found = readiness.find_stuck(replicas, seen, self._unready, now)
+        for name in found - self._stuck.get(fabric_domain, frozenset()):
+            # It counts as lost and back, so that it is chosen last from now.
+            lost = trust.observe(self._trust.get(name), False, now)
+            self._trust[name] = trust.observe(lost, True, now)
+            eliot.log_message("controller:member_stuck", vm=name)
+        self._stuck[fabric_domain] = found
+        return found
+
     def _note_phases(
         self,
         fabric_domain: str,
@@ -385,6 +405,7 @@
         wanted: dict[str, model.ReplicaRow] = {}
         for row in self._choose_loads(view):
             wanted.update({member.name: row for member in row.members})
+        readiness.note(self._unready, view, wanted)
         waiting = {
             member.name
             for row in view.replicas.values()
--- a/arbutuscove/replicas/formation.py
+++ b/arbutuscove/replicas/formation.py
@@ -43,9 +43,11 @@
 class View:
     """What a controller knows of its fabric domain.
 
-    `others` are the replicas of other fabric domains and `fleet` is the whole
-    VM list. `draining_since` is when this controller first saw a replica in
-    its present phase, `watching_since` when it began to read statuses.
+    `stuck` are members that answer but do not become ready in their
+    replica's generation. `others` are the replicas of other fabric domains
+    and `fleet` is the whole VM list. `draining_since` is when this
+    controller first saw a replica in its present phase, `watching_since` when
+    it began to read statuses.
     """
 
     now: datetime.timedelta
@@ -63,6 +65,7 @@
         default_factory=dict
     )
     distrusted: frozenset[str] = frozenset()
+    stuck: frozenset[str] = frozenset()
     draining_since: abc.Mapping[str, datetime.timedelta] = dataclasses.field(
         default_factory=dict
     )
@@ -261,7 +264,7 @@
         default=view.watching_since,
     )
     age = view.now - newest
-    if any(not _is_gone(view, name) for name in view.vms):
+    if any(not _is_silent(view, name) for name in view.vms):
         return False
     return age < DARK_AFTER or not _can_rebuild_elsewhere(view)
 
@@ -784,6 +787,10 @@
 
 
 def _is_gone(view: View, name: str) -> bool:
+    return name in view.stuck or _is_silent(view, name)
+
+
+def _is_silent(view: View, name: str) -> bool:
     report = view.seen.get(name)
     if name not in view.vms or report is None:
         return True
--- a/arbutuscove/standins/fleet.py
+++ b/arbutuscove/standins/fleet.py
@@ -58,6 +58,8 @@
         self.up = True
         self.leaving = False
         self.running = 0
+        # What it reports in any replica instead of its progress, if set.
+        self.stuck_in: protocol.State | None = None
         self.order: protocol.Order | None = None
         self._clock = clock
         self._check_fencing = check_fencing
@@ -91,9 +93,10 @@
                 leaving=self.leaving,
             )
         ready = self._clock.monotonic() >= self._ready_at
+        state = protocol.State.READY if ready else protocol.State.LOADING
         return protocol.Status(
             vm=self.vm.name,
-            state=protocol.State.READY if ready else protocol.State.LOADING,
+            state=self.stuck_in or state,
             replica=order.replica,
             generation=order.generation,
             model=self._model,
