Measure group downtime and stranded VMs

Cause: the design page measures both, but no metric showed them; only `arbutuscove status` listed the stranded VMs of the moment.

Ruled out: counting by each fabric domain's lease holder. Promised replicas that have no row belong to no domain, and a counter would stand still in a table outage.

Every daemon reports the same fleet; the reference page says to take the maximum.

pytest arbutuscove/replicas/tests/test_downtime.py arbutuscove/tool arbutuscove/standins/tests/test_demo.py: all pass. Its processor time at the target size was not measured.

--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -31,6 +31,7 @@
 from arbutuscove.replicas import board as board_module
 from arbutuscove.replicas import controller
 from arbutuscove.replicas import directory as directory_module
+from arbutuscove.replicas import downtime
 from arbutuscove.requests import attempts
 from arbutuscove.requests import claims
 from arbutuscove.requests import flow
@@ -138,6 +139,10 @@
         (pool.SERVICE_NAME, engines),
         (board_module.SERVICE_NAME, board),
         (directory_module.SERVICE_NAME, directory),
+        (
+            downtime.SERVICE_NAME,
+            downtime.DowntimeMeter(clock, config, board, directory, metrics),
+        ),
         (holder.SERVICE_NAME, leases),
         (controller.SERVICE_NAME, control),
         (limits_service.SERVICE_NAME, limits),
--- a/arbutuscove/observe/metrics.py
+++ b/arbutuscove/observe/metrics.py
@@ -42,6 +42,33 @@
             "Calls sent to other daemons, by method",
             registry=registry,
         )
+        # Each daemon sees the whole fleet: a sum over daemons counts twice.
+        self.replicas_down = aioprometheus.Gauge(
+            "arbutuscove_replicas_down",
+            "Promised replicas that do not serve now, by service; "
+            "the same fleet in every daemon, take the maximum",
+            registry=registry,
+        )
+        self.group_downtime = aioprometheus.Counter(
+            "arbutuscove_group_downtime_seconds_total",
+            "Seconds in which promised replicas did not serve, summed over "
+            "replicas, by service; the same fleet in every daemon, take the "
+            "maximum",
+            registry=registry,
+        )
+        self.stranded_vms = aioprometheus.Gauge(
+            "arbutuscove_stranded_vms",
+            "VMs in the VM list and in no replica that serves now (spares "
+            "included), by fabric domain; the same fleet in every daemon, "
+            "take the maximum",
+            registry=registry,
+        )
+        self.stranded_time = aioprometheus.Counter(
+            "arbutuscove_stranded_vm_seconds_total",
+            "Seconds in which VMs were stranded, summed over VMs, by fabric "
+            "domain; the same fleet in every daemon, take the maximum",
+            registry=registry,
+        )
 
     def list_collectors(self) -> list[collectors.Collector]:
         """Returns all metrics in order of their names."""
--- a/arbutuscove/replicas/directory.py
+++ b/arbutuscove/replicas/directory.py
@@ -68,6 +68,11 @@
                 found.append(serving)
         return found
 
+    def members(self, row: model.ReplicaRow) -> set[str]:
+        """Returns the names of a replica's members, as its VMs report them."""
+        current = serving_module.find_effective(row, self._board.seen())
+        return {member.name for member in current.members}
+
     def read_once(self) -> None:
         """Reads all replica rows.
 
