Show that orders and assignments rest on lease, epoch and conditions

Cause: bin/mutate had no entry for the lease check before an order, the epoch in an order, or the conditions of an assignment's transaction.

Ruled out: the test of a stale controller as the guard of the condition on VM rows. It passes without that condition, because both controllers also write the capacity row of the same service and the audit head of the same duty.

Change: five mutations, and two tests that fail under them: an order in flight of a former holder is refused by its epoch, and VMs go to only one of two services, whose transactions share no other row.

--- a/arbutuscove/replicas/tests/test_fencing.py
+++ b/arbutuscove/replicas/tests/test_fencing.py
@@ -381,6 +381,25 @@
     assert len(world.serving(daemon=1)) == 1
 
 
+def test_order_in_flight_of_a_former_holder_is_refused():
+    """An order without its epoch would undo that of the next holder."""
+    service = world_module.build_service(replicas=1)
+    world = world_module.World({"a": 4}, [service], 2, table=CheckedTable())
+    former = world.daemons[0]
+    former.engines.holds_orders = True
+    world.advance(6)
+    (row,) = world.rows()
+    assert former.engines.held
+    world.advance(20, paused=[former])
+    world.fleet.vms[row.members[1].name].up = False
+    world.advance(20, paused=[former])
+    (repaired,) = world.rows()
+    assert repaired.generation == row.generation + 1
+    count = len(world.fleet.record)
+    former.engines.deliver_held()
+    assert len(world.fleet.record) == count
+
+
 def test_holder_that_slept_before_its_orders_sends_none():
     """Engines that ignore tokens would follow the lapsed holder's orders."""
     service = world_module.build_service(replicas=1)
@@ -440,6 +459,23 @@
     assert {item.key for item in transaction.conditions} == written
 
 
+def test_vms_go_to_only_one_of_two_services():
+    """Replicas of two services share no row but those of their VMs."""
+    vms = tuple(world_module.build_vms({"a": 2}))
+    table = table_standin.MemoryTable()
+    rows = assignment.Rows(by_key={})
+    outcomes = [
+        table.transact(assignment.build(decision, {}, rows).transaction)
+        for decision in (
+            formation.Form(
+                service=world_module.build_service(name), members=vms, reason=""
+            )
+            for name in ("bulk", "urgent")
+        )
+    ]
+    assert [outcome.is_ok() for outcome in outcomes] == [True, False]
+
+
 class IgnoringMachine(FencingMachine):
     """The same with engines that ignore fencing tokens."""
 
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -117,6 +117,50 @@
         test="replicas/tests/test_serving.py::"
         "test_serving_never_on_an_old_status",
     ),
+    Mutation(
+        promise="the lease is checked before an order",
+        path="replicas/controller.py",
+        old="        epoch = self._leases.epoch(duty)\n        if from_plan:\n",
+        new="        epoch = None\n        if True:\n",
+        test="replicas/tests/test_fencing.py::"
+        "test_holder_that_slept_before_its_orders_sends_none",
+    ),
+    Mutation(
+        promise="an order carries the epoch",
+        path="replicas/controller.py",
+        old="fenced = dataclasses.replace(order, epoch=epoch)",
+        new="fenced = order",
+        test="replicas/tests/test_fencing.py::"
+        "test_order_in_flight_of_a_former_holder_is_refused",
+    ),
+    Mutation(
+        promise="an assignment is conditioned on its VM rows",
+        path="replicas/assignment.py",
+        old="            for key in writes\n        ),\n",
+        new="            for key in writes\n"
+        "            if not key.startswith(model.VM_PREFIX)\n        ),\n",
+        test="replicas/tests/test_fencing.py::"
+        "test_vms_go_to_only_one_of_two_services",
+    ),
+    Mutation(
+        promise="an assignment is conditioned on its replica row",
+        path="replicas/assignment.py",
+        old="            for key in writes\n        ),\n",
+        new="            for key in writes\n"
+        "            if not key.startswith(model.REPLICA_PREFIX)\n        ),\n",
+        test="replicas/tests/test_fencing.py::"
+        "test_transaction_is_conditioned_on_every_row_that_it_writes",
+    ),
+    Mutation(
+        promise="an assignment is conditioned on its capacity row",
+        path="replicas/assignment.py",
+        old="            for key in writes\n        ),\n",
+        new="            for key in writes\n"
+        "            if not key.startswith(model.CAPACITY_PREFIX)\n"
+        "        ),\n",
+        test="replicas/tests/test_fencing.py::"
+        "test_controllers_of_two_domains_stay_within_approval",
+    ),
     Mutation(
         promise="an answer ends with its terminal event",
         path="requests/answers.py",
