Fetch replica rows from a peer until the table was read

Cause: a daemon that started in a table outage took the configuration from peers but had no replica rows, so that it could route nothing until the end of the outage. Ruled out: rows of peers beside or instead of rows of the table, which they could replace with older ones; returning them from rows(), on which repairs by plan rest. Change: call FetchRows at the end of the Peer service. A daemon that has not read the table since its start asks one peer a second, in turn; it keeps the newest rows by the time of their read and drops them at its first own read. They serve routing only, which still needs each VM read back in the generation with the list of members.

--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -67,7 +67,13 @@
     board = board_module.StatusBoard(
         inventory, engines, clock, membership, peers, identity
     )
-    directory = directory_module.ReplicaDirectory(table, board, clock)
+    directory = directory_module.ReplicaDirectory(
+        table,
+        board,
+        clock,
+        lambda: [member.peer_address for member in membership.alive()],
+        peers,
+    )
     leases = holder.LeaseHolder(identity, table, clock, lag)
     control = controller.ReplicaController(
         identity, table, clock, config, leases, board, directory, engines
@@ -133,7 +139,9 @@
         (peer_client.SERVICE_NAME, peers),
         (
             peer_server.SERVICE_NAME,
-            peer_server.PeerServer(settings.peer_listen, membership, board),
+            peer_server.PeerServer(
+                settings.peer_listen, membership, board, directory
+            ),
         ),
         (pool.SERVICE_NAME, engines),
         (board_module.SERVICE_NAME, board),
--- a/arbutuscove/peers/client.py
+++ b/arbutuscove/peers/client.py
@@ -106,6 +106,21 @@
         except grpc.RpcError as error:
             raise PeerUnreachableError(address) from error
 
+    def fetch_rows(
+        self, address: str, timeout: datetime.timedelta
+    ) -> peer_pb2.RowsReply:
+        """Fetches the replica rows that a peer read from the table.
+
+        Raises:
+            PeerUnreachableError: no answer in time.
+        """
+        try:
+            return self._stub(address, "FetchRows").FetchRows(
+                peer_pb2.RowsRequest(), timeout=timeout.total_seconds()
+            )
+        except grpc.RpcError as error:
+            raise PeerUnreachableError(address) from error
+
     def stop(self) -> None:
         """Closes all channels."""
         for channel in self._channels.values():
--- a/arbutuscove/replicas/directory.py
+++ b/arbutuscove/replicas/directory.py
@@ -3,15 +3,24 @@
 A replica serves only when each of its VMs was read back, recently, as ready in
 the present generation with the same list of members. Rows are cached, so that
 serving goes on while the table service is down.
+
+A daemon that has not read the table since its start takes the rows of a peer.
+They are hints for routing only: `rows` never returns them, so that no repair
+rests on them, and they are dropped once the table has been read.
 """
 
+import dataclasses
 import datetime
+from collections import abc
 
 import eliot
 import gevent
+import msgspec
 
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
+from arbutuscove.peers import client as peer_client
+from arbutuscove.peers import peer_pb2
 from arbutuscove.platform import table as table_module
 from arbutuscove.replicas import board as board_module
 from arbutuscove.replicas import model
@@ -19,6 +28,16 @@
 
 SERVICE_NAME = "replicas"
 ROWS_INTERVAL = datetime.timedelta(seconds=1)
+FETCH_TIMEOUT = datetime.timedelta(seconds=1)
+MILLISECOND = datetime.timedelta(milliseconds=1)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _PeerRows:
+    """Rows of a peer, and when it had read them from the table."""
+
+    rows: tuple[model.ReplicaRow, ...]
+    read_at: datetime.timedelta
 
 
 class ReplicaDirectory(services.BaseService):
@@ -29,6 +48,8 @@
         table: table_module.Table,
         board: board_module.StatusBoard,
         clock: clock_module.Clock,
+        list_peers: abc.Callable[[], list[str]] = list,
+        peers: peer_client.PeerClient | None = None,
     ) -> None:
         self._table = table
         self._board = board
@@ -36,6 +57,10 @@
         self._rows: dict[str, model.ReplicaRow] = {}
         self._read_at: datetime.timedelta | None = None
         self._greenlet: gevent.Greenlet | None = None
+        self._list_peers = list_peers
+        self._peers = peers
+        self._asked = 0
+        self._hints: _PeerRows | None = None
 
     def start(self, kernel: services.Kernel) -> None:
         """Begins to read replica rows."""
@@ -47,7 +72,7 @@
             self._greenlet.kill()
 
     def rows(self) -> dict[str, model.ReplicaRow]:
-        """Returns the replica rows as last read, by replica."""
+        """Returns the replica rows as last read from the table."""
         return self._rows
 
     def read_at(self) -> datetime.timedelta | None:
@@ -60,7 +85,7 @@
         vms = self._board.vms()
         seen = self._board.seen()
         found = []
-        for row in self._rows.values():
+        for row in self._list_known():
             if row.service != service:
                 continue
             serving = serving_module.find_serving(row, vms, seen, now)
@@ -79,6 +104,47 @@
         decoded = [row.decode(model.ReplicaRow) for row in rows]
         self._rows = {row.replica: row for row in decoded}
         self._read_at = sent
+        self._hints = None
+
+    def answer_rows(self) -> peer_pb2.RowsReply:
+        """Returns the rows that this daemon read from the table."""
+        if self._read_at is None:
+            return peer_pb2.RowsReply(loaded=False)
+        age = self._clock.monotonic() - self._read_at
+        return peer_pb2.RowsReply(
+            loaded=True,
+            age_ms=age // MILLISECOND,
+            rows=msgspec.json.encode(list(self._rows.values())),
+        )
+
+    def fetch_once(self) -> None:
+        """Asks the next peer for its rows, unless the table was read.
+
+        Raises:
+            PeerUnreachableError: the peer gave no answer in time.
+        """
+        addresses = self._list_peers()
+        if self._read_at is not None or self._peers is None or not addresses:
+            return
+        self._asked += 1
+        address = addresses[self._asked % len(addresses)]
+        reply = self._peers.fetch_rows(address, FETCH_TIMEOUT)
+        if not reply.loaded or self._read_at is not None:
+            return
+        # Dated as late as it can be. The error is at most the time of the
+        # call and can only make one hint pass for a newer one.
+        read_at = self._clock.monotonic() - reply.age_ms * MILLISECOND
+        if self._hints is not None and self._hints.read_at >= read_at:
+            return
+        rows = msgspec.json.decode(
+            reply.rows, type=tuple[model.ReplicaRow, ...]
+        )
+        self._hints = _PeerRows(rows=rows, read_at=read_at)
+
+    def _list_known(self) -> abc.Iterable[model.ReplicaRow]:
+        if self._hints is not None:
+            return self._hints.rows
+        return self._rows.values()
 
     def _run(self) -> None:
         while True:
@@ -86,4 +152,11 @@
                 self.read_once()
             except table_module.TableUnavailableError as error:
                 eliot.log_message("replicas:read_failed", reason=str(error))
+                self._try_fetch()
             self._clock.sleep(ROWS_INTERVAL)
+
+    def _try_fetch(self) -> None:
+        try:
+            self.fetch_once()
+        except peer_client.PeerUnreachableError as error:
+            eliot.log_message("replicas:fetch_failed", peer=str(error))
--- a/arbutuscove/standins/tests/test_platform_failures.py
+++ b/arbutuscove/standins/tests/test_platform_failures.py
@@ -9,6 +9,7 @@
 from arbutuscove.entry import headers
 from arbutuscove.platform import http
 from arbutuscove.standins import cluster as cluster_module
+from arbutuscove.standins import demo
 from arbutuscove.standins.tests import scene as scene_module
 
 # A refusal that waits for the table would take its 2 s timeout at least.
@@ -104,6 +105,23 @@
     scene.wait_serving()
 
 
+def test_platform_down_at_start_takes_rows_of_peers(scene):
+    """A daemon that starts in an outage must find the replicas.
+
+    It still refuses what is charged to a limit: it holds no slice of spend,
+    and a slice comes only from the table.
+    """
+    scene.cluster.terminate("entry-2")
+    with scene.faults(["table"], mode="down"):
+        scene.cluster.start_daemon("entry-2")
+        cluster_module.wait_for(
+            "replicas during the outage",
+            lambda: scene.cluster.count_serving(demo.SERVICE, 2),
+            seconds=20,
+        )
+    scene.wait_serving()
+
+
 def test_platform_down_at_start_without_peers():
     """A daemon that knows nothing must say so and serve when it can."""
     layout = cluster_module.Layout(daemons=1, vms=0, plain_services=0)
