Sign the resume token while the engine works

Cause: the profile of a request in the daemon (cProfile, 300 requests, trial) puts 0.33 ms into signing the resume token, after the first event had come. Other parts by request, profiled: admit 0.72 ms, parsing the head 0.64 ms, a pooled socket of geventhttpclient 0.39 ms, reserve 0.24 ms. Change: a greenlet signs the token, and runs while the request waits for the engine.

--- a/arbutuscove/requests/flow.py
+++ b/arbutuscove/requests/flow.py
@@ -276,6 +276,10 @@
             replica=replica.replica,
         )
         client = self._engines.get(replica.leader.address)
+        # Signed while the engine works, so that it delays no first token.
+        token = gevent.spawn(
+            self._tokens.issue, _find_point(ticket, dispatch.attempt_id)
+        )
         self._suspects.dispatch(held.run, replica)
         reader: engine_module.EventReader | None = None
         try:
@@ -299,11 +303,12 @@
             eliot.log_message("request:lost", reason=str(error))
             gevent.spawn(client.cancel_stream, dispatch.attempt_id)
             return _Lost(run=failures.Run.UNKNOWN, replica=replica.replica)
-        token = self._tokens.issue(_find_point(ticket, dispatch.attempt_id))
         delivery = self._deliver(first, events, held, client, dispatch)
         next(delivery)  # enters the try block, so that close() always releases
         return Answer(
-            token=token, attempt_id=dispatch.attempt_id, events=delivery
+            token=token.get(),
+            attempt_id=dispatch.attempt_id,
+            events=delivery,
         )
 
     def _deliver(
