--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -76,7 +76,13 @@
         identity,
         drains.DrainedVms(table).read,
     )
-    directory = directory_module.ReplicaDirectory(table, board, clock)
+    directory = directory_module.ReplicaDirectory(
+        table,
+        board,
+        clock,
+        lambda: [member.peer_address for member in membership.alive()],
+        peers,
+    )
     leases = holder.LeaseHolder(identity, table, clock, lag)
     control = controller.ReplicaController(
         identity, table, clock, config, leases, board, directory, engines
@@ -142,7 +148,9 @@
         (peer_client.SERVICE_NAME, peers),
         (
             peer_server.SERVICE_NAME,
-            peer_server.PeerServer(settings.peer_listen, membership, board),
+            peer_server.PeerServer(
+                settings.peer_listen, membership, board, directory
+            ),
         ),
         (pool.SERVICE_NAME, engines),
         (board_module.SERVICE_NAME, board),
