Keep load and room of each replica between choices

A profile of bench/test_decision_cost.py showed half of the time of a decision in the scan over replicas: 50 calls each for load, credit, memory and rights, load four times per replica, although a decision changes one replica.

Each replica now keeps its load and which rights find room and a credit there; a report, a division and own work there renew them. The scan reads two flags. Ruled out: a sorted structure of replicas, which would change the order of the random draws and has to be kept up with every report.

The benchmark now asserts the mean, too.

--- a/arbutuscove/routing/choice.py
+++ b/arbutuscove/routing/choice.py
@@ -11,6 +11,7 @@
 import collections
 import dataclasses
 import datetime
+import enum
 import random
 import statistics
 from collections import abc
@@ -74,8 +75,28 @@
 DIVISION_INTERVAL = SECOND  # hints change no faster than daemons gossip
 
 
+class _Right(enum.IntEnum):
+    """Which slots a request may use."""
+
+    URGENT = 0
+    BULK = 1
+    OWED = 2  # less urgent, but its rank is below its floor
+
+
+def _find_right(request: Request) -> _Right:
+    if request.priority == URGENT:
+        return _Right.URGENT
+    return _Right.OWED if request.below_floor else _Right.BULK
+
+
 class _Replica:
-    """What this daemon knows of one replica."""
+    """What this daemon knows of one replica.
+
+    `load`, `room` and `free` follow from the rest. They are kept by `settle`,
+    because a choice reads them for every replica, and only a report, a
+    division or own work there changes them. `room` and `free` are by right;
+    `free` also needs a credit.
+    """
 
     def __init__(self, serving: model.Serving) -> None:
         self.serving = serving
@@ -97,15 +118,32 @@
         self.bulk = serving.slots  # of these, slots that any rank may use
         self.bulk_limit = serving.slots  # load from which bulk stays away
         self.held: collections.deque[int] = collections.deque()
+        self.load = 0  # as reported, corrected by own work since then
+        self.room = (False, False, False)
+        self.free = (False, False, False)
 
     def own(self) -> int:
         """Returns this daemon's requests here."""
         return self.own_bulk + self.own_urgent
 
-    def load(self) -> int:
-        """Returns the reported load, corrected by own work since then."""
+    def settle(self, settings: ChoiceSettings) -> None:
+        """Works out the load and which rights find room here."""
         reported = self.serving.running + self.serving.queued
-        return max(self.own(), reported + self.change)
+        self.load = max(self.own(), reported + self.change)
+        slots = self.serving.slots
+        memory = self.has_memory(settings.bulk_kv)
+        room = (
+            self.load < slots and self.has_memory(settings.urgent_kv),
+            self.load < self.bulk_limit and memory,
+            self.load < slots and memory,
+        )
+        bulk = self.has_credit(URGENT + 1)
+        self.room = room
+        self.free = (
+            room[_Right.URGENT] and self.has_credit(URGENT),
+            room[_Right.BULK] and bulk,
+            room[_Right.OWED] and bulk,
+        )
 
     def count(self, now: datetime.timedelta, change: int) -> None:
         """Counts a start or an end of own work."""
@@ -193,6 +231,8 @@
         self._nothing_for = None
         self._judge_latency(now)
         self._divide(demands, floors, now)
+        for held in self._serving:
+            held.settle(self._settings)
 
     def choose(
         self, request: Request, now: datetime.timedelta
@@ -201,7 +241,10 @@
 
         The request then counts as this daemon's until `end`.
         """
-        if all(h.serving.replica in request.excluded for h in self._serving):
+        excluded = request.excluded
+        if excluded and all(
+            held.serving.replica in excluded for held in self._serving
+        ):
             # Waiting for another replica would last until the deadline.
             request = dataclasses.replace(request, excluded=frozenset())
         if request.suspect:
@@ -218,6 +261,7 @@
             chosen.own_bulk += 1
         chosen.alone = request.suspect
         chosen.count(now, 1)
+        chosen.settle(self._settings)
         self._remember(request.prefix, chosen.serving.replica)
         return chosen.serving
 
@@ -248,6 +292,7 @@
         if request.suspect:
             held.alone = False
         held.count(now, -1)
+        held.settle(self._settings)
         self._nothing_for = None
         if tokens > 0:
             sample = duration.total_seconds() / tokens
@@ -265,7 +310,7 @@
 
     def load(self, replica: str) -> int:
         """Returns the corrected load of a replica."""
-        return self._replicas[replica].load()
+        return self._replicas[replica].load
 
     def slowdown(self, replica: str) -> float:
         """Returns latency relative to the group, 1 unless a straggler."""
@@ -292,13 +337,13 @@
         ]
         if not allowed:
             return None
-        least = min(allowed, key=_Replica.load)
-        if least.load() == 0:
+        least = min(allowed, key=lambda held: held.load)
+        if least.load == 0:
             least.free_until = now
             return least
         # The same one each time, since the least loaded one changes.
         kept = min(
-            allowed, key=lambda held: (held.free_until <= now, held.load())
+            allowed, key=lambda held: (held.free_until <= now, held.load)
         )
         kept.free_until = now + KEEP_FREE
         return None
@@ -307,33 +352,17 @@
         self, request: Request, now: datetime.timedelta
     ) -> _Replica | None:
         """Returns a replica with a free credit for ordinary work."""
+        right = _find_right(request)
         able = [
             held
             for held in self._serving
-            if held.has_credit(request.priority)
-            and self._may_take(held, request, now)
+            if held.free[right] and _is_open(held, request, now)
         ]
         chosen = self._pick(able or self._borrow(request, now), request)
         if chosen is None and not request.excluded:
             self._nothing_for = (request.priority, request.below_floor)
         return chosen
 
-    def _may_take(
-        self, held: _Replica, request: Request, now: datetime.timedelta
-    ) -> bool:
-        if held.alone or held.free_until > now:
-            return False
-        if held.serving.replica in request.excluded:
-            return False
-        urgent = request.priority == URGENT
-        if urgent:
-            slots, memory = held.serving.slots, self._settings.urgent_kv
-        else:
-            full = held.serving.slots
-            slots = full if request.below_floor else held.bulk_limit
-            memory = self._settings.bulk_kv
-        return held.load() < slots and held.has_memory(memory)
-
     def _is_hopeless(self, request: Request) -> bool:
         """Returns whether work with at least the same rights found nothing."""
         if self._nothing_for is None:
@@ -355,7 +384,12 @@
         """
         if self.in_progress():
             return []
-        return [h for h in self._serving if self._may_take(h, request, now)]
+        right = _find_right(request)
+        return [
+            held
+            for held in self._serving
+            if held.room[right] and _is_open(held, request, now)
+        ]
 
     def _pick(self, able: list[_Replica], request: Request) -> _Replica | None:
         if not able:
@@ -380,13 +414,12 @@
         homes = [held for held in able if held.serving.replica in names]
         if not homes:
             return []
-        mean = sum(held.load() for held in self._serving) / len(self._serving)
+        mean = sum(held.load for held in self._serving) / len(self._serving)
         bound = self._settings.affinity_bound * mean + 1
         return [
             held
             for held in homes
-            if held.load() < min(bound, held.bulk_limit)
-            and held.slowdown == 1.0
+            if held.load < min(bound, held.bulk_limit) and held.slowdown == 1.0
         ]
 
     def _remember(self, prefix: str, replica: str) -> None:
@@ -453,5 +486,13 @@
         held.bulk_credits = min(held.held)
 
 
+def _is_open(held: _Replica, request: Request, now: datetime.timedelta) -> bool:
+    return (
+        not held.alone
+        and held.free_until <= now
+        and held.serving.replica not in request.excluded
+    )
+
+
 def _cost(held: _Replica) -> float:
-    return (held.load() + 1) * held.slowdown / max(1, held.serving.slots)
+    return (held.load + 1) * held.slowdown / max(1, held.serving.slots)
--- a/bench/test_decision_cost.py
+++ b/bench/test_decision_cost.py
@@ -77,3 +77,4 @@
     benchmark.pedantic(decide, rounds=2000, iterations=1, warmup_rounds=50)
     assert len(waiting) == QUEUED
     assert benchmark.stats.stats.median <= LIMIT
+    assert benchmark.stats.stats.mean <= LIMIT
