--- a/arbutuscove/routing/choice.py
+++ b/arbutuscove/routing/choice.py
@@ -34,8 +34,10 @@
     alone cannot keep slots free while work sent under an earlier division
     still runs. `handover` is how many divisions (one a second) less urgent
     work must have held a credit for, so that the daemon that loses it has
-    stopped using it. `bulk_kv` and `urgent_kv` are the fractions of KV memory
-    beyond which less urgent and urgent work are not sent. `affinity_bound` is
+    stopped using it. `urgent_least` is how many urgent requests each daemon
+    may have in progress whatever its part. `bulk_kv` and `urgent_kv` are the
+    fractions of KV memory beyond which less urgent and urgent work are not
+    sent. `affinity_bound` is
     how far the load of a replica that holds the prefix may pass the mean (a
     factor, as in consistent hashing with bounded loads, Mirrokni et al.,
     2018). `straggler_ratio` is the time per token relative to the group's
@@ -48,6 +50,7 @@
     urgent_share: float = 0.25
     headroom: float = 0.2
     handover: int = 3
+    urgent_least: int = 1
     bulk_kv: float = 0.85
     urgent_kv: float = 0.97
     affinity_bound: float = 1.25
@@ -379,10 +382,16 @@
 
         A daemon whose part gives it no free credit could otherwise never
         begin, when replicas are few or its hints are wrong. Only a daemon
-        with nothing in progress borrows, so that the overfill is at most one
-        request for each daemon.
+        with nothing in progress borrows. For urgent work it is enough to have
+        hardly any urgent work in progress: a small part of the reserve has
+        credits on few replicas, which may be full, and at times on none, while
+        own bulk holds the common credits. The overfill is at most
+        `urgent_least` requests for each daemon.
         """
-        if self.in_progress():
+        if request.priority != URGENT:
+            if self.in_progress():
+                return []
+        elif self._urgent_in_progress() >= self._settings.urgent_least:
             return []
         right = _find_right(request)
         return [
@@ -391,6 +400,9 @@
             if held.room[right] and _is_open(held, request, now)
         ]
 
+    def _urgent_in_progress(self) -> int:
+        return sum(held.own_urgent for held in self._replicas.values())
+
     def _pick(self, able: list[_Replica], request: Request) -> _Replica | None:
         if not able:
             return None
--- a/arbutuscove/routing/tests/test_choice.py
+++ b/arbutuscove/routing/tests/test_choice.py
@@ -196,6 +196,21 @@
         assert len(_fill(chooser, URGENT)) == 1
 
 
+def test_choice_small_part_of_reserve_serves_urgent_work():
+    """Own bulk held all credits of a small daemon, so urgent work was late."""
+    names = [f"r{number}" for number in range(24)]
+    loads = {"own": (0, 2, 2, 0), "large": (900, 900, 900, 900)}
+    demands = credits.Demands(own="own", loads=loads)
+    settings = choice.ChoiceSettings(handover=1)
+    chooser = _build([_serve(name) for name in names], demands, settings)
+    assert _fill(chooser, BULK)
+    full = [_serve(name, running=8) for name in names[1:]]
+    servings = [_serve(names[0]), *full]
+    chooser.refresh(servings, demands, FLOORS, ZERO)
+    assert chooser.choose(URGENT, ZERO).replica == names[0]
+    assert len(_fill(chooser, URGENT)) <= 7
+
+
 @hypothesis.given(
     strategies.dictionaries(
         strategies.text("abcdefgh", min_size=1, max_size=3),
