Leave the head row to its readers

Cause: a merge kept two loops in the configuration follower, so every daemon read the head each second whoever the readers were. Ruled out: the choice of readers; readers.py and its tests were right. Change: one turn a second, which asks whether this daemon is to read. Measured: test_readers_other_daemons_leave_the_head_alone failed before (reads grew with each turn) and passes after; config and membership tests pass. Conclusion: table reads for the head no longer grow with the daemons.

--- a/arbutuscove/config/follower.py
+++ b/arbutuscove/config/follower.py
@@ -50,7 +50,7 @@
 
         Then polls the head row regularly.
         """
-        self._try_poll()
+        self.turn()
         self._greenlet = gevent.spawn(self._poll)
 
     def stop(self) -> None:
@@ -188,12 +188,5 @@
 
     def _poll(self) -> None:
         while True:
-            self.turn()
             self._clock.sleep(POLL_INTERVAL)
-            self._try_poll()
-
-    def _try_poll(self) -> None:
-        try:
-            self.poll_once()
-        except table_module.TableUnavailableError as error:
-            eliot.log_message("config:poll_failed", reason=str(error))
+            self.turn()
--- a/arbutuscove/config/tests/test_readers.py
+++ b/arbutuscove/config/tests/test_readers.py
@@ -2,9 +2,13 @@
 
 import datetime
 
+import gevent
 import pytest
 
+from arbutuscove.config import follower
 from arbutuscove.config import readers
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.standins import table as table_standin
 
 SECOND = datetime.timedelta(seconds=1)
 NAMES = [f"entry-{number}" for number in range(7)]
@@ -68,3 +72,36 @@
     other = next(name for name in names if name not in reading)
     standing = build(other, neighbours=names, fleet=1900, read_age=180 * SECOND)
     assert not readers.should_read(standing)
+
+
+class _Counting(table_standin.MemoryTable):
+    """Counts reads."""
+
+    reads = 0
+
+    def read(self, key):
+        self.reads += 1
+        return super().read(key)
+
+
+class _EndingClock(clock_module.ManualClock):
+    """Ends the greenlet that sleeps on it after some turns."""
+
+    turns = 20
+
+    def sleep(self, duration):
+        super().sleep(duration)
+        self.turns -= 1
+        if not self.turns:
+            raise gevent.GreenletExit
+
+
+def test_readers_other_daemons_leave_the_head_alone():
+    """Every daemon polling the head would use up the table's reads."""
+    table = _Counting()
+    config = follower.ConfigFollower(table, _EndingClock())
+    config.start(None)
+    config.schedule(lambda: False, lambda: None)
+    reads = table.reads
+    gevent.wait(timeout=1)
+    assert table.reads == reads
--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -31,8 +31,8 @@
 from arbutuscove.replicas import board as board_module
 from arbutuscove.replicas import controller
 from arbutuscove.replicas import directory as directory_module
-from arbutuscove.replicas import drains
 from arbutuscove.replicas import downtime
+from arbutuscove.replicas import drains
 from arbutuscove.requests import attempts
 from arbutuscove.requests import claims
 from arbutuscove.requests import flow
