Give services with one greenlet a common base

Cause: eleven services repeated the same field, start and stop of a greenlet. Ruled out: a base that also owns the interval; the loops pace themselves differently. Change: services.LoopService. Conclusion: no change of behaviour.

--- a/arbutuscove/admission/service.py
+++ b/arbutuscove/admission/service.py
@@ -24,7 +24,7 @@
 Admitted = expression.Result[work_module.Ticket, work_module.Refusal]
 
 
-class Admission(services.BaseService):
+class Admission(services.LoopService):
     """Queues of all services and the tickets in use."""
 
     def __init__(
@@ -40,16 +40,10 @@
         self._publish_loads = publish_loads
         self._queues: dict[str, queue.WorkQueue] = {}
         self._waiting: dict[str, event.AsyncResult] = {}
-        self._greenlet: gevent.Greenlet | None = None
 
     def start(self, kernel: services.Kernel) -> None:
         """Begins to dispatch waiting work."""
-        self._greenlet = gevent.spawn(self._run)
-
-    def stop(self) -> None:
-        """Ends dispatching."""
-        if self._greenlet is not None:
-            self._greenlet.kill()
+        self.run_loop(self._run)
 
     def waiting(self) -> int:
         """Returns the number of waiting requests."""
--- a/arbutuscove/config/follower.py
+++ b/arbutuscove/config/follower.py
@@ -12,7 +12,6 @@
 from collections import abc
 
 import eliot
-import gevent
 
 from arbutuscove.config import acceptance
 from arbutuscove.config import keys
@@ -27,7 +26,7 @@
 RECENT_CHANGES = 1000  # kept for peers; a daemon further behind reloads all
 
 
-class ConfigFollower(services.BaseService):
+class ConfigFollower(services.LoopService):
     """Follows accepted changes and holds the snapshot in force."""
 
     def __init__(
@@ -43,7 +42,6 @@
         self._read_at: datetime.timedelta | None = None
         self._should_read: abc.Callable[[], bool] = lambda: True
         self._announce: abc.Callable[[], object] = lambda: None
-        self._greenlet: gevent.Greenlet | None = None
 
     def start(self, kernel: services.Kernel) -> None:
         """Polls once, so that a daemon is not listed without configuration.
@@ -51,12 +49,7 @@
         Then polls the head row regularly.
         """
         self.turn()
-        self._greenlet = gevent.spawn(self._poll)
-
-    def stop(self) -> None:
-        """Ends polling."""
-        if self._greenlet is not None:
-            self._greenlet.kill()
+        self.run_loop(self._poll)
 
     def schedule(
         self,
--- a/arbutuscove/kernel/loop.py
+++ b/arbutuscove/kernel/loop.py
@@ -8,8 +8,6 @@
 
 import datetime
 
-import gevent
-
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
 
@@ -20,22 +18,16 @@
 DECAY = 0.8  # keeps a spike visible for about one second of samples
 
 
-class LagMonitor(services.BaseService):
+class LagMonitor(services.LoopService):
     """Measures how late the loop runs its timers."""
 
     def __init__(self, clock: clock_module.Clock) -> None:
         self._clock = clock
         self._lag = datetime.timedelta()
-        self._greenlet: gevent.Greenlet | None = None
 
     def start(self, kernel: services.Kernel) -> None:
         """Begins sampling."""
-        self._greenlet = gevent.spawn(self._sample)
-
-    def stop(self) -> None:
-        """Ends sampling."""
-        if self._greenlet is not None:
-            self._greenlet.kill()
+        self.run_loop(self._sample)
 
     def lag(self) -> datetime.timedelta:
         """Returns the recent peak lag, decaying over about a second."""
--- a/arbutuscove/kernel/services.py
+++ b/arbutuscove/kernel/services.py
@@ -6,6 +6,9 @@
 """
 
 import typing
+from collections import abc
+
+import gevent
 
 
 class Service(typing.Protocol):
@@ -34,6 +37,21 @@
         """Does nothing."""
 
 
+class LoopService(BaseService):
+    """A service that works in one greenlet until it is stopped."""
+
+    _greenlet: gevent.Greenlet | None = None
+
+    def run_loop(self, loop: abc.Callable[[], None]) -> None:
+        """Runs `loop` in the greenlet of this service."""
+        self._greenlet = gevent.spawn(loop)
+
+    def stop(self) -> None:
+        """Ends the greenlet."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+
+
 class KernelError(Exception):
     """A service is missing, registered twice or of another type."""
 
--- a/arbutuscove/leases/holder.py
+++ b/arbutuscove/leases/holder.py
@@ -3,7 +3,6 @@
 import datetime
 
 import eliot
-import gevent
 import msgspec
 
 from arbutuscove.audit import trail
@@ -17,7 +16,7 @@
 ROW_PREFIX = "lease/"
 
 
-class LeaseHolder(services.BaseService):
+class LeaseHolder(services.LoopService):
     """Holds leases for one process; `identity` is unique to the process."""
 
     def __init__(
@@ -35,22 +34,16 @@
         self._observed: dict[str, lease.Observation] = {}
         self._held: dict[str, lease.Held] = {}
         self._draining = False
-        self._greenlet: gevent.Greenlet | None = None
 
     def start(self, kernel: services.Kernel) -> None:
         """Begins to take and renew leases."""
-        self._greenlet = gevent.spawn(self._run)
+        self.run_loop(self._run)
 
     def drain(self) -> None:
         """Stops renewing; others take over when the term has passed."""
         self._draining = True
         self._held.clear()
 
-    def stop(self) -> None:
-        """Ends renewals."""
-        if self._greenlet is not None:
-            self._greenlet.kill()
-
     def stand_for(self, duty: str) -> None:
         """Makes this process a candidate for a duty."""
         self._duties.add(duty)
--- a/arbutuscove/limits/service.py
+++ b/arbutuscove/limits/service.py
@@ -88,7 +88,7 @@
     drawing_since: datetime.timedelta = datetime.timedelta()
 
 
-class Limits(services.BaseService):
+class Limits(services.LoopService):
     """Reserves tokens before a request runs and settles them after it."""
 
     def __init__(
@@ -106,11 +106,10 @@
         self._accounts: dict[tuple[str, str], _Account] = {}
         self._open: set[str] = set()  # reservations; bounded by requests
         self._draining = False
-        self._greenlet: gevent.Greenlet | None = None
 
     def start(self, kernel: services.Kernel) -> None:
         """Begins to draw ahead."""
-        self._greenlet = gevent.spawn(self._run)
+        self.run_loop(self._run)
 
     def drain(self) -> None:
         """Returns what is free in all slices."""
@@ -118,11 +117,6 @@
         for service, rank in list(self._accounts):
             self._give_back(service, rank)
 
-    def stop(self) -> None:
-        """Ends drawing."""
-        if self._greenlet is not None:
-            self._greenlet.kill()
-
     def free(self, service: str, rank: str) -> int:
         """Returns the tokens that this daemon holds and has not reserved."""
         account = self._accounts.get((service, rank))
--- a/arbutuscove/membership/service.py
+++ b/arbutuscove/membership/service.py
@@ -59,7 +59,7 @@
         """Takes what a peer tells."""
 
 
-class Membership(services.BaseService):
+class Membership(services.LoopService):
     """Probes one peer each interval and answers the probes of others."""
 
     def __init__(
@@ -80,12 +80,11 @@
         self._rank_loads: tuple[int, ...] = ()
         self._fetching = False
         self._suspicions: Suspicions | None = None
-        self._greenlet: gevent.Greenlet | None = None
 
     def start(self, kernel: services.Kernel) -> None:
         """Begins to probe."""
         self._config.schedule(self._should_read_head, self.announce)
-        self._greenlet = gevent.spawn(self._run)
+        self.run_loop(self._run)
 
     def drain(self) -> None:
         """Tells peers at once that this daemon leaves.
@@ -107,11 +106,6 @@
                 return
             self._clock.sleep(LEAVE_PAUSE)
 
-    def stop(self) -> None:
-        """Ends probing."""
-        if self._greenlet is not None:
-            self._greenlet.kill()
-
     def carry(self, suspicions: Suspicions) -> None:
         """Sets whose suspicions travel on each probe."""
         self._suspicions = suspicions
--- a/arbutuscove/replicas/board.py
+++ b/arbutuscove/replicas/board.py
@@ -12,7 +12,6 @@
 from collections import abc
 
 import eliot
-import gevent
 from gevent import pool as greenlet_pool
 
 from arbutuscove.kernel import clock as clock_module
@@ -40,7 +39,7 @@
 CONCURRENT_READS = 64
 
 
-class StatusBoard(services.BaseService):
+class StatusBoard(services.LoopService):
     """Reads the VM list and the statuses of its VMs."""
 
     def __init__(
@@ -68,18 +67,16 @@
         self._vms: dict[str, inventory_module.Vm] = {}
         self._seen: dict[str, model.Seen] = {}
         self._reading: set[str] = set()
-        self._greenlet: gevent.Greenlet | None = None
         self._readers = greenlet_pool.Pool(CONCURRENT_READS)
         self._pullers = greenlet_pool.Pool(sharing.CELL_LIMIT)
 
     def start(self, kernel: services.Kernel) -> None:
         """Begins to read."""
-        self._greenlet = gevent.spawn(self._run)
+        self.run_loop(self._run)
 
     def stop(self) -> None:
         """Ends reading."""
-        if self._greenlet is not None:
-            self._greenlet.kill()
+        super().stop()
         self._readers.kill()
         self._pullers.kill()
 
--- a/arbutuscove/replicas/controller.py
+++ b/arbutuscove/replicas/controller.py
@@ -54,7 +54,7 @@
 JOURNAL_LIMIT = 1000  # audit entries kept in an outage; then repairs stop
 
 
-class ReplicaController(services.BaseService):
+class ReplicaController(services.LoopService):
     """Forms, repairs and dissolves replicas, and sends orders to VMs."""
 
     def __init__(
@@ -88,16 +88,10 @@
         self._repaired: dict[str, model.ReplicaRow] = {}
         self._pending: table_module.Transaction | None = None
         self._journal: list[tuple[str, trail.Entry]] = []
-        self._greenlet: gevent.Greenlet | None = None
 
     def start(self, kernel: services.Kernel) -> None:
         """Begins to control."""
-        self._greenlet = gevent.spawn(self._run)
-
-    def stop(self) -> None:
-        """Ends control."""
-        if self._greenlet is not None:
-            self._greenlet.kill()
+        self.run_loop(self._run)
 
     def domains(self) -> list[str]:
         """Returns the fabric domains that need a controller."""
--- a/arbutuscove/replicas/directory.py
+++ b/arbutuscove/replicas/directory.py
@@ -14,7 +14,6 @@
 from collections import abc
 
 import eliot
-import gevent
 import msgspec
 
 from arbutuscove.kernel import clock as clock_module
@@ -40,7 +39,7 @@
     read_at: datetime.timedelta
 
 
-class ReplicaDirectory(services.BaseService):
+class ReplicaDirectory(services.LoopService):
     """Keeps replica rows and answers which replicas serve."""
 
     def __init__(
@@ -56,7 +55,6 @@
         self._clock = clock
         self._rows: dict[str, model.ReplicaRow] = {}
         self._read_at: datetime.timedelta | None = None
-        self._greenlet: gevent.Greenlet | None = None
         self._list_peers = list_peers
         self._peers = peers
         self._asked = 0
@@ -64,12 +62,7 @@
 
     def start(self, kernel: services.Kernel) -> None:
         """Begins to read replica rows."""
-        self._greenlet = gevent.spawn(self._run)
-
-    def stop(self) -> None:
-        """Ends reading."""
-        if self._greenlet is not None:
-            self._greenlet.kill()
+        self.run_loop(self._run)
 
     def rows(self) -> dict[str, model.ReplicaRow]:
         """Returns the replica rows as last read from the table."""
--- a/arbutuscove/replicas/downtime.py
+++ b/arbutuscove/replicas/downtime.py
@@ -8,8 +8,6 @@
 import collections
 import datetime
 
-import gevent
-
 from arbutuscove.config import follower
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
@@ -25,7 +23,7 @@
 LONGEST_COUNTED = 2 * INTERVAL
 
 
-class DowntimeMeter(services.BaseService):
+class DowntimeMeter(services.LoopService):
     """Feeds the metrics of group downtime and of stranded VMs."""
 
     def __init__(
@@ -44,16 +42,10 @@
         self._measured: datetime.timedelta | None = None
         self._services: set[str] = set()
         self._domains: set[str] = set()
-        self._greenlet: gevent.Greenlet | None = None
 
     def start(self, kernel: services.Kernel) -> None:
         """Begins to measure."""
-        self._greenlet = gevent.spawn(self._run)
-
-    def stop(self) -> None:
-        """Ends measuring."""
-        if self._greenlet is not None:
-            self._greenlet.kill()
+        self.run_loop(self._run)
 
     def measure_once(self) -> None:
         """Counts the time since the last call in the present state."""
--- a/arbutuscove/requests/suspects.py
+++ b/arbutuscove/requests/suspects.py
@@ -16,7 +16,6 @@
 
 import eliot
 import expression
-import gevent
 import msgspec
 from gevent import event
 
@@ -90,7 +89,7 @@
     detached_until: datetime.timedelta | None = None
 
 
-class Suspects(services.BaseService):
+class Suspects(services.LoopService):
     """Decides how each request may run, and learns from deaths."""
 
     def __init__(
@@ -117,16 +116,10 @@
         self._seen: dict[str, tuple[int, datetime.timedelta]] = {}
         # Deaths that the table does not hold yet; the oldest is dropped.
         self._unwritten: dict[str, str] = {}
-        self._greenlet: gevent.Greenlet | None = None
 
     def start(self, kernel: services.Kernel) -> None:
         """Begins to watch replicas of callers who left."""
-        self._greenlet = gevent.spawn(self._watch)
-
-    def stop(self) -> None:
-        """Ends watching."""
-        if self._greenlet is not None:
-            self._greenlet.kill()
+        self.run_loop(self._watch)
 
     def list_suspicions(self) -> list[peer_pb2.Suspicion]:
         """Returns what to tell peers."""
