Assemble whole answers with all choices and tool calls

Cause: a whole answer joined the text of all choices into one and dropped tool calls and log probabilities; n was not counted in the estimate, and engines were not asked for a stream when the caller wanted a whole answer. Ruled out: forwarding whole answers from the engine; only numbered events show that an answer is whole. Change: entry/completions.py; the estimate counts n and max_completion_tokens; engines are always asked for a stream, with usage for whole answers.

--- a/arbutuscove/entry/callers.py
+++ b/arbutuscove/entry/callers.py
@@ -18,6 +18,7 @@
 LONGEST_DEADLINE = datetime.timedelta(seconds=600)
 BYTES_PER_TOKEN = 4  # rough size of a token in a prompt
 DEFAULT_ANSWER_TOKENS = 256
+CHOICES_LIMIT = 16  # answers to one request
 ANSWER_TOKENS_LIMIT = 1_000_000  # beyond the context length of any engine
 PREFIX_BYTES = 1024  # of the prompt, for cache affinity
 
@@ -93,14 +94,7 @@
         raise refusals.BadRequestError(
             400, "unknown_rank", f"{headers.RANK} must be one of: {names}"
         )
-    answer_tokens = body.get("max_tokens") or DEFAULT_ANSWER_TOKENS
-    whole = isinstance(answer_tokens, int)
-    if not whole or not 1 <= answer_tokens <= ANSWER_TOKENS_LIMIT:
-        raise refusals.BadRequestError(
-            400,
-            "invalid_body",
-            f"max_tokens must be between 1 and {ANSWER_TOKENS_LIMIT}",
-        )
+    answer_tokens = _read_answer_tokens(body)
     digest = hashlib.sha256(caller.account.name.encode() + b"\0" + content)
     return work_module.Work(
         request_id=request_id,
@@ -115,6 +109,25 @@
     )
 
 
+def _read_answer_tokens(body: dict[str, typing.Any]) -> int:
+    """Returns the longest answer, over all choices, in tokens."""
+    longest = body.get("max_completion_tokens") or body.get("max_tokens")
+    longest = longest or DEFAULT_ANSWER_TOKENS
+    choices = body.get("n") or 1
+    if not isinstance(choices, int) or not 1 <= choices <= CHOICES_LIMIT:
+        raise refusals.BadRequestError(
+            400, "invalid_body", f"n must be between 1 and {CHOICES_LIMIT}"
+        )
+    whole = isinstance(longest, int)
+    if not whole or not 1 <= longest <= ANSWER_TOKENS_LIMIT:
+        raise refusals.BadRequestError(
+            400,
+            "invalid_body",
+            f"max_tokens must be between 1 and {ANSWER_TOKENS_LIMIT}",
+        )
+    return int(longest) * choices
+
+
 def read_deadline(request: wrappers.Request) -> datetime.timedelta:
     """Returns how long the caller waits, from arrival.
 
--- a/arbutuscove/entry/chat.py
+++ b/arbutuscove/entry/chat.py
@@ -12,6 +12,7 @@
 from arbutuscove.admission import work as work_module
 from arbutuscove.config import model as config_model
 from arbutuscove.entry import callers
+from arbutuscove.entry import completions
 from arbutuscove.entry import connections
 from arbutuscove.entry import headers
 from arbutuscove.entry import refusals
@@ -86,7 +87,7 @@
         answer = self._start(
             flow_module.ModelRequest(
                 work=work,
-                body=body,
+                body=_request_stream(body),
                 repeatable=repeatable,
                 caller=request.environ.get(connections.PRESENCE),
             ),
@@ -184,7 +185,7 @@
         finally:
             _close(answer.events)
         if held is not None:
-            whole = assemble_answer(kept)
+            whole = completions.assemble(kept)
             self._once.finish(held, msgspec.json.encode(whole))
 
     def _assemble(
@@ -202,36 +203,22 @@
             raise failures.RequestFailedError(refusal, run) from error
         finally:
             _close(answer.events)
-        body = msgspec.json.encode(assemble_answer(events))
+        body = msgspec.json.encode(completions.assemble(events))
         if held is not None:
             self._once.finish(held, body)
         return wrappers.Response(body, content_type=refusals.JSON_TYPE)
 
 
-def assemble_answer(events: list[bytes]) -> dict[str, typing.Any]:
-    """Returns the whole completion of a complete list of events."""
-    parts: list[str] = []
-    last: dict[str, typing.Any] = {}
-    finish = None
-    usage: dict[str, typing.Any] = {}
-    for event in events:
-        data = event.partition(b"data: ")[2].strip()
-        if data == b"[DONE]" or not data:
-            continue
-        last = msgspec.json.decode(data)
-        usage = last.get("usage") or usage
-        for choice in last.get("choices", []):
-            parts.append(choice.get("delta", {}).get("content") or "")
-            finish = choice.get("finish_reason") or finish
-    message = {"role": "assistant", "content": "".join(parts)}
-    return {
-        "id": last.get("id"),
-        "object": "chat.completion",
-        "created": last.get("created"),
-        "model": last.get("model"),
-        "choices": [{"index": 0, "message": message, "finish_reason": finish}],
-        "usage": usage,
-    }
+def _request_stream(body: dict[str, typing.Any]) -> dict[str, typing.Any]:
+    """Returns the body that asks the engine for a stream.
+
+    Engines are always asked for one, since only its numbered events show
+    whether an answer is whole. A whole answer reports its usage, too.
+    """
+    if body.get("stream"):
+        return body
+    options = {"include_usage": True}
+    return {**body, "stream": True, "stream_options": options}
 
 
 def _name_owner(caller: callers.Caller) -> str:
