Add mutations of limits, retries, quarantine and audit numbers

Cause: four promises had no mutation, so nothing showed that a test notices the loss of their mechanism; audit numbering had no test of its own. Conclusion: the bounds on ranks, floors and accounts have no mutation yet.

--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -233,4 +233,60 @@
         test="entry/tests/test_connections.py::"
         "test_caller_trickling_body_is_cut",
     ),
+    Mutation(
+        promise="all ranks together stay within the limit",
+        path="limits/slices.py",
+        old="left = min(limit - total.drawn, ceiling - rank.drawn)",
+        new="left = ceiling - rank.drawn",
+        test="limits/tests/test_limits.py::"
+        "test_limits_concurrent_draws_of_two_ranks",
+    ),
+    Mutation(
+        promise="a draw is bound to the newest accepted limit",
+        path="limits/service.py",
+        old="conditions = (*transaction.conditions, condition)",
+        new="conditions = transaction.conditions",
+        test="limits/tests/test_limits.py::"
+        "test_limits_draw_while_limit_is_lowered",
+    ),
+    Mutation(
+        promise="unknown use counts as spent",
+        path="limits/slices.py",
+        old="unused = 0 if used is None else reserved - used",
+        new="unused = reserved - (used or 0)",
+        test="limits/tests/test_limits.py::"
+        "test_limits_unknown_use_counts_as_spent",
+    ),
+    Mutation(
+        promise="retries stay within the budget of the daemon",
+        path="requests/attempts.py",
+        old="return budget.take()",
+        new="return True",
+        test="requests/tests/test_flow.py::"
+        "test_flow_overload_multiplies_nothing",
+    ),
+    Mutation(
+        promise="a non-repeatable request is not sent again",
+        path="requests/attempts.py",
+        old="if attempts.run != failures.Run.NOT_RUN and not repeatable:",
+        new="if False:",
+        test="requests/tests/test_flow.py::"
+        "test_flow_non_repeatable_is_never_run_twice",
+    ),
+    Mutation(
+        promise="a quarantined request stays quarantined by hints",
+        path="requests/quarantine.py",
+        old="if hint.deaths > record.count:",
+        new="if False:",
+        test="requests/tests/test_quarantine.py::"
+        "test_quarantine_crashing_request_costs_two_replicas",
+    ),
+    Mutation(
+        promise="audit numbers are taken once",
+        path="audit/trail.py",
+        old="table_module.Condition(key=head_key, version=version),",
+        new="",
+        test="audit/tests/test_trail.py::"
+        "test_trail_entries_at_once_do_not_overwrite_each_other",
+    ),
 )
