Ask a question of the questionnaire again after a slip

Cause: an answer of the wrong type ended the interview with a trace, and all answers before it were lost; seen by hand with a word for a number. Change: the question is asked again with what was wrong with the answer. Conclusion: the questionnaire can be finished in one go.

--- a/arbutuscove/questionnaire/interview.py
+++ b/arbutuscove/questionnaire/interview.py
@@ -34,7 +34,7 @@
     "replicas": "Replicas",
     "accelerators_per_vm": "Accelerators of one VM",
     "vms_per_fabric_domain": "VMs of the largest fabric domain (0: unknown)",
-    "spares_per_fabric_domain": "Spare VMs for each replica",
+    "spares_per_fabric_domain": "Spare VMs in each fabric domain",
     "engines_check_fencing": "Do all engines refuse old fencing tokens",
     "urgent_only_percent": "Percent of each replica for the most urgent work",
     "keep_free_percent": "Percent of each replica that other work leaves free",
@@ -96,10 +96,20 @@
             default = ""
         if isinstance(default, tuple):
             default = ", ".join(default)
-        text = self._ask(question, str(default))
-        if typing.get_origin(hint) is tuple:
-            return [item.strip() for item in text.split(",") if item.strip()]
-        return msgspec.convert(text, hint, strict=False)
+        return self._ask_value(question, str(default), hint)
+
+    def _ask_value(
+        self, question: str, default: str, hint: typing.Any
+    ) -> typing.Any:
+        while True:
+            text = self._ask(question, default)
+            if typing.get_origin(hint) is tuple:
+                items = text.split(",")
+                return [item.strip() for item in items if item.strip()]
+            try:
+                return msgspec.convert(text, hint, strict=False)
+            except msgspec.ValidationError:
+                question = f"{question.partition(' (not ')[0]} (not {text!r})"
 
     def _ask_list(self, question: str, kind: type) -> list[typing.Any]:
         found = [self._ask_class(kind)]
--- a/arbutuscove/questionnaire/tests/test_questionnaire.py
+++ b/arbutuscove/questionnaire/tests/test_questionnaire.py
@@ -9,6 +9,7 @@
 from arbutuscove.questionnaire import answers as answers_module
 from arbutuscove.questionnaire import checks
 from arbutuscove.questionnaire import generation
+from arbutuscove.questionnaire import interview
 from arbutuscove.questionnaire import review
 
 EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
@@ -93,3 +94,32 @@
     broken = dataclasses.replace(answers, model=asked)
     found = [fault.answer for fault in checks.find_faults(broken)]
     assert found == [f"model.{name}"]
+
+
+def test_interview_asks_again_and_gives_readable_answers(tmp_path):
+    """A slip in one answer must not lose all answers before it."""
+    given = {
+        "Name": "desk",
+        "Key digests": "a" * 64,
+        "Name of the service": "chat",
+        "Name of your team": "team",
+    }
+    slips = ["many"]
+
+    def ask(question, default):
+        if slips and question.startswith("Accelerators approved"):
+            return slips.pop()
+        for start, answer in given.items():
+            if question.partition(",")[0] == start:
+                return answer
+        return default or "8"
+
+    def confirm(question):
+        return "someone wait" in question or "model served" in question
+
+    found = interview.Interview(ask, confirm).run()
+    path = tmp_path / "answers.yaml"
+    path.write_text(interview.write_answers(found))
+    answers = answers_module.read_answers(path)
+    assert answers.approval.accelerators == 8
+    assert checks.find_faults(answers) == []
