--- a/arbutuscove/admin/api.py
+++ b/arbutuscove/admin/api.py
@@ -16,8 +16,8 @@
 from arbutuscove.entry import callers
 from arbutuscove.entry import refusals
 from arbutuscove.kernel import services
-from arbutuscove.platform import http
-from arbutuscove.platform import table as table_module
+from arbutuscove.storage import http
+from arbutuscove.storage import table as table_module
 from arbutuscove.replicas import drains
 
 SERVICE_NAME = "admin"
--- a/arbutuscove/admin/keys.py
+++ b/arbutuscove/admin/keys.py
@@ -15,7 +15,7 @@
 from arbutuscove.admin import errors
 from arbutuscove.audit import trail
 from arbutuscove.kernel import clock as clock_module
-from arbutuscove.platform import table as table_module
+from arbutuscove.storage import table as table_module
 
 PREFIX = "admin-key/"
 AUDIT_SCOPE = "admin-keys"
--- a/arbutuscove/admin/status.py
+++ b/arbutuscove/admin/status.py
@@ -6,7 +6,7 @@
 
 from arbutuscove.admin import resources
 from arbutuscove.config import model as config_model
-from arbutuscove.platform import inventory
+from arbutuscove.storage import inventory
 from arbutuscove.replicas import model as replica_model
 from arbutuscove.upstreams import protocol
 
--- a/arbutuscove/audit/tests/test_trail.py
+++ b/arbutuscove/audit/tests/test_trail.py
@@ -2,7 +2,7 @@
 
 from arbutuscove.audit import trail
 from arbutuscove.kernel import clock as clock_module
-from arbutuscove.platform import table as table_module
+from arbutuscove.storage import table as table_module
 from arbutuscove.standins import table as table_standin
 
 
--- a/arbutuscove/audit/trail.py
+++ b/arbutuscove/audit/trail.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from arbutuscove.platform import table as table_module
+from arbutuscove.storage import table as table_module
 
 ENTRY_PREFIX = "audit/"
 HEAD_PREFIX = "audit-head/"
--- a/arbutuscove/config/acceptance.py
+++ b/arbutuscove/config/acceptance.py
@@ -14,7 +14,7 @@
 from arbutuscove.config import keys
 from arbutuscove.config import model
 from arbutuscove.kernel import clock as clock_module
-from arbutuscove.platform import table as table_module
+from arbutuscove.storage import table as table_module
 
 HEAD_ATTEMPTS = 20  # each lost race means that another change was accepted
 
--- a/arbutuscove/config/follower.py
+++ b/arbutuscove/config/follower.py
@@ -18,7 +18,7 @@
 from arbutuscove.config import model
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
-from arbutuscove.platform import table as table_module
+from arbutuscove.storage import table as table_module
 
 SERVICE_NAME = "config"
 POLL_INTERVAL = datetime.timedelta(seconds=1)
--- a/arbutuscove/daemon/settings.py
+++ b/arbutuscove/daemon/settings.py
@@ -7,7 +7,7 @@
 import datetime
 import re
 
-from arbutuscove.platform import http
+from arbutuscove.storage import http
 
 DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
 SECRET_LENGTH = 16  # characters at least
--- a/arbutuscove/entry/app.py
+++ b/arbutuscove/entry/app.py
@@ -23,7 +23,7 @@
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
 from arbutuscove.observe import metrics as metrics_module
-from arbutuscove.platform import http
+from arbutuscove.storage import http
 from arbutuscove.requests import failures
 
 SERVICE_NAME = "entry"
--- a/arbutuscove/entry/connections.py
+++ b/arbutuscove/entry/connections.py
@@ -22,7 +22,7 @@
 
 from arbutuscove.admission import work as work_module
 from arbutuscove.entry import refusals
-from arbutuscove.platform import http as platform_http
+from arbutuscove.storage import http as platform_http
 from arbutuscove.requests import failures
 from arbutuscove.requests import presence
 
--- a/arbutuscove/entry/tests/serving.py
+++ b/arbutuscove/entry/tests/serving.py
@@ -13,7 +13,7 @@
 from arbutuscove.entry import chat
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.observe import metrics as metrics_module
-from arbutuscove.platform import http
+from arbutuscove.storage import http
 from arbutuscove.questionnaire import answers as answers_module
 from arbutuscove.questionnaire import generation
 from arbutuscove.requests import answers
--- a/arbutuscove/leases/holder.py
+++ b/arbutuscove/leases/holder.py
@@ -10,7 +10,7 @@
 from arbutuscove.kernel import loop
 from arbutuscove.kernel import services
 from arbutuscove.leases import lease
-from arbutuscove.platform import table as table_module
+from arbutuscove.storage import table as table_module
 
 SERVICE_NAME = "leases"
 ROW_PREFIX = "lease/"
--- a/arbutuscove/limits/service.py
+++ b/arbutuscove/limits/service.py
@@ -24,7 +24,7 @@
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
 from arbutuscove.limits import slices
-from arbutuscove.platform import table as table_module
+from arbutuscove.storage import table as table_module
 
 SERVICE_NAME = "limits"
 WARM_INTERVAL = datetime.timedelta(seconds=2)
--- a/arbutuscove/membership/service.py
+++ b/arbutuscove/membership/service.py
@@ -25,7 +25,7 @@
 from arbutuscove.membership import wire
 from arbutuscove.peers import client as client_module
 from arbutuscove.peers import peer_pb2
-from arbutuscove.platform import table as table_module
+from arbutuscove.storage import table as table_module
 
 SERVICE_NAME = "membership"
 FETCH_TIMEOUT = datetime.timedelta(seconds=2)
--- a/arbutuscove/membership/tests/test_service.py
+++ b/arbutuscove/membership/tests/test_service.py
@@ -21,7 +21,7 @@
 from arbutuscove.membership import wire
 from arbutuscove.membership.tests import fleet as fleet_module
 from arbutuscove.peers import client as client_module
-from arbutuscove.platform import http
+from arbutuscove.storage import http
 
 ROUND = datetime.timedelta(seconds=1)
 STALE_ROUNDS = 11  # ten seconds, and the round in which it is noticed
--- a/arbutuscove/replicas/assignment.py
+++ b/arbutuscove/replicas/assignment.py
@@ -12,8 +12,8 @@
 
 import msgspec
 
-from arbutuscove.platform import inventory
-from arbutuscove.platform import table
+from arbutuscove.storage import inventory
+from arbutuscove.storage import table
 from arbutuscove.replicas import formation
 from arbutuscove.replicas import model
 from arbutuscove.upstreams import protocol
--- a/arbutuscove/replicas/controller.py
+++ b/arbutuscove/replicas/controller.py
@@ -22,7 +22,7 @@
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
 from arbutuscove.leases import holder
-from arbutuscove.platform import table as table_module
+from arbutuscove.storage import table as table_module
 from arbutuscove.replicas import assignment
 from arbutuscove.replicas import board as board_module
 from arbutuscove.replicas import directory as directory_module
--- a/arbutuscove/replicas/drains.py
+++ b/arbutuscove/replicas/drains.py
@@ -11,7 +11,7 @@
 
 from arbutuscove.audit import trail
 from arbutuscove.kernel import clock as clock_module
-from arbutuscove.platform import table as table_module
+from arbutuscove.storage import table as table_module
 
 PREFIX = "drain/"
 AUDIT_SCOPE = "drains"
--- a/arbutuscove/replicas/formation.py
+++ b/arbutuscove/replicas/formation.py
@@ -22,7 +22,7 @@
 from collections import abc
 
 from arbutuscove.config import model as config_model
-from arbutuscove.platform import inventory
+from arbutuscove.storage import inventory
 from arbutuscove.replicas import model
 from arbutuscove.replicas import serving
 from arbutuscove.replicas import worth
--- a/arbutuscove/replicas/model.py
+++ b/arbutuscove/replicas/model.py
@@ -4,7 +4,7 @@
 import datetime
 import enum
 
-from arbutuscove.platform import inventory
+from arbutuscove.storage import inventory
 from arbutuscove.upstreams import protocol
 
 VM_PREFIX = "vm/"
--- a/arbutuscove/replicas/serving.py
+++ b/arbutuscove/replicas/serving.py
@@ -10,7 +10,7 @@
 import datetime
 from collections import abc
 
-from arbutuscove.platform import inventory
+from arbutuscove.storage import inventory
 from arbutuscove.replicas import model
 from arbutuscove.upstreams import protocol
 
--- a/arbutuscove/replicas/tests/test_directory.py
+++ b/arbutuscove/replicas/tests/test_directory.py
@@ -6,8 +6,8 @@
 import pytest
 
 from arbutuscove.kernel import clock as clock_module
-from arbutuscove.platform import inventory
-from arbutuscove.platform import table as table_module
+from arbutuscove.storage import inventory
+from arbutuscove.storage import table as table_module
 from arbutuscove.replicas import directory as directory_module
 from arbutuscove.replicas import model
 from arbutuscove.standins import faulty
--- a/arbutuscove/replicas/tests/test_drains.py
+++ b/arbutuscove/replicas/tests/test_drains.py
@@ -1,7 +1,7 @@
 """Guards against drained VMs that get work, and drains that are forgotten."""
 
 from arbutuscove.kernel import clock as clock_module
-from arbutuscove.platform import table as table_module
+from arbutuscove.storage import table as table_module
 from arbutuscove.replicas import drains
 from arbutuscove.standins import table as table_standin
 
--- a/arbutuscove/replicas/tests/test_serving.py
+++ b/arbutuscove/replicas/tests/test_serving.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from arbutuscove.platform import inventory
+from arbutuscove.storage import inventory
 from arbutuscove.replicas import model
 from arbutuscove.replicas import serving
 from arbutuscove.upstreams import protocol
--- a/arbutuscove/replicas/tests/test_sharing.py
+++ b/arbutuscove/replicas/tests/test_sharing.py
@@ -8,7 +8,7 @@
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.membership import swim
 from arbutuscove.peers import client as peer_client
-from arbutuscove.platform import inventory
+from arbutuscove.storage import inventory
 from arbutuscove.replicas import board as board_module
 from arbutuscove.replicas import model
 from arbutuscove.replicas import serving
--- a/arbutuscove/replicas/tests/world.py
+++ b/arbutuscove/replicas/tests/world.py
@@ -5,7 +5,7 @@
 
 from arbutuscove.config import model as config_model
 from arbutuscove.kernel import clock as clock_module
-from arbutuscove.platform import inventory
+from arbutuscove.storage import inventory
 from arbutuscove.replicas import model
 from arbutuscove.standins import fleet as fleet_module
 from arbutuscove.standins import table as table_standin
--- a/arbutuscove/requests/answers.py
+++ b/arbutuscove/requests/answers.py
@@ -15,7 +15,7 @@
 import gevent
 
 from arbutuscove.kernel import clock as clock_module
-from arbutuscove.platform import http
+from arbutuscove.storage import http
 from arbutuscove.requests import attempts
 from arbutuscove.upstreams import engine
 from arbutuscove.upstreams import errors
--- a/arbutuscove/requests/claims.py
+++ b/arbutuscove/requests/claims.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from arbutuscove.kernel import clock as clock_module
-from arbutuscove.platform import table as table_module
+from arbutuscove.storage import table as table_module
 from arbutuscove.requests import breaker
 
 PREFIX = "claim/"
--- a/arbutuscove/requests/once.py
+++ b/arbutuscove/requests/once.py
@@ -6,7 +6,7 @@
 
 from arbutuscove.admission import work as work_module
 from arbutuscove.kernel import services
-from arbutuscove.platform import objects as objects_module
+from arbutuscove.storage import objects as objects_module
 from arbutuscove.requests import claims as claims_module
 from arbutuscove.requests import failures
 
--- a/arbutuscove/requests/tests/test_claims.py
+++ b/arbutuscove/requests/tests/test_claims.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies
 
 from arbutuscove.kernel import clock as clock_module
-from arbutuscove.platform import objects as objects_module
-from arbutuscove.platform import table as table_module
+from arbutuscove.storage import objects as objects_module
+from arbutuscove.storage import table as table_module
 from arbutuscove.requests import claims
 from arbutuscove.requests import failures
 from arbutuscove.requests import once
--- a/arbutuscove/standins/__main__.py
+++ b/arbutuscove/standins/__main__.py
@@ -10,8 +10,8 @@
 import click  # noqa: E402
 import msgspec  # noqa: E402
 
-from arbutuscove.platform import http  # noqa: E402
-from arbutuscove.platform import inventory as inventory_module  # noqa: E402
+from arbutuscove.storage import http  # noqa: E402
+from arbutuscove.storage import inventory as inventory_module  # noqa: E402
 from arbutuscove.standins import engine as engine_module  # noqa: E402
 from arbutuscove.standins import forwarder as forwarder_module  # noqa: E402
 from arbutuscove.standins import inventory as inventory_standin  # noqa: E402
--- a/arbutuscove/standins/cluster.py
+++ b/arbutuscove/standins/cluster.py
@@ -19,8 +19,8 @@
 import msgspec
 
 from arbutuscove.entry import callers
-from arbutuscove.platform import http
-from arbutuscove.platform import inventory as inventory_module
+from arbutuscove.storage import http
+from arbutuscove.storage import inventory as inventory_module
 
 HOST = "127.0.0.1"
 PORTS = range(10_000, 32_000)  # below the ports of outgoing connections
--- a/arbutuscove/standins/engine.py
+++ b/arbutuscove/standins/engine.py
@@ -21,7 +21,7 @@
 from gevent import event
 from werkzeug import wrappers
 
-from arbutuscove.platform import http
+from arbutuscove.storage import http
 from arbutuscove.standins import server
 from arbutuscove.upstreams import protocol
 
--- a/arbutuscove/standins/faulty.py
+++ b/arbutuscove/standins/faulty.py
@@ -11,7 +11,7 @@
 
 import greenlet
 
-from arbutuscove.platform import table as table_module
+from arbutuscove.storage import table as table_module
 from arbutuscove.standins import table as table_standin
 
 
--- a/arbutuscove/standins/fleet.py
+++ b/arbutuscove/standins/fleet.py
@@ -19,8 +19,8 @@
 from arbutuscove.leases import holder
 from arbutuscove.membership import swim
 from arbutuscove.peers import client
-from arbutuscove.platform import inventory
-from arbutuscove.platform import table as table_module
+from arbutuscove.storage import inventory
+from arbutuscove.storage import table as table_module
 from arbutuscove.replicas import board
 from arbutuscove.replicas import controller
 from arbutuscove.replicas import directory
--- a/arbutuscove/standins/forwarder.py
+++ b/arbutuscove/standins/forwarder.py
@@ -16,7 +16,7 @@
 from gevent import server as gevent_server
 from werkzeug import wrappers
 
-from arbutuscove.platform import http
+from arbutuscove.storage import http
 from arbutuscove.standins import server
 
 READ_SIZE = 65536  # bytes
--- a/arbutuscove/standins/inventory.py
+++ b/arbutuscove/standins/inventory.py
@@ -3,7 +3,7 @@
 import msgspec
 from werkzeug import wrappers
 
-from arbutuscove.platform import inventory
+from arbutuscove.storage import inventory
 from arbutuscove.standins import server
 
 
--- a/arbutuscove/standins/table.py
+++ b/arbutuscove/standins/table.py
@@ -16,7 +16,7 @@
 import sortedcontainers
 from werkzeug import wrappers
 
-from arbutuscove.platform import table
+from arbutuscove.storage import table
 from arbutuscove.standins import server
 
 WRITES_PER_SECOND = 300
--- a/arbutuscove/standins/tests/scene.py
+++ b/arbutuscove/standins/tests/scene.py
@@ -15,7 +15,7 @@
 
 from arbutuscove.config import acceptance
 from arbutuscove.entry import headers
-from arbutuscove.platform import http as platform_http
+from arbutuscove.storage import http as platform_http
 from arbutuscove.questionnaire import answers
 from arbutuscove.questionnaire import generation
 from arbutuscove.standins import cluster as cluster_module
--- a/arbutuscove/standins/tests/test_daemon_failures.py
+++ b/arbutuscove/standins/tests/test_daemon_failures.py
@@ -5,7 +5,7 @@
 import gevent
 
 from arbutuscove.entry import headers
-from arbutuscove.platform import http
+from arbutuscove.storage import http
 from arbutuscove.standins import cluster as cluster_module
 from arbutuscove.standins import forwarder
 from arbutuscove.standins.tests import scene as scene_module
--- a/arbutuscove/standins/tests/test_forwarder.py
+++ b/arbutuscove/standins/tests/test_forwarder.py
@@ -7,7 +7,7 @@
 import pytest
 from gevent import server as gevent_server
 
-from arbutuscove.platform import http
+from arbutuscove.storage import http
 from arbutuscove.standins import cluster
 from arbutuscove.standins import forwarder
 
--- a/arbutuscove/standins/tests/test_platform_failures.py
+++ b/arbutuscove/standins/tests/test_platform_failures.py
@@ -7,7 +7,7 @@
 import pytest
 
 from arbutuscove.entry import headers
-from arbutuscove.platform import http
+from arbutuscove.storage import http
 from arbutuscove.standins import cluster as cluster_module
 from arbutuscove.standins import demo
 from arbutuscove.standins.tests import scene as scene_module
--- a/arbutuscove/platform/inventory.py
+++ b/arbutuscove/storage/inventory.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from arbutuscove.platform import http
+from arbutuscove.storage import http
 
 SERVICE_NAME = "inventory"
 
--- a/arbutuscove/platform/objects.py
+++ b/arbutuscove/storage/objects.py
@@ -3,7 +3,7 @@
 import typing
 import urllib.parse
 
-from arbutuscove.platform import http
+from arbutuscove.storage import http
 
 SERVICE_NAME = "objects"
 
--- a/arbutuscove/platform/table.py
+++ b/arbutuscove/storage/table.py
@@ -20,7 +20,7 @@
 import msgspec
 
 from arbutuscove.kernel import clock as clock_module
-from arbutuscove.platform import http
+from arbutuscove.storage import http
 
 SERVICE_NAME = "table"
 ABSENT = 0  # version of a row that does not exist
--- a/arbutuscove/platform/tests/test_http.py
+++ b/arbutuscove/storage/tests/test_http.py
@@ -6,7 +6,7 @@
 import pytest
 from gevent import server
 
-from arbutuscove.platform import http
+from arbutuscove.storage import http
 from arbutuscove.upstreams import engine
 from arbutuscove.upstreams import errors
 
--- a/arbutuscove/platform/tests/test_table.py
+++ b/arbutuscove/storage/tests/test_table.py
@@ -3,7 +3,7 @@
 import pytest
 
 from arbutuscove.kernel import clock as clock_module
-from arbutuscove.platform import table
+from arbutuscove.storage import table
 from arbutuscove.standins import table as table_standin
 
 
--- a/arbutuscove/tool/client.py
+++ b/arbutuscove/tool/client.py
@@ -3,7 +3,7 @@
 import datetime
 import typing
 
-from arbutuscove.platform import http
+from arbutuscove.storage import http
 
 # An acceptance waits up to 3 s for daemons to apply the change.
 CALL_TIMEOUT = datetime.timedelta(seconds=10)
--- a/arbutuscove/upstreams/engine.py
+++ b/arbutuscove/upstreams/engine.py
@@ -9,7 +9,7 @@
 import msgspec
 from geventhttpclient import response as response_module
 
-from arbutuscove.platform import http
+from arbutuscove.storage import http
 from arbutuscove.upstreams import errors
 from arbutuscove.upstreams import protocol
 
--- a/arbutuscove/upstreams/plain.py
+++ b/arbutuscove/upstreams/plain.py
@@ -13,7 +13,7 @@
 import expression
 import gevent
 
-from arbutuscove.platform import http as platform_http
+from arbutuscove.storage import http as platform_http
 from arbutuscove.upstreams import errors
 
 CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
--- a/bench/engines.py
+++ b/bench/engines.py
@@ -15,8 +15,8 @@
 import msgspec  # noqa: E402
 from gevent import pywsgi  # noqa: E402
 
-from arbutuscove.platform import http  # noqa: E402
-from arbutuscove.platform import inventory  # noqa: E402
+from arbutuscove.storage import http  # noqa: E402
+from arbutuscove.storage import inventory  # noqa: E402
 from arbutuscove.standins import engine as engine_module  # noqa: E402
 
 
--- a/bench/replicas.py
+++ b/bench/replicas.py
@@ -17,7 +17,7 @@
 
 from arbutuscove.config import model as config_model
 from arbutuscove.kernel import clock as clock_module
-from arbutuscove.platform import inventory
+from arbutuscove.storage import inventory
 from arbutuscove.standins import fleet as fleet_module
 from arbutuscove.standins import table as table_standin
 
