--- a/arbutuscove/admin/api.py
+++ b/arbutuscove/admin/api.py
@@ -16,9 +16,9 @@
 from arbutuscove.entry import callers
 from arbutuscove.entry import refusals
 from arbutuscove.kernel import services
+from arbutuscove.replicas import drains
 from arbutuscove.storage import http
 from arbutuscove.storage import table as table_module
-from arbutuscove.replicas import drains
 
 SERVICE_NAME = "admin"
 BODY_LIMIT = 1 << 20  # bytes
--- a/arbutuscove/admin/operations.py
+++ b/arbutuscove/admin/operations.py
@@ -17,11 +17,11 @@
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.membership import service as membership_module
 from arbutuscove.observe import journal as journal_module
-from arbutuscove.storage import table as table_module
 from arbutuscove.questionnaire import review as review_module
 from arbutuscove.replicas import board as board_module
 from arbutuscove.replicas import directory as directory_module
 from arbutuscove.replicas import drains
+from arbutuscove.storage import table as table_module
 
 # How long an acceptance waits for daemons to apply it. Short, so that the
 # report comes before clients with a timeout of 2 s give up.
--- a/arbutuscove/admin/status.py
+++ b/arbutuscove/admin/status.py
@@ -6,8 +6,8 @@
 
 from arbutuscove.admin import resources
 from arbutuscove.config import model as config_model
-from arbutuscove.storage import inventory
 from arbutuscove.replicas import model as replica_model
+from arbutuscove.storage import inventory
 from arbutuscove.upstreams import protocol
 
 
--- a/arbutuscove/audit/tests/test_trail.py
+++ b/arbutuscove/audit/tests/test_trail.py
@@ -2,8 +2,8 @@
 
 from arbutuscove.audit import trail
 from arbutuscove.kernel import clock as clock_module
-from arbutuscove.storage import table as table_module
 from arbutuscove.standins import table as table_standin
+from arbutuscove.storage import table as table_module
 
 
 def _build(table, subject):
--- /dev/null
+++ b/arbutuscove/catalog/__init__.py
@@ -0,0 +1,1 @@
+"""Routes, client accounts and services of one configuration version."""
--- a/arbutuscove/config/tests/test_follower.py
+++ b/arbutuscove/config/tests/test_follower.py
@@ -13,8 +13,8 @@
 from arbutuscove.config import keys
 from arbutuscove.config import model
 from arbutuscove.kernel import clock as clock_module
-from arbutuscove.storage import table as table_module
 from arbutuscove.standins import table as table_standin
+from arbutuscove.storage import table as table_module
 
 SECOND = datetime.timedelta(seconds=1)
 
--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -24,10 +24,6 @@
 from arbutuscove.peers import client as peer_client
 from arbutuscove.peers import peer_pb2
 from arbutuscove.peers import server as peer_server
-from arbutuscove.storage import http
-from arbutuscove.storage import inventory as inventory_module
-from arbutuscove.storage import objects as objects_module
-from arbutuscove.storage import table as table_module
 from arbutuscove.replicas import board as board_module
 from arbutuscove.replicas import controller
 from arbutuscove.replicas import directory as directory_module
@@ -41,6 +37,10 @@
 from arbutuscove.requests import suspects
 from arbutuscove.routing import credits
 from arbutuscove.routing import service as routing_service
+from arbutuscove.storage import http
+from arbutuscove.storage import inventory as inventory_module
+from arbutuscove.storage import objects as objects_module
+from arbutuscove.storage import table as table_module
 from arbutuscove.upstreams import pool
 
 
--- a/arbutuscove/entry/app.py
+++ b/arbutuscove/entry/app.py
@@ -23,8 +23,8 @@
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
 from arbutuscove.observe import metrics as metrics_module
-from arbutuscove.storage import http
 from arbutuscove.requests import failures
+from arbutuscove.storage import http
 
 SERVICE_NAME = "entry"
 BODY_LIMIT = 4 << 20  # bytes
--- a/arbutuscove/entry/connections.py
+++ b/arbutuscove/entry/connections.py
@@ -22,9 +22,9 @@
 
 from arbutuscove.admission import work as work_module
 from arbutuscove.entry import refusals
-from arbutuscove.storage import http as platform_http
 from arbutuscove.requests import failures
 from arbutuscove.requests import presence
+from arbutuscove.storage import http as platform_http
 
 RETRY_AFTER = datetime.timedelta(seconds=2)
 LINGER = datetime.timedelta(seconds=1)  # lets a refusal reach its client
--- a/arbutuscove/entry/tests/serving.py
+++ b/arbutuscove/entry/tests/serving.py
@@ -13,13 +13,13 @@
 from arbutuscove.entry import chat
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.observe import metrics as metrics_module
-from arbutuscove.storage import http
 from arbutuscove.questionnaire import answers as answers_module
 from arbutuscove.questionnaire import generation
 from arbutuscove.requests import answers
 from arbutuscove.requests import flow
 from arbutuscove.requests import resume
 from arbutuscove.standins import cluster
+from arbutuscove.storage import http
 
 EXAMPLE = pathlib.Path(__file__).parents[3] / "examples" / "demo.yaml"
 KEY = "demo-key"
--- /dev/null
+++ b/arbutuscove/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""VMs of the users' platform and the replica groups formed of them."""
--- /dev/null
+++ b/arbutuscove/fleet/controller.py
@@ -0,0 +1,321 @@
+"""Forms replica groups while this daemon holds the duty to do so.
+
+Each turn reads the listed VMs, plans, and sends the orders side by side. The
+fencing token of the lease goes with each order, so that VMs refuse a daemon
+which lost the duty without noticing.
+"""
+
+import collections
+import datetime
+from collections import abc
+
+import eliot
+import gevent
+
+from arbutuscove.catalog import holder as catalog_holder
+from arbutuscove.catalog import model as catalog_model
+from arbutuscove.fleet import inventory as inventory_module
+from arbutuscove.fleet import model
+from arbutuscove.fleet import orders as orders_module
+from arbutuscove.fleet import planner
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.kernel import services
+from arbutuscove.leases import holder as lease_holder
+
+SERVICE_NAME = "group-controller"
+DUTY = "groups"
+TURN = datetime.timedelta(milliseconds=250)
+# Orders need a list that is not older than this.
+LIST_AGE_LONGEST = datetime.timedelta(seconds=2)
+# Epochs of one holder; the fencing token gives the bits above.
+EPOCH_BITS = 20
+# A head that left the list unseen by this holder may still serve until a
+# cut from the store heals; cuts of ten seconds are known.
+UNSEEN_HEAD_WAIT = datetime.timedelta(seconds=12)
+# Attempts to reach a head that left the list before it counts as gone.
+HEAD_ATTEMPTS = 2
+# Token of the first holder ever; no VM has accepted an order before it.
+FIRST_FENCE = 1
+
+
+class GroupController(services.LoopService):
+    """Plans and sends orders while it holds the duty."""
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        catalog: catalog_holder.CatalogHolder,
+        inventory: inventory_module.Inventory,
+        leases: lease_holder.LeaseHolder,
+        group_orders: orders_module.GroupOrders,
+        read_stalled: abc.Callable[[], frozenset[tuple[str, int]]],
+    ) -> None:
+        self._clock = clock
+        self._catalog = catalog
+        self._inventory = inventory
+        self._leases = leases
+        self._group_orders = group_orders
+        self._read_stalled = read_stalled
+        self._memories: dict[str, planner.Memory] = {}
+        self._fence = -1
+        self._next_epoch = 0
+        self._first_seen: dict[tuple[str, int], datetime.timedelta] = {}
+        self._attempts: collections.Counter[tuple[str, int]] = (
+            collections.Counter()
+        )
+        self._load_times: collections.deque[datetime.timedelta] = (
+            collections.deque()
+        )
+        self._traffic = False
+        # Orders accepted by each life of a VM, as far as this holder knows.
+        self._accepted: dict[tuple[str, int], int] = {}
+        self.sent: collections.Counter[str] = collections.Counter()
+
+    def start(self, kernel: services.Kernel) -> None:
+        """Begins to stand for the duty."""
+        self._leases.stand_for(DUTY)
+        self.run_loop(self._run)
+
+    def note_traffic(self) -> None:
+        """Says that callers have begun to send requests."""
+        self._traffic = True
+
+    def turn(self) -> None:
+        """Plans once and sends the orders."""
+        fence = self._leases.epoch(DUTY)
+        catalog = self._catalog.current()
+        age = self._inventory.age()
+        if fence is None or catalog is None:
+            return
+        if age is None or age > LIST_AGE_LONGEST:
+            return
+        if fence != self._fence:
+            self._begin(fence)
+        for service in catalog.services.values():
+            if service.engine is not None:
+                self._plan(service.name, service.engine, fence)
+
+    def _begin(self, fence: int) -> None:
+        self._fence = fence
+        self._next_epoch = fence << EPOCH_BITS
+        self._memories.clear()
+        self._first_seen.clear()
+        self._attempts.clear()
+        self._accepted.clear()
+        eliot.log_message("groups:duty_taken", fence=fence)
+
+    def _plan(
+        self, service: str, engine: catalog_model.Engine, fence: int
+    ) -> None:
+        now = self._clock.monotonic()
+        vms = tuple(vm for vm in self._inventory.vms() if vm.service == service)
+        situation = planner.Situation(
+            engine=engine,
+            vms=vms,
+            now=now,
+            next_epoch=self._next_epoch,
+            loads=self._count_loads(engine, len(vms)),
+            stalled=self._read_stalled(),
+        )
+        memory = self._memories.get(service, planner.Memory())
+        plan = planner.plan(situation, memory)
+        self._memories[service] = plan.memory
+        self._next_epoch = plan.next_epoch
+        self._send_all(plan.orders, engine, fence)
+        if plan.unclear:
+            jobs = [
+                gevent.spawn(self._clear_up, service, group, fence)
+                for group in plan.unclear
+            ]
+            gevent.joinall(jobs)
+
+    def _send_all(
+        self,
+        found: tuple[orders_module.Order, ...],
+        engine: catalog_model.Engine,
+        fence: int,
+    ) -> None:
+        now = self._clock.monotonic()
+        for order in found:
+            match order:
+                case orders_module.Join(vm=vm, model=wanted):
+                    if wanted not in vm.staged:
+                        self._load_times.append(now)
+        gevent.joinall(
+            [gevent.spawn(self._send, order, fence) for order in found]
+        )
+
+    def _send(
+        self, order: orders_module.Order, fence: int
+    ) -> orders_module.Outcome:
+        if self._leases.epoch(DUTY) != fence:
+            return orders_module.Outcome.FENCED
+        vm = order.vm
+        accepted = self._count_accepted(vm)
+        if accepted is None:
+            return orders_module.Outcome.UNKNOWN
+        kind = type(order).__name__.lower()
+        self.sent[kind] += 1
+        outcome = self._group_orders.send(order, fence, accepted)
+        self._note_outcome(vm, accepted, outcome)
+        eliot.log_message(
+            "groups:order",
+            order=kind,
+            vm=vm.name,
+            group=getattr(order, "group", None),
+            accepted=accepted,
+            fence=fence,
+            list_age=self._read_list_age(),
+            outcome=outcome.value,
+        )
+        return outcome
+
+    def _count_accepted(self, vm: model.Vm) -> int | None:
+        """Returns how many orders a VM accepted; asks it if need be."""
+        life = (vm.name, vm.born)
+        if life not in self._accepted:
+            if self._fence == FIRST_FENCE and vm.membership is None:
+                self._accepted[life] = 0
+            else:
+                status = self._group_orders.read_status(vm)
+                if status is None:
+                    return None
+                self._accepted[life] = status.accepted
+        return self._accepted[life]
+
+    def _note_outcome(
+        self, vm: model.Vm, accepted: int, outcome: orders_module.Outcome
+    ) -> None:
+        life = (vm.name, vm.born)
+        match outcome:
+            case orders_module.Outcome.ACCEPTED:
+                self._accepted[life] = accepted + 1
+            case orders_module.Outcome.HOLDS:
+                pass
+            case _:
+                # The next order asks the VM for its count first.
+                self._accepted.pop(life, None)
+
+    def _read_list_age(self) -> float | None:
+        age = self._inventory.age()
+        return None if age is None else round(age.total_seconds(), 3)
+
+    def _count_loads(self, engine: catalog_model.Engine, count: int) -> int:
+        """Returns how many loads may begin now."""
+        if not self._traffic:
+            return count
+        now = self._clock.monotonic()
+        window = datetime.timedelta(seconds=5)
+        while self._load_times and self._load_times[0] < now - window:
+            self._load_times.popleft()
+        allowed = int(engine.loads_per_second * window.total_seconds())
+        return min(engine.loads_at_once, allowed - len(self._load_times))
+
+    def _clear_up(self, service: str, group: model.Group, fence: int) -> None:
+        """Finds out whether a group with a missing part still works."""
+        now = self._clock.monotonic()
+        since = self._first_seen.setdefault(group.key, now)
+        head = group.head
+        if head is None:
+            if self._is_released(group, since, now, fence):
+                self._release(service, group.key)
+            return
+        if self._answers_whole(group):
+            self._keep(service, group.key)
+            return
+        if head.membership is None:
+            return
+        leave = orders_module.Leave(
+            vm=head, group=group.name, epoch=group.epoch
+        )
+        outcome = self._send(leave, fence)
+        if outcome in (
+            orders_module.Outcome.ACCEPTED,
+            orders_module.Outcome.HOLDS,
+        ):
+            self._release(service, group.key)
+
+    def _answers_whole(self, group: model.Group) -> bool:
+        """Returns whether every member says itself that it is in the group."""
+        missing = [
+            departed.vm
+            for departed in self._inventory.departed()
+            if departed.vm.membership is not None
+            and departed.vm.membership.key == group.key
+        ]
+        spec_size = len(group.members) + len(missing)
+        engine = self._find_engine(group.members[0].service)
+        spec = None if engine is None else engine.find_model(group.model)
+        if spec is None or spec_size < spec.size:
+            return False
+        jobs = [
+            gevent.spawn(self._confirm_member, vm)
+            for vm in (*group.members, *missing)
+        ]
+        gevent.joinall(jobs)
+        answers = [job.value for job in jobs]
+        eliot.log_message(
+            "groups:asked",
+            group=group.name,
+            missing=[vm.name for vm in missing],
+            answers=answers,
+        )
+        return all(answers)
+
+    def _confirm_member(self, vm: model.Vm) -> bool:
+        """Returns whether a VM says itself that it is in its group."""
+        status = self._group_orders.read_status(vm)
+        held = None if status is None else status.membership
+        if held is None or vm.membership is None:
+            return False
+        broken = held.state == model.MemberState.BROKEN
+        return held.key == vm.membership.key and not broken
+
+    def _find_engine(self, service: str) -> catalog_model.Engine | None:
+        catalog = self._catalog.current()
+        found = None if catalog is None else catalog.services.get(service)
+        return None if found is None else found.engine
+
+    def _is_released(
+        self,
+        group: model.Group,
+        since: datetime.timedelta,
+        now: datetime.timedelta,
+        fence: int,
+    ) -> bool:
+        for departed in self._inventory.departed():
+            held = departed.vm.membership
+            if held is None or held.key != group.key or held.rank != 0:
+                continue
+            leave = orders_module.Leave(
+                vm=departed.vm, group=group.name, epoch=group.epoch
+            )
+            match self._send(leave, fence):
+                case orders_module.Outcome.UNKNOWN:
+                    self._attempts[group.key] += 1
+                    return self._attempts[group.key] >= HEAD_ATTEMPTS
+                case orders_module.Outcome.FENCED:
+                    return False
+                case orders_module.Outcome.UNFIT:
+                    # Its count of orders moved on without us seeing it.
+                    return not self._confirm_member(departed.vm)
+                case _:
+                    return True
+        return now - since >= UNSEEN_HEAD_WAIT
+
+    def _release(self, service: str, key: tuple[str, int]) -> None:
+        eliot.log_message("groups:released", group=key[0], epoch=key[1])
+        memory = self._memories[service]
+        self._memories[service] = planner.release(memory, key)
+
+    def _keep(self, service: str, key: tuple[str, int]) -> None:
+        memory = self._memories[service]
+        self._memories[service] = planner.keep(memory, key)
+
+    def _run(self) -> None:
+        while True:
+            self._clock.sleep(TURN)
+            try:
+                self.turn()
+            except Exception:  # noqa: BLE001 - the duty must go on
+                eliot.write_traceback()
--- /dev/null
+++ b/arbutuscove/fleet/inventory.py
@@ -0,0 +1,150 @@
+"""The VMs listed now, as this daemon last read them.
+
+An entry that goes away while the list could not be read, or soon after, may
+only have lapsed for want of a heartbeat. It is kept until the VM had time to
+write it again.
+"""
+
+import dataclasses
+import datetime
+from collections import abc
+
+import eliot
+from gevent import event
+
+from arbutuscove.fleet import model
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.kernel import services
+
+SERVICE_NAME = "inventory"
+# A live VM writes its entry again within two seconds of the list's return.
+LAPSE_GRACE = datetime.timedelta(milliseconds=2200)
+# A longer pause between reads may hide an outage of the list.
+OUTAGE = datetime.timedelta(seconds=2)
+DEPARTED_LIMIT = 512  # VMs remembered after they left the list
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Departed:
+    """A VM that is listed no more, as it was, and since when."""
+
+    vm: model.Vm
+    since: datetime.timedelta
+
+
+class Inventory(services.BaseService):
+    """The list of VMs; the reader of the list is its only writer."""
+
+    def __init__(self, clock: clock_module.Clock) -> None:
+        self._clock = clock
+        self._vms: dict[str, model.Vm] = {}
+        self._lapsed: dict[str, datetime.timedelta] = {}
+        self._departed: dict[str, Departed] = {}
+        self._read_at: datetime.timedelta | None = None
+        self._returned_at: datetime.timedelta | None = None
+        self._changed = event.Event()
+        self.revision = 0
+
+    def vms(self) -> abc.Collection[model.Vm]:
+        """Returns the VMs that may be used or waited for."""
+        self._drop_lapsed()
+        return self._vms.values()
+
+    def find(self, name: str) -> model.Vm | None:
+        """Returns a listed VM by name."""
+        return self._vms.get(name)
+
+    def departed(self) -> abc.Collection[Departed]:
+        """Returns VMs that left the list lately."""
+        return self._departed.values()
+
+    def age(self) -> datetime.timedelta | None:
+        """Returns the time since the list was read, None before that."""
+        if self._read_at is None:
+            return None
+        return self._clock.monotonic() - self._read_at
+
+    def wait(self, timeout: datetime.timedelta) -> None:
+        """Returns when the list has changed, or after `timeout`."""
+        self._changed.clear()
+        self._changed.wait(timeout.total_seconds())
+
+    def replace(self, vms: abc.Iterable[model.Vm]) -> None:
+        """Takes a whole list."""
+        self._note_read()
+        found = {vm.name: vm for vm in vms}
+        for name in list(self._vms):
+            if name not in found:
+                self._remove(name)
+        for vm in found.values():
+            self._put(vm)
+        self._finish()
+
+    def update(
+        self, changed: abc.Iterable[model.Vm], removed: abc.Iterable[str]
+    ) -> None:
+        """Takes changes of the list."""
+        self._note_read()
+        for vm in changed:
+            self._put(vm)
+        for name in removed:
+            self._remove(name)
+        self._finish()
+
+    def _note_read(self) -> None:
+        now = self._clock.monotonic()
+        if self._read_at is None or now - self._read_at > OUTAGE:
+            self._returned_at = now
+        self._read_at = now
+
+    def _put(self, vm: model.Vm) -> None:
+        before = self._vms.get(vm.name)
+        self._lapsed.pop(vm.name, None)
+        self._departed.pop(vm.name, None)
+        self._vms[vm.name] = vm
+        if before is None or before.membership != vm.membership:
+            held = vm.membership
+            eliot.log_message(
+                "fleet:vm",
+                vm=vm.name,
+                service=vm.service,
+                domain=vm.fabric_domain,
+                group=None if held is None else held.group,
+                rank=None if held is None else held.rank,
+                state=None if held is None else held.state,
+                born=vm.born,
+            )
+        elif before.leaving != vm.leaving:
+            eliot.log_message("fleet:vm_leaving", vm=vm.name)
+
+    def _remove(self, name: str) -> None:
+        if name not in self._vms:
+            return
+        now = self._clock.monotonic()
+        returned = self._returned_at
+        if returned is not None and now - returned < LAPSE_GRACE:
+            self._lapsed.setdefault(name, returned + LAPSE_GRACE)
+            return
+        self._forget(name, now)
+
+    def _drop_lapsed(self) -> None:
+        now = self._clock.monotonic()
+        due = [name for name, until in self._lapsed.items() if until <= now]
+        for name in due:
+            del self._lapsed[name]
+            self._forget(name, now)
+
+    def _forget(self, name: str, now: datetime.timedelta) -> None:
+        vm = self._vms.pop(name, None)
+        if vm is None:
+            return
+        eliot.log_message("fleet:vm_gone", vm=name, service=vm.service)
+        self._departed[name] = Departed(vm=vm, since=now)
+        while len(self._departed) > DEPARTED_LIMIT:
+            del self._departed[next(iter(self._departed))]
+        self.revision += 1
+
+    def _finish(self) -> None:
+        self._drop_lapsed()
+        self.revision += 1
+        self._changed.set()
--- /dev/null
+++ b/arbutuscove/gossip/__init__.py
@@ -0,0 +1,1 @@
+"""Datagrams by which daemons know of each other."""
--- /dev/null
+++ b/arbutuscove/gossip/digest.py
@@ -0,0 +1,139 @@
+"""What daemons say of themselves, and what is believed of them.
+
+Each daemon sends its *beat* to some peers in each interval, with the newest
+beats of others that it knows. A beat is ordered by the start time of its
+daemon and a counter that only grows; a daemon whose counter stands still is
+believed dead (van Renesse et al., A Gossip-Style Failure Detection Service,
+1998). Everything here is a hint: it saves calls and time, and nothing that
+must hold rests on it.
+"""
+
+import dataclasses
+import datetime
+import random
+from collections import abc
+
+import msgspec
+
+INTERVAL = datetime.timedelta(milliseconds=250)
+# Direct beats come each interval; four lost ones in a row are rare.
+SILENCE = datetime.timedelta(milliseconds=1250)
+# Peers addressed in each interval; a small fleet is covered whole.
+FANOUT = 8
+# Beats of others in one datagram, which keeps it near one kilobyte.
+RELAYED = 6
+# A silent daemon is addressed again once in so many intervals.
+RECONNECT_TURNS = 8
+PEER_LIMIT = 4096  # daemons remembered
+STALLED_LIMIT = 16  # stalled groups in one beat
+
+
+class Beat(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What a daemon says of itself.
+
+    `life` is the start of the process in microseconds of its wall clock,
+    which only orders lives of one daemon. `holding` is the fencing token of
+    the duty that it holds, 0 for none. `loads` counts its requests running by
+    backend, `stalled` names groups that move nothing for it, each as name and
+    epoch.
+    """
+
+    name: str
+    ip: str
+    callers: str
+    failure_domain: str
+    identity: str
+    life: int
+    counter: int
+    ready: bool
+    leaving: bool
+    config_version: int = -1
+    holding: int = 0
+    loads: dict[str, int] = {}
+    stalled: tuple[tuple[str, int], ...] = ()
+
+
+class Datagram(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """One message: the sender's beat and some others."""
+
+    sender: Beat
+    others: tuple[Beat, ...] = ()
+
+
+ENCODER = msgspec.msgpack.Encoder()
+DECODER = msgspec.msgpack.Decoder(Datagram)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Peer:
+    """Another daemon; `heard` is when its counter last grew."""
+
+    beat: Beat
+    heard: datetime.timedelta
+
+
+class PeerTable:
+    """What is believed of all other daemons."""
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._peers: dict[str, Peer] = {}
+
+    def take(self, beat: Beat, now: datetime.timedelta) -> bool:
+        """Keeps a beat if it is newer than what is known; says whether."""
+        if beat.name == self._name:
+            return False
+        known = self._peers.get(beat.name)
+        order = (beat.life, beat.counter)
+        if known is not None and order <= (known.beat.life, known.beat.counter):
+            return False
+        if known is None and len(self._peers) >= PEER_LIMIT:
+            return False
+        self._peers[beat.name] = Peer(beat=beat, heard=now)
+        return True
+
+    def list_live(self, now: datetime.timedelta) -> list[Beat]:
+        """Returns the beats of daemons heard of lately."""
+        return [
+            peer.beat
+            for peer in self._peers.values()
+            if now - peer.heard <= SILENCE
+        ]
+
+    def list_silent(self, now: datetime.timedelta) -> list[Beat]:
+        """Returns the beats of daemons that fell silent."""
+        return [
+            peer.beat
+            for peer in self._peers.values()
+            if now - peer.heard > SILENCE
+        ]
+
+    def is_lost(self, identity: str, now: datetime.timedelta) -> bool:
+        """Returns whether a process was known and fell silent or ended."""
+        for peer in self._peers.values():
+            if peer.beat.identity == identity:
+                return peer.beat.leaving or now - peer.heard > SILENCE
+        name = identity.rpartition(".")[0]
+        return name in self._peers  # a later life of that daemon is known
+
+
+def pick_recipients(
+    live: abc.Sequence[Beat],
+    others: abc.Sequence[str],
+    turn: int,
+    generator: random.Random,
+) -> list[str]:
+    """Returns the IP addresses to send to in this interval.
+
+    Args:
+        live: daemons heard of lately.
+        others: addresses of silent daemons and of those only named so far.
+        turn: number of the interval.
+        generator: source of choice.
+    """
+    chosen = [beat.ip for beat in live]
+    if len(chosen) > FANOUT:
+        chosen = generator.sample(chosen, FANOUT)
+    if others and turn % RECONNECT_TURNS == 0:
+        chosen.append(generator.choice(others))
+    return chosen
--- /dev/null
+++ b/arbutuscove/gossip/service.py
@@ -0,0 +1,153 @@
+"""Sends and receives beats over UDP."""
+
+import datetime
+import random
+from collections import abc
+
+import eliot
+import gevent
+import msgspec
+from gevent import socket
+
+from arbutuscove.gossip import digest
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.kernel import services
+
+SERVICE_NAME = "gossip"
+DATAGRAM_LIMIT = 65000  # bytes
+# A beat that says "leaving" is sent more than once, as datagrams get lost.
+LEAVE_REPEATS = 3
+
+
+class Gossip(services.LoopService):
+    """This daemon's view of the others."""
+
+    def __init__(
+        self,
+        own: digest.Beat,
+        port: int,
+        clock: clock_module.Clock,
+        generator: random.Random,
+        read_own: abc.Callable[[digest.Beat], digest.Beat],
+    ) -> None:
+        self._own = own
+        self._port = port
+        self._clock = clock
+        self._generator = generator
+        self._read_own = read_own
+        self._table = digest.PeerTable(own.name)
+        self._named: set[str] = set()
+        self._leaving = False
+        self._socket: socket.socket | None = None
+        self._receiver: gevent.Greenlet | None = None
+        self._live_before: frozenset[str] = frozenset()
+
+    def start(self, kernel: services.Kernel) -> None:
+        """Opens the socket and begins to send and receive."""
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind((self._own.ip, self._port))
+        self._receiver = gevent.spawn(self._receive)
+        self.run_loop(self._send_all)
+
+    def stop(self) -> None:
+        """Closes the socket."""
+        super().stop()
+        if self._receiver is not None:
+            self._receiver.kill()
+        if self._socket is not None:
+            self._socket.close()
+
+    def name_peers(self, ips: abc.Iterable[str]) -> None:
+        """Takes addresses at which daemons may be."""
+        self._named.update(ip for ip in ips if ip != self._own.ip)
+        for ip in self._named:
+            self._send(ip)
+
+    def announce_leave(self) -> None:
+        """Tells all live daemons at once that this one leaves."""
+        self._leaving = True
+        for _ in range(LEAVE_REPEATS):
+            for beat in self.live():
+                self._send(beat.ip)
+
+    def tell(self) -> None:
+        """Sends this daemon's news at once instead of at the next interval."""
+        live = self.live()
+        for ip in digest.pick_recipients(live, (), 1, self._generator):
+            self._send(ip)
+
+    def live(self) -> list[digest.Beat]:
+        """Returns the other daemons heard of lately."""
+        return self._table.list_live(self._clock.monotonic())
+
+    def holds(self, duty: str) -> bool:
+        """Returns whether a live daemon says that it holds the duty."""
+        return any(beat.holding and not beat.leaving for beat in self.live())
+
+    def is_lost(self, identity: str) -> bool:
+        """Returns whether a daemon that was known fell silent."""
+        return self._table.is_lost(identity, self._clock.monotonic())
+
+    def _send_all(self) -> None:
+        turn = 0
+        while True:
+            self._clock.sleep(digest.INTERVAL)
+            turn += 1
+            now = self._clock.monotonic()
+            live = self._table.list_live(now)
+            heard = {beat.ip for beat in live}
+            others = sorted(
+                (self._named | {b.ip for b in self._table.list_silent(now)})
+                - heard
+            )
+            self._note_changes(live)
+            for ip in digest.pick_recipients(
+                live, others, turn, self._generator
+            ):
+                self._send(ip)
+
+    def _note_changes(self, live: list[digest.Beat]) -> None:
+        names = frozenset(beat.name for beat in live)
+        for name in sorted(names - self._live_before):
+            eliot.log_message("gossip:daemon_heard", daemon=name)
+        for name in sorted(self._live_before - names):
+            eliot.log_message("gossip:daemon_silent", daemon=name)
+        self._live_before = names
+
+    def _send(self, ip: str) -> None:
+        if self._socket is None:
+            return
+        self._own = msgspec.structs.replace(
+            self._read_own(self._own),
+            counter=self._own.counter + 1,
+            leaving=self._leaving,
+        )
+        live = self.live()
+        # Only a fleet that is not covered whole needs news passed on.
+        others: list[digest.Beat] = []
+        if len(live) > digest.FANOUT:
+            others = self._generator.sample(live, digest.RELAYED)
+        data = digest.ENCODER.encode(
+            digest.Datagram(sender=self._own, others=tuple(others))
+        )
+        try:
+            self._socket.sendto(data, (ip, self._port))
+        except OSError as error:
+            eliot.log_message("gossip:send_failed", ip=ip, reason=str(error))
+
+    def _receive(self) -> None:
+        assert self._socket is not None
+        while True:
+            try:
+                data = self._socket.recv(DATAGRAM_LIMIT)
+                message = digest.DECODER.decode(data)
+            except msgspec.MsgspecError as error:
+                eliot.log_message("gossip:unreadable", reason=str(error))
+                continue
+            except OSError as error:
+                eliot.log_message("gossip:receive_failed", reason=str(error))
+                self._clock.sleep(datetime.timedelta(milliseconds=50))
+                continue
+            now = self._clock.monotonic()
+            for beat in (message.sender, *message.others):
+                self._table.take(beat, now)
--- a/arbutuscove/leases/holder.py
+++ b/arbutuscove/leases/holder.py
@@ -1,6 +1,7 @@
 """Takes and renews the leases on this daemon's candidate duties."""
 
 import datetime
+import typing
 
 import eliot
 import msgspec
@@ -16,6 +17,26 @@
 ROW_PREFIX = "lease/"
 
 
+class Peers(typing.Protocol):
+    """What other daemons say about duties; hints that save calls and time."""
+
+    def holds(self, duty: str) -> bool:
+        """Returns whether a live daemon says that it holds the duty."""
+
+    def is_lost(self, identity: str) -> bool:
+        """Returns whether a daemon that was known fell silent."""
+
+
+class _SilentPeers:
+    """Peers that say nothing."""
+
+    def holds(self, duty: str) -> bool:
+        return False
+
+    def is_lost(self, identity: str) -> bool:
+        return False
+
+
 class LeaseHolder(services.LoopService):
     """Holds leases for one process; `identity` is unique to the process."""
 
@@ -25,11 +46,15 @@
         table: table_module.Table,
         clock: clock_module.Clock,
         lag: loop.LagMonitor,
+        terms: lease.Terms = lease.DEFAULT_TERMS,
+        peers: Peers | None = None,
     ) -> None:
         self._identity = identity
         self._table = table
         self._clock = clock
         self._lag = lag
+        self._terms = terms
+        self._peers = peers or _SilentPeers()
         self._duties: set[str] = set()
         self._observed: dict[str, lease.Observation] = {}
         self._held: dict[str, lease.Held] = {}
@@ -58,7 +83,7 @@
         if self._draining:
             return None
         held = self._held.get(duty)
-        if not lease.may_act(held, self._clock.monotonic()):
+        if not lease.may_act(held, self._clock.monotonic(), self._terms):
             return None
         return None if held is None else held.epoch
 
@@ -88,7 +113,10 @@
         )
         self._observed[duty] = observation
         held = self._held.get(duty)
-        match lease.decide(observation, held, self._identity, now):
+        lost = value is not None and self._peers.is_lost(value.holder)
+        match lease.decide(
+            observation, held, self._identity, now, self._terms, lost
+        ):
             case lease.Wait():
                 self._held.pop(duty, None)
             case lease.Renew() | lease.TakeOver() as action:
@@ -110,7 +138,9 @@
             transaction = self._audit(duty, action, transaction)
         sent = self._clock.monotonic()
         if table_module.commit(self._table, transaction, self._clock).is_ok():
-            granted = lease.grant(action, sent, self._held.get(duty))
+            granted = lease.grant(
+                action, sent, self._held.get(duty), self._terms
+            )
             self._held[duty] = granted
         else:
             self._held.pop(duty, None)
@@ -138,10 +168,12 @@
         pause = datetime.timedelta(0)
         while not self._draining:
             self._clock.sleep(pause)
-            pause = lease.RENEW_INTERVAL
+            pause = self._terms.renew_interval
             if self._lag.lag() > loop.RELEASE_LAG:
                 continue
             for duty in sorted(self._duties):
+                if duty not in self._held and self._peers.holds(duty):
+                    continue
                 try:
                     self.step(duty)
                 except table_module.TableError as error:
--- a/arbutuscove/leases/lease.py
+++ b/arbutuscove/leases/lease.py
@@ -16,6 +16,23 @@
 ORDER_TIMEOUT = datetime.timedelta(seconds=2)
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Terms:
+    """Times of a lease.
+
+    `order_timeout` is how long an order of the former holder may still take
+    effect after a change of holder; zero where upstreams check fencing tokens.
+    """
+
+    term: datetime.timedelta = TERM
+    renew_interval: datetime.timedelta = RENEW_INTERVAL
+    guard: datetime.timedelta = GUARD
+    order_timeout: datetime.timedelta = ORDER_TIMEOUT
+
+
+DEFAULT_TERMS = Terms()
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LeaseRow:
     """A lease row: the epoch grows with each change of holder."""
@@ -82,6 +99,8 @@
     held: Held | None,
     candidate: str,
     now: datetime.timedelta,
+    terms: Terms = DEFAULT_TERMS,
+    holder_lost: bool = False,
 ) -> Action:
     """Returns what a daemon does about a lease.
 
@@ -91,6 +110,9 @@
             candidate without `held` was written by an earlier process.
         candidate: the identity of this process.
         now: monotonic time.
+        terms: times of the lease.
+        holder_lost: the holder is known to be silent and upstreams check
+            fencing tokens, so that its term need not be waited out.
     """
     row = observation.row
     if row is None:
@@ -98,7 +120,7 @@
     if held is not None and _is_own(row, held, candidate):
         renewed = dataclasses.replace(row, renewals=row.renewals + 1)
         return Renew(row=renewed)
-    if now - observation.first_seen < TERM:
+    if now - observation.first_seen < terms.term and not holder_lost:
         return Wait()
     return TakeOver(
         row=LeaseRow(holder=candidate, epoch=row.epoch + 1, renewals=0)
@@ -106,7 +128,10 @@
 
 
 def grant(
-    action: Renew | TakeOver, sent: datetime.timedelta, held: Held | None
+    action: Renew | TakeOver,
+    sent: datetime.timedelta,
+    held: Held | None,
+    terms: Terms = DEFAULT_TERMS,
 ) -> Held:
     """Returns the lease held after the write was confirmed.
 
@@ -114,25 +139,30 @@
         action: the write.
         sent: monotonic time before the write was sent.
         held: the lease held before.
+        terms: times of the lease.
     """
     match action:
         case Renew(row=row) if held is not None:
             return dataclasses.replace(
-                held, epoch=row.epoch, expires=sent + TERM
+                held, epoch=row.epoch, expires=sent + terms.term
             )
         case Renew(row=row) | TakeOver(row=row):
             return Held(
                 epoch=row.epoch,
-                effective_from=sent + ORDER_TIMEOUT,
-                expires=sent + TERM,
+                effective_from=sent + terms.order_timeout,
+                expires=sent + terms.term,
             )
 
 
-def may_act(held: Held | None, now: datetime.timedelta) -> bool:
+def may_act(
+    held: Held | None,
+    now: datetime.timedelta,
+    terms: Terms = DEFAULT_TERMS,
+) -> bool:
     """Returns whether the holder may start an effect at `now`."""
     if held is None:
         return False
-    return held.effective_from <= now < held.expires - GUARD
+    return held.effective_from <= now < held.expires - terms.guard
 
 
 def _is_own(row: LeaseRow, held: Held, candidate: str) -> bool:
--- a/arbutuscove/limits/tests/test_limits.py
+++ b/arbutuscove/limits/tests/test_limits.py
@@ -16,9 +16,9 @@
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.limits import service as service_module
 from arbutuscove.limits import slices
-from arbutuscove.storage import table as table_module
 from arbutuscove.standins import faulty
 from arbutuscove.standins import table as table_standin
+from arbutuscove.storage import table as table_module
 
 LIMIT = 100_000
 DAY = datetime.timedelta(days=1)
--- /dev/null
+++ b/arbutuscove/platform/__main__.py
@@ -0,0 +1,87 @@
+"""The daemon on the users' platform: `python3 -m arbutuscove.platform`."""
+
+# Modules that use sockets have to be imported after the patch.
+# ruff: noqa: E402
+from gevent import monkey
+
+monkey.patch_all()
+
+import gc
+import signal
+import sys
+
+import click
+import eliot
+import gevent
+from gevent import event
+
+import arbutuscove
+from arbutuscove.platform import assembly
+from arbutuscove.platform import settings as settings_module
+
+EXIT_SETTINGS = 2
+# Collections of the oldest generation stop the loop for milliseconds; what is
+# there at the start lives as long as the process.
+GC_THRESHOLDS = (5000, 20, 50)
+
+
+@click.group(invoke_without_command=True)
+@click.version_option(arbutuscove.__version__)
+@click.pass_context
+def main(context: click.Context) -> None:
+    """Serves until SIGTERM, then drains and exits.
+
+    The settings file is named by an environment variable.
+    """
+    if context.invoked_subcommand is None:
+        serve()
+
+
+@main.command("check-settings")
+def check_settings() -> None:
+    """Reads the settings file; exit code 2 if it is wrong."""
+    _read_settings()
+    click.echo("settings are valid")
+
+
+def serve() -> None:
+    """Serves until SIGTERM, then drains and returns."""
+    settings = _read_settings()
+    eliot.add_global_fields(process=settings.name)
+    eliot.to_file(sys.stdout)
+    kernel = assembly.build_kernel(settings)
+    stopped = event.Event()
+    gevent.signal_handler(signal.SIGTERM, stopped.set)
+    gevent.signal_handler(signal.SIGINT, stopped.set)
+    gevent.signal_handler(signal.SIGHUP, _reload)
+    kernel.start()
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
+    eliot.log_message("daemon:started", callers=str(settings.callers))
+    stopped.wait()
+    eliot.log_message("daemon:draining")
+    kernel.drain()
+    kernel.stop()
+    eliot.log_message("daemon:stopped")
+
+
+def _reload() -> None:
+    """Checks the changed settings; addresses hold until the next start."""
+    try:
+        settings_module.read()
+    except settings_module.SettingsError as error:
+        eliot.log_message("daemon:settings_wrong", reason=str(error))
+        return
+    eliot.log_message("daemon:settings_read")
+
+
+def _read_settings() -> settings_module.Settings:
+    try:
+        return settings_module.read()
+    except settings_module.SettingsError as error:
+        click.echo(str(error), err=True)
+        sys.exit(EXIT_SETTINGS)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/arbutuscove/platform/configuration.py
@@ -0,0 +1,215 @@
+"""Decodes the operator's configuration into a catalog."""
+
+import dataclasses
+import datetime
+import types
+
+import msgspec
+
+from arbutuscove.catalog import model
+
+
+class ConfigurationError(Exception):
+    """The configuration row does not hold a configuration."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Split:
+    service: str
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Route:
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    name: str = ""
+    service: str = ""
+    traffic_split: tuple[_Split, ...] = ()
+    target_latency_ms: float = 1000.0
+    target_gap_ms: float | None = None
+    max_attempts: int = 1
+    priority: int = 0
+    public: bool = False
+    resumable: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Model:
+    name: str
+    size: int = 1
+    share: float = 1.0
+    pace: float = 1.0
+    load_s: float = 0.0
+    warm_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Usual:
+    prompt: float = 1000.0
+    answer: float = 100.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Engine:
+    models: tuple[_Model, ...]
+    slots: int
+    step_ms: float = 0.0
+    per_seq_ms: float = 0.0
+    context_per_k: float = 0.0
+    read_per_s: float = 1.0
+    stride: int = 1
+    loads_per_s: float = 1.0
+    loads_at_once: int = 1
+    form_ms: float = 0.0
+    usual: _Usual = _Usual()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Service:
+    name: str
+    max_connections: int = 100
+    engine: _Engine | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Tenant:
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Limits:
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15000.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Configuration:
+    version: int
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...]
+    limits: _Limits = _Limits()
+    tenants: tuple[_Tenant, ...] | None = None
+
+
+_DECODER = msgspec.json.Decoder(_Configuration)
+
+
+def decode(content: bytes) -> model.Catalog:
+    """Returns the catalog in the operator's configuration row.
+
+    Raises:
+        ConfigurationError: the content is no configuration.
+    """
+    try:
+        found = _DECODER.decode(content)
+    except msgspec.MsgspecError as error:
+        raise ConfigurationError(str(error)) from error
+    accounts = None
+    if found.tenants is not None:
+        accounts = types.MappingProxyType(
+            {
+                key: model.Account(name=tenant.name, priority=tenant.priority)
+                for tenant in found.tenants
+                for key in tenant.api_keys
+            }
+        )
+    return model.Catalog(
+        version=found.version,
+        routes=model.index_routes(map(_convert_route, found.routes)),
+        services=types.MappingProxyType(
+            {
+                service.name: _convert_service(service)
+                for service in found.services
+            }
+        ),
+        accounts=accounts,
+        bounds=model.CallerBounds(
+            head_size=found.limits.max_header_bytes,
+            body_size=found.limits.max_body_bytes,
+            head_timeout=_milliseconds(found.limits.header_timeout_ms),
+            idle_timeout=_milliseconds(found.limits.idle_timeout_ms),
+        ),
+    )
+
+
+def _convert_route(route: _Route) -> model.Route:
+    targets = tuple(
+        model.Target(service=split.service, weight=split.weight)
+        for split in route.traffic_split
+    )
+    if not targets:
+        targets = (model.Target(service=route.service, weight=1.0),)
+    gap = route.target_gap_ms
+    return model.Route(
+        name=route.name,
+        host=route.host,
+        prefix=route.prefix,
+        repeat=_convert_kind(route),
+        timeout=_milliseconds(route.timeout_ms),
+        first_byte_target=_milliseconds(route.target_latency_ms),
+        gap_target=None if gap is None else _milliseconds(gap),
+        attempts=max(1, route.max_attempts),
+        priority=route.priority,
+        public=route.public,
+        targets=targets,
+    )
+
+
+def _convert_kind(route: _Route) -> model.Repeat:
+    """Returns what may be repeated; an unknown kind may not be."""
+    match route.kind, route.resumable:
+        case "stream", True:
+            return model.Repeat.STREAM_RESUMABLE
+        case "stream", False:
+            return model.Repeat.STREAM_ONCE
+        case "safe", _:
+            return model.Repeat.SAFE
+        case _:
+            return model.Repeat.ONCE
+
+
+def _convert_service(service: _Service) -> model.Service:
+    engine = service.engine
+    return model.Service(
+        name=service.name,
+        connections=service.max_connections,
+        engine=None if engine is None else _convert_engine(engine),
+    )
+
+
+def _convert_engine(engine: _Engine) -> model.Engine:
+    return model.Engine(
+        models=tuple(
+            model.ModelSpec(
+                name=spec.name,
+                size=spec.size,
+                share=spec.share,
+                pace=spec.pace,
+                load_time=datetime.timedelta(seconds=spec.load_s),
+                warm_time=datetime.timedelta(seconds=spec.warm_s),
+            )
+            for spec in engine.models
+        ),
+        slots=engine.slots,
+        step_ms=engine.step_ms,
+        per_request_ms=engine.per_seq_ms,
+        per_context_ms=engine.context_per_k,
+        read_per_ms=engine.read_per_s / 1000.0,
+        stride=engine.stride,
+        loads_per_second=engine.loads_per_s,
+        loads_at_once=engine.loads_at_once,
+        form_time=_milliseconds(engine.form_ms),
+        usual_prompt=int(engine.usual.prompt),
+        usual_answer=int(engine.usual.answer),
+    )
+
+
+def _milliseconds(value: float) -> datetime.timedelta:
+    return datetime.timedelta(milliseconds=value)
--- /dev/null
+++ b/arbutuscove/platform/engine.py
@@ -0,0 +1,132 @@
+"""Orders to model servers and reports from them."""
+
+import dataclasses
+import datetime
+import typing
+
+import eliot
+import msgspec
+
+from arbutuscove.fleet import model
+from arbutuscove.fleet import orders
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.platform import entries
+from arbutuscove.platform import headers
+from arbutuscove.storage import http
+from arbutuscove.transport import connection
+from arbutuscove.transport import pool
+
+CALL_TIMEOUT = datetime.timedelta(milliseconds=800)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Report:
+    sequence: int  # orders accepted since the start
+    group: entries.Group | None = None
+    pace: float = 1.0
+
+
+class EngineOrders:
+    """Sends orders over HTTP."""
+
+    def __init__(
+        self, connections: pool.ConnectionPool, clock: clock_module.Clock
+    ) -> None:
+        self._connections = connections
+        self._clock = clock
+
+    def send(
+        self, order: orders.Order, fence: int, accepted: int
+    ) -> orders.Outcome:
+        """Sends one order, for a VM that accepted so many before."""
+        body = {
+            **_encode(order),
+            "fence": fence,
+            "expected_revision": accepted,
+        }
+        try:
+            status = self._call(
+                order.vm, "POST", "/order", msgspec.json.encode(body)
+            )[0]
+        except http.RefusedError:
+            return orders.Outcome.ABSENT
+        except http.HttpError:
+            return orders.Outcome.UNKNOWN
+        return _OUTCOMES.get(status, orders.Outcome.REFUSED)
+
+    def read_status(self, vm: model.Vm) -> orders.Status | None:
+        """Returns what the VM says of itself, None without an answer."""
+        try:
+            status, answer = self._call(vm, "GET", "/report", b"")
+            if status != 200:
+                return None
+            report = msgspec.json.decode(answer, type=_Report)
+            membership = entries.convert_group(report.group)
+        except (http.HttpError, msgspec.MsgspecError, ValueError) as error:
+            eliot.log_message("fleet:no_status", vm=vm.name, reason=str(error))
+            return None
+        return orders.Status(
+            accepted=report.sequence, membership=membership, pace=report.pace
+        )
+
+    def _call(
+        self, vm: model.Vm, method: str, target: str, body: bytes
+    ) -> tuple[int, bytes]:
+        deadline = self._clock.monotonic() + CALL_TIMEOUT
+        fields = [
+            ("Host", str(vm.address)),
+            (headers.EXPECT_INSTANCE, vm.name),
+        ]
+        if body:
+            fields.append(("Content-Type", "application/json"))
+        used = self._connections.take(vm.address)
+        try:
+            data = connection.encode_request(method, target, fields, body)
+            used.send(method, data)
+            parser = used.receive(deadline - self._clock.monotonic())
+            while not parser.ended():
+                parser = used.receive(deadline - self._clock.monotonic())
+        except BaseException:
+            used.close()
+            raise
+        self._connections.give(used, pool.read_stated_idle(parser))
+        return parser.get_code(), parser.take_body()
+
+
+_OUTCOMES = {
+    200: orders.Outcome.HOLDS,
+    202: orders.Outcome.ACCEPTED,
+    409: orders.Outcome.UNFIT,
+    412: orders.Outcome.FENCED,
+    421: orders.Outcome.ANOTHER_VM,
+}
+
+
+def _encode(order: orders.Order) -> dict[str, typing.Any]:
+    match order:
+        case orders.Join():
+            return {
+                "operation": "join",
+                "group": order.group,
+                "epoch": order.epoch,
+                "model": order.model,
+                "members": order.members,
+            }
+        case orders.Open():
+            return _name("open", order)
+        case orders.Close():
+            return {**_name("close", order), "close_mode": "wait"}
+        case orders.Leave():
+            return _name("leave", order)
+        case orders.Stage():
+            return {"operation": "stage", "model": order.model}
+
+
+def _name(
+    operation: str, order: orders.Open | orders.Close | orders.Leave
+) -> dict[str, typing.Any]:
+    return {
+        "operation": operation,
+        "group": order.group,
+        "epoch": order.epoch,
+    }
--- /dev/null
+++ b/arbutuscove/relay/__init__.py
@@ -0,0 +1,1 @@
+"""The path of one request through this daemon."""
--- /dev/null
+++ b/arbutuscove/relay/backends.py
@@ -0,0 +1,134 @@
+"""What this daemon knows of the backends it sends requests to.
+
+A group whose member died takes requests on and moves nothing. It is told by
+silence: while requests of this daemon run there, no byte arrived on any of
+them for longer than groups pause. Such a *stalled* backend gets no new
+requests until it moves again or a time has passed in which it would have
+broken; peers that say the same are believed.
+"""
+
+import dataclasses
+import datetime
+from collections import abc
+
+import eliot
+
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.relay import model
+
+# A loaded group sends an event each 50 to 150 ms.
+STALL_AFTER = datetime.timedelta(milliseconds=450)
+# A group that stands still is broken after this time, as its engine says.
+STALL_MEMORY = datetime.timedelta(seconds=7)
+# A backend that failed requests is passed over for a while, which doubles.
+REST_SHORTEST = datetime.timedelta(milliseconds=500)
+REST_LONGEST = datetime.timedelta(seconds=4)
+GAP_WEIGHT = 0.15  # of a new pause in the moving mean
+
+
+@dataclasses.dataclass(slots=True)
+class State:
+    """What is known of one backend; times are monotonic."""
+
+    running: int = 0
+    moved: datetime.timedelta = datetime.timedelta()
+    stalled_until: datetime.timedelta | None = None
+    gap: float = 0.0  # mean pause between events, in seconds
+    failures: int = 0
+    rest_until: datetime.timedelta = datetime.timedelta()
+
+
+class BackendStates(abc.Mapping[model.BackendKey, State]):
+    """The states of all backends by key."""
+
+    def __init__(self, clock: clock_module.Clock) -> None:
+        self._clock = clock
+        self._states: dict[model.BackendKey, State] = {}
+
+    def __getitem__(self, key: model.BackendKey) -> State:
+        state = self._states.get(key)
+        if state is None:
+            state = self._states[key] = State()
+        return state
+
+    def __iter__(self) -> abc.Iterator[model.BackendKey]:
+        return iter(self._states)
+
+    def __len__(self) -> int:
+        return len(self._states)
+
+    def retain(self, keys: abc.Set[model.BackendKey]) -> None:
+        """Forgets idle backends that are listed no more."""
+        for key in list(self._states):
+            if key not in keys and not self._states[key].running:
+                del self._states[key]
+
+    def begin(self, key: model.BackendKey) -> None:
+        """Counts a request that is sent to a backend."""
+        state = self[key]
+        if state.running == 0:
+            state.moved = self._clock.monotonic()
+        state.running += 1
+
+    def end(self, key: model.BackendKey) -> None:
+        """Counts the end of a request."""
+        state = self[key]
+        state.running = max(0, state.running - 1)
+
+    def note_bytes(
+        self, key: model.BackendKey, pause: datetime.timedelta | None
+    ) -> None:
+        """Notes that bytes arrived; `pause` is the time between two events."""
+        state = self[key]
+        state.moved = self._clock.monotonic()
+        state.failures = 0
+        if state.stalled_until is not None:
+            state.stalled_until = None
+            eliot.log_message("backend:moves_again", backend=key[0])
+        if pause is not None:
+            seconds = pause.total_seconds()
+            state.gap += GAP_WEIGHT * (seconds - state.gap)
+
+    def note_failure(self, key: model.BackendKey) -> None:
+        """Notes a request that the backend failed; it rests for a while."""
+        state = self[key]
+        rest = min(REST_SHORTEST * 2**state.failures, REST_LONGEST)
+        state.failures = min(state.failures + 1, 8)
+        state.rest_until = self._clock.monotonic() + rest
+
+    def silent_for(self, key: model.BackendKey) -> datetime.timedelta:
+        """Returns how long no request here received a byte."""
+        return self._clock.monotonic() - self[key].moved
+
+    def suspect(self, key: model.BackendKey, source: str) -> bool:
+        """Marks a backend as stalled; returns whether that is news."""
+        state = self[key]
+        now = self._clock.monotonic()
+        if state.stalled_until is not None and now < state.stalled_until:
+            return False
+        state.stalled_until = now + STALL_MEMORY
+        eliot.log_message(
+            "backend:stalled",
+            backend=key[0],
+            epoch=key[1],
+            source=source,
+            silent=(now - state.moved).total_seconds(),
+            running=state.running,
+        )
+        return True
+
+    def is_stalled(self, key: model.BackendKey) -> bool:
+        """Returns whether a backend is marked as stalled."""
+        state = self._states.get(key)
+        if state is None or state.stalled_until is None:
+            return False
+        return self._clock.monotonic() < state.stalled_until
+
+    def list_stalled(self) -> list[model.BackendKey]:
+        """Returns the backends marked as stalled."""
+        return [key for key in self._states if self.is_stalled(key)]
+
+    def rests(self, key: model.BackendKey) -> bool:
+        """Returns whether a backend failed requests a moment ago."""
+        state = self._states.get(key)
+        return state is not None and self._clock.monotonic() < state.rest_until
--- /dev/null
+++ b/arbutuscove/relay/waiting.py
@@ -0,0 +1,364 @@
+"""Requests that wait in this daemon for a place at a backend.
+
+Work waits here and not in the engines, so that urgent requests never stand
+behind admitted ones and engines keep the pace that makes streams on time.
+Each service and model has a queue of its own; its order, and what is refused
+at once because it cannot be served in time, is `admission.queue`'s to decide.
+"""
+
+import collections
+import dataclasses
+import datetime
+import functools
+import random
+from collections import abc
+
+import eliot
+from gevent import event
+
+from arbutuscove.admission import queue as queue_module
+from arbutuscove.admission import work as work_module
+from arbutuscove.catalog import holder as catalog_holder
+from arbutuscove.config import model as config_model
+from arbutuscove.fleet import inventory as inventory_module
+from arbutuscove.fleet import model as fleet_model
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.kernel import services
+from arbutuscove.relay import backends as backends_module
+from arbutuscove.relay import model
+from arbutuscove.relay import placement
+
+SERVICE_NAME = "waiting"
+PRIORITIES = 10  # priorities that a request may have
+TURN = datetime.timedelta(milliseconds=20)
+# A request that finds no backend at all is refused after this share of its
+# first-byte target; groups form again within seconds, not milliseconds.
+NO_BACKEND_SHARE = 1.0
+# When to come back to a service without any backend.
+NO_BACKEND_RETRY = datetime.timedelta(seconds=1)
+# Work of an answer against a prompt token: decoding is a step for each token.
+ANSWER_WEIGHT = 10
+# Entitlements to the urgent rank are not part of this configuration.
+UNLIMITED = 1e12
+
+PoolKey = tuple[str, str]
+ReadLoads = abc.Callable[[], abc.Mapping[model.BackendKey, int]]
+
+
+@dataclasses.dataclass(slots=True)
+class _Waiter:
+    request: model.Request
+    work: work_module.Work
+    excluded: frozenset[model.BackendKey]
+    pool: PoolKey
+    since: datetime.timedelta
+    place: event.AsyncResult
+
+
+class WaitingRoom(services.LoopService):
+    """Gives requests a place at a backend, in order."""
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        catalog: catalog_holder.CatalogHolder,
+        inventory: inventory_module.Inventory,
+        states: backends_module.BackendStates,
+        read_loads: ReadLoads,
+        generator: random.Random,
+    ) -> None:
+        self._clock = clock
+        self._catalog = catalog
+        self._inventory = inventory
+        self._states = states
+        self._read_loads = read_loads
+        self._generator = generator
+        self._queues: dict[PoolKey, queue_module.WorkQueue] = {}
+        self._waiters: dict[str, _Waiter] = {}
+        self._backends: dict[PoolKey, list[model.Backend]] = {}
+        self._revision = -1
+        self._number = 0
+        self._busy = event.Event()
+
+    def start(self, kernel: services.Kernel) -> None:
+        """Begins to look after waiting requests."""
+        self.run_loop(self._run)
+
+    def acquire(
+        self,
+        request: model.Request,
+        service: str,
+        excluded: frozenset[model.BackendKey] = frozenset(),
+    ) -> model.Backend:
+        """Returns a backend with a place for the request.
+
+        The place must be given back with `release`.
+
+        Raises:
+            RefusedError: the request cannot be served in time.
+        """
+        pool = (service, request.model)
+        queue = self._queues.get(pool)
+        if queue is None:
+            queue = self._queues[pool] = queue_module.WorkQueue()
+        waiter = self._create_waiter(request, excluded, pool)
+        now = self._clock.monotonic()
+        refusal = queue.push(waiter.work, now)
+        if refusal is not None:
+            raise model.RefusedError(_convert(refusal))
+        self._waiters[waiter.work.request_id] = waiter
+        try:
+            self._dispatch(pool)
+            self._busy.set()
+            return waiter.place.get()
+        except BaseException:
+            self._withdraw(waiter)
+            raise
+        finally:
+            self._waiters.pop(waiter.work.request_id, None)
+
+    def release(
+        self,
+        request: model.Request,
+        service: str,
+        backend: model.Backend,
+        tokens: int,
+        duration: datetime.timedelta,
+    ) -> None:
+        """Gives a place back.
+
+        Args:
+            request: the request that had it.
+            service: the service it was acquired for.
+            backend: where it ran.
+            tokens: tokens answered; 0 if the request did not run to its end.
+            duration: time since the place was given.
+        """
+        self._states.end(backend.key)
+        pool = (service, request.model)
+        queue = self._queues[pool]
+        work = self._create_work(request, "")
+        queue.finish(work, work.tokens if tokens else 0, duration)
+        self._dispatch(pool)
+
+    def list_backends(self, pool: PoolKey) -> list[model.Backend]:
+        """Returns the backends of a service and model that take requests."""
+        vms = self._inventory.vms()
+        if self._revision != self._inventory.revision:
+            self._revision = self._inventory.revision
+            self._backends = find_backends(vms)
+            found = {b.key for some in self._backends.values() for b in some}
+            self._states.retain(found)
+        return self._backends.get(pool, [])
+
+    def _create_waiter(
+        self,
+        request: model.Request,
+        excluded: frozenset[model.BackendKey],
+        pool: PoolKey,
+    ) -> _Waiter:
+        self._number += 1
+        work = self._create_work(
+            request, f"{request.request_id}#{self._number}"
+        )
+        if excluded:
+            names = frozenset(name for name, _ in excluded)
+            work = dataclasses.replace(work, excluded=names)
+        return _Waiter(
+            request=request,
+            work=work,
+            excluded=excluded,
+            pool=pool,
+            since=self._clock.monotonic(),
+            place=event.AsyncResult(),
+        )
+
+    def _create_work(
+        self, request: model.Request, request_id: str
+    ) -> work_module.Work:
+        target = request.route.first_byte_target
+        service = _create_service(target)
+        account = "" if request.account is None else request.account.name
+        answer = request.answer_tokens * ANSWER_WEIGHT
+        priority = min(max(request.priority, 0), PRIORITIES - 1)
+        return work_module.Work(
+            request_id=request_id,
+            service=service,
+            account=_create_account(account),
+            rank=service.ranks[priority],
+            tokens=max(1, request.prompt_tokens + answer),
+            arrived=request.arrived,
+            deadline=request.deadline,
+        )
+
+    def _dispatch(self, pool: PoolKey) -> None:
+        """Gives free places of one service and model to waiting requests."""
+        queue = self._queues[pool]
+        if not len(queue):
+            return
+        now = self._clock.monotonic()
+        candidates = self._list_candidates(pool)
+        blocked: set[int] = set()
+        blocked_accounts: set[tuple[int, str]] = set()
+        while True:
+            chosen = queue.select(now, None, blocked, blocked_accounts)
+            if chosen is None:
+                return
+            work = chosen.work
+            waiter = self._waiters[work.request_id]
+            found = self._choose(candidates, waiter)
+            if found is not None:
+                queue.take(work.request_id, now)
+                self._states.begin(found.backend.key)
+                position = candidates.index(found)
+                candidates[position] = dataclasses.replace(
+                    found, running=found.running + 1
+                )
+                waiter.place.set(found.backend)
+            elif waiter.excluded:
+                blocked_accounts.add((work.rank.priority, work.account.name))
+            else:
+                blocked.add(work.rank.priority)
+
+    def _choose(
+        self, candidates: list[placement.Candidate], waiter: _Waiter
+    ) -> placement.Candidate | None:
+        catalog = self._catalog.current()
+        service = None
+        if catalog is not None:
+            service = catalog.services.get(waiter.pool[0])
+        engine = None if service is None else service.engine
+        return placement.choose(
+            candidates,
+            waiter.excluded,
+            1.0 if engine is None else engine.step_ms,
+            1.0 if engine is None else engine.per_request_ms,
+            self._generator,
+        )
+
+    def _list_candidates(self, pool: PoolKey) -> list[placement.Candidate]:
+        loads = self._read_loads()
+        return [
+            placement.Candidate(
+                backend=backend,
+                running=self._states[backend.key].running
+                + loads.get(backend.key, 0),
+                slowness=1.0,
+                avoided=self._states.rests(backend.key),
+            )
+            for backend in self.list_backends(pool)
+            if not self._states.is_stalled(backend.key)
+        ]
+
+    def _withdraw(self, waiter: _Waiter) -> None:
+        if self._queues[waiter.pool].withdraw(waiter.work.request_id):
+            return
+        if waiter.place.ready() and waiter.place.successful():
+            # The place came in the same moment as the error.
+            backend = waiter.place.get()
+            self.release(
+                waiter.request,
+                waiter.pool[0],
+                backend,
+                0,
+                datetime.timedelta(),
+            )
+
+    def _run(self) -> None:
+        while True:
+            self._busy.wait()
+            self._clock.sleep(TURN)
+            for pool, queue in self._queues.items():
+                if len(queue):
+                    self._dispatch(pool)
+                    self._give_up(pool, queue)
+            if not self._waiters:
+                self._busy.clear()
+
+    def _give_up(self, pool: PoolKey, queue: queue_module.WorkQueue) -> None:
+        now = self._clock.monotonic()
+        for refused in queue.give_up(now):
+            waiter = self._waiters.get(refused.work.request_id)
+            if waiter is not None:
+                waiter.place.set_exception(
+                    model.RefusedError(_convert(refused.refusal))
+                )
+        if self._list_candidates(pool):
+            return
+        for waiter in list(self._waiters.values()):
+            target = waiter.request.route.first_byte_target * NO_BACKEND_SHARE
+            if waiter.pool != pool or now - waiter.since < target:
+                continue
+            if queue.withdraw(waiter.work.request_id):
+                refusal = model.Refusal(
+                    status=503,
+                    code="no_backend",
+                    not_run=True,
+                    retry_after=NO_BACKEND_RETRY,
+                )
+                waiter.place.set_exception(model.RefusedError(refusal))
+
+
+def find_backends(
+    vms: abc.Iterable[fleet_model.Vm],
+) -> dict[PoolKey, list[model.Backend]]:
+    """Returns the backends that take requests, by service and model."""
+    grouped: list[fleet_model.Vm] = []
+    found: dict[PoolKey, list[model.Backend]] = collections.defaultdict(list)
+    for vm in vms:
+        if vm.membership is not None:
+            grouped.append(vm)
+        elif not vm.leaving and not vm.fabric_domain:
+            backend = model.Backend(
+                key=(vm.name, vm.born), vm=vm, model="", slots=vm.slots
+            )
+            found[(vm.service, "")].append(backend)
+    for group in fleet_model.list_groups(grouped).values():
+        head = group.head
+        if head is None or not group.open():
+            continue
+        if any(vm.leaving for vm in group.members):
+            continue
+        backend = model.Backend(
+            key=group.key, vm=head, model=group.model, slots=head.slots
+        )
+        found[(head.service, group.model)].append(backend)
+    return found
+
+
+@functools.lru_cache(maxsize=64)
+def _create_service(target: datetime.timedelta) -> config_model.Service:
+    ranks = tuple(
+        config_model.Rank(
+            name=str(priority),
+            priority=priority,
+            worth=1.0,
+            first_token_target=target,
+            floor_share=0.0,
+        )
+        for priority in range(PRIORITIES)
+    )
+    return config_model.Service(
+        name="",
+        team="",
+        ranks=ranks,
+        accounts=(),
+        limits=config_model.Limits(accelerators=0),
+    )
+
+
+@functools.lru_cache(maxsize=1024)
+def _create_account(name: str) -> config_model.Account:
+    return config_model.Account(
+        name=name, key_digests=(), urgent_tokens_per_second=UNLIMITED
+    )
+
+
+def _convert(refusal: work_module.Refusal) -> model.Refusal:
+    eliot.log_message("waiting:refused", code=refusal.code)
+    return model.Refusal(
+        status=refusal.status,
+        code=refusal.code,
+        not_run=True,
+        retry_after=refusal.retry_after,
+    )
--- a/arbutuscove/replicas/assignment.py
+++ b/arbutuscove/replicas/assignment.py
@@ -12,10 +12,10 @@
 
 import msgspec
 
-from arbutuscove.storage import inventory
-from arbutuscove.storage import table
 from arbutuscove.replicas import formation
 from arbutuscove.replicas import model
+from arbutuscove.storage import inventory
+from arbutuscove.storage import table
 from arbutuscove.upstreams import protocol
 
 
--- a/arbutuscove/replicas/board.py
+++ b/arbutuscove/replicas/board.py
@@ -19,9 +19,9 @@
 from arbutuscove.membership import service as membership_service
 from arbutuscove.peers import client as peer_client
 from arbutuscove.peers import peer_pb2
-from arbutuscove.storage import inventory as inventory_module
 from arbutuscove.replicas import model
 from arbutuscove.replicas import sharing
+from arbutuscove.storage import inventory as inventory_module
 from arbutuscove.upstreams import errors
 from arbutuscove.upstreams import pool
 
--- a/arbutuscove/replicas/controller.py
+++ b/arbutuscove/replicas/controller.py
@@ -22,7 +22,6 @@
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
 from arbutuscove.leases import holder
-from arbutuscove.storage import table as table_module
 from arbutuscove.replicas import assignment
 from arbutuscove.replicas import board as board_module
 from arbutuscove.replicas import directory as directory_module
@@ -32,6 +31,7 @@
 from arbutuscove.replicas import serving
 from arbutuscove.replicas import trust
 from arbutuscove.replicas import worth
+from arbutuscove.storage import table as table_module
 from arbutuscove.upstreams import errors
 from arbutuscove.upstreams import pool
 from arbutuscove.upstreams import protocol
--- a/arbutuscove/replicas/directory.py
+++ b/arbutuscove/replicas/directory.py
@@ -20,10 +20,10 @@
 from arbutuscove.kernel import services
 from arbutuscove.peers import client as peer_client
 from arbutuscove.peers import peer_pb2
-from arbutuscove.storage import table as table_module
 from arbutuscove.replicas import board as board_module
 from arbutuscove.replicas import model
 from arbutuscove.replicas import serving as serving_module
+from arbutuscove.storage import table as table_module
 
 SERVICE_NAME = "replicas"
 ROWS_INTERVAL = datetime.timedelta(seconds=1)
--- a/arbutuscove/replicas/formation.py
+++ b/arbutuscove/replicas/formation.py
@@ -22,10 +22,10 @@
 from collections import abc
 
 from arbutuscove.config import model as config_model
-from arbutuscove.storage import inventory
 from arbutuscove.replicas import model
 from arbutuscove.replicas import serving
 from arbutuscove.replicas import worth
+from arbutuscove.storage import inventory
 from arbutuscove.upstreams import protocol
 
 LOST_AFTER = datetime.timedelta(seconds=5)  # without a status from a member
--- a/arbutuscove/replicas/serving.py
+++ b/arbutuscove/replicas/serving.py
@@ -10,8 +10,8 @@
 import datetime
 from collections import abc
 
-from arbutuscove.storage import inventory
 from arbutuscove.replicas import model
+from arbutuscove.storage import inventory
 from arbutuscove.upstreams import protocol
 
 FRESH_FOR = datetime.timedelta(seconds=3)  # bound on work to a leaving VM
--- a/arbutuscove/replicas/tests/test_directory.py
+++ b/arbutuscove/replicas/tests/test_directory.py
@@ -6,12 +6,12 @@
 import pytest
 
 from arbutuscove.kernel import clock as clock_module
-from arbutuscove.storage import inventory
-from arbutuscove.storage import table as table_module
 from arbutuscove.replicas import directory as directory_module
 from arbutuscove.replicas import model
 from arbutuscove.standins import faulty
 from arbutuscove.standins import table as table_standin
+from arbutuscove.storage import inventory
+from arbutuscove.storage import table as table_module
 from arbutuscove.upstreams import protocol
 
 SECOND = datetime.timedelta(seconds=1)
--- a/arbutuscove/replicas/tests/test_drains.py
+++ b/arbutuscove/replicas/tests/test_drains.py
@@ -1,9 +1,9 @@
 """Guards against drained VMs that get work, and drains that are forgotten."""
 
 from arbutuscove.kernel import clock as clock_module
-from arbutuscove.storage import table as table_module
 from arbutuscove.replicas import drains
 from arbutuscove.standins import table as table_standin
+from arbutuscove.storage import table as table_module
 
 
 class _Table(table_standin.MemoryTable):
--- a/arbutuscove/replicas/tests/test_serving.py
+++ b/arbutuscove/replicas/tests/test_serving.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from arbutuscove.storage import inventory
 from arbutuscove.replicas import model
 from arbutuscove.replicas import serving
+from arbutuscove.storage import inventory
 from arbutuscove.upstreams import protocol
 
 NAMES = ("vm-0", "vm-1")
--- a/arbutuscove/replicas/tests/test_sharing.py
+++ b/arbutuscove/replicas/tests/test_sharing.py
@@ -8,11 +8,11 @@
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.membership import swim
 from arbutuscove.peers import client as peer_client
-from arbutuscove.storage import inventory
 from arbutuscove.replicas import board as board_module
 from arbutuscove.replicas import model
 from arbutuscove.replicas import serving
 from arbutuscove.replicas import sharing
+from arbutuscove.storage import inventory
 from arbutuscove.upstreams import errors
 from arbutuscove.upstreams import protocol
 
--- a/arbutuscove/replicas/tests/world.py
+++ b/arbutuscove/replicas/tests/world.py
@@ -5,10 +5,10 @@
 
 from arbutuscove.config import model as config_model
 from arbutuscove.kernel import clock as clock_module
-from arbutuscove.storage import inventory
 from arbutuscove.replicas import model
 from arbutuscove.standins import fleet as fleet_module
 from arbutuscove.standins import table as table_standin
+from arbutuscove.storage import inventory
 
 ACCELERATORS = 4  # of each VM
 
--- a/arbutuscove/requests/answers.py
+++ b/arbutuscove/requests/answers.py
@@ -15,8 +15,8 @@
 import gevent
 
 from arbutuscove.kernel import clock as clock_module
-from arbutuscove.storage import http
 from arbutuscove.requests import attempts
+from arbutuscove.storage import http
 from arbutuscove.upstreams import engine
 from arbutuscove.upstreams import errors
 from arbutuscove.upstreams import protocol
--- a/arbutuscove/requests/claims.py
+++ b/arbutuscove/requests/claims.py
@@ -15,8 +15,8 @@
 import msgspec
 
 from arbutuscove.kernel import clock as clock_module
-from arbutuscove.storage import table as table_module
 from arbutuscove.requests import breaker
+from arbutuscove.storage import table as table_module
 
 PREFIX = "claim/"
 
--- a/arbutuscove/requests/once.py
+++ b/arbutuscove/requests/once.py
@@ -6,9 +6,9 @@
 
 from arbutuscove.admission import work as work_module
 from arbutuscove.kernel import services
-from arbutuscove.storage import objects as objects_module
 from arbutuscove.requests import claims as claims_module
 from arbutuscove.requests import failures
+from arbutuscove.storage import objects as objects_module
 
 SERVICE_NAME = "once"
 ANSWER_PREFIX = "answers/"
--- a/arbutuscove/requests/suspects.py
+++ b/arbutuscove/requests/suspects.py
@@ -23,9 +23,9 @@
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
 from arbutuscove.peers import peer_pb2
-from arbutuscove.storage import table as table_module
 from arbutuscove.replicas import model as replica_model
 from arbutuscove.requests import quarantine
+from arbutuscove.storage import table as table_module
 from arbutuscove.upstreams import errors
 from arbutuscove.upstreams import protocol
 
--- a/arbutuscove/requests/tests/test_claims.py
+++ b/arbutuscove/requests/tests/test_claims.py
@@ -8,13 +8,13 @@
 from hypothesis import strategies
 
 from arbutuscove.kernel import clock as clock_module
-from arbutuscove.storage import objects as objects_module
-from arbutuscove.storage import table as table_module
 from arbutuscove.requests import claims
 from arbutuscove.requests import failures
 from arbutuscove.requests import once
 from arbutuscove.standins import faulty
 from arbutuscove.standins import table as table_standin
+from arbutuscove.storage import objects as objects_module
+from arbutuscove.storage import table as table_module
 
 DAEMONS = 3
 Fate = faulty.Fate
--- a/arbutuscove/standins/__main__.py
+++ b/arbutuscove/standins/__main__.py
@@ -10,8 +10,6 @@
 import click  # noqa: E402
 import msgspec  # noqa: E402
 
-from arbutuscove.storage import http  # noqa: E402
-from arbutuscove.storage import inventory as inventory_module  # noqa: E402
 from arbutuscove.standins import engine as engine_module  # noqa: E402
 from arbutuscove.standins import forwarder as forwarder_module  # noqa: E402
 from arbutuscove.standins import inventory as inventory_standin  # noqa: E402
@@ -20,6 +18,8 @@
 from arbutuscove.standins import server  # noqa: E402
 from arbutuscove.standins import table as table_module  # noqa: E402
 from arbutuscove.standins import weights as weights_module  # noqa: E402
+from arbutuscove.storage import http  # noqa: E402
+from arbutuscove.storage import inventory as inventory_module  # noqa: E402
 
 RECORD_TYPE = click.Path(path_type=pathlib.Path)
 
--- a/arbutuscove/standins/demo.py
+++ b/arbutuscove/standins/demo.py
@@ -17,10 +17,10 @@
 
 from arbutuscove.config import acceptance  # noqa: E402
 from arbutuscove.entry import headers  # noqa: E402
-from arbutuscove.storage import http  # noqa: E402
 from arbutuscove.questionnaire import answers as answers_module  # noqa: E402
 from arbutuscove.questionnaire import generation  # noqa: E402
 from arbutuscove.standins import cluster as cluster_module  # noqa: E402
+from arbutuscove.storage import http  # noqa: E402
 
 EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
 API_KEY = "demo-key"
--- a/arbutuscove/standins/engine.py
+++ b/arbutuscove/standins/engine.py
@@ -21,8 +21,8 @@
 from gevent import event
 from werkzeug import wrappers
 
-from arbutuscove.storage import http
 from arbutuscove.standins import server
+from arbutuscove.storage import http
 from arbutuscove.upstreams import protocol
 
 DETACH_TIMEOUT = 10.0  # seconds a stream runs on without a reader
--- a/arbutuscove/standins/faulty.py
+++ b/arbutuscove/standins/faulty.py
@@ -11,8 +11,8 @@
 
 import greenlet
 
-from arbutuscove.storage import table as table_module
 from arbutuscove.standins import table as table_standin
+from arbutuscove.storage import table as table_module
 
 
 class Fate(enum.StrEnum):
--- a/arbutuscove/standins/fleet.py
+++ b/arbutuscove/standins/fleet.py
@@ -19,12 +19,12 @@
 from arbutuscove.leases import holder
 from arbutuscove.membership import swim
 from arbutuscove.peers import client
-from arbutuscove.storage import inventory
-from arbutuscove.storage import table as table_module
 from arbutuscove.replicas import board
 from arbutuscove.replicas import controller
 from arbutuscove.replicas import directory
 from arbutuscove.standins import table as table_standin
+from arbutuscove.storage import inventory
+from arbutuscove.storage import table as table_module
 from arbutuscove.upstreams import errors
 from arbutuscove.upstreams import protocol
 
--- a/arbutuscove/standins/forwarder.py
+++ b/arbutuscove/standins/forwarder.py
@@ -16,8 +16,8 @@
 from gevent import server as gevent_server
 from werkzeug import wrappers
 
-from arbutuscove.storage import http
 from arbutuscove.standins import server
+from arbutuscove.storage import http
 
 READ_SIZE = 65536  # bytes
 CONNECT_TIMEOUT = 2.0  # seconds
--- a/arbutuscove/standins/inventory.py
+++ b/arbutuscove/standins/inventory.py
@@ -3,8 +3,8 @@
 import msgspec
 from werkzeug import wrappers
 
-from arbutuscove.storage import inventory
 from arbutuscove.standins import server
+from arbutuscove.storage import inventory
 
 
 class InventoryStandin:
--- a/arbutuscove/standins/table.py
+++ b/arbutuscove/standins/table.py
@@ -16,8 +16,8 @@
 import sortedcontainers
 from werkzeug import wrappers
 
-from arbutuscove.storage import table
 from arbutuscove.standins import server
+from arbutuscove.storage import table
 
 WRITES_PER_SECOND = 300
 READS_PER_SECOND = 2000
--- a/arbutuscove/standins/tests/scene.py
+++ b/arbutuscove/standins/tests/scene.py
@@ -15,12 +15,12 @@
 
 from arbutuscove.config import acceptance
 from arbutuscove.entry import headers
-from arbutuscove.storage import http as platform_http
 from arbutuscove.questionnaire import answers
 from arbutuscove.questionnaire import generation
 from arbutuscove.standins import cluster as cluster_module
 from arbutuscove.standins import demo
 from arbutuscove.standins import engine
+from arbutuscove.storage import http as platform_http
 
 CALL_SECONDS = 60.0  # bound on one read of a caller
 TOKENS = 16
--- a/arbutuscove/standins/tests/test_daemon_failures.py
+++ b/arbutuscove/standins/tests/test_daemon_failures.py
@@ -5,10 +5,10 @@
 import gevent
 
 from arbutuscove.entry import headers
-from arbutuscove.storage import http
 from arbutuscove.standins import cluster as cluster_module
 from arbutuscove.standins import forwarder
 from arbutuscove.standins.tests import scene as scene_module
+from arbutuscove.storage import http
 
 
 def test_daemon_dies_mid_stream_and_caller_resumes_elsewhere(scene):
--- a/arbutuscove/standins/tests/test_forwarder.py
+++ b/arbutuscove/standins/tests/test_forwarder.py
@@ -7,9 +7,9 @@
 import pytest
 from gevent import server as gevent_server
 
-from arbutuscove.storage import http
 from arbutuscove.standins import cluster
 from arbutuscove.standins import forwarder
+from arbutuscove.storage import http
 
 
 @pytest.fixture
--- a/arbutuscove/standins/tests/test_platform_failures.py
+++ b/arbutuscove/standins/tests/test_platform_failures.py
@@ -7,10 +7,10 @@
 import pytest
 
 from arbutuscove.entry import headers
-from arbutuscove.storage import http
 from arbutuscove.standins import cluster as cluster_module
 from arbutuscove.standins import demo
 from arbutuscove.standins.tests import scene as scene_module
+from arbutuscove.storage import http
 
 # A refusal that waits for the table would take its 2 s timeout at least.
 AT_ONCE = 1.0  # seconds
--- a/arbutuscove/storage/tests/test_table.py
+++ b/arbutuscove/storage/tests/test_table.py
@@ -3,8 +3,8 @@
 import pytest
 
 from arbutuscove.kernel import clock as clock_module
-from arbutuscove.storage import table
 from arbutuscove.standins import table as table_standin
+from arbutuscove.storage import table
 
 
 class _Lossy:
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -211,10 +211,10 @@
     ),
     Mutation(
         promise="a lost confirmation is settled by reading back",
-        path="platform/table.py",
+        path="storage/table.py",
         old="row.write_id == transaction.write_id",
         new="False",
-        test="platform/tests/test_table.py::"
+        test="storage/tests/test_table.py::"
         "test_table_commit_settles_lost_confirmation",
     ),
     Mutation(
