Divide VMs among models by the share of the work

Cause: complaint-draft's model (2 VMs a group, share 0.33) got 4 of 14 groups, since the number of groups was taken to follow share times pace; its requests waited 309 ms at the median against a target of 250 ms. Ruled out: slow engines (p50 of the other model 224 ms).

--- a/arbutuscove/fleet/planner.py
+++ b/arbutuscove/fleet/planner.py
@@ -13,7 +13,6 @@
 import collections
 import dataclasses
 import datetime
-import math
 from collections import abc
 
 from arbutuscove.catalog import model as catalog_model
@@ -286,8 +285,8 @@
         return None
 
     def _weigh(self, spec: catalog_model.ModelSpec) -> float:
-        """Returns the work that falls on each group of a model."""
-        return spec.share * spec.pace / (self._counts[spec.name] or 0.01)
+        """Returns the work that falls on each VM of a model's groups."""
+        return spec.share / (spec.size * self._counts[spec.name] or 0.01)
 
     def _form(
         self, spec: catalog_model.ModelSpec, members: list[model.Vm]
@@ -329,14 +328,11 @@
 ) -> abc.Mapping[str, int]:
     """Returns how many groups of each model `count` VMs are divided into.
 
-    The number of groups follows the work, share times pace, so that groups of
-    all models are used alike; each model gets one group at least.
+    A model's share of the work is its share of the VMs, as work is counted in
+    the time of VMs; each model gets one group at least.
     """
-    work = sum(spec.share * spec.pace * spec.size for spec in engine.models)
-    if work <= 0:
-        return {spec.name: 1 for spec in engine.models}
     return {
-        spec.name: max(1, math.ceil(count * spec.share * spec.pace / work))
+        spec.name: max(1, round(count * spec.share / spec.size))
         for spec in engine.models
     }
 
