Ask a silent group's members before passing it over

Cause: a pause of 0.45 s under many resumed prompts was taken for a dead member; whole groups were passed over for 7 s and their streams loaded the others. Plain VMs with one long request were marked the same way. The planner gave places to VMs that had answered nothing a moment before. Ruled out: dead members in the groups concerned (each report came at once). Change: members are asked for a report first; only an absent one, or a silence of 1.4 s, counts. Plain VMs are never marked. Silent VMs are left out of plans for 4 s; groups are examined beside the planning turn.

--- a/arbutuscove/fleet/controller.py
+++ b/arbutuscove/fleet/controller.py
@@ -24,6 +24,8 @@
 
 SERVICE_NAME = "group-controller"
 DUTY = "groups"
+# Pause between two examinations of one group.
+ASK_INTERVAL = datetime.timedelta(milliseconds=400)
 TURN = datetime.timedelta(milliseconds=250)
 # Orders need a list that is not older than this.
 LIST_AGE_LONGEST = datetime.timedelta(seconds=2)
@@ -34,6 +36,9 @@
 UNSEEN_HEAD_WAIT = datetime.timedelta(seconds=12)
 # Attempts to reach a head that left the list before it counts as gone.
 HEAD_ATTEMPTS = 2
+# A VM that gave no answer is not planned with for so long; a dead one leaves
+# the list in that time.
+SILENT_FOR = datetime.timedelta(seconds=4)
 # Token of the first holder ever; no VM has accepted an order before it.
 FIRST_FENCE = 1
 
@@ -67,6 +72,8 @@
             collections.deque()
         )
         self._traffic = False
+        self._silent: dict[str, datetime.timedelta] = {}
+        self._asking: set[tuple[str, int]] = set()
         # Orders accepted by each life of a VM, as far as this holder knows.
         self._accepted: dict[tuple[str, int], int] = {}
         self.sent: collections.Counter[str] = collections.Counter()
@@ -116,18 +123,17 @@
             next_epoch=self._next_epoch,
             loads=self._count_loads(engine, len(vms)),
             stalled=self._read_stalled(),
+            silent=self._list_silent(now),
         )
         memory = self._memories.get(service, planner.Memory())
         plan = planner.plan(situation, memory)
         self._memories[service] = plan.memory
         self._next_epoch = plan.next_epoch
         self._send_all(plan.orders, engine, fence)
-        if plan.unclear:
-            jobs = [
+        for group in plan.unclear:
+            if group.key not in self._asking:
+                self._asking.add(group.key)
                 gevent.spawn(self._clear_up, service, group, fence)
-                for group in plan.unclear
-            ]
-            gevent.joinall(jobs)
 
     def _send_all(
         self,
@@ -190,11 +196,13 @@
         match outcome:
             case orders_module.Outcome.ACCEPTED:
                 self._accepted[life] = accepted + 1
-            case orders_module.Outcome.HOLDS:
-                pass
             case _:
+                # An order that takes effect at once counts, too, and is
+                # answered like one whose state already holds.
                 # The next order asks the VM for its count first.
                 self._accepted.pop(life, None)
+        if outcome == orders_module.Outcome.UNKNOWN:
+            self._silent[vm.name] = self._clock.monotonic()
 
     def _read_list_age(self) -> float | None:
         age = self._inventory.age()
@@ -211,7 +219,22 @@
         allowed = int(engine.loads_per_second * window.total_seconds())
         return min(engine.loads_at_once, allowed - len(self._load_times))
 
+    def _list_silent(self, now: datetime.timedelta) -> frozenset[str]:
+        self._silent = {
+            name: since
+            for name, since in self._silent.items()
+            if now - since < SILENT_FOR
+        }
+        return frozenset(self._silent)
+
     def _clear_up(self, service: str, group: model.Group, fence: int) -> None:
+        try:
+            self._examine(service, group, fence)
+            self._clock.sleep(ASK_INTERVAL)
+        finally:
+            self._asking.discard(group.key)
+
+    def _examine(self, service: str, group: model.Group, fence: int) -> None:
         """Finds out whether a group with a missing part still works."""
         now = self._clock.monotonic()
         since = self._first_seen.setdefault(group.key, now)
@@ -229,11 +252,13 @@
             vm=head, group=group.name, epoch=group.epoch
         )
         outcome = self._send(leave, fence)
-        if outcome in (
-            orders_module.Outcome.ACCEPTED,
-            orders_module.Outcome.HOLDS,
-        ):
-            self._release(service, group.key)
+        match outcome:
+            case orders_module.Outcome.ACCEPTED | orders_module.Outcome.HOLDS:
+                self._release(service, group.key)
+            case orders_module.Outcome.UNKNOWN:
+                self._attempts[group.key] += 1
+            case _:
+                pass
 
     def _answers_whole(self, group: model.Group) -> bool:
         """Returns whether every member says itself that it is in the group."""
@@ -265,7 +290,10 @@
     def _confirm_member(self, vm: model.Vm) -> bool:
         """Returns whether a VM says itself that it is in its group."""
         status = self._group_orders.read_status(vm)
-        held = None if status is None else status.membership
+        if status is None:
+            self._silent[vm.name] = self._clock.monotonic()
+            return False
+        held = status.membership
         if held is None or vm.membership is None:
             return False
         broken = held.state == model.MemberState.BROKEN
@@ -305,11 +333,11 @@
 
     def _release(self, service: str, key: tuple[str, int]) -> None:
         eliot.log_message("groups:released", group=key[0], epoch=key[1])
-        memory = self._memories[service]
+        memory = self._memories.get(service, planner.Memory())
         self._memories[service] = planner.release(memory, key)
 
     def _keep(self, service: str, key: tuple[str, int]) -> None:
-        memory = self._memories[service]
+        memory = self._memories.get(service, planner.Memory())
         self._memories[service] = planner.keep(memory, key)
 
     def _run(self) -> None:
--- a/arbutuscove/fleet/planner.py
+++ b/arbutuscove/fleet/planner.py
@@ -67,7 +67,8 @@
     """What a plan is made from.
 
     `vms` are all listed VMs of the service, leaving ones too. `stalled` are
-    groups that move nothing, seen by the daemons that use them. `next_epoch`
+    groups that move nothing, seen by the daemons that use them; `silent` are
+    VMs that gave no answer a moment ago. `next_epoch`
     is above all epochs given before. `loads` is how many loads from the weight
     store may begin now.
     """
@@ -78,6 +79,7 @@
     next_epoch: int
     loads: int
     stalled: frozenset[tuple[str, int]] = frozenset()
+    silent: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -123,7 +125,7 @@
         for group in self._groups.values():
             self._review(group)
         for vm in self._situation.vms:
-            if vm.membership is None and not vm.leaving:
+            if vm.membership is None:
                 self._offer(vm)
         self._form_groups()
         now = self._situation.now
@@ -155,7 +157,7 @@
         for forming in self._memory.forming:
             spec = self._engine.find_model(forming.model)
             members = [self._by_name.get(name) for name in forming.members]
-            present = [vm for vm in members if vm and not vm.leaving]
+            present = [vm for vm in members if vm and self._is_usable(vm)]
             if spec is None or len(present) < len(forming.members):
                 continue
             longest = spec.load_time * max(1, len(self._situation.vms) // 8)
@@ -230,13 +232,17 @@
         # The head first: an open order to it that is still on its way must
         # find another count of orders before the members go elsewhere.
         for vm in group.members:
-            if not vm.leaving:
-                self._offer(vm)
+            self._offer(vm)
 
     def _offer(self, vm: model.Vm) -> None:
-        if vm.name not in self._claimed and self._may_send(vm):
+        if vm.name in self._claimed or not self._is_usable(vm):
+            return
+        if self._may_send(vm):
             self._free[vm.name] = vm
 
+    def _is_usable(self, vm: model.Vm) -> bool:
+        return not vm.leaving and vm.name not in self._situation.silent
+
     def _may_send(self, vm: model.Vm) -> bool:
         sent = self._memory.sent.get(vm.name)
         if sent is None:
--- a/arbutuscove/gossip/service.py
+++ b/arbutuscove/gossip/service.py
@@ -29,12 +29,15 @@
         clock: clock_module.Clock,
         generator: random.Random,
         read_own: abc.Callable[[digest.Beat], digest.Beat],
+        note_stalled: abc.Callable[[str, tuple[str, int]], None],
     ) -> None:
         self._own = own
         self._port = port
         self._clock = clock
         self._generator = generator
         self._read_own = read_own
+        self._note_stalled = note_stalled
+        self._stalled: dict[str, frozenset[tuple[str, int]]] = {}
         self._table = digest.PeerTable(own.name)
         self._named: set[str] = set()
         self._leaving = False
@@ -150,4 +153,12 @@
                 continue
             now = self._clock.monotonic()
             for beat in (message.sender, *message.others):
-                self._table.take(beat, now)
+                if self._table.take(beat, now):
+                    self._take_stalled(beat)
+
+    def _take_stalled(self, beat: digest.Beat) -> None:
+        """Passes on what a peer newly found stalled."""
+        found = frozenset(beat.stalled)
+        for key in found - self._stalled.get(beat.name, frozenset()):
+            self._note_stalled(beat.name, key)
+        self._stalled[beat.name] = found
--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -10,6 +10,7 @@
 
 from arbutuscove.catalog import holder as catalog_holder
 from arbutuscove.fleet import controller as controller_module
+from arbutuscove.fleet import health
 from arbutuscove.fleet import inventory as inventory_module
 from arbutuscove.gossip import digest
 from arbutuscove.gossip import service as gossip_service
@@ -122,6 +123,9 @@
             and not listener.is_leaving()
         )
 
+    def note_stalled(peer: str, key: relay_model.BackendKey) -> None:
+        states.mark_stalled(key, peer, here=False)
+
     gossip = gossip_service.Gossip(
         digest.Beat(
             name=settings.name,
@@ -138,6 +142,7 @@
         clock,
         generator,
         read_own,
+        note_stalled,
     )
     leases = lease_holder.LeaseHolder(
         identity,
@@ -169,6 +174,7 @@
             found.append(callers)
         return sorted(found)
 
+    group_orders = engine.EngineOrders(connections, clock)
     waiting_room = waiting.WaitingRoom(
         clock, catalog, inventory, states, read_loads, generator
     )
@@ -186,6 +192,9 @@
         ),
         lambda: len(gossip.live()) + 1,
         gossip.tell,
+        lambda backend: health.find_silent_members(
+            inventory, group_orders, backend.key
+        ),
         generator,
     )
     controller = controller_module.GroupController(
@@ -193,7 +202,7 @@
         catalog,
         inventory,
         leases,
-        engine.EngineOrders(connections, clock),
+        group_orders,
         read_stalled,
     )
     listener = listener_module.Listener(
--- a/arbutuscove/platform/engine.py
+++ b/arbutuscove/platform/engine.py
@@ -17,6 +17,8 @@
 from arbutuscove.transport import pool
 
 CALL_TIMEOUT = datetime.timedelta(milliseconds=800)
+# A live server answers a report within some milliseconds.
+REPORT_TIMEOUT = datetime.timedelta(milliseconds=300)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -57,7 +59,9 @@
     def read_status(self, vm: model.Vm) -> orders.Status | None:
         """Returns what the VM says of itself, None without an answer."""
         try:
-            status, answer = self._call(vm, "GET", "/report", b"")
+            status, answer = self._call(
+                vm, "GET", "/report", b"", REPORT_TIMEOUT
+            )
             if status != 200:
                 return None
             report = msgspec.json.decode(answer, type=_Report)
@@ -70,16 +74,21 @@
         )
 
     def _call(
-        self, vm: model.Vm, method: str, target: str, body: bytes
+        self,
+        vm: model.Vm,
+        method: str,
+        target: str,
+        body: bytes,
+        timeout: datetime.timedelta = CALL_TIMEOUT,
     ) -> tuple[int, bytes]:
-        deadline = self._clock.monotonic() + CALL_TIMEOUT
+        deadline = self._clock.monotonic() + timeout
         fields = [
             ("Host", str(vm.address)),
             (headers.EXPECT_INSTANCE, vm.name),
         ]
         if body:
             fields.append(("Content-Type", "application/json"))
-        used = self._connections.take(vm.address)
+        used = self._connections.take(vm.address, timeout)
         try:
             data = connection.encode_request(method, target, fields, body)
             used.send(method, data)
--- a/arbutuscove/relay/backends.py
+++ b/arbutuscove/relay/backends.py
@@ -2,9 +2,11 @@
 
 A group whose member died takes requests on and moves nothing. It is told by
 silence: while requests of this daemon run there, no byte arrived on any of
-them for longer than groups pause. Such a *stalled* backend gets no new
-requests until it moves again or a time has passed in which it would have
-broken; peers that say the same are believed.
+them for longer than groups pause. Silence alone may be a long prompt, so its
+members are asked; one that does not answer, or a silence that no prompt
+explains, makes the backend *stalled*. It gets no new requests until it moves
+again or a time has passed in which it would have broken; peers that say the
+same are believed.
 """
 
 import dataclasses
@@ -16,8 +18,12 @@
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.relay import model
 
-# A loaded group sends an event each 50 to 150 ms.
-STALL_AFTER = datetime.timedelta(milliseconds=450)
+# A loaded group sends an event each 50 to 150 ms; reading prompts may hold
+# them up for some hundred milliseconds.
+SILENCE_DOUBTFUL = datetime.timedelta(milliseconds=400)
+SILENCE_CERTAIN = datetime.timedelta(milliseconds=1400)
+# Pause between two examinations of a silent backend.
+EXAMINE_INTERVAL = datetime.timedelta(milliseconds=400)
 # A group that stands still is broken after this time, as its engine says.
 STALL_MEMORY = datetime.timedelta(seconds=7)
 # A backend that failed requests is passed over for a while, which doubles.
@@ -33,6 +39,8 @@
     running: int = 0
     moved: datetime.timedelta = datetime.timedelta()
     stalled_until: datetime.timedelta | None = None
+    stalled_here: bool = False  # found by this daemon, not heard from a peer
+    examined: datetime.timedelta | None = None
     gap: float = 0.0  # mean pause between events, in seconds
     failures: int = 0
     rest_until: datetime.timedelta = datetime.timedelta()
@@ -100,13 +108,28 @@
         """Returns how long no request here received a byte."""
         return self._clock.monotonic() - self[key].moved
 
-    def suspect(self, key: model.BackendKey, source: str) -> bool:
+    def begin_examination(self, key: model.BackendKey) -> bool:
+        """Returns whether a silent backend is due to be examined."""
+        state = self[key]
+        now = self._clock.monotonic()
+        if self.is_stalled(key) or now - state.moved < SILENCE_DOUBTFUL:
+            return False
+        last = state.examined
+        if last is not None and now - last < EXAMINE_INTERVAL:
+            return False
+        state.examined = now
+        return True
+
+    def mark_stalled(
+        self, key: model.BackendKey, source: str, here: bool = True
+    ) -> bool:
         """Marks a backend as stalled; returns whether that is news."""
         state = self[key]
         now = self._clock.monotonic()
         if state.stalled_until is not None and now < state.stalled_until:
             return False
         state.stalled_until = now + STALL_MEMORY
+        state.stalled_here = here
         eliot.log_message(
             "backend:stalled",
             backend=key[0],
@@ -125,8 +148,12 @@
         return self._clock.monotonic() < state.stalled_until
 
     def list_stalled(self) -> list[model.BackendKey]:
-        """Returns the backends marked as stalled."""
-        return [key for key in self._states if self.is_stalled(key)]
+        """Returns the backends that this daemon itself found stalled."""
+        return [
+            key
+            for key, state in self._states.items()
+            if state.stalled_here and self.is_stalled(key)
+        ]
 
     def rests(self, key: model.BackendKey) -> bool:
         """Returns whether a backend failed requests a moment ago."""
--- a/arbutuscove/relay/flow.py
+++ b/arbutuscove/relay/flow.py
@@ -15,6 +15,7 @@
 from collections import abc
 
 import eliot
+import gevent
 
 from arbutuscove.catalog import holder as catalog_holder
 from arbutuscove.catalog import model as catalog_model
@@ -39,6 +40,8 @@
 FIRST_PAUSE_LONGEST = datetime.timedelta(milliseconds=1500)
 # Time left below which another attempt cannot bring an answer.
 LEAST_TIME_LEFT = datetime.timedelta(milliseconds=30)
+# How often a waiting request looks whether its backend is stalled.
+RECEIVE_TICK = datetime.timedelta(milliseconds=150)
 EVENT_END = b"\n\n"
 EVENT_ID = re.compile(rb"(?:^|\n)id: ?([^\n]*)")
 RETRY_SOON = datetime.timedelta(milliseconds=200)
@@ -240,11 +243,10 @@
             left = self._request.deadline - now
             if left <= datetime.timedelta():
                 raise AttemptLostError("the deadline has passed")
-            timeout = min(left, backends_module.STALL_AFTER)
             try:
-                self.parser = self._used.receive(timeout)
+                self.parser = self._used.receive(min(left, RECEIVE_TICK))
             except connection.ResponseTimeoutError:
-                flow.check_stall(key)
+                flow.examine(self.backend)
                 own = flow.clock.monotonic() - waited_from
                 stalled = flow.states.is_stalled(key) or own >= longest
                 if at_stall and stalled:
@@ -286,6 +288,7 @@
         allowance: budget_module.Allowance,
         count_daemons: abc.Callable[[], int],
         tell_peers: abc.Callable[[], None],
+        find_silent_members: abc.Callable[[model.Backend], list[str]],
         generator: random.Random,
     ) -> None:
         self.clock = clock
@@ -297,6 +300,7 @@
         self._allowance = allowance
         self._count_daemons = count_daemons
         self._tell_peers = tell_peers
+        self._find_silent_members = find_silent_members
         self._generator = generator
         self._budgets: dict[str, budget_module.RepeatBudget] = {}
 
@@ -312,11 +316,24 @@
             return _StreamRun(self, request, service).start()
         return self._serve_whole(request, service)
 
-    def check_stall(self, key: model.BackendKey) -> None:
-        """Marks a backend as stalled if no request here receives a byte."""
-        if self.states.silent_for(key) < backends_module.STALL_AFTER:
+    def examine(self, backend: model.Backend) -> None:
+        """Finds out whether a backend that is silent here is stalled."""
+        if backend.model and self.states.begin_examination(backend.key):
+            gevent.spawn(self._examine, backend)
+
+    def _examine(self, backend: model.Backend) -> None:
+        key = backend.key
+        missing = self._find_silent_members(backend)
+        silent = self.states.silent_for(key)
+        if silent < backends_module.SILENCE_DOUBTFUL:
+            return
+        if missing:
+            reason = f"no answer of {missing[0]}"
+        elif silent >= backends_module.SILENCE_CERTAIN:
+            reason = "silence"
+        else:
             return
-        if self.states.suspect(key, "silence"):
+        if self.states.mark_stalled(key, reason):
             self._tell_peers()
 
     def may_repeat(self, service: str) -> bool:
