--- a/arbutuscove/fleet/planner.py
+++ b/arbutuscove/fleet/planner.py
@@ -286,10 +286,23 @@
             below = self._counts[spec.name] < targets.get(spec.name, 0)
             if cold and (not below or cold > self._loads):
                 continue
+            if cold and self._count_coming(domain, spec.name) >= cold:
+                # VMs that hold the model are about to be released here, and a
+                # load takes longer than their release.
+                continue
             self._loads -= cold
             return spec, domain, members
         return None
 
+    def _count_coming(self, domain: str, wanted: str) -> int:
+        """Returns how many VMs with a model a domain will soon have free."""
+        return sum(
+            wanted in vm.staged and self._is_usable(vm)
+            for group in self._unclear
+            for vm in group.members
+            if vm.fabric_domain == domain
+        )
+
     def _weigh(self, spec: catalog_model.ModelSpec) -> float:
         """Returns the work that falls on each VM of a model's groups."""
         return spec.share / (spec.size * self._counts[spec.name] or 0.01)
--- a/arbutuscove/relay/flow.py
+++ b/arbutuscove/relay/flow.py
@@ -437,10 +437,17 @@
             finally:
                 self._attempt.close()
             return _build_whole(reply, body)
+        events = self._pass_on()
+        try:
+            # With the first event at hand, an attempt that breaks off before
+            # it still gets a proper status instead of a closed connection.
+            first = next(events, b"")
+        except model.BrokenAnswerError as error:
+            raise fail(502, str(error)) from error
         return model.Answer(
             status=reply.status,
             fields=reply.fields,
-            body=self._pass_on(),
+            body=_lead_with(first, events),
             length=None,
         )
 
@@ -492,7 +499,7 @@
         log_repeat(self._request, self._made, reason)
         return True
 
-    def _pass_on(self) -> abc.Iterator[bytes]:
+    def _pass_on(self) -> abc.Generator[bytes, None, None]:
         """Yields whole events, resuming where the last one ended."""
         try:
             while True:
@@ -577,3 +584,14 @@
         body=(body,),
         length=len(body),
     )
+
+
+def _lead_with(
+    first: bytes, events: abc.Generator[bytes, None, None]
+) -> abc.Iterator[bytes]:
+    """Yields what is at hand, then the rest; closes the rest in any case."""
+    try:
+        yield first
+        yield from events
+    finally:
+        events.close()
