Test planner, inventory, connections, decoders and decisions of the relay

Cause: the path to the users' platform stood without tests of its own. Change: tests without I/O or on loopback; hypothesis for entries and for the planner. Found by them: of two members that both claim rank 0, the one that does not serve was taken for the head, and the members of the serving one were planned anew; the serving one now counts.

--- a/arbutuscove/fleet/model.py
+++ b/arbutuscove/fleet/model.py
@@ -22,6 +22,9 @@
     BROKEN = "broken"
 
 
+SERVING = frozenset((MemberState.OPEN, MemberState.CLOSING))
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Membership:
     """The place of a VM in a group."""
@@ -74,11 +77,19 @@
 
     @property
     def head(self) -> Vm | None:
-        """The member of rank 0, None if it is not listed."""
+        """The member of rank 0, None if it is not listed.
+
+        Of several that say so, one that serves, since its members are not
+        free.
+        """
+        found: Vm | None = None
         for vm in self.members:
-            if vm.membership is not None and vm.membership.rank == 0:
+            if vm.membership is None or vm.membership.rank != 0:
+                continue
+            if vm.membership.state in SERVING:
                 return vm
-        return None
+            found = found or vm
+        return found
 
     @property
     def model(self) -> str:
--- /dev/null
+++ b/arbutuscove/fleet/tests/test_planner.py
@@ -0,0 +1,217 @@
+"""Guards against groups formed of VMs that still serve, or opened in part."""
+
+import dataclasses
+import datetime
+
+import hypothesis
+from hypothesis import strategies
+
+from arbutuscove.catalog import model as catalog_model
+from arbutuscove.fleet import model
+from arbutuscove.fleet import orders
+from arbutuscove.fleet import planner
+from arbutuscove.storage import http
+
+SECOND = datetime.timedelta(seconds=1)
+CHAT = catalog_model.ModelSpec(
+    name="chat",
+    size=2,
+    share=0.5,
+    pace=1.0,
+    load_time=16 * SECOND,
+    warm_time=1.6 * SECOND,
+)
+DRAFT = dataclasses.replace(CHAT, name="draft", size=4)
+ENGINE = catalog_model.Engine(
+    models=(CHAT, DRAFT),
+    slots=13,
+    step_ms=6.0,
+    per_request_ms=0.5,
+    per_context_ms=0.01,
+    read_per_ms=46.0,
+    stride=5,
+    loads_per_second=4.0,
+    loads_at_once=6,
+    form_time=0.3 * SECOND,
+    usual_prompt=1000,
+    usual_answer=100,
+)
+ONE_MODEL = dataclasses.replace(
+    ENGINE, models=(dataclasses.replace(CHAT, share=1.0),)
+)
+
+
+def create_vm(name, **fields):
+    values = {
+        "service": "models",
+        "address": http.Address("10.0.0.1", 8000),
+        "failure_domain": "a",
+        "slots": 13,
+        "fabric_domain": "a-d0",
+        "staged": ("chat",),
+        "born": 1,
+    }
+    return model.Vm(name=name, **(values | fields))
+
+
+def create_member(name, rank, state, epoch=5, **fields):
+    held = model.Membership(
+        group=model.create_name("chat", epoch),
+        epoch=epoch,
+        rank=rank,
+        state=model.MemberState(state),
+    )
+    return create_vm(name, membership=held, **fields)
+
+
+def plan(vms, memory=None, now=100 * SECOND, engine=ONE_MODEL, **fields):
+    situation = planner.Situation(
+        engine=engine,
+        vms=tuple(vms),
+        now=now,
+        next_epoch=1 << 20,
+        loads=fields.pop("loads", 100),
+        **fields,
+    )
+    return planner.plan(situation, memory or planner.Memory())
+
+
+def list_joined(found):
+    return sorted(
+        order.vm.name
+        for order in found.orders
+        if isinstance(order, orders.Join)
+    )
+
+
+def test_planner_forms_groups_inside_a_fabric_domain():
+    """Guards against a group that spans domains and runs four times slower."""
+    vms = [
+        create_vm("a", fabric_domain="d0"),
+        create_vm("b", fabric_domain="d1"),
+    ]
+    assert plan(vms).orders == ()
+
+
+def test_planner_opens_head_only_when_each_member_is_ready():
+    """Guards against a head that serves before a member was ready."""
+    joining = [create_member("a", 0, "ready"), create_member("b", 1, "joining")]
+    assert plan(joining).orders == ()
+    ready = [create_member("a", 0, "ready"), create_member("b", 1, "ready")]
+    (order,) = plan(ready).orders
+    assert isinstance(order, orders.Open)
+    assert order.vm.name == "a"
+
+
+def test_planner_leaves_members_of_a_group_whose_head_serves():
+    """Guards against a VM in two groups: the head still takes requests."""
+    vms = [
+        create_member("a", 0, "open", epoch=5),
+        create_vm("x"),
+        create_vm("y", leaving=True),
+    ]
+    found = plan(vms)
+    assert list_joined(found) == []
+    assert [group.epoch for group in found.unclear] == [5]
+
+
+def test_planner_waits_for_an_absent_head_to_be_found_gone():
+    """Guards against members used again while a cut-off head serves."""
+    vms = [create_member("b", 1, "ready"), create_vm("x")]
+    found = plan(vms)
+    assert list_joined(found) == []
+    key = vms[0].membership.key
+    released = planner.release(found.memory, key)
+    assert list_joined(plan(vms, released)) == ["b", "x"]
+
+
+def test_planner_uses_members_of_a_broken_head():
+    """Guards against VMs stranded in a group that its engine gave up."""
+    vms = [create_member("a", 0, "broken"), create_member("b", 1, "ready")]
+    assert list_joined(plan(vms)) == ["a", "b"]
+
+
+def test_planner_passes_over_vms_that_do_not_answer():
+    """Guards against a place given to a dead VM that is still listed."""
+    vms = [create_vm("a"), create_vm("b"), create_vm("c")]
+    found = plan(vms, silent=frozenset({"a"}))
+    assert list_joined(found) == ["b", "c"]
+
+
+def test_planner_waits_for_vms_that_hold_the_model():
+    """Guards against a load of 16 s where two seconds bring warm VMs."""
+    vms = [
+        create_vm("a"),
+        create_vm("cold", staged=()),
+        create_member("c", 1, "ready"),
+    ]
+    assert list_joined(plan(vms)) == []
+
+
+def test_planner_sends_an_order_again_only_after_a_pause():
+    """Guards against an order repeated while its effect is on its way."""
+    vms = [create_member("a", 0, "ready"), create_member("b", 1, "ready")]
+    first = plan(vms)
+    assert len(first.orders) == 1
+    again = plan(vms, first.memory, now=100 * SECOND + 0.25 * SECOND)
+    assert again.orders == ()
+    later = plan(vms, first.memory, now=100 * SECOND + planner.RESEND_AFTER)
+    assert len(later.orders) == 1
+
+
+def test_planner_closes_a_group_with_a_leaving_member():
+    """Guards against requests cut when a member has left."""
+    vms = [
+        create_member("a", 0, "open"),
+        create_member("b", 1, "ready", leaving=True),
+    ]
+    (order,) = plan(vms).orders
+    assert isinstance(order, orders.Close)
+
+
+def test_planner_divides_vms_by_share_of_work():
+    """Guards against a model left with too few groups for its work."""
+    vms = [
+        create_vm(f"{domain}{number}", fabric_domain=domain, staged=())
+        for domain in "xyz"
+        for number in range(8)
+    ]
+    found = plan(vms, engine=ENGINE)
+    groups = {order.group for order in found.orders}
+    models = sorted(model.read_model(group) for group in groups)
+    assert models == ["chat"] * 6 + ["draft"] * 3
+
+
+def test_planner_keeps_to_the_loads_that_may_begin():
+    """Guards against more loads than the weight store allows."""
+    vms = [create_vm(f"v{number}", staged=()) for number in range(8)]
+    assert len(list_joined(plan(vms, loads=4))) == 4
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(1, 3),
+            strategies.integers(0, 1),
+            strategies.sampled_from(list(model.MemberState)),
+            strategies.booleans(),
+        ),
+        max_size=8,
+    )
+)
+def test_planner_never_joins_a_vm_whose_listed_head_serves(members):
+    """Guards against a VM in two groups, whatever the VMs say."""
+    vms = [
+        create_member(f"v{place}", rank, state.value, epoch, leaving=leaving)
+        for place, (epoch, rank, state, leaving) in enumerate(members)
+    ]
+    serving = {
+        vm.membership.key
+        for vm in vms
+        if vm.membership.rank == 0
+        and vm.membership.state
+        in (model.MemberState.OPEN, model.MemberState.CLOSING)
+    }
+    by_name = {vm.name: vm for vm in vms}
+    for name in list_joined(plan(vms)):
+        assert by_name[name].membership.key not in serving
--- /dev/null
+++ b/arbutuscove/platform/tests/test_entries.py
@@ -0,0 +1,91 @@
+"""Guards against entries of other writers that name a VM to use."""
+
+import contextlib
+
+import hypothesis
+import msgspec
+import pytest
+from hypothesis import strategies
+
+from arbutuscove.fleet import model
+from arbutuscove.platform import entries
+
+ENTRY = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "kochi-a",
+    "version": "v1",
+    "slots": 13,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "models": [{"name": "daka", "version": 1, "adapters": []}],
+    "sequence": 4,
+    "born": 1774873492519,
+    "domain": "kochi-a-d0",
+    "staged": ["daka"],
+    "group": {"name": "daka~5", "epoch": 5, "rank": 0, "state": "open"},
+}
+
+JSON_VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-5, 100_000)
+    | strategies.text(max_size=8),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(
+            strategies.text(max_size=6), inner, max_size=3
+        )
+    ),
+    max_leaves=6,
+)
+
+
+def test_entry_is_decoded_whole():
+    """Guards against a field that is read under a wrong meaning."""
+    vm = entries.decode("i-1", msgspec.json.encode(ENTRY))
+    assert vm.fabric_domain == "kochi-a-d0"
+    assert vm.membership == model.Membership(
+        group="daka~5", epoch=5, rank=0, state=model.MemberState.OPEN
+    )
+    assert not vm.leaving
+
+
+def test_entry_with_another_heartbeat_is_the_same_vm():
+    """Guards against the heartbeat count taken for the count of orders."""
+    first = entries.decode("i-1", msgspec.json.encode(ENTRY))
+    second = entries.decode("i-1", msgspec.json.encode(ENTRY | {"sequence": 5}))
+    assert first == second
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "asleep"},
+        {"address": "nowhere"},
+        {"address": "10.0.0.1:0"},
+        {"slots": 0},
+        {"slots": "13"},
+        {"service": None},
+        {"group": {"name": "g", "epoch": 1, "rank": 0, "state": "odd"}},
+    ],
+)
+def test_entry_that_is_wrong_is_an_error(change):
+    """Guards against a crash, or a VM to use, from a foreign entry."""
+    with pytest.raises(entries.EntryError):
+        entries.decode("i-1", msgspec.json.encode(ENTRY | change))
+
+
+@hypothesis.given(strategies.sampled_from(sorted(ENTRY)), JSON_VALUES)
+def test_entry_with_any_value_is_a_vm_or_an_error(field, value):
+    """Guards against a decoder that fails in an unexpected way."""
+    content = msgspec.json.encode(ENTRY | {field: value})
+    with contextlib.suppress(entries.EntryError):
+        assert entries.decode("i-1", content).name == "i-1"
+
+
+@hypothesis.given(strategies.binary(max_size=64))
+def test_entry_of_any_bytes_is_an_error(content):
+    """Guards against a decoder that fails in an unexpected way."""
+    with pytest.raises(entries.EntryError):
+        entries.decode("i-1", content)
--- /dev/null
+++ b/arbutuscove/relay/tests/test_decisions.py
@@ -0,0 +1,93 @@
+"""Guards against work placed, repeated or marked against the policy."""
+
+import datetime
+import random
+
+from arbutuscove.fleet.tests import test_planner
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.relay import backends
+from arbutuscove.relay import budget
+from arbutuscove.relay import model
+from arbutuscove.relay import placement
+
+SECOND = datetime.timedelta(seconds=1)
+KEY = ("chat~5", 5)
+
+
+def create_candidate(name, running, avoided=False, slowness=1.0):
+    backend = model.Backend(
+        key=(name, 1), vm=test_planner.create_vm(name), model="chat", slots=4
+    )
+    return placement.Candidate(
+        backend=backend, running=running, slowness=slowness, avoided=avoided
+    )
+
+
+def choose(*candidates, excluded=frozenset()):
+    found = placement.choose(candidates, excluded, 6.0, 0.5, random.Random(1))
+    return None if found is None else found.backend.key[0]
+
+
+def test_placement_prefers_the_shortest_step():
+    """Guards against a request sent to a full engine beside an idle one."""
+    assert choose(create_candidate("a", 3), create_candidate("b", 0)) == "b"
+    slow = create_candidate("b", 0, slowness=5.0)
+    assert choose(create_candidate("a", 3), slow) == "a"
+
+
+def test_placement_never_fills_beyond_the_slots():
+    """Guards against queues inside engines, where urgent work would wait."""
+    assert choose(create_candidate("a", 4)) is None
+
+
+def test_placement_passes_over_resting_backends_while_others_are_free():
+    """Guards against a grey backend that draws requests by being idle."""
+    resting = create_candidate("a", 0, avoided=True)
+    assert choose(resting, create_candidate("b", 3)) == "b"
+    assert choose(resting) == "a"
+
+
+def test_placement_leaves_out_backends_already_tried():
+    """Guards against a second attempt at the backend that failed."""
+    excluded = frozenset({("a", 1)})
+    assert choose(create_candidate("a", 0), excluded=excluded) is None
+
+
+def test_budget_bounds_repeats_in_any_window():
+    """Guards against a retry storm: repeats beyond the fleet's allowance."""
+    allowance = budget.Allowance(ratio=0.2, slack=14, window=10 * SECOND)
+    repeats = budget.RepeatBudget(allowance)
+    now = datetime.timedelta()
+    for _ in range(100):
+        repeats.note_request(now)
+    taken = sum(repeats.take(now, daemons=7) for _ in range(100))
+    assert taken == int(budget.SAFETY * (0.2 * 100 + 14 / 7))
+    later = now + 11 * SECOND
+    assert sum(repeats.take(later, daemons=7) for _ in range(9)) == 1
+
+
+def test_backend_is_examined_only_after_silence():
+    """Guards against probes for each slow prompt."""
+    clock = clock_module.ManualClock()
+    states = backends.BackendStates(clock)
+    states.begin(KEY)
+    assert not states.begin_examination(KEY)
+    clock.advance(backends.SILENCE_DOUBTFUL)
+    assert states.begin_examination(KEY)
+    assert not states.begin_examination(KEY)
+
+
+def test_stalled_backend_is_news_once_and_moves_again():
+    """Guards against a backend passed over for ever, or told of for ever."""
+    clock = clock_module.ManualClock()
+    states = backends.BackendStates(clock)
+    states.begin(KEY)
+    assert states.mark_stalled(KEY, "silence")
+    assert not states.mark_stalled(KEY, "silence")
+    assert states.list_stalled() == [KEY]
+    states.note_bytes(KEY, None)
+    assert not states.is_stalled(KEY)
+    states.mark_stalled(KEY, "peer", here=False)
+    assert states.is_stalled(KEY) and states.list_stalled() == []
+    clock.advance(backends.STALL_MEMORY)
+    assert not states.is_stalled(KEY)
--- /dev/null
+++ b/arbutuscove/transport/tests/test_connection.py
@@ -0,0 +1,133 @@
+"""Guards against bytes of one response taken for another's."""
+
+import datetime
+
+import pytest
+from gevent import server
+
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.storage import http
+from arbutuscove.transport import connection
+from arbutuscove.transport import pool
+
+SECOND = datetime.timedelta(seconds=1)
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+
+
+class Peer:
+    """Answers each request with the next of some chunks of bytes."""
+
+    def __init__(self, *answers, close=False):
+        self._answers = list(answers)
+        self._close = close
+        self.connections = 0
+        self._server = server.StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+        self.address = http.Address("127.0.0.1", self._server.server_port)
+
+    def stop(self):
+        self._server.stop(timeout=0.1)
+
+    def _serve(self, sock, _):
+        self.connections += 1
+        while sock.recv(65536):
+            if self._answers:
+                sock.sendall(self._answers.pop(0))
+            if self._close:
+                sock.close()
+                return
+
+
+@pytest.fixture(name="start")
+def start_fixture():
+    peers = []
+
+    def start(*answers, **options):
+        peers.append(Peer(*answers, **options))
+        return peers[-1]
+
+    yield start
+    for peer in peers:
+        peer.stop()
+
+
+def exchange(used):
+    used.send("GET", connection.encode_request("GET", "/", [], b""))
+    parser = used.receive(SECOND)
+    while not parser.ended():
+        parser = used.receive(SECOND)
+    return parser
+
+
+def test_connection_with_a_second_answer_is_not_used_again(start):
+    """Guards against an extra response that answers the next request."""
+    peer = start(OK + b"ab" + OK + b"cd")
+    used = connection.connect(peer.address, SECOND)
+    assert exchange(used).take_body() == b"ab"
+    assert not used.reusable()
+
+
+def test_connection_with_bytes_behind_the_answer_is_not_used_again(start):
+    """Guards against garbage behind a response."""
+    peer = start(OK + b"ab" + b"\x00garbage")
+    used = connection.connect(peer.address, SECOND)
+    assert exchange(used).take_body() == b"ab"
+    assert not used.reusable()
+
+
+def test_connection_with_late_bytes_is_not_used_again(start):
+    """Guards against a late second response on an idle connection."""
+    peer = start(OK + b"ab", b"")
+    clock = clock_module.ManualClock()
+    connections = pool.ConnectionPool(clock)
+    used = connections.take(peer.address)
+    exchange(used)
+    connections.give(used, None)
+    assert connections.take(peer.address) is used
+    connections.give(used, None)
+    clock.advance(pool.IDLE_LONGEST + SECOND)
+    assert connections.take(peer.address) is not used
+
+
+def test_connection_reads_on_after_an_answer_to_another_request(start):
+    """Guards against our answer lost behind a late one of another."""
+    peer = start(OK + b"ab", OK + b"cd")
+    used = connection.connect(peer.address, SECOND)
+    exchange(used)
+    used.expect_another()
+    used._socket.sendall(b"GET / HTTP/1.1\r\n\r\n")
+    parser = used.receive(SECOND)
+    assert parser.take_body() == b"cd"
+
+
+def test_connection_that_ends_early_is_an_error(start):
+    """Guards against a cut response that looks complete."""
+    peer = start(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab", close=True)
+    used = connection.connect(peer.address, SECOND)
+    with pytest.raises(http.NoResponseError):
+        exchange(used)
+
+
+def test_connection_without_length_is_complete_at_its_end(start):
+    """Guards against a whole response refused for want of a length."""
+    peer = start(b"HTTP/1.1 200 OK\r\n\r\nab", close=True)
+    used = connection.connect(peer.address, SECOND)
+    assert exchange(used).take_body() == b"ab"
+    assert not used.reusable()
+
+
+def test_connection_that_stays_silent_times_out(start):
+    """Guards against a wait without an end."""
+    peer = start()
+    used = connection.connect(peer.address, SECOND)
+    used.send("GET", connection.encode_request("GET", "/", [], b""))
+    with pytest.raises(connection.ResponseTimeoutError):
+        used.receive(datetime.timedelta(milliseconds=20))
+
+
+def test_connection_refused_was_not_sent(start):
+    """Guards against a request taken as run that never left."""
+    peer = start()
+    peer.stop()
+    with pytest.raises(http.RefusedError):
+        connection.connect(peer.address, SECOND)
