Let one daemon of each failure domain read the list of VMs

Change: the first daemon by name of each failure domain reads and tells the others what changed; the holder of the duty reads, too. A lost update is seen by its version, a silent reader after 1 s; both make a daemon read for itself. Only the first two by name stand for the duty at once. A daemon whose peers have had a newer configuration for half a second reads it anew.

--- a/arbutuscove/gossip/digest.py
+++ b/arbutuscove/gossip/digest.py
@@ -33,7 +33,8 @@
 
     `life` is the start of the process in microseconds of its wall clock,
     which only orders lives of one daemon. `holding` is the fencing token of
-    the duty that it holds, 0 for none. `loads` counts its requests running by
+    the duty that it holds, 0 for none. `store_ok` says whether its last call
+    to the store was answered. `loads` counts its requests running by
     backend, `stalled` names groups that move nothing for it, each as name and
     epoch.
     """
@@ -49,19 +50,37 @@
     leaving: bool
     config_version: int = -1
     holding: int = 0
+    store_ok: bool = True
     loads: dict[str, int] = {}
     stalled: tuple[tuple[str, int], ...] = ()
 
 
-class Datagram(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+class Datagram(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="beats"
+):
     """One message: the sender's beat and some others."""
 
     sender: Beat
     others: tuple[Beat, ...] = ()
 
 
+class ListUpdate(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="list"
+):
+    """What changed in the list of VMs between two of its versions.
+
+    `rows` holds each changed entry by name, None if it went away. Entries
+    that only renewed their heartbeat are left out.
+    """
+
+    sender: str
+    before: int
+    version: int
+    rows: tuple[tuple[str, bytes | None], ...] = ()
+
+
 ENCODER = msgspec.msgpack.Encoder()
-DECODER = msgspec.msgpack.Decoder(Datagram)
+DECODER = msgspec.msgpack.Decoder(Datagram | ListUpdate)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -117,6 +136,32 @@
         return name in self._peers  # a later life of that daemon is known
 
 
+def is_reader(own: Beat, live: abc.Iterable[Beat]) -> bool:
+    """Returns whether this daemon reads the list of VMs for its domain.
+
+    The first by name of each failure domain does, of those that the store
+    answers. Daemons may differ about that for a moment: two then read, or
+    none, and each daemon reads for itself once it hears nothing.
+
+    Args:
+        own: the beat of this daemon.
+        live: the beats of other daemons heard of lately.
+    """
+    names = [
+        beat.name
+        for beat in live
+        if beat.failure_domain == own.failure_domain
+        and beat.store_ok
+        and not beat.leaving
+    ]
+    return all(own.name < name for name in names)
+
+
+def rank_by_name(own: Beat, live: abc.Iterable[Beat]) -> int:
+    """Returns how many live daemons come before this one by name."""
+    return sum(beat.name < own.name for beat in live if not beat.leaving)
+
+
 def pick_recipients(
     live: abc.Sequence[Beat],
     others: abc.Sequence[str],
--- a/arbutuscove/gossip/service.py
+++ b/arbutuscove/gossip/service.py
@@ -17,6 +17,11 @@
 DATAGRAM_LIMIT = 65000  # bytes
 # A beat that says "leaving" is sent more than once, as datagrams get lost.
 LEAVE_REPEATS = 3
+# Daemons that stand for a duty at once, and how long the next ones wait.
+CANDIDATES = 2
+# Time in which a new daemon hears of the others.
+SETTLE = datetime.timedelta(milliseconds=500)
+STAND_DELAY = datetime.timedelta(seconds=1)
 
 
 class Gossip(services.LoopService):
@@ -44,6 +49,10 @@
         self._socket: socket.socket | None = None
         self._receiver: gevent.Greenlet | None = None
         self._live_before: frozenset[str] = frozenset()
+        self._take_update: abc.Callable[[digest.ListUpdate], None] | None = None
+        self._take_version: abc.Callable[[int], None] | None = None
+        self._started = clock.monotonic()
+        self._silent_duty_since = self._started
 
     def start(self, kernel: services.Kernel) -> None:
         """Opens the socket and begins to send and receive."""
@@ -79,13 +88,55 @@
         for ip in digest.pick_recipients(live, (), 1, self._generator):
             self._send(ip)
 
+    def on_update(self, take: abc.Callable[[digest.ListUpdate], None]) -> None:
+        """Names who takes what peers say of the list of VMs."""
+        self._take_update = take
+
+    def on_config_version(self, take: abc.Callable[[int], None]) -> None:
+        """Names who takes the configuration versions of peers."""
+        self._take_version = take
+
+    def is_reader(self) -> bool:
+        """Returns whether this daemon reads the list for its domain."""
+        return digest.is_reader(self._own, self.live())
+
+    def send_update(
+        self, before: int, version: int, rows: abc.Mapping[str, bytes | None]
+    ) -> None:
+        """Tells the daemons of this failure domain what changed in the list."""
+        update = digest.ListUpdate(
+            sender=self._own.name,
+            before=before,
+            version=version,
+            rows=tuple(rows.items()),
+        )
+        data = digest.ENCODER.encode(update)
+        if len(data) > DATAGRAM_LIMIT:
+            # They see the gap at the next update and read for themselves.
+            eliot.log_message("gossip:update_too_large", rows=len(rows))
+            return
+        for beat in self.live():
+            if beat.failure_domain == self._own.failure_domain:
+                self._send_data(beat.ip, data)
+
     def live(self) -> list[digest.Beat]:
         """Returns the other daemons heard of lately."""
         return self._table.list_live(self._clock.monotonic())
 
     def holds(self, duty: str) -> bool:
         """Returns whether a live daemon says that it holds the duty."""
-        return any(beat.holding and not beat.leaving for beat in self.live())
+        now = self._clock.monotonic()
+        live = self.live()
+        if any(beat.holding and not beat.leaving for beat in live):
+            self._silent_duty_since = now
+            return True
+        # The first by name stand for the duty; the others only when these
+        # did not take it. It saves the calls of a whole fleet for one row.
+        rank = digest.rank_by_name(self._own, live)
+        if now - self._started < SETTLE:
+            return True
+        waited = now - self._silent_duty_since
+        return waited < STAND_DELAY * (rank // CANDIDATES)
 
     def is_lost(self, identity: str) -> bool:
         """Returns whether a daemon that was known fell silent."""
@@ -133,6 +184,11 @@
         data = digest.ENCODER.encode(
             digest.Datagram(sender=self._own, others=tuple(others))
         )
+        self._send_data(ip, data)
+
+    def _send_data(self, ip: str, data: bytes) -> None:
+        if self._socket is None:
+            return
         try:
             self._socket.sendto(data, (ip, self._port))
         except OSError as error:
@@ -151,10 +207,16 @@
                 eliot.log_message("gossip:receive_failed", reason=str(error))
                 self._clock.sleep(datetime.timedelta(milliseconds=50))
                 continue
+            if isinstance(message, digest.ListUpdate):
+                if self._take_update is not None:
+                    self._take_update(message)
+                continue
             now = self._clock.monotonic()
             for beat in (message.sender, *message.others):
                 if self._table.take(beat, now):
                     self._take_stalled(beat)
+                    if self._take_version is not None:
+                        self._take_version(beat.config_version)
 
     def _take_stalled(self, beat: digest.Beat) -> None:
         """Passes on what a peer newly found stalled."""
--- a/arbutuscove/gossip/tests/test_digest.py
+++ b/arbutuscove/gossip/tests/test_digest.py
@@ -68,3 +68,24 @@
     data = digest.ENCODER.encode(digest.Datagram(sender=beat))
     assert digest.DECODER.decode(data).sender == beat
     assert msgspec.structs.replace(beat, counter=2) != beat
+
+
+def test_one_daemon_of_a_domain_reads_the_list():
+    """Guards against a fleet in which each daemon reads, or none does."""
+    beats = [
+        create_beat(name=name, failure_domain=domain)
+        for name, domain in (("a", "x"), ("b", "x"), ("c", "y"))
+    ]
+    readers = [
+        own.name
+        for own in beats
+        if digest.is_reader(own, [beat for beat in beats if beat != own])
+    ]
+    assert readers == ["a", "c"]
+
+
+def test_daemon_that_the_store_refuses_is_not_the_reader():
+    """Guards against a domain whose only reader hears nothing."""
+    refused = create_beat(name="a", failure_domain="x", store_ok=False)
+    own = create_beat(name="b", failure_domain="x")
+    assert digest.is_reader(own, [refused])
--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -107,6 +107,7 @@
             beat,
             ready=is_ready(),
             config_version=catalog.version(),
+            store_ok=store.answers,
             holding=leases.epoch(controller_module.DUTY) or 0,
             loads={
                 f"{key[0]}|{key[1]}": state.running
@@ -175,6 +176,10 @@
         return sorted(found)
 
     group_orders = engine.EngineOrders(connections, clock)
+    configuration = followers.ConfigurationFollower(
+        store, clock, generator, catalog
+    )
+    gossip.on_config_version(configuration.note_peer_version)
     waiting_room = waiting.WaitingRoom(
         clock, catalog, inventory, states, read_loads, generator
     )
@@ -231,11 +236,18 @@
         (pool.SERVICE_NAME, connections),
         (
             followers.CONFIGURATION_SERVICE,
-            followers.ConfigurationFollower(store, clock, generator, catalog),
+            configuration,
         ),
         (
             followers.SERVERS_SERVICE,
-            followers.ServersFollower(store, clock, generator, inventory),
+            followers.ServersFollower(
+                store,
+                clock,
+                generator,
+                inventory,
+                gossip,
+                lambda: leases.epoch(controller_module.DUTY) is not None,
+            ),
         ),
         (gossip_service.SERVICE_NAME, gossip),
         (REGISTRY_SERVICE, Registry(settings, store, clock, gossip)),
--- a/arbutuscove/platform/followers.py
+++ b/arbutuscove/platform/followers.py
@@ -2,12 +2,16 @@
 
 import datetime
 import random
+from collections import abc
 
 import eliot
+from gevent import event
 
 from arbutuscove.catalog import holder as catalog_holder
 from arbutuscove.fleet import inventory as inventory_module
 from arbutuscove.fleet import model as fleet_model
+from arbutuscove.gossip import digest
+from arbutuscove.gossip import service as gossip_service
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
 from arbutuscove.platform import configuration
@@ -21,13 +25,23 @@
 SERVERS_TABLE = "servers"
 # A change ends the wait at once; the wait only bounds a silent connection.
 CONFIGURATION_WAIT = datetime.timedelta(seconds=20)
+# A feed that works brings a change within some milliseconds.
+BEHIND_LONGEST = datetime.timedelta(milliseconds=500)
 # Servers write at each heartbeat, so that a feed would answer without pause.
-SERVERS_INTERVAL = datetime.timedelta(milliseconds=600)
+SERVERS_INTERVAL = datetime.timedelta(milliseconds=500)
+# Without a word from the reader for so long, a daemon reads for itself. With
+# the interval it stays below the two seconds in which a leaving VM has to be
+# known.
+UPDATE_PATIENCE = datetime.timedelta(milliseconds=1000)
 SERVERS_WAIT = datetime.timedelta(milliseconds=200)
 RETRY_SHORTEST = datetime.timedelta(milliseconds=100)
 RETRY_LONGEST = datetime.timedelta(milliseconds=800)
 
 
+class BehindError(Exception):
+    """A peer knows more; the read in progress may hang."""
+
+
 class _Follower(services.LoopService):
     """Reads a table whole, then its changes, and again after a loss."""
 
@@ -66,7 +80,7 @@
                     version = self.read_changes(version)
                 pause = RETRY_SHORTEST
                 continue
-            except store_module.HistoryLostError:
+            except (store_module.HistoryLostError, BehindError):
                 version = None
             except store_module.StoreError as error:
                 eliot.log_message(
@@ -91,6 +105,20 @@
     ) -> None:
         super().__init__(store, clock, generator)
         self._catalog = catalog
+        self._behind_since: datetime.timedelta | None = None
+
+    def note_peer_version(self, version: int) -> None:
+        """Reads anew if a peer has had a newer version for some time."""
+        now = self._clock.monotonic()
+        if version <= self._catalog.version():
+            self._behind_since = None
+        elif self._behind_since is None:
+            self._behind_since = now
+        elif now - self._behind_since > BEHIND_LONGEST:
+            self._behind_since = None
+            eliot.log_message("catalog:behind", peer_version=version)
+            if self._greenlet is not None:
+                self._greenlet.kill(BehindError, block=False)
 
     def read_whole(self) -> int:
         """Reads the table and returns its version."""
@@ -129,42 +157,101 @@
         clock: clock_module.Clock,
         generator: random.Random,
         inventory: inventory_module.Inventory,
+        gossip: gossip_service.Gossip,
+        holds_duty: abc.Callable[[], bool],
     ) -> None:
         super().__init__(store, clock, generator)
         self._inventory = inventory
+        self._gossip = gossip
+        self._holds_duty = holds_duty
+        self._version = -1
+        self._heard = event.Event()
+        self._behind = False
+        gossip.on_update(self.take_update)
 
     def read_whole(self) -> int:
         """Reads the table and returns its version."""
         page = self._store.read_rows(self.table)
-        found, _ = _decode(page)
+        found, _ = _decode({row.key: row.content for row in page.rows})
         self._inventory.replace(found)
+        self._version = page.version
         return page.version
 
     def read_changes(self, version: int) -> int:
-        """Reads what changed after a version and returns the next one."""
-        self._clock.sleep(SERVERS_INTERVAL)
+        """Waits for the next changes and returns the version after them.
+
+        One daemon of each failure domain reads the store and tells the others,
+        which read for themselves when it falls silent or an update was lost.
+        """
+        self._version = version = max(version, self._version)
+        if self._is_reader():
+            self._clock.sleep(SERVERS_INTERVAL)
+        else:
+            while self._heard.wait(UPDATE_PATIENCE.total_seconds()):
+                self._heard.clear()
+                if self._behind or self._is_reader():
+                    break
+        self._behind = False
+        if self._version > version:
+            version = self._version
         page = self._store.follow(self.table, version, SERVERS_WAIT)
-        self._inventory.update(*_decode(page))
+        if page.version < self._version:
+            return self._version
+        rows = self._take(page)
+        if self._is_reader():
+            self._gossip.send_update(version, page.version, rows)
         return page.version
 
+    def take_update(self, update: digest.ListUpdate) -> None:
+        """Takes what a peer read, if it follows on what is known here."""
+        known = self._version
+        if known < 0 or update.version <= known:
+            self._heard.set()
+            return
+        if update.before > known:
+            self._behind = True
+        else:
+            self._version = update.version
+            self._apply(dict(update.rows))
+        self._heard.set()
+
+    def _is_reader(self) -> bool:
+        return self._holds_duty() or self._gossip.is_reader()
+
+    def _take(self, page: store_module.Page) -> dict[str, bytes | None]:
+        """Applies a page; returns the entries of VMs that changed by it."""
+        rows = {row.key: row.content for row in page.rows}
+        return self._apply(rows)
+
+    def _apply(self, rows: dict[str, bytes | None]) -> dict[str, bytes | None]:
+        found, removed = _decode(rows)
+        changed = {
+            vm.name: rows[vm.name]
+            for vm in found
+            if self._inventory.find(vm.name) != vm
+        }
+        gone = {
+            name: None
+            for name in removed
+            if self._inventory.find(name) is not None
+        }
+        self._inventory.update(found, removed)
+        return {**changed, **gone}
+
 
 def _decode(
-    page: store_module.Page,
+    rows: dict[str, bytes | None],
 ) -> tuple[list[fleet_model.Vm], list[str]]:
-    """Returns the VMs of a page, and the names of those that went away."""
-    found: dict[str, fleet_model.Vm] = {}
-    removed: dict[str, None] = {}
-    for row in page.rows:
-        found.pop(row.key, None)
-        removed.pop(row.key, None)
-        if row.content is None:
-            removed[row.key] = None
+    """Returns the VMs in some entries, and the names of those that went."""
+    found: list[fleet_model.Vm] = []
+    removed: list[str] = []
+    for name, content in rows.items():
+        if content is None:
+            removed.append(name)
             continue
         try:
-            found[row.key] = entries.decode(row.key, row.content)
+            found.append(entries.decode(name, content))
         except entries.EntryError as error:
-            eliot.log_message(
-                "fleet:entry_skipped", vm=row.key, reason=str(error)
-            )
-            removed[row.key] = None
-    return list(found.values()), list(removed)
+            eliot.log_message("fleet:entry_skipped", vm=name, reason=str(error))
+            removed.append(name)
+    return found, removed
--- a/arbutuscove/platform/store.py
+++ b/arbutuscove/platform/store.py
@@ -89,6 +89,7 @@
         self._connections = connections
         self._clock = clock
         self.calls = 0
+        self.answers = True
 
     def read_rows(self, table: str, key: str | None = None) -> Page:
         """Returns all rows of a table, or the row of one key.
@@ -205,10 +206,12 @@
         if body:
             fields.append(("Content-Type", "application/json"))
         data = connection.encode_request(method, target, fields, body)
+        self.answers, answered = False, self.answers
         try:
             used = self._connections.take(self._address)
         except http.NotSentError as error:
             raise StoreError(str(error)) from error
+        self.answers = answered
         try:
             used.send(method, data)
             parser = used.receive(deadline - self._clock.monotonic())
@@ -217,11 +220,13 @@
             answer = parser.get_code(), parser.take_body()
         except http.NoResponseError as error:
             used.close()
+            self.answers = False
             raise OutcomeUnknownError(str(error)) from error
         except BaseException:
             used.close()
             raise
         self._connections.give(used, pool.read_stated_idle(parser))
+        self.answers = answer[0] not in (429, 503)
         return answer
 
 
--- /dev/null
+++ b/arbutuscove/platform/tests/test_followers.py
@@ -0,0 +1,118 @@
+"""Guards against a daemon that believes an old list of VMs."""
+
+import random
+
+import msgspec
+import pytest
+
+from arbutuscove.fleet import inventory as inventory_module
+from arbutuscove.gossip import digest
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.platform import followers
+from arbutuscove.platform import store as store_module
+from arbutuscove.platform.tests import test_entries
+
+
+class FakeGossip:
+    """Keeps what is sent; is a reader as told."""
+
+    def __init__(self):
+        self.reader = True
+        self.sent = []
+        self.take = None
+
+    def on_update(self, take):
+        self.take = take
+
+    def is_reader(self):
+        return self.reader
+
+    def send_update(self, before, version, rows):
+        self.sent.append((before, version, rows))
+
+
+class FakeStore:
+    """Answers each feed call with the next page."""
+
+    def __init__(self):
+        self.pages = []
+        self.asked = []
+
+    def read_rows(self, table, key=None):
+        return self.pages.pop(0)
+
+    def follow(self, table, version, wait):
+        self.asked.append(version)
+        return self.pages.pop(0)
+
+
+def create_entry(**change):
+    return msgspec.json.encode(test_entries.ENTRY | change)
+
+
+def create_page(version, **rows):
+    return store_module.Page(
+        version=version,
+        rows=tuple(
+            store_module.Row(key=key, version=version, content=content)
+            for key, content in rows.items()
+        ),
+    )
+
+
+@pytest.fixture(name="scene")
+def scene_fixture():
+    clock = clock_module.ManualClock()
+    store, gossip = FakeStore(), FakeGossip()
+    inventory = inventory_module.Inventory(clock)
+    follower = followers.ServersFollower(
+        store, clock, random.Random(1), inventory, gossip, lambda: False
+    )
+    store.pages.append(create_page(10, a=create_entry()))
+    assert follower.read_whole() == 10
+    return store, gossip, inventory, follower
+
+
+def test_reader_passes_on_what_changed(scene):
+    """Guards against heartbeats that fill the network of a large fleet."""
+    store, gossip, _, follower = scene
+    beat = create_entry(sequence=9)
+    new = create_entry(address="10.0.0.9:80")
+    store.pages.append(create_page(12, a=beat, b=new))
+    assert follower.read_changes(10) == 12
+    assert gossip.sent == [(10, 12, {"b": new})]
+
+
+def test_update_that_follows_is_taken(scene):
+    """Guards against each daemon reading what a peer has just read."""
+    store, gossip, inventory, follower = scene
+    gossip.reader = False
+    update = digest.ListUpdate(
+        sender="p", before=9, version=12, rows=(("a", None),)
+    )
+    gossip.take(update)
+    store.pages.append(create_page(13))
+    assert follower.read_changes(10) == 13
+    assert store.asked == [12]
+    assert inventory.find("b") is None
+
+
+def test_lost_update_makes_a_daemon_read_for_itself(scene):
+    """Guards against a VM that leaves unseen behind a lost datagram."""
+    store, gossip, inventory, follower = scene
+    gossip.reader = False
+    gossip.take(digest.ListUpdate(sender="p", before=11, version=12))
+    store.pages.append(create_page(13, b=create_entry()))
+    assert follower.read_changes(10) == 13
+    assert store.asked == [10]
+    assert inventory.find("b") is not None
+
+
+def test_older_update_changes_nothing(scene):
+    """Guards against a late datagram that brings a VM back."""
+    _, gossip, inventory, _ = scene
+    update = digest.ListUpdate(
+        sender="p", before=3, version=9, rows=(("z", create_entry()),)
+    )
+    gossip.take(update)
+    assert inventory.find("z") is None
