End the connection when a request is refused before its body was read

Cause: a request refused by its key (401) or route left its body unread; the server lingered for a second to read it, and discarded the caller's next request with it. Ruled out: resets of upstream connections; they were answered with 502. Change: the callers' server adds Connection: close to any answer given before the body was read. The platform's listener reads the body first, so that the connection stays usable. Both interfaces had the fault.

--- a/arbutuscove/entry/connections.py
+++ b/arbutuscove/entry/connections.py
@@ -106,11 +106,14 @@
         with gevent.Timeout(left, late):
             return bytes(super().read(length))
 
+    def unread(self) -> bool:
+        """Returns whether part of the body was not read."""
+        if self.chunked_input:
+            return bool(self.chunk_length != 0)
+        return bool(self.position < (self.content_length or 0))
+
     def _discard(self) -> None:
-        unread = self.position < (self.content_length or 0)
-        if self.chunked_input and self.chunk_length != 0:
-            unread = True
-        if unread:
+        if self.unread():
             self._handler.close_connection = True
             _linger(self._handler.socket, shut=False)
 
@@ -174,6 +177,20 @@
         environ[PRESENCE] = presence.SocketPresence(self.socket)
         return environ
 
+    def finalize_headers(self) -> None:
+        """Says that the connection ends if the body was not read.
+
+        A client that is not told sends its next request on this connection,
+        where it would be discarded with the rest of the body.
+        """
+        body = self.wsgi_input
+        if isinstance(body, _Body) and body.unread():
+            self.close_connection = True
+            names = [name.lower() for name, _ in self.response_headers]
+            if b"connection" not in names:
+                self.response_headers.append((b"Connection", b"close"))
+        super().finalize_headers()
+
     def handle_error(self, *error: typing.Any) -> None:
         """Ends the connection after a failure inside the response."""
         if isinstance(error[1], OSError):
--- a/arbutuscove/entry/tests/test_connections.py
+++ b/arbutuscove/entry/tests/test_connections.py
@@ -29,6 +29,19 @@
     running.entry.stop()
 
 
+def test_refusal_before_the_body_ends_the_connection(server):
+    """Guards against a next request that is discarded without an answer.
+
+    The caller of a refused request kept the connection, and what it sent next
+    was read as the rest of the refused body.
+    """
+    request = serving.build_request().replace(b"Bearer ", b"Bearer not-")
+    response = server.exchange(request)
+    head = response.partition(b"\r\n\r\n")[0]
+    assert b" 401 " in head
+    assert b"\r\nConnection: close" in head
+
+
 def _read_refusal(response):
     head, _, body = response.partition(b"\r\n\r\n")
     status = int(head.split(b" ")[1])
--- a/arbutuscove/platform/listener.py
+++ b/arbutuscove/platform/listener.py
@@ -40,6 +40,7 @@
 EXIT_MARGIN = datetime.timedelta(milliseconds=400)
 # When to come back to a daemon that cannot serve yet or any more.
 RETRY_ELSEWHERE = datetime.timedelta(milliseconds=100)
+BODY_LIMIT = 4 * 1024 * 1024  # bytes, before a configuration is known
 JSON_TYPE = "application/json"
 
 StartResponse = abc.Callable[[str, list[tuple[str, str]]], typing.Any]
@@ -220,6 +221,9 @@
             except model.BrokenAnswerError as error:
                 code = f"broken: {error}"
                 raise
+            except BaseException as error:
+                code = f"cut: {type(error).__name__} {error}"
+                raise
         finally:
             self._active -= 1
             self._log(environ, request, code, begun)
@@ -254,6 +258,9 @@
             _Refused: no such route, no such key, or a body that is too large.
         """
         catalog = self._catalog.current()
+        # Read before any refusal, so that the connection stays usable.
+        limit = BODY_LIMIT if catalog is None else catalog.bounds.body_size
+        body = environ["wsgi.input"].read(limit + 1)
         if catalog is None:
             raise _Refused(503, "no_configuration")
         fields: list[tuple[str, str]] = environ[FIELDS]
@@ -264,7 +271,6 @@
         if route is None:
             raise _Refused(404, "no_route")
         account = _find_account(catalog, route, named)
-        body = environ["wsgi.input"].read(catalog.bounds.body_size + 1)
         if len(body) > catalog.bounds.body_size:
             raise _Refused(413, "body_too_large")
         timeout = _read_timeout(named, route)
