Fill fabric domains with groups of one model and keep warm spares

Ruled out: slow detection (0.75 s after the loss in the log). Change: domains get groups of one model, each model in three domains at least; spare VMs get a copy of their domain's model ahead; while VMs still come in at the start, no domain is divided.

--- a/arbutuscove/fleet/controller.py
+++ b/arbutuscove/fleet/controller.py
@@ -24,6 +24,8 @@
 
 SERVICE_NAME = "group-controller"
 DUTY = "groups"
+# A list that did not grow for so long is taken as whole.
+SETTLE = datetime.timedelta(seconds=1)
 # Pause between two examinations of one group.
 ASK_INTERVAL = datetime.timedelta(milliseconds=400)
 TURN = datetime.timedelta(milliseconds=250)
@@ -72,6 +74,8 @@
             collections.deque()
         )
         self._traffic = False
+        # Most VMs of each service seen so far, and since when.
+        self._grown: dict[str, tuple[int, datetime.timedelta]] = {}
         self._silent: dict[str, datetime.timedelta] = {}
         self._asking: set[tuple[str, int]] = set()
         # Orders accepted by each life of a VM, as far as this holder knows.
@@ -124,6 +128,7 @@
             loads=self._count_loads(engine, len(vms)),
             stalled=self._read_stalled(),
             silent=self._list_silent(now),
+            settled=self._is_settled(service, len(vms), now),
         )
         memory = self._memories.get(service, planner.Memory())
         plan = planner.plan(situation, memory)
@@ -144,7 +149,10 @@
         now = self._clock.monotonic()
         for order in found:
             match order:
-                case orders_module.Join(vm=vm, model=wanted):
+                case (
+                    orders_module.Join(vm=vm, model=wanted)
+                    | orders_module.Stage(vm=vm, model=wanted)
+                ):
                     if wanted not in vm.staged:
                         self._load_times.append(now)
         gevent.joinall(
@@ -219,6 +227,16 @@
         allowed = int(engine.loads_per_second * window.total_seconds())
         return min(engine.loads_at_once, allowed - len(self._load_times))
 
+    def _is_settled(
+        self, service: str, count: int, now: datetime.timedelta
+    ) -> bool:
+        """Returns whether the list has stopped growing since the start."""
+        largest, since = self._grown.get(service, (0, now))
+        if count > largest:
+            largest, since = count, now
+        self._grown[service] = (largest, since)
+        return self._traffic or now - since >= SETTLE
+
     def _list_silent(self, now: datetime.timedelta) -> frozenset[str]:
         self._silent = {
             name: since
--- a/arbutuscove/fleet/planner.py
+++ b/arbutuscove/fleet/planner.py
@@ -5,9 +5,10 @@
 started anew, or is gone. A head is opened only after each member itself has
 been read as ready under the same name and epoch.
 
-Groups never span fabric domains, since that slows every step. Among models,
-the one whose groups carry the most work each gets the next group; among VMs,
-those that hold the model already go first, as a load takes ten times as long.
+Groups never span fabric domains, since that slows every step. Each domain is
+filled with groups of one model as far as the shares allow, and its spare VMs
+hold that model: what is left of a lost group then completes the next one in
+two seconds, where a load from the weight store takes sixteen.
 """
 
 import collections
@@ -24,6 +25,9 @@
 # A group that is still not complete after the longest load and this time is
 # given up, and its members are planned anew.
 FORM_SLACK = datetime.timedelta(seconds=20)
+# Groups of one model are spread over so many domains, of which any one may go
+# dark as a whole.
+DOMAINS_AT_LEAST = 3
 NOT_YET_OPEN = frozenset((model.MemberState.JOINING, model.MemberState.READY))
 
 
@@ -51,13 +55,15 @@
 class Memory:
     """What a holder remembers between plans.
 
-    `sent` is when each VM was last sent an order.
+    `sent` is when each VM was last sent an order; `staging` are lives of VMs
+    that were told to copy a model.
     `released` are groups whose absent head no longer serves, `kept` those
     whose absent member answers for itself.
     """
 
     forming: tuple[Forming, ...] = ()
     sent: abc.Mapping[str, Sent] = dataclasses.field(default_factory=dict)
+    staging: frozenset[tuple[str, int]] = frozenset()
     released: frozenset[tuple[str, int]] = frozenset()
     kept: frozenset[tuple[str, int]] = frozenset()
 
@@ -68,7 +74,8 @@
 
     `vms` are all listed VMs of the service, leaving ones too. `stalled` are
     groups that move nothing, seen by the daemons that use them; `silent` are
-    VMs that gave no answer a moment ago. `next_epoch`
+    VMs that gave no answer a moment ago. While not `settled`, VMs are still
+    coming, and a domain gets groups of one model only. `next_epoch`
     is above all epochs given before. `loads` is how many loads from the weight
     store may begin now.
     """
@@ -80,6 +87,7 @@
     loads: int
     stalled: frozenset[tuple[str, int]] = frozenset()
     silent: frozenset[str] = frozenset()
+    settled: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -101,6 +109,16 @@
     return _Planner(situation, memory).run()
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Choice:
+    """A group that could be formed; the least `order` goes first."""
+
+    domain: str
+    members: list[model.Vm]
+    cold: int
+    order: tuple[int, int, int]
+
+
 class _Planner:
     """Collects one plan."""
 
@@ -118,6 +136,13 @@
         self._loads = situation.loads
         self._forming: list[Forming] = []
         self._claimed: set[str] = set()
+        self._targets = find_targets(self._engine, len(situation.vms))
+        self._uses: dict[str, collections.Counter[str]] = (
+            collections.defaultdict(collections.Counter)
+        )
+        self._staging = set(memory.staging)
+        domains = {vm.fabric_domain for vm in situation.vms}
+        self._spread = min(DOMAINS_AT_LEAST, len(domains))
 
     def run(self) -> Plan:
         """Returns the plan."""
@@ -127,6 +152,7 @@
         for vm in self._situation.vms:
             if vm.membership is None:
                 self._offer(vm)
+        self._count_uses()
         self._form_groups()
         now = self._situation.now
         sent = {
@@ -140,7 +166,9 @@
                 time=now, membership=vm.membership, born=vm.born
             )
         listed = frozenset(self._groups)
+        lives = {(vm.name, vm.born) for vm in self._situation.vms}
         memory = Memory(
+            staging=frozenset(self._staging & lives),
             forming=tuple(self._forming),
             sent=sent,
             released=self._memory.released & listed,
@@ -255,44 +283,110 @@
         by_domain: dict[str, list[model.Vm]] = {}
         for vm in self._free.values():
             by_domain.setdefault(vm.fabric_domain, []).append(vm)
-        targets = find_targets(self._engine, len(self._situation.vms))
         while True:
-            best = self._choose(by_domain, targets)
+            best = self._choose(by_domain)
             if best is None:
-                return
+                break
             spec, domain, members = best
             for vm in members:
                 by_domain[domain].remove(vm)
+            self._uses[domain][spec.name] += spec.size
             self._form(spec, members)
+        self._stage_spares(by_domain)
+
+    def _count_uses(self) -> None:
+        """Counts the VMs of each domain by the model that they serve."""
+        forming = {
+            name: found.model
+            for found in self._forming
+            for name in found.members
+        }
+        for vm in self._situation.vms:
+            used = forming.get(vm.name)
+            if used is None and vm.membership is not None:
+                used = model.read_model(vm.membership.group)
+            if used is not None and vm.name not in self._free:
+                self._uses[vm.fabric_domain][used] += 1
 
     def _choose(
-        self,
-        by_domain: dict[str, list[model.Vm]],
-        targets: abc.Mapping[str, int],
+        self, by_domain: dict[str, list[model.Vm]]
     ) -> tuple[catalog_model.ModelSpec, str, list[model.Vm]] | None:
-        specs = sorted(self._engine.models, key=self._weigh, reverse=True)
-        for spec in specs:
-            choices = []
-            for domain, vms in by_domain.items():
-                if len(vms) < spec.size:
-                    continue
-                ordered = sorted(vms, key=lambda vm: _rank_vm(vm, spec.name))
-                members = ordered[: spec.size]
-                cold = sum(spec.name not in vm.staged for vm in members)
-                choices.append((cold, len(vms), domain, members))
-            if not choices:
-                continue
-            cold, _, domain, members = min(choices, key=lambda c: c[:3])
-            below = self._counts[spec.name] < targets.get(spec.name, 0)
-            if cold and (not below or cold > self._loads):
-                continue
-            if cold and self._count_coming(domain, spec.name) >= cold:
+        """Returns the group to form next: model, domain and members."""
+        for spec in sorted(self._engine.models, key=self._read_supply):
+            choices = [
+                self._rate(spec, domain, vms)
+                for domain, vms in by_domain.items()
+            ]
+            found = [choice for choice in choices if choice is not None]
+            if found:
+                best = min(found, key=lambda choice: choice.order)
+                self._loads -= best.cold
+                return spec, best.domain, best.members
+        return None
+
+    def _rate(
+        self,
+        spec: catalog_model.ModelSpec,
+        domain: str,
+        vms: list[model.Vm],
+    ) -> _Choice | None:
+        """Returns the best group of a model in a domain, None without one."""
+        warm = [vm for vm in vms if spec.name in vm.staged]
+        members = sorted(warm, key=lambda vm: _rank_vm(vm, spec.name))
+        members = members[: spec.size]
+        cold = spec.size - len(members)
+        kin = self._count_kin(domain, spec.name)
+        if kin < 0 and not self._situation.settled:
+            return None
+        if cold:
+            if self._read_supply(spec) >= 1.0 or cold > self._loads:
+                return None
+            here = self._uses[domain][spec.name] // spec.size
+            if here * self._spread >= self._targets[spec.name]:
+                return None
+            if self._count_coming(domain, spec.name) >= cold:
                 # VMs that hold the model are about to be released here, and a
                 # load takes longer than their release.
+                return None
+            others = [vm for vm in vms if self._may_load(vm, spec)]
+            if len(others) < cold:
+                return None
+            members += sorted(others, key=lambda vm: len(vm.staged))[:cold]
+        order = (cold, -kin, -len(vms))
+        return _Choice(domain=domain, members=members, cold=cold, order=order)
+
+    def _may_load(self, vm: model.Vm, spec: catalog_model.ModelSpec) -> bool:
+        """Returns whether a VM may load a model over what its host holds."""
+        if spec.name in vm.staged:
+            return False
+        held = map(self._engine.find_model, vm.staged)
+        return all(
+            other is None or self._read_supply(other) >= 1.0 for other in held
+        )
+
+    def _count_kin(self, domain: str, wanted: str) -> int:
+        """Returns the VMs in a domain used for a model, less those for others.
+
+        Groups of one model share a domain, so that what is left of one group
+        replaces the lost members of another.
+        """
+        uses = self._uses[domain]
+        return 2 * uses[wanted] - uses.total()
+
+    def _stage_spares(self, by_domain: dict[str, list[model.Vm]]) -> None:
+        """Copies the model of a domain to its spare VMs ahead of a loss."""
+        for domain, vms in by_domain.items():
+            home = self._uses[domain].most_common(1)
+            if not home:
                 continue
-            self._loads -= cold
-            return spec, domain, members
-        return None
+            wanted = home[0][0]
+            for vm in vms:
+                life = (vm.name, vm.born)
+                if vm.staged or life in self._staging or self._loads < 1:
+                    continue
+                self._loads -= 1
+                self._staging.add(life)
+                self._orders.append(orders.Stage(vm=vm, model=wanted))
 
     def _count_coming(self, domain: str, wanted: str) -> int:
         """Returns how many VMs with a model a domain will soon have free."""
@@ -303,9 +397,9 @@
             if vm.fabric_domain == domain
         )
 
-    def _weigh(self, spec: catalog_model.ModelSpec) -> float:
-        """Returns the work that falls on each VM of a model's groups."""
-        return spec.share / (spec.size * self._counts[spec.name] or 0.01)
+    def _read_supply(self, spec: catalog_model.ModelSpec) -> float:
+        """Returns the groups of a model as a part of those that it needs."""
+        return self._counts[spec.name] / self._targets[spec.name]
 
     def _form(
         self, spec: catalog_model.ModelSpec, members: list[model.Vm]
@@ -356,13 +450,11 @@
     }
 
 
-def _rank_vm(vm: model.Vm, wanted: str) -> tuple[int, str]:
+def _rank_vm(vm: model.Vm, wanted: str) -> tuple[bool, str]:
+    """Orders VMs that hold a model: first those that served it last."""
     last = vm.membership
-    if last is not None and model.read_model(last.group) == wanted:
-        return (0, vm.name)
-    if wanted in vm.staged:
-        return (1, vm.name)
-    return (2 if not vm.staged else 3, vm.name)
+    served = last is not None and model.read_model(last.group) == wanted
+    return (not served, vm.name)
 
 
 def release(memory: Memory, key: tuple[str, int]) -> Memory:
--- a/arbutuscove/fleet/tests/test_planner.py
+++ b/arbutuscove/fleet/tests/test_planner.py
@@ -215,3 +215,68 @@
     by_name = {vm.name: vm for vm in vms}
     for name in list_joined(plan(vms)):
         assert by_name[name].membership.key not in serving
+
+
+def test_planner_fills_domains_with_one_model():
+    """Guards against remains of a lost group that complete no other one."""
+    vms = [
+        create_vm(f"{domain}{number}", fabric_domain=domain, staged=())
+        for domain in "uvwxyz"
+        for number in range(8)
+    ]
+    found = plan(vms, engine=ENGINE)
+    models = sorted(
+        "+".join(
+            sorted(
+                {
+                    order.model
+                    for order in found.orders
+                    if order.vm.fabric_domain == domain
+                }
+            )
+        )
+        for domain in "uvwxyz"
+    )
+    assert models == ["chat"] * 3 + ["draft"] * 3
+
+
+def test_planner_spreads_a_model_over_domains():
+    """Guards against one dark domain that takes half of a model's groups."""
+    vms = [
+        create_vm(f"{domain}{number}", fabric_domain=domain, staged=())
+        for domain in "xyz"
+        for number in range(8)
+    ]
+    found = plan(vms, engine=ENGINE)
+    domains = {
+        order.vm.fabric_domain
+        for order in found.orders
+        if isinstance(order, orders.Join) and order.model == "chat"
+    }
+    assert domains == set("xyz")
+
+
+def test_planner_stages_the_domains_model_on_spares():
+    """Guards against a spare that has to load for 16 s when it is needed."""
+    vms = [create_vm(f"v{number}", staged=()) for number in range(5)]
+    found = plan(vms)
+    (stage,) = [o for o in found.orders if isinstance(o, orders.Stage)]
+    assert stage.model == "chat"
+    assert stage.vm.name not in list_joined(found)
+
+
+def test_planner_keeps_a_copy_that_its_model_needs():
+    """Guards against a short model's copy overwritten by another's."""
+    vms = [
+        create_vm("a", staged=("draft",)),
+        create_vm("b", staged=("draft",)),
+        create_vm("c", staged=()),
+    ]
+    assert list_joined(plan(vms, engine=ENGINE)) == []
+
+
+def test_planner_waits_for_the_rest_of_a_domain_at_the_start():
+    """Guards against a domain split among models while its VMs come in."""
+    vms = [create_vm(f"v{number}", staged=()) for number in range(6)]
+    found = plan(vms, engine=ENGINE, settled=False)
+    assert len({order.model for order in found.orders}) == 1
