--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -88,178 +88,211 @@
         )
 
 
-def build_kernel(settings: settings_module.Settings) -> services.Kernel:
-    """Returns a kernel with all services of a daemon, not yet started."""
-    clock = clock_module.SystemClock()
-    identity = f"{settings.name}.{uuid.uuid4().hex[:12]}"
-    generator = random.Random(identity)
-    metrics = metrics_module.Metrics()
-    lag = loop.LagMonitor(clock)
-    connections = pool.ConnectionPool(clock)
-    store = store_module.Store(settings.store, connections, clock)
-    catalog = catalog_holder.CatalogHolder()
-    inventory = inventory_module.Inventory(clock)
-    states = backends_module.BackendStates(clock)
-    callers = "" if settings.callers is None else str(settings.callers)
-
-    def read_own(beat: digest.Beat) -> digest.Beat:
-        return msgspec.structs.replace(
-            beat,
-            ready=is_ready(),
-            config_version=catalog.version(),
-            store_ok=store.answers,
-            holding=leases.epoch(controller_module.DUTY) or 0,
-            loads={
-                f"{key[0]}|{key[1]}": state.running
-                for key, state in states.items()
-                if state.running
-            },
-            stalled=tuple(states.list_stalled()[: digest.STALLED_LIMIT]),
-        )
+class _Assembly:
+    """The services of one daemon and what they ask of one another."""
 
-    def is_ready() -> bool:
-        return (
-            catalog.current() is not None
-            and inventory.age() is not None
-            and not listener.is_leaving()
+    def __init__(self, settings: settings_module.Settings) -> None:
+        self._settings = settings
+        self._clock = clock_module.SystemClock()
+        # Unique to the process: a restarted daemon must not pass for its
+        # former self as the holder of a lease.
+        self._identity = f"{settings.name}.{uuid.uuid4().hex[:12]}"
+        self._generator = random.Random(self._identity)
+        self._metrics = metrics_module.Metrics()
+        self._lag = loop.LagMonitor(self._clock)
+        self._connections = pool.ConnectionPool(self._clock)
+        self._store = store_module.Store(
+            settings.store, self._connections, self._clock
+        )
+        self._catalog = catalog_holder.CatalogHolder()
+        self._inventory = inventory_module.Inventory(self._clock)
+        self._states = backends_module.BackendStates(self._clock)
+        self._callers = "" if not settings.callers else str(settings.callers)
+        self._orders = engine.EngineOrders(self._connections, self._clock)
+        self._gossip = self._build_gossip()
+        self._leases = lease_holder.LeaseHolder(
+            self._identity,
+            store_module.StoreTable(self._store),
+            self._clock,
+            self._lag,
+            LEASE_TERMS,
+            self._gossip,
+        )
+        self._controller = controller_module.GroupController(
+            self._clock,
+            self._catalog,
+            self._inventory,
+            self._leases,
+            self._orders,
+            self._read_stalled,
+        )
+        self._waiting = waiting.WaitingRoom(
+            self._clock,
+            self._catalog,
+            self._inventory,
+            self._states,
+            self._read_loads,
+            self._generator,
         )
+        self._flow = self._build_flow()
+        self._listener = self._build_listener()
 
-    def note_stalled(peer: str, key: relay_model.BackendKey) -> None:
-        states.mark_stalled(key, peer, here=False)
+    def build(self) -> services.Kernel:
+        """Returns a kernel with the services in the order they depend."""
+        configuration = followers.ConfigurationFollower(
+            self._store, self._clock, self._generator, self._catalog
+        )
+        self._gossip.on_config_version(configuration.note_peer_version)
+        servers = followers.ServersFollower(
+            self._store,
+            self._clock,
+            self._generator,
+            self._inventory,
+            self._gossip,
+            self._holds_duty,
+        )
+        registry = Registry(
+            self._settings, self._store, self._clock, self._gossip
+        )
+        kernel = services.Kernel()
+        for name, service in (
+            (loop.SERVICE_NAME, self._lag),
+            (metrics_module.SERVICE_NAME, self._metrics),
+            (pool.SERVICE_NAME, self._connections),
+            (followers.CONFIGURATION_SERVICE, configuration),
+            (followers.SERVERS_SERVICE, servers),
+            (gossip_service.SERVICE_NAME, self._gossip),
+            (REGISTRY_SERVICE, registry),
+            (lease_holder.SERVICE_NAME, self._leases),
+            (controller_module.SERVICE_NAME, self._controller),
+            (waiting.SERVICE_NAME, self._waiting),
+            (flow_module.SERVICE_NAME, self._flow),
+            (listener_module.SERVICE_NAME, self._listener),
+            (LEAVING_SERVICE, _Leaving(self._gossip, self._listener)),
+        ):
+            kernel.register(name, service)
+        return kernel
 
-    gossip = gossip_service.Gossip(
-        digest.Beat(
+    def _build_gossip(self) -> gossip_service.Gossip:
+        settings = self._settings
+        own = digest.Beat(
             name=settings.name,
             ip=settings.ip,
-            callers=callers,
+            callers=self._callers,
             failure_domain=settings.failure_domain,
-            identity=identity,
+            identity=self._identity,
             life=time.time_ns() // 1000,
             counter=0,
             ready=False,
             leaving=False,
-        ),
-        settings.gossip_port,
-        clock,
-        generator,
-        read_own,
-        note_stalled,
-    )
-    leases = lease_holder.LeaseHolder(
-        identity,
-        store_module.StoreTable(store),
-        clock,
-        lag,
-        LEASE_TERMS,
-        gossip,
-    )
-
-    def read_loads() -> dict[relay_model.BackendKey, int]:
+        )
+        return gossip_service.Gossip(
+            own,
+            settings.gossip_port,
+            self._clock,
+            self._generator,
+            self._read_own,
+            self._note_stalled,
+        )
+
+    def _build_flow(self) -> flow_module.Flow:
+        bounds = self._settings.bounds
+        return flow_module.Flow(
+            self._clock,
+            self._catalog,
+            self._waiting,
+            self._states,
+            self._connections,
+            upstreams.HttpCodec(),
+            budget.Allowance(
+                ratio=bounds.retry_ratio,
+                slack=bounds.retry_slack,
+                window=bounds.retry_window,
+            ),
+            lambda: len(self._gossip.live()) + 1,
+            self._gossip.tell,
+            self._find_silent_members,
+            self._generator,
+        )
+
+    def _build_listener(self) -> listener_module.Listener:
+        settings = self._settings
+        addresses = (settings.callers, settings.ready, settings.directory)
+        return listener_module.Listener(
+            self._clock,
+            [address for address in addresses if address is not None],
+            self._catalog,
+            self._flow,
+            self._metrics,
+            self._list_addresses,
+            self._is_ready,
+            self._controller.note_traffic,
+            settings.bounds.grace,
+        )
+
+    def _read_own(self, beat: digest.Beat) -> digest.Beat:
+        loads = {
+            f"{key[0]}|{key[1]}": state.running
+            for key, state in self._states.items()
+            if state.running
+        }
+        return msgspec.structs.replace(
+            beat,
+            ready=self._is_ready(),
+            config_version=self._catalog.version(),
+            store_ok=self._store.answers,
+            holding=self._leases.epoch(controller_module.DUTY) or 0,
+            loads=loads,
+            stalled=tuple(self._states.list_stalled()[: digest.STALLED_LIMIT]),
+        )
+
+    def _is_ready(self) -> bool:
+        return (
+            self._catalog.current() is not None
+            and self._inventory.age() is not None
+            and not self._listener.is_leaving()
+        )
+
+    def _holds_duty(self) -> bool:
+        return self._leases.epoch(controller_module.DUTY) is not None
+
+    def _note_stalled(self, peer: str, key: relay_model.BackendKey) -> None:
+        self._states.mark_stalled(key, peer, here=False)
+
+    def _find_silent_members(self, backend: relay_model.Backend) -> list[str]:
+        return health.find_silent_members(
+            self._inventory, self._orders, backend.key
+        )
+
+    def _read_loads(self) -> dict[relay_model.BackendKey, int]:
+        """Returns what the other daemons run at each backend."""
         loads: dict[relay_model.BackendKey, int] = {}
-        for beat in gossip.live():
+        for beat in self._gossip.live():
             for text, running in beat.loads.items():
                 name, _, epoch = text.rpartition("|")
                 key = (name, int(epoch))
                 loads[key] = loads.get(key, 0) + running
         return loads
 
-    def read_stalled() -> frozenset[tuple[str, int]]:
-        found = set(states.list_stalled())
-        for beat in gossip.live():
+    def _read_stalled(self) -> frozenset[tuple[str, int]]:
+        """Returns the groups that any live daemon found stalled."""
+        found = set(self._states.list_stalled())
+        for beat in self._gossip.live():
             found.update(beat.stalled)
         return frozenset(found)
 
-    def list_addresses(domain: str) -> list[str]:
-        found = [beat.callers for beat in gossip.live() if _takes(beat)]
-        if is_ready() and callers:
-            found.append(callers)
+    def _list_addresses(self, domain: str) -> list[str]:
+        """Returns where callers of a failure domain may connect."""
+        del domain  # callers anywhere may use all daemons
+        found = [beat.callers for beat in self._gossip.live() if _takes(beat)]
+        if self._is_ready() and self._callers:
+            found.append(self._callers)
         return sorted(found)
 
-    group_orders = engine.EngineOrders(connections, clock)
-    configuration = followers.ConfigurationFollower(
-        store, clock, generator, catalog
-    )
-    gossip.on_config_version(configuration.note_peer_version)
-    waiting_room = waiting.WaitingRoom(
-        clock, catalog, inventory, states, read_loads, generator
-    )
-    flow = flow_module.Flow(
-        clock,
-        catalog,
-        waiting_room,
-        states,
-        connections,
-        upstreams.HttpCodec(),
-        budget.Allowance(
-            ratio=settings.bounds.retry_ratio,
-            slack=settings.bounds.retry_slack,
-            window=settings.bounds.retry_window,
-        ),
-        lambda: len(gossip.live()) + 1,
-        gossip.tell,
-        lambda backend: health.find_silent_members(
-            inventory, group_orders, backend.key
-        ),
-        generator,
-    )
-    controller = controller_module.GroupController(
-        clock,
-        catalog,
-        inventory,
-        leases,
-        group_orders,
-        read_stalled,
-    )
-    listener = listener_module.Listener(
-        clock,
-        [
-            address
-            for address in (
-                settings.callers,
-                settings.ready,
-                settings.directory,
-            )
-            if address is not None
-        ],
-        catalog,
-        flow,
-        metrics,
-        list_addresses,
-        is_ready,
-        controller.note_traffic,
-        settings.bounds.grace,
-    )
-    kernel = services.Kernel()
-    for name, service in (
-        (loop.SERVICE_NAME, lag),
-        (metrics_module.SERVICE_NAME, metrics),
-        (pool.SERVICE_NAME, connections),
-        (
-            followers.CONFIGURATION_SERVICE,
-            configuration,
-        ),
-        (
-            followers.SERVERS_SERVICE,
-            followers.ServersFollower(
-                store,
-                clock,
-                generator,
-                inventory,
-                gossip,
-                lambda: leases.epoch(controller_module.DUTY) is not None,
-            ),
-        ),
-        (gossip_service.SERVICE_NAME, gossip),
-        (REGISTRY_SERVICE, Registry(settings, store, clock, gossip)),
-        (lease_holder.SERVICE_NAME, leases),
-        (controller_module.SERVICE_NAME, controller),
-        (waiting.SERVICE_NAME, waiting_room),
-        (flow_module.SERVICE_NAME, flow),
-        (listener_module.SERVICE_NAME, listener),
-        (LEAVING_SERVICE, _Leaving(gossip, listener)),
-    ):
-        kernel.register(name, service)
-    return kernel
+
+def build_kernel(settings: settings_module.Settings) -> services.Kernel:
+    """Returns a kernel with all services of a daemon, not yet started."""
+    return _Assembly(settings).build()
 
 
 class _Leaving(services.BaseService):
--- /dev/null
+++ b/arbutuscove/standins/users.py
@@ -0,0 +1,618 @@
+"""A small stand-in of the users' platform: its store, servers and operator.
+
+It speaks the dialect that `arbutuscove.platform` translates, keeps a record of
+every run, and fails on command. Times are short, so that tests need seconds.
+"""
+
+import base64
+import dataclasses
+import errno
+import time
+import typing
+import urllib.parse
+from collections import abc
+
+import gevent
+import msgspec
+from gevent import event
+from gevent import pywsgi
+
+STALL_SECONDS = 1.5  # a group whose member died is broken after this time
+HEARTBEAT_SECONDS = 0.3
+LAPSE_SECONDS = 0.9  # an entry without a heartbeat goes away
+WARM_SECONDS = 0.1
+LOAD_SECONDS = 0.4
+EVENT_SECONDS = 0.02  # pause between two events of a stream
+EVENTS = 8  # events of each stream
+QUEUE_LIMIT = 4  # requests of a plain server beyond its slots
+STAMP = "X-Server-Stamp"
+
+StartResponse = abc.Callable[..., typing.Any]
+Environ = dict[str, typing.Any]
+Reply = tuple[int, typing.Any]
+
+
+class _Server(pywsgi.WSGIServer):
+    """A server without logs whose open connections can be silenced."""
+
+    def __init__(self, host: str, port: int, app: typing.Any) -> None:
+        super().__init__((host, port), app, log=None, error_log=None)
+
+
+def _send_json(start_response: StartResponse, reply: Reply) -> list[bytes]:
+    data = msgspec.json.encode(reply[1])
+    fields = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(data))),
+    ]
+    start_response(f"{reply[0]} -", fields)
+    return [data]
+
+
+@dataclasses.dataclass(slots=True)
+class StoreFaults:
+    """How the store fails: refuse all calls, or lose each n-th write answer."""
+
+    refuse: int = 0  # status of every answer, 0 for none
+    silent: bool = False
+    lose_each: int = 0
+    delay: float = 0.0  # seconds before each answer
+
+
+class Store:
+    """Rows with versions, conditions, and a feed whose history can be lost."""
+
+    def __init__(self) -> None:
+        self.faults = StoreFaults()
+        self.calls = 0
+        self._rows: dict[tuple[str, str], tuple[int, str]] = {}
+        self._log: list[tuple[int, str, str, str | None]] = []
+        self._version = 0
+        self._oldest = 0
+        self._changed = event.Event()
+        self._writes = 0
+
+    def put(self, table: str, key: str, content: typing.Any) -> None:
+        """Writes a row as the operator or a server does."""
+        value = base64.b64encode(msgspec.json.encode(content)).decode()
+        self._apply([(table, key, value)])
+
+    def drop(self, table: str, key: str) -> None:
+        """Removes a row."""
+        if (table, key) in self._rows:
+            self._apply([(table, key, None)])
+
+    def forget_history(self) -> None:
+        """Answers feeds of older versions with 410 from now on."""
+        self._oldest = self._version
+        self._log.clear()
+
+    def read(self, table: str, key: str) -> typing.Any:
+        """Returns a row's content, None if there is none."""
+        found = self._rows.get((table, key))
+        if found is None:
+            return None
+        return msgspec.json.decode(base64.b64decode(found[1]))
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> abc.Iterable[bytes]:
+        """Serves one call."""
+        self.calls += 1
+        gevent.sleep(self.faults.delay)
+        while self.faults.silent:
+            gevent.sleep(0.05)
+        if self.faults.refuse:
+            return _send_json(start_response, (self.faults.refuse, {}))
+        query = dict(urllib.parse.parse_qsl(environ["QUERY_STRING"]))
+        body = environ["wsgi.input"].read()
+        match environ["PATH_INFO"]:
+            case "/rows-get":
+                reply = self._get(query)
+            case "/rows-feed":
+                reply = self._feed(query)
+            case "/rows-tx":
+                reply = self._transact(msgspec.json.decode(body))
+                self._writes += 1
+                each = self.faults.lose_each
+                if each and self._writes % each == 0:
+                    raise ConnectionResetError(
+                        errno.ECONNRESET, "answer lost on command"
+                    )
+            case _:
+                reply = (404, {})
+        return _send_json(start_response, reply)
+
+    def _apply(self, changes: list[tuple[str, str, str | None]]) -> None:
+        self._version += 1
+        for table, key, value in changes:
+            if value is None:
+                self._rows.pop((table, key), None)
+            else:
+                self._rows[table, key] = (self._version, value)
+            self._log.append((self._version, table, key, value))
+        self._changed.set()
+        self._changed.clear()
+
+    def _get(self, query: dict[str, str]) -> Reply:
+        start, end = query.get("from", ""), query.get("to")
+        rows = [
+            {"key": key, "schema_version": version, "value": value}
+            for (table, key), (version, value) in sorted(self._rows.items())
+            if table == query["table"]
+            and key >= start
+            and (end is None or key < end)
+        ]
+        return 200, {
+            "rows": rows,
+            "has_more": False,
+            "schema_version": self._version,
+        }
+
+    def _feed(self, query: dict[str, str]) -> Reply:
+        since = int(query["since_revision"])
+        end = time.monotonic() + int(query["wait_ms"]) / 1000
+        while True:
+            if since < self._oldest:
+                return 410, {}
+            newest = {
+                key: (version, value)
+                for version, table, key, value in self._log
+                if version > since and table == query["table"]
+            }
+            left = end - time.monotonic()
+            if newest or left <= 0:
+                break
+            self._changed.wait(min(left, 0.1))
+        rows = [
+            {"key": key, "schema_version": version, "deleted": True}
+            if value is None
+            else {"key": key, "schema_version": version, "value": value}
+            for key, (version, value) in newest.items()
+        ]
+        return 200, {"rows": rows, "schema_version": self._version}
+
+    def _transact(self, body: dict[str, typing.Any]) -> Reply:
+        for row in body["expected_revision"]:
+            found = self._rows.get((row["table"], row["key"]), (0, ""))
+            if found[0] != row["schema_version"]:
+                return 412, {"rows": [], "schema_version": self._version}
+        changes = [
+            (row["table"], row["key"], row["value"]) for row in body["upserts"]
+        ]
+        changes += [(row["table"], row["key"], None) for row in body["remove"]]
+        self._apply(changes)
+        return 200, {"schema_version": self._version}
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Run:
+    """One run of a request, as the server recorded it."""
+
+    request_id: str
+    server: str
+    service: str
+    account: str
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Violation:
+    """A promise that the server saw broken."""
+
+    name: str
+    detail: str
+
+
+class Server:
+    """One server: a member of groups, or a plain one without a domain."""
+
+    def __init__(
+        self,
+        platform: "UsersPlatform",
+        name: str,
+        service: str,
+        address: tuple[str, int],
+        domain: str = "",
+        advertised: tuple[str, int] | None = None,
+    ) -> None:
+        self.name = name
+        self.address = address
+        self.advertised = advertised or address
+        self.service = service
+        self.domain = domain
+        self.alive = True
+        self.refuses = False  # answers 503, not run
+        self.silent_health = False
+        self.fails_each = 0  # each n-th request gets the server's own 500
+        self.leaving = False
+        self._platform = platform
+        self._requests = 0
+        self._server: _Server | None = None
+        self._reset()
+        self.start()
+
+    def start(self) -> None:
+        """Starts, or starts again without any memory."""
+        self._reset()
+        self.alive = True
+        self._server = _Server(*self.address, self)
+        self._server.start()
+
+    def crash(self) -> None:
+        """Ends without a word; open connections fall silent."""
+        self.alive = False
+        if self._server is not None:
+            self._server.close()
+
+    def _reset(self) -> None:
+        self.born = time.time_ns() // 1_000_000
+        self.accepted = 0
+        self.fence = -1
+        self.group: dict[str, typing.Any] | None = None
+        self.members: tuple[str, ...] = ()
+        self.running = 0
+        self.ready_at = 0.0
+        self.stalled_at: float | None = None
+        self.last_model = ""
+        self.staged: tuple[str, ...] = ()
+
+    def describe(self) -> dict[str, typing.Any]:
+        """Returns what it says of itself; the group's state as of now."""
+        group = self.group
+        if group is not None:
+            loaded = time.monotonic() >= self.ready_at
+            if group["state"] == "joining" and loaded:
+                group["state"] = "ready"
+                self.staged = (self.last_model,)
+        entry: dict[str, typing.Any] = {"born": self.born, "models": []}
+        if self.domain:
+            entry |= {"domain": self.domain, "staged": self.staged}
+        if group is not None:
+            entry["group"] = dict(group)
+        return entry
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> abc.Iterable[bytes]:
+        """Serves one call."""
+        self._hang_if_dead()
+        body = environ["wsgi.input"].read()
+        expected = environ.get("HTTP_X_EXPECT_INSTANCE", self.name)
+        if expected != self.name:
+            fields = [("Content-Length", "0"), ("X-Instance-Id", self.name)]
+            start_response("421 -", fields)
+            return []
+        match environ["PATH_INFO"]:
+            case "/report":
+                report = self.describe() | {"sequence": self.accepted}
+                return _send_json(start_response, (200, report))
+            case "/order":
+                reply = self._order(msgspec.json.decode(body))
+                return _send_json(start_response, reply)
+        return self._run(environ, body, start_response)
+
+    def _hang_if_dead(self) -> None:
+        while not self.alive:
+            gevent.sleep(0.05)
+            if self._platform.stopped:
+                raise ConnectionResetError(errno.ECONNRESET, "stopped")
+
+    def _order(self, order: dict[str, typing.Any]) -> Reply:
+        if order["fence"] < self.fence:
+            return 412, {}
+        self.fence = order["fence"]
+        if order["expected_revision"] != self.accepted:
+            return 409, {}
+        self.describe()
+        match order["operation"]:
+            case "join":
+                return self._join(order)
+            case "stage":
+                self.accepted += 1
+                self.staged = (order["model"],)
+                return 202, {}
+        group = self.group
+        if group is None or (group["name"], group["epoch"]) != (
+            order["group"],
+            order["epoch"],
+        ):
+            return 409, {}
+        match order["operation"], group["state"]:
+            case "open", "ready" if group["rank"] == 0:
+                group["state"] = "open"
+                self._check_members()
+            case "close", "open":
+                group["state"] = "ready"
+            case "leave", _:
+                self.group = None
+            case _:
+                return 409, {}
+        self.accepted += 1
+        return 202, {}
+
+    def _join(self, order: dict[str, typing.Any]) -> Reply:
+        held = self.group
+        if held is not None and order["epoch"] < held["epoch"]:
+            return 412, {}
+        if held is not None and held["name"] == order["group"]:
+            return 200, {}
+        self._platform.check_free(self, order["group"])
+        warm = order["model"] in self.staged
+        self.ready_at = time.monotonic() + (
+            WARM_SECONDS if warm else LOAD_SECONDS
+        )
+        self.last_model = order["model"]
+        self.members = tuple(order["members"])
+        self.group = {
+            "name": order["group"],
+            "epoch": order["epoch"],
+            "rank": order["members"].index(self.name),
+            "state": "joining",
+        }
+        self.stalled_at = None
+        self.accepted += 1
+        return 202, {}
+
+    def _check_members(self) -> None:
+        own = self.describe()["group"]["name"]
+        for name in self.members:
+            other = self._platform.servers[name]
+            state = other.describe().get("group", {})
+            same = other.alive and state.get("name") == own
+            if same and state["state"] == "joining":
+                self._platform.note("PARTIAL", f"{name} is not ready")
+
+    def moves(self) -> bool:
+        """Returns whether the group's members are all there."""
+        for name in self.members:
+            other = self._platform.servers[name]
+            held = other.group
+            if not other.alive or held is None or self.group is None:
+                return False
+            if held["name"] != self.group["name"]:
+                return False
+        return self.group is not None and self.group["state"] == "open"
+
+    def watch_stall(self) -> None:
+        """Breaks the group once it stood still for long enough."""
+        if self.group is None or self.group["state"] != "open":
+            return
+        if self.moves() or not self.running:
+            self.stalled_at = None
+        elif self.stalled_at is None:
+            self.stalled_at = time.monotonic()
+        elif time.monotonic() - self.stalled_at > STALL_SECONDS:
+            self.group["state"] = "broken"
+
+    def _run(
+        self, environ: Environ, body: bytes, start_response: StartResponse
+    ) -> abc.Iterable[bytes]:
+        request_id = environ.get("HTTP_X_REQUEST_ID", "")
+        fields = [("X-Request-Id", request_id)]
+        self._requests += 1
+        head = self.group is not None and self.group["state"] == "open"
+        full = self.running >= QUEUE_LIMIT + 2
+        if self.refuses or full or (self.domain and not head):
+            status = "421 -" if self.domain and not head else "503 -"
+            fields += [("X-Not-Run", "1"), ("Content-Length", "0")]
+            start_response(status, fields)
+            return []
+        self._platform.note_run(self, environ, request_id)
+        fields.append((STAMP, f"{self.name}.{request_id}"))
+        if self.domain:
+            start_response("200 -", fields)
+            return self._stream(environ, request_id)
+        gevent.sleep(EVENT_SECONDS)
+        self._hang_if_dead()
+        data = f"{self.name}:{request_id}".encode() + body
+        fields.append(("Content-Length", str(len(data))))
+        fails = self.fails_each and self._requests % self.fails_each == 0
+        start_response("500 -" if fails else "200 -", fields)
+        return [data]
+
+    def _stream(self, environ: Environ, request_id: str) -> abc.Iterator[bytes]:
+        first = int(environ.get("HTTP_LAST_EVENT_ID") or 0) + 1
+        self.running += 1
+        try:
+            for number in range(first, EVENTS + 1):
+                gevent.sleep(EVENT_SECONDS)
+                while not self.moves():
+                    self._hang_if_dead()
+                    if self.group is None or self.group["state"] == "broken":
+                        raise ConnectionResetError(
+                            errno.ECONNRESET, "group broken"
+                        )
+                    gevent.sleep(0.02)
+                yield f"id: {number}\ndata: {request_id}.{number}\n\n".encode()
+        finally:
+            self.running -= 1
+
+
+class UsersPlatform:
+    """Store, servers and the record of what was run."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self.store = Store()
+        self.servers: dict[str, Server] = {}
+        self.runs: list[Run] = []
+        self.violations: list[Violation] = []
+        self.stopped = False
+        self._store_server = _Server(host, port, self.store)
+        self._store_server.start()
+        self._beats = gevent.spawn(self._beat)
+        self._seen: dict[str, float] = {}
+
+    def add(self, server: Server) -> None:
+        """Adds a server to the list."""
+        self.servers[server.name] = server
+
+    def stop(self) -> None:
+        """Stops everything."""
+        self.stopped = True
+        self._beats.kill()
+        for server in self.servers.values():
+            server.crash()
+        self._store_server.stop(timeout=0.1)
+
+    def note(self, name: str, detail: str) -> None:
+        """Records a broken promise."""
+        self.violations.append(Violation(name=name, detail=detail))
+
+    def note_run(
+        self, server: Server, environ: Environ, request_id: str
+    ) -> None:
+        """Records a run."""
+        if "HTTP_AUTHORIZATION" in environ:
+            self.note("UNASKED", f"{request_id} was shown a caller's key")
+        if "HTTP_X_DEADLINE_MS" not in environ:
+            self.note("BUDGET", f"{request_id} has no deadline")
+        self.runs.append(
+            Run(
+                request_id=request_id,
+                server=server.name,
+                service=server.service,
+                account=environ.get("HTTP_X_TENANT", ""),
+                at=time.monotonic(),
+            )
+        )
+
+    def check_free(self, server: Server, group: str) -> None:
+        """Notes a join of a server whose former head still serves."""
+        held = server.group
+        if held is None or held["name"] == group:
+            return
+        head = self.servers[server.members[0]]
+        if not head.alive or head.group is None:
+            return
+        if head.group["name"] != held["name"]:
+            return
+        if head.group["state"] in ("open", "closing"):
+            self.note("TWO", f"{server.name} joins {group} from {held['name']}")
+
+    def _beat(self) -> None:
+        count = 0
+        while True:
+            count += 1
+            now = time.monotonic()
+            for server in list(self.servers.values()):
+                server.watch_stall()
+                if server.alive:
+                    self._seen[server.name] = now
+                    self._write(server, count)
+                elif now - self._seen.get(server.name, 0) > LAPSE_SECONDS:
+                    self.store.drop("servers", server.name)
+            gevent.sleep(HEARTBEAT_SECONDS / 3)
+
+    def _write(self, server: Server, count: int) -> None:
+        entry = server.describe() | {
+            "service": server.service,
+            "address": f"{server.advertised[0]}:{server.advertised[1]}",
+            "zone": "a",
+            "version": "v1",
+            "slots": 4,
+            "state": "draining" if server.leaving else "ready",
+        }
+        held = self.store.read("servers", server.name)
+        if held is not None:
+            del held["sequence"]
+        # The tenth of a heartbeat without a change is written, too.
+        if held != msgspec.to_builtins(entry) or count % 10 == 0:
+            self.store.put("servers", server.name, entry | {"sequence": count})
+
+
+def build_configuration(
+    version: int, services: abc.Sequence[str] = ("models", "desk")
+) -> dict[str, typing.Any]:
+    """Returns a configuration with one model service and one plain one."""
+    models, desk = services
+    route = {
+        "host": "x.example",
+        "timeout_ms": 4000,
+        "target_latency_ms": 500,
+        "public": False,
+    }
+    spec = {"name": "chat", "size": 2, "share": 1.0, "pace": 1.0}
+    return {
+        "version": version,
+        "routes": [
+            route
+            | {
+                "name": "stream",
+                "prefix": "/stream/",
+                "kind": "stream",
+                "service": models,
+                "max_attempts": 3,
+                "resumable": True,
+                "target_gap_ms": 300,
+                "priority": 0,
+            },
+            route
+            | {
+                "name": "once",
+                "prefix": "/once/",
+                "kind": "unsafe",
+                "service": desk,
+                "max_attempts": 1,
+                "priority": 1,
+            },
+            route
+            | {
+                "name": "safe",
+                "prefix": "/safe/",
+                "kind": "safe",
+                "service": desk,
+                "max_attempts": 2,
+                "priority": 1,
+            },
+        ],
+        "services": [
+            {
+                "name": models,
+                "max_connections": 100,
+                "engine": {
+                    "slots": 4,
+                    "step_ms": 4.0,
+                    "per_seq_ms": 0.2,
+                    "read_per_s": 46000.0,
+                    "loads_per_s": 8.0,
+                    "loads_at_once": 8,
+                    "models": [spec | {"load_s": 0.4, "warm_s": 0.1}],
+                },
+            },
+            {"name": desk, "max_connections": 100},
+        ],
+        "tenants": [{"name": "acme", "api_keys": ["key-1"]}],
+    }
+
+
+def build_settings(
+    name: str, ip: str, store: str, port: int
+) -> dict[str, typing.Any]:
+    """Returns the settings of one daemon; its ports begin at `port`."""
+    return {
+        "node": name,
+        "ip": ip,
+        "zone": "a",
+        "region": "r",
+        "zones": {"a": "r"},
+        "listen": {
+            "front": f"{ip}:{port}",
+            "ready": f"{ip}:{port + 1}",
+            "directory": f"{ip}:{port + 2}",
+        },
+        "internal_ports": [port + 3, port + 10],
+        "bootstrap": True,
+        "limits": {"max_fds": 1000},
+        "heartbeat_ms": HEARTBEAT_SECONDS * 1000,
+        "bounds": {
+            "drain_ms": 2000,
+            "config_apply_ms": 2000,
+            "grace_s": 8,
+            "stall_ms": STALL_SECONDS * 1000,
+            "retry_budget_ratio": 0.2,
+            "retry_budget_slack": 100,
+            "budget_window_s": 10,
+        },
+        "platform": {"address": store},
+    }
--- a/bench/engines.py
+++ b/bench/engines.py
@@ -15,9 +15,9 @@
 import msgspec  # noqa: E402
 from gevent import pywsgi  # noqa: E402
 
+from arbutuscove.standins import engine as engine_module  # noqa: E402
 from arbutuscove.storage import http  # noqa: E402
 from arbutuscove.storage import inventory  # noqa: E402
-from arbutuscove.standins import engine as engine_module  # noqa: E402
 
 
 def main() -> None:
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -31,9 +31,9 @@
 import psutil  # noqa: E402
 from gevent import pywsgi  # noqa: E402
 
-from arbutuscove.storage import http as platform_http  # noqa: E402
 from arbutuscove.standins import cluster as cluster_module  # noqa: E402
 from arbutuscove.standins import demo  # noqa: E402
+from arbutuscove.storage import http as platform_http  # noqa: E402
 from arbutuscove.upstreams import protocol  # noqa: E402
 
 TOKEN_RATIO_BOUND = 1.5
--- a/bench/replicas.py
+++ b/bench/replicas.py
@@ -17,9 +17,9 @@
 
 from arbutuscove.config import model as config_model
 from arbutuscove.kernel import clock as clock_module
-from arbutuscove.storage import inventory
 from arbutuscove.standins import fleet as fleet_module
 from arbutuscove.standins import table as table_standin
+from arbutuscove.storage import inventory
 
 STEP = datetime.timedelta(seconds=2)  # the renewal interval of leases
 # VMs of each fabric domain: two that leave a remainder and one that does not.
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Random faults against the real programs; see `bin/soak --help`."""
