Write logs beside the work, with the request's id and the inputs of decisions

Cause: a line on standard output could block the one loop, and refusals and failures did not name their request. Change: a bounded queue, a rate and a count of what was dropped; a line for each placement, refusal, failure and repeat with its inputs and their age.

--- /dev/null
+++ b/arbutuscove/observe/output.py
@@ -0,0 +1,103 @@
+"""Log lines on standard output that nothing ever waits for.
+
+Lines are kept in a bounded queue and written by a greenlet of its own, as fast
+as the reader of the output takes them. Beyond a rate, and when the queue is
+full, lines are dropped and counted; the next line that is written says how
+many were lost.
+"""
+
+import collections
+import datetime
+import os
+import typing
+
+import gevent
+import msgspec
+from gevent import event
+from gevent import socket
+
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.kernel import services
+
+SERVICE_NAME = "log-output"
+QUEUE_LIMIT = 2000  # lines
+RATE = 300.0  # lines a second in the long run
+BURST = 1000.0  # lines at once
+STOP_TIMEOUT = datetime.timedelta(milliseconds=200)
+WRITE_SIZE = 65536  # bytes in one write
+# Fields that say nothing beyond the others of a line.
+OMITTED = frozenset({"task_uuid", "task_level"})
+
+
+class LineOutput(services.BaseService):
+    """Takes log messages as a destination and writes them as lines."""
+
+    def __init__(self, descriptor: int, clock: clock_module.Clock) -> None:
+        self._descriptor = descriptor
+        self._clock = clock
+        self._lines: collections.deque[bytes] = collections.deque()
+        self._waiting = event.Event()
+        self._tokens = BURST
+        self._filled = clock.monotonic()
+        self._dropped = 0
+        self._greenlet: gevent.Greenlet | None = None
+
+    def start(self, kernel: services.Kernel | None = None) -> None:
+        """Begins to write."""
+        os.set_blocking(self._descriptor, False)
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Writes what the reader still takes at once, and ends."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+        with gevent.Timeout(STOP_TIMEOUT.total_seconds(), False):
+            self._write_all()
+
+    def take(self, message: dict[str, typing.Any]) -> None:
+        """Queues one message, or drops it."""
+        if len(self._lines) >= QUEUE_LIMIT or not self._draw():
+            self._dropped += 1
+            return
+        fields = {
+            key: value for key, value in message.items() if key not in OMITTED
+        }
+        if self._dropped:
+            fields["lines_dropped"] = self._dropped
+            self._dropped = 0
+        line = msgspec.json.encode(fields, enc_hook=str)
+        self._lines.append(line + b"\n")
+        self._waiting.set()
+
+    def _draw(self) -> bool:
+        now = self._clock.monotonic()
+        passed = (now - self._filled).total_seconds()
+        self._filled = now
+        self._tokens = min(BURST, self._tokens + passed * RATE)
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def _run(self) -> None:
+        while True:
+            self._waiting.wait()
+            self._waiting.clear()
+            self._write_all()
+
+    def _write_all(self) -> None:
+        while self._lines:
+            data = self._lines[0]
+            try:
+                written = os.write(self._descriptor, data[:WRITE_SIZE])
+            except BlockingIOError:
+                socket.wait_write(self._descriptor)
+                continue
+            except OSError:
+                # The reader is gone, and with it anybody to tell.
+                self._lines.clear()
+                return
+            if written < len(data):
+                self._lines[0] = data[written:]
+            else:
+                self._lines.popleft()
--- a/arbutuscove/platform/__main__.py
+++ b/arbutuscove/platform/__main__.py
@@ -16,6 +16,8 @@
 from gevent import event
 
 import arbutuscove
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.observe import output as log_output
 from arbutuscove.platform import assembly
 from arbutuscove.platform import settings as settings_module
 
@@ -48,7 +50,11 @@
     """Serves until SIGTERM, then drains and returns."""
     settings = _read_settings()
     eliot.add_global_fields(process=settings.name)
-    eliot.to_file(sys.stdout)
+    output = log_output.LineOutput(
+        sys.stdout.fileno(), clock_module.SystemClock()
+    )
+    output.start()
+    eliot.add_destinations(output.take)
     kernel = assembly.build_kernel(settings)
     stopped = event.Event()
     gevent.signal_handler(signal.SIGTERM, stopped.set)
@@ -63,6 +69,7 @@
     kernel.drain()
     kernel.stop()
     eliot.log_message("daemon:stopped")
+    output.stop()
 
 
 def _reload() -> None:
--- a/arbutuscove/relay/flow.py
+++ b/arbutuscove/relay/flow.py
@@ -128,7 +128,18 @@
         flow = self._flow
         request = self._request
         self.backend = flow.waiting.acquire(request, self._service, excluded)
-        self._begun = flow.clock.monotonic()
+        asked, self._begun = self._begun, flow.clock.monotonic()
+        eliot.log_message(
+            "flow:placed",
+            request_id=request.request_id,
+            service=self._service,
+            backend=self.backend.key[0],
+            vm=self.backend.vm.name,
+            running=flow.states[self.backend.key].running,
+            waited=round((self._begun - asked).total_seconds(), 4),
+            excluded=len(excluded),
+            last_event=last_event,
+        )
         left = request.deadline - self._begun
         if left <= LEAST_TIME_LEFT:
             raise NotRunError("no time is left")
@@ -385,7 +396,9 @@
                 if not repeat.idempotent or not self._may_follow(
                     request, service, made, reason
                 ):
-                    raise fail(self._pick_status(request), reason) from error
+                    raise fail(
+                        request, self._pick_status(request), reason
+                    ) from error
             finally:
                 attempt.close()
             if attempt.backend is not None:
@@ -433,7 +446,7 @@
                 body = self._attempt.read_whole()
                 self._attempt.finish()
             except AttemptLostError as error:
-                raise fail(502, str(error)) from error
+                raise fail(self._request, 502, str(error)) from error
             finally:
                 self._attempt.close()
             return _build_whole(reply, body)
@@ -443,7 +456,7 @@
             # it still gets a proper status instead of a closed connection.
             first = next(events, b"")
         except model.BrokenAnswerError as error:
-            raise fail(502, str(error)) from error
+            raise fail(self._request, 502, str(error)) from error
         return model.Answer(
             status=reply.status,
             fields=reply.fields,
@@ -473,7 +486,9 @@
                     passed = self._request.deadline <= (
                         self._flow.clock.monotonic()
                     )
-                    raise fail(504 if passed else 502, str(error)) from error
+                    raise fail(
+                        self._request, 504 if passed else 502, str(error)
+                    ) from error
             except BaseException:
                 attempt.close()
                 raise
@@ -559,9 +574,16 @@
     )
 
 
-def fail(status: int, reason: str) -> model.RefusedError:
+def fail(
+    request: model.Request, status: int, reason: str
+) -> model.RefusedError:
     """Returns the answer to a request that may have run."""
-    eliot.log_message("flow:failed", status=status, reason=reason)
+    eliot.log_message(
+        "flow:failed",
+        request_id=request.request_id,
+        status=status,
+        reason=reason,
+    )
     return model.RefusedError(
         model.Refusal(status=status, code="attempt_lost", not_run=False)
     )
--- a/arbutuscove/relay/waiting.py
+++ b/arbutuscove/relay/waiting.py
@@ -105,7 +105,7 @@
         now = self._clock.monotonic()
         refusal = queue.push(waiter.work, now)
         if refusal is not None:
-            raise model.RefusedError(_convert(refusal))
+            raise model.RefusedError(self._refuse(waiter, refusal))
         self._waiters[waiter.work.request_id] = waiter
         try:
             self._dispatch(pool)
@@ -281,7 +281,7 @@
             waiter = self._waiters.get(refused.work.request_id)
             if waiter is not None:
                 waiter.place.set_exception(
-                    model.RefusedError(_convert(refused.refusal))
+                    model.RefusedError(self._refuse(waiter, refused.refusal))
                 )
         if self._list_candidates(pool):
             return
@@ -298,6 +298,30 @@
                 )
                 waiter.place.set_exception(model.RefusedError(refusal))
 
+    def _refuse(
+        self, waiter: _Waiter, refusal: work_module.Refusal
+    ) -> model.Refusal:
+        """Returns a refusal and logs what decided it."""
+        candidates = self._list_candidates(waiter.pool)
+        age = self._inventory.age()
+        eliot.log_message(
+            "waiting:refused",
+            request_id=waiter.request.request_id,
+            code=refusal.code,
+            model=waiter.pool[1],
+            priority=waiter.request.priority,
+            waiting=len(self._queues[waiter.pool]),
+            backends=len(candidates),
+            running=sum(found.running for found in candidates),
+            list_age=None if age is None else round(age.total_seconds(), 3),
+        )
+        return model.Refusal(
+            status=refusal.status,
+            code=refusal.code,
+            not_run=True,
+            retry_after=refusal.retry_after,
+        )
+
 
 def find_backends(
     vms: abc.Iterable[fleet_model.Vm],
@@ -352,13 +376,3 @@
     return config_model.Account(
         name=name, key_digests=(), urgent_tokens_per_second=UNLIMITED
     )
-
-
-def _convert(refusal: work_module.Refusal) -> model.Refusal:
-    eliot.log_message("waiting:refused", code=refusal.code)
-    return model.Refusal(
-        status=refusal.status,
-        code=refusal.code,
-        not_run=True,
-        retry_after=refusal.retry_after,
-    )
