Pass over groups that a slow member holds up

Ruled out: silence (the group moved all the time, at a fifth of the pace). Change: pauses between events are compared with what the engine's figures explain; a group at 2.8 times that is passed over for 4 s while others have places, and peers are told.

--- a/arbutuscove/gossip/digest.py
+++ b/arbutuscove/gossip/digest.py
@@ -25,7 +25,7 @@
 # A silent daemon is addressed again once in so many intervals.
 RECONNECT_TURNS = 8
 PEER_LIMIT = 4096  # daemons remembered
-STALLED_LIMIT = 16  # stalled groups in one beat
+GROUPS_LIMIT = 16  # stalled groups in one beat, and slow ones
 
 
 class Beat(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -35,8 +35,8 @@
     which only orders lives of one daemon. `holding` is the fencing token of
     the duty that it holds, 0 for none. `store_ok` says whether its last call
     to the store was answered. `loads` counts its requests running by
-    backend, `stalled` names groups that move nothing for it, each as name and
-    epoch.
+    backend, `stalled` names groups that move nothing for it and `slow` those
+    whose events pause for too long, each as name and epoch.
     """
 
     name: str
@@ -53,6 +53,7 @@
     store_ok: bool = True
     loads: dict[str, int] = {}
     stalled: tuple[tuple[str, int], ...] = ()
+    slow: tuple[tuple[str, int], ...] = ()
 
 
 class Datagram(
--- a/arbutuscove/gossip/service.py
+++ b/arbutuscove/gossip/service.py
@@ -35,6 +35,7 @@
         generator: random.Random,
         read_own: abc.Callable[[digest.Beat], digest.Beat],
         note_stalled: abc.Callable[[str, tuple[str, int]], None],
+        note_slow: abc.Callable[[str, tuple[str, int]], None],
     ) -> None:
         self._own = own
         self._port = port
@@ -42,6 +43,7 @@
         self._generator = generator
         self._read_own = read_own
         self._note_stalled = note_stalled
+        self._note_slow = note_slow
         self._stalled: dict[str, frozenset[tuple[str, int]]] = {}
         self._table = digest.PeerTable(own.name)
         self._named: set[str] = set()
@@ -224,3 +226,5 @@
         for key in found - self._stalled.get(beat.name, frozenset()):
             self._note_stalled(beat.name, key)
         self._stalled[beat.name] = found
+        for key in beat.slow:
+            self._note_slow(beat.name, key)
--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -193,6 +193,7 @@
             self._generator,
             self._read_own,
             self._note_stalled,
+            self._note_slow,
         )
 
     def _build_flow(self) -> flow_module.Flow:
@@ -243,7 +244,8 @@
             store_ok=self._store.answers,
             holding=self._leases.epoch(controller_module.DUTY) or 0,
             loads=loads,
-            stalled=tuple(self._states.list_stalled()[: digest.STALLED_LIMIT]),
+            stalled=tuple(self._states.list_stalled()[: digest.GROUPS_LIMIT]),
+            slow=tuple(self._states.list_slow()[: digest.GROUPS_LIMIT]),
         )
 
     def _is_ready(self) -> bool:
@@ -259,6 +261,9 @@
     def _note_stalled(self, peer: str, key: relay_model.BackendKey) -> None:
         self._states.mark_stalled(key, peer, here=False)
 
+    def _note_slow(self, peer: str, key: relay_model.BackendKey) -> None:
+        self._states.mark_slow(key, peer, here=False)
+
     def _find_silent_members(self, backend: relay_model.Backend) -> list[str]:
         return health.find_silent_members(
             self._inventory, self._orders, backend.key
--- a/arbutuscove/relay/backends.py
+++ b/arbutuscove/relay/backends.py
@@ -30,6 +30,11 @@
 REST_SHORTEST = datetime.timedelta(milliseconds=500)
 REST_LONGEST = datetime.timedelta(seconds=4)
 GAP_WEIGHT = 0.15  # of a new pause in the moving mean
+# A pause this many times the expected one is more than a full batch and long
+# prompts explain: a member of the group is slow.
+SLOW_RATIO = 2.8
+# A slow backend is tried again after this time without news of it.
+SLOW_MEMORY = datetime.timedelta(seconds=4)
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,7 +46,9 @@
     stalled_until: datetime.timedelta | None = None
     stalled_here: bool = False  # found by this daemon, not heard from a peer
     examined: datetime.timedelta | None = None
-    gap: float = 0.0  # mean pause between events, in seconds
+    ratio: float = 1.0  # mean pause between events, by the expected one
+    slow_until: datetime.timedelta | None = None
+    slow_here: bool = False  # found by this daemon, not heard from a peer
     failures: int = 0
     rest_until: datetime.timedelta = datetime.timedelta()
 
@@ -83,19 +90,59 @@
         state = self[key]
         state.running = max(0, state.running - 1)
 
-    def note_bytes(
-        self, key: model.BackendKey, pause: datetime.timedelta | None
-    ) -> None:
-        """Notes that bytes arrived; `pause` is the time between two events."""
+    def note_bytes(self, key: model.BackendKey, ratio: float | None) -> None:
+        """Notes that bytes arrived.
+
+        Args:
+            key: the backend.
+            ratio: the pause before an event by the expected one; None if no
+                event came before.
+        """
         state = self[key]
         state.moved = self._clock.monotonic()
         state.failures = 0
         if state.stalled_until is not None:
             state.stalled_until = None
             eliot.log_message("backend:moves_again", backend=key[0])
-        if pause is not None:
-            seconds = pause.total_seconds()
-            state.gap += GAP_WEIGHT * (seconds - state.gap)
+        if ratio is not None:
+            state.ratio += GAP_WEIGHT * (ratio - state.ratio)
+            if state.ratio >= SLOW_RATIO:
+                self.mark_slow(key, "pauses")
+
+    def mark_slow(
+        self, key: model.BackendKey, source: str, here: bool = True
+    ) -> None:
+        """Marks a backend as slow for a while."""
+        state = self[key]
+        if not self.is_slow(key):
+            state.slow_here = here
+            eliot.log_message(
+                "backend:slow",
+                backend=key[0],
+                source=source,
+                ratio=round(state.ratio, 2),
+            )
+        state.slow_until = self._clock.monotonic() + SLOW_MEMORY
+
+    def is_slow(self, key: model.BackendKey) -> bool:
+        """Returns whether a backend is marked as slow."""
+        state = self._states.get(key)
+        if state is None or state.slow_until is None:
+            return False
+        if self._clock.monotonic() < state.slow_until:
+            return True
+        # Its next requests show whether it still is.
+        state.slow_until = None
+        state.ratio = 1.0
+        return False
+
+    def list_slow(self) -> list[model.BackendKey]:
+        """Returns the backends that this daemon itself found slow."""
+        return [
+            key
+            for key, state in self._states.items()
+            if state.slow_here and self.is_slow(key)
+        ]
 
     def note_failure(self, key: model.BackendKey) -> None:
         """Notes a request that the backend failed; it rests for a while."""
--- a/arbutuscove/relay/flow.py
+++ b/arbutuscove/relay/flow.py
@@ -264,9 +264,17 @@
                     raise StalledError(f"{key[0]} moves nothing") from None
                 continue
             pause = flow.clock.monotonic() - waited_from
-            flow.states.note_bytes(key, pause)
+            flow.states.note_bytes(key, self._compare(pause))
             return
 
+    def _compare(self, pause: datetime.timedelta) -> float | None:
+        """Returns a pause between two events by the expected one."""
+        assert self.backend is not None
+        if self.reply is None or not self.backend.model:
+            return None
+        expected = self._flow.expect_pause(self._service, self.backend.model)
+        return None if expected is None else pause / expected
+
     def _lose(self, error: Exception) -> AttemptLostError:
         assert self.backend is not None
         self._flow.states.note_failure(self.backend.key)
@@ -327,6 +335,20 @@
             return _StreamRun(self, request, service).start()
         return self._serve_whole(request, service)
 
+    def expect_pause(
+        self, service: str, model_name: str
+    ) -> datetime.timedelta | None:
+        """Returns the pause between events of a half full, sound engine."""
+        catalog = self._catalog.current()
+        found = None if catalog is None else catalog.services.get(service)
+        engine = None if found is None else found.engine
+        spec = None if engine is None else engine.find_model(model_name)
+        if engine is None or spec is None:
+            return None
+        step = engine.step_ms + engine.per_request_ms * engine.slots / 2
+        milliseconds = max(engine.stride * step * spec.pace, 1.0)
+        return datetime.timedelta(milliseconds=milliseconds)
+
     def examine(self, backend: model.Backend) -> None:
         """Finds out whether a backend that is silent here is stalled."""
         if backend.model and self.states.begin_examination(backend.key):
--- a/arbutuscove/relay/tests/test_decisions.py
+++ b/arbutuscove/relay/tests/test_decisions.py
@@ -91,3 +91,23 @@
     assert states.is_stalled(KEY) and states.list_stalled() == []
     clock.advance(backends.STALL_MEMORY)
     assert not states.is_stalled(KEY)
+
+
+def test_slow_backend_is_found_told_and_tried_again():
+    """Guards against requests that time out on a group with a slow member.
+
+    Replays the load of five slow servers: events at five times the pause.
+    """
+    clock = clock_module.ManualClock()
+    states = backends.BackendStates(clock)
+    states.begin(KEY)
+    for _ in range(4):
+        states.note_bytes(KEY, 1.5)
+    assert not states.is_slow(KEY)
+    for _ in range(6):
+        states.note_bytes(KEY, 5.0)
+    assert states.list_slow() == [KEY]
+    clock.advance(backends.SLOW_MEMORY)
+    assert not states.is_slow(KEY)
+    states.mark_slow(KEY, "peer", here=False)
+    assert states.is_slow(KEY) and states.list_slow() == []
--- a/arbutuscove/relay/waiting.py
+++ b/arbutuscove/relay/waiting.py
@@ -243,8 +243,9 @@
                 backend=backend,
                 running=self._states[backend.key].running
                 + loads.get(backend.key, 0),
-                slowness=1.0,
-                avoided=self._states.rests(backend.key),
+                slowness=max(1.0, self._states[backend.key].ratio),
+                avoided=self._states.rests(backend.key)
+                or self._states.is_slow(backend.key),
             )
             for backend in self.list_backends(pool)
             if not self._states.is_stalled(backend.key)
