Form groups only once the list of VMs has stopped growing

Change: no group is formed before the list stood still for 0.8 s, 3 s at most. Groups with a missing member are passed over while others have places.

--- a/arbutuscove/fleet/controller.py
+++ b/arbutuscove/fleet/controller.py
@@ -25,7 +25,8 @@
 SERVICE_NAME = "group-controller"
 DUTY = "groups"
 # A list that did not grow for so long is taken as whole.
-SETTLE = datetime.timedelta(seconds=1)
+SETTLE = datetime.timedelta(milliseconds=800)
+SETTLE_LONGEST = datetime.timedelta(seconds=3)
 # Pause between two examinations of one group.
 ASK_INTERVAL = datetime.timedelta(milliseconds=400)
 TURN = datetime.timedelta(milliseconds=250)
@@ -74,8 +75,10 @@
             collections.deque()
         )
         self._traffic = False
-        # Most VMs of each service seen so far, and since when.
-        self._grown: dict[str, tuple[int, datetime.timedelta]] = {}
+        # When each service was first seen, and the most VMs since when.
+        self._grown: dict[
+            str, tuple[datetime.timedelta, int, datetime.timedelta]
+        ] = {}
         self._silent: dict[str, datetime.timedelta] = {}
         self._asking: set[tuple[str, int]] = set()
         # Orders accepted by each life of a VM, as far as this holder knows.
@@ -230,12 +233,16 @@
     def _is_settled(
         self, service: str, count: int, now: datetime.timedelta
     ) -> bool:
-        """Returns whether the list has stopped growing since the start."""
-        largest, since = self._grown.get(service, (0, now))
+        """Returns whether the list has stopped growing since the start.
+
+        Small groups would take the VMs that come first, domain by domain.
+        """
+        first, largest, since = self._grown.get(service, (now, 0, now))
         if count > largest:
             largest, since = count, now
-        self._grown[service] = (largest, since)
-        return self._traffic or now - since >= SETTLE
+        self._grown[service] = (first, largest, since)
+        whole = now - since >= SETTLE or now - first >= SETTLE_LONGEST
+        return self._traffic or whole
 
     def _list_silent(self, now: datetime.timedelta) -> frozenset[str]:
         self._silent = {
--- a/arbutuscove/fleet/planner.py
+++ b/arbutuscove/fleet/planner.py
@@ -75,7 +75,7 @@
     `vms` are all listed VMs of the service, leaving ones too. `stalled` are
     groups that move nothing, seen by the daemons that use them; `silent` are
     VMs that gave no answer a moment ago. While not `settled`, VMs are still
-    coming, and a domain gets groups of one model only. `next_epoch`
+    coming, and no group is formed. `next_epoch`
     is above all epochs given before. `loads` is how many loads from the weight
     store may begin now.
     """
@@ -153,7 +153,8 @@
             if vm.membership is None:
                 self._offer(vm)
         self._count_uses()
-        self._form_groups()
+        if self._situation.settled:
+            self._form_groups()
         now = self._situation.now
         sent = {
             name: last
@@ -336,8 +337,6 @@
         members = members[: spec.size]
         cold = spec.size - len(members)
         kin = self._count_kin(domain, spec.name)
-        if kin < 0 and not self._situation.settled:
-            return None
         if cold:
             if self._read_supply(spec) >= 1.0 or cold > self._loads:
                 return None
--- a/arbutuscove/relay/model.py
+++ b/arbutuscove/relay/model.py
@@ -45,13 +45,15 @@
 class Backend:
     """Where requests are sent: the head of a group, or a plain VM.
 
-    `key` is the group's name and epoch, or the VM's name and start.
+    `key` is the group's name and epoch, or the VM's name and start. `members`
+    counts the VMs of the group that are listed.
     """
 
     key: BackendKey
     vm: fleet_model.Vm
     model: str
     slots: int
+    members: int = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/arbutuscove/relay/waiting.py
+++ b/arbutuscove/relay/waiting.py
@@ -238,6 +238,7 @@
 
     def _list_candidates(self, pool: PoolKey) -> list[placement.Candidate]:
         loads = self._read_loads()
+        size = self._find_size(pool)
         return [
             placement.Candidate(
                 backend=backend,
@@ -245,12 +246,22 @@
                 + loads.get(backend.key, 0),
                 slowness=max(1.0, self._states[backend.key].ratio),
                 avoided=self._states.rests(backend.key)
-                or self._states.is_slow(backend.key),
+                or self._states.is_slow(backend.key)
+                # A member that left the list may only be cut off from it.
+                or backend.members < size,
             )
             for backend in self.list_backends(pool)
             if not self._states.is_stalled(backend.key)
         ]
 
+    def _find_size(self, pool: PoolKey) -> int:
+        """Returns how many VMs a whole group of the pool's model has."""
+        catalog = self._catalog.current()
+        service = None if catalog is None else catalog.services.get(pool[0])
+        engine = None if service is None else service.engine
+        spec = None if engine is None else engine.find_model(pool[1])
+        return 1 if spec is None else spec.size
+
     def _withdraw(self, waiter: _Waiter) -> None:
         if self._queues[waiter.pool].withdraw(waiter.work.request_id):
             return
@@ -345,7 +356,11 @@
         if any(vm.leaving for vm in group.members):
             continue
         backend = model.Backend(
-            key=group.key, vm=head, model=group.model, slots=head.slots
+            key=group.key,
+            vm=head,
+            model=group.model,
+            slots=head.slots,
+            members=len(group.members),
         )
         found[(head.service, group.model)].append(backend)
     return found
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -91,12 +91,13 @@
 
     def _kill(self, length: float) -> str:
         daemon = self._pick_daemon(length)
-        if daemon.process is None:
+        process = daemon.process
+        if process is None:
             return daemon.name
-        self._world.signal(daemon, signal.SIGCONT)
-        self._world.signal(daemon, signal.SIGKILL)
-        daemon.process.wait()
+        # Taken away first: of two overlapping kills only one may start it.
         daemon.process = None
+        process.kill()
+        process.wait()
         gevent.sleep(length)
         self._world.start(daemon)
         return daemon.name
--- a/soak/world.py
+++ b/soak/world.py
@@ -44,6 +44,7 @@
     def __init__(self, directory: pathlib.Path, seed: int) -> None:
         self._root = pathlib.Path(__file__).parent.parent
         self._directory = directory
+        self._started: list[subprocess.Popen[bytes]] = []
         # Ports differ by run, so that runs side by side do not meet.
         self.port = cluster.find_port()
         block = seed % 200 + 1
@@ -83,6 +84,7 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
+        self._started.append(daemon.process)
 
     def signal(self, daemon: Daemon, number: signal.Signals) -> None:
         """Sends a signal to a daemon's process if it runs."""
@@ -91,11 +93,11 @@
 
     def stop(self) -> None:
         """Ends the processes that this world started, and the stand-ins."""
+        for process in self._started:
+            if process.poll() is None:
+                process.kill()
+                process.wait(timeout=STOP_SECONDS)
         for daemon in self.daemons:
-            self.signal(daemon, signal.SIGCONT)
-            self.signal(daemon, signal.SIGKILL)
-            if daemon.process is not None:
-                daemon.process.wait(timeout=STOP_SECONDS)
             daemon.link.stop()
         for link in self.links.values():
             link.stop()
