Copy the model to cold VMs before warm ones are bound to them

Cause: three VMs that held the model joined with one that had to load it, and waited 16 s while another loss would have completed a group at once. Change: a cold VM beside warm ones copies the model first; the group is formed when all its members hold it.

--- a/arbutuscove/fleet/planner.py
+++ b/arbutuscove/fleet/planner.py
@@ -55,15 +55,15 @@
 class Memory:
     """What a holder remembers between plans.
 
-    `sent` is when each VM was last sent an order; `staging` are lives of VMs
-    that were told to copy a model.
+    `sent` is when each VM was last sent an order; `staging` names the
+    VMs that were told to copy a model, their starts and the model.
     `released` are groups whose absent head no longer serves, `kept` those
     whose absent member answers for itself.
     """
 
     forming: tuple[Forming, ...] = ()
     sent: abc.Mapping[str, Sent] = dataclasses.field(default_factory=dict)
-    staging: frozenset[tuple[str, int]] = frozenset()
+    staging: frozenset[tuple[str, int, str]] = frozenset()
     released: frozenset[tuple[str, int]] = frozenset()
     kept: frozenset[tuple[str, int]] = frozenset()
 
@@ -168,8 +168,9 @@
             )
         listed = frozenset(self._groups)
         lives = {(vm.name, vm.born) for vm in self._situation.vms}
+        staging = {copy for copy in self._staging if copy[:2] in lives}
         memory = Memory(
-            staging=frozenset(self._staging & lives),
+            staging=frozenset(staging),
             forming=tuple(self._forming),
             sent=sent,
             released=self._memory.released & listed,
@@ -350,10 +351,27 @@
             others = [vm for vm in vms if self._may_load(vm, spec)]
             if len(others) < cold:
                 return None
-            members += sorted(others, key=lambda vm: len(vm.staged))[:cold]
+            others = sorted(others, key=lambda vm: len(vm.staged))[:cold]
+            if members:
+                # Warm VMs are not bound for the time of a load: another loss
+                # may complete a group of them first.
+                self._note_stages(others, spec)
+                return None
+            members = others
         order = (cold, -kin, -len(vms))
         return _Choice(domain=domain, members=members, cold=cold, order=order)
 
+    def _note_stages(
+        self, vms: list[model.Vm], spec: catalog_model.ModelSpec
+    ) -> None:
+        """Has VMs copy a model, so that they can complete a group later."""
+        for vm in vms:
+            copy = (vm.name, vm.born, spec.name)
+            if copy not in self._staging and self._loads >= 1:
+                self._loads -= 1
+                self._staging.add(copy)
+                self._orders.append(orders.Stage(vm=vm, model=spec.name))
+
     def _may_load(self, vm: model.Vm, spec: catalog_model.ModelSpec) -> bool:
         """Returns whether a VM may load a model over what its host holds."""
         if spec.name in vm.staged:
@@ -378,14 +396,13 @@
             home = self._uses[domain].most_common(1)
             if not home:
                 continue
-            wanted = home[0][0]
-            for vm in vms:
-                life = (vm.name, vm.born)
-                if vm.staged or life in self._staging or self._loads < 1:
-                    continue
-                self._loads -= 1
-                self._staging.add(life)
-                self._orders.append(orders.Stage(vm=vm, model=wanted))
+            spec = self._engine.find_model(home[0][0])
+            copying = {name for name, _, _ in self._staging}
+            empty = [
+                vm for vm in vms if not vm.staged and vm.name not in copying
+            ]
+            if spec is not None:
+                self._note_stages(empty, spec)
 
     def _count_coming(self, domain: str, wanted: str) -> int:
         """Returns how many VMs with a model a domain will soon have free."""
--- a/arbutuscove/fleet/tests/test_planner.py
+++ b/arbutuscove/fleet/tests/test_planner.py
@@ -279,3 +279,14 @@
     """Guards against a domain taken by small groups while its VMs come in."""
     vms = [create_vm(f"v{number}", staged=()) for number in range(6)]
     assert plan(vms, engine=ENGINE, settled=False).orders == ()
+
+
+def test_planner_copies_a_model_before_it_binds_warm_vms():
+    """Guards against warm VMs that wait 16 s for a cold member."""
+    vms = [create_vm("a"), create_vm("cold", staged=())]
+    found = plan(vms)
+    (order,) = found.orders
+    assert isinstance(order, orders.Stage)
+    assert order.vm.name == "cold"
+    later = plan([*vms, create_vm("b")], found.memory)
+    assert list_joined(later) == ["a", "b"]
