Spread the groups of each model evenly over fabric domains

Ruled out: slow detection of the dark domain (0.75 s). Change: a new group goes to the domain with the fewest groups of its model. What is left over in a domain are spares that hold a model used there.

--- a/arbutuscove/fleet/planner.py
+++ b/arbutuscove/fleet/planner.py
@@ -5,10 +5,11 @@
 started anew, or is gone. A head is opened only after each member itself has
 been read as ready under the same name and epoch.
 
-Groups never span fabric domains, since that slows every step. Each domain is
-filled with groups of one model as far as the shares allow, and its spare VMs
-hold that model: what is left of a lost group then completes the next one in
-two seconds, where a load from the weight store takes sixteen.
+Groups never span fabric domains, since that slows every step. The groups of
+each model are spread evenly over the domains, as a domain may go dark whole.
+The VMs that this leaves over hold a model of their domain: with them the next
+lost group is formed again in two seconds, where a load from the weight store
+takes sixteen.
 """
 
 import collections
@@ -25,9 +26,6 @@
 # A group that is still not complete after the longest load and this time is
 # given up, and its members are planned anew.
 FORM_SLACK = datetime.timedelta(seconds=20)
-# Groups of one model are spread over so many domains, of which any one may go
-# dark as a whole.
-DOMAINS_AT_LEAST = 3
 NOT_YET_OPEN = frozenset((model.MemberState.JOINING, model.MemberState.READY))
 
 
@@ -141,8 +139,6 @@
             collections.defaultdict(collections.Counter)
         )
         self._staging = set(memory.staging)
-        domains = {vm.fabric_domain for vm in situation.vms}
-        self._spread = min(DOMAINS_AT_LEAST, len(domains))
 
     def run(self) -> Plan:
         """Returns the plan."""
@@ -337,13 +333,9 @@
         members = sorted(warm, key=lambda vm: _rank_vm(vm, spec.name))
         members = members[: spec.size]
         cold = spec.size - len(members)
-        kin = self._count_kin(domain, spec.name)
         if cold:
             if self._read_supply(spec) >= 1.0 or cold > self._loads:
                 return None
-            here = self._uses[domain][spec.name] // spec.size
-            if here * self._spread >= self._targets[spec.name]:
-                return None
             if self._count_coming(domain, spec.name) >= cold:
                 # VMs that hold the model are about to be released here, and a
                 # load takes longer than their release.
@@ -358,7 +350,8 @@
                 self._note_stages(others, spec)
                 return None
             members = others
-        order = (cold, -kin, -len(vms))
+        here = self._uses[domain][spec.name]
+        order = (cold, here, -len(vms))
         return _Choice(domain=domain, members=members, cold=cold, order=order)
 
     def _note_stages(
@@ -381,15 +374,6 @@
             other is None or self._read_supply(other) >= 1.0 for other in held
         )
 
-    def _count_kin(self, domain: str, wanted: str) -> int:
-        """Returns the VMs in a domain used for a model, less those for others.
-
-        Groups of one model share a domain, so that what is left of one group
-        replaces the lost members of another.
-        """
-        uses = self._uses[domain]
-        return 2 * uses[wanted] - uses.total()
-
     def _stage_spares(self, by_domain: dict[str, list[model.Vm]]) -> None:
         """Copies the model of a domain to its spare VMs ahead of a loss."""
         for domain, vms in by_domain.items():
