Ask a VM that left its group for its count of orders

Cause: the first holder of the duty took any VM without a group for one that had never had an order. Ruled out: a copy in progress at the VM (it had accepted none). Change: zero is assumed only for a VM that this holder never ordered.

--- a/arbutuscove/fleet/controller.py
+++ b/arbutuscove/fleet/controller.py
@@ -82,6 +82,7 @@
         self._silent: dict[str, datetime.timedelta] = {}
         self._asking: set[tuple[str, int]] = set()
         # Orders accepted by each life of a VM, as far as this holder knows.
+        self._ordered: set[tuple[str, int]] = set()
         self._accepted: dict[tuple[str, int], int] = {}
         self.sent: collections.Counter[str] = collections.Counter()
 
@@ -116,6 +117,7 @@
         self._first_seen.clear()
         self._attempts.clear()
         self._accepted.clear()
+        self._ordered.clear()
         eliot.log_message("groups:duty_taken", fence=fence)
 
     def _plan(
@@ -171,6 +173,7 @@
         accepted = self._count_accepted(vm)
         if accepted is None:
             return orders_module.Outcome.UNKNOWN
+        self._ordered.add((vm.name, vm.born))
         kind = type(order).__name__.lower()
         self.sent[kind] += 1
         outcome = self._group_orders.send(order, fence, accepted)
@@ -191,7 +194,7 @@
         """Returns how many orders a VM accepted; asks it if need be."""
         life = (vm.name, vm.born)
         if life not in self._accepted:
-            if self._fence == FIRST_FENCE and vm.membership is None:
+            if self._fence == FIRST_FENCE and life not in self._ordered:
                 self._accepted[life] = 0
             else:
                 status = self._group_orders.read_status(vm)
--- /dev/null
+++ b/arbutuscove/fleet/tests/test_controller.py
@@ -0,0 +1,139 @@
+"""Guards against orders that VMs refuse for ever, or that are sent unheld."""
+
+import datetime
+
+import pytest
+
+from arbutuscove.catalog import holder as catalog_holder
+from arbutuscove.catalog import model as catalog_model
+from arbutuscove.fleet import controller
+from arbutuscove.fleet import inventory as inventory_module
+from arbutuscove.fleet import orders
+from arbutuscove.fleet.tests import test_planner
+from arbutuscove.kernel import clock as clock_module
+
+SECOND = datetime.timedelta(seconds=1)
+
+
+class FakeLeases:
+    """Holds the duty with a token, or does not."""
+
+    def __init__(self):
+        self.fence = 1
+
+    def epoch(self, duty):
+        return self.fence
+
+    def stand_for(self, duty):
+        pass
+
+
+class FakeVms:
+    """Accepts orders that name the right count, as the real ones do."""
+
+    def __init__(self):
+        self.accepted = {}
+        self.sent = []
+        self.asked = []
+        self.silent = set()
+
+    def send(self, order, fence, accepted):
+        name = order.vm.name
+        if name in self.silent:
+            return orders.Outcome.UNKNOWN
+        if accepted != self.accepted.get(name, 0):
+            return orders.Outcome.UNFIT
+        self.accepted[name] = accepted + 1
+        self.sent.append(order)
+        # An order that takes effect at once is answered as done.
+        if isinstance(order, orders.Leave):
+            return orders.Outcome.HOLDS
+        return orders.Outcome.ACCEPTED
+
+    def read_status(self, vm):
+        self.asked.append(vm.name)
+        if vm.name in self.silent:
+            return None
+        return orders.Status(
+            accepted=self.accepted.get(vm.name, 0),
+            membership=vm.membership,
+            pace=1.0,
+        )
+
+
+@pytest.fixture(name="scene")
+def scene_fixture():
+    clock = clock_module.ManualClock()
+    catalog = catalog_holder.CatalogHolder()
+    service = catalog_model.Service(
+        name="models", connections=9, engine=test_planner.ONE_MODEL
+    )
+    catalog.offer(
+        catalog_model.Catalog(
+            version=1,
+            routes={},
+            services={"models": service},
+            accounts=None,
+            bounds=None,
+        ),
+        "test",
+    )
+    inventory = inventory_module.Inventory(clock)
+    leases, vms = FakeLeases(), FakeVms()
+    control = controller.GroupController(
+        clock, catalog, inventory, leases, vms, frozenset
+    )
+    control.note_traffic()
+    return clock, inventory, leases, vms, control
+
+
+def test_controller_orders_a_vm_that_left_its_group(scene):
+    """Guards against a count of orders that starts anew as the VM leaves.
+
+    The first holder took a VM without a group for one that never had an
+    order; each join was refused, and three warm VMs waited all day (a day of
+    high load: 61 refused joins).
+    """
+    clock, inventory, _, vms, control = scene
+    vms.accepted["a"] = 2
+    left = test_planner.create_vm("a")
+    leave = orders.Leave(vm=left, group="chat~1", epoch=1)
+    inventory.replace([left, test_planner.create_vm("b")])
+    control.turn()  # takes the duty
+    vms.sent.clear()
+    control._accepted[("a", 1)] = 2
+    control._send(leave, 1)
+    clock.advance(2 * SECOND)
+    inventory.update([], [])
+    control.turn()
+    joined = {o.vm.name for o in vms.sent if isinstance(o, orders.Join)}
+    assert "a" in joined
+
+
+def test_controller_sends_nothing_without_the_duty(scene):
+    """Guards against two holders that form groups side by side."""
+    _, inventory, leases, vms, control = scene
+    leases.fence = None
+    inventory.replace([test_planner.create_vm(name) for name in "ab"])
+    control.turn()
+    assert vms.sent == []
+
+
+def test_controller_sends_nothing_by_an_old_list(scene):
+    """Guards against orders from a list that an outage made old."""
+    clock, inventory, _, vms, control = scene
+    inventory.replace([test_planner.create_vm(name) for name in "ab"])
+    clock.advance(controller.LIST_AGE_LONGEST + SECOND)
+    control.turn()
+    assert vms.sent == []
+
+
+def test_controller_asks_vms_that_an_earlier_holder_ordered(scene):
+    """Guards against a new holder whose orders are all refused."""
+    _, inventory, leases, vms, control = scene
+    leases.fence = 2
+    vms.accepted = {"a": 5, "b": 3}
+    inventory.replace([test_planner.create_vm(name) for name in "ab"])
+    control.turn()
+    assert sorted(vms.asked) == ["a", "b"]
+    assert {order.epoch for order in vms.sent} == {2 << controller.EPOCH_BITS}
