--- a/arbutuscove/platform/followers.py
+++ b/arbutuscove/platform/followers.py
@@ -105,17 +105,21 @@
     ) -> None:
         super().__init__(store, clock, generator)
         self._catalog = catalog
+        # The version that a peer was first found ahead of, and when.
+        self._behind_at = -1
         self._behind_since: datetime.timedelta | None = None
 
     def note_peer_version(self, version: int) -> None:
         """Reads anew if a peer has had a newer version for some time."""
         now = self._clock.monotonic()
-        if version <= self._catalog.version():
-            self._behind_since = None
-        elif self._behind_since is None:
-            self._behind_since = now
+        known = self._catalog.version()
+        if version <= known:
+            # Says nothing, as this peer may be behind, too.
+            return
+        if self._behind_at != known or self._behind_since is None:
+            self._behind_at, self._behind_since = known, now
         elif now - self._behind_since > BEHIND_LONGEST:
-            self._behind_since = None
+            self._behind_since = now
             eliot.log_message("catalog:behind", peer_version=version)
             if self._greenlet is not None:
                 self._greenlet.kill(BehindError, block=False)
--- a/arbutuscove/platform/tests/test_followers.py
+++ b/arbutuscove/platform/tests/test_followers.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from arbutuscove.catalog import holder as catalog_holder
 from arbutuscove.fleet import inventory as inventory_module
 from arbutuscove.gossip import digest
 from arbutuscove.kernel import clock as clock_module
@@ -116,3 +117,35 @@
     )
     gossip.take(update)
     assert inventory.find("z") is None
+
+
+def test_configuration_is_read_anew_when_peers_are_ahead():
+    """Guards against a silent feed that leaves a daemon an old version.
+
+    Beats of other peers that were behind, too, used to end the suspicion
+    (nilavu-diary-grown trouble-1: 404 for a route 3.9 s after its version).
+    """
+    clock = clock_module.ManualClock()
+    catalog = catalog_holder.CatalogHolder()
+    store = FakeStore()
+    follower = followers.ConfigurationFollower(
+        store, clock, random.Random(1), catalog
+    )
+    killed = []
+    follower._greenlet = FakeGreenlet(killed)
+    follower.note_peer_version(7)
+    follower.note_peer_version(-1)
+    clock.advance(followers.BEHIND_LONGEST * 1.1)
+    follower.note_peer_version(-1)
+    follower.note_peer_version(7)
+    assert killed == [followers.BehindError]
+
+
+class FakeGreenlet:
+    """Records what it is killed with."""
+
+    def __init__(self, killed):
+        self._killed = killed
+
+    def kill(self, exception, block):
+        self._killed.append(exception)
