--- a/arbutuscove/platform/followers.py
+++ b/arbutuscove/platform/followers.py
@@ -74,21 +74,30 @@
         pause = RETRY_SHORTEST
         while True:
             try:
-                if version is None:
-                    version = self.read_whole()
-                else:
-                    version = self.read_changes(version)
-                pause = RETRY_SHORTEST
-                continue
-            except (store_module.HistoryLostError, BehindError):
+                version, failed = self._step(version)
+                if not failed:
+                    pause = RETRY_SHORTEST
+                    continue
+                # Spread, so that daemons do not return to the store in step.
+                self._clock.sleep(pause * self._generator.uniform(0.5, 1.0))
+                pause = min(pause * 2, RETRY_LONGEST)
+            except BehindError:
+                # May come in the middle of a call or of a pause.
                 version = None
-            except store_module.StoreError as error:
-                eliot.log_message(
-                    "store:read_failed", table=self.table, reason=str(error)
-                )
-            # Spread, so that daemons do not return to the store in step.
-            self._clock.sleep(pause * self._generator.uniform(0.5, 1.0))
-            pause = min(pause * 2, RETRY_LONGEST)
+
+    def _step(self, version: int | None) -> tuple[int | None, bool]:
+        """Reads once; returns the version then, and whether it failed."""
+        try:
+            if version is None:
+                return self.read_whole(), False
+            return self.read_changes(version), False
+        except store_module.HistoryLostError:
+            return None, True
+        except store_module.StoreError as error:
+            eliot.log_message(
+                "store:read_failed", table=self.table, reason=str(error)
+            )
+            return version, True
 
 
 class ConfigurationFollower(_Follower):
--- a/arbutuscove/platform/tests/test_followers.py
+++ b/arbutuscove/platform/tests/test_followers.py
@@ -2,6 +2,7 @@
 
 import random
 
+import gevent
 import msgspec
 import pytest
 
@@ -38,8 +39,11 @@
     def __init__(self):
         self.pages = []
         self.asked = []
+        self.refuses = False
 
     def read_rows(self, table, key=None):
+        if self.refuses:
+            raise store_module.StoreError("refused")
         return self.pages.pop(0)
 
     def follow(self, table, version, wait):
@@ -149,3 +153,24 @@
 
     def kill(self, exception, block):
         self._killed.append(exception)
+
+
+def test_configuration_follower_survives_being_told_in_a_pause():
+    """Guards against a follower that ends when a peer is ahead.
+
+    The news came while it paused after a failed read, and ended its greenlet;
+    the daemon kept its configuration for good (nilavu-diary scale-2: CONFIG 47,
+    DENIED 28).
+    """
+    store = FakeStore()
+    catalog = catalog_holder.CatalogHolder()
+    follower = followers.ConfigurationFollower(
+        store, clock_module.SystemClock(), random.Random(1), catalog
+    )
+    store.refuses = True
+    follower.start(None)
+    gevent.sleep(0.02)  # now in the pause after the first failure
+    follower._greenlet.kill(followers.BehindError, block=False)
+    gevent.sleep(0.02)
+    assert not follower._greenlet.dead
+    follower.stop()
