Begin failed service loops again; name times to come back that leave room

Change: a loop of a service that fails is logged and begun again after 0.2 s. Retry-After is at most 0.3 of the time that the caller has left.

--- a/arbutuscove/kernel/services.py
+++ b/arbutuscove/kernel/services.py
@@ -5,11 +5,15 @@
 registration, so that a service outlives everything that uses it.
 """
 
+import datetime
 import typing
 from collections import abc
 
+import eliot
 import gevent
 
+RESTART_PAUSE = datetime.timedelta(milliseconds=200)
+
 
 class Service(typing.Protocol):
     """What the kernel asks of a service."""
@@ -43,8 +47,21 @@
     _greenlet: gevent.Greenlet | None = None
 
     def run_loop(self, loop: abc.Callable[[], None]) -> None:
-        """Runs `loop` in the greenlet of this service."""
-        self._greenlet = gevent.spawn(loop)
+        """Runs `loop` in the greenlet of this service.
+
+        A loop that fails is logged and begun again: a service that has ended
+        looks from outside like one that has nothing to do.
+        """
+        self._greenlet = gevent.spawn(self._guard, loop)
+
+    def _guard(self, loop: abc.Callable[[], None]) -> None:
+        while True:
+            try:
+                loop()
+                return
+            except Exception:  # noqa: BLE001 - whatever it is, go on
+                eliot.write_traceback()
+            gevent.sleep(RESTART_PAUSE.total_seconds())
 
     def stop(self) -> None:
         """Ends the greenlet."""
--- /dev/null
+++ b/arbutuscove/relay/tests/test_waiting.py
@@ -0,0 +1,132 @@
+"""Guards against waiting requests that are held, lost or answered too late."""
+
+import dataclasses
+import datetime
+import random
+
+import gevent
+import pytest
+
+from arbutuscove.catalog import holder as catalog_holder
+from arbutuscove.catalog import model as catalog_model
+from arbutuscove.fleet import inventory as inventory_module
+from arbutuscove.fleet.tests import test_planner
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.relay import backends
+from arbutuscove.relay import model
+from arbutuscove.relay import waiting
+
+SECOND = datetime.timedelta(seconds=1)
+ROUTE = catalog_model.Route(
+    name="r",
+    host="h",
+    prefix="/",
+    repeat=catalog_model.Repeat.SAFE,
+    timeout=2 * SECOND,
+    first_byte_target=SECOND / 10,
+    gap_target=None,
+    attempts=2,
+    priority=1,
+    public=True,
+    targets=(catalog_model.Target(service="models", weight=1.0),),
+)
+
+
+class Scene:
+    """A waiting room before one plain VM with two places."""
+
+    def __init__(self):
+        self.clock = clock_module.SystemClock()
+        self.inventory = inventory_module.Inventory(self.clock)
+        self.states = backends.BackendStates(self.clock)
+        self.room = waiting.WaitingRoom(
+            self.clock,
+            catalog_holder.CatalogHolder(),
+            self.inventory,
+            self.states,
+            dict,
+            random.Random(1),
+        )
+        self.room.start(None)
+
+    def add_vm(self):
+        vm = test_planner.create_vm("p", fabric_domain="", slots=2)
+        self.inventory.replace([vm])
+
+    def create_request(self, name="x", priority=1, **fields):
+        now = self.clock.monotonic()
+        route = dataclasses.replace(ROUTE, priority=priority)
+        values = {"arrived": now, "deadline": now + 2 * SECOND}
+        return model.Request(
+            request_id=name,
+            method="GET",
+            target="/",
+            fields=(),
+            body=b"",
+            route=route,
+            account=None,
+            **(values | fields),
+        )
+
+
+@pytest.fixture(name="scene")
+def scene_fixture():
+    found = Scene()
+    yield found
+    found.room.stop()
+
+
+def test_request_without_a_backend_is_refused_soon(scene):
+    """Guards against a request held until its deadline for nothing."""
+    begun = scene.clock.monotonic()
+    with pytest.raises(model.RefusedError) as caught:
+        scene.room.acquire(scene.create_request(), "models")
+    assert caught.value.refusal.not_run
+    assert scene.clock.monotonic() - begun < SECOND
+
+
+def test_refusal_names_a_time_that_leaves_room_for_an_answer(scene):
+    """Guards against a time to come back that lies behind the deadline."""
+    now = scene.clock.monotonic()
+    request = scene.create_request(deadline=now + SECOND / 2)
+    with pytest.raises(model.RefusedError) as caught:
+        scene.room.acquire(request, "models")
+    assert caught.value.refusal.retry_after <= SECOND / 2 / 3
+
+
+def test_urgent_request_goes_before_those_that_wait(scene):
+    """Guards against urgent work behind less urgent work."""
+    scene.add_vm()
+    running = [scene.create_request(f"r{number}") for number in range(2)]
+    held = [scene.room.acquire(request, "models") for request in running]
+    order = []
+
+    def wait(request):
+        backend = scene.room.acquire(request, "models")
+        order.append(request.request_id)
+        gevent.sleep(0.01)
+        scene.room.release(request, "models", backend, 1, SECOND / 100)
+
+    jobs = [
+        gevent.spawn(wait, scene.create_request("late", priority=2)),
+        gevent.spawn(wait, scene.create_request("urgent", priority=0)),
+    ]
+    gevent.sleep(0.01)
+    scene.room.release(running[0], "models", held[0], 1, SECOND / 100)
+    gevent.joinall(jobs, timeout=1)
+    assert order == ["urgent", "late"]
+
+
+def test_place_of_a_caller_that_left_is_given_back(scene):
+    """Guards against places lost to callers that left while they waited."""
+    scene.add_vm()
+    running = [scene.create_request(f"r{number}") for number in range(2)]
+    held = [scene.room.acquire(request, "models") for request in running]
+    waiter = gevent.spawn(
+        scene.room.acquire, scene.create_request("gone"), "models"
+    )
+    gevent.sleep(0.01)
+    waiter.kill()
+    for request, backend in zip(running, held, strict=True):
+        scene.room.release(request, "models", backend, 1, SECOND / 100)
+    assert scene.states[held[0].key].running == 0
--- a/arbutuscove/relay/waiting.py
+++ b/arbutuscove/relay/waiting.py
@@ -36,6 +36,10 @@
 NO_BACKEND_SHARE = 1.0
 # When to come back to a service without any backend.
 NO_BACKEND_RETRY = datetime.timedelta(seconds=1)
+# Of the time that a caller has left, to come back in; callers wait no longer
+# than a third of it.
+RETRY_SHARE = 0.3
+RETRY_LEAST = datetime.timedelta(milliseconds=50)
 # Work of an answer against a prompt token: decoding is a step for each token.
 ANSWER_WEIGHT = 10
 # Entitlements to the urgent rank are not part of this configuration.
@@ -307,7 +311,7 @@
                     status=503,
                     code="no_backend",
                     not_run=True,
-                    retry_after=NO_BACKEND_RETRY,
+                    retry_after=self._bound_retry(waiter, NO_BACKEND_RETRY),
                 )
                 waiter.place.set_exception(model.RefusedError(refusal))
 
@@ -332,9 +336,18 @@
             status=refusal.status,
             code=refusal.code,
             not_run=True,
-            retry_after=refusal.retry_after,
+            retry_after=self._bound_retry(waiter, refusal.retry_after),
         )
 
+    def _bound_retry(
+        self, waiter: _Waiter, retry_after: datetime.timedelta | None
+    ) -> datetime.timedelta | None:
+        """Returns when to come back, early enough for an answer in time."""
+        if retry_after is None:
+            return None
+        left = waiter.request.deadline - self._clock.monotonic()
+        return max(min(retry_after, left * RETRY_SHARE), RETRY_LEAST)
+
 
 def find_backends(
     vms: abc.Iterable[fleet_model.Vm],
