Keep the mutations in step and mutate the new mechanisms

Cause: three mutations named lines that the leases no longer have; the new promises had none. Change: six mutations of the planner, connections, catalog, callers' server and repeat budget. The test of late bytes sent none; it does now.

--- a/arbutuscove/standins/cluster.py
+++ b/arbutuscove/standins/cluster.py
@@ -335,9 +335,13 @@
             )
 
     def _answers(self, name: str) -> bool:
-        if self.processes[name].poll() is not None:
+        # A negative code is the signal that ended the process.
+        code = self.processes[name].poll()
+        if code is not None:
             log = (self.directory / f"{name}.log").read_text()
-            raise WaitFailedError(f"{name} ended at its start:\n{log[-3000:]}")
+            raise WaitFailedError(
+                f"{name} ended at its start with {code}:\n{log[-3000:]}"
+            )
         try:
             call(self.addresses[name], "GET", "/healthz")
         except http.HttpError:
--- a/arbutuscove/transport/tests/test_connection.py
+++ b/arbutuscove/transport/tests/test_connection.py
@@ -2,6 +2,7 @@
 
 import datetime
 
+import gevent
 import pytest
 from gevent import server
 
@@ -10,6 +11,7 @@
 from arbutuscove.transport import connection
 from arbutuscove.transport import pool
 
+LATE_SECONDS = 0.05
 SECOND = datetime.timedelta(seconds=1)
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
 
@@ -17,7 +19,8 @@
 class Peer:
     """Answers each request with the next of some chunks of bytes."""
 
-    def __init__(self, *answers, close=False):
+    def __init__(self, *answers, close=False, late=b""):
+        self._late = late
         self._answers = list(answers)
         self._close = close
         self.connections = 0
@@ -33,6 +36,9 @@
         while sock.recv(65536):
             if self._answers:
                 sock.sendall(self._answers.pop(0))
+            if self._late:
+                gevent.sleep(LATE_SECONDS)
+                sock.sendall(self._late)
             if self._close:
                 sock.close()
                 return
@@ -77,14 +83,25 @@
 
 def test_connection_with_late_bytes_is_not_used_again(start):
     """Guards against a late second response on an idle connection."""
-    peer = start(OK + b"ab", b"")
-    clock = clock_module.ManualClock()
-    connections = pool.ConnectionPool(clock)
+    peer = start(OK + b"ab", late=OK + b"cd")
+    connections = pool.ConnectionPool(clock_module.ManualClock())
     used = connections.take(peer.address)
     exchange(used)
     connections.give(used, None)
     assert connections.take(peer.address) is used
     connections.give(used, None)
+    gevent.sleep(2 * LATE_SECONDS)
+    assert connections.take(peer.address) is not used
+
+
+def test_connection_idle_for_too_long_is_not_used_again(start):
+    """Guards against a request on a connection that the peer just closed."""
+    peer = start(OK + b"ab")
+    clock = clock_module.ManualClock()
+    connections = pool.ConnectionPool(clock)
+    used = connections.take(peer.address)
+    exchange(used)
+    connections.give(used, None)
     clock.advance(pool.IDLE_LONGEST + SECOND)
     assert connections.take(peer.address) is not used
 
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -18,7 +18,7 @@
     Mutation(
         promise="a holder stops at the end of its lease",
         path="leases/lease.py",
-        old="return held.effective_from <= now < held.expires - GUARD",
+        old="return held.effective_from <= now < held.expires - terms.guard",
         new="return held.effective_from <= now",
         test="leases/tests/test_lease.py::"
         "test_lease_paused_holder_wakes_without_lease",
@@ -26,7 +26,7 @@
     Mutation(
         promise="a new holder waits for orders in flight",
         path="leases/lease.py",
-        old="effective_from=sent + ORDER_TIMEOUT",
+        old="effective_from=sent + terms.order_timeout",
         new="effective_from=sent",
         test="leases/tests/test_lease.py::"
         "test_lease_new_holder_waits_out_term_and_orders",
@@ -34,8 +34,8 @@
     Mutation(
         promise="a candidate waits a whole term",
         path="leases/lease.py",
-        old="if now - observation.first_seen < TERM:",
-        new="if False:",
+        old="now - observation.first_seen < terms.term",
+        new="False",
         test="leases/tests/test_lease.py::"
         "test_lease_new_holder_waits_out_term_and_orders",
     ),
@@ -289,4 +289,52 @@
         test="audit/tests/test_trail.py::"
         "test_trail_entries_at_once_do_not_overwrite_each_other",
     ),
+    Mutation(
+        promise="members of a group wait until its absent head is found gone",
+        path="fleet/planner.py",
+        old="if group.key in self._memory.released:",
+        new="if True:",
+        test="fleet/tests/test_planner.py::"
+        "test_planner_waits_for_an_absent_head_to_be_found_gone",
+    ),
+    Mutation(
+        promise="a head is opened when all members are ready",
+        path="fleet/planner.py",
+        old="ready = group.states() == {model.MemberState.READY}",
+        new="ready = True",
+        test="fleet/tests/test_planner.py::"
+        "test_planner_opens_head_only_when_each_member_is_ready",
+    ),
+    Mutation(
+        promise="a late second response makes a connection unfit",
+        path="transport/pool.py",
+        old="if age <= limit and found.quiet():",
+        new="if age <= limit:",
+        test="transport/tests/test_connection.py::"
+        "test_connection_with_late_bytes_is_not_used_again",
+    ),
+    Mutation(
+        promise="a configuration never goes back",
+        path="catalog/holder.py",
+        old="if catalog.version <= before:",
+        new="if catalog.version == before:",
+        test="platform/tests/test_configuration.py::"
+        "test_catalog_never_goes_back",
+    ),
+    Mutation(
+        promise="a refusal before the body was read ends the connection",
+        path="entry/connections.py",
+        old="if isinstance(body, _Body) and body.unread():",
+        new="if False:",
+        test="entry/tests/test_connections.py::"
+        "test_refusal_before_the_body_ends_the_connection",
+    ),
+    Mutation(
+        promise="repeats stay inside the fleet's allowance",
+        path="relay/budget.py",
+        old="if len(self._repeats) + 1 > SAFETY * allowed:",
+        new="if False:",
+        test="relay/tests/test_decisions.py::"
+        "test_budget_bounds_repeats_in_any_window",
+    ),
 )
