Move attempts and the stand-in's store to modules of their own

Change: relay/attempt.py holds one send and what attempts share; flow.py keeps what may be sent again. standins/users_store.py holds the store. Wire names in soak/ come from the adapter. No behaviour changes.

--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -25,6 +25,7 @@
 from arbutuscove.platform import settings as settings_module
 from arbutuscove.platform import store as store_module
 from arbutuscove.platform import upstreams
+from arbutuscove.relay import attempt
 from arbutuscove.relay import backends as backends_module
 from arbutuscove.relay import budget
 from arbutuscove.relay import flow as flow_module
@@ -199,21 +200,24 @@
 
     def _build_flow(self) -> flow_module.Flow:
         bounds = self._settings.bounds
-        return flow_module.Flow(
+        shared = attempt.Upstreams(
             self._clock,
             self._catalog,
             self._waiting,
             self._states,
             self._connections,
             upstreams.HttpCodec(),
+            self._gossip.tell,
+            self._find_silent_members,
+        )
+        return flow_module.Flow(
+            shared,
             budget.Allowance(
                 ratio=bounds.retry_ratio,
                 slack=bounds.retry_slack,
                 window=bounds.retry_window,
             ),
             lambda: len(self._gossip.live()) + 1,
-            self._gossip.tell,
-            self._find_silent_members,
             self._generator,
         )
 
--- a/arbutuscove/platform/upstreams.py
+++ b/arbutuscove/platform/upstreams.py
@@ -3,7 +3,7 @@
 import datetime
 
 from arbutuscove.platform import headers
-from arbutuscove.relay import flow
+from arbutuscove.relay import attempt
 from arbutuscove.relay import model
 from arbutuscove.transport import connection
 
@@ -91,7 +91,7 @@
 
     def read_reply(
         self, request: model.Request, parser: connection.ResponseParser
-    ) -> flow.Reply:
+    ) -> attempt.Reply:
         """Returns the head of a response.
 
         Statuses 421 and those with the header for it promise that the request
@@ -100,7 +100,7 @@
         status = parser.get_code()
         echoed = parser.header(headers.REQUEST_ID)
         not_run = parser.header(headers.NOT_RUN) is not None or status == 421
-        return flow.Reply(
+        return attempt.Reply(
             status=status,
             fields=select_fields(list(parser.items()), INTERNAL_FIELDS),
             own=echoed is None or echoed == request.request_id,
--- /dev/null
+++ b/arbutuscove/standins/users_store.py
@@ -0,0 +1,164 @@
+"""The store of the users' platform, in memory: rows, conditions, a feed."""
+
+import base64
+import dataclasses
+import errno
+import time
+import typing
+import urllib.parse
+from collections import abc
+
+import gevent
+import msgspec
+from gevent import event
+
+StartResponse = abc.Callable[..., typing.Any]
+Environ = dict[str, typing.Any]
+Reply = tuple[int, typing.Any]
+
+
+def send_json(start_response: StartResponse, reply: Reply) -> list[bytes]:
+    """Answers with a JSON body."""
+    data = msgspec.json.encode(reply[1])
+    fields = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(data))),
+    ]
+    start_response(f"{reply[0]} -", fields)
+    return [data]
+
+
+@dataclasses.dataclass(slots=True)
+class StoreFaults:
+    """How the store fails: refuse all calls, or lose each n-th write answer."""
+
+    refuse: int = 0  # status of every answer, 0 for none
+    silent: bool = False
+    lose_each: int = 0
+    delay: float = 0.0  # seconds before each answer
+
+
+class Store:
+    """Rows with versions, conditions, and a feed whose history can be lost."""
+
+    def __init__(self) -> None:
+        self.faults = StoreFaults()
+        self.calls = 0
+        self._rows: dict[tuple[str, str], tuple[int, str]] = {}
+        self._log: list[tuple[int, str, str, str | None]] = []
+        self._version = 0
+        self._oldest = 0
+        self._changed = event.Event()
+        self._writes = 0
+
+    def put(self, table: str, key: str, content: typing.Any) -> None:
+        """Writes a row as the operator or a server does."""
+        value = base64.b64encode(msgspec.json.encode(content)).decode()
+        self._apply([(table, key, value)])
+
+    def drop(self, table: str, key: str) -> None:
+        """Removes a row."""
+        if (table, key) in self._rows:
+            self._apply([(table, key, None)])
+
+    def forget_history(self) -> None:
+        """Answers feeds of older versions with 410 from now on."""
+        self._oldest = self._version
+        self._log.clear()
+
+    def read(self, table: str, key: str) -> typing.Any:
+        """Returns a row's content, None if there is none."""
+        found = self._rows.get((table, key))
+        if found is None:
+            return None
+        return msgspec.json.decode(base64.b64decode(found[1]))
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> abc.Iterable[bytes]:
+        """Serves one call."""
+        self.calls += 1
+        gevent.sleep(self.faults.delay)
+        while self.faults.silent:
+            gevent.sleep(0.05)
+        if self.faults.refuse:
+            return send_json(start_response, (self.faults.refuse, {}))
+        query = dict(urllib.parse.parse_qsl(environ["QUERY_STRING"]))
+        body = environ["wsgi.input"].read()
+        match environ["PATH_INFO"]:
+            case "/rows-get":
+                reply = self._get(query)
+            case "/rows-feed":
+                reply = self._feed(query)
+            case "/rows-tx":
+                reply = self._transact(msgspec.json.decode(body))
+                self._writes += 1
+                each = self.faults.lose_each
+                if each and self._writes % each == 0:
+                    raise ConnectionResetError(
+                        errno.ECONNRESET, "answer lost on command"
+                    )
+            case _:
+                reply = (404, {})
+        return send_json(start_response, reply)
+
+    def _apply(self, changes: list[tuple[str, str, str | None]]) -> None:
+        self._version += 1
+        for table, key, value in changes:
+            if value is None:
+                self._rows.pop((table, key), None)
+            else:
+                self._rows[table, key] = (self._version, value)
+            self._log.append((self._version, table, key, value))
+        self._changed.set()
+        self._changed.clear()
+
+    def _get(self, query: dict[str, str]) -> Reply:
+        start, end = query.get("from", ""), query.get("to")
+        rows = [
+            {"key": key, "schema_version": version, "value": value}
+            for (table, key), (version, value) in sorted(self._rows.items())
+            if table == query["table"]
+            and key >= start
+            and (end is None or key < end)
+        ]
+        return 200, {
+            "rows": rows,
+            "has_more": False,
+            "schema_version": self._version,
+        }
+
+    def _feed(self, query: dict[str, str]) -> Reply:
+        since = int(query["since_revision"])
+        end = time.monotonic() + int(query["wait_ms"]) / 1000
+        while True:
+            if since < self._oldest:
+                return 410, {}
+            newest = {
+                key: (version, value)
+                for version, table, key, value in self._log
+                if version > since and table == query["table"]
+            }
+            left = end - time.monotonic()
+            if newest or left <= 0:
+                break
+            self._changed.wait(min(left, 0.1))
+        rows = [
+            {"key": key, "schema_version": version, "deleted": True}
+            if value is None
+            else {"key": key, "schema_version": version, "value": value}
+            for key, (version, value) in newest.items()
+        ]
+        return 200, {"rows": rows, "schema_version": self._version}
+
+    def _transact(self, body: dict[str, typing.Any]) -> Reply:
+        for row in body["expected_revision"]:
+            found = self._rows.get((row["table"], row["key"]), (0, ""))
+            if found[0] != row["schema_version"]:
+                return 412, {"rows": [], "schema_version": self._version}
+        changes = [
+            (row["table"], row["key"], row["value"]) for row in body["upserts"]
+        ]
+        changes += [(row["table"], row["key"], None) for row in body["remove"]]
+        self._apply(changes)
+        return 200, {"schema_version": self._version}
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,6 +8,7 @@
 import gevent
 import msgspec
 
+from arbutuscove.platform import headers
 from arbutuscove.standins import users
 from arbutuscove.storage import http
 from arbutuscove.transport import connection
@@ -97,9 +98,9 @@
         fields = (
             ("Host", "x.example"),
             ("Authorization", "Token key-1"),
-            ("X-Request-Id", request_id),
-            ("X-Deadline-Ms", str(int(DEADLINE.total_seconds() * 1000))),
-            *((("X-Model", "chat"),) if kind == "stream" else ()),
+            (headers.REQUEST_ID, request_id),
+            (headers.DEADLINE, str(int(DEADLINE.total_seconds() * 1000))),
+            *(((headers.MODEL, "chat"),) if kind == "stream" else ()),
         )
         body = b"body of " + request_id.encode()
         method = "GET" if kind == "safe" else "POST"
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,6 +12,7 @@
 
 from arbutuscove.standins import forwarder
 from arbutuscove.standins import users
+from arbutuscove.standins import users_store
 from soak import world as world_module
 
 MODES = (
@@ -120,7 +121,7 @@
             self._world.start(daemon)
         return daemon.name
 
-    def _disturb_store(self, length: float) -> users.StoreFaults:
+    def _disturb_store(self, length: float) -> users_store.StoreFaults:
         until = time.monotonic() + length + SETTLE_SECONDS
         self.store_disturbed_until = max(self.store_disturbed_until, until)
         return self._world.platform.store.faults
--- a/soak/world.py
+++ b/soak/world.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from arbutuscove.platform import settings
 from arbutuscove.standins import cluster
 from arbutuscove.standins import forwarder
 from arbutuscove.standins import users
@@ -74,7 +75,7 @@
     def start(self, daemon: Daemon) -> None:
         """Starts a daemon's process."""
         environment = dict(os.environ)
-        environment["ARBUTUSCOVE_NODE_FILE"] = str(daemon.settings)
+        environment[settings.VARIABLE] = str(daemon.settings)
         environment["PYTHONPATH"] = str(self._root)
         with daemon.log.open("ab") as log:
             daemon.process = subprocess.Popen(
@@ -124,8 +125,8 @@
         store = http.Address(f"127.{block}.1.1", self.port)
         link = forwarder.Forwarder(near, store)
         link.start()
-        settings = self._directory / f"{name}.json"
+        path = self._directory / f"{name}.json"
         body = users.build_settings(name, ip, str(near), self.port)
-        settings.write_bytes(msgspec.json.encode(body))
+        path.write_bytes(msgspec.json.encode(body))
         log = self._directory / f"{name}.log"
-        return Daemon(name=name, ip=ip, settings=settings, log=log, link=link)
+        return Daemon(name=name, ip=ip, settings=path, log=log, link=link)
