--- a/arbutuscove/fleet/planner.py
+++ b/arbutuscove/fleet/planner.py
@@ -23,6 +23,8 @@
 
 # Time after which an order that shows no effect is sent again.
 RESEND_AFTER = datetime.timedelta(milliseconds=1500)
+# Loads that are taken to run at the same time when all VMs load at once.
+LOADS_SIDE_BY_SIDE = 8
 # A group that is still not complete after the longest load and this time is
 # given up, and its members are planned anew.
 FORM_SLACK = datetime.timedelta(seconds=20)
@@ -53,10 +55,10 @@
 class Memory:
     """What a holder remembers between plans.
 
-    `sent` is when each VM was last sent an order; `staging` names the
-    VMs that were told to copy a model, their starts and the model.
-    `released` are groups whose absent head no longer serves, `kept` those
-    whose absent member answers for itself.
+    `sent` is when each VM was last sent an order; `staging` names the VMs that
+    were told to copy a model, their starts and the model. `released` are groups
+    whose absent head no longer serves, `kept` those whose absent member answers
+    for itself.
     """
 
     forming: tuple[Forming, ...] = ()
@@ -72,10 +74,9 @@
 
     `vms` are all listed VMs of the service, leaving ones too. `stalled` are
     groups that move nothing, seen by the daemons that use them; `silent` are
-    VMs that gave no answer a moment ago. While not `settled`, VMs are still
-    coming, and no group is formed. `next_epoch`
-    is above all epochs given before. `loads` is how many loads from the weight
-    store may begin now.
+    VMs that gave no answer a moment ago. `next_epoch` is above all epochs given
+    before. `loads` is how many loads from the weight store may begin now. While
+    not `settled`, VMs are still being listed, and no group is formed.
     """
 
     engine: catalog_model.Engine
@@ -186,7 +187,8 @@
             present = [vm for vm in members if vm and self._is_usable(vm)]
             if spec is None or len(present) < len(forming.members):
                 continue
-            longest = spec.load_time * max(1, len(self._situation.vms) // 8)
+            rounds = len(self._situation.vms) // LOADS_SIDE_BY_SIDE
+            longest = spec.load_time * max(1, rounds)
             if self._situation.now > forming.since + longest + FORM_SLACK:
                 continue
             key = (forming.group, forming.epoch)
