Wait for a silent head before its members are used again

A connection that is reset looks like a dead process, and was believed at once. Ruled out: orders that came late (the joins carried the newest fence). Change: such a head counts as gone 13 s after it left the list, as cuts last for ten; at once only if it says that it left, or another VM has its address. The test failed first, for both kinds of cut. How to tell a dead head sooner is open.

--- a/arbutuscove/fleet/controller.py
+++ b/arbutuscove/fleet/controller.py
@@ -34,11 +34,11 @@
 LIST_AGE_LONGEST = datetime.timedelta(seconds=2)
 # Epochs of one holder; the fencing token gives the bits above.
 EPOCH_BITS = 20
-# A head that left the list unseen by this holder may still serve until a
-# cut from the store heals; cuts of ten seconds are known.
-UNSEEN_HEAD_WAIT = datetime.timedelta(seconds=12)
-# Attempts to reach a head that left the list before it counts as gone.
-HEAD_ATTEMPTS = 2
+# A head that left the list and answers nobody may be cut off and serve on; it
+# is listed again when the cut heals. Cuts of ten seconds are known.
+SILENT_HEAD_WAIT = datetime.timedelta(seconds=13)
+# The same for a head that this holder never saw.
+UNSEEN_HEAD_WAIT = SILENT_HEAD_WAIT
 # A VM that gave no answer is not planned with for so long; a dead one leaves
 # the list in that time.
 SILENT_FOR = datetime.timedelta(seconds=4)
@@ -68,9 +68,6 @@
         self._fence = -1
         self._next_epoch = 0
         self._first_seen: dict[tuple[str, int], datetime.timedelta] = {}
-        self._attempts: collections.Counter[tuple[str, int]] = (
-            collections.Counter()
-        )
         self._load_times: collections.deque[datetime.timedelta] = (
             collections.deque()
         )
@@ -115,7 +112,6 @@
         self._next_epoch = fence << EPOCH_BITS
         self._memories.clear()
         self._first_seen.clear()
-        self._attempts.clear()
         self._accepted.clear()
         self._ordered.clear()
         eliot.log_message("groups:duty_taken", fence=fence)
@@ -283,8 +279,6 @@
         match outcome:
             case orders_module.Outcome.ACCEPTED | orders_module.Outcome.HOLDS:
                 self._release(service, group.key)
-            case orders_module.Outcome.UNKNOWN:
-                self._attempts[group.key] += 1
             case _:
                 pass
 
@@ -315,6 +309,14 @@
         )
         return all(answers)
 
+    def _has_left(self, vm: model.Vm) -> bool:
+        """Returns whether a VM says itself that it left its group."""
+        status = self._group_orders.read_status(vm)
+        if status is None or vm.membership is None:
+            return False
+        held = status.membership
+        return held is None or held.key != vm.membership.key
+
     def _confirm_member(self, vm: model.Vm) -> bool:
         """Returns whether a VM says itself that it is in its group."""
         status = self._group_orders.read_status(vm)
@@ -347,16 +349,21 @@
                 vm=departed.vm, group=group.name, epoch=group.epoch
             )
             match self._send(leave, fence):
-                case orders_module.Outcome.UNKNOWN:
-                    self._attempts[group.key] += 1
-                    return self._attempts[group.key] >= HEAD_ATTEMPTS
+                case (
+                    orders_module.Outcome.ACCEPTED
+                    | orders_module.Outcome.HOLDS
+                    | orders_module.Outcome.ANOTHER_VM
+                ):
+                    return True
                 case orders_module.Outcome.FENCED:
                     return False
-                case orders_module.Outcome.UNFIT:
-                    # Its count of orders moved on without us seeing it.
-                    return not self._confirm_member(departed.vm)
-                case _:
+                case orders_module.Outcome.UNFIT if self._has_left(departed.vm):
                     return True
+                case _:
+                    # It may be cut off from every daemon, silently or by
+                    # resets, and still serve with its members; only time
+                    # tells it from a dead one.
+                    return now - departed.since >= SILENT_HEAD_WAIT
         return now - since >= UNSEEN_HEAD_WAIT
 
     def _release(self, service: str, key: tuple[str, int]) -> None:
--- a/arbutuscove/fleet/tests/test_controller.py
+++ b/arbutuscove/fleet/tests/test_controller.py
@@ -8,6 +8,7 @@
 from arbutuscove.catalog import model as catalog_model
 from arbutuscove.fleet import controller
 from arbutuscove.fleet import inventory as inventory_module
+from arbutuscove.fleet import model
 from arbutuscove.fleet import orders
 from arbutuscove.fleet.tests import test_planner
 from arbutuscove.kernel import clock as clock_module
@@ -36,9 +37,12 @@
         self.sent = []
         self.asked = []
         self.silent = set()
+        self.resetting = set()
 
     def send(self, order, fence, accepted):
         name = order.vm.name
+        if name in self.resetting:
+            return orders.Outcome.ABSENT
         if name in self.silent:
             return orders.Outcome.UNKNOWN
         if accepted != self.accepted.get(name, 0):
@@ -137,3 +141,38 @@
     control.turn()
     assert sorted(vms.asked) == ["a", "b"]
     assert {order.epoch for order in vms.sent} == {2 << controller.EPOCH_BITS}
+
+
+@pytest.mark.parametrize("cut", ["silent", "resetting"])
+def test_controller_waits_for_a_silent_head_that_left_the_list(scene, cut):
+    """Guards against members used again while their cut-off head serves.
+
+    A head that was cut off from the store and from all daemons left the list
+    and answered nothing; its members were joined to another group while it was
+    open (sfx-arbutus trouble-3, hunt seed 737736964669: TWO).
+    """
+    clock, inventory, _, vms, control = scene
+    head = test_planner.create_member("h", 0, "open")
+    member = test_planner.create_member("m", 1, "ready")
+    inventory.replace([head, member, test_planner.create_vm("x")])
+    for _ in range(6):
+        clock.advance(SECOND / 2)
+        inventory.update([], [])
+    getattr(vms, cut).add("h")
+    inventory.update([], ["h"])
+    key = member.membership.key
+    group = next(iter(control_groups(inventory)))
+    for _ in range(20):
+        clock.advance(SECOND / 2)
+        inventory.update([], [])
+        since = clock.monotonic()
+        assert not control._is_released(group, since, clock.monotonic(), 1)
+    clock.advance(controller.SILENT_HEAD_WAIT)
+    inventory.update([], [])
+    assert control._is_released(group, clock.monotonic(), clock.monotonic(), 1)
+    assert group.key == key
+
+
+def control_groups(inventory):
+    """Returns the groups of the listed VMs."""
+    return model.list_groups(inventory.vms()).values()
