Let a ready head leave before its members are used again

Cause: a group whose head had just been sent the order to open, and that then lost a member, was taken apart by what the list still said; the order may be carried out later than the joins of its members. Change: the planner orders a ready head to leave, and offers the members once the head has accepted.

--- a/arbutuscove/fleet/controller.py
+++ b/arbutuscove/fleet/controller.py
@@ -156,9 +156,16 @@
                 ):
                     if wanted not in vm.staged:
                         self._load_times.append(now)
-        gevent.joinall(
-            [gevent.spawn(self._send, order, fence) for order in found]
-        )
+        jobs = [gevent.spawn(self._send, order, fence) for order in found]
+        gevent.joinall(jobs)
+        for order, job in zip(found, jobs, strict=True):
+            match order, job.value:
+                case (
+                    orders_module.Leave(vm=vm, group=group, epoch=epoch),
+                    orders_module.Outcome.ACCEPTED
+                    | orders_module.Outcome.HOLDS,
+                ):
+                    self._release(vm.service, (group, epoch))
 
     def _send(
         self, order: orders_module.Order, fence: int
--- a/arbutuscove/fleet/planner.py
+++ b/arbutuscove/fleet/planner.py
@@ -231,9 +231,24 @@
                             vm=head, group=group.name, epoch=group.epoch
                         )
                     )
+            case model.MemberState.READY:
+                self._dissolve(group, head)
             case _:
                 self._offer_all(group)
 
+    def _dissolve(self, group: model.Group, head: model.Vm) -> None:
+        """Lets a ready head leave before its members are used again.
+
+        An order to open it may be on its way, or have been carried out without
+        the list saying so yet.
+        """
+        if group.key in self._memory.released:
+            self._offer_all(group)
+        elif self._may_send(head):
+            self._orders.append(
+                orders.Leave(vm=head, group=group.name, epoch=group.epoch)
+            )
+
     def _review_open(
         self, group: model.Group, head: model.Vm, complete: bool, leaving: bool
     ) -> None:
--- a/arbutuscove/fleet/tests/test_planner.py
+++ b/arbutuscove/fleet/tests/test_planner.py
@@ -276,3 +276,25 @@
     assert order.vm.name == "cold"
     later = plan([*vms, create_vm("b")], found.memory)
     assert list_joined(later) == ["a", "b"]
+
+
+def test_planner_lets_a_ready_head_leave_before_its_members_go():
+    """Guards against a head opened late, while its members are elsewhere.
+
+    A group whose head was just sent the order to open lost a member; the list
+    still said ready, and the others were joined to the next group while the
+    head was open (nilavu-diary-grown trouble-2, hunt seed 617154036155: TWO).
+    """
+    vms = [
+        create_member("a", 0, "ready"),
+        create_member("b", 1, "ready", leaving=True),
+        create_vm("x"),
+        create_vm("y", staged=()),
+    ]
+    found = plan(vms, loads=0)
+    (order,) = found.orders
+    assert isinstance(order, orders.Leave)
+    assert order.vm.name == "a"
+    key = vms[0].membership.key
+    later = planner.release(planner.Memory(), key)
+    assert list_joined(plan(vms, later, loads=0)) == ["a", "x"]
