Switch off the fork handlers of gRPC in the tests' process

The handlers that gRPC registers for forks start its poller again in the child; gevent closes all descriptors of the child before it runs the new program, the poller finds its own closed and ends the child with SIGABRT. So the log of the process that "ended at its start" holds only gRPC's line, whatever the process is.

Ruled out: gevent's set-up order and the shutdown of gRPC in a daemon (strace of whole starts: no descriptor closed by two parties); the stand-ins, which no longer load gRPC at all.

Change: GRPC_ENABLE_FORK_SUPPORT=0 before gRPC is loaded in conftest.py. The daemon starts no processes and is not touched.

--- a/conftest.py
+++ b/conftest.py
@@ -6,6 +6,12 @@
 
 # pylint: disable=wrong-import-position
 import os  # noqa: E402
+
+# Read when gRPC is loaded. Its handlers start a poller in the child of a
+# fork; gevent then closes all descriptors before the new program is run, and
+# in 1 of 100 starts of a process the poller ended the child with SIGABRT.
+os.environ["GRPC_ENABLE_FORK_SUPPORT"] = "0"
+
 import pathlib  # noqa: E402
 
 import hypothesis  # noqa: E402
