Take a crashed head for dead after a second, a drained one after 13

Cause: since the members of every head that left the list silently stand by for 13 s. Change: the inventory says whether a VM went away unseen. A head that drained, or may have, is waited for as before; another one is dead if it gives no answer for 1 s while a member of its group answers this daemon.

--- a/arbutuscove/fleet/controller.py
+++ b/arbutuscove/fleet/controller.py
@@ -34,11 +34,14 @@
 LIST_AGE_LONGEST = datetime.timedelta(seconds=2)
 # Epochs of one holder; the fencing token gives the bits above.
 EPOCH_BITS = 20
-# A head that left the list and answers nobody may be cut off and serve on; it
-# is listed again when the cut heals. Cuts of ten seconds are known.
-SILENT_HEAD_WAIT = datetime.timedelta(seconds=13)
+# A head that drains leaves the list and refuses connections while it ends its
+# work, for ten seconds at most.
+DRAINED_HEAD_WAIT = datetime.timedelta(seconds=13)
 # The same for a head that this holder never saw.
-UNSEEN_HEAD_WAIT = SILENT_HEAD_WAIT
+UNSEEN_HEAD_WAIT = DRAINED_HEAD_WAIT
+# A head that left the list without draining is dead if it gives no answer for
+# so long while its members do. One that is only cut off from the list answers.
+SILENT_HEAD_WAIT = datetime.timedelta(seconds=1)
 # A VM that gave no answer is not planned with for so long; a dead one leaves
 # the list in that time.
 SILENT_FOR = datetime.timedelta(seconds=4)
@@ -77,6 +80,8 @@
             str, tuple[datetime.timedelta, int, datetime.timedelta]
         ] = {}
         self._silent: dict[str, datetime.timedelta] = {}
+        # When a head that left the list first gave no answer, by its group.
+        self._unanswered: dict[tuple[str, int], datetime.timedelta] = {}
         self._asking: set[tuple[str, int]] = set()
         # Orders accepted by each life of a VM, as far as this holder knows.
         self._ordered: set[tuple[str, int]] = set()
@@ -112,6 +117,7 @@
         self._next_epoch = fence << EPOCH_BITS
         self._memories.clear()
         self._first_seen.clear()
+        self._unanswered.clear()
         self._accepted.clear()
         self._ordered.clear()
         eliot.log_message("groups:duty_taken", fence=fence)
@@ -366,13 +372,26 @@
                     return False
                 case orders_module.Outcome.UNFIT if self._has_left(departed.vm):
                     return True
+                case _ if departed.drains():
+                    return now - departed.since >= DRAINED_HEAD_WAIT
                 case _:
-                    # It may be cut off from every daemon, silently or by
-                    # resets, and still serve with its members; only time
-                    # tells it from a dead one.
-                    return now - departed.since >= SILENT_HEAD_WAIT
+                    return self._is_dead(group, departed.since, now)
         return now - since >= UNSEEN_HEAD_WAIT
 
+    def _is_dead(
+        self,
+        group: model.Group,
+        since: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Returns whether a head that gave no answer just now has ended."""
+        if not any(self._confirm_member(vm) for vm in group.members):
+            # This daemon may itself be cut off from these VMs.
+            self._unanswered.pop(group.key, None)
+            return now - since >= DRAINED_HEAD_WAIT
+        first = self._unanswered.setdefault(group.key, now)
+        return now - first >= SILENT_HEAD_WAIT
+
     def _release(self, service: str, key: tuple[str, int]) -> None:
         eliot.log_message("groups:released", group=key[0], epoch=key[1])
         memory = self._memories.get(service, planner.Memory())
--- a/arbutuscove/fleet/inventory.py
+++ b/arbutuscove/fleet/inventory.py
@@ -26,10 +26,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Departed:
-    """A VM that is listed no more, as it was, and since when."""
+    """A VM that is listed no more, as it was, and since when.
+
+    `hidden` says that the list could not be read while it went away, so that
+    it may have drained without its last entry saying so.
+    """
 
     vm: model.Vm
     since: datetime.timedelta
+    hidden: bool = False
+
+    def drains(self) -> bool:
+        """Returns whether it may still be at work that it had accepted."""
+        return self.vm.leaving or self.hidden
 
 
 class Inventory(services.BaseService):
@@ -125,21 +134,27 @@
         if returned is not None and now - returned < LAPSE_GRACE:
             self._lapsed.setdefault(name, returned + LAPSE_GRACE)
             return
-        self._forget(name, now)
+        self._forget(name, now, hidden=False)
 
     def _drop_lapsed(self) -> None:
         now = self._clock.monotonic()
         due = [name for name, until in self._lapsed.items() if until <= now]
         for name in due:
             del self._lapsed[name]
-            self._forget(name, now)
+            self._forget(name, now, hidden=True)
 
-    def _forget(self, name: str, now: datetime.timedelta) -> None:
+    def _forget(self, name: str, now: datetime.timedelta, hidden: bool) -> None:
         vm = self._vms.pop(name, None)
         if vm is None:
             return
-        eliot.log_message("fleet:vm_gone", vm=name, service=vm.service)
-        self._departed[name] = Departed(vm=vm, since=now)
+        eliot.log_message(
+            "fleet:vm_gone",
+            vm=name,
+            service=vm.service,
+            leaving=vm.leaving,
+            hidden=hidden,
+        )
+        self._departed[name] = Departed(vm=vm, since=now, hidden=hidden)
         while len(self._departed) > DEPARTED_LIMIT:
             del self._departed[next(iter(self._departed))]
         self.revision += 1
