Fill each of many fabric domains with one model

Change: from 8 domains on, a group goes to the domain that its model fills, as long as no domain has over a quarter of the model's groups; else to an empty one. The test failed before (9 mixed domains of 9, now at most 1).

--- a/arbutuscove/fleet/planner.py
+++ b/arbutuscove/fleet/planner.py
@@ -6,10 +6,12 @@
 been read as ready under the same name and epoch.
 
 Groups never span fabric domains, since that slows every step. The groups of
-each model are spread evenly over the domains, as a domain may go dark whole.
-The VMs that this leaves over hold a model of their domain: with them the next
-lost group is formed again in two seconds, where a load from the weight store
-takes sixteen.
+each model are spread over the domains, as a domain may go dark whole: evenly
+over few domains; of many, each is filled with one model as far as the model is
+left in enough others, so that what remains of a lost group completes the next
+one. The VMs that this leaves over hold a model of their domain: with them the
+next lost group is formed again in two seconds, where a load from the weight
+store takes sixteen.
 """
 
 import collections
@@ -28,6 +30,10 @@
 # A group that is still not complete after the longest load and this time is
 # given up, and its members are planned anew.
 FORM_SLACK = datetime.timedelta(seconds=20)
+# From so many domains on, each is filled with groups of one model.
+MANY_DOMAINS = 8
+# A model has at least so many domains, if there are many.
+SPREAD = 4
 NOT_YET_OPEN = frozenset((model.MemberState.JOINING, model.MemberState.READY))
 
 
@@ -115,7 +121,7 @@
     domain: str
     members: list[model.Vm]
     cold: int
-    order: tuple[int, int, int]
+    order: tuple[int, int, int, int]
 
 
 class _Planner:
@@ -140,6 +146,8 @@
             collections.defaultdict(collections.Counter)
         )
         self._staging = set(memory.staging)
+        domains = {vm.fabric_domain for vm in situation.vms}
+        self._fills_domains = len(domains) >= MANY_DOMAINS
 
     def run(self) -> Plan:
         """Returns the plan."""
@@ -367,10 +375,21 @@
                 self._note_stages(others, spec)
                 return None
             members = others
-        here = self._uses[domain][spec.name]
-        order = (cold, here, -len(vms))
+        order = (cold, *self._rate_domain(spec, domain), -len(vms))
         return _Choice(domain=domain, members=members, cold=cold, order=order)
 
+    def _rate_domain(
+        self, spec: catalog_model.ModelSpec, domain: str
+    ) -> tuple[int, int]:
+        """Returns how well a domain suits one more group; less is better."""
+        uses = self._uses[domain]
+        here = uses[spec.name]
+        groups = here // spec.size + 1
+        crowded = groups * SPREAD > self._targets[spec.name]
+        if crowded or not self._fills_domains:
+            return (1, here)
+        return (0, uses.total() - 2 * here)
+
     def _note_stages(
         self, vms: list[model.Vm], spec: catalog_model.ModelSpec
     ) -> None:
--- a/arbutuscove/fleet/tests/test_planner.py
+++ b/arbutuscove/fleet/tests/test_planner.py
@@ -242,6 +242,33 @@
         assert max(counts.values()) - min(counts.values()) <= 2
 
 
+def test_planner_fills_each_of_many_domains_with_one_model():
+    """Guards against leftovers of lost groups that complete no other group.
+
+    With groups of 8 and 4 VMs side by side in domains of 19, a quarter of 171
+    VMs stood by; what was left of a lost group found no VMs with its model.
+    """
+    large = dataclasses.replace(CHAT, size=8)
+    engine = dataclasses.replace(ENGINE, models=(large, DRAFT))
+    vms = [
+        create_vm(f"{domain}{number}", fabric_domain=domain, staged=())
+        for domain in "abcdefghi"
+        for number in range(19)
+    ]
+    joins = [
+        order
+        for order in plan(vms, engine=engine, loads=999).orders
+        if isinstance(order, orders.Join)
+    ]
+    models = collections.defaultdict(set)
+    domains = collections.defaultdict(set)
+    for order in joins:
+        models[order.vm.fabric_domain].add(order.model)
+        domains[order.model].add(order.vm.fabric_domain)
+    assert sum(len(found) > 1 for found in models.values()) <= 1
+    assert min(map(len, domains.values())) >= planner.SPREAD
+
+
 def test_planner_stages_the_domains_model_on_spares():
     """Guards against a spare that has to load for 16 s when it is needed."""
     vms = [create_vm(f"v{number}", staged=()) for number in range(5)]
