Believe the report of a head that leaves orders unanswered

Cause: found in review of the rule for crashed heads. Ruled out: that such a head breaks by itself; its members are in touch with it. Change: the head is asked for its report first. If it answers, it is alive, and its members are free once it says that it left the group.

--- a/arbutuscove/fleet/controller.py
+++ b/arbutuscove/fleet/controller.py
@@ -323,14 +323,6 @@
         )
         return all(answers)
 
-    def _has_left(self, vm: model.Vm) -> bool:
-        """Returns whether a VM says itself that it left its group."""
-        status = self._group_orders.read_status(vm)
-        if status is None or vm.membership is None:
-            return False
-        held = status.membership
-        return held is None or held.key != vm.membership.key
-
     def _confirm_member(self, vm: model.Vm) -> bool:
         """Returns whether a VM says itself that it is in its group."""
         status = self._group_orders.read_status(vm)
@@ -371,25 +363,30 @@
                     return True
                 case orders_module.Outcome.FENCED:
                     return False
-                case orders_module.Outcome.UNFIT if self._has_left(departed.vm):
-                    return True
-                case _ if departed.drains():
-                    return now - departed.since >= DRAINED_HEAD_WAIT
                 case _:
-                    return self._is_dead(group, departed.since, now)
+                    return self._has_ended(departed, group, now)
         return now - since >= UNSEEN_HEAD_WAIT
 
-    def _is_dead(
+    def _has_ended(
         self,
+        departed: inventory_module.Departed,
         group: model.Group,
-        since: datetime.timedelta,
         now: datetime.timedelta,
     ) -> bool:
-        """Returns whether a head that gave no answer just now has ended."""
+        """Returns whether a head that did not take the order to leave ended."""
+        status = self._group_orders.read_status(departed.vm)
+        if status is not None:
+            # It is only cut off from the list. The order may be carried out
+            # later.
+            self._unanswered.pop(group.key, None)
+            held = status.membership
+            return held is None or held.key != group.key
+        if departed.drains():
+            return now - departed.since >= DRAINED_HEAD_WAIT
         if not any(self._confirm_member(vm) for vm in group.members):
             # This daemon may itself be cut off from these VMs.
             self._unanswered.pop(group.key, None)
-            return now - since >= DRAINED_HEAD_WAIT
+            return now - departed.since >= DRAINED_HEAD_WAIT
         first = self._unanswered.setdefault(group.key, now)
         return now - first >= SILENT_HEAD_WAIT
 
--- a/arbutuscove/fleet/tests/test_controller.py
+++ b/arbutuscove/fleet/tests/test_controller.py
@@ -39,12 +39,13 @@
         self.asked = []
         self.silent = set()
         self.resetting = set()
+        self.late = set()  # leave orders unanswered, but report
 
     def send(self, order, fence, accepted):
         name = order.vm.name
         if name in self.resetting:
             return orders.Outcome.ABSENT
-        if name in self.silent:
+        if name in self.silent | self.late:
             return orders.Outcome.UNKNOWN
         if accepted != self.accepted.get(name, 0):
             return orders.Outcome.UNFIT
@@ -57,7 +58,7 @@
 
     def read_status(self, vm):
         self.asked.append(vm.name)
-        if vm.name in self.silent:
+        if vm.name in self.silent | self.resetting:
             return None
         return orders.Status(
             accepted=self.accepted.get(vm.name, 0),
@@ -230,6 +231,17 @@
     assert examine(SECOND)
 
 
+def test_controller_believes_the_report_of_a_head_that_obeys_late(headless):
+    """Guards against a head taken for dead as it leaves orders unanswered.
+
+    Cut off from the list and slow to carry out orders, it serves on.
+    """
+    examine = headless("late")
+    for _ in range(20):
+        assert not examine(SECOND / 2)
+    assert not examine(controller.DRAINED_HEAD_WAIT)
+
+
 @CUTS
 def test_controller_distrusts_its_own_links(headless, scene, cut):
     """Guards against a head taken for dead by a daemon that is cut off."""
