Spread a daemon's own requests by its own counts

Cause: with 72 daemons, what the others run at each backend is known as late as a request takes. Ruled out: time in the daemon (waited at most 8 ms), long prompts (0.18 to 0.21 s over all sizes), lost groups (130 of 4,693 were sent twice). Change: a backend counts as running this daemon's own requests there and an even part of what the others run in all. Conclusion: kept for all fleets: own counts are exact, and nothing has to be told of single backends in time.

--- a/arbutuscove/relay/placement.py
+++ b/arbutuscove/relay/placement.py
@@ -1,10 +1,15 @@
 """Choice of the backend for one request, without I/O.
 
 Engines slow down for all their requests as they fill, so a request goes where
-a token step would be shortest after it was added. What other daemons run at a
-backend is a hint some hundred milliseconds old; comparing only a few random
-backends keeps daemons with the same hint from choosing the same backend
-(Mitzenmacher, The Power of Two Choices, 2001).
+a token step would be shortest after it was added. Each daemon spreads its own
+requests evenly, which it counts exactly, and takes those of the others as
+spread evenly, too. What the others run at each backend is known some hundred
+milliseconds late, in a large fleet as late as a request takes; daemons that
+follow it all fill the same backends (Mitzenmacher, How Useful Is Old
+Information, 2000; Vargaftik et al., LSQ: Load Balancing in Large-Scale
+Heterogeneous Systems with Multiple Dispatchers, 2020). Of 4,700 requests
+through 72 daemons, 1,170 met over 20 others at a backend with 17 places, while
+680 met fewer than 6.
 """
 
 import dataclasses
@@ -18,14 +23,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Candidate:
-    """A backend and what runs there, of all daemons.
+    """A backend and what runs there.
 
-    `slowness` is how much slower it was lately than its load explains; 1 is as
-    expected.
+    `running` counts this daemon's requests and what falls to the backend of
+    those of the others, spread evenly. `slowness` is how much slower it was
+    lately than its load explains; 1 is as expected.
     """
 
     backend: model.Backend
-    running: int
+    running: float
     slowness: float
     avoided: bool
 
--- a/arbutuscove/relay/tests/test_waiting.py
+++ b/arbutuscove/relay/tests/test_waiting.py
@@ -1,5 +1,6 @@
 """Guards against waiting requests that are held, lost or answered too late."""
 
+import collections
 import dataclasses
 import datetime
 import random
@@ -37,6 +38,7 @@
 
     def __init__(self):
         self.clock = clock_module.SystemClock()
+        self.loads = {}
         self.inventory = inventory_module.Inventory(self.clock)
         self.states = backends.BackendStates(self.clock)
         self.room = waiting.WaitingRoom(
@@ -44,7 +46,7 @@
             catalog_holder.CatalogHolder(),
             self.inventory,
             self.states,
-            dict,
+            lambda: self.loads,
             random.Random(1),
         )
         self.room.start(None)
@@ -130,3 +132,20 @@
     for request, backend in zip(running, held, strict=True):
         scene.room.release(request, "models", backend, 1, SECOND / 100)
     assert scene.states[held[0].key].running == 0
+
+
+def test_waiting_spreads_own_requests_by_own_counts():
+    """Guards against requests sent where others were a moment ago."""
+    scene = Scene()
+    scene.loads = {1: 7, 2: 0, 3: 0}
+    vms = [
+        test_planner.create_vm(name, fabric_domain="", slots=13, born=born)
+        for name, born in (("a", 1), ("b", 2), ("c", 3))
+    ]
+    scene.inventory.replace(vms)
+    found = [
+        scene.room.acquire(scene.create_request(str(number)), "models").key
+        for number in range(9)
+    ]
+    counts = collections.Counter(found)
+    assert sorted(counts.values()) == [3, 3, 3]
--- a/arbutuscove/relay/waiting.py
+++ b/arbutuscove/relay/waiting.py
@@ -244,18 +244,20 @@
     def _list_candidates(self, pool: PoolKey) -> list[placement.Candidate]:
         loads = self._read_loads()
         size = self._find_size(pool)
+        backends = self.list_backends(pool)
+        others = sum(loads.get(backend.key[1], 0) for backend in backends)
         return [
             placement.Candidate(
                 backend=backend,
                 running=self._states[backend.key].running
-                + loads.get(backend.key[1], 0),
+                + others / len(backends),
                 slowness=max(1.0, self._states[backend.key].ratio),
                 avoided=self._states.rests(backend.key)
                 or self._states.is_slow(backend.key)
                 # A member that left the list may only be cut off from it.
                 or backend.members < size,
             )
-            for backend in self.list_backends(pool)
+            for backend in backends
             if not self._states.is_stalled(backend.key)
         ]
 
@@ -329,7 +331,7 @@
             priority=waiter.request.priority,
             waiting=len(self._queues[waiter.pool]),
             backends=len(candidates),
-            running=sum(found.running for found in candidates),
+            running=round(sum(found.running for found in candidates)),
             list_age=None if age is None else round(age.total_seconds(), 3),
         )
         return model.Refusal(
