Let left over members of lost groups leave them

Cause: what is left of a lost group and completes no other one still says that it is a member. Ruled out: keeping this in a row of the store: the VMs can say it themselves. Change: free VMs that no group needs are ordered to leave their former group; only the leave of a head counts as the end of a group. The test failed before.

--- a/arbutuscove/fleet/controller.py
+++ b/arbutuscove/fleet/controller.py
@@ -171,7 +171,7 @@
                     orders_module.Leave(vm=vm, group=group, epoch=epoch),
                     orders_module.Outcome.ACCEPTED
                     | orders_module.Outcome.HOLDS,
-                ):
+                ) if _is_head(vm):
                     self._release(vm.service, (group, epoch))
 
     def _send(
@@ -406,3 +406,7 @@
                 self.turn()
             except Exception:  # noqa: BLE001 - the duty must go on
                 eliot.write_traceback()
+
+
+def _is_head(vm: model.Vm) -> bool:
+    return vm.membership is not None and vm.membership.rank == 0
--- a/arbutuscove/fleet/planner.py
+++ b/arbutuscove/fleet/planner.py
@@ -316,6 +316,21 @@
             self._uses[domain][spec.name] += spec.size
             self._form(spec, members)
         self._stage_spares(by_domain)
+        for vms in by_domain.values():
+            self._let_leave(vms)
+
+    def _let_leave(self, vms: list[model.Vm]) -> None:
+        """Lets free VMs that no group needs leave their former group.
+
+        The list then says that they are free. Another holder would first have
+        to find out whether the head of that group has ended.
+        """
+        for vm in vms:
+            held = vm.membership
+            if held is not None:
+                self._orders.append(
+                    orders.Leave(vm=vm, group=held.group, epoch=held.epoch)
+                )
 
     def _count_uses(self) -> None:
         """Counts the VMs of each domain by the model that they serve."""
--- a/arbutuscove/fleet/tests/test_planner.py
+++ b/arbutuscove/fleet/tests/test_planner.py
@@ -305,6 +305,25 @@
     assert list_joined(later) == ["a", "b"]
 
 
+def test_planner_lets_left_over_members_leave():
+    """Guards against VMs that each new holder takes for members of a group.
+
+    After the loss of all daemons the new holder waited 13 s for the heads of
+    groups whose members were free long before (sfx-arbutus trouble-3).
+    """
+    member = create_member("m", 1, "ready")
+    key = member.membership.key
+    memory = planner.release(planner.Memory(), key)
+    found = plan([member], memory)
+    assert found.orders == (
+        orders.Leave(vm=member, group=key[0], epoch=key[1]),
+    )
+    again = plan([member], found.memory, now=100.5 * SECOND)
+    assert again.orders == ()
+    # Without the release nothing is known of the head.
+    assert plan([member]).orders == ()
+
+
 def test_planner_lets_a_ready_head_leave_before_its_members_go():
     """Guards against a head opened late, while its members are elsewhere.
 
