--- a/arbutuscove/tool/main.py
+++ b/arbutuscove/tool/main.py
@@ -2,6 +2,7 @@
 
 import collections
 import hashlib
+import itertools
 import pathlib
 import secrets
 import sys
@@ -24,6 +25,7 @@
 from arbutuscove.questionnaire import interview
 from arbutuscove.tool import client as client_module
 from arbutuscove.tool import display
+from arbutuscove.tool import logs as logs_module
 from arbutuscove.tool import report as report_module
 
 EXIT_REFUSED = 3  # the administration API refused the call
@@ -256,13 +258,32 @@
 
 @main.command()
 @click.argument("request_id")
+@click.option(
+    "--log",
+    "logs",
+    type=click.File("rb"),
+    multiple=True,
+    help="Log of a daemon; - is standard input. May be given several times.",
+)
 @click.pass_obj
-def explain(context: Context, request_id: str) -> None:
+def explain(
+    context: Context, request_id: str, logs: tuple[typing.BinaryIO, ...]
+) -> None:
     """Shows why a recent request was queued, routed or refused.
 
-    Ask the daemon whose name begins the request identity.
+    Ask the daemon whose name begins the request identity, or give the logs of
+    the daemons that may have served it.
+
+    Example: arbutuscove explain --log daemon-1.log 7ac01f52
     """
-    answer = _call(context, "GET", "/requests/" + request_id)
+    if not logs:
+        answer = _call(context, "GET", "/requests/" + request_id)
+    else:
+        lines = itertools.chain.from_iterable(logs)
+        events = logs_module.find_steps(lines, request_id)
+        if not events:
+            raise click.ClickException(f"no line names request {request_id}")
+        answer = {"request_id": request_id, "events": events}
     _show(context, answer, display.show_explanation)
 
 
