--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -292,8 +292,12 @@
     Mutation(
         promise="members of a group wait until its absent head is found gone",
         path="fleet/planner.py",
-        old="if group.key in self._memory.released:",
-        new="if True:",
+        old="""if group.key in self._memory.released:
+            self._offer_all(group)
+        else:""",
+        new="""if True:
+            self._offer_all(group)
+        else:""",
         test="fleet/tests/test_planner.py::"
         "test_planner_waits_for_an_absent_head_to_be_found_gone",
     ),
@@ -337,4 +341,52 @@
         test="relay/tests/test_decisions.py::"
         "test_budget_bounds_repeats_in_any_window",
     ),
+    Mutation(
+        promise="members of a drained head wait until its work has ended",
+        path="fleet/inventory.py",
+        old="return self.vm.leaving or self.hidden",
+        new="return False",
+        test="fleet/tests/test_controller.py::"
+        "test_controller_waits_for_a_drained_head",
+    ),
+    Mutation(
+        promise="a drain that an outage of the list hid is waited for",
+        path="fleet/inventory.py",
+        old="self._forget(name, now, hidden=True)",
+        new="self._forget(name, now, hidden=False)",
+        test="fleet/tests/test_controller.py::"
+        "test_controller_waits_for_a_head_that_an_outage_hid",
+    ),
+    Mutation(
+        promise="a head that reports is not taken for dead",
+        path="fleet/controller.py",
+        old="if status is not None:\n            # It is only cut off",
+        new="if False:\n            # It is only cut off",
+        test="fleet/tests/test_controller.py::"
+        "test_controller_believes_the_report_of_a_head_that_obeys_late",
+    ),
+    Mutation(
+        promise="a daemon that is cut off takes no head for dead",
+        path="fleet/controller.py",
+        old="if not any(self._confirm_member(vm) for vm in group.members):",
+        new="if False:",
+        test="fleet/tests/test_controller.py::"
+        "test_controller_distrusts_its_own_links",
+    ),
+    Mutation(
+        promise="daemons keep an equal share of places",
+        path="relay/placement.py",
+        old="return min(running, places * loads.daemons / (loads.daemons + 1))",
+        new="return running",
+        test="relay/tests/test_waiting.py::"
+        "test_waiting_keeps_an_equal_share_while_all_places_seem_taken",
+    ),
+    Mutation(
+        promise="a daemon spreads its requests by its own counts",
+        path="relay/waiting.py",
+        old="+ others / len(backends),",
+        new="+ self._read_loads().running.get(backend.key[1], 0),",
+        test="relay/tests/test_waiting.py::"
+        "test_waiting_spreads_own_requests_by_own_counts",
+    ),
 )
