Move the layout of groups to a module of its own

How many groups each model has and which fabric domain suits one more is decided by `fleet.layout`; moved as it was, the tests unchanged but for the name of the module.

--- a/arbutuscove/fleet/planner.py
+++ b/arbutuscove/fleet/planner.py
@@ -5,13 +5,9 @@
 started anew, or is gone. A head is opened only after each member itself has
 been read as ready under the same name and epoch.
 
-Groups never span fabric domains, since that slows every step. The groups of
-each model are spread over the domains, as a domain may go dark whole: evenly
-over few domains; of many, each is filled with one model as far as the model is
-left in enough others, so that what remains of a lost group completes the next
-one. The VMs that this leaves over hold a model of their domain: with them the
-next lost group is formed again in two seconds, where a load from the weight
-store takes sixteen.
+Where groups go is decided by `fleet.layout`. The VMs that are left over hold a
+model of their domain: with them the next lost group is formed again in two
+seconds, where a load from the weight store takes sixteen.
 """
 
 import collections
@@ -20,6 +16,7 @@
 from collections import abc
 
 from arbutuscove.catalog import model as catalog_model
+from arbutuscove.fleet import layout
 from arbutuscove.fleet import model
 from arbutuscove.fleet import orders
 
@@ -30,10 +27,6 @@
 # A group that is still not complete after the longest load and this time is
 # given up, and its members are planned anew.
 FORM_SLACK = datetime.timedelta(seconds=20)
-# From so many domains on, each is filled with groups of one model.
-MANY_DOMAINS = 8
-# A model has at least so many domains, if there are many.
-SPREAD = 4
 NOT_YET_OPEN = frozenset((model.MemberState.JOINING, model.MemberState.READY))
 
 
@@ -141,13 +134,13 @@
         self._loads = situation.loads
         self._forming: list[Forming] = []
         self._claimed: set[str] = set()
-        self._targets = find_targets(self._engine, len(situation.vms))
+        self._targets = layout.find_targets(self._engine, len(situation.vms))
         self._uses: dict[str, collections.Counter[str]] = (
             collections.defaultdict(collections.Counter)
         )
         self._staging = set(memory.staging)
         domains = {vm.fabric_domain for vm in situation.vms}
-        self._fills_domains = len(domains) >= MANY_DOMAINS
+        self._many_domains = len(domains) >= layout.MANY_DOMAINS
 
     def run(self) -> Plan:
         """Returns the plan."""
@@ -390,21 +383,15 @@
                 self._note_stages(others, spec)
                 return None
             members = others
-        order = (cold, *self._rate_domain(spec, domain), -len(vms))
+        rating = layout.rate_domain(
+            spec,
+            self._uses[domain],
+            self._targets[spec.name],
+            self._many_domains,
+        )
+        order = (cold, *rating, -len(vms))
         return _Choice(domain=domain, members=members, cold=cold, order=order)
 
-    def _rate_domain(
-        self, spec: catalog_model.ModelSpec, domain: str
-    ) -> tuple[int, int]:
-        """Returns how well a domain suits one more group; less is better."""
-        uses = self._uses[domain]
-        here = uses[spec.name]
-        groups = here // spec.size + 1
-        crowded = groups * SPREAD > self._targets[spec.name]
-        if crowded or not self._fills_domains:
-            return (1, here)
-        return (0, uses.total() - 2 * here)
-
     def _note_stages(
         self, vms: list[model.Vm], spec: catalog_model.ModelSpec
     ) -> None:
@@ -487,20 +474,6 @@
         return vm.membership.state
 
 
-def find_targets(
-    engine: catalog_model.Engine, count: int
-) -> abc.Mapping[str, int]:
-    """Returns how many groups of each model `count` VMs are divided into.
-
-    A model's share of the work is its share of the VMs, as work is counted in
-    the time of VMs; each model gets one group at least.
-    """
-    return {
-        spec.name: max(1, round(count * spec.share / spec.size))
-        for spec in engine.models
-    }
-
-
 def _rank_vm(vm: model.Vm, wanted: str) -> tuple[bool, str]:
     """Orders VMs that hold a model: first those that served it last."""
     last = vm.membership
--- a/arbutuscove/fleet/tests/test_planner.py
+++ b/arbutuscove/fleet/tests/test_planner.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 
 from arbutuscove.catalog import model as catalog_model
+from arbutuscove.fleet import layout
 from arbutuscove.fleet import model
 from arbutuscove.fleet import orders
 from arbutuscove.fleet import planner
@@ -266,7 +267,7 @@
         models[order.vm.fabric_domain].add(order.model)
         domains[order.model].add(order.vm.fabric_domain)
     assert sum(len(found) > 1 for found in models.values()) <= 1
-    assert min(map(len, domains.values())) >= planner.SPREAD
+    assert min(map(len, domains.values())) >= layout.SPREAD
 
 
 def test_planner_stages_the_domains_model_on_spares():
