Forget groups and VMs that are known no more

Change: each turn forgets what is neither listed nor among the VMs that left lately (512). A VM that comes back later is asked for its count again. Measured: the test failed before (1,224 lives kept after 612 replacements of two VMs, now at most 514).

--- a/arbutuscove/fleet/controller.py
+++ b/arbutuscove/fleet/controller.py
@@ -112,6 +112,20 @@
         for service in catalog.services.values():
             if service.engine is not None:
                 self._plan(service.name, service.engine, fence)
+        self._forget_absent()
+
+    def _forget_absent(self) -> None:
+        """Forgets groups and lives of VMs that are known no more."""
+        vms = list(self._inventory.vms())
+        groups = model.list_groups(vms)
+        for seen in (self._first_seen, self._unanswered):
+            for key in seen.keys() - groups.keys():
+                del seen[key]
+        vms += [departed.vm for departed in self._inventory.departed()]
+        lives = {(vm.name, vm.born) for vm in vms}
+        self._ordered &= lives
+        for life in self._accepted.keys() - lives:
+            del self._accepted[life]
 
     def _begin(self, fence: int) -> None:
         self._fence = fence
--- a/arbutuscove/fleet/tests/test_controller.py
+++ b/arbutuscove/fleet/tests/test_controller.py
@@ -275,3 +275,20 @@
         inventory.update([], [])
         control.turn()
     assert vms.sent != []
+
+
+def test_controller_forgets_vms_and_groups_that_are_gone(scene):
+    """Guards against memory that grows with each VM that ever was listed."""
+    clock, inventory, _, _, control = scene
+    for number in range(inventory_module.DEPARTED_LIMIT + 100):
+        names = [f"v{number}", f"w{number}"]
+        inventory.replace([test_planner.create_vm(name) for name in names])
+        control.turn()
+        clock.advance(SECOND / 2)
+    limit = inventory_module.DEPARTED_LIMIT + 2
+    assert len(control._accepted) <= limit
+    assert len(control._ordered) <= limit
+    control._first_seen[("chat~5", 5)] = clock.monotonic()
+    control._unanswered[("chat~5", 5)] = clock.monotonic()
+    control.turn()
+    assert not control._first_seen and not control._unanswered
