Move the lines of waiting work to a module of their own

What waits of one account and of one rank is kept in admission/lines.py; moved as it was, but for names and the one setting that a rank's line takes.

--- a/arbutuscove/admission/queue.py
+++ b/arbutuscove/admission/queue.py
@@ -30,6 +30,7 @@
 
 import sortedcontainers
 
+from arbutuscove.admission import lines
 from arbutuscove.admission import rates
 from arbutuscove.admission import work as work_module
 from arbutuscove.config import model as config_model
@@ -84,62 +85,6 @@
     below_floor: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class _Entry:
-    """One waiting request; `key` orders it inside its account."""
-
-    work: work_module.Work
-    key: tuple[datetime.timedelta, int]
-    latest_start: datetime.timedelta
-
-
-class _AccountQueue:
-    """Waiting work of one account in one rank."""
-
-    def __init__(self, name: str) -> None:
-        self.name = name
-        self.counter = 0.0
-        self.entries: sortedcontainers.SortedDict = (
-            sortedcontainers.SortedDict()
-        )
-        self.tokens = 0
-        self.delay = datetime.timedelta()  # of the last work sent off
-        self.drain = rates.BusyRate(SECOND, datetime.timedelta())
-
-    def predict_wait(
-        self,
-        key: tuple[datetime.timedelta, int],
-        now: datetime.timedelta,
-        evidence: datetime.timedelta,
-    ) -> datetime.timedelta:
-        """Returns the wait of an entry, zero while there is no evidence."""
-        count = len(self.entries)
-        elapsed = self.drain.elapsed(now)
-        if count == 0 or elapsed < evidence:
-            return datetime.timedelta()
-        ahead = self.entries.bisect_left(key)
-        size = self.tokens / count
-        # One more request than was sent bounds the rate from above, so that a
-        # period without any dispatch predicts a long but finite wait.
-        rate = max(self.drain.read(now), size / elapsed.total_seconds())
-        return datetime.timedelta(seconds=ahead * size / rate)
-
-
-class _RankQueue:
-    """Waiting work of one rank."""
-
-    def __init__(self, settings: QueueSettings) -> None:
-        self.length = 0
-        self.running = 0
-        self.floor = 0.0
-        self.ceiling = 1.0
-        self.accounts: dict[str, _AccountQueue] = {}
-        self.active: sortedcontainers.SortedList = sortedcontainers.SortedList()
-        self.sent = rates.DecayedSum(settings.floor_window)
-        self.pace = 0.0  # seconds of running time per token
-        self.level = 0.0  # virtual counter of the last work sent off
-
-
 class WorkQueue:
     """Waiting work of one service; time is passed in.
 
@@ -150,7 +95,7 @@
 
     def __init__(self, settings: QueueSettings | None = None) -> None:
         self._settings = settings or QueueSettings()
-        self._entries: dict[str, _Entry] = {}
+        self._entries: dict[str, lines.Entry] = {}
         self._ranks: sortedcontainers.SortedDict = sortedcontainers.SortedDict()
         self._latest: sortedcontainers.SortedList = (
             sortedcontainers.SortedList()
@@ -179,7 +124,7 @@
         rank = self._open_rank(work)
         account = self._open_account(rank, work.account)
         key = (work.deadline, self._number)
-        entry = _Entry(
+        entry = lines.Entry(
             work=work,
             key=key,
             latest_start=_find_latest_start(rank, work),
@@ -333,10 +278,10 @@
             return work
         return dataclasses.replace(work, rank=ranks[1], entitled=False)
 
-    def _open_rank(self, work: work_module.Work) -> _RankQueue:
+    def _open_rank(self, work: work_module.Work) -> lines.RankLine:
         queue = self._ranks.get(_line(work))
         if queue is None:
-            queue = _RankQueue(self._settings)
+            queue = lines.RankLine(self._settings.floor_window)
             self._ranks[_line(work)] = queue
         queue.floor = work.rank.floor_share if work.entitled else 0.0
         queue.ceiling = work.rank.ceiling_share
@@ -346,20 +291,20 @@
         self, priority: int, capacity: work_module.Capacity | None
     ) -> bool:
         """Returns whether the rank's running work is below its ceiling."""
-        lines = self._find_lines(priority)
-        ceiling = min(line.ceiling for line in lines)
+        both = self._find_lines(priority)
+        ceiling = min(line.ceiling for line in both)
         if capacity is None or ceiling >= 1.0:
             return True
-        running = sum(line.running for line in lines)
+        running = sum(line.running for line in both)
         return running < max(1, math.ceil(ceiling * capacity.slots))
 
-    def _find_lines(self, priority: int) -> list[_RankQueue]:
+    def _find_lines(self, priority: int) -> list[lines.RankLine]:
         keys = ((priority, False), (priority, True))
         return [self._ranks[key] for key in keys if key in self._ranks]
 
     def _open_account(
-        self, rank: _RankQueue, account: config_model.Account
-    ) -> _AccountQueue:
+        self, rank: lines.RankLine, account: config_model.Account
+    ) -> lines.AccountLine:
         queue = rank.accounts.get(account.name)
         if queue is not None:
             return queue
@@ -367,12 +312,15 @@
             idle = [n for n, a in rank.accounts.items() if not a.entries]
             if idle:
                 rank.accounts.pop(idle[0])
-        queue = _AccountQueue(account.name)
+        queue = lines.AccountLine(account.name)
         rank.accounts[account.name] = queue
         return queue
 
     def _check_delay(
-        self, account: _AccountQueue, entry: _Entry, now: datetime.timedelta
+        self,
+        account: lines.AccountLine,
+        entry: lines.Entry,
+        now: datetime.timedelta,
     ) -> work_module.Refusal | None:
         wait = account.predict_wait(entry.key, now, self._settings.evidence)
         left = entry.latest_start - now
@@ -395,8 +343,8 @@
 
     def _make_room(
         self,
-        rank: _RankQueue,
-        account: _AccountQueue,
+        rank: lines.RankLine,
+        account: lines.AccountLine,
         work: work_module.Work,
         now: datetime.timedelta,
     ) -> work_module.Refusal | None:
@@ -428,12 +376,14 @@
             self._spread(RETRY_SHORTEST),
         )
 
-    def _evict(self, account: _AccountQueue, now: datetime.timedelta) -> None:
+    def _evict(
+        self, account: lines.AccountLine, now: datetime.timedelta
+    ) -> None:
         entry = account.entries.peekitem(-1)[1]
         self._evicted.append(self._give_up_entry(entry, RETRY_SHORTEST, now))
 
     def _trim(
-        self, account: _AccountQueue, now: datetime.timedelta
+        self, account: lines.AccountLine, now: datetime.timedelta
     ) -> list[Refused]:
         given_up = []
         while account.entries:
@@ -447,7 +397,7 @@
 
     def _give_up_entry(
         self,
-        entry: _Entry,
+        entry: lines.Entry,
         retry_after: datetime.timedelta,
         due: datetime.timedelta,
     ) -> Refused:
@@ -462,9 +412,9 @@
 
     def _insert(
         self,
-        rank: _RankQueue,
-        account: _AccountQueue,
-        entry: _Entry,
+        rank: lines.RankLine,
+        account: lines.AccountLine,
+        entry: lines.Entry,
         now: datetime.timedelta,
     ) -> None:
         work = entry.work
@@ -482,7 +432,7 @@
         self._entries[work.request_id] = entry
         self._latest.add((entry.latest_start, work.request_id))
 
-    def _remove(self, entry: _Entry) -> None:
+    def _remove(self, entry: lines.Entry) -> None:
         work = entry.work
         rank = self._ranks[_line(work)]
         account = rank.accounts[work.account.name]
@@ -495,7 +445,7 @@
             rank.active.remove((account.counter, account.name))
 
     def _charge(
-        self, rank: _RankQueue, account: _AccountQueue, amount: float
+        self, rank: lines.RankLine, account: lines.AccountLine, amount: float
     ) -> None:
         if account.entries:
             rank.active.remove((account.counter, account.name))
@@ -506,7 +456,7 @@
     def _find_first(
         self,
         priority: int,
-        rank: _RankQueue,
+        rank: lines.RankLine,
         blocked_accounts: abc.Set[tuple[int, str]],
     ) -> work_module.Work | None:
         for _, name in rank.active:
@@ -525,7 +475,7 @@
 
 
 def _find_latest_start(
-    rank: _RankQueue, work: work_module.Work
+    rank: lines.RankLine, work: work_module.Work
 ) -> datetime.timedelta:
     """Returns the last time at which the work can begin and still finish.
 
