Follow the load of engines by their answers

Cause: what other daemons run is known 1.5 s late in a fleet of 72. Change: each answer says what its engine runs and holds; a daemon takes the moving mean of these as the use of all places, if one came in the last second. Beyond its equal share it uses only a part of what seems free, as all see the same free places. Groups that stand still have no places. Late work still goes before work that could be on time.

--- a/arbutuscove/platform/upstreams.py
+++ b/arbutuscove/platform/upstreams.py
@@ -5,6 +5,7 @@
 from arbutuscove.platform import headers
 from arbutuscove.relay import attempt
 from arbutuscove.relay import model
+from arbutuscove.relay import occupancy
 from arbutuscove.transport import connection
 
 # Headers that concern one connection (RFC 9110, section 7.6.1), and the body's
@@ -107,4 +108,14 @@
             signed=parser.header(headers.STAMP) is not None,
             not_run=not_run,
             busy=not_run and status in (429, 503),
+            load=_read_load(parser.header(headers.LOAD)),
         )
+
+
+def _read_load(text: str | None) -> occupancy.EngineLoad | None:
+    """Returns an engine's load, None if it is missing or no such numbers."""
+    parts = (text or "").split(",")
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    running, waiting, slots = map(int, parts)
+    return occupancy.EngineLoad(running=running, waiting=waiting, slots=slots)
--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -17,6 +17,7 @@
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.relay import backends as backends_module
 from arbutuscove.relay import model
+from arbutuscove.relay import occupancy
 from arbutuscove.relay import waiting
 from arbutuscove.storage import http
 from arbutuscove.transport import connection
@@ -58,7 +59,8 @@
 
     `own` says that it answers the request that was sent, `signed` that it
     carries an upstream's signature, `not_run` that the upstream did not run
-    the request, `busy` that it had no place for it.
+    the request, `busy` that it had no place for it. `load` is what the engine
+    says of itself, None if it says nothing.
     """
 
     status: int
@@ -67,6 +69,7 @@
     signed: bool
     not_run: bool
     busy: bool
+    load: occupancy.EngineLoad | None = None
 
 
 class Codec(typing.Protocol):
@@ -335,6 +338,10 @@
 
     def _judge(self, reply: Reply) -> Reply:
         assert self.backend is not None
+        if reply.load is not None:
+            self._upstreams.waiting.note_load(
+                self._service, self.backend.model, reply.load
+            )
         if reply.not_run:
             if not reply.busy:
                 self._upstreams.states.note_failure(self.backend.key)
--- a/arbutuscove/relay/placement.py
+++ b/arbutuscove/relay/placement.py
@@ -19,6 +19,9 @@
 from arbutuscove.relay import model
 
 SAMPLE = 4  # backends compared for one request
+# Of the places that seem free beyond its equal share, those that one daemon may
+# take, times the number of daemons. All see the same free places at once.
+EAGERNESS = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -84,20 +87,43 @@
     )
 
 
-def count_others(
-    backends: abc.Collection[model.Backend], loads: Loads
-) -> float:
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Usage:
+    """Places of a model and who uses them.
+
+    `others` is how many the other daemons are thought to use; `daemons` counts
+    them.
+    """
+
+    places: int
+    own: int
+    others: float
+    daemons: int
+
+    @property
+    def share(self) -> float:
+        """The equal share of one daemon."""
+        return self.places / (self.daemons + 1)
+
+
+def bound_others(usage: Usage) -> float:
     """Returns how many places the other daemons are taken to use.
 
     It is at most their equal share of all places. Their numbers are old:
     daemons that all stop while the others seem to fill everything, and all
     start again when that has passed on, leave the engines idle and flood them
     by turns.
+    """
+    return min(usage.others, usage.places - usage.share)
 
-    Args:
-        backends: all backends of a service and model.
-        loads: what the other daemons said.
+
+def count_free(usage: Usage) -> float:
+    """Returns how many more requests this daemon may send.
+
+    Beyond its equal share a daemon takes only a part of what seems free, as
+    the others see the same and do the same before the next answers tell.
     """
-    running = sum(loads.running.get(found.key[1], 0) for found in backends)
-    places = sum(found.slots for found in backends)
-    return min(running, places * loads.daemons / (loads.daemons + 1))
+    spare = max(0.0, usage.places - usage.others - usage.own)
+    part = min(1.0, EAGERNESS / (usage.daemons + 1))
+    limit = usage.share + spare * part
+    return min(limit, usage.places - bound_others(usage)) - usage.own
--- a/arbutuscove/relay/waiting.py
+++ b/arbutuscove/relay/waiting.py
@@ -26,6 +26,7 @@
 from arbutuscove.kernel import services
 from arbutuscove.relay import backends as backends_module
 from arbutuscove.relay import model
+from arbutuscove.relay import occupancy
 from arbutuscove.relay import placement
 
 SERVICE_NAME = "waiting"
@@ -80,6 +81,9 @@
         self._queues: dict[PoolKey, queue_module.WorkQueue] = {}
         self._waiters: dict[str, _Waiter] = {}
         self._backends: dict[PoolKey, list[model.Backend]] = {}
+        self._occupancies: dict[PoolKey, occupancy.Occupancy] = (
+            collections.defaultdict(occupancy.Occupancy)
+        )
         self._revision = -1
         self._number = 0
         self._busy = event.Event()
@@ -145,6 +149,13 @@
         queue.finish(work, work.tokens if tokens else 0, duration)
         self._dispatch(pool)
 
+    def note_load(
+        self, service: str, model_name: str, load: occupancy.EngineLoad
+    ) -> None:
+        """Notes what an answer says of the engine that it came from."""
+        now = self._clock.monotonic()
+        self._occupancies[(service, model_name)].note(load, now)
+
     def list_backends(self, pool: PoolKey) -> list[model.Backend]:
         """Returns the backends of a service and model that take requests."""
         vms = self._inventory.vms()
@@ -202,7 +213,7 @@
             return
         now = self._clock.monotonic()
         candidates = self._list_candidates(pool)
-        free = self._count_free(pool)
+        free = placement.count_free(self._read_usage(pool))
         blocked: set[int] = set()
         blocked_accounts: set[tuple[int, str]] = set()
         while True:
@@ -245,10 +256,9 @@
         )
 
     def _list_candidates(self, pool: PoolKey) -> list[placement.Candidate]:
-        loads = self._read_loads()
         size = self._find_size(pool)
-        backends = self.list_backends(pool)
-        others = placement.count_others(backends, loads)
+        backends = self._list_moving(pool)
+        others = placement.bound_others(self._read_usage(pool))
         return [
             placement.Candidate(
                 backend=backend,
@@ -261,16 +271,32 @@
                 or backend.members < size,
             )
             for backend in backends
+        ]
+
+    def _list_moving(self, pool: PoolKey) -> list[model.Backend]:
+        """Returns the backends that do not stand still."""
+        return [
+            backend
+            for backend in self.list_backends(pool)
             if not self._states.is_stalled(backend.key)
         ]
 
-    def _count_free(self, pool: PoolKey) -> float:
-        """Returns how many places are left for this daemon."""
-        backends = self.list_backends(pool)
+    def _read_usage(self, pool: PoolKey) -> placement.Usage:
+        """Returns who uses the places of a service and model."""
+        # Groups that stand still have none; what runs there goes elsewhere.
+        backends = self._list_moving(pool)
+        loads = self._read_loads()
         own = sum(self._states[found.key].running for found in backends)
         places = sum(found.slots for found in backends)
-        others = placement.count_others(backends, self._read_loads())
-        return places - others - own
+        others: float = sum(
+            loads.running.get(found.key[1], 0) for found in backends
+        )
+        full = self._occupancies[pool].read(self._clock.monotonic())
+        if full is not None:
+            others = max(0.0, full * places - own)
+        return placement.Usage(
+            places=places, own=own, others=others, daemons=loads.daemons
+        )
 
     def _find_size(self, pool: PoolKey) -> int:
         """Returns how many VMs a whole group of the pool's model has."""
