--- a/arbutuscove/fleet/controller.py
+++ b/arbutuscove/fleet/controller.py
@@ -151,6 +151,7 @@
             stalled=self._read_stalled(),
             silent=self._list_silent(now),
             settled=self._is_settled(service, len(vms), now),
+            started=self._traffic,
         )
         memory = self._memories.get(service, planner.Memory())
         plan = planner.plan(situation, memory)
@@ -181,6 +182,17 @@
         gevent.joinall(jobs)
         for order, job in zip(found, jobs, strict=True):
             match order, job.value:
+                case (
+                    orders_module.Stage(vm=vm, model=wanted),
+                    orders_module.Outcome.UNFIT
+                    | orders_module.Outcome.REFUSED
+                    | orders_module.Outcome.FENCED,
+                ):
+                    memory = self._memories[vm.service]
+                    copy = (vm.name, vm.born, wanted)
+                    self._memories[vm.service] = planner.forget_copy(
+                        memory, copy
+                    )
                 case (
                     orders_module.Leave(vm=vm, group=group, epoch=epoch),
                     orders_module.Outcome.ACCEPTED
--- a/arbutuscove/fleet/inventory.py
+++ b/arbutuscove/fleet/inventory.py
@@ -63,6 +63,13 @@
         """Returns a listed VM by name."""
         return self._vms.get(name)
 
+    def is_news(self, vm: model.Vm) -> bool:
+        """Returns whether a VM says something else of itself than before."""
+        before = self._vms.get(vm.name)
+        if before is None:
+            return True
+        return dataclasses.replace(before, served=vm.served) != vm
+
     def departed(self) -> abc.Collection[Departed]:
         """Returns VMs that left the list lately."""
         return self._departed.values()
@@ -108,6 +115,7 @@
 
     def _put(self, vm: model.Vm) -> None:
         before = self._vms.get(vm.name)
+        vm = _carry_served(before, self._departed.get(vm.name), vm)
         self._lapsed.pop(vm.name, None)
         self._departed.pop(vm.name, None)
         self._vms[vm.name] = vm
@@ -163,3 +171,19 @@
         self._drop_lapsed()
         self.revision += 1
         self._changed.set()
+
+
+def _carry_served(
+    before: model.Vm | None, departed: Departed | None, vm: model.Vm
+) -> model.Vm:
+    """Returns a VM with the model of its last group since its start."""
+    if before is None and departed is not None:
+        before = departed.vm
+    known = ""
+    if before is not None and before.born == vm.born:
+        known = before.served
+    if vm.membership is not None:
+        served = model.read_model(vm.membership.group)
+        loaded = vm.membership.state != model.MemberState.JOINING
+        known = served if loaded or known == served else ""
+    return dataclasses.replace(vm, served=known) if known else vm
--- a/arbutuscove/fleet/model.py
+++ b/arbutuscove/fleet/model.py
@@ -46,7 +46,9 @@
 
     `born` is its start in Unix milliseconds. `staged` are models on its host,
     `loaded` the models in its memory. `slots` is how many requests it runs at
-    once.
+    once. `served` is the model of its last group since its start, as far as
+    this daemon saw; the VM itself does not say it. It joins a group of that
+    model soonest of all.
     """
 
     name: str
@@ -60,6 +62,7 @@
     staged: tuple[str, ...] = ()
     loaded: tuple[str, ...] = ()
     membership: Membership | None = None
+    served: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/arbutuscove/fleet/planner.py
+++ b/arbutuscove/fleet/planner.py
@@ -7,7 +7,9 @@
 
 Where groups go is decided by `fleet.layout`. The VMs that are left over hold a
 model of their domain: with them the next lost group is formed again in two
-seconds, where a load from the weight store takes sixteen.
+seconds, where a load from the weight store takes sixteen. A VM keeps the model
+of its last group in memory, so its host's copy can be of another model: what
+is left of two lost groups then makes a group of either.
 """
 
 import collections
@@ -22,14 +24,21 @@
 
 # Time after which an order that shows no effect is sent again.
 RESEND_AFTER = datetime.timedelta(milliseconds=1500)
-# Loads that are taken to run at the same time when all VMs load at once.
-LOADS_SIDE_BY_SIDE = 8
+# Of the loads that may run side by side, those for models that a VM may need
+# later. The others are left for VMs that can serve nothing before.
+AHEAD_SHARE = 0.25
+# A copy that has not come after so many times its load is asked for again.
+COPY_PATIENCE = 4
 # A group that is still not complete after the longest load and this time is
 # given up, and its members are planned anew.
 FORM_SLACK = datetime.timedelta(seconds=20)
 NOT_YET_OPEN = frozenset((model.MemberState.JOINING, model.MemberState.READY))
 
 
+# A VM's name and start, and the model that it copies to its host.
+Copy = tuple[str, int, str]
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Forming:
     """A group that this holder is forming."""
@@ -55,14 +64,17 @@
     """What a holder remembers between plans.
 
     `sent` is when each VM was last sent an order; `staging` names the VMs that
-    were told to copy a model, their starts and the model. `released` are groups
+    were told to copy a model, their starts and the model, and says when they
+    were told. `released` are groups
     whose absent head no longer serves, `kept` those whose absent member answers
     for itself.
     """
 
     forming: tuple[Forming, ...] = ()
     sent: abc.Mapping[str, Sent] = dataclasses.field(default_factory=dict)
-    staging: frozenset[tuple[str, int, str]] = frozenset()
+    staging: abc.Mapping[Copy, datetime.timedelta] = dataclasses.field(
+        default_factory=dict
+    )
     released: frozenset[tuple[str, int]] = frozenset()
     kept: frozenset[tuple[str, int]] = frozenset()
 
@@ -75,7 +87,8 @@
     groups that move nothing, seen by the daemons that use them; `silent` are
     VMs that gave no answer a moment ago. `next_epoch` is above all epochs given
     before. `loads` is how many loads from the weight store may begin now. While
-    not `settled`, VMs are still being listed, and no group is formed.
+    not `settled`, VMs are still being listed, and no group is formed. Once
+    callers have `started`, loads take their full time.
     """
 
     engine: catalog_model.Engine
@@ -86,6 +99,7 @@
     stalled: frozenset[tuple[str, int]] = frozenset()
     silent: frozenset[str] = frozenset()
     settled: bool = True
+    started: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -131,14 +145,14 @@
         self._free: dict[str, model.Vm] = {}
         self._counts: collections.Counter[str] = collections.Counter()
         self._epoch = situation.next_epoch
-        self._loads = situation.loads
         self._forming: list[Forming] = []
         self._claimed: set[str] = set()
         self._targets = layout.find_targets(self._engine, len(situation.vms))
         self._uses: dict[str, collections.Counter[str]] = (
             collections.defaultdict(collections.Counter)
         )
-        self._staging = set(memory.staging)
+        self._staging = self._list_copies()
+        self._loads = self._count_loads()
         domains = {vm.fabric_domain for vm in situation.vms}
         self._many_domains = len(domains) >= layout.MANY_DOMAINS
 
@@ -153,6 +167,7 @@
         self._count_uses()
         if self._situation.settled:
             self._form_groups()
+            self._copy_ahead()
         now = self._situation.now
         sent = {
             name: last
@@ -165,10 +180,8 @@
                 time=now, membership=vm.membership, born=vm.born
             )
         listed = frozenset(self._groups)
-        lives = {(vm.name, vm.born) for vm in self._situation.vms}
-        staging = {copy for copy in self._staging if copy[:2] in lives}
         memory = Memory(
-            staging=frozenset(staging),
+            staging=self._staging,
             forming=tuple(self._forming),
             sent=sent,
             released=self._memory.released & listed,
@@ -188,8 +201,7 @@
             present = [vm for vm in members if vm and self._is_usable(vm)]
             if spec is None or len(present) < len(forming.members):
                 continue
-            rounds = len(self._situation.vms) // LOADS_SIDE_BY_SIDE
-            longest = spec.load_time * max(1, rounds)
+            longest = spec.load_time * self._count_rounds()
             if self._situation.now > forming.since + longest + FORM_SLACK:
                 continue
             key = (forming.group, forming.epoch)
@@ -206,6 +218,46 @@
                 if state is None and self._may_send(vm):
                     self._join(vm, forming)
 
+    def _count_rounds(self) -> float:
+        """Returns how many times longer a load takes if all VMs load."""
+        if self._situation.started:
+            return 1.0
+        together = max(1, self._engine.loads_at_once)
+        return max(1.0, len(self._situation.vms) / together)
+
+    def _count_loads(self) -> int:
+        """Returns how many loads may begin now.
+
+        Beyond those that run side by side, loads only slow one another.
+        """
+        if not self._situation.started:
+            return self._situation.loads
+        running = len(self._staging) + sum(
+            vm.membership is not None
+            and vm.membership.state == model.MemberState.JOINING
+            and model.read_model(vm.membership.group) not in vm.staged
+            for vm in self._situation.vms
+        )
+        room = self._engine.loads_at_once - running
+        return max(0, min(self._situation.loads, room))
+
+    def _list_copies(self) -> dict[Copy, datetime.timedelta]:
+        """Returns the copies that may still be under way."""
+        found: dict[Copy, datetime.timedelta] = {}
+        for copy, since in self._memory.staging.items():
+            name, born, wanted = copy
+            vm = self._by_name.get(name)
+            spec = self._engine.find_model(wanted)
+            if vm is None or spec is None or vm.born != born:
+                continue
+            patience = spec.load_time * COPY_PATIENCE
+            if (
+                wanted not in vm.staged
+                and self._situation.now - since < patience
+            ):
+                found[copy] = since
+        return found
+
     def _review(self, group: model.Group) -> None:
         if any(vm.name in self._claimed for vm in group.members):
             return
@@ -308,6 +360,8 @@
                 by_domain[domain].remove(vm)
             self._uses[domain][spec.name] += spec.size
             self._form(spec, members)
+        while self._load_for_a_group(by_domain):
+            pass
         self._stage_spares(by_domain)
         for vms in by_domain.values():
             self._let_leave(vms)
@@ -362,7 +416,7 @@
         vms: list[model.Vm],
     ) -> _Choice | None:
         """Returns the best group of a model in a domain, None without one."""
-        warm = [vm for vm in vms if spec.name in vm.staged]
+        warm = [vm for vm in vms if _is_warm(vm, spec.name)]
         members = sorted(warm, key=lambda vm: _rank_vm(vm, spec.name))
         members = members[: spec.size]
         cold = spec.size - len(members)
@@ -373,16 +427,13 @@
                 # VMs that hold the model are about to be released here, and a
                 # load takes longer than their release.
                 return None
-            others = [vm for vm in vms if self._may_load(vm, spec)]
-            if len(others) < cold:
-                return None
-            others = sorted(others, key=lambda vm: len(vm.staged))[:cold]
-            if members:
+            if self._situation.started or members:
                 # Warm VMs are not bound for the time of a load: another loss
                 # may complete a group of them first.
-                self._note_stages(others, spec)
                 return None
-            members = others
+            members = [vm for vm in vms if self._may_load(vm, spec)][:cold]
+            if len(members) < cold:
+                return None
         rating = layout.rate_domain(
             spec,
             self._uses[domain],
@@ -392,22 +443,69 @@
         order = (cold, *rating, -len(vms))
         return _Choice(domain=domain, members=members, cold=cold, order=order)
 
+    def _load_for_a_group(self, by_domain: dict[str, list[model.Vm]]) -> bool:
+        """Has the VMs copy a model that one more group lacks.
+
+        The group that needs the fewest loads goes first. Its VMs are set aside
+        in this plan; returns whether there was such a group.
+        """
+        if self._loads < 1:
+            return False
+        found: list[tuple[int, float, str, catalog_model.ModelSpec]] = []
+        for spec in self._engine.models:
+            supply = self._read_supply(spec)
+            for domain, vms in by_domain.items():
+                missing = spec.size - len(self._list_coming(vms, spec))
+                able = [vm for vm in vms if self._may_load(vm, spec)]
+                if supply < 1.0 and missing <= len(able):
+                    found.append((max(0, missing), supply, domain, spec))
+        if not found:
+            return False
+        missing, _, domain, spec = min(found, key=lambda one: one[:3])
+        vms = by_domain[domain]
+        coming = self._list_coming(vms, spec)[: spec.size]
+        able = [vm for vm in vms if self._may_load(vm, spec)]
+        able = sorted(able, key=lambda vm: len(vm.staged))[:missing]
+        self._note_stages(able, spec)
+        self._counts[spec.name] += 1
+        used = {vm.name for vm in (*coming, *able)}
+        by_domain[domain] = [vm for vm in vms if vm.name not in used]
+        return True
+
+    def _list_coming(
+        self, vms: list[model.Vm], spec: catalog_model.ModelSpec
+    ) -> list[model.Vm]:
+        """Returns the VMs that hold a model or are copying it."""
+        return [
+            vm
+            for vm in vms
+            if _is_warm(vm, spec.name)
+            or (vm.name, vm.born, spec.name) in self._staging
+        ]
+
     def _note_stages(
         self, vms: list[model.Vm], spec: catalog_model.ModelSpec
     ) -> None:
         """Has VMs copy a model, so that they can complete a group later."""
+        copying = {copy[0] for copy in self._staging}
         for vm in vms:
-            copy = (vm.name, vm.born, spec.name)
-            if copy not in self._staging and self._loads >= 1:
+            if vm.name not in copying and self._loads >= 1:
                 self._loads -= 1
-                self._staging.add(copy)
+                copy = (vm.name, vm.born, spec.name)
+                self._staging[copy] = self._situation.now
                 self._orders.append(orders.Stage(vm=vm, model=spec.name))
 
     def _may_load(self, vm: model.Vm, spec: catalog_model.ModelSpec) -> bool:
         """Returns whether a VM may load a model over what its host holds."""
-        if spec.name in vm.staged:
+        if _is_warm(vm, spec.name):
+            return False
+        if any(copy[:2] == (vm.name, vm.born) for copy in self._staging):
             return False
-        held = map(self._engine.find_model, vm.staged)
+        held = [
+            self._engine.find_model(name)
+            for name in vm.staged
+            if name != vm.served
+        ]
         return all(
             other is None or self._read_supply(other) >= 1.0 for other in held
         )
@@ -426,10 +524,42 @@
             if spec is not None:
                 self._note_stages(empty, spec)
 
+    def _copy_ahead(self) -> None:
+        """Has VMs copy a model beside the one that they hold in memory.
+
+        A host keeps few copies; that of the model in memory is not needed
+        while the VM lives. Loads that are needed now go first.
+        """
+        room = len(self._situation.vms)
+        if self._situation.started:
+            room = int(self._engine.loads_at_once * AHEAD_SHARE)
+            room -= len(self._staging)
+        ordered = {order.vm.name for order in self._orders}
+        for vm in self._situation.vms:
+            if room < 1 or self._loads < 1:
+                return
+            spec = self._pick_other(vm)
+            if spec is not None and vm.name not in ordered:
+                self._note_stages([vm], spec)
+                room -= 1
+
+    def _pick_other(self, vm: model.Vm) -> catalog_model.ModelSpec | None:
+        """Returns the model that a VM should copy ahead, None for none."""
+        held = vm.membership
+        joining = held is not None and held.state == model.MemberState.JOINING
+        if not vm.served or joining or not self._is_usable(vm):
+            return None
+        if any(name != vm.served for name in vm.staged):
+            return None
+        others = [
+            spec for spec in self._engine.models if spec.name != vm.served
+        ]
+        return min(others, key=self._read_supply, default=None)
+
     def _count_coming(self, domain: str, wanted: str) -> int:
         """Returns how many VMs with a model a domain will soon have free."""
         return sum(
-            wanted in vm.staged and self._is_usable(vm)
+            _is_warm(vm, wanted) and self._is_usable(vm)
             for group in self._unclear
             for vm in group.members
             if vm.fabric_domain == domain
@@ -476,9 +606,12 @@
 
 def _rank_vm(vm: model.Vm, wanted: str) -> tuple[bool, str]:
     """Orders VMs that hold a model: first those that served it last."""
-    last = vm.membership
-    served = last is not None and model.read_model(last.group) == wanted
-    return (not served, vm.name)
+    return (vm.served != wanted, vm.name)
+
+
+def _is_warm(vm: model.Vm, wanted: str) -> bool:
+    """Returns whether a VM holds a model in memory or on its host."""
+    return wanted in vm.staged or vm.served == wanted
 
 
 def release(memory: Memory, key: tuple[str, int]) -> Memory:
@@ -489,3 +622,11 @@
 def keep(memory: Memory, key: tuple[str, int]) -> Memory:
     """Returns the memory after each member answered for itself."""
     return dataclasses.replace(memory, kept=memory.kept | {key})
+
+
+def forget_copy(memory: Memory, copy: Copy) -> Memory:
+    """Returns the memory after a VM refused to copy a model."""
+    staging = {
+        found: since for found, since in memory.staging.items() if found != copy
+    }
+    return dataclasses.replace(memory, staging=staging)
--- a/arbutuscove/fleet/tests/test_inventory.py
+++ b/arbutuscove/fleet/tests/test_inventory.py
@@ -3,6 +3,7 @@
 import datetime
 
 from arbutuscove.fleet import inventory
+from arbutuscove.fleet import model
 from arbutuscove.fleet.tests import test_planner
 from arbutuscove.kernel import clock as clock_module
 
@@ -52,3 +53,27 @@
     found.update([test_planner.create_vm("a")], [])
     clock.advance(5 * SECOND)
     assert {vm.name for vm in found.vms()} == {"a", "b"}
+
+
+def test_inventory_remembers_what_a_vm_served_since_its_start():
+    """Guards against a VM that is taken as cold once it left its group."""
+    found = inventory.Inventory(clock_module.ManualClock())
+    held = model.Membership(
+        group="chat~5", epoch=5, rank=0, state=model.MemberState.READY
+    )
+    found.update([test_planner.create_vm("a", born=1, membership=held)], [])
+    found.update([test_planner.create_vm("a", born=1)], [])
+    assert found.find("a").served == "chat"
+    assert not found.is_news(test_planner.create_vm("a", born=1))
+    found.update([test_planner.create_vm("a", born=2)], [])
+    assert found.find("a").served == ""
+
+
+def test_inventory_takes_no_model_as_served_while_it_loads():
+    """Guards against a group of VMs that still have to load for 16 s."""
+    found = inventory.Inventory(clock_module.ManualClock())
+    held = model.Membership(
+        group="chat~5", epoch=5, rank=0, state=model.MemberState.JOINING
+    )
+    found.update([test_planner.create_vm("a", born=1, membership=held)], [])
+    assert found.find("a").served == ""
--- a/arbutuscove/platform/followers.py
+++ b/arbutuscove/platform/followers.py
@@ -247,7 +247,7 @@
         changed = {
             vm.name: rows[vm.name]
             for vm in found
-            if self._inventory.find(vm.name) != vm
+            if self._inventory.is_news(vm)
         }
         gone = {
             name: None
