--- a/arbutuscove/platform/engine.py
+++ b/arbutuscove/platform/engine.py
@@ -95,6 +95,11 @@
             parser = used.receive(deadline - self._clock.monotonic())
             while not parser.ended():
                 parser = used.receive(deadline - self._clock.monotonic())
+            if parser.header(headers.REQUEST_ID) or parser.header(
+                headers.STAMP
+            ):
+                # Late, to a request that went out on this connection before.
+                raise http.NoResponseError("the answer is another request's")
         except BaseException:
             used.close()
             raise
--- a/arbutuscove/platform/store.py
+++ b/arbutuscove/platform/store.py
@@ -24,6 +24,8 @@
 CALL_TIMEOUT = datetime.timedelta(seconds=1)
 FEED_SLACK = datetime.timedelta(seconds=1)  # beyond the wait that was asked
 PAGE_LIMIT = 500  # rows that the store returns at most
+# A page holds 1 MB of rows at most, whose values are base64 in JSON.
+ANSWER_LIMIT = 4 * 1024 * 1024  # bytes
 OWN_TABLE = "arbutuscove"
 UNREAD_VERSION = -1  # of a row whose version a conflict does not say
 
@@ -213,7 +215,7 @@
             raise StoreError(str(error)) from error
         self.answers = answered
         try:
-            used.send(method, data)
+            used.send(method, data, ANSWER_LIMIT)
             parser = used.receive(deadline - self._clock.monotonic())
             while not parser.ended():
                 parser = used.receive(deadline - self._clock.monotonic())
--- a/arbutuscove/platform/upstreams.py
+++ b/arbutuscove/platform/upstreams.py
@@ -100,11 +100,14 @@
         """
         status = parser.get_code()
         echoed = parser.header(headers.REQUEST_ID)
+        # Upstreams repeat the id; only a refusal may lack it. A late copy of an
+        # earlier answer must not pass for this one's.
+        own = echoed == request.request_id or (echoed is None and status >= 300)
         not_run = parser.header(headers.NOT_RUN) is not None or status == 421
         return attempt.Reply(
             status=status,
             fields=select_fields(list(parser.items()), INTERNAL_FIELDS),
-            own=echoed is None or echoed == request.request_id,
+            own=own,
             signed=parser.header(headers.STAMP) is not None,
             not_run=not_run,
             busy=not_run and status in (429, 503),
--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -32,7 +32,18 @@
 OWN_PAUSE_LONGEST = datetime.timedelta(milliseconds=1200)
 FIRST_PAUSE_LONGEST = datetime.timedelta(milliseconds=1500)
 # Time left below which another attempt cannot bring an answer.
+ZERO = datetime.timedelta()
+LENGTH = "content-length"
+# A longer body is passed on as it arrives: one without an end would otherwise
+# fill the memory of a small VM.
+WHOLE_LIMIT = 65536  # bytes
 LEAST_TIME_LEFT = datetime.timedelta(milliseconds=30)
+# Of the pause that a half full engine makes between two events. A slow engine
+# makes five times as long ones and is still sound.
+SOUND_PAUSES = 8
+# Most bytes of the answers to earlier requests that are read on a connection
+# before the awaited one.
+STRANGERS_SIZE = 1024 * 1024  # bytes
 # How often a waiting request looks whether its backend is stalled.
 RECEIVE_TICK = datetime.timedelta(milliseconds=150)
 
@@ -127,12 +138,19 @@
         milliseconds = max(engine.stride * step * spec.pace, 1.0)
         return datetime.timedelta(milliseconds=milliseconds)
 
-    def examine(self, backend: model.Backend) -> None:
+    def find_longest_pause(
+        self, service: str, model_name: str
+    ) -> datetime.timedelta:
+        """Returns the longest pause that a slow but sound engine makes."""
+        expected = self.expect_pause(service, model_name)
+        return ZERO if expected is None else SOUND_PAUSES * expected
+
+    def examine(self, service: str, backend: model.Backend) -> None:
         """Finds out whether a backend that is silent here is stalled."""
         if backend.model and self.states.begin_examination(backend.key):
-            gevent.spawn(self._examine, backend)
+            gevent.spawn(self._examine, service, backend)
 
-    def _examine(self, backend: model.Backend) -> None:
+    def _examine(self, service: str, backend: model.Backend) -> None:
         key = backend.key
         missing = self._find_silent_members(backend)
         silent = self.states.silent_for(key)
@@ -140,7 +158,9 @@
             return
         if missing:
             reason = f"no answer of {missing[0]}"
-        elif self.states.stands_still(key):
+        elif self.states.stands_still(
+            key, self.find_longest_pause(service, backend.model)
+        ):
             reason = "silence"
         else:
             return
@@ -161,6 +181,7 @@
         self._used: connection.Connection | None = None
         self._released = False
         self._answering = False
+        self._moved = self._begun
         self.backend: model.Backend | None = None
         self.reply: Reply | None = None
         self.parser: connection.ResponseParser | None = None
@@ -184,6 +205,7 @@
             request, self._service, excluded, resumed=bool(last_event)
         )
         asked, self._begun = self._begun, upstreams.clock.monotonic()
+        self._moved = self._begun
         eliot.log_message(
             "flow:placed",
             request_id=request.request_id,
@@ -221,7 +243,7 @@
         return self._judge(self.reply)
 
     def read_whole(self) -> bytes:
-        """Returns the whole body.
+        """Returns the whole body, or its beginning if it is a long one.
 
         Raises:
             AttemptLostError: the body was cut short.
@@ -229,7 +251,7 @@
         assert self.parser is not None
         body = bytearray(self.parser.take_body())
         try:
-            while not self.parser.ended():
+            while not self.parser.ended() and len(body) < WHOLE_LIMIT:
                 self._receive(at_stall=False)
                 body += self.parser.take_body()
         except http.NoResponseError as error:
@@ -237,6 +259,28 @@
         self._note_first_byte()
         return bytes(body)
 
+    def ended(self) -> bool:
+        """Returns whether the whole answer has been read."""
+        return self.parser is not None and self.parser.ended()
+
+    def stated_length(self) -> int | None:
+        """Returns the length of the body that the upstream stated, if any."""
+        text = None if self.parser is None else self.parser.header(LENGTH)
+        return int(text) if text is not None and text.isdigit() else None
+
+    def note_progress(self) -> None:
+        """Notes that the answer moved on; bytes alone are no progress."""
+        assert self.backend is not None
+        now = self._upstreams.clock.monotonic()
+        pause, self._moved = now - self._moved, now
+        self._upstreams.states.note_progress(
+            self.backend.key, self._compare(pause)
+        )
+
+    def lose(self, reason: str) -> AttemptLostError:
+        """Returns the error of an answer that cannot go on; counts it."""
+        return self._lose(ValueError(reason))
+
     def read_more(self, at_stall: bool) -> bytes:
         """Returns body bytes as they arrive; b"" at the end.
 
@@ -299,6 +343,7 @@
         )
 
     def _read_head(self, used: connection.Connection, at_stall: bool) -> Reply:
+        strangers, size = 0, 0
         while True:
             self._receive(at_stall)
             assert self.parser is not None
@@ -306,10 +351,17 @@
                 continue
             reply = self._upstreams.codec.read_reply(self._request, self.parser)
             if reply.own:
+                self.note_progress()
                 return reply
             # An answer to an earlier request that came late; ours follows.
-            while not self.parser.ended():
+            strangers += 1
+            size += len(self.parser.take_body())
+            while not self.parser.ended() and size <= STRANGERS_SIZE:
                 self._receive(at_stall)
+                size += len(self.parser.take_body())
+            # Each request before this one leaves one late answer at most.
+            if strangers >= used.exchanges or size > STRANGERS_SIZE:
+                raise http.NoResponseError("another request's answer came")
             used.expect_another()
 
     def _receive(self, at_stall: bool) -> None:
@@ -317,27 +369,26 @@
         upstreams = self._upstreams
         assert self._used is not None and self.backend is not None
         key = self.backend.key
-        waited_from = upstreams.clock.monotonic()
         longest = OWN_PAUSE_LONGEST
-        if self.parser is None or not self.parser.begun():
+        if self.reply is None:
             longest = FIRST_PAUSE_LONGEST
+        sound = upstreams.find_longest_pause(self._service, self.backend.model)
+        longest = max(longest, sound)
         while True:
             now = upstreams.clock.monotonic()
             left = self._request.deadline - now
             if left <= datetime.timedelta():
                 raise AttemptLostError("the deadline has passed")
+            # Looked at though bytes arrive: they may belong to no event.
+            own = now - self._moved
+            stalled = upstreams.states.is_stalled(key) or own >= longest
+            if at_stall and stalled and own >= RECEIVE_TICK:
+                raise StalledError(f"{key[0]} moves nothing")
             try:
                 self.parser = self._used.receive(min(left, RECEIVE_TICK))
+                return
             except connection.ResponseTimeoutError:
-                upstreams.examine(self.backend)
-                own = upstreams.clock.monotonic() - waited_from
-                stalled = upstreams.states.is_stalled(key) or own >= longest
-                if at_stall and stalled:
-                    raise StalledError(f"{key[0]} moves nothing") from None
-                continue
-            pause = upstreams.clock.monotonic() - waited_from
-            upstreams.states.note_bytes(key, self._compare(pause))
-            return
+                upstreams.examine(self._service, self.backend)
 
     def _compare(self, pause: datetime.timedelta) -> float | None:
         """Returns a pause between two events by the expected one."""
--- a/arbutuscove/relay/backends.py
+++ b/arbutuscove/relay/backends.py
@@ -1,7 +1,7 @@
 """What this daemon knows of the backends it sends requests to.
 
 A group whose member died takes requests on and moves nothing. It is told by
-silence: while requests of this daemon run there, no byte arrived on any of
+silence: while requests of this daemon run there, no event arrived on any of
 them for longer than groups pause. Silence alone may be a long prompt, so its
 members are asked; one that does not answer, or a silence in the middle of
 answers that no prompt explains, makes the backend *stalled*. It gets no new
@@ -100,16 +100,22 @@
         state = self[key]
         state.answering = max(0, state.answering - 1)
 
-    def stands_still(self, key: model.BackendKey) -> bool:
+    def stands_still(
+        self, key: model.BackendKey, longest: datetime.timedelta
+    ) -> bool:
         """Returns whether the silence of a backend shows that it is stalled.
 
         Requests whose answers have not begun may wait in the engine's queue.
+
+        Args:
+            key: the backend.
+            longest: the longest pause of a slow but sound engine of its model.
         """
-        state = self[key]
-        return state.answering > 0 and self.silent_for(key) >= SILENCE_CERTAIN
+        certain = max(SILENCE_CERTAIN, longest)
+        return self[key].answering > 0 and self.silent_for(key) >= certain
 
-    def note_bytes(self, key: model.BackendKey, ratio: float | None) -> None:
-        """Notes that bytes arrived.
+    def note_progress(self, key: model.BackendKey, ratio: float | None) -> None:
+        """Notes that an answer moved on.
 
         Args:
             key: the backend.
@@ -170,7 +176,7 @@
         state.rest_until = self._clock.monotonic() + rest
 
     def silent_for(self, key: model.BackendKey) -> datetime.timedelta:
-        """Returns how long no request here received a byte."""
+        """Returns how long no answer here moved on."""
         return self._clock.monotonic() - self[key].moved
 
     def begin_examination(self, key: model.BackendKey) -> bool:
--- a/arbutuscove/relay/flow.py
+++ b/arbutuscove/relay/flow.py
@@ -20,6 +20,8 @@
 
 SERVICE_NAME = "flow"
 EVENT_END = b"\n\n"
+# An event holds a few tokens; an upstream in trouble may never end one.
+EVENT_LIMIT = 65536  # bytes
 EVENT_ID = re.compile(rb"(?:^|\n)id: ?([^\n]*)")
 RETRY_SOON = datetime.timedelta(milliseconds=200)
 
@@ -80,15 +82,16 @@
         made = 0
         while True:
             attempt = attempt_module.Attempt(self.upstreams, request, service)
+            handed_on = False
             try:
                 reply = attempt.open(excluded, "", at_stall=False)
                 body = attempt.read_whole()
+                if not attempt.ended():
+                    handed_on = True
+                    return _pass_long(attempt, reply, body)
                 attempt.finish()
                 made += 1
-                last = made >= request.route.attempts
-                if reply.status < 500 or not repeat.idempotent or last:
-                    return _build_whole(reply, body)
-                if not self._may_go_on(request, service):
+                if self._is_final(request, service, made, reply):
                     return _build_whole(reply, body)
                 reason = f"status {reply.status}"
             except attempt_module.NotRunError as error:
@@ -106,11 +109,26 @@
                         request, self._pick_status(request), reason
                     ) from error
             finally:
-                attempt.close()
+                if not handed_on:
+                    attempt.close()
             if attempt.backend is not None:
                 excluded |= {attempt.backend.key}
             log_repeat(request, made, reason)
 
+    def _is_final(
+        self,
+        request: model.Request,
+        service: str,
+        made: int,
+        reply: attempt_module.Reply,
+    ) -> bool:
+        """Returns whether the caller gets this answer and no other."""
+        if reply.status < 500 or not request.route.repeat.idempotent:
+            return True
+        if made >= request.route.attempts:
+            return True
+        return not self._may_go_on(request, service)
+
     def _may_follow(
         self, request: model.Request, service: str, made: int, reason: str
     ) -> bool:
@@ -152,6 +170,8 @@
         if reply.status != 200:
             try:
                 body = self._attempt.read_whole()
+                if not self._attempt.ended():
+                    raise self._attempt.lose("a failure is too long")
                 self._attempt.finish()
             except attempt_module.AttemptLostError as error:
                 raise fail(self._request, 502, str(error)) from error
@@ -240,22 +260,27 @@
     def _pass_attempt(self) -> abc.Iterator[bytes]:
         attempt = self._attempt
         assert attempt is not None
-        pending = b""
+        pending = bytearray()
         while True:
             data = attempt.read_more(self._may_switch())
             if not data:
                 break
+            searched = max(0, len(pending) - len(EVENT_END) + 1)
             pending += data
-            end = pending.rfind(EVENT_END)
+            end = pending.rfind(EVENT_END, searched)
             if end < 0:
+                if len(pending) > EVENT_LIMIT:
+                    raise attempt.lose("an event passes the bound")
                 continue
-            events = pending[: end + len(EVENT_END)]
-            pending = pending[end + len(EVENT_END) :]
-            for found in EVENT_ID.finditer(events):
-                self._last_event = found.group(1).decode("latin-1").strip()
+            events = bytes(pending[: end + len(EVENT_END)])
+            del pending[: end + len(EVENT_END)]
+            found = EVENT_ID.findall(events)
+            if found:
+                self._last_event = found[-1].decode("latin-1").strip()
+                attempt.note_progress()
             yield events
-        if pending:
-            yield pending
+        if pending.strip():
+            raise attempt.lose("the answer ended in the middle of an event")
         attempt.finish()
 
     def _resume(self, error: attempt_module.AttemptLostError) -> None:
@@ -318,6 +343,30 @@
     )
 
 
+def _pass_long(
+    attempt: attempt_module.Attempt, reply: attempt_module.Reply, body: bytes
+) -> model.Answer:
+    """Returns an answer that is too long to be held, as it arrives."""
+
+    def pass_on() -> abc.Generator[bytes, None, None]:
+        try:
+            yield body
+            while data := attempt.read_more(at_stall=False):
+                yield data
+            attempt.finish()
+        except attempt_module.AttemptLostError as error:
+            raise model.BrokenAnswerError(str(error)) from error
+        finally:
+            attempt.close()
+
+    return model.Answer(
+        status=reply.status,
+        fields=reply.fields,
+        body=_lead_with(b"", pass_on()),
+        length=attempt.stated_length(),
+    )
+
+
 def _lead_with(
     first: bytes, events: abc.Generator[bytes, None, None]
 ) -> abc.Iterator[bytes]:
--- a/arbutuscove/relay/tests/test_decisions.py
+++ b/arbutuscove/relay/tests/test_decisions.py
@@ -89,14 +89,14 @@
     states = backends.BackendStates(clock)
     states.begin(KEY)
     clock.advance(backends.SILENCE_CERTAIN)
-    assert not states.stands_still(KEY)
-    states.note_bytes(KEY, None)
+    assert not states.stands_still(KEY, SECOND)
+    states.note_progress(KEY, None)
     states.begin_answer(KEY)
-    assert not states.stands_still(KEY)
+    assert not states.stands_still(KEY, SECOND)
     clock.advance(backends.SILENCE_CERTAIN)
-    assert states.stands_still(KEY)
+    assert states.stands_still(KEY, SECOND)
     states.end_answer(KEY)
-    assert not states.stands_still(KEY)
+    assert not states.stands_still(KEY, SECOND)
 
 
 def test_stalled_backend_is_news_once_and_moves_again():
@@ -107,7 +107,7 @@
     assert states.mark_stalled(KEY, "silence")
     assert not states.mark_stalled(KEY, "silence")
     assert states.list_stalled() == [KEY]
-    states.note_bytes(KEY, None)
+    states.note_progress(KEY, None)
     assert not states.is_stalled(KEY)
     states.mark_stalled(KEY, "peer", here=False)
     assert states.is_stalled(KEY) and states.list_stalled() == []
@@ -124,10 +124,10 @@
     states = backends.BackendStates(clock)
     states.begin(KEY)
     for _ in range(4):
-        states.note_bytes(KEY, 1.5)
+        states.note_progress(KEY, 1.5)
     assert not states.is_slow(KEY)
     for _ in range(6):
-        states.note_bytes(KEY, 5.0)
+        states.note_progress(KEY, 5.0)
     assert states.list_slow() == [KEY]
     clock.advance(backends.SLOW_MEMORY)
     assert not states.is_slow(KEY)
--- /dev/null
+++ b/arbutuscove/relay/tests/test_troubled.py
@@ -0,0 +1,265 @@
+"""Guards against upstreams in trouble that harm requests or their daemon."""
+
+import dataclasses
+import datetime
+import random
+
+import gevent
+import pytest
+
+from arbutuscove.catalog import holder as catalog_holder
+from arbutuscove.catalog import model as catalog_model
+from arbutuscove.fleet import inventory as inventory_module
+from arbutuscove.fleet.tests import test_planner
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.platform import upstreams
+from arbutuscove.relay import attempt
+from arbutuscove.relay import backends
+from arbutuscove.relay import budget
+from arbutuscove.relay import flow
+from arbutuscove.relay import model
+from arbutuscove.relay import placement
+from arbutuscove.relay import waiting
+from arbutuscove.relay.tests import test_waiting
+from arbutuscove.standins import troubled
+from arbutuscove.storage import http
+from arbutuscove.transport import connection
+from arbutuscove.transport import pool
+
+SECOND = datetime.timedelta(seconds=1)
+DEADLINE = 4 * SECOND
+# Bounds of a head, of an event and of strangers' bodies, and what fits into the
+# sockets' buffers on loopback.
+SENT_LONGEST = 8 * 1024 * 1024  # bytes
+WHOLE = b"whole"
+
+
+class Scene:
+    """The path of requests before a troubled upstream and a sound one."""
+
+    def __init__(self, troubled_one, sound_one):
+        clock = clock_module.SystemClock()
+        inventory = inventory_module.Inventory(clock)
+        self.states = backends.BackendStates(clock)
+        catalog = catalog_holder.CatalogHolder()
+        loads = placement.Loads(running={}, daemons=0)
+        self.room = waiting.WaitingRoom(
+            clock,
+            catalog,
+            inventory,
+            self.states,
+            lambda: loads,
+            random.Random(1),
+        )
+        self.room.start(None)
+        self.pool = pool.ConnectionPool(clock)
+        shared = attempt.Upstreams(
+            clock,
+            catalog,
+            self.room,
+            self.states,
+            self.pool,
+            upstreams.HttpCodec(),
+            lambda: None,
+            lambda backend: [],
+        )
+        allowance = budget.Allowance(ratio=1.0, slack=99.0, window=SECOND)
+        self.flow = flow.Flow(shared, allowance, lambda: 1, random.Random(1))
+        self.clock = clock
+        self.bad = troubled.Upstream(troubled_one)
+        self.good = troubled.Upstream(sound_one)
+        self._inventory = inventory
+        self.list(self.bad, self.good)
+        # The sound one rests, so that the other one is tried first.
+        self.states.note_failure(("good", 1))
+
+    def list(self, *listed):
+        names = {self.bad: "bad", self.good: "good"}
+        self._inventory.replace(
+            test_planner.create_vm(
+                names[found],
+                fabric_domain="",
+                address=http.Address("127.0.0.1", found.port),
+            )
+            for found in listed
+        )
+
+    def serve(self, repeat, name="r1"):
+        route = dataclasses.replace(
+            test_waiting.ROUTE, repeat=repeat, first_byte_target=SECOND
+        )
+        now = self.clock.monotonic()
+        request = model.Request(
+            request_id=name,
+            method="GET",
+            target="/",
+            fields=(("X-Request-Id", name),),
+            body=b"",
+            route=route,
+            account=None,
+            arrived=now,
+            deadline=now + DEADLINE,
+        )
+        with gevent.Timeout(2 * DEADLINE.total_seconds()):
+            answer = self.flow.serve(request)
+            return answer, b"".join(answer.body)
+
+    def stop(self):
+        self.room.stop()
+        self.pool.stop()
+        self.bad.stop()
+        self.good.stop()
+
+
+@pytest.fixture(name="build")
+def build_fixture():
+    scenes = []
+
+    def build(bad, good):
+        scenes.append(Scene(bad, good))
+        return scenes[-1]
+
+    yield build
+    for scene in scenes:
+        scene.stop()
+
+
+def name_behaviour(behaviour):
+    return behaviour.__name__
+
+
+@pytest.mark.parametrize(
+    "behaviour", troubled.ENDLESS_WHOLE, ids=name_behaviour
+)
+def test_troubled_upstream_of_a_whole_answer_costs_one_attempt(
+    build, behaviour
+):
+    """Guards against bytes without end that fill a daemon's memory.
+
+    It guards as well against an answer to another request taken for this one's.
+    """
+    scene = build(behaviour, troubled.answer_whole)
+    answer, body = scene.serve(catalog_model.Repeat.SAFE)
+    assert (answer.status, body) == (200, WHOLE)
+    assert (scene.bad.requests, scene.good.requests) == (1, 1)
+    assert scene.bad.sent <= SENT_LONGEST
+    assert scene.states["bad", 1].failures > 0
+
+
+@pytest.mark.parametrize(
+    "behaviour", troubled.BROKEN_STREAMS, ids=name_behaviour
+)
+def test_troubled_upstream_of_a_stream_is_left_for_another(build, behaviour):
+    """Guards against streams that stall for good, or end early and look whole.
+
+    A byte now and then, or a comment, is no progress.
+    """
+    scene = build(behaviour, troubled.answer_stream)
+    answer, body = scene.serve(catalog_model.Repeat.STREAM_RESUMABLE)
+    assert answer.status == 200
+    assert body.endswith(b"".join(troubled.EVENTS[2:]))
+    assert scene.good.requests == 1
+    assert scene.bad.sent <= SENT_LONGEST
+
+
+def test_troubled_upstream_of_a_stream_that_may_not_resume(build):
+    """Guards against a broken stream that its caller takes as complete."""
+    scene = build(troubled.end_within_an_event, troubled.answer_stream)
+    with pytest.raises(model.BrokenAnswerError):
+        scene.serve(catalog_model.Repeat.STREAM_ONCE)
+    assert scene.good.requests == 0
+
+
+def send_long(request_id):
+    """Sends a body of 40 pieces."""
+    length = 40 * troubled.PIECE
+    yield troubled.write_head(request_id, b"Content-Length: %d" % length)
+    for _ in range(40):
+        yield b"a" * troubled.PIECE
+
+
+def test_long_answer_is_passed_on_whole(build):
+    """Guards against a sound answer that is refused for its length."""
+    scene = build(send_long, troubled.answer_whole)
+    answer, body = scene.serve(catalog_model.Repeat.SAFE)
+    assert answer.length == len(body) == 40 * troubled.PIECE
+
+
+def send_endless_body(request_id):
+    """Sends a body without end."""
+    yield troubled.write_head(request_id, troubled.CHUNKED)
+    while True:
+        yield troubled.write_chunk(b"a" * troubled.PIECE)
+
+
+def test_endless_body_is_never_held_whole(build):
+    """Guards against an endless body that a daemon keeps in memory."""
+    scene = build(send_endless_body, troubled.answer_whole)
+    answer, _ = None, None
+    now = scene.clock.monotonic()
+    route = dataclasses.replace(test_waiting.ROUTE, first_byte_target=SECOND)
+    request = model.Request(
+        request_id="r1",
+        method="GET",
+        target="/",
+        fields=(("X-Request-Id", "r1"),),
+        body=b"",
+        route=route,
+        account=None,
+        arrived=now,
+        deadline=now + SECOND,
+    )
+    answer = scene.flow.serve(request)
+    largest = 0
+    with pytest.raises(model.BrokenAnswerError):
+        for piece in answer.body:
+            largest = max(largest, len(piece))
+            gevent.sleep(0.001)
+    assert largest <= 2 * attempt.WHOLE_LIMIT
+    assert scene.clock.monotonic() - now <= 2 * SECOND
+
+
+def send_slowly(request_id):
+    """Sends sound events with pauses longer than a full engine's."""
+    yield troubled.write_head(request_id, troubled.CHUNKED)
+    for event in troubled.EVENTS:
+        yield attempt.OWN_PAUSE_LONGEST.total_seconds() * 0.5
+        yield troubled.write_chunk(event)
+    yield troubled.LAST_CHUNK
+
+
+def test_slow_but_sound_stream_is_not_cut(build):
+    """Guards against a sound stream that is given up for its pace."""
+    scene = build(send_slowly, troubled.answer_stream)
+    answer, body = scene.serve(catalog_model.Repeat.STREAM_RESUMABLE)
+    assert (answer.status, body) == (200, b"".join(troubled.EVENTS))
+    assert scene.good.requests == 0
+
+
+def send_late_copy(request_id):
+    """Answers, and sends a second copy a little later."""
+    yield from troubled.answer_whole(request_id)
+    yield 0.01
+    yield from troubled.answer_whole(request_id)
+
+
+def test_late_copy_is_not_the_next_answer(build):
+    """Guards against a second copy that answers the next caller."""
+    scene = build(send_late_copy, troubled.answer_whole)
+    scene.list(scene.bad)
+    for number in range(4):
+        answer, body = scene.serve(catalog_model.Repeat.SAFE, f"r{number}")
+        assert body == WHOLE
+        assert dict(answer.fields)["X-Request-Id"] == f"r{number}"
+
+
+def test_deadline_ends_a_call_whose_bytes_never_pause():
+    """Guards against a call to the store that goes on after its deadline."""
+    upstream = troubled.Upstream(troubled.send_endless_information)
+    address = http.Address("127.0.0.1", upstream.port)
+    used = connection.connect(address, SECOND)
+    used.send("GET", b"GET / HTTP/1.1\r\n\r\n")
+    with pytest.raises(connection.ResponseTimeoutError):
+        used.receive(datetime.timedelta())
+    used.close()
+    upstream.stop()
--- a/arbutuscove/transport/connection.py
+++ b/arbutuscove/transport/connection.py
@@ -15,6 +15,15 @@
 from arbutuscove.storage import http
 
 READ_SIZE = 65536  # bytes
+# Heads of model engines and stores have some hundred bytes. Informational
+# responses before a final one count as part of its head.
+HEAD_LIMIT = 65536  # bytes
+# Chunk sizes and trailers, beyond what the chunks of a body explain. A chunk of
+# one byte comes with five others.
+FRAMING_LIMIT = 65536  # bytes
+FRAMING_RATIO = 8  # framing bytes for each byte of a body
+# Body bytes that arrived and that nobody took yet.
+HELD_LIMIT = 131072  # bytes
 ZERO = datetime.timedelta()
 # A peer that lost power or is cut off answers nothing and resets nothing;
 # probes each second end such a connection within three seconds.
@@ -29,25 +38,58 @@
     """Nothing arrived in the time given; the connection is still open."""
 
 
+class OversizeError(ValueError):
+    """A response passes a bound on its size; it may have no end."""
+
+
 class _ExtraBytesError(ValueError):
     """A second response began behind a complete one."""
 
 
 class ResponseParser(response_module.HTTPResponse):
-    """Parses one final response; bytes behind it set `overrun`."""
+    """Parses one final response; bytes behind it set `overrun`.
+
+    Upstreams in trouble may send bytes without end, in a head, in a body or
+    between its chunks, so each is bounded.
+    """
 
-    def __init__(self, method: str) -> None:
+    def __init__(self, method: str, held_limit: int = HELD_LIMIT) -> None:
         super().__init__(method)
         self.overrun = False
+        self._held_limit = held_limit
+        self._head_size = 0
+        self._body_size = 0
+        self._framing_size = 0
 
     def feed(self, data: str | bytes) -> None:
-        """Takes bytes as they arrive; b"" is the end of the connection."""
+        """Takes bytes as they arrive; b"" is the end of the connection.
+
+        Raises:
+            OversizeError: the response passes a bound.
+        """
+        in_head = not self.begun()
+        held = len(self._body_buffer)
         try:
             super().feed(data)
         except (_ExtraBytesError, response_module.HTTPParseError):
             if not self.ended():
                 raise
             self.overrun = True
+        self._count(len(data), len(self._body_buffer) - held, in_head)
+
+    def _count(self, size: int, body: int, in_head: bool) -> None:
+        if len(self._body_buffer) > self._held_limit:
+            raise OversizeError("the body passes the bound")
+        if in_head:
+            self._head_size += size - body
+            if self._head_size > HEAD_LIMIT:
+                raise OversizeError("the head passes the bound")
+            return
+        self._body_size += body
+        self._framing_size += size - body
+        explained = FRAMING_RATIO * self._body_size
+        if self._framing_size > FRAMING_LIMIT + explained:
+            raise OversizeError("the framing passes the bound")
 
     def ended(self) -> bool:
         """Returns whether a final response is complete."""
@@ -87,13 +129,20 @@
         self._socket = sock
         self._parser: ResponseParser | None = None
 
-    def send(self, method: str, data: bytes) -> None:
+    def send(
+        self, method: str, data: bytes, held_limit: int = HELD_LIMIT
+    ) -> None:
         """Sends a whole request and expects its response.
 
+        Args:
+            method: the method of the request.
+            data: its bytes.
+            held_limit: most bytes of the response's body held at once.
+
         Raises:
             NoResponseError: the connection broke; part may have arrived.
         """
-        self._parser = ResponseParser(method)
+        self._parser = ResponseParser(method, held_limit)
         self.exchanges += 1
         try:
             self._socket.settimeout(KEEP_ALIVE_IDLE + KEEP_ALIVE_INTERVAL)
@@ -113,6 +162,9 @@
             raise http.NoResponseError(f"{self.address}: nothing was sent")
         if parser.ended():
             return parser
+        if timeout <= ZERO:
+            # Bytes may be there all the time; a deadline ends them, too.
+            raise ResponseTimeoutError(f"{self.address}: no time is left")
         try:
             self._socket.settimeout(max(timeout.total_seconds(), 0.0005))
             data = self._socket.recv(READ_SIZE)
