--- a/arbutuscove/fleet/controller.py
+++ b/arbutuscove/fleet/controller.py
@@ -209,6 +209,9 @@
         accepted = self._count_accepted(vm)
         if accepted is None:
             return orders_module.Outcome.UNKNOWN
+        # The lease may have run out while the VM was asked.
+        if self._leases.epoch(DUTY) != fence:
+            return orders_module.Outcome.FENCED
         self._ordered.add((vm.name, vm.born))
         kind = type(order).__name__.lower()
         self.sent[kind] += 1
--- a/arbutuscove/fleet/tests/test_controller.py
+++ b/arbutuscove/fleet/tests/test_controller.py
@@ -152,6 +152,26 @@
     assert {order.epoch for order in vms.sent} == {2 << controller.EPOCH_BITS}
 
 
+def test_controller_checks_the_lease_after_it_asked_a_vm(scene):
+    """Guards against orders under a lease that ran out meanwhile.
+
+    The VM's answer may take a second, or the daemon may be paused there.
+    """
+    _, inventory, leases, vms, control = scene
+    leases.fence = 2
+    inventory.replace([test_planner.create_vm(name) for name in "ab"])
+    ask = vms.read_status
+
+    def lose_the_lease(vm):
+        leases.fence = None
+        return ask(vm)
+
+    vms.read_status = lose_the_lease
+    control.turn()
+    assert vms.asked
+    assert vms.sent == []
+
+
 @pytest.fixture
 def headless(scene):
     """Returns a function that lets the open head of a group leave the list.
--- a/arbutuscove/kernel/clock.py
+++ b/arbutuscove/kernel/clock.py
@@ -26,11 +26,16 @@
 
 
 class SystemClock:
-    """The clock of the machine."""
+    """The clock of the machine.
+
+    It counts the time in which the VM was suspended: leases, deadlines and the
+    ages of what is known pass in that time, too.
+    """
 
     def monotonic(self) -> datetime.timedelta:
         """Returns time since an arbitrary fixed point; never goes back."""
-        return datetime.timedelta(seconds=time.monotonic())
+        seconds = time.clock_gettime(time.CLOCK_BOOTTIME)
+        return datetime.timedelta(seconds=seconds)
 
     def now(self) -> datetime.datetime:
         """Returns wall-clock time in UTC, for records only."""
--- /dev/null
+++ b/arbutuscove/kernel/tests/test_clock.py
@@ -0,0 +1,33 @@
+"""Guards against time that a suspended VM does not count."""
+
+import time
+
+import gevent
+
+from arbutuscove.kernel import clock
+
+
+def test_clock_counts_the_time_in_which_the_vm_was_suspended(monkeypatch):
+    """Guards against a lease that a VM holds on to after its suspension.
+
+    The steady clock stands still meanwhile; another daemon took the lease.
+    """
+    suspended = 0.0
+
+    def read(kind):
+        passed = suspended if kind == time.CLOCK_BOOTTIME else 0.0
+        return 100.0 + passed
+
+    monkeypatch.setattr(time, "clock_gettime", read)
+    system = clock.SystemClock()
+    before = system.monotonic()
+    suspended = 7.0
+    assert (system.monotonic() - before).total_seconds() == 7.0
+
+
+def test_clock_sleeps_in_its_own_time():
+    """Guards against a clock whose pauses and times differ."""
+    system = clock.SystemClock()
+    before = system.monotonic()
+    gevent.sleep(0.05)
+    assert 0.04 < (system.monotonic() - before).total_seconds() < 5.0
