--- a/arbutuscove/fleet/controller.py
+++ b/arbutuscove/fleet/controller.py
@@ -178,27 +178,27 @@
                 ):
                     if wanted not in vm.staged:
                         self._load_times.append(now)
-        jobs = [gevent.spawn(self._send, order, fence) for order in found]
-        gevent.joinall(jobs)
-        for order, job in zip(found, jobs, strict=True):
-            match order, job.value:
-                case (
-                    orders_module.Stage(vm=vm, model=wanted),
-                    orders_module.Outcome.UNFIT
-                    | orders_module.Outcome.REFUSED
-                    | orders_module.Outcome.FENCED,
-                ):
-                    memory = self._memories[vm.service]
-                    copy = (vm.name, vm.born, wanted)
-                    self._memories[vm.service] = planner.forget_copy(
-                        memory, copy
-                    )
-                case (
-                    orders_module.Leave(vm=vm, group=group, epoch=epoch),
-                    orders_module.Outcome.ACCEPTED
-                    | orders_module.Outcome.HOLDS,
-                ) if _is_head(vm):
-                    self._release(vm.service, (group, epoch))
+        jobs = [gevent.spawn(self._carry_out, order, fence) for order in found]
+        # One VM that does not answer must not hold up the orders to others.
+        gevent.joinall(jobs, timeout=TURN.total_seconds())
+
+    def _carry_out(self, order: orders_module.Order, fence: int) -> None:
+        """Sends an order and takes note of what follows from its outcome."""
+        match order, self._send(order, fence):
+            case (
+                orders_module.Stage(vm=vm, model=wanted),
+                orders_module.Outcome.UNFIT
+                | orders_module.Outcome.REFUSED
+                | orders_module.Outcome.FENCED,
+            ):
+                memory = self._memories.get(vm.service, planner.Memory())
+                copy = (vm.name, vm.born, wanted)
+                self._memories[vm.service] = planner.forget_copy(memory, copy)
+            case (
+                orders_module.Leave(vm=vm, group=group, epoch=epoch),
+                orders_module.Outcome.ACCEPTED | orders_module.Outcome.HOLDS,
+            ) if _is_head(vm):
+                self._release(vm.service, (group, epoch))
 
     def _send(
         self, order: orders_module.Order, fence: int
--- a/arbutuscove/fleet/tests/test_controller.py
+++ b/arbutuscove/fleet/tests/test_controller.py
@@ -3,6 +3,7 @@
 import dataclasses
 import datetime
 
+import gevent
 import pytest
 
 from arbutuscove.catalog import holder as catalog_holder
@@ -172,6 +173,23 @@
     assert vms.sent == []
 
 
+def test_controller_goes_on_while_one_vm_does_not_answer(scene):
+    """Guards against repairs that all wait for orders to a dark VM."""
+    _, inventory, _, vms, control = scene
+    inventory.replace([test_planner.create_vm(name) for name in "abcd"])
+    send = vms.send
+
+    def hang(order, fence, accepted):
+        if order.vm.name == "a":
+            gevent.sleep(30.0)
+        return send(order, fence, accepted)
+
+    vms.send = hang
+    with gevent.Timeout(10 * controller.TURN.total_seconds()):
+        control.turn()
+    assert {order.vm.name for order in vms.sent} == {"b", "c", "d"}
+
+
 @pytest.fixture
 def headless(scene):
     """Returns a function that lets the open head of a group leave the list.
