--- a/arbutuscove/fleet/controller.py
+++ b/arbutuscove/fleet/controller.py
@@ -18,6 +18,7 @@
 from arbutuscove.fleet import model
 from arbutuscove.fleet import orders as orders_module
 from arbutuscove.fleet import planner
+from arbutuscove.fleet import state
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
 from arbutuscove.leases import holder as lease_holder
@@ -68,7 +69,7 @@
         self._leases = leases
         self._group_orders = group_orders
         self._read_stalled = read_stalled
-        self._memories: dict[str, planner.Memory] = {}
+        self._memories: dict[str, state.Memory] = {}
         self._fence = -1
         self._next_epoch = 0
         self._first_seen: dict[tuple[str, int], datetime.timedelta] = {}
@@ -142,7 +143,7 @@
     ) -> None:
         now = self._clock.monotonic()
         vms = tuple(vm for vm in self._inventory.vms() if vm.service == service)
-        situation = planner.Situation(
+        situation = state.Situation(
             engine=engine,
             vms=vms,
             now=now,
@@ -153,7 +154,7 @@
             settled=self._is_settled(service, len(vms), now),
             started=self._traffic,
         )
-        memory = self._memories.get(service, planner.Memory())
+        memory = self._memories.get(service, state.Memory())
         plan = planner.plan(situation, memory)
         self._memories[service] = plan.memory
         self._next_epoch = plan.next_epoch
@@ -191,9 +192,9 @@
                 | orders_module.Outcome.REFUSED
                 | orders_module.Outcome.FENCED,
             ):
-                memory = self._memories.get(vm.service, planner.Memory())
+                memory = self._memories.get(vm.service, state.Memory())
                 copy = (vm.name, vm.born, wanted)
-                self._memories[vm.service] = planner.forget_copy(memory, copy)
+                self._memories[vm.service] = state.forget_copy(memory, copy)
             case (
                 orders_module.Leave(vm=vm, group=group, epoch=epoch),
                 orders_module.Outcome.ACCEPTED | orders_module.Outcome.HOLDS,
@@ -421,12 +422,12 @@
 
     def _release(self, service: str, key: tuple[str, int]) -> None:
         eliot.log_message("groups:released", group=key[0], epoch=key[1])
-        memory = self._memories.get(service, planner.Memory())
-        self._memories[service] = planner.release(memory, key)
+        memory = self._memories.get(service, state.Memory())
+        self._memories[service] = state.release(memory, key)
 
     def _keep(self, service: str, key: tuple[str, int]) -> None:
-        memory = self._memories.get(service, planner.Memory())
-        self._memories[service] = planner.keep(memory, key)
+        memory = self._memories.get(service, state.Memory())
+        self._memories[service] = state.keep(memory, key)
 
     def _run(self) -> None:
         while True:
--- a/arbutuscove/fleet/tests/test_planner.py
+++ b/arbutuscove/fleet/tests/test_planner.py
@@ -8,10 +8,12 @@
 from hypothesis import strategies
 
 from arbutuscove.catalog import model as catalog_model
+from arbutuscove.fleet import copies
 from arbutuscove.fleet import layout
 from arbutuscove.fleet import model
 from arbutuscove.fleet import orders
 from arbutuscove.fleet import planner
+from arbutuscove.fleet import state
 from arbutuscove.storage import http
 
 SECOND = datetime.timedelta(seconds=1)
@@ -67,7 +69,7 @@
 
 
 def plan(vms, memory=None, now=100 * SECOND, engine=ONE_MODEL, **fields):
-    situation = planner.Situation(
+    situation = state.Situation(
         engine=engine,
         vms=tuple(vms),
         now=now,
@@ -75,7 +77,7 @@
         loads=fields.pop("loads", 100),
         **fields,
     )
-    return planner.plan(situation, memory or planner.Memory())
+    return planner.plan(situation, memory or state.Memory())
 
 
 def list_joined(found):
@@ -123,7 +125,7 @@
     found = plan(vms)
     assert list_joined(found) == []
     key = vms[0].membership.key
-    released = planner.release(found.memory, key)
+    released = state.release(found.memory, key)
     assert list_joined(plan(vms, released)) == ["b", "x"]
 
 
@@ -319,7 +321,7 @@
     """
     member = create_member("m", 1, "ready")
     key = member.membership.key
-    memory = planner.release(planner.Memory(), key)
+    memory = state.release(state.Memory(), key)
     found = plan([member], memory)
     assert found.orders == (
         orders.Leave(vm=member, group=key[0], epoch=key[1]),
@@ -348,7 +350,7 @@
     assert isinstance(order, orders.Leave)
     assert order.vm.name == "a"
     key = vms[0].membership.key
-    later = planner.release(planner.Memory(), key)
+    later = state.release(state.Memory(), key)
     assert list_joined(plan(vms, later, loads=0)) == ["a", "x"]
 
 
@@ -379,7 +381,7 @@
         for number in range(8)
     ]
     ahead = plan(vms, engine=ENGINE).orders
-    assert 1 <= len(ahead) <= ENGINE.loads_at_once * planner.AHEAD_SHARE
+    assert 1 <= len(ahead) <= ENGINE.loads_at_once * copies.AHEAD_SHARE
 
 
 def test_planner_uses_what_vms_hold_in_memory():
@@ -432,7 +434,7 @@
     found = plan(vms)
     (order,) = found.orders
     copy = (order.vm.name, order.vm.born, "chat")
-    memory = planner.forget_copy(found.memory, copy)
+    memory = state.forget_copy(found.memory, copy)
     later = plan(vms, memory, now=110 * SECOND)
     assert [order.vm.name for order in later.orders] == ["cold"]
 
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -91,7 +91,8 @@
         path="config/acceptance.py",
         old="if found != proposal.base_version:",
         new="if False:",
-        test="config/tests/test_order.py::test_config_second_operator_conflicts",
+        test="config/tests/test_order.py::test_config_second_operator"
+        "_conflicts",
     ),
     Mutation(
         promise="a member of another generation does not serve",
@@ -416,9 +417,199 @@
     Mutation(
         promise="silence before an answer is no stall",
         path="relay/backends.py",
-        old="return state.answering > 0 and self",
+        old="return self[key].answering > 0 and self",
         new="return self",
         test="relay/tests/test_decisions.py::"
         "test_silence_before_an_answer_begins_is_no_stall",
     ),
+    Mutation(
+        promise="live daemons stay heard in a large fleet",
+        path="gossip/digest.py",
+        old="            if counter > peer.counter:",
+        new="            if False:",
+        test="gossip/tests/test_digest.py::test_counter_says_that_a_d"
+        "aemon_lives_and_nothing_else",
+    ),
+    Mutation(
+        promise="no update of the list is dropped for its size",
+        path="gossip/digest.py",
+        old="if size >= UPDATE_SIZE and",
+        new="if False and",
+        test="gossip/tests/test_digest.py::test_update_of_a_whole_fai"
+        "lure_domain_is_split",
+    ),
+    Mutation(
+        promise="the largest VM reads the list",
+        path="gossip/digest.py",
+        old="rank = (-own.capacity, own.name)",
+        new="rank = (0, own.name)",
+        test="gossip/tests/test_digest.py::test_a_large_vm_reads_the_"
+        "list_and_another_holds_the_duty",
+    ),
+    Mutation(
+        promise="a holder that cannot renew gives its duty up",
+        path="leases/holder.py",
+        old="        if self._clock.monotonic() - renewed < self._te"
+        "rms.resign_after:",
+        new="        if True:",
+        test="leases/tests/test_lease.py::test_lease_holder_that_is_c"
+        "ut_off_gives_its_epoch_up",
+    ),
+    Mutation(
+        promise="no more loads than go side by side",
+        path="fleet/copies.py",
+        old="room = self._engine.loads_at_once - running",
+        new="room = self._situation.loads",
+        test="fleet/tests/test_planner.py::test_planner_runs_no_more_"
+        "loads_than_go_side_by_side",
+    ),
+    Mutation(
+        promise="a VM's memory counts as a copy",
+        path="fleet/exchange.py",
+        old="return wanted in vm.staged or vm.served == wanted",
+        new="return wanted in vm.staged",
+        test="fleet/tests/test_planner.py::test_planner_uses_what_vms"
+        "_hold_in_memory",
+    ),
+    Mutation(
+        promise="hosts copy the other model ahead",
+        path="fleet/planner.py",
+        old="            self._copies.copy_ahead(usable, self._read_supply)\n",
+        new="",
+        test="fleet/tests/test_planner.py::test_planner_copies_the_ot"
+        "her_model_beside_the_one_in_memory",
+    ),
+    Mutation(
+        promise="one dark VM does not hold up the others",
+        path="fleet/controller.py",
+        old="gevent.joinall(jobs, timeout=TURN.total_seconds())",
+        new="gevent.joinall(jobs)",
+        test="fleet/tests/test_controller.py::test_controller_goes_on"
+        "_while_one_vm_does_not_answer",
+    ),
+    Mutation(
+        promise="the lease is checked after a VM was asked",
+        path="fleet/controller.py",
+        old="        # The lease may have run out while the VM was a"
+        "sked.\n        if self._leases.epoch(DUTY) != fence:",
+        new="        if False:",
+        test="fleet/tests/test_controller.py::test_controller_checks_"
+        "the_lease_after_it_asked_a_vm",
+    ),
+    Mutation(
+        promise="suspended time counts",
+        path="kernel/clock.py",
+        old="time.clock_gettime(time.CLOCK_BOOTTIME)",
+        new="time.clock_gettime(time.CLOCK_MONOTONIC)",
+        test="kernel/tests/test_clock.py::test_clock_counts_the_time_"
+        "in_which_the_vm_was_suspended",
+    ),
+    Mutation(
+        promise="heads of upstreams are bounded",
+        path="transport/connection.py",
+        old="if self._head_size > HEAD_LIMIT:",
+        new="if False:",
+        test="relay/tests/test_troubled.py::test_troubled_upstream_of"
+        "_a_whole_answer_costs_one_attempt[send_endless_line]",
+    ),
+    Mutation(
+        promise="framing of upstreams is bounded",
+        path="transport/connection.py",
+        old="if self._framing_size > FRAMING_LIMIT + explained:",
+        new="if False:",
+        test="relay/tests/test_troubled.py::test_troubled_upstream_of"
+        "_a_whole_answer_costs_one_attempt[send_endless_trailer]",
+    ),
+    Mutation(
+        promise="a deadline ends a call whose bytes never pause",
+        path="transport/connection.py",
+        old="        if timeout <= ZERO:",
+        new="        if False:",
+        test="relay/tests/test_troubled.py::test_deadline_ends_a_call"
+        "_whose_bytes_never_pause",
+    ),
+    Mutation(
+        promise="an event without an end is bounded",
+        path="relay/flow.py",
+        old="if len(pending) > EVENT_LIMIT:",
+        new="if False:",
+        test="relay/tests/test_troubled.py::test_troubled_upstream_of"
+        "_a_stream_is_left_for_another[send_endless_event]",
+    ),
+    Mutation(
+        promise="a stream that ends within an event is not complete",
+        path="relay/flow.py",
+        old="if pending.strip():",
+        new="if False:",
+        test="relay/tests/test_troubled.py::test_troubled_upstream_of"
+        "_a_stream_that_may_not_resume",
+    ),
+    Mutation(
+        promise="comments are no progress",
+        path="relay/flow.py",
+        old="            if found:\n                self._last_event",
+        new="            attempt.note_progress()\n"
+        "            if found:\n                self._last_event",
+        test="relay/tests/test_troubled.py::test_troubled_upstream_of"
+        "_a_stream_is_left_for_another[send_comments]",
+    ),
+    Mutation(
+        promise="an answer names its request",
+        path="platform/upstreams.py",
+        old="own = echoed == request.request_id or (echoed is None a"
+        "nd status >= 300)",
+        new="own = echoed is None or echoed == request.request_id",
+        test="relay/tests/test_troubled.py::test_troubled_upstream_of"
+        "_a_whole_answer_costs_one_attempt[answer_nameless]",
+    ),
+    Mutation(
+        promise="strangers' answers are bounded",
+        path="relay/attempt.py",
+        old="if strangers >= used.exchanges or size > STRANGERS_SIZE:",
+        new="if False:",
+        test="relay/tests/test_troubled.py::test_troubled_upstream_of"
+        "_a_whole_answer_costs_one_attempt[answer_another]",
+    ),
+    Mutation(
+        promise="a long body is not held whole",
+        path="relay/attempt.py",
+        old="while not self.parser.ended() and len(body) < WHOLE_LIMIT:",
+        new="while not self.parser.ended():",
+        test="relay/tests/test_troubled.py::test_endless_body_is_neve"
+        "r_held_whole",
+    ),
+    Mutation(
+        promise="flooded groups are asked less and less",
+        path="relay/backends.py",
+        old="pause = EXAMINE_INTERVAL * 2 ** max(0, state.examinations - 1)",
+        new="pause = EXAMINE_INTERVAL",
+        test="relay/tests/test_decisions.py::test_backend_whose_membe"
+        "rs_answer_is_asked_less_and_less",
+    ),
+    Mutation(
+        promise="the holder of the duty reads the list for all",
+        path="platform/followers.py",
+        old="self._gossip.send_update(version, page.version, rows, t"
+        "o_all=holds)",
+        new="self._gossip.send_update(version, page.version, rows, t"
+        "o_all=False)",
+        test="platform/tests/test_followers.py::test_holder_of_the_du"
+        "ty_reads_for_all",
+    ),
+    Mutation(
+        promise="a model without groups gets some of another's",
+        path="fleet/planner.py",
+        old="            self._begin_exchange(by_domain)\n",
+        new="            pass\n",
+        test="fleet/tests/test_exchange.py::"
+        "test_exchange_gives_groups_up_for_a_model_without_any",
+    ),
+    Mutation(
+        promise="VMs that are given up are kept for the model",
+        path="fleet/planner.py",
+        old="if self._kept_for.get(domain, spec.name) != spec.name:",
+        new="if False:",
+        test="fleet/tests/test_exchange.py::"
+        "test_exchange_keeps_the_vms_of_the_first_group_for_the_model",
+    ),
 )
