--- a/arbutuscove/relay/backends.py
+++ b/arbutuscove/relay/backends.py
@@ -9,12 +9,14 @@
 broken; peers that say the same are believed.
 """
 
+import collections
 import dataclasses
 import datetime
 from collections import abc
 
 import eliot
 
+from arbutuscove.fleet import model as fleet_model
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.relay import model
 
@@ -39,6 +41,9 @@
 # A slow backend is tried again after this time without news of it.
 SLOW_MEMORY = datetime.timedelta(seconds=4)
 
+# Service and model, empty for plain services.
+PoolKey = tuple[str, str]
+
 
 @dataclasses.dataclass(slots=True)
 class State:
@@ -237,3 +242,34 @@
         """Returns whether a backend failed requests a moment ago."""
         state = self._states.get(key)
         return state is not None and self._clock.monotonic() < state.rest_until
+
+
+def find_backends(
+    vms: abc.Iterable[fleet_model.Vm],
+) -> dict[PoolKey, list[model.Backend]]:
+    """Returns the backends that take requests, by service and model."""
+    grouped: list[fleet_model.Vm] = []
+    found: dict[PoolKey, list[model.Backend]] = collections.defaultdict(list)
+    for vm in vms:
+        if vm.membership is not None:
+            grouped.append(vm)
+        elif not vm.leaving and not vm.fabric_domain:
+            backend = model.Backend(
+                key=(vm.name, vm.born), vm=vm, model="", slots=vm.slots
+            )
+            found[(vm.service, "")].append(backend)
+    for group in fleet_model.list_groups(grouped).values():
+        head = group.head
+        if head is None or not group.open():
+            continue
+        if any(vm.leaving for vm in group.members):
+            continue
+        backend = model.Backend(
+            key=group.key,
+            vm=head,
+            model=group.model,
+            slots=head.slots,
+            members=len(group.members),
+        )
+        found[(head.service, group.model)].append(backend)
+    return found
--- a/arbutuscove/relay/tests/test_waiting.py
+++ b/arbutuscove/relay/tests/test_waiting.py
@@ -43,9 +43,10 @@
         self.loads = placement.Loads(running={}, daemons=0)
         self.inventory = inventory_module.Inventory(self.clock)
         self.states = backends.BackendStates(self.clock)
+        self.catalog = catalog_holder.CatalogHolder()
         self.room = waiting.WaitingRoom(
             self.clock,
-            catalog_holder.CatalogHolder(),
+            self.catalog,
             self.inventory,
             self.states,
             lambda: self.loads,
@@ -221,3 +222,38 @@
         gevent.spawn(scene.room.acquire, request, "models").kill()
         scene.room._read_usage(("models", request.model))
     assert not scene.room._occupancies
+
+
+def offer_catalog(scene, engine=None):
+    service = catalog_model.Service(name="models", connections=9, engine=engine)
+    scene.catalog.offer(
+        catalog_model.Catalog(
+            version=1,
+            routes={},
+            services={"models": service},
+            accounts=None,
+            bounds=None,
+        ),
+        "test",
+    )
+
+
+def test_waiting_keeps_nothing_of_names_that_callers_make_up(scene):
+    """Guards against memory that grows with the names in requests."""
+    offer_catalog(scene, test_planner.ENGINE)
+    for number in range(100):
+        request = scene.create_request(f"r{number}", model=f"made-up-{number}")
+        with pytest.raises(model.RefusedError) as refused:
+            scene.room.acquire(request, "models")
+        assert refused.value.refusal.not_run
+    assert len(scene.room._queues) == 0
+
+
+def test_waiting_serves_a_plain_service_whatever_model_is_named(scene):
+    """Guards against a request of a plain service that waits for a model."""
+    offer_catalog(scene)
+    scene.add_vm()
+    request = scene.create_request(model="any")
+    backend = scene.room.acquire(request, "models")
+    scene.room.release(request, "models", backend, 1, SECOND)
+    assert len(scene.room._queues) == 1
--- a/arbutuscove/relay/waiting.py
+++ b/arbutuscove/relay/waiting.py
@@ -6,7 +6,6 @@
 at once because it cannot be served in time, is `admission.queue`'s to decide.
 """
 
-import collections
 import dataclasses
 import datetime
 import functools
@@ -19,9 +18,9 @@
 from arbutuscove.admission import queue as queue_module
 from arbutuscove.admission import work as work_module
 from arbutuscove.catalog import holder as catalog_holder
+from arbutuscove.catalog import model as catalog_model
 from arbutuscove.config import model as config_model
 from arbutuscove.fleet import inventory as inventory_module
-from arbutuscove.fleet import model as fleet_model
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
 from arbutuscove.relay import backends as backends_module
@@ -49,10 +48,11 @@
 FIRST_BYTE_SHARE = 0.5
 FIRST_BYTE_SHARE_LONGEST = 0.8
 FIRST_BYTE_WEIGHT = 0.1  # of a new time in the moving mean
+NAME_SHOWN = 64  # characters of a caller's name in a log line
 # Entitlements to the urgent rank are not part of this configuration.
 UNLIMITED = 1e12
 
-PoolKey = tuple[str, str]
+PoolKey = backends_module.PoolKey
 ReadLoads = abc.Callable[[], placement.Loads]
 
 
@@ -118,9 +118,12 @@
         Raises:
             RefusedError: the request cannot be served in time.
         """
-        pool = (service, request.model)
+        pool = self._find_pool(service, request)
         queue = self._queues.get(pool)
         if queue is None:
+            if not self._is_known(pool):
+                # Callers make names up; a queue for each would stay for good.
+                raise model.RefusedError(_refuse_unknown(request))
             queue = self._queues[pool] = queue_module.WorkQueue()
         waiter = self._create_waiter(request, excluded, pool, resumed)
         now = self._clock.monotonic()
@@ -156,7 +159,7 @@
             duration: time since the place was given.
         """
         self._states.end(backend.key)
-        pool = (service, request.model)
+        pool = (service, backend.model)
         queue = self._queues[pool]
         work = self._create_work(request, "")
         queue.finish(work, work.tokens if tokens else 0, duration)
@@ -174,7 +177,7 @@
         self, request: model.Request, service: str, duration: datetime.timedelta
     ) -> None:
         """Notes how long a backend took from its place to the first byte."""
-        pool = (service, request.model)
+        pool = self._find_pool(service, request)
         mean = self._first_bytes.get(pool, duration)
         mean += FIRST_BYTE_WEIGHT * (duration - mean)
         self._first_bytes[pool] = mean
@@ -184,11 +187,32 @@
         vms = self._inventory.vms()
         if self._revision != self._inventory.revision:
             self._revision = self._inventory.revision
-            self._backends = find_backends(vms)
+            self._backends = backends_module.find_backends(vms)
             found = {b.key for some in self._backends.values() for b in some}
             self._states.retain(found)
         return self._backends.get(pool, [])
 
+    def _find_pool(self, service: str, request: model.Request) -> PoolKey:
+        """Returns the places that may serve a request."""
+        engine = self._find_engine(service)
+        plain = engine is None and self._catalog.current() is not None
+        return (service, "" if plain else request.model)
+
+    def _is_known(self, pool: PoolKey) -> bool:
+        """Returns whether the configuration names a service and model."""
+        catalog = self._catalog.current()
+        if catalog is None:
+            return True
+        engine = self._find_engine(pool[0])
+        if engine is None:
+            return pool[0] in catalog.services
+        return engine.find_model(pool[1]) is not None
+
+    def _find_engine(self, service: str) -> catalog_model.Engine | None:
+        catalog = self._catalog.current()
+        found = None if catalog is None else catalog.services.get(service)
+        return None if found is None else found.engine
+
     def _create_waiter(
         self,
         request: model.Request,
@@ -281,11 +305,7 @@
         waiter: _Waiter,
         usage: placement.Usage,
     ) -> placement.Candidate | None:
-        catalog = self._catalog.current()
-        service = None
-        if catalog is not None:
-            service = catalog.services.get(waiter.pool[0])
-        engine = None if service is None else service.engine
+        engine = self._find_engine(waiter.pool[0])
         return placement.choose(
             candidates,
             waiter.excluded,
@@ -341,9 +361,7 @@
 
     def _find_size(self, pool: PoolKey) -> int:
         """Returns how many VMs a whole group of the pool's model has."""
-        catalog = self._catalog.current()
-        service = None if catalog is None else catalog.services.get(pool[0])
-        engine = None if service is None else service.engine
+        engine = self._find_engine(pool[0])
         spec = None if engine is None else engine.find_model(pool[1])
         return 1 if spec is None else spec.size
 
@@ -429,35 +447,18 @@
         return max(min(retry_after, left * RETRY_SHARE), RETRY_LEAST)
 
 
-def find_backends(
-    vms: abc.Iterable[fleet_model.Vm],
-) -> dict[PoolKey, list[model.Backend]]:
-    """Returns the backends that take requests, by service and model."""
-    grouped: list[fleet_model.Vm] = []
-    found: dict[PoolKey, list[model.Backend]] = collections.defaultdict(list)
-    for vm in vms:
-        if vm.membership is not None:
-            grouped.append(vm)
-        elif not vm.leaving and not vm.fabric_domain:
-            backend = model.Backend(
-                key=(vm.name, vm.born), vm=vm, model="", slots=vm.slots
-            )
-            found[(vm.service, "")].append(backend)
-    for group in fleet_model.list_groups(grouped).values():
-        head = group.head
-        if head is None or not group.open():
-            continue
-        if any(vm.leaving for vm in group.members):
-            continue
-        backend = model.Backend(
-            key=group.key,
-            vm=head,
-            model=group.model,
-            slots=head.slots,
-            members=len(group.members),
-        )
-        found[(head.service, group.model)].append(backend)
-    return found
+def _refuse_unknown(request: model.Request) -> model.Refusal:
+    eliot.log_message(
+        "waiting:unknown_model",
+        request_id=request.request_id,
+        model=request.model[:NAME_SHOWN],
+    )
+    return model.Refusal(
+        status=503,
+        code="no_backend",
+        not_run=True,
+        retry_after=NO_BACKEND_RETRY,
+    )
 
 
 def _is_late(work: work_module.Work, now: datetime.timedelta) -> bool:
