--- a/arbutuscove/fleet/inventory.py
+++ b/arbutuscove/fleet/inventory.py
@@ -117,6 +117,8 @@
         before = self._vms.get(vm.name)
         vm = _carry_served(before, self._departed.get(vm.name), vm)
         self._lapsed.pop(vm.name, None)
+        if before is None or not _serves_alike(before, vm):
+            self.revision += 1
         self._departed.pop(vm.name, None)
         self._vms[vm.name] = vm
         if before is None or before.membership != vm.membership:
@@ -169,10 +171,17 @@
 
     def _finish(self) -> None:
         self._drop_lapsed()
-        self.revision += 1
         self._changed.set()
 
 
+def _serves_alike(before: model.Vm, vm: model.Vm) -> bool:
+    """Returns whether nothing changed that decides where requests go."""
+    same = dataclasses.replace(
+        vm, staged=before.staged, loaded=before.loaded, served=before.served
+    )
+    return same == before
+
+
 def _carry_served(
     before: model.Vm | None, departed: Departed | None, vm: model.Vm
 ) -> model.Vm:
--- a/arbutuscove/gossip/digest.py
+++ b/arbutuscove/gossip/digest.py
@@ -196,7 +196,7 @@
     return zlib.compress(ENCODER.encode(update), level=1)
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+@dataclasses.dataclass(slots=True, kw_only=True)
 class Peer:
     """Another daemon.
 
@@ -250,9 +250,7 @@
             if peer is None or peer.beat.life & LIFE_MASK != life:
                 continue
             if counter > peer.counter:
-                self._peers[peer.beat.name] = dataclasses.replace(
-                    peer, counter=counter, heard=now
-                )
+                peer.counter, peer.heard = counter, now
 
     def list_counters(
         self, now: datetime.timedelta, generator: random.Random
--- a/arbutuscove/relay/backends.py
+++ b/arbutuscove/relay/backends.py
@@ -247,29 +247,41 @@
 def find_backends(
     vms: abc.Iterable[fleet_model.Vm],
 ) -> dict[PoolKey, list[model.Backend]]:
-    """Returns the backends that take requests, by service and model."""
-    grouped: list[fleet_model.Vm] = []
+    """Returns the backends that take requests, by service and model.
+
+    It is made anew at each change of the list, in each daemon, so it goes over
+    the VMs once. The rules are those of `fleet.model.Group`.
+    """
     found: dict[PoolKey, list[model.Backend]] = collections.defaultdict(list)
+    heads: dict[model.BackendKey, fleet_model.Vm] = {}
+    sizes: collections.Counter[model.BackendKey] = collections.Counter()
+    leaving: set[model.BackendKey] = set()
     for vm in vms:
-        if vm.membership is not None:
-            grouped.append(vm)
-        elif not vm.leaving and not vm.fabric_domain:
-            backend = model.Backend(
-                key=(vm.name, vm.born), vm=vm, model="", slots=vm.slots
-            )
-            found[(vm.service, "")].append(backend)
-    for group in fleet_model.list_groups(grouped).values():
-        head = group.head
-        if head is None or not group.open():
+        held = vm.membership
+        if held is None:
+            if not vm.leaving and not vm.fabric_domain:
+                backend = model.Backend(
+                    key=(vm.name, vm.born), vm=vm, model="", slots=vm.slots
+                )
+                found[(vm.service, "")].append(backend)
             continue
-        if any(vm.leaving for vm in group.members):
+        key = (held.group, held.epoch)
+        sizes[key] += 1
+        if vm.leaving:
+            leaving.add(key)
+        if held.rank == 0 and held.state in fleet_model.SERVING:
+            heads.setdefault(key, vm)
+    for key, head in heads.items():
+        assert head.membership is not None
+        opened = head.membership.state == fleet_model.MemberState.OPEN
+        if key in leaving or not opened:
             continue
         backend = model.Backend(
-            key=group.key,
+            key=key,
             vm=head,
-            model=group.model,
+            model=fleet_model.read_model(key[0]),
             slots=head.slots,
-            members=len(group.members),
+            members=sizes[key],
         )
-        found[(head.service, group.model)].append(backend)
+        found[(head.service, backend.model)].append(backend)
     return found
--- a/arbutuscove/relay/tests/test_decisions.py
+++ b/arbutuscove/relay/tests/test_decisions.py
@@ -1,8 +1,11 @@
 """Guards against work placed, repeated or marked against the policy."""
 
 import datetime
+import itertools
 import random
 
+from arbutuscove.fleet import inventory
+from arbutuscove.fleet import model as fleet_model
 from arbutuscove.fleet.tests import test_planner
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.relay import backends
@@ -154,3 +157,45 @@
     assert not states.is_slow(KEY)
     states.mark_slow(KEY, "peer", here=False)
     assert states.is_slow(KEY) and states.list_slow() == []
+
+
+def test_backends_follow_the_rules_of_groups():
+    """Guards against requests to a head that leaves, or to two heads.
+
+    The quick pass over the list has to agree with what the plan is made from.
+    """
+    states = ("joining", "ready", "open", "closing", "broken")
+    vms = []
+    for epoch, (first, second, leaving) in enumerate(
+        itertools.product(states, states, (False, True)), start=1
+    ):
+        vms += [
+            test_planner.create_member(f"a{epoch}", 0, first, epoch=epoch),
+            test_planner.create_member(f"b{epoch}", 0, second, epoch=epoch),
+            test_planner.create_member(
+                f"c{epoch}", 1, "ready", epoch=epoch, leaving=leaving
+            ),
+        ]
+    vms.append(test_planner.create_vm("plain", fabric_domain=""))
+    found = backends.find_backends(vms)
+    expected = {
+        key: group.head
+        for key, group in fleet_model.list_groups(vms).items()
+        if group.open() and not any(vm.leaving for vm in group.members)
+    }
+    assert {b.key: b.vm for b in found["models", "chat"]} == expected
+    assert [b.members for b in found["models", "chat"]] == [3] * len(expected)
+    assert [b.vm.name for b in found["models", ""]] == ["plain"]
+
+
+def test_backends_are_not_made_anew_for_a_heartbeat_or_a_copy():
+    """Guards against a pass over 925 VMs at each update of the list."""
+    found = inventory.Inventory(clock_module.ManualClock())
+    found.update([test_planner.create_vm("a")], [])
+    before = found.revision
+    found.update([test_planner.create_vm("a", staged=("x", "y"))], [])
+    assert found.find("a").staged == ("x", "y")
+    found.update([], [])
+    assert found.revision == before
+    found.update([test_planner.create_vm("a", leaving=True)], [])
+    assert found.revision > before
--- a/arbutuscove/relay/tests/test_waiting.py
+++ b/arbutuscove/relay/tests/test_waiting.py
@@ -220,7 +220,7 @@
     for number in range(50):
         request = scene.create_request(str(number), model=f"made-up-{number}")
         gevent.spawn(scene.room.acquire, request, "models").kill()
-        scene.room._read_usage(("models", request.model))
+        scene.room._read_usage(("models", request.model), [])
     assert not scene.room._occupancies
 
 
--- a/arbutuscove/relay/waiting.py
+++ b/arbutuscove/relay/waiting.py
@@ -270,8 +270,10 @@
         if not len(queue):
             return
         now = self._clock.monotonic()
-        candidates = self._list_candidates(pool)
-        usage = self._read_usage(pool)
+        backends = self._list_moving(pool)
+        usage = self._read_usage(pool, backends)
+        # Made once there is room: with nothing free, each turn looks in vain.
+        candidates: list[placement.Candidate] | None = None
         blocked: set[int] = set()
         blocked_accounts: set[tuple[int, str]] = set()
         while True:
@@ -284,8 +286,10 @@
             late = _is_late(work, now)
             reserve = placement.count_reserve(usage) if late else 0.0
             if placement.count_free(usage) > reserve:
+                if candidates is None:
+                    candidates = self._list_candidates(pool, backends, usage)
                 found = self._choose(candidates, waiter, usage)
-            if found is not None:
+            if found is not None and candidates is not None:
                 usage = dataclasses.replace(usage, own=usage.own + 1)
                 queue.take(work.request_id, now)
                 self._states.begin(found.backend.key)
@@ -315,10 +319,14 @@
             self._generator,
         )
 
-    def _list_candidates(self, pool: PoolKey) -> list[placement.Candidate]:
+    def _list_candidates(
+        self,
+        pool: PoolKey,
+        backends: list[model.Backend],
+        usage: placement.Usage,
+    ) -> list[placement.Candidate]:
         size = self._find_size(pool)
-        backends = self._list_moving(pool)
-        others = placement.bound_others(self._read_usage(pool))
+        others = placement.bound_others(usage)
         return [
             placement.Candidate(
                 backend=backend,
@@ -341,10 +349,13 @@
             if not self._states.is_stalled(backend.key)
         ]
 
-    def _read_usage(self, pool: PoolKey) -> placement.Usage:
-        """Returns who uses the places of a service and model."""
-        # Groups that stand still have none; what runs there goes elsewhere.
-        backends = self._list_moving(pool)
+    def _read_usage(
+        self, pool: PoolKey, backends: list[model.Backend]
+    ) -> placement.Usage:
+        """Returns who uses the places of a service and model.
+
+        Groups that stand still have none; what runs there goes elsewhere.
+        """
         loads = self._read_loads()
         own = sum(self._states[found.key].running for found in backends)
         places = sum(found.slots for found in backends)
@@ -398,7 +409,7 @@
                 waiter.place.set_exception(
                     model.RefusedError(self._refuse(waiter, refused.refusal))
                 )
-        if self._list_candidates(pool):
+        if self._list_moving(pool):
             return
         for waiter in list(self._waiters.values()):
             target = waiter.request.route.first_byte_target * NO_BACKEND_SHARE
@@ -417,7 +428,8 @@
         self, waiter: _Waiter, refusal: work_module.Refusal
     ) -> model.Refusal:
         """Returns a refusal and logs what decided it."""
-        candidates = self._list_candidates(waiter.pool)
+        backends = self._list_moving(waiter.pool)
+        usage = self._read_usage(waiter.pool, backends)
         age = self._inventory.age()
         eliot.log_message(
             "waiting:refused",
@@ -426,8 +438,8 @@
             model=waiter.pool[1],
             priority=waiter.request.priority,
             waiting=len(self._queues[waiter.pool]),
-            backends=len(candidates),
-            running=round(sum(found.running for found in candidates)),
+            backends=len(backends),
+            running=round(usage.own + placement.bound_others(usage)),
             list_age=None if age is None else round(age.total_seconds(), 3),
         )
         return model.Refusal(
