--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -219,6 +219,7 @@
             upstreams.HttpCodec(),
             self._gossip.tell,
             self._find_silent_members,
+            self._generator,
         )
         return flow_module.Flow(
             shared,
--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import datetime
+import random
 import typing
 from collections import abc
 
@@ -44,6 +45,8 @@
 # Most bytes of the answers to earlier requests that are read on a connection
 # before the awaited one.
 STRANGERS_SIZE = 1024 * 1024  # bytes
+# Time over which the daemons spread their questions about a silent group.
+EXAMINE_SPREAD = datetime.timedelta(milliseconds=200)
 # How often a waiting request looks whether its backend is stalled.
 RECEIVE_TICK = datetime.timedelta(milliseconds=150)
 
@@ -114,6 +117,7 @@
         codec: Codec,
         tell_peers: abc.Callable[[], None],
         find_silent_members: abc.Callable[[model.Backend], list[str]],
+        generator: random.Random,
     ) -> None:
         self.clock = clock
         self.waiting = waiting_room
@@ -123,6 +127,7 @@
         self._catalog = catalog
         self._tell_peers = tell_peers
         self._find_silent_members = find_silent_members
+        self._generator = generator
 
     def expect_pause(
         self, service: str, model_name: str
@@ -152,9 +157,13 @@
 
     def _examine(self, service: str, backend: model.Backend) -> None:
         key = backend.key
+        # Many daemons find the same group silent at once. The first to ask
+        # tells the others.
+        self.clock.sleep(EXAMINE_SPREAD * self._generator.random())
+        if self.states.is_stalled(key) or not self.states.is_silent(key):
+            return
         missing = self._find_silent_members(backend)
-        silent = self.states.silent_for(key)
-        if silent < backends_module.SILENCE_DOUBTFUL:
+        if not self.states.is_silent(key):
             return
         if missing:
             reason = f"no answer of {missing[0]}"
--- a/arbutuscove/relay/backends.py
+++ b/arbutuscove/relay/backends.py
@@ -189,11 +189,15 @@
         """Returns how long no answer here moved on."""
         return self._clock.monotonic() - self[key].moved
 
+    def is_silent(self, key: model.BackendKey) -> bool:
+        """Returns whether no answer here moved on for a doubtful time."""
+        return self.silent_for(key) >= SILENCE_DOUBTFUL
+
     def begin_examination(self, key: model.BackendKey) -> bool:
         """Returns whether a silent backend is due to be examined."""
         state = self[key]
         now = self._clock.monotonic()
-        if self.is_stalled(key) or now - state.moved < SILENCE_DOUBTFUL:
+        if self.is_stalled(key) or not self.is_silent(key):
             return False
         last = state.examined
         pause = EXAMINE_INTERVAL * 2 ** max(0, state.examinations - 1)
--- a/arbutuscove/relay/tests/test_troubled.py
+++ b/arbutuscove/relay/tests/test_troubled.py
@@ -32,6 +32,7 @@
 # sockets' buffers on loopback.
 SENT_LONGEST = 8 * 1024 * 1024  # bytes
 WHOLE = b"whole"
+KEY = ("chat~5", 5)
 
 
 class Scene:
@@ -62,6 +63,7 @@
             upstreams.HttpCodec(),
             lambda: None,
             lambda backend: [],
+            random.Random(1),
         )
         allowance = budget.Allowance(ratio=1.0, slack=99.0, window=SECOND)
         self.flow = flow.Flow(shared, allowance, lambda: 1, random.Random(1))
@@ -263,3 +265,46 @@
         used.receive(datetime.timedelta())
     used.close()
     upstream.stop()
+
+
+def test_daemons_do_not_all_ask_the_members_of_a_silent_group():
+    """Guards against a hundred questions where one daemon's answer serves.
+
+    On nilavu-diary-large trouble-2, 195 daemons asked 53,443 times, each of 16
+    members, mostly about groups that a peer had just found stalled.
+    """
+    clock = clock_module.SystemClock()
+    daemons = [backends.BackendStates(clock) for _ in range(40)]
+    asked = []
+
+    def tell():
+        for states in daemons:
+            states.mark_stalled(KEY, "peer", here=False)
+
+    def ask(backend):
+        asked.append(backend)
+        gevent.sleep(0.005)
+        return ["gone"]
+
+    vm = test_planner.create_vm("head")
+    backend = model.Backend(key=KEY, vm=vm, model="chat", slots=9)
+    jobs = []
+    for number, states in enumerate(daemons):
+        shared = attempt.Upstreams(
+            clock,
+            catalog_holder.CatalogHolder(),
+            None,
+            states,
+            None,
+            None,
+            tell,
+            ask,
+            random.Random(number),
+        )
+        states.begin(KEY)
+        states[KEY].moved = clock.monotonic() - 2 * SECOND
+        jobs.append(gevent.spawn(shared.examine, "models", backend))
+    gevent.joinall(jobs)
+    gevent.sleep(2 * attempt.EXAMINE_SPREAD.total_seconds())
+    assert 1 <= len(asked) <= len(daemons) / 4
+    assert all(states.is_stalled(KEY) for states in daemons)
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -612,4 +612,36 @@
         test="fleet/tests/test_exchange.py::"
         "test_exchange_keeps_the_vms_of_the_first_group_for_the_model",
     ),
+    Mutation(
+        promise="daemons do not all ask about a silent group",
+        path="relay/attempt.py",
+        old="if self.states.is_stalled(key) or not self.states.is_silent(key):",
+        new="if not self.states.is_silent(key):",
+        test="relay/tests/test_troubled.py::"
+        "test_daemons_do_not_all_ask_the_members_of_a_silent_group",
+    ),
+    Mutation(
+        promise="a copy makes no backends anew",
+        path="fleet/inventory.py",
+        old="if before is None or not _serves_alike(before, vm):",
+        new="if True:",
+        test="relay/tests/test_decisions.py::"
+        "test_backends_are_not_made_anew_for_a_heartbeat_or_a_copy",
+    ),
+    Mutation(
+        promise="one late timer sheds nothing",
+        path="kernel/loop.py",
+        old="min(late, self._last), late",
+        new="late, late",
+        test="kernel/tests/test_loop.py::"
+        "test_loop_sheds_nothing_after_one_pause",
+    ),
+    Mutation(
+        promise="names that callers make up leave nothing",
+        path="relay/waiting.py",
+        old="if not self._is_known(pool):",
+        new="if False:",
+        test="relay/tests/test_waiting.py::"
+        "test_waiting_keeps_nothing_of_names_that_callers_make_up",
+    ),
 )
