--- a/arbutuscove/fleet/planner.py
+++ b/arbutuscove/fleet/planner.py
@@ -387,6 +387,9 @@
         if self._kept_for.get(domain, spec.name) != spec.name:
             return None
         warm = [vm for vm in vms if exchange.is_warm(vm, spec.name)]
+        if self._read_supply(spec) >= 1.0:
+            # Beyond its needs a model gets only what no other one lacks.
+            warm = [vm for vm in warm if not self._is_wanted(vm)]
         members = sorted(warm, key=lambda vm: _rank_vm(vm, spec.name))
         members = members[: spec.size]
         cold = spec.size - len(members)
@@ -417,6 +420,13 @@
         order = (cold, *rating, -len(vms))
         return _Choice(domain=domain, members=members, cold=cold, order=order)
 
+    def _is_wanted(self, vm: model.Vm) -> bool:
+        """Returns whether a model that lacks groups could use a VM."""
+        return any(
+            exchange.is_warm(vm, spec.name) and self._read_supply(spec) < 1.0
+            for spec in self._engine.models
+        )
+
     def _count_coming(self, domain: str, wanted: str) -> int:
         """Returns how many VMs with a model a domain will soon have free."""
         return sum(
--- a/arbutuscove/fleet/tests/test_planner.py
+++ b/arbutuscove/fleet/tests/test_planner.py
@@ -451,3 +451,28 @@
     late = 100 * SECOND + CHAT.load_time + planner.FORM_SLACK + SECOND
     again = plan([*cold, *others], joined.memory, now=late, loads=0)
     assert again.memory.forming == ()
+
+
+def test_planner_keeps_vms_for_the_model_that_lacks_groups():
+    """Guards against more groups than needed of a model beside too few.
+
+    On sfx-arbutus quiet-1 what was left of groups of four made groups of two:
+    9 of 8 that were needed, while the other model had 3 to 5 of 6 (lot-summary
+    0.80 of its worth before hosts held both models, then 0.69).
+    """
+    vms = [
+        create_vm(f"left{number}", staged=("chat",), served="draft")
+        for number in range(3)
+    ]
+    for group in range(4):
+        vms += [
+            create_member(f"h{group}", 0, "open", epoch=group + 1),
+            create_member(f"m{group}", 1, "ready", epoch=group + 1),
+        ]
+    found = plan(vms, engine=ENGINE, loads=0)
+    assert list_joined(found) == []
+    spare = [
+        dataclasses.replace(vm, served="") if not vm.membership else vm
+        for vm in vms
+    ]
+    assert len(list_joined(plan(spare, engine=ENGINE, loads=0))) == 2
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -644,4 +644,12 @@
         test="relay/tests/test_waiting.py::"
         "test_waiting_keeps_nothing_of_names_that_callers_make_up",
     ),
+    Mutation(
+        promise="VMs are kept for the model that lacks groups",
+        path="fleet/planner.py",
+        old="if self._read_supply(spec) >= 1.0:\n",
+        new="if False:\n",
+        test="fleet/tests/test_planner.py::"
+        "test_planner_keeps_vms_for_the_model_that_lacks_groups",
+    ),
 )
