--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -190,7 +190,9 @@
         self._used: connection.Connection | None = None
         self._released = False
         self._answering = False
-        self._moved = self._begun
+        # Time waited for bytes since the answer moved on. Neither a caller that
+        # reads slowly nor a pause of this process is the upstream's silence.
+        self._waited = ZERO
         self.backend: model.Backend | None = None
         self.reply: Reply | None = None
         self.parser: connection.ResponseParser | None = None
@@ -214,7 +216,6 @@
             request, self._service, excluded, resumed=bool(last_event)
         )
         asked, self._begun = self._begun, upstreams.clock.monotonic()
-        self._moved = self._begun
         eliot.log_message(
             "flow:placed",
             request_id=request.request_id,
@@ -280,8 +281,7 @@
     def note_progress(self) -> None:
         """Notes that the answer moved on; bytes alone are no progress."""
         assert self.backend is not None
-        now = self._upstreams.clock.monotonic()
-        pause, self._moved = now - self._moved, now
+        pause, self._waited = self._waited, ZERO
         self._upstreams.states.note_progress(
             self.backend.key, self._compare(pause)
         )
@@ -389,15 +389,18 @@
             if left <= datetime.timedelta():
                 raise AttemptLostError("the deadline has passed")
             # Looked at though bytes arrive: they may belong to no event.
-            own = now - self._moved
-            stalled = upstreams.states.is_stalled(key) or own >= longest
-            if at_stall and stalled and own >= RECEIVE_TICK:
+            waited = self._waited
+            stalled = upstreams.states.is_stalled(key) or waited >= longest
+            if at_stall and stalled and waited >= RECEIVE_TICK:
                 raise StalledError(f"{key[0]} moves nothing")
             try:
                 self.parser = self._used.receive(min(left, RECEIVE_TICK))
                 return
             except connection.ResponseTimeoutError:
                 upstreams.examine(self._service, self.backend)
+            finally:
+                passed = upstreams.clock.monotonic() - now
+                self._waited += min(passed, 2 * RECEIVE_TICK)
 
     def _compare(self, pause: datetime.timedelta) -> float | None:
         """Returns a pause between two events by the expected one."""
--- a/arbutuscove/relay/flow.py
+++ b/arbutuscove/relay/flow.py
@@ -359,10 +359,13 @@
         finally:
             attempt.close()
 
+    pieces = pass_on()
+    # Begun, so that its end gives the place back in any case.
+    first = next(pieces)
     return model.Answer(
         status=reply.status,
         fields=reply.fields,
-        body=_lead_with(b"", pass_on()),
+        body=_lead_with(first, pieces),
         length=attempt.stated_length(),
     )
 
--- a/arbutuscove/relay/tests/test_troubled.py
+++ b/arbutuscove/relay/tests/test_troubled.py
@@ -86,12 +86,12 @@
             for found in listed
         )
 
-    def serve(self, repeat, name="r1"):
+    def create_request(self, repeat, name="r1"):
         route = dataclasses.replace(
             test_waiting.ROUTE, repeat=repeat, first_byte_target=SECOND
         )
         now = self.clock.monotonic()
-        request = model.Request(
+        return model.Request(
             request_id=name,
             method="GET",
             target="/",
@@ -102,6 +102,9 @@
             arrived=now,
             deadline=now + DEADLINE,
         )
+
+    def serve(self, repeat, name="r1"):
+        request = self.create_request(repeat, name)
         with gevent.Timeout(2 * DEADLINE.total_seconds()):
             answer = self.flow.serve(request)
             return answer, b"".join(answer.body)
@@ -238,6 +241,19 @@
     assert scene.good.requests == 0
 
 
+def test_stream_of_a_caller_that_reads_slowly_is_not_cut(build):
+    """Guards against a sound stream given up for its caller's pauses."""
+    scene = build(troubled.answer_stream, troubled.answer_stream)
+    request = scene.create_request(catalog_model.Repeat.STREAM_RESUMABLE)
+    found = []
+    for piece in scene.flow.serve(request).body:
+        found.append(piece)
+        if len(found) < 3:
+            gevent.sleep(1.2 * attempt.OWN_PAUSE_LONGEST.total_seconds())
+    assert b"".join(found) == b"".join(troubled.EVENTS)
+    assert scene.good.requests == 0
+
+
 def send_late_copy(request_id):
     """Answers, and sends a second copy a little later."""
     yield from troubled.answer_whole(request_id)
