Log how far a lost attempt came and its shareable prompt parts

Cause: after a crash the logs named requests and groups only, so equal requests, requests with a common prompt part and groups that fail by themselves could not be told apart.

Change: a request carries the ids of its prompt parts without the last one, and each lost attempt logs them with the time since the head and the number of events.

--- a/arbutuscove/platform/headers.py
+++ b/arbutuscove/platform/headers.py
@@ -4,6 +4,9 @@
 DEADLINE = "X-Deadline-Ms"  # milliseconds that the sender waits for the answer
 MODEL = "X-Model"
 TOKEN_COUNTS = "X-Token-Counts"  # prompt tokens, maximum output tokens
+# Parts of the prompt in order, each as its hexadecimal id and its tokens. The
+# last part belongs to the request or its session; requests share the others.
+PROMPT_PREFIX = "X-Prompt-Prefix"
 LAST_EVENT_ID = "Last-Event-Id"
 STAMP = "X-Server-Stamp"  # the upstream's signature over its answer
 TENANT = "X-Tenant"  # name of the client account
--- a/arbutuscove/platform/listener.py
+++ b/arbutuscove/platform/listener.py
@@ -44,6 +44,9 @@
 UNAVAILABLE_RETRY_AFTER = datetime.timedelta(milliseconds=100)
 # Limit on bodies before a configuration is in force.
 DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
+# Further parts of a prompt are not tracked.
+MAX_PROMPT_PARTS = 32
+MAX_PART_ID_CHARS = 64
 JSON_TYPE = "application/json"
 
 StartResponse = abc.Callable[[str, list[tuple[str, str]]], typing.Any]
@@ -301,6 +304,7 @@
             prompt_tokens=prompt,
             answer_tokens=answer,
             last_event=headers_by_name.get(headers.LAST_EVENT_ID.lower(), ""),
+            prompt_parts=_parse_prompt_parts(headers_by_name),
         )
 
     def _build_headers(self, answer: model.Answer) -> list[tuple[str, str]]:
@@ -367,6 +371,17 @@
     return int(prompt), int(answer)
 
 
+def _parse_prompt_parts(headers_by_name: dict[str, str]) -> tuple[str, ...]:
+    """Returns the ids of all parts of the prompt but the last one."""
+    text = headers_by_name.get(headers.PROMPT_PREFIX.lower(), "")
+    parts = [entry.partition(":")[0].strip() for entry in text.split(",")]
+    return tuple(
+        part
+        for part in parts[:-1][:MAX_PROMPT_PARTS]
+        if 0 < len(part) <= MAX_PART_ID_CHARS
+    )
+
+
 def _format_status(status: int) -> str:
     return f"{status} {http.client.responses.get(status, 'Unknown')}"
 
--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -217,6 +217,8 @@
         self._connection: connection.Connection | None = None
         self._is_released = False
         self._has_answer_begun = False
+        self._head_at: datetime.timedelta | None = None
+        self._event_count = 0
         # Time spent waiting for bytes since the last progress. It leaves out
         # time in which the caller reads slowly or this process is suspended, as
         # the upstream is not silent then.
@@ -327,6 +329,8 @@
     def record_progress(self) -> None:
         """Records progress of the answer; bytes alone are no progress."""
         assert self.backend is not None
+        if self.reply is not None:
+            self._event_count += 1
         pause, self._read_wait = self._read_wait, ZERO
         self._context.states.record_progress(
             self.backend.key, self._compute_pause_ratio(pause)
@@ -408,6 +412,7 @@
                 continue
             reply = self._context.codec.read_reply(self._request, self.parser)
             if reply.is_matching:
+                self._head_at = self._context.clock.monotonic()
                 self.record_progress()
                 return reply
             # A late answer to an earlier request; the expected one follows.
@@ -482,6 +487,21 @@
     def _record_loss(self, error: Exception) -> AttemptLostError:
         assert self.backend is not None
         self._context.states.record_failure(self.backend.key)
+        now = self._context.clock.monotonic()
+        head_at = self._head_at
+        eliot.log_message(
+            "flow:attempt_lost",
+            request_id=self._request.request_id,
+            backend=self.backend.key[0],
+            vm=self.backend.vm.name,
+            reason=str(error),
+            since_sent=(now - self._started_at).total_seconds(),
+            since_head=(
+                None if head_at is None else (now - head_at).total_seconds()
+            ),
+            events=self._event_count,
+            prompt_parts=self._request.prompt_parts,
+        )
         return AttemptLostError(str(error))
 
     def _check_reply(self, reply: Reply) -> Reply:
--- a/arbutuscove/relay/model.py
+++ b/arbutuscove/relay/model.py
@@ -17,7 +17,8 @@
 
     `fields` are the headers to forward. `model` is empty for plain services.
     `last_event` is the id of the event after which a stream resumes; empty for
-    a new stream.
+    a new stream. `prompt_parts` identifies the parts of the prompt that other
+    requests may have, too, in order.
     """
 
     request_id: str
@@ -33,6 +34,7 @@
     prompt_tokens: int = 0
     answer_tokens: int = 0
     last_event: str = ""
+    prompt_parts: tuple[str, ...] = ()
 
     @property
     def priority(self) -> int:
