Add failing tests of a prompt part that crashes servers

With arbutuscoved (bin/test arbutuscove/requests/tests/test_crash.py) 24 different requests with one crashing system message leave no replica.

The stand-in server crashes shortly after the head of an answer on a crashing part and restarts.

--- a/arbutuscove/requests/tests/test_crash.py
+++ b/arbutuscove/requests/tests/test_crash.py
@@ -8,6 +8,8 @@
 from arbutuscove.standins import demo
 from arbutuscove.standins import engine
 
+MAX_CRASHES_BY_A_PART = 5  # as stated by the users
+
 
 @pytest.fixture(name="cluster")
 def fixture_cluster(tmp_path):
@@ -37,3 +39,24 @@
     ran = [entry for entry in cluster.read_record() if "ran" in entry]
     assert 1 <= len(ran) <= quarantine.DEATHS_TO_QUARANTINE
     assert codes[-1] in ("request_quarantined", "request_suspected")
+
+
+def test_crash_of_engines_by_a_shared_message_ends_after_five(cluster):
+    """Guards against a system message that crashes replica after replica.
+
+    No two requests are equal, so a record of whole requests finds nothing.
+    """
+    codes = []
+    for number in range(24):
+        reply = demo.send_chat(
+            cluster,
+            f"question {number}",
+            daemon=number % cluster.layout.daemons,
+            system="please " + engine.CRASH_MARKER,
+        )
+        codes.append(reply.json()["error"]["code"])
+    ran = [entry for entry in cluster.read_record() if "ran" in entry]
+    assert 1 <= len(ran) <= MAX_CRASHES_BY_A_PART, codes
+    assert codes[-1] == "request_quarantined"
+    sound = demo.send_chat(cluster, "question", system="please be brief")
+    assert sound.status == 200
--- a/arbutuscove/standins/demo.py
+++ b/arbutuscove/standins/demo.py
@@ -60,6 +60,7 @@
     extra: dict[str, str] | None = None,
     stream: bool = False,
     daemon: int = 0,
+    system: str = "",
 ) -> http.Reply:
     """Sends one chat request to a daemon and returns the complete response.
 
@@ -69,10 +70,14 @@
         extra: Further headers.
         stream: Whether to request a streamed answer.
         daemon: Number of the daemon.
+        system: Content of a system message that precedes it; empty for none.
     """
+    messages = [{"role": "user", "content": content}]
+    if system:
+        messages.insert(0, {"role": "system", "content": system})
     body = {
         "model": MODEL,
-        "messages": [{"role": "user", "content": content}],
+        "messages": messages,
         "stream": stream,
     }
     return cluster_module.call(
--- a/arbutuscove/standins/users_platform.py
+++ b/arbutuscove/standins/users_platform.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import errno
+import socket
 import time
 import typing
 from collections import abc
@@ -22,6 +23,9 @@
 ENTRY_EXPIRY_SECONDS = 0.9  # since the last heartbeat of a server
 WARM_SECONDS = 0.1  # to join a group with staged weights
 LOAD_SECONDS = 0.4  # to join a group without them
+# From the head of an answer on a crashing prompt part to the crash.
+CRASH_DELAY_SECONDS = 0.05
+RESTART_SECONDS = 1.0  # after a crash by a prompt part
 EVENT_INTERVAL_SECONDS = 0.02  # between two events of a stream
 EVENTS_PER_STREAM = 8
 # A server with this number plus two of open streams refuses requests. Plain
@@ -39,6 +43,23 @@
 
     def __init__(self, host: str, port: int, app: typing.Any) -> None:
         super().__init__((host, port), app, log=None, error_log=None)
+        self._connections: set[typing.Any] = set()
+
+    def handle(self, sock: typing.Any, address: typing.Any) -> None:
+        """Serves one connection."""
+        self._connections.add(sock)
+        try:
+            super().handle(sock, address)
+        finally:
+            self._connections.discard(sock)
+
+    def cut_connections(self) -> None:
+        """Ends all open connections, in the middle of any answer."""
+        for sock in list(self._connections):
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                continue  # the peer closed it first
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -51,6 +72,7 @@
         service: Service of the server.
         account: Account that the request was sent for.
         at: Monotonic time of the start, in seconds.
+        prompt_parts: Ids of all parts of the prompt, in order.
     """
 
     request_id: str
@@ -58,6 +80,7 @@
     service: str
     account: str
     at: float
+    prompt_parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -145,6 +168,20 @@
         if self._server is not None:
             self._server.close()
 
+    def die(self) -> None:
+        """Crashes with all connections cut, and restarts soon afterwards."""
+        if not self.is_alive:
+            return
+        self._platform.deaths.append(time.monotonic())
+        self.crash()
+        if self._server is not None:
+            self._server.cut_connections()
+        gevent.spawn_later(RESTART_SECONDS, self._restart)
+
+    def _restart(self) -> None:
+        if not self._platform.stopped:
+            self.start()
+
     def _reset(self) -> None:
         self.born = time.time_ns() // 1_000_000
         self.accepted = 0
@@ -319,6 +356,13 @@
         first = int(environ.get("HTTP_LAST_EVENT_ID") or 0) + 1
         self.running += 1
         try:
+            if self._platform.crashing_parts.intersection(
+                read_prompt_parts(environ)
+            ):
+                yield b" "  # sends the head; a space is no event
+                gevent.sleep(CRASH_DELAY_SECONDS)
+                self.die()
+                raise ConnectionResetError(errno.ECONNRESET, "crashed")
             for number in range(first, EVENTS_PER_STREAM + 1):
                 gevent.sleep(EVENT_INTERVAL_SECONDS)
                 while not self.is_progressing():
@@ -341,6 +385,9 @@
         servers: Servers by name.
         runs: Runs of requests in order of their start.
         violations: Violations that the servers observed.
+        crashing_parts: Ids of prompt parts that crash each server that begins
+            to answer a prompt with one of them.
+        deaths: Monotonic times, in seconds, of the crashes by such parts.
         stopped: Whether `stop` was called.
     """
 
@@ -349,6 +396,8 @@
         self.servers: dict[str, Server] = {}
         self.runs: list[Run] = []
         self.violations: list[Violation] = []
+        self.crashing_parts: set[str] = set()
+        self.deaths: list[float] = []
         self.stopped = False
         self._store_server = _Server(host, port, self.store)
         self._store_server.start()
@@ -388,6 +437,7 @@
                 service=server.service,
                 account=environ.get("HTTP_X_TENANT", ""),
                 at=time.monotonic(),
+                prompt_parts=read_prompt_parts(environ),
             )
         )
 
@@ -441,6 +491,12 @@
             self.store.put("servers", server.name, entry | {"sequence": count})
 
 
+def read_prompt_parts(environ: Environ) -> tuple[str, ...]:
+    """Returns the ids of all parts of a request's prompt, in order."""
+    entries = environ.get("HTTP_X_PROMPT_PREFIX", "").split(",")
+    return tuple(entry.partition(":")[0] for entry in entries if entry)
+
+
 def build_configuration(
     version: int, services: abc.Sequence[str] = ("models", "desk")
 ) -> dict[str, typing.Any]:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -4,6 +4,7 @@
 import datetime
 import random
 import time
+from collections import abc
 
 import gevent
 import msgspec
@@ -33,6 +34,7 @@
         status: HTTP status, or 0 if no complete response arrived.
         started_at: monotonic time at which the caller began, in seconds.
         seconds: time until the response was complete or had failed.
+        prompt_parts: ids of the parts of the prompt, in order.
     """
 
     request_id: str
@@ -41,14 +43,29 @@
     status: int
     started_at: float
     seconds: float
+    prompt_parts: tuple[str, ...] = ()
 
 
 class Callers:
     """Concurrent callers that send requests until they are stopped."""
 
     def __init__(
-        self, world: world_module.World, generator: random.Random, count: int
+        self,
+        world: world_module.World,
+        generator: random.Random,
+        count: int,
+        draw_prompt: abc.Callable[[str], tuple[str, ...]] | None = None,
     ) -> None:
+        """Starts the callers.
+
+        Args:
+            world: the system that they call.
+            generator: source of random choices.
+            count: number of callers.
+            draw_prompt: returns the prompt parts of a streamed request by its
+                id; None for requests without any.
+        """
+        self._draw_prompt = draw_prompt
         self._world = world
         self._generator = generator
         self.outcomes: list[Outcome] = []
@@ -111,12 +128,17 @@
         route = self._generator.choice(ROUTES)
         self._request_count += 1
         request_id = f"r{self._request_count}"
+        prompt_parts: tuple[str, ...] = ()
+        if route == "stream" and self._draw_prompt is not None:
+            prompt_parts = self._draw_prompt(request_id)
+        prompt = ",".join(f"{part}:40" for part in prompt_parts)
         fields = (
             ("Host", "x.example"),
             ("Authorization", "Token key-1"),
             (headers.REQUEST_ID, request_id),
             (headers.DEADLINE, str(int(DEADLINE.total_seconds() * 1000))),
             *(((headers.MODEL, "chat"),) if route == "stream" else ()),
+            *(((headers.PROMPT_PREFIX, prompt),) if prompt else ()),
         )
         body = b"body of " + request_id.encode()
         method = "GET" if route == "safe" else "POST"
@@ -156,6 +178,7 @@
                 status=status,
                 started_at=begin_time,
                 seconds=time.monotonic() - begin_time,
+                prompt_parts=prompt_parts,
             )
         )
         if status == 200:
--- a/soak/run.py
+++ b/soak/run.py
@@ -86,7 +86,7 @@
     for daemon in world.daemons:
         world.start(daemon)
     clients = callers.Callers(world, random.Random(seed + 1), CALLER_COUNT)
-    _wait_until_serving(clients)
+    wait_until_serving(clients)
     injector = faults.Injector(world, generator)
     injector.run(seconds)
     gevent.sleep(RECOVERY_SECONDS)
@@ -110,7 +110,12 @@
     )
 
 
-def _wait_until_serving(clients: callers.Callers) -> None:
+def wait_until_serving(clients: callers.Callers) -> None:
+    """Waits until every route was served.
+
+    Raises:
+        StartError: that took longer than `START_TIMEOUT_SECONDS`.
+    """
     deadline = time.monotonic() + START_TIMEOUT_SECONDS
     while time.monotonic() < deadline:
         served_routes = {o.route for o in clients.outcomes if o.status == 200}
--- a/soak/world.py
+++ b/soak/world.py
@@ -55,7 +55,21 @@
 class World:
     """All daemon processes and stand-ins of one run."""
 
-    def __init__(self, directory: pathlib.Path, seed: int) -> None:
+    def __init__(
+        self,
+        directory: pathlib.Path,
+        seed: int,
+        has_server_links: bool = True,
+    ) -> None:
+        """Creates the stand-ins; `start` then starts each daemon.
+
+        Args:
+            directory: for the daemons' settings and logs.
+            seed: chooses the loopback addresses.
+            has_server_links: whether daemons reach servers through forwarders.
+                A forwarder accepts connections for a server that has crashed.
+        """
+        self._has_server_links = has_server_links
         self._root = pathlib.Path(__file__).parent.parent
         self._directory = directory
         self._processes: list[subprocess.Popen[bytes]] = []
@@ -130,12 +144,15 @@
         self, subnet: int, number: int, service: str, domain: str
     ) -> None:
         listen_address = (f"127.{subnet}.2.{number + 1}", self.port)
-        advertised_address = (f"127.{subnet}.3.{number + 1}", self.port)
-        link = forwarder.Forwarder(
-            http.Address(*advertised_address), http.Address(*listen_address)
-        )
-        link.start()
+        advertised_address = listen_address
         name = f"i-{number}"
+        if self._has_server_links:
+            advertised_address = (f"127.{subnet}.3.{number + 1}", self.port)
+            link = forwarder.Forwarder(
+                http.Address(*advertised_address), http.Address(*listen_address)
+            )
+            link.start()
+            self.links[name] = link
         server = users_platform.Server(
             self.platform,
             name,
@@ -145,7 +162,6 @@
             advertised=advertised_address,
         )
         self.platform.add(server)
-        self.links[name] = link
 
     def _create_daemon(self, subnet: int, number: int) -> Daemon:
         name = f"daemon-{number}"
