Keep requests with a crashing prompt part from further upstreams

Cause: a daemon on the users' platform forgot each crash. It sent the lost request to a second group and treated the next request with the same part as any other; what requests share was no input of a decision. Class of fault: retries and new requests repeat a deterministic failure of their input.

Ruled out: groups that fail by themselves (no crash without such a request); memory of whole requests (no two are equal).

Change: crashes/ collects evidence. A VM that is known to have crashed blames the prompt parts of the requests whose answer had begun without an event; an answer refutes the blame of its parts. Two deaths without any known answer (three with one) make the part that explains most deaths a culprit, whose deaths then blame no other part. Daemons exchange deaths and answers, at once and by fingerprints in heartbeats, so that a daemon that starts learns them with its first heartbeat. Requests with a culprit are refused at once; one daemon tries it again after a minute, later ones after twice the time. A lost request is not repeated while a part of it is blamed and was never answered.

--- /dev/null
+++ b/arbutuscove/crashes/evidence.py
@@ -0,0 +1,326 @@
+"""Evidence on what crashes upstreams, and the decision that follows from it.
+
+A *trait* is what requests can have in common: one part of their prompt, or
+their whole content. A *death* of a VM blames the traits of the requests whose
+answers had begun there without a first event. An answer to a request with a
+trait refutes all earlier blame of the trait, since a trait that crashes
+upstreams crashes each of them.
+
+Daemons exchange deaths and answers rather than verdicts. Each of them observes
+only its own requests at a VM, so the blame of one death is the union of what
+all daemons report, and a verdict that later evidence refutes ends everywhere.
+"""
+
+import collections
+import dataclasses
+import datetime
+import functools
+from collections import abc
+
+import msgspec
+import xxhash
+
+# Deaths that make a trait a culprit, if no answer is known to a request with
+# it, and if one is known from before the deaths.
+MIN_DEATHS_UNANSWERED = 2
+MIN_DEATHS_ANSWERED = 3
+# Depth of the trait of a whole request. Parts have depths from 0.
+WHOLE_DEPTH = -1
+# All deaths with their suspects fit into one datagram.
+MAX_DEATHS = 64  # the oldest is evicted first
+MAX_SUSPECTS = 16  # traits blamed for one death; parts precede whole requests
+MAX_ANSWERS = 8192  # traits with a known answer; the oldest is evicted first
+DEATH_TTL = datetime.timedelta(minutes=10)
+ANSWER_TTL = datetime.timedelta(minutes=5)
+# Time without a death after which one request tries a culprit. It doubles with
+# each death beyond the second, since each failed trial costs a replica.
+MIN_TRIAL_DELAY = datetime.timedelta(seconds=60)
+
+TraitKey = int
+Suspects = abc.Mapping[TraitKey, int]
+
+
+@functools.lru_cache(maxsize=4096)
+def hash_part(part: str) -> TraitKey:
+    """Returns the trait of a prompt part.
+
+    Args:
+        part: identifier or content of the part.
+    """
+    return xxhash.xxh3_64_intdigest(f"part\0{part}".encode())
+
+
+def hash_request(content: bytes) -> TraitKey:
+    """Returns the trait of a whole request.
+
+    Args:
+        content: what makes two requests equal.
+    """
+    return xxhash.xxh3_64_intdigest(b"whole\0" + content)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Death:
+    """The crash of one VM.
+
+    Attributes:
+        identity: the VM and its start, the same at all daemons.
+        at: monotonic time of the crash at this daemon.
+        suspects: depth by key of the traits that it blames. The depth is the
+            position of a part in the prompt, or `WHOLE_DEPTH`.
+    """
+
+    identity: str
+    at: datetime.timedelta
+    suspects: Suspects
+
+    def merge(self, other: "Death") -> "Death":
+        """Returns the death with the blame of two reports of it."""
+        suspects = {**other.suspects, **self.suspects}
+        return Death(
+            identity=self.identity,
+            at=min(self.at, other.at),
+            suspects=limit_suspects(suspects),
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Culprit:
+    """A trait that crashes upstreams, with the crashes that it explains."""
+
+    key: TraitKey
+    deaths: int
+    last_death: datetime.timedelta
+
+    @property
+    def trial_due(self) -> datetime.timedelta:
+        """Monotonic time from which one request may try the trait."""
+        doublings = min(max(0, self.deaths - MIN_DEATHS_UNANSWERED), 16)
+        delay = min(MIN_TRIAL_DELAY * 2**doublings, DEATH_TTL)
+        return self.last_death + delay
+
+
+class DeathReport(msgspec.Struct, frozen=True, array_like=True):
+    """A death as daemons exchange it; `age_ms` is the time since then."""
+
+    identity: str
+    age_ms: int
+    suspects: dict[int, int]
+
+
+class AnswerReport(msgspec.Struct, frozen=True, array_like=True):
+    """The newest answer to a request with a trait."""
+
+    key: int
+    age_ms: int
+
+
+class Report(msgspec.Struct, frozen=True, array_like=True):
+    """Evidence that one daemon sends to others."""
+
+    deaths: tuple[DeathReport, ...] = ()
+    answers: tuple[AnswerReport, ...] = ()
+
+
+def limit_suspects(suspects: Suspects) -> Suspects:
+    """Returns at most `MAX_SUSPECTS` of the traits, deeper parts first."""
+    if len(suspects) <= MAX_SUSPECTS:
+        return suspects
+    ranked = sorted(suspects.items(), key=lambda item: (-item[1], item[0]))
+    return dict(ranked[:MAX_SUSPECTS])
+
+
+def find_culprits(
+    deaths: abc.Iterable[Death],
+    answers: abc.Mapping[TraitKey, datetime.timedelta],
+) -> dict[TraitKey, Culprit]:
+    """Returns the traits that crash upstreams.
+
+    The trait that explains most deaths is found first. Its deaths do not blame
+    the other traits of the same requests: these share their first part with
+    sound requests. Among equals, a trait without any answer precedes one with
+    an answer, and a deeper part precedes one that more requests share.
+
+    Args:
+        deaths: the known deaths.
+        answers: the time of the newest answer by trait.
+
+    Example:
+        >>> second = datetime.timedelta(seconds=1)
+        >>> deaths = [
+        ...     Death(identity=f"vm{n}", at=n * second, suspects={1: 0, 2: 1})
+        ...     for n in range(3)
+        ... ]
+        >>> list(find_culprits(deaths, {}))
+        [2]
+        >>> find_culprits(deaths, {1: 2 * second, 2: 2 * second})
+        {}
+    """
+    unexplained = list(deaths)
+    culprits: dict[TraitKey, Culprit] = {}
+    while True:
+        blame: dict[TraitKey, list[Death]] = collections.defaultdict(list)
+        depths: dict[TraitKey, int] = {}
+        for death in unexplained:
+            for key, depth in death.suspects.items():
+                if not _is_refuted(death, answers.get(key)):
+                    blame[key].append(death)
+                    depths[key] = depth
+        ranked = [
+            (len(blamed), key not in answers, depths[key], key)
+            for key, blamed in blame.items()
+            if len(blamed) >= _get_required(depths[key], key in answers)
+        ]
+        if not ranked:
+            return culprits
+        key = max(ranked)[3]
+        culprits[key] = Culprit(
+            key=key,
+            deaths=len(blame[key]),
+            last_death=max(death.at for death in blame[key]),
+        )
+        unexplained = [
+            death for death in unexplained if death not in blame[key]
+        ]
+
+
+def _is_refuted(death: Death, answered: datetime.timedelta | None) -> bool:
+    return answered is not None and answered >= death.at
+
+
+def _get_required(depth: int, is_answered: bool) -> int:
+    """Returns the number of deaths that makes a trait a culprit."""
+    if depth == WHOLE_DEPTH or is_answered:
+        return MIN_DEATHS_ANSWERED
+    return MIN_DEATHS_UNANSWERED
+
+
+class Evidence:
+    """The deaths and answers that one daemon knows, and what follows."""
+
+    def __init__(self) -> None:
+        self._deaths: dict[str, Death] = {}
+        self._answers: dict[TraitKey, datetime.timedelta] = {}
+        self._culprits: dict[TraitKey, Culprit] = {}
+        self._blamed: frozenset[TraitKey] = frozenset()
+        self._unanswered: frozenset[TraitKey] = frozenset()
+        self._fingerprint = 0
+
+    @property
+    def culprits(self) -> abc.Mapping[TraitKey, Culprit]:
+        """The traits that crash upstreams, by key."""
+        return self._culprits
+
+    @property
+    def fingerprint(self) -> int:
+        """A hash of the evidence; 0 without any death.
+
+        Two daemons with different fingerprints have something to exchange.
+        """
+        return self._fingerprint
+
+    def is_blamed(self, key: TraitKey) -> bool:
+        """Returns whether a death blames the trait, refuted or not."""
+        return key in self._blamed
+
+    def is_suspect(self, key: TraitKey) -> bool:
+        """Returns whether a death blames the trait and no answer is known."""
+        return key in self._unanswered
+
+    def record_death(self, death: Death) -> bool:
+        """Adds a death; returns whether it was unknown or blames more."""
+        known = self._deaths.pop(death.identity, None)
+        merged = death if known is None else known.merge(death)
+        self._deaths[death.identity] = merged
+        if len(self._deaths) > MAX_DEATHS:
+            self._deaths.pop(min(self._deaths.values(), key=_get_time).identity)
+        is_new = known is None or known.suspects != merged.suspects
+        if is_new:
+            self._decide()
+        return is_new
+
+    def record_answer(self, key: TraitKey, at: datetime.timedelta) -> None:
+        """Records when an answer began to a request with a trait."""
+        known = self._answers.pop(key, None)
+        self._answers[key] = at if known is None else max(at, known)
+        if len(self._answers) > MAX_ANSWERS:
+            self._answers.pop(next(iter(self._answers)))
+        if key in self._blamed and (known is None or known < at):
+            self._decide()
+
+    def merge(self, report: Report, now: datetime.timedelta) -> None:
+        """Adds the evidence received from another daemon."""
+        for answer in report.answers:
+            age = _convert_age(answer.age_ms)
+            if age < ANSWER_TTL:
+                self.record_answer(answer.key, now - age)
+        for death in report.deaths:
+            age = _convert_age(death.age_ms)
+            if age < DEATH_TTL:
+                self.record_death(
+                    Death(
+                        identity=death.identity,
+                        at=now - age,
+                        suspects=limit_suspects(death.suspects),
+                    )
+                )
+
+    def build_report(self, now: datetime.timedelta) -> Report:
+        """Returns the evidence on all traits that a death blames."""
+        return Report(
+            deaths=tuple(
+                DeathReport(
+                    death.identity,
+                    _compute_age(death.at, now),
+                    dict(death.suspects),
+                )
+                for death in self._deaths.values()
+            ),
+            answers=tuple(
+                AnswerReport(key, _compute_age(self._answers[key], now))
+                for key in sorted(self._blamed)
+                if key in self._answers
+            ),
+        )
+
+    def expire(self, now: datetime.timedelta) -> None:
+        """Removes deaths and answers after their lifetimes."""
+        expired = [
+            death.identity
+            for death in self._deaths.values()
+            if now - death.at >= DEATH_TTL
+        ]
+        for identity in expired:
+            del self._deaths[identity]
+        outdated = [
+            key for key, at in self._answers.items() if now - at >= ANSWER_TTL
+        ]
+        for key in outdated:
+            del self._answers[key]
+        if expired or self._blamed.intersection(outdated):
+            self._decide()
+
+    def _decide(self) -> None:
+        deaths = self._deaths.values()
+        self._blamed = frozenset(key for d in deaths for key in d.suspects)
+        self._unanswered = self._blamed.difference(self._answers)
+        self._culprits = find_culprits(deaths, self._answers)
+        facts = sorted(
+            (death.identity, sorted(death.suspects)) for death in deaths
+        )
+        answered = sorted(self._blamed.intersection(self._answers))
+        content = msgspec.msgpack.encode((facts, answered))
+        self._fingerprint = xxhash.xxh3_64_intdigest(content) if facts else 0
+
+
+def _get_time(death: Death) -> datetime.timedelta:
+    return death.at
+
+
+def _compute_age(at: datetime.timedelta, now: datetime.timedelta) -> int:
+    return max(0, (now - at) // datetime.timedelta(milliseconds=1))
+
+
+def _convert_age(age_ms: int) -> datetime.timedelta:
+    # A damaged report must not overflow the range of timedelta.
+    return datetime.timedelta(milliseconds=min(max(0, age_ms), 10**10))
--- /dev/null
+++ b/arbutuscove/crashes/tracker.py
@@ -0,0 +1,339 @@
+"""Tracks which requests crash upstreams, and keeps them from further ones.
+
+When the answer to a request is lost before its first event, the VM is probed.
+Only a VM that is known to have crashed counts as a death: a connection also
+breaks without one. If the probe decides nothing, the list of VMs does, once it
+shows a later start of the VM.
+"""
+
+import dataclasses
+import datetime
+import typing
+from collections import abc
+
+import eliot
+import msgspec
+from gevent import event
+
+from arbutuscove.crashes import evidence as evidence_module
+from arbutuscove.crashes import liveness
+from arbutuscove.fleet import model as fleet_model
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.kernel import services
+
+SERVICE_NAME = "crashes"
+WATCH_INTERVAL = datetime.timedelta(milliseconds=250)
+EXPIRY_INTERVAL = datetime.timedelta(seconds=5)
+# A crashed VM is listed with its new start within this time, or stays away.
+MAX_WATCH = datetime.timedelta(seconds=15)
+MAX_WATCHED_LOSSES = 256  # the oldest is dropped
+# Requests that are lost together share the result of one probe.
+PROBE_TTL = datetime.timedelta(milliseconds=250)
+MAX_LOGGED_PARTS = 8
+MIN_RETRY_AFTER = datetime.timedelta(seconds=1)
+
+
+class Request(typing.Protocol):
+    """The part of a request that identifies its traits."""
+
+    @property
+    def request_id(self) -> str:
+        """The caller's id of the request."""
+
+    @property
+    def prompt_parts(self) -> tuple[str, ...]:
+        """The parts of the prompt that other requests may have, too."""
+
+    def encode_identity(self) -> bytes:
+        """Returns what makes two requests equal."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Loss:
+    """A lost answer whose VM is neither known to be alive nor dead."""
+
+    vm: fleet_model.Vm
+    death: evidence_module.Death
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Trial:
+    request_id: str
+    started_at: datetime.timedelta
+
+
+class CrashTracker(services.LoopService):
+    """Decides which requests may run, from the evidence of all daemons."""
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        find_vm: abc.Callable[[str], fleet_model.Vm | None],
+        probe: abc.Callable[[fleet_model.Vm], liveness.Liveness],
+        send: abc.Callable[[bytes], None],
+        is_trial_owner: abc.Callable[[int], bool],
+    ) -> None:
+        """Creates a tracker without any evidence.
+
+        Args:
+            clock: the clock.
+            find_vm: returns a listed VM by its name.
+            probe: determines whether a VM is alive.
+            send: sends encoded evidence to all other daemons.
+            is_trial_owner: whether this daemon may try a trait; all other
+                daemons refuse requests with it meanwhile.
+        """
+        self._clock = clock
+        self._find_vm = find_vm
+        self._probe = probe
+        self._send = send
+        self._is_trial_owner = is_trial_owner
+        self._evidence = evidence_module.Evidence()
+        self._trials: dict[int, _Trial] = {}
+        self._watched: list[_Loss] = []
+        self._has_watched = event.Event()
+        self._probes: dict[str, event.AsyncResult] = {}
+        self._probed: dict[
+            str, tuple[liveness.Liveness, datetime.timedelta]
+        ] = {}
+
+    def start(self, kernel: services.Kernel) -> None:
+        """Starts the loop that settles undecided losses."""
+        self.run_loop(self._run)
+
+    def get_fingerprint(self) -> int:
+        """Returns a hash of the evidence, 0 without any."""
+        return self._evidence.fingerprint
+
+    def encode_evidence(self) -> bytes:
+        """Returns the evidence in the form that daemons exchange."""
+        report = self._evidence.build_report(self._clock.monotonic())
+        return msgspec.msgpack.encode(report)
+
+    def merge_evidence(self, data: bytes) -> None:
+        """Adds the evidence of another daemon."""
+        try:
+            report = msgspec.msgpack.decode(data, type=evidence_module.Report)
+        except msgspec.MsgspecError as error:
+            eliot.log_message("crash:unreadable", reason=str(error))
+            return
+        before = self._evidence.culprits
+        self._evidence.merge(report, self._clock.monotonic())
+        self._log_changes(before)
+
+    def find_culprit(self, request: Request) -> evidence_module.Culprit | None:
+        """Returns the trait for which a request must not run, if any.
+
+        Once a culprit is due for a trial, one daemon admits one request.
+        """
+        culprits = self._evidence.culprits
+        if not culprits:
+            return None
+        for key in _list_traits(request, has_head=True):
+            culprit = culprits.get(key)
+            if culprit is not None and not self._may_try(culprit, request):
+                return culprit
+        return None
+
+    def may_repeat(self, request: Request) -> bool:
+        """Returns whether a lost request may be sent to another VM.
+
+        A request does not if a death blames a part of its prompt and no answer
+        to a request with that part is known: it may have caused the death.
+        """
+        keys = map(evidence_module.hash_part, request.prompt_parts)
+        if any(self._evidence.is_suspect(key) for key in keys):
+            return False
+        return self.find_culprit(request) is None
+
+    def compute_retry_after(
+        self, culprit: evidence_module.Culprit
+    ) -> datetime.timedelta:
+        """Returns the time until a request with the trait may run again."""
+        remaining = culprit.trial_due - self._clock.monotonic()
+        return max(remaining, MIN_RETRY_AFTER)
+
+    def record_answer(self, request: Request, at: datetime.timedelta) -> None:
+        """Records that an upstream answers a request and survives it.
+
+        Args:
+            request: the request.
+            at: monotonic time at which the answer began.
+        """
+        before = self._evidence.culprits
+        for key in map(evidence_module.hash_part, request.prompt_parts):
+            self._evidence.record_answer(key, at)
+        if self._evidence.fingerprint:
+            whole = evidence_module.hash_request(request.encode_identity())
+            if self._evidence.is_blamed(whole):
+                self._evidence.record_answer(whole, at)
+        self._log_changes(before)
+
+    def report_loss(
+        self, request: Request, vm: fleet_model.Vm, has_head: bool
+    ) -> None:
+        """Records a death if the VM of a lost answer has crashed.
+
+        Returns once the other daemons have been told, so that the request is
+        not sent again before.
+
+        Args:
+            request: the request whose answer was lost before its first event.
+            vm: the VM that the request was sent to.
+            has_head: whether the head of the answer had arrived: the engine had
+                begun to run the request.
+        """
+        now = self._clock.monotonic()
+        death = evidence_module.Death(
+            identity=f"{vm.name}@{vm.started_at_ms}",
+            at=now,
+            suspects=evidence_module.limit_suspects(
+                _list_traits(request, has_head)
+            ),
+        )
+        match self._determine_liveness(vm, death.identity):
+            case liveness.Liveness.DEAD:
+                self._record_death(death, request)
+            case liveness.Liveness.UNKNOWN:
+                self._watched.append(_Loss(vm=vm, death=death))
+                del self._watched[:-MAX_WATCHED_LOSSES]
+                self._has_watched.set()
+
+    def settle_losses(self) -> None:
+        """Decides the undecided losses that the list of VMs now explains."""
+        now = self._clock.monotonic()
+        losses, self._watched = self._watched, []
+        for loss in losses:
+            listed = self._find_vm(loss.vm.name)
+            if listed is not None and _has_restarted(loss.vm, listed):
+                self._record_death(loss.death)
+            elif now - loss.death.at < MAX_WATCH:
+                self._watched.append(loss)
+        if not self._watched:
+            self._has_watched.clear()
+
+    def _determine_liveness(
+        self, vm: fleet_model.Vm, identity: str
+    ) -> liveness.Liveness:
+        listed = self._find_vm(vm.name)
+        if listed is not None and _has_restarted(vm, listed):
+            return liveness.Liveness.DEAD
+        if listed is not None and listed.leaving:
+            # A planned stop ends connections, too.
+            return liveness.Liveness.ALIVE
+        now = self._clock.monotonic()
+        state, probed_at = self._probed.get(identity, (None, now))
+        if state is not None and now - probed_at < PROBE_TTL:
+            return state
+        result = self._probes.get(identity)
+        if result is not None:
+            return typing.cast(liveness.Liveness, result.get())
+        result = self._probes[identity] = event.AsyncResult()
+        state = liveness.Liveness.UNKNOWN
+        try:
+            state = self._probe(vm)
+        finally:
+            self._probed[identity] = (state, self._clock.monotonic())
+            self._probes.pop(identity)
+            result.set(state)
+        return state
+
+    def _record_death(
+        self, death: evidence_module.Death, request: Request | None = None
+    ) -> None:
+        before = self._evidence.culprits
+        if not self._evidence.record_death(death):
+            return
+        eliot.log_message(
+            "crash:death",
+            request_id=None if request is None else request.request_id,
+            vm=death.identity,
+            prompt_parts=None
+            if request is None
+            else request.prompt_parts[:MAX_LOGGED_PARTS],
+            suspects=_format_keys(death.suspects),
+        )
+        self._log_changes(before)
+        self._send(self.encode_evidence())
+
+    def _may_try(
+        self, culprit: evidence_module.Culprit, request: Request
+    ) -> bool:
+        """Returns whether the request is the trial of a culprit."""
+        now = self._clock.monotonic()
+        trial = self._trials.get(culprit.key)
+        if trial is not None:
+            if trial.request_id == request.request_id:
+                return True
+            if now - trial.started_at < evidence_module.MIN_TRIAL_DELAY:
+                return False
+        if now < culprit.trial_due or not self._is_trial_owner(culprit.key):
+            return False
+        self._trials[culprit.key] = _Trial(
+            request_id=request.request_id, started_at=now
+        )
+        eliot.log_message(
+            "crash:trial",
+            request_id=request.request_id,
+            suspects=_format_keys((culprit.key,)),
+        )
+        return True
+
+    def _log_changes(
+        self, before: abc.Mapping[int, evidence_module.Culprit]
+    ) -> None:
+        after = self._evidence.culprits
+        if after is before:
+            return
+        for key in after.keys() - before.keys():
+            eliot.log_message(
+                "crash:quarantined",
+                suspects=_format_keys((key,)),
+                deaths=after[key].deaths,
+            )
+        for key in before.keys() - after.keys():
+            self._trials.pop(key, None)
+            eliot.log_message("crash:cleared", suspects=_format_keys((key,)))
+
+    def _run(self) -> None:
+        expiry_due = self._clock.monotonic()
+        while True:
+            if self._has_watched.wait(EXPIRY_INTERVAL.total_seconds()):
+                self.settle_losses()
+                self._clock.sleep(WATCH_INTERVAL)
+            now = self._clock.monotonic()
+            if now >= expiry_due:
+                expiry_due = now + EXPIRY_INTERVAL
+                before = self._evidence.culprits
+                self._evidence.expire(now)
+                self._log_changes(before)
+                self._probed = {
+                    identity: probed
+                    for identity, probed in self._probed.items()
+                    if now - probed[1] < PROBE_TTL
+                }
+
+
+def _list_traits(request: Request, has_head: bool) -> dict[int, int]:
+    """Returns the depth of each trait by its key.
+
+    A request whose answer had no head may have waited in the engine's queue, so
+    that only the whole request is listed: it is blamed if it is lost with
+    several VMs.
+    """
+    whole = evidence_module.hash_request(request.encode_identity())
+    traits = {whole: evidence_module.WHOLE_DEPTH}
+    if has_head:
+        traits |= {
+            evidence_module.hash_part(part): depth
+            for depth, part in enumerate(request.prompt_parts)
+        }
+    return traits
+
+
+def _has_restarted(vm: fleet_model.Vm, listed: fleet_model.Vm) -> bool:
+    return listed.started_at_ms > vm.started_at_ms
+
+
+def _format_keys(keys: abc.Iterable[int]) -> list[str]:
+    return [f"{key:016x}" for key in keys]
--- a/arbutuscove/gossip/digest.py
+++ b/arbutuscove/gossip/digest.py
@@ -16,6 +16,7 @@
 from collections import abc
 
 import msgspec
+import xxhash
 
 # Number of peers up to which every peer is sent a heartbeat in each interval.
 SMALL_FLEET_PEERS = 8
@@ -59,7 +60,8 @@
     make no progress on its requests and `slow` those whose events pause for too
     long, each as name and epoch. `capacity` is the processor time of its VM in
     thousandths of a core. `resigned` is the highest fencing token from which it
-    resigned before the lease had expired.
+    resigned before the lease had expired. `evidence` is the fingerprint of what
+    it knows of crashes of upstreams, -1 if its version has none.
     """
 
     name: str
@@ -78,6 +80,7 @@
     slow: tuple[tuple[str, int], ...] = ()
     capacity: int = 0
     resigned: int = 0
+    evidence: int = -1
 
 
 class Datagram(
@@ -111,6 +114,15 @@
     relay: bool = False
 
 
+class EvidenceUpdate(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="evidence"
+):
+    """What a daemon knows of crashes of upstreams, in an encoded form."""
+
+    sender: str
+    content: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ListRow:
     """An entry of the list in one version; `content` is None if removed."""
@@ -129,15 +141,21 @@
     return zlib.crc32(name.encode())
 
 
+def compute_weight(name: str, key: int) -> int:
+    """Returns the weight of a daemon for a key in rendezvous hashing."""
+    return xxhash.xxh3_64_intdigest(name.encode(), seed=key)
+
+
 ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(Datagram | ListUpdate)
+Message = Datagram | ListUpdate | EvidenceUpdate
+_DECODER = msgspec.msgpack.Decoder(Message)
 
 
 class MessageError(Exception):
     """A datagram that is not a valid message of this version."""
 
 
-def decode(data: bytes) -> Datagram | ListUpdate:
+def decode(data: bytes) -> Message:
     """Returns the message in a datagram.
 
     Raises:
--- a/arbutuscove/gossip/service.py
+++ b/arbutuscove/gossip/service.py
@@ -2,6 +2,7 @@
 
 import datetime
 import random
+import typing
 from collections import abc
 
 import eliot
@@ -23,6 +24,21 @@
 # Time in which a new daemon receives the heartbeats of the others.
 DISCOVERY_TIME = datetime.timedelta(milliseconds=500)
 CANDIDATE_DELAY = datetime.timedelta(seconds=1)
+# Between two answers to heartbeats of one daemon whose evidence differs.
+EVIDENCE_INTERVAL = datetime.timedelta(milliseconds=200)
+
+
+class EvidenceSource(typing.Protocol):
+    """What this daemon knows of crashes of upstreams."""
+
+    def get_fingerprint(self) -> int:
+        """Returns a hash of the evidence, 0 without any."""
+
+    def encode_evidence(self) -> bytes:
+        """Returns the evidence in the form that daemons exchange."""
+
+    def merge_evidence(self, data: bytes) -> None:
+        """Adds the evidence of another daemon."""
 
 
 class Gossip(services.LoopService):
@@ -61,6 +77,8 @@
             None
         )
         self._handle_config_version: abc.Callable[[int], None] | None = None
+        self._evidence: EvidenceSource | None = None
+        self._evidence_sent_at: dict[str, datetime.timedelta] = {}
         self._started = clock.monotonic()
         self._duty_unheld_since = self._started
 
@@ -109,6 +127,34 @@
         """Sets the function that handles configuration versions of peers."""
         self._handle_config_version = handler
 
+    def set_evidence_source(self, source: EvidenceSource) -> None:
+        """Sets the evidence to exchange with the other daemons."""
+        self._evidence = source
+
+    def broadcast_evidence(self, content: bytes) -> None:
+        """Sends evidence to all live daemons at once.
+
+        A daemon that misses it learns it by the fingerprints in heartbeats.
+        """
+        data = digest.ENCODER.encode(
+            digest.EvidenceUpdate(sender=self._own.name, content=content)
+        )
+        for heartbeat in self.get_live():
+            self._send_data(heartbeat.ip, data)
+
+    def owns(self, key: int) -> bool:
+        """Returns whether this daemon is responsible for a key.
+
+        The daemons agree on it as far as they agree on which of them are live
+        (rendezvous hashing, Thaler and Ravishankar 1998).
+        """
+        own_weight = digest.compute_weight(self._own.name, key)
+        return all(
+            own_weight > digest.compute_weight(heartbeat.name, key)
+            for heartbeat in self.get_live()
+            if not heartbeat.leaving
+        )
+
     def get_own(self) -> digest.Heartbeat:
         """Returns the last heartbeat that this daemon sent."""
         return self._own
@@ -231,6 +277,7 @@
             self._update_own(self._own),
             counter=self._own.counter + 1,
             leaving=self._leaving,
+            evidence=self._get_fingerprint(),
         )
         # Heartbeats are relayed only in a fleet too large to send to all peers.
         others: list[digest.Heartbeat] = []
@@ -271,17 +318,51 @@
                 eliot.log_message("gossip:receive_failed", reason=str(error))
                 self._clock.sleep(datetime.timedelta(milliseconds=50))
                 continue
-            if isinstance(message, digest.ListUpdate):
+            self._handle_message(message)
+
+    def _handle_message(self, message: digest.Message) -> None:
+        match message:
+            case digest.ListUpdate():
                 if self._handle_update is not None:
                     self._handle_update(message)
-                continue
-            now = self._clock.monotonic()
-            self._table.merge_counters(message.counters, now)
-            for heartbeat in (message.sender, *message.others):
-                if self._table.merge(heartbeat, now):
-                    self._report_impaired_groups(heartbeat)
-                    if self._handle_config_version is not None:
-                        self._handle_config_version(heartbeat.config_version)
+            case digest.EvidenceUpdate():
+                if self._evidence is not None:
+                    self._evidence.merge_evidence(message.content)
+            case digest.Datagram():
+                self._handle_heartbeats(message)
+
+    def _handle_heartbeats(self, message: digest.Datagram) -> None:
+        now = self._clock.monotonic()
+        self._table.merge_counters(message.counters, now)
+        for heartbeat in (message.sender, *message.others):
+            if self._table.merge(heartbeat, now):
+                self._report_impaired_groups(heartbeat)
+                if self._handle_config_version is not None:
+                    self._handle_config_version(heartbeat.config_version)
+        self._reconcile_evidence(message.sender, now)
+
+    def _get_fingerprint(self) -> int:
+        source = self._evidence
+        return 0 if source is None else source.get_fingerprint()
+
+    def _reconcile_evidence(
+        self, sender: digest.Heartbeat, now: datetime.timedelta
+    ) -> None:
+        """Sends the evidence to a daemon that knows less, or other things."""
+        source = self._evidence
+        if source is None or sender.evidence < 0:
+            return
+        fingerprint = source.get_fingerprint()
+        if not fingerprint or fingerprint == sender.evidence:
+            return
+        sent_at = self._evidence_sent_at.get(sender.name)
+        if sent_at is not None and now - sent_at < EVIDENCE_INTERVAL:
+            return
+        self._evidence_sent_at[sender.name] = now
+        update = digest.EvidenceUpdate(
+            sender=self._own.name, content=source.encode_evidence()
+        )
+        self._send_data(sender.ip, digest.ENCODER.encode(update))
 
     def _report_impaired_groups(self, heartbeat: digest.Heartbeat) -> None:
         """Reports groups that a peer newly found stalled or that are slow."""
--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from arbutuscove.catalog import holder as catalog_holder
+from arbutuscove.crashes import tracker as crash_tracker
 from arbutuscove.fleet import controller as controller_module
 from arbutuscove.fleet import health
 from arbutuscove.fleet import inventory as inventory_module
@@ -127,6 +128,14 @@
         )
         self._orders = engine.HttpOrderClient(self._connections, self._clock)
         self._gossip = self._build_gossip()
+        self._crashes = crash_tracker.CrashTracker(
+            self._clock,
+            self._inventory.find,
+            self._orders.probe_liveness,
+            self._gossip.broadcast_evidence,
+            self._gossip.owns,
+        )
+        self._gossip.set_evidence_source(self._crashes)
         self._leases = lease_holder.LeaseHolder(
             self._identity,
             store_module.StoreTable(self._store),
@@ -184,6 +193,7 @@
             (followers.CONFIGURATION_SERVICE, configuration),
             (followers.SERVERS_SERVICE, servers),
             (gossip_service.SERVICE_NAME, self._gossip),
+            (crash_tracker.SERVICE_NAME, self._crashes),
             (REGISTRY_SERVICE, registry),
             (lease_holder.SERVICE_NAME, self._leases),
             (controller_module.SERVICE_NAME, self._controller),
@@ -233,6 +243,7 @@
             self._gossip.broadcast,
             self._probe_members,
             self._generator,
+            self._crashes,
         )
         return flow_module.Flow(
             context,
--- a/arbutuscove/platform/engine.py
+++ b/arbutuscove/platform/engine.py
@@ -7,6 +7,7 @@
 import eliot
 import msgspec
 
+from arbutuscove.crashes import liveness
 from arbutuscove.fleet import model
 from arbutuscove.fleet import orders
 from arbutuscove.kernel import clock as clock_module
@@ -17,6 +18,8 @@
 from arbutuscove.transport import pool
 
 ORDER_TIMEOUT = datetime.timedelta(milliseconds=800)
+# The address now belongs to another VM.
+ANOTHER_VM_STATUS = 421
 # A responsive server answers a status request within some milliseconds.
 REPORT_TIMEOUT = datetime.timedelta(milliseconds=300)
 
@@ -25,6 +28,7 @@
 class _Report:
     sequence: int  # orders accepted since the start
     group: entries.Group | None = None
+    born: int = 0  # start of the VM in Unix milliseconds
     pace: float = 1.0  # above 1 if the VM is slow
 
 
@@ -80,6 +84,33 @@
             accepted=report.sequence, membership=membership, pace=report.pace
         )
 
+    def probe_liveness(self, vm: model.Vm) -> liveness.Liveness:
+        """Determines whether a VM still runs since the start that is known.
+
+        The probe has a connection of its own: an idle one shows only that the
+        VM was there when it was used last.
+        """
+        try:
+            status, answer = self._call(
+                vm, "GET", "/report", b"", REPORT_TIMEOUT, pool.NEVER_IDLE
+            )
+        except http.RefusedError:
+            return liveness.Liveness.DEAD
+        except http.HttpError as error:
+            eliot.log_message("fleet:undecided", vm=vm.name, reason=str(error))
+            return liveness.Liveness.UNKNOWN
+        if status == ANOTHER_VM_STATUS:
+            return liveness.Liveness.DEAD
+        if status != 200:
+            return liveness.Liveness.ALIVE
+        try:
+            report = msgspec.json.decode(answer, type=_Report)
+        except msgspec.MsgspecError:
+            return liveness.Liveness.UNKNOWN
+        if vm.started_at_ms and report.born > vm.started_at_ms:
+            return liveness.Liveness.DEAD
+        return liveness.Liveness.ALIVE
+
     def _call(
         self,
         vm: model.Vm,
@@ -87,6 +118,7 @@
         target: str,
         body: bytes,
         timeout: datetime.timedelta = ORDER_TIMEOUT,
+        max_idle_time: datetime.timedelta = pool.MAX_IDLE_TIME,
     ) -> tuple[int, bytes]:
         deadline = self._clock.monotonic() + timeout
         fields = [
@@ -95,7 +127,9 @@
         ]
         if body:
             fields.append(("Content-Type", "application/json"))
-        client_connection = self._connections.check_out(vm.address, timeout)
+        client_connection = self._connections.check_out(
+            vm.address, timeout, max_idle_time
+        )
         try:
             data = connection.encode_request(method, target, fields, body)
             client_connection.send(method, data)
@@ -125,7 +159,7 @@
     202: orders.Outcome.ACCEPTED,
     409: orders.Outcome.STATE_MISMATCH,
     412: orders.Outcome.FENCED,
-    421: orders.Outcome.ANOTHER_VM,
+    ANOTHER_VM_STATUS: orders.Outcome.ANOTHER_VM,
 }
 
 
--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -16,6 +16,7 @@
 import gevent
 
 from arbutuscove.catalog import holder as catalog_holder
+from arbutuscove.crashes import tracker
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.relay import backends as backends_module
 from arbutuscove.relay import model
@@ -26,9 +27,6 @@
 from arbutuscove.transport import pool as pool_module
 
 CONNECT_TIMEOUT = datetime.timedelta(milliseconds=400)
-# Requests that may not be retried use a new connection or one that was in use
-# just now: the upstream may close an idle one while the request is sent.
-MAX_NON_IDEMPOTENT_IDLE = datetime.timedelta(0)
 # Time without progress after which one request is resumed at another backend,
 # even if other requests at the same backend make progress.
 STREAM_STALL_TIMEOUT = datetime.timedelta(milliseconds=1200)
@@ -50,6 +48,8 @@
 # Range of the random delay before a probe, which spreads the daemons' probes of
 # a silent group.
 PROBE_JITTER = datetime.timedelta(milliseconds=200)
+# An engine that still sends events after this time has survived the request.
+MIN_SURVIVAL = datetime.timedelta(milliseconds=300)
 # How often a waiting attempt checks whether its backend is stalled.
 STALL_CHECK_INTERVAL = datetime.timedelta(milliseconds=150)
 
@@ -65,6 +65,14 @@
         self.is_busy = is_busy
 
 
+class QuarantinedError(NotRunError):
+    """The request did not run, since requests like it crash upstreams."""
+
+    def __init__(self, retry_after: datetime.timedelta) -> None:
+        super().__init__("requests like it crash upstreams")
+        self.retry_after = retry_after
+
+
 class AttemptLostError(Exception):
     """The attempt failed; the upstream may have run the request."""
 
@@ -140,8 +148,10 @@
         notify_peers: abc.Callable[[], None],
         probe_members: abc.Callable[[model.Backend], list[str]],
         generator: random.Random,
+        crashes: tracker.CrashTracker,
     ) -> None:
         self.clock = clock
+        self.crashes = crashes
         self.dispatcher = request_dispatcher
         self.states = states
         self.connections = connections
@@ -219,6 +229,8 @@
         self._has_answer_begun = False
         self._head_at: datetime.timedelta | None = None
         self._event_count = 0
+        self._first_event_at: datetime.timedelta | None = None
+        self._is_survival_recorded = False
         # Time spent waiting for bytes since the last progress. It leaves out
         # time in which the caller reads slowly or this process is suspended, as
         # the upstream is not silent then.
@@ -269,10 +281,14 @@
         left = request.deadline - self._started_at
         if left <= MIN_TIME_LEFT:
             raise NotRunError("no time is left")
+        culprit = context.crashes.find_culprit(request)
+        if culprit is not None:
+            raise QuarantinedError(context.crashes.compute_retry_after(culprit))
         repeat = request.route.repeat
         max_idle_time = pool_module.MAX_IDLE_TIME
         if not repeat.is_idempotent:
-            max_idle_time = MAX_NON_IDEMPOTENT_IDLE
+            # The upstream may close an idle one while the request is sent.
+            max_idle_time = pool_module.NEVER_IDLE
         try:
             upstream = context.connections.check_out(
                 self.backend.vm.address,
@@ -330,12 +346,24 @@
         """Records progress of the answer; bytes alone are no progress."""
         assert self.backend is not None
         if self.reply is not None:
-            self._event_count += 1
+            self._record_event()
         pause, self._read_wait = self._read_wait, ZERO
         self._context.states.record_progress(
             self.backend.key, self._compute_pause_ratio(pause)
         )
 
+    def _record_event(self) -> None:
+        now = self._context.clock.monotonic()
+        self._event_count += 1
+        if self._first_event_at is None:
+            self._first_event_at = now
+        # Once is enough; the other events come too often to record them all.
+        elif (
+            not self._is_survival_recorded
+            and now - self._first_event_at >= MIN_SURVIVAL
+        ):
+            self._record_survival(self._first_event_at)
+
     def record_loss(self, reason: str) -> AttemptLostError:
         """Counts a failure of the backend and returns the error to raise."""
         return self._record_loss(ValueError(reason))
@@ -359,6 +387,12 @@
 
     def finish(self) -> None:
         """Returns the connection to the pool and frees the slot."""
+        begun_at = self._first_event_at
+        if not self._request.route.repeat.is_streamed:
+            begun_at = self._head_at
+        is_success = self.reply is not None and self.reply.status < 300
+        if is_success and begun_at is not None:
+            self._record_survival(begun_at)
         upstream, self._connection = self._connection, None
         if upstream is not None and self.parser is not None:
             self._context.connections.check_in(
@@ -373,6 +407,11 @@
             upstream.close()
         self._release(tokens=0)
 
+    def _record_survival(self, begun_at: datetime.timedelta) -> None:
+        if not self._is_survival_recorded:
+            self._is_survival_recorded = True
+            self._context.crashes.record_answer(self._request, begun_at)
+
     def _record_first_byte(self) -> None:
         if self._has_answer_begun:
             return
@@ -458,6 +497,13 @@
             left = self._request.deadline - now
             if left <= datetime.timedelta():
                 raise AttemptLostError("the deadline has passed")
+            # A request that waits in an engine may have become known to crash
+            # upstreams since it was sent.
+            if (
+                self.reply is None
+                and context.crashes.find_culprit(self._request) is not None
+            ):
+                raise AttemptLostError("requests like it crash upstreams")
             # Checked even while bytes arrive, as they may belong to no event.
             waited = self._read_wait
             stalled = context.states.is_stalled(key) or waited >= stall_timeout
@@ -502,8 +548,26 @@
             events=self._event_count,
             prompt_parts=self._request.prompt_parts,
         )
+        if (
+            isinstance(error, http.NoResponseError)
+            and not self._event_count
+            and not self._request.last_event
+        ):
+            self._report_crash(self.backend)
         return AttemptLostError(str(error))
 
+    def _report_crash(self, backend: model.Backend) -> None:
+        """Reports the loss of an answer before its first event.
+
+        A greenlet of its own completes the report if the caller leaves now.
+        """
+        gevent.spawn(
+            self._context.crashes.report_loss,
+            self._request,
+            backend.vm,
+            has_head=self._head_at is not None,
+        ).join()
+
     def _check_reply(self, reply: Reply) -> Reply:
         assert self.backend is not None
         if reply.load is not None:
--- a/arbutuscove/relay/flow.py
+++ b/arbutuscove/relay/flow.py
@@ -49,6 +49,11 @@
         Raises:
             RefusedError: the request is answered by the system itself.
         """
+        culprit = self.context.crashes.find_culprit(request)
+        if culprit is not None:
+            raise build_quarantine_refusal(
+                self.context.crashes.compute_retry_after(culprit)
+            )
         service = self._choose_service(request.route)
         self._get_budget(service).record_request(self.clock.monotonic())
         if request.route.repeat.is_streamed:
@@ -141,6 +146,8 @@
     ) -> bool:
         if attempts_made >= request.route.attempts:
             return False
+        if not self.context.crashes.may_repeat(request):
+            return False
         return self._acquire_retry_in_time(request, service)
 
     def _acquire_retry_in_time(
@@ -259,6 +266,8 @@
             return False
         if left <= attempt_module.MIN_TIME_LEFT:
             return False
+        if not self._flow.context.crashes.may_repeat(self._request):
+            return False
         if not self._flow.acquire_retry(self._service):
             return False
         log_retry(self._request, self._attempts_made, reason)
@@ -325,6 +334,8 @@
     error: attempt_module.NotRunError,
 ) -> model.RefusedError:
     """Returns the error for a request that no upstream ran."""
+    if isinstance(error, attempt_module.QuarantinedError):
+        return build_quarantine_refusal(error.retry_after)
     return model.RefusedError(
         model.Refusal(
             status=503,
@@ -335,6 +346,20 @@
     )
 
 
+def build_quarantine_refusal(
+    retry_after: datetime.timedelta,
+) -> model.RefusedError:
+    """Returns the error for a request that would crash its upstream."""
+    return model.RefusedError(
+        model.Refusal(
+            status=503,
+            code="request_quarantined",
+            not_run=True,
+            retry_after=retry_after,
+        )
+    )
+
+
 def build_failure(
     request: model.Request, status: int, reason: str
 ) -> model.RefusedError:
--- a/arbutuscove/relay/model.py
+++ b/arbutuscove/relay/model.py
@@ -36,6 +36,12 @@
     last_event: str = ""
     prompt_parts: tuple[str, ...] = ()
 
+    def encode_identity(self) -> bytes:
+        """Returns what makes two requests equal: account and content."""
+        account = "" if self.account is None else self.account.name
+        head = f"{self.method}\0{self.target}\0{account}\0{self.model}\0"
+        return head.encode() + self.body
+
     @property
     def priority(self) -> int:
         """The priority of the account, or of the route if it has none."""
--- a/arbutuscove/relay/tests/test_troubled.py
+++ b/arbutuscove/relay/tests/test_troubled.py
@@ -9,6 +9,8 @@
 
 from arbutuscove.catalog import holder as catalog_holder
 from arbutuscove.catalog import model as catalog_model
+from arbutuscove.crashes import liveness
+from arbutuscove.crashes import tracker
 from arbutuscove.fleet import inventory as inventory_module
 from arbutuscove.fleet.tests import test_planner
 from arbutuscove.kernel import clock as clock_module
@@ -35,6 +37,16 @@
 KEY = ("chat~5", 5)
 
 
+def create_tracker(clock):
+    return tracker.CrashTracker(
+        clock,
+        lambda name: None,
+        lambda vm: liveness.Liveness.ALIVE,
+        lambda data: None,
+        lambda key: False,
+    )
+
+
 class Scene:
     """A flow with a faulty upstream and a healthy one."""
 
@@ -64,6 +76,7 @@
             lambda: None,
             lambda backend: [],
             random.Random(1),
+            create_tracker(clock),
         )
         allowance = budget.RetryAllowance(ratio=1.0, slack=99.0, window=SECOND)
         self.flow = flow.Flow(shared, allowance, lambda: 1, random.Random(1))
@@ -322,6 +335,7 @@
             notify_peers,
             probe_members,
             random.Random(number),
+            create_tracker(clock),
         )
         states.begin_request(KEY)
         states[KEY].last_progress = clock.monotonic() - 2 * SECOND
--- a/arbutuscove/transport/pool.py
+++ b/arbutuscove/transport/pool.py
@@ -17,6 +17,7 @@
 # For peers that send no `Keep-Alive` timeout: they may close an idle connection
 # at any time.
 MAX_IDLE_TIME = datetime.timedelta(seconds=4)
+NEVER_IDLE = datetime.timedelta()  # forces a new connection
 # Used share of the `Keep-Alive` timeout, so that the peer does not close the
 # connection while a request is in flight.
 KEEP_ALIVE_SHARE = 0.7
