--- /dev/null
+++ b/arbutuscove/crashes/tests/test_tracker.py
@@ -0,0 +1,182 @@
+"""Guards against wrong evidence, and against trials by several daemons."""
+
+import dataclasses
+import datetime
+
+import pytest
+
+from arbutuscove.crashes import evidence
+from arbutuscove.crashes import liveness
+from arbutuscove.crashes import tracker
+from arbutuscove.fleet.tests import test_planner
+from arbutuscove.kernel import clock as clock_module
+
+SECOND = datetime.timedelta(seconds=1)
+DEAD = liveness.Liveness.DEAD
+ALIVE = liveness.Liveness.ALIVE
+UNKNOWN = liveness.Liveness.UNKNOWN
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Request:
+    """A request with one part that it shares."""
+
+    request_id: str
+    prompt_parts: tuple[str, ...] = ("first", "crash")
+
+    def encode_identity(self):
+        return self.request_id.encode()
+
+
+class Daemon:
+    """A tracker whose probes, list and peers are controlled by a test."""
+
+    def __init__(self, clock, is_owner=True):
+        self.listed = {}
+        self.liveness = DEAD
+        self.probes = 0
+        self.sent = []
+        self.tracker = tracker.CrashTracker(
+            clock,
+            self.listed.get,
+            self._probe,
+            self.sent.append,
+            lambda key: is_owner,
+        )
+
+    def _probe(self, vm):
+        self.probes += 1
+        return self.liveness
+
+    def lose(self, name, vm, has_head=True):
+        request = Request(request_id=name)
+        self.tracker.report_loss(request, create_vm(vm), has_head)
+        return request
+
+    def refuses(self, name="new"):
+        request = Request(request_id=name)
+        return self.tracker.find_culprit(request) is not None
+
+
+def create_vm(name, started_at_ms=1, **fields):
+    return test_planner.create_vm(name, started_at_ms=started_at_ms, **fields)
+
+
+@pytest.fixture(name="clock")
+def fixture_clock():
+    return clock_module.ManualClock()
+
+
+@pytest.fixture(name="daemon")
+def fixture_daemon(clock):
+    return Daemon(clock)
+
+
+def test_tracker_refuses_a_part_after_two_deaths(daemon):
+    """Guards against a part that crashes one VM after the other."""
+    daemon.lose("r1", "a")
+    assert not daemon.refuses()
+    daemon.lose("r2", "b")
+    assert daemon.refuses()
+
+
+@pytest.mark.parametrize("state", [ALIVE, UNKNOWN])
+def test_tracker_blames_nothing_for_a_cut_connection(daemon, state):
+    """Guards against resets or partitions that count as crashes."""
+    daemon.liveness = state
+    for number in range(5):
+        daemon.lose(f"r{number}", f"vm{number}")
+    assert not daemon.refuses()
+    assert daemon.tracker.may_repeat(Request(request_id="r0"))
+    assert not daemon.sent
+
+
+def test_tracker_blames_nothing_for_a_planned_stop(daemon):
+    """Guards against a drain that counts as a crash."""
+    for number in range(3):
+        name = f"vm{number}"
+        daemon.listed[name] = create_vm(name, leaving=True)
+        daemon.lose(f"r{number}", name)
+    assert not daemon.refuses()
+    assert not daemon.probes
+
+
+def test_tracker_learns_a_crash_from_a_later_start(daemon, clock):
+    """Guards against crashes behind a cut, which no probe can show."""
+    daemon.liveness = UNKNOWN
+    for number in range(2):
+        daemon.lose(f"r{number}", f"vm{number}")
+        daemon.listed[f"vm{number}"] = create_vm(f"vm{number}")
+    daemon.tracker.settle_losses()
+    assert not daemon.refuses()
+    clock.advance(SECOND)
+    for number in range(2):
+        daemon.listed[f"vm{number}"] = create_vm(f"vm{number}", 2)
+    daemon.tracker.settle_losses()
+    assert daemon.refuses()
+
+
+def test_tracker_blames_no_part_of_a_request_in_the_queue(daemon):
+    """Guards against blame of requests whose answer had not begun."""
+    for number in range(2):
+        daemon.lose(f"r{number}", f"vm{number}", has_head=False)
+    assert not daemon.refuses()
+
+
+def test_tracker_stops_one_request_that_crashes_vm_after_vm(daemon):
+    """Guards against retries of one request without any shared part."""
+    for number in range(evidence.MIN_DEATHS_ANSWERED):
+        daemon.lose("same", f"vm{number}", has_head=False)
+    assert daemon.refuses("same")
+    assert not daemon.refuses("another")
+
+
+def test_tracker_repeats_no_request_that_may_have_crashed_a_vm(daemon):
+    """Guards against a retry that crashes a second VM."""
+    lost = daemon.lose("r1", "a")
+    assert not daemon.tracker.may_repeat(lost)
+    daemon.tracker.record_answer(
+        Request(request_id="sound", prompt_parts=("first",)), SECOND
+    )
+    sound = Request(request_id="r2", prompt_parts=("first",))
+    assert daemon.tracker.may_repeat(sound)
+
+
+def test_tracker_shares_one_probe_among_requests_lost_together(daemon):
+    """Guards against a probe for each of the requests of a group."""
+    for number in range(10):
+        daemon.lose(f"r{number}", "a")
+    assert daemon.probes == 1
+
+
+def test_tracker_tells_the_other_daemons(daemon, clock):
+    """Guards against daemons that learn each part by crashes of their own."""
+    other = Daemon(clock)
+    daemon.lose("r1", "a")
+    other.lose("r2", "b")
+    for data in daemon.sent:
+        other.tracker.merge_evidence(data)
+    assert other.refuses()
+    started = Daemon(clock)
+    started.tracker.merge_evidence(other.tracker.encode_evidence())
+    assert started.refuses()
+    started.tracker.merge_evidence(b"no evidence")
+
+
+def test_tracker_tries_a_culprit_once_and_at_one_daemon(clock):
+    """Guards against trials of all daemons at once, and endless verdicts."""
+    owner, other = Daemon(clock), Daemon(clock, is_owner=False)
+    for daemon in (owner, other):
+        daemon.lose("r1", "a")
+        daemon.lose("r2", "b")
+    clock.advance(evidence.MIN_TRIAL_DELAY - SECOND)
+    assert owner.refuses("trial")
+    clock.advance(2 * SECOND)
+    assert other.refuses("trial")
+    assert not owner.refuses("trial")
+    assert not owner.refuses("trial")
+    assert owner.refuses("second trial")
+    owner.tracker.record_answer(Request(request_id="trial"), clock.monotonic())
+    assert not owner.refuses("second trial")
+    other.tracker.merge_evidence(owner.tracker.encode_evidence())
+    assert not other.refuses("trial")
