Refuse prompts with a crashing message at arbutuscoved, too

Callers saw: with one system message that crashes engines, each different question cost up to two replicas until none was left (upstream_failed).

Cause: the same fault on the other interface. requests/quarantine knows the digest of a whole request; requests that share only a message are never equal.

Change: a request carries the digests of its messages but the last one. A death that a probe confirms blames them in the evidence of crashes/, which the daemons exchange in their membership messages by fingerprint. A part that crashes replicas is refused (422, request_quarantined); its trial takes the trial row of the table. A lost request is not sent again while one of its parts is blamed and was never answered. Digests of whole requests work as before.

--- a/arbutuscove/admission/work.py
+++ b/arbutuscove/admission/work.py
@@ -25,6 +25,7 @@
     latest_on_time_start: datetime.timedelta | None = None
     prefix: str = ""  # digest of the prompt's start, for cache affinity
     digest: str = ""  # identifies account and content
+    prompt_parts: tuple[str, ...] = ()  # digests of what other prompts may have
     excluded: frozenset[str] = frozenset()  # replicas not to use
     is_suspect: bool = False  # ran on an upstream that died; runs alone
     is_entitled: bool = True  # False: beyond the account's urgent entitlement
--- a/arbutuscove/crashes/evidence.py
+++ b/arbutuscove/crashes/evidence.py
@@ -32,6 +32,8 @@
 MAX_ANSWERS = 8192  # traits with a known answer; the oldest is evicted first
 DEATH_TTL = datetime.timedelta(minutes=10)
 ANSWER_TTL = datetime.timedelta(minutes=5)
+# A VM that still sends events of an answer after this time has survived it.
+MIN_SURVIVAL = datetime.timedelta(milliseconds=300)
 # Time without a death after which one request tries a culprit. It doubles with
 # each death beyond the second, since each failed trial costs a replica.
 MIN_TRIAL_DELAY = datetime.timedelta(seconds=60)
--- a/arbutuscove/entry/callers.py
+++ b/arbutuscove/entry/callers.py
@@ -20,6 +20,7 @@
 DEFAULT_ANSWER_TOKENS = 256
 MAX_CHOICES = 16  # answers to one request
 MAX_ANSWER_TOKENS = 1_000_000  # beyond the context length of any engine
+MAX_PROMPT_PARTS = 32  # further messages of a prompt are not tracked
 PREFIX_BYTES = 1024  # bytes of the prompt that are hashed for cache affinity
 
 
@@ -121,6 +122,7 @@
         deadline=arrived + read_deadline(request),
         prefix=xxhash.xxh3_64_hexdigest(_encode_prompt(body)[:PREFIX_BYTES]),
         digest=digest.hexdigest(),
+        prompt_parts=_list_prompt_parts(body),
     )
 
 
@@ -170,5 +172,20 @@
     return deadline
 
 
+def _list_prompt_parts(body: dict[str, typing.Any]) -> tuple[str, ...]:
+    """Returns the digests of all messages but the last one.
+
+    The last message is the question of this request. Other requests may have
+    the ones before it, such as the instructions of an application.
+    """
+    messages = body.get("messages")
+    if not isinstance(messages, list):
+        return ()
+    return tuple(
+        xxhash.xxh3_64_hexdigest(msgspec.json.encode(message))
+        for message in messages[:-1][:MAX_PROMPT_PARTS]
+    )
+
+
 def _encode_prompt(body: dict[str, typing.Any]) -> bytes:
     return msgspec.json.encode(body.get("messages"))
--- a/arbutuscove/membership/service.py
+++ b/arbutuscove/membership/service.py
@@ -34,6 +34,7 @@
 PEER_PROBES_TIMEOUT = datetime.timedelta(seconds=1)
 LEAVE_TIMEOUT = datetime.timedelta(seconds=2)
 LEAVE_ATTEMPTS = 8
+MAX_FINGERPRINTS = 8192  # members whose evidence is known
 LEAVE_RETRY_DELAY = datetime.timedelta(milliseconds=250)
 MAX_INDIRECT_TIMEOUT = datetime.timedelta(seconds=5)  # for peers' requests
 CHANGES_PER_PAGE = 100  # changes in one reply, far below gRPC's 4 MB
@@ -67,6 +68,15 @@
     ) -> None:
         """Merges the suspicions received from a peer."""
 
+    def get_fingerprint(self) -> int:
+        """Returns a hash of the evidence on prompt parts, 0 without any."""
+
+    def encode_evidence(self) -> bytes:
+        """Returns the evidence on prompt parts to send to peers."""
+
+    def merge_evidence(self, data: bytes) -> None:
+        """Merges the evidence received from a peer."""
+
 
 class Membership(services.LoopService):
     """Probes one peer in each interval and answers the probes of peers."""
@@ -89,6 +99,8 @@
         self._rank_loads: tuple[int, ...] = ()
         self._is_fetching = False
         self._suspicions: Suspicions | None = None
+        # The fingerprint of each member's evidence, as last received.
+        self._fingerprints: dict[str, int] = {}
 
     def start(self, kernel: services.Kernel) -> None:
         """Starts probing and registers with the configuration follower."""
@@ -215,7 +227,9 @@
         self._refresh_own()
         request = wire.decode_message(gossip)
         self._view, message = swim.build_reply(self._view, request)
-        return self._encode(message)
+        reply = self._encode(message)
+        self._add_evidence(reply, gossip.sender.name)
+        return reply
 
     def answer_indirect(self, request: peer_pb2.IndirectProbe) -> bool:
         """Probes a target for a peer and returns whether it answered."""
@@ -319,7 +333,18 @@
     def _build_gossip(self, receiver: str) -> peer_pb2.Gossip:
         self._refresh_own()
         self._view, message = swim.build_message(self._view, receiver)
-        return self._encode(message)
+        gossip = self._encode(message)
+        self._add_evidence(gossip, receiver)
+        return gossip
+
+    def _add_evidence(self, gossip: peer_pb2.Gossip, receiver: str) -> None:
+        """Adds the evidence on crashes that the receiver may not have."""
+        if self._suspicions is None:
+            return
+        fingerprint = self._suspicions.get_fingerprint()
+        gossip.evidence_fingerprint = fingerprint
+        if fingerprint and self._fingerprints.get(receiver) != fingerprint:
+            gossip.evidence = self._suspicions.encode_evidence()
 
     def _encode(self, message: swim.Message) -> peer_pb2.Gossip:
         return peer_pb2.Gossip(
@@ -339,6 +364,11 @@
             return
         if self._suspicions is not None:
             self._suspicions.merge_suspicions(gossip.suspicions)
+            if gossip.evidence:
+                self._suspicions.merge_evidence(gossip.evidence)
+            if len(self._fingerprints) >= MAX_FINGERPRINTS:
+                self._fingerprints.pop(next(iter(self._fingerprints)))
+            self._fingerprints[gossip.sender.name] = gossip.evidence_fingerprint
         self._config.record_accepted(gossip.config_sequence)
         is_missing = gossip.config_loaded and not self._config.is_loaded()
         is_behind = (
--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -16,6 +16,7 @@
 import gevent
 
 from arbutuscove.catalog import holder as catalog_holder
+from arbutuscove.crashes import evidence
 from arbutuscove.crashes import tracker
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.relay import backends as backends_module
@@ -48,8 +49,6 @@
 # Range of the random delay before a probe, which spreads the daemons' probes of
 # a silent group.
 PROBE_JITTER = datetime.timedelta(milliseconds=200)
-# An engine that still sends events after this time has survived the request.
-MIN_SURVIVAL = datetime.timedelta(milliseconds=300)
 # How often a waiting attempt checks whether its backend is stalled.
 STALL_CHECK_INTERVAL = datetime.timedelta(milliseconds=150)
 
@@ -360,7 +359,7 @@
         # Once is enough; the other events come too often to record them all.
         elif (
             not self._is_survival_recorded
-            and now - self._first_event_at >= MIN_SURVIVAL
+            and now - self._first_event_at >= evidence.MIN_SURVIVAL
         ):
             self._record_survival(self._first_event_at)
 
--- a/arbutuscove/requests/flow.py
+++ b/arbutuscove/requests/flow.py
@@ -175,7 +175,9 @@
                     _build_rejection(outcome.rejected_status), lost.run
                 )
             remaining = work.deadline - self._clock.monotonic()
-            if not attempts_module.may_retry(
+            if not self._suspects.may_repeat(
+                work
+            ) or not attempts_module.may_retry(
                 lost, request.repeatable, remaining, self._budget
             ):
                 raise failures.RequestFailedError(_build_failure(), lost.run)
@@ -334,6 +336,7 @@
             return _LostAttempt(
                 run=failures.RunStatus.UNKNOWN, replica=replica.replica
             )
+        self._suspects.record_event(resources.tracked_attempt)
         delivery = self._deliver(first, events, resources, client, dispatch)
         next(delivery)  # enters the try block, so that close() always releases
         return Answer(
@@ -358,6 +361,7 @@
             yield first
             for event in events:
                 token_count += 1
+                self._suspects.record_event(resources.tracked_attempt)
                 previous, last = last, event
                 yield event
             used = _read_token_count(previous, token_count)
--- a/arbutuscove/requests/suspects.py
+++ b/arbutuscove/requests/suspects.py
@@ -6,11 +6,14 @@
 If the leader is still ready, only the connection was cut. If neither can be
 established, the death counts as the first one of a request (which costs a
 trial) but never as the second.
+
+Requests that differ may share a part of their prompt that crashes replicas.
+A death therefore blames the parts of the requests without a first event, too;
+`crashes.evidence` decides which part is at fault.
 """
 
 import dataclasses
 import datetime
-import enum
 import typing
 from collections import abc
 
@@ -20,6 +23,8 @@
 from gevent import event
 
 from arbutuscove.admission import work as work_module
+from arbutuscove.crashes import evidence as evidence_module
+from arbutuscove.crashes import liveness as liveness_module
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
 from arbutuscove.peers import peer_pb2
@@ -48,14 +53,6 @@
 ListServing = abc.Callable[[str], list[replica_model.ServingReplica]]
 
 
-class Liveness(enum.Enum):
-    """Whether a replica whose stream broke is alive."""
-
-    ALIVE = enum.auto()
-    DEAD = enum.auto()
-    UNKNOWN = enum.auto()
-
-
 class Engine(typing.Protocol):
     """The part of the engine client that a probe uses."""
 
@@ -89,6 +86,10 @@
         trial: version of the trial row that the attempt owns, if any.
         replica: where the attempt was dispatched, if it was.
         detached_until: when the watch ends, if the stream is no longer read.
+        prompt_parts: parts of the prompt that other requests may have, too.
+        answered_at: when the first event arrived, if it did.
+        is_survival_recorded: whether the replica is known to have survived the
+            request.
     """
 
     digest: str
@@ -97,6 +98,9 @@
     trial: int | None = None
     replica: replica_model.ServingReplica | None = None
     detached_until: datetime.timedelta | None = None
+    prompt_parts: tuple[str, ...] = ()
+    answered_at: datetime.timedelta | None = None
+    is_survival_recorded: bool = False
 
 
 class SuspectTracker(services.LoopService):
@@ -118,6 +122,7 @@
         self._list_serving = list_serving
         self._send_gossip = send_gossip
         self._records = quarantine.RecordCache()
+        self._evidence = evidence_module.Evidence()
         # Bounded by the requests in progress and by the detached attempts,
         # which are removed after DETACHED_WATCH_DURATION or TRIAL_TTL.
         self._attempts: set[TrackedAttempt] = set()
@@ -151,6 +156,53 @@
             )
             self._records.merge_hint(hint, self._clock.monotonic())
 
+    def get_fingerprint(self) -> int:
+        """Returns a hash of the evidence on prompt parts, 0 without any."""
+        return self._evidence.fingerprint
+
+    def encode_evidence(self) -> bytes:
+        """Returns the evidence on prompt parts to send to peers."""
+        report = self._evidence.build_report(self._clock.monotonic())
+        return msgspec.msgpack.encode(report)
+
+    def merge_evidence(self, data: bytes) -> None:
+        """Merges the evidence on prompt parts received from a peer."""
+        try:
+            report = msgspec.msgpack.decode(data, type=evidence_module.Report)
+        except msgspec.MsgspecError as error:
+            eliot.log_message("quarantine:unreadable", reason=str(error))
+            return
+        self._evidence.merge(report, self._clock.monotonic())
+
+    def may_repeat(self, work: work_module.Work) -> bool:
+        """Returns whether a lost request may be sent again.
+
+        It may not if a death blames a part of its prompt and no answer to a
+        request with that part is known: the request may have caused the death.
+        """
+        keys = list(map(evidence_module.hash_part, work.prompt_parts))
+        return not any(
+            self._evidence.is_suspect(key) or key in self._evidence.culprits
+            for key in keys
+        )
+
+    def record_event(self, attempt: TrackedAttempt) -> None:
+        """Records that an event of the answer arrived."""
+        if attempt.is_survival_recorded:
+            return
+        now = self._clock.monotonic()
+        if attempt.answered_at is None:
+            attempt.answered_at = now
+        elif now - attempt.answered_at >= evidence_module.MIN_SURVIVAL:
+            self._record_survival(attempt)
+
+    def _record_survival(self, attempt: TrackedAttempt) -> None:
+        attempt.is_survival_recorded = True
+        if attempt.answered_at is not None:
+            for part in attempt.prompt_parts:
+                key = evidence_module.hash_part(part)
+                self._evidence.record_answer(key, attempt.answered_at)
+
     def exclude_replica(self, service: str, replica: str) -> frozenset[str]:
         """Returns the replicas that a retry of a request must avoid.
 
@@ -172,9 +224,18 @@
         A suspect acquires the trial of its service, and its attempt excludes
         all replicas but one.
         """
-        attempt = TrackedAttempt(digest=work.digest, service=work.service.name)
+        attempt = TrackedAttempt(
+            digest=work.digest,
+            service=work.service.name,
+            prompt_parts=work.prompt_parts,
+        )
+        culprit = self._find_culprit(work)
+        if culprit is not None and (
+            self._clock.monotonic() < culprit.trial_due
+        ):
+            return expression.Error(_build_quarantine_refusal())
         state = self._records.get_record(work.digest).get_state()
-        if state == quarantine.QuarantineState.FREE:
+        if state == quarantine.QuarantineState.FREE and culprit is None:
             return expression.Ok(attempt)
         try:
             refusal = self._check_quarantine(work.digest)
@@ -189,6 +250,16 @@
             return expression.Error(refusal)
         return expression.Ok(attempt)
 
+    def _find_culprit(
+        self, work: work_module.Work
+    ) -> evidence_module.Culprit | None:
+        """Returns the part of the prompt that crashes replicas, if any."""
+        for key in map(evidence_module.hash_part, work.prompt_parts):
+            culprit = self._evidence.culprits.get(key)
+            if culprit is not None:
+                return culprit
+        return None
+
     def record_dispatch(
         self, attempt: TrackedAttempt, replica: replica_model.ServingReplica
     ) -> None:
@@ -206,6 +277,8 @@
             attempt: the attempt.
             is_complete: whether its answer was delivered to the end.
         """
+        if is_complete and not attempt.is_survival_recorded:
+            self._record_survival(attempt)
         if is_complete or attempt.replica is None:
             self._attempts.discard(attempt)
             if attempt.trial is not None:
@@ -247,7 +320,7 @@
             liveness = self._probe_until_known(
                 replica, min(PROBE_TIMEOUT, remaining)
             )
-            if liveness != Liveness.ALIVE:
+            if liveness != liveness_module.Liveness.ALIVE:
                 self._record_death(death, liveness)
         finally:
             # Allows a new probe: a replica of unknown liveness may die later in
@@ -275,9 +348,9 @@
         }
         for death, replica in replicas.items():
             match self._probe_until_known(replica, ZERO):
-                case Liveness.DEAD:
-                    self._record_death(death, Liveness.DEAD)
-                case Liveness.ALIVE:
+                case liveness_module.Liveness.DEAD:
+                    self._record_death(death, liveness_module.Liveness.DEAD)
+                case liveness_module.Liveness.ALIVE:
                     self._shorten_watch(death, now + DETACHED_WATCH_DURATION)
         for attempt in detached:
             until = attempt.detached_until
@@ -320,22 +393,24 @@
 
     def _probe_until_known(
         self, replica: replica_model.ServingReplica, timeout: datetime.timedelta
-    ) -> Liveness:
+    ) -> liveness_module.Liveness:
         deadline = self._clock.monotonic() + timeout
         while True:
             liveness = self._probe(replica)
-            if liveness != Liveness.UNKNOWN:
+            if liveness != liveness_module.Liveness.UNKNOWN:
                 return liveness
             if self._clock.monotonic() >= deadline:
                 return liveness
             self._clock.sleep(PROBE_INTERVAL)
 
-    def _probe(self, replica: replica_model.ServingReplica) -> Liveness:
+    def _probe(
+        self, replica: replica_model.ServingReplica
+    ) -> liveness_module.Liveness:
         client = self._engines.get(replica.leader.address)
         try:
             status = client.read_status()
         except errors.NotListeningError:
-            return Liveness.DEAD
+            return liveness_module.Liveness.DEAD
         except errors.UnreachableError:
             serving = self._list_serving(replica.service)
             has_newer_generation = any(
@@ -343,25 +418,37 @@
                 and item.generation > replica.generation
                 for item in serving
             )
-            return Liveness.DEAD if has_newer_generation else Liveness.UNKNOWN
+            return (
+                liveness_module.Liveness.DEAD
+                if has_newer_generation
+                else liveness_module.Liveness.UNKNOWN
+            )
         is_same = (status.replica, status.generation) == (
             replica.replica,
             replica.generation,
         )
         is_ready = status.state == protocol.State.READY
-        return Liveness.ALIVE if is_same and is_ready else Liveness.DEAD
+        return (
+            liveness_module.Liveness.ALIVE
+            if is_same and is_ready
+            else liveness_module.Liveness.DEAD
+        )
 
-    def _record_death(self, death: str, liveness: Liveness) -> None:
+    def _record_death(
+        self, death: str, liveness: liveness_module.Liveness
+    ) -> None:
         attempts = [
             attempt
             for attempt in self._attempts
             if attempt.replica is not None
             and build_death_id(attempt.replica) == death
         ]
+        if liveness == liveness_module.Liveness.DEAD:
+            self._blame_parts(death, attempts)
         counted = []
         for attempt in attempts:
             known = self._records.get_record(attempt.digest)
-            if liveness == Liveness.UNKNOWN and known.count:
+            if liveness == liveness_module.Liveness.UNKNOWN and known.count:
                 # Detached: keeps its trial until check_detached determines the
                 # liveness of the replica.
                 attempt.detached_until = self._clock.monotonic() + TRIAL_TTL
@@ -382,6 +469,25 @@
             if attempt.trial is not None:
                 self._end_trial(attempt, is_cleared=False)
 
+    def _blame_parts(self, death: str, attempts: list[TrackedAttempt]) -> None:
+        """Blames the prompt parts of the attempts without a first event."""
+        suspects = {
+            evidence_module.hash_part(part): depth
+            for attempt in attempts
+            if attempt.answered_at is None
+            for depth, part in enumerate(attempt.prompt_parts)
+        }
+        before = self._evidence.culprits
+        self._evidence.record_death(
+            evidence_module.Death(
+                identity=death,
+                at=self._clock.monotonic(),
+                suspects=evidence_module.limit_suspects(suspects),
+            )
+        )
+        for key in self._evidence.culprits.keys() - before.keys():
+            eliot.log_message("quarantine:part", part=f"{key:016x}")
+
     def _shorten_watch(self, death: str, until: datetime.timedelta) -> None:
         """Shortens the watch of detached attempts whose replica is alive."""
         for attempt in self._attempts:
