Treat a stream without framing and without events as broken off

Callers saw (in a test): status 200 and an empty stream that ended well, when an upstream sent the head of an answer with neither a length nor chunks and then ended the connection, as in a crash.

Cause: only the end of the connection ends such a body, so the end in itself says nothing; the relay checked for an event cut in the middle, not for an answer that had none.

Ruled out: whole and streamed answers without framing that are complete, and streams that end within an event; both had no fault (new tests pass before).

Change: a stream without framing that ends before its first event is a lost attempt, and counts as a cut connection for the evidence on crashes, as does an end within an event.

--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -341,6 +341,17 @@
         )
         return int(text) if text is not None and text.isdigit() else None
 
+    def is_unframed(self) -> bool:
+        """Returns whether only the end of the connection ends the body.
+
+        Nothing then tells a complete body from one that was cut short.
+        """
+        assert self.parser is not None
+        return not (
+            self.parser.get_header(CONTENT_LENGTH)
+            or self.parser.get_header("transfer-encoding")
+        )
+
     def record_progress(self) -> None:
         """Records progress of the answer; bytes alone are no progress."""
         assert self.backend is not None
@@ -363,9 +374,17 @@
         ):
             self._record_survival(self._first_event_at)
 
-    def record_loss(self, reason: str) -> AttemptLostError:
-        """Counts a failure of the backend and returns the error to raise."""
-        return self._record_loss(ValueError(reason))
+    def record_loss(
+        self, reason: str, is_cut: bool = False
+    ) -> AttemptLostError:
+        """Counts a failure of the backend and returns the error to raise.
+
+        Args:
+            reason: what is wrong with the answer.
+            is_cut: whether the connection ended, as in a crash of the upstream.
+        """
+        error = http.NoResponseError(reason) if is_cut else ValueError(reason)
+        return self._record_loss(error)
 
     def read_more(self, is_stall_fatal: bool) -> bytes:
         """Returns body bytes as they arrive, b"" at the end.
--- a/arbutuscove/relay/flow.py
+++ b/arbutuscove/relay/flow.py
@@ -290,6 +290,7 @@
         attempt = self._attempt
         assert attempt is not None
         pending = bytearray()
+        has_events = False
         while True:
             data = attempt.read_more(self._may_switch())
             if not data:
@@ -307,10 +308,16 @@
             if event_ids:
                 self._last_event = event_ids[-1].decode("latin-1").strip()
                 attempt.record_progress()
+            has_events = True
             yield events
         if pending.strip():
             raise attempt.record_loss(
-                "the answer ended in the middle of an event"
+                "the answer ended in the middle of an event",
+                is_cut=attempt.is_unframed(),
+            )
+        if not has_events and attempt.is_unframed():
+            raise attempt.record_loss(
+                "the connection ended before the first event", is_cut=True
             )
         attempt.finish()
 
--- a/arbutuscove/relay/tests/test_troubled.py
+++ b/arbutuscove/relay/tests/test_troubled.py
@@ -191,6 +191,33 @@
     assert scene.good.requests == 0
 
 
+def test_answers_without_framing_are_whole(build):
+    """Guards against sound answers rejected as they state no length."""
+    scene = build(
+        faulty_upstream.answer_unframed, faulty_upstream.answer_completely
+    )
+    answer, body = scene.serve(catalog_model.Repeat.SAFE)
+    assert (answer.status, body) == (200, WHOLE)
+    scene = build(
+        faulty_upstream.answer_stream_unframed, faulty_upstream.answer_stream
+    )
+    answer, body = scene.serve(catalog_model.Repeat.STREAM_RESUMABLE)
+    assert (answer.status, body) == (200, b"".join(faulty_upstream.EVENTS))
+    assert scene.good.requests == 0
+
+
+def test_stream_without_framing_or_events_is_no_success(build):
+    """Guards against an empty stream that looks complete to its caller."""
+    scene = build(
+        faulty_upstream.end_unframed_stream_before_events,
+        faulty_upstream.answer_stream,
+    )
+    with pytest.raises(model.RefusedError) as caught:
+        scene.serve(catalog_model.Repeat.STREAM_ONCE)
+    assert caught.value.refusal.status == 502
+    assert scene.good.requests == 0
+
+
 def send_long(request_id):
     """Sends a body of 40 chunks with a Content-Length."""
     length = 40 * faulty_upstream.PIECE_BYTES
--- a/arbutuscove/standins/faulty_upstream.py
+++ b/arbutuscove/standins/faulty_upstream.py
@@ -43,7 +43,8 @@
 
 CHUNKED = b"Transfer-Encoding: chunked"
 LAST_CHUNK = b"0\r\n\r\n"
-Pieces = abc.Iterator[bytes | float]
+# Bytes to send, seconds to wait, or None to end the connection.
+Pieces = abc.Iterator[bytes | float | None]
 
 
 def _stream(request_id: bytes, events: abc.Iterable[bytes]) -> Pieces:
@@ -140,6 +141,35 @@
     yield LAST_CHUNK
 
 
+def answer_unframed(request_id: bytes) -> Pieces:
+    """Sends a complete answer without a length, and ends the connection."""
+    yield build_head(request_id) + b"whole"
+    yield None
+
+
+def _stream_unframed(request_id: bytes, events: abc.Iterable[bytes]) -> Pieces:
+    yield build_head(request_id)
+    for event in events:
+        yield event
+        yield PAUSE_SECONDS / 10
+    yield None
+
+
+def answer_stream_unframed(request_id: bytes) -> Pieces:
+    """Sends a complete stream without framing, and ends the connection."""
+    yield from _stream_unframed(request_id, EVENTS)
+
+
+def end_unframed_stream_within_event(request_id: bytes) -> Pieces:
+    """Ends the connection of a stream without framing within an event."""
+    yield from _stream_unframed(request_id, (*EVENTS[:2], EVENTS[2][:-3]))
+
+
+def end_unframed_stream_before_events(request_id: bytes) -> Pieces:
+    """Ends the connection of a stream without framing before any event."""
+    yield from _stream_unframed(request_id, ())
+
+
 def answer_with_foreign_id(request_id: bytes) -> Pieces:
     """Sends a stamped answer of the same length to another request."""
     yield build_head(b"another", b"Content-Length: 5") + b"other"
@@ -171,6 +201,8 @@
     send_bytes_slowly,
     send_comments,
     end_stream_within_event,
+    end_unframed_stream_within_event,
+    end_unframed_stream_before_events,
 )
 
 
@@ -208,6 +240,9 @@
     def _send(self, sock: socket.socket, pieces: Pieces) -> None:
         initial = self.sent
         for piece in pieces:
+            if piece is None:
+                sock.shutdown(socket.SHUT_RDWR)
+                return
             if isinstance(piece, float):
                 gevent.sleep(piece)
                 continue
