Exchange only the blame that no answer refutes

Cause: at each death each daemon that had requests there sent all of its evidence to all daemons; after a crash of many groups that is up to 26 KB times 195 daemons, on links of 10 Mbit/s.

Change: at a death only that death is sent. The full report, which daemons with different fingerprints exchange, leaves out refuted blame, and so does the fingerprint. The verdict is computed anew only by an answer that refutes something.

Conclusion: verdicts are unchanged, their price in bytes does not grow with the crashes of busy groups.

--- a/arbutuscove/crashes/evidence.py
+++ b/arbutuscove/crashes/evidence.py
@@ -204,8 +204,10 @@
         self._deaths: dict[str, Death] = {}
         self._answers: dict[TraitKey, datetime.timedelta] = {}
         self._culprits: dict[TraitKey, Culprit] = {}
-        self._blamed: frozenset[TraitKey] = frozenset()
-        self._unanswered: frozenset[TraitKey] = frozenset()
+        # The newest death that blames each trait, refuted or not.
+        self._blamed: dict[TraitKey, datetime.timedelta] = {}
+        # The blame that no answer refutes, by the identity of the death.
+        self._open_blame: dict[str, dict[TraitKey, int]] = {}
         self._fingerprint = 0
 
     @property
@@ -215,19 +217,23 @@
 
     @property
     def fingerprint(self) -> int:
-        """A hash of the evidence; 0 without any death.
+        """A hash of the blame that no answer refutes; 0 without any.
 
         Two daemons with different fingerprints have something to exchange.
         """
         return self._fingerprint
 
+    def is_empty(self) -> bool:
+        """Returns whether no death is known."""
+        return not self._deaths
+
     def is_blamed(self, key: TraitKey) -> bool:
         """Returns whether a death blames the trait, refuted or not."""
         return key in self._blamed
 
     def is_suspect(self, key: TraitKey) -> bool:
         """Returns whether a death blames the trait and no answer is known."""
-        return key in self._unanswered
+        return key in self._blamed and key not in self._answers
 
     def record_death(self, death: Death) -> bool:
         """Adds a death; returns whether it was unknown or blames more."""
@@ -247,7 +253,8 @@
         self._answers[key] = at if known is None else max(at, known)
         if len(self._answers) > MAX_ANSWERS:
             self._answers.pop(next(iter(self._answers)))
-        if key in self._blamed and (known is None or known < at):
+        blamed_at = self._blamed.get(key)
+        if blamed_at is not None and (known is None or known < blamed_at):
             self._decide()
 
     def merge(self, report: Report, now: datetime.timedelta) -> None:
@@ -267,20 +274,34 @@
                     )
                 )
 
-    def build_report(self, now: datetime.timedelta) -> Report:
-        """Returns the evidence on all traits that a death blames."""
+    def build_report(
+        self, now: datetime.timedelta, identity: str | None = None
+    ) -> Report:
+        """Returns the open blame, and the answers to all blamed traits.
+
+        Args:
+            now: the monotonic time.
+            identity: a death to which the report is limited; None for all.
+        """
+        identities = self._open_blame if identity is None else (identity,)
+        deaths = {
+            name: self._open_blame[name]
+            for name in identities
+            if name in self._open_blame
+        }
+        keys: abc.Iterable[TraitKey] = self._blamed
+        if identity is not None:
+            keys = [key for blame in deaths.values() for key in blame]
         return Report(
             deaths=tuple(
                 DeathReport(
-                    death.identity,
-                    _compute_age(death.at, now),
-                    dict(death.suspects),
+                    name, _compute_age(self._deaths[name].at, now), blame
                 )
-                for death in self._deaths.values()
+                for name, blame in deaths.items()
             ),
             answers=tuple(
                 AnswerReport(key, _compute_age(self._answers[key], now))
-                for key in sorted(self._blamed)
+                for key in keys
                 if key in self._answers
             ),
         )
@@ -299,19 +320,25 @@
         ]
         for key in outdated:
             del self._answers[key]
-        if expired or self._blamed.intersection(outdated):
+        if expired or any(key in self._blamed for key in outdated):
             self._decide()
 
     def _decide(self) -> None:
-        deaths = self._deaths.values()
-        self._blamed = frozenset(key for d in deaths for key in d.suspects)
-        self._unanswered = self._blamed.difference(self._answers)
-        self._culprits = find_culprits(deaths, self._answers)
+        self._blamed = {}
+        self._open_blame = {}
+        for death in self._deaths.values():
+            for key, depth in death.suspects.items():
+                newest = self._blamed.get(key, death.at)
+                self._blamed[key] = max(newest, death.at)
+                if not _is_refuted(death, self._answers.get(key)):
+                    blame = self._open_blame.setdefault(death.identity, {})
+                    blame[key] = depth
+        self._culprits = find_culprits(self._deaths.values(), self._answers)
         facts = sorted(
-            (death.identity, sorted(death.suspects)) for death in deaths
+            (identity, sorted(blame))
+            for identity, blame in self._open_blame.items()
         )
-        answered = sorted(self._blamed.intersection(self._answers))
-        content = msgspec.msgpack.encode((facts, answered))
+        content = msgspec.msgpack.encode(facts)
         self._fingerprint = xxhash.xxh3_64_intdigest(content) if facts else 0
 
 
--- a/arbutuscove/crashes/tests/test_evidence.py
+++ b/arbutuscove/crashes/tests/test_evidence.py
@@ -81,6 +81,22 @@
     assert first.fingerprint == second.fingerprint != 0
 
 
+def test_evidence_of_refuted_blame_is_not_sent():
+    """Guards against traffic that grows with each crash of a busy group."""
+    known = evidence.Evidence()
+    known.record_death(build_death(1, {FIRST: 0, OTHER: 0}))
+    known.record_answer(FIRST, 2 * SECOND)
+    (death,) = known.build_report(2 * SECOND).deaths
+    assert set(death.suspects) == {OTHER}
+    known.record_answer(OTHER, 2 * SECOND)
+    assert not known.build_report(2 * SECOND).deaths
+    assert known.fingerprint == 0
+    other = evidence.Evidence()
+    other.record_death(build_death(1, {FIRST: 0, OTHER: 0}))
+    other.merge(known.build_report(2 * SECOND), 2 * SECOND)
+    assert other.fingerprint == 0
+
+
 def test_evidence_ends_with_age():
     """Guards against a verdict that outlives its reasons."""
     known = evidence.Evidence()
@@ -100,13 +116,14 @@
         known.record_death(
             build_death(number, evidence.limit_suspects(suspects))
         )
-        for key in suspects:
-            known.record_answer(key, number * SECOND)
     report = known.build_report(SECOND)
     assert len(report.deaths) == evidence.MAX_DEATHS
     assert all(
         len(death.suspects) <= evidence.MAX_SUSPECTS for death in report.deaths
     )
+    for key in range(3 * evidence.MAX_ANSWERS):
+        known.record_answer(key, SECOND)
+    report = known.build_report(SECOND)
     assert len(report.answers) <= evidence.MAX_DEATHS * evidence.MAX_SUSPECTS
 
 
--- a/arbutuscove/crashes/tracker.py
+++ b/arbutuscove/crashes/tracker.py
@@ -106,7 +106,12 @@
         return self._evidence.fingerprint
 
     def encode_evidence(self) -> bytes:
-        """Returns the evidence in the form that daemons exchange."""
+        """Returns the evidence in the form that daemons exchange.
+
+        It is empty if no death is known.
+        """
+        if self._evidence.is_empty():
+            return b""
         report = self._evidence.build_report(self._clock.monotonic())
         return msgspec.msgpack.encode(report)
 
@@ -254,7 +259,10 @@
             suspects=_format_keys(death.suspects),
         )
         self._log_changes(before)
-        self._send(self.encode_evidence())
+        report = self._evidence.build_report(
+            self._clock.monotonic(), death.identity
+        )
+        self._send(msgspec.msgpack.encode(report))
 
     def _may_try(
         self, culprit: evidence_module.Culprit, request: Request
--- a/arbutuscove/gossip/service.py
+++ b/arbutuscove/gossip/service.py
@@ -35,7 +35,7 @@
         """Returns a hash of the evidence, 0 without any."""
 
     def encode_evidence(self) -> bytes:
-        """Returns the evidence in the form that daemons exchange."""
+        """Returns the evidence as daemons exchange it, empty without any."""
 
     def merge_evidence(self, data: bytes) -> None:
         """Adds the evidence of another daemon."""
@@ -352,16 +352,18 @@
         source = self._evidence
         if source is None or sender.evidence < 0:
             return
-        fingerprint = source.get_fingerprint()
-        if not fingerprint or fingerprint == sender.evidence:
+        if source.get_fingerprint() == sender.evidence:
             return
         sent_at = self._evidence_sent_at.get(sender.name)
         if sent_at is not None and now - sent_at < EVIDENCE_INTERVAL:
             return
+        content = source.encode_evidence()
+        if not content:
+            return
+        if len(self._evidence_sent_at) >= digest.MAX_PEERS:
+            self._evidence_sent_at.clear()
         self._evidence_sent_at[sender.name] = now
-        update = digest.EvidenceUpdate(
-            sender=self._own.name, content=source.encode_evidence()
-        )
+        update = digest.EvidenceUpdate(sender=self._own.name, content=content)
         self._send_data(sender.ip, digest.ENCODER.encode(update))
 
     def _report_impaired_groups(self, heartbeat: digest.Heartbeat) -> None:
--- a/arbutuscove/membership/service.py
+++ b/arbutuscove/membership/service.py
@@ -72,7 +72,7 @@
         """Returns a hash of the evidence on prompt parts, 0 without any."""
 
     def encode_evidence(self) -> bytes:
-        """Returns the evidence on prompt parts to send to peers."""
+        """Returns the evidence on prompt parts, empty without any."""
 
     def merge_evidence(self, data: bytes) -> None:
         """Merges the evidence received from a peer."""
@@ -343,7 +343,7 @@
             return
         fingerprint = self._suspicions.get_fingerprint()
         gossip.evidence_fingerprint = fingerprint
-        if fingerprint and self._fingerprints.get(receiver) != fingerprint:
+        if self._fingerprints.get(receiver, 0) != fingerprint:
             gossip.evidence = self._suspicions.encode_evidence()
 
     def _encode(self, message: swim.Message) -> peer_pb2.Gossip:
--- a/arbutuscove/requests/suspects.py
+++ b/arbutuscove/requests/suspects.py
@@ -161,7 +161,9 @@
         return self._evidence.fingerprint
 
     def encode_evidence(self) -> bytes:
-        """Returns the evidence on prompt parts to send to peers."""
+        """Returns the evidence on prompt parts, empty without any."""
+        if self._evidence.is_empty():
+            return b""
         report = self._evidence.build_report(self._clock.monotonic())
         return msgspec.msgpack.encode(report)
 
--- a/arbutuscove/requests/tests/test_quarantine.py
+++ b/arbutuscove/requests/tests/test_quarantine.py
@@ -45,9 +45,9 @@
             suspicions = sender.suspects.list_suspicions()
             for receiver in self.daemons:
                 receiver.suspects.merge_suspicions(suspicions)
-                receiver.suspects.merge_evidence(
-                    sender.suspects.encode_evidence()
-                )
+                evidence_of_sender = sender.suspects.encode_evidence()
+                if evidence_of_sender:
+                    receiver.suspects.merge_evidence(evidence_of_sender)
 
     def send(self, daemon, text, key=None, parts=()):
         """Returns the events of a request; with a key it is non-repeatable."""
