Name each refusal for a crashing part, and mutate its mechanisms

A request that is refused since it has a crashing part logs which one, after how many deaths and when it may come again; before, its line had the code only.

Tests: evidence that reaches a daemon that starts, one owner of a trial, parts refused before they wait for a slot, living upstreams asked again, answered parts not blamed. 13 mutations of the new mechanisms; each is noticed by its test (one was not at first: the refusal at arrival and that before the send covered each other, so the test now also sends without any backend).

--- a/arbutuscove/crashes/tests/test_evidence.py
+++ b/arbutuscove/crashes/tests/test_evidence.py
@@ -81,6 +81,15 @@
     assert first.fingerprint == second.fingerprint != 0
 
 
+def test_evidence_of_pieces_of_one_death_is_merged():
+    """Guards against daemons that forget what others saw of a crash."""
+    known = evidence.Evidence()
+    for number in (1, 2):
+        known.record_death(build_death(number, {FIRST: 0, CRASHING: 1}))
+        known.record_death(build_death(number, {OTHER: 0}))
+    assert set(known.culprits) == {CRASHING}
+
+
 def test_evidence_of_refuted_blame_is_not_sent():
     """Guards against traffic that grows with each crash of a busy group."""
     known = evidence.Evidence()
--- a/arbutuscove/crashes/tracker.py
+++ b/arbutuscove/crashes/tracker.py
@@ -151,12 +151,22 @@
             return False
         return self.find_culprit(request) is None
 
-    def compute_retry_after(
-        self, culprit: evidence_module.Culprit
-    ) -> datetime.timedelta:
-        """Returns the time until a request with the trait may run again."""
+    def check(self, request: Request) -> datetime.timedelta | None:
+        """Returns None if a request may run, else when it may come again."""
+        culprit = self.find_culprit(request)
+        if culprit is None:
+            return None
         remaining = culprit.trial_due - self._clock.monotonic()
-        return max(remaining, MIN_RETRY_AFTER)
+        retry_after = max(remaining, MIN_RETRY_AFTER)
+        eliot.log_message(
+            "crash:refused",
+            request_id=request.request_id,
+            suspects=_format_keys((culprit.key,)),
+            deaths=culprit.deaths,
+            prompt_parts=request.prompt_parts[:MAX_LOGGED_PARTS],
+            retry_after=round(retry_after.total_seconds(), 1),
+        )
+        return retry_after
 
     def record_answer(self, request: Request, at: datetime.timedelta) -> None:
         """Records that an upstream answers a request and survives it.
--- a/arbutuscove/entry/reasons.py
+++ b/arbutuscove/entry/reasons.py
@@ -160,7 +160,8 @@
     ),
     Reason(
         code="request_quarantined",
-        meaning="Two upstreams died while they ran this request.",
+        meaning="Two upstreams died while they ran this request, or requests "
+        "with the same message before the last one.",
         advice="Do not send it again; ask the operators.",
     ),
     Reason(
--- a/arbutuscove/gossip/tests/test_service.py
+++ b/arbutuscove/gossip/tests/test_service.py
@@ -65,3 +65,55 @@
     first.gossip.broadcast()
     gevent.sleep(0.1)
     assert [other.received for other in others] == [[KEY]] * (DAEMONS - 1)
+
+
+class Evidence:
+    """Evidence that is only ever replaced by that of another daemon."""
+
+    def __init__(self, content=b""):
+        self.content = content
+
+    def get_fingerprint(self):
+        return len(self.content)
+
+    def encode_evidence(self):
+        return self.content
+
+    def merge_evidence(self, data):
+        self.content = data
+
+
+def test_gossip_brings_evidence_to_a_daemon_that_starts():
+    """Guards against a new daemon that sends what the others refuse."""
+    port = cluster.find_port()
+    known, started = Daemon(0, port), Daemon(1, port)
+    known.gossip.set_evidence_source(Evidence(b"crash"))
+    evidence_of_started = Evidence()
+    started.gossip.set_evidence_source(evidence_of_started)
+    known.gossip.start(None)
+    started.gossip.start(None)
+    started.gossip.add_peers([known.gossip.get_own().ip])
+    gevent.sleep(0.1)
+    assert evidence_of_started.content == b"crash"
+    known.gossip.stop()
+    started.gossip.stop()
+
+
+def test_gossip_sends_evidence_of_a_crash_to_all_daemons_at_once(fleet):
+    """Guards against a crash at each daemon before the evidence arrives."""
+    first, *others = fleet
+    received = [Evidence() for _ in others]
+    for other, evidence in zip(others, received, strict=True):
+        other.gossip.set_evidence_source(evidence)
+    first.gossip.broadcast_evidence(b"crash")
+    gevent.sleep(0.1)
+    assert [evidence.content for evidence in received] == [b"crash"] * len(
+        others
+    )
+
+
+def test_gossip_agrees_on_one_owner_of_a_key(fleet):
+    """Guards against trials of a culprit by several daemons."""
+    for key in range(20):
+        owners = [daemon for daemon in fleet if daemon.gossip.owns(key)]
+        assert len(owners) == 1
--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -280,9 +280,9 @@
         left = request.deadline - self._started_at
         if left <= MIN_TIME_LEFT:
             raise NotRunError("no time is left")
-        culprit = context.crashes.find_culprit(request)
-        if culprit is not None:
-            raise QuarantinedError(context.crashes.compute_retry_after(culprit))
+        retry_after = context.crashes.check(request)
+        if retry_after is not None:
+            raise QuarantinedError(retry_after)
         repeat = request.route.repeat
         max_idle_time = pool_module.MAX_IDLE_TIME
         if not repeat.is_idempotent:
@@ -519,7 +519,7 @@
             # upstreams since it was sent.
             if (
                 self.reply is None
-                and context.crashes.find_culprit(self._request) is not None
+                and context.crashes.check(self._request) is not None
             ):
                 raise AttemptLostError("requests like it crash upstreams")
             # Checked even while bytes arrive, as they may belong to no event.
--- a/arbutuscove/relay/flow.py
+++ b/arbutuscove/relay/flow.py
@@ -49,11 +49,9 @@
         Raises:
             RefusedError: the request is answered by the system itself.
         """
-        culprit = self.context.crashes.find_culprit(request)
-        if culprit is not None:
-            raise build_quarantine_refusal(
-                self.context.crashes.compute_retry_after(culprit)
-            )
+        retry_after = self.context.crashes.check(request)
+        if retry_after is not None:
+            raise build_quarantine_refusal(retry_after)
         service = self._choose_service(request.route)
         self._get_budget(service).record_request(self.clock.monotonic())
         if request.route.repeat.is_streamed:
--- /dev/null
+++ b/arbutuscove/relay/tests/test_crashing_part.py
@@ -0,0 +1,186 @@
+"""Guards against requests sent on although a part of them crashes upstreams."""
+
+import dataclasses
+import random
+
+import pytest
+
+from arbutuscove.catalog import holder as catalog_holder
+from arbutuscove.catalog import model as catalog_model
+from arbutuscove.crashes import liveness
+from arbutuscove.crashes import tracker
+from arbutuscove.fleet import inventory as inventory_module
+from arbutuscove.fleet.tests import test_planner
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.platform import upstreams
+from arbutuscove.relay import attempt
+from arbutuscove.relay import backends
+from arbutuscove.relay import budget
+from arbutuscove.relay import flow
+from arbutuscove.relay import model
+from arbutuscove.relay import placement
+from arbutuscove.relay import waiting
+from arbutuscove.relay.tests import test_troubled
+from arbutuscove.relay.tests import test_waiting
+from arbutuscove.standins import faulty_upstream
+from arbutuscove.storage import http
+from arbutuscove.transport import pool
+
+CRASHING = ("first", "crash")
+SOUND = ("first",)
+UPSTREAMS = 4
+
+
+def crash(request_id):
+    """Sends the head of a stream and ends the connection."""
+    yield faulty_upstream.build_head(request_id, faulty_upstream.CHUNKED)
+    yield faulty_upstream.PAUSE_SECONDS
+    yield None
+
+
+class Scene:
+    """A flow before several upstreams of one plain service."""
+
+    def __init__(self, behaviour):
+        clock = clock_module.SystemClock()
+        inventory = inventory_module.Inventory(clock)
+        states = backends.BackendStates(clock)
+        catalog = catalog_holder.CatalogHolder()
+        self.clock = clock
+        self.inventory = inventory
+        self.liveness = liveness.Liveness.DEAD
+        self.tracker = tracker.CrashTracker(
+            clock,
+            inventory.find,
+            lambda vm: self.liveness,
+            lambda data: None,
+            lambda key: False,
+        )
+        self.dispatcher = waiting.RequestDispatcher(
+            clock,
+            catalog,
+            inventory,
+            states,
+            lambda: placement.PeerLoads(running={}, daemons=0),
+            random.Random(1),
+        )
+        self.dispatcher.start(None)
+        self.pool = pool.ConnectionPool(clock)
+        context = attempt.AttemptContext(
+            clock,
+            catalog,
+            self.dispatcher,
+            states,
+            self.pool,
+            upstreams.HttpCodec(),
+            lambda: None,
+            lambda backend: [],
+            random.Random(1),
+            self.tracker,
+        )
+        allowance = budget.RetryAllowance(
+            ratio=1.0, slack=99.0, window=test_troubled.SECOND
+        )
+        self.flow = flow.Flow(context, allowance, lambda: 1, random.Random(1))
+        self.upstreams = [
+            faulty_upstream.Upstream(behaviour) for _ in range(UPSTREAMS)
+        ]
+        inventory.replace(
+            test_planner.create_vm(
+                f"vm{number}",
+                fabric_domain="",
+                address=http.Address("127.0.0.1", upstream.port),
+            )
+            for number, upstream in enumerate(self.upstreams)
+        )
+        self.number = 0
+
+    def send(self, parts):
+        """Returns the status of the answer to a new request."""
+        self.number += 1
+        name = f"r{self.number}"
+        now = self.clock.monotonic()
+        request = model.Request(
+            request_id=name,
+            method="POST",
+            target="/",
+            fields=(("X-Request-Id", name),),
+            body=name.encode(),
+            route=dataclasses.replace(
+                test_waiting.ROUTE,
+                repeat=catalog_model.Repeat.STREAM_RESUMABLE,
+                first_byte_target=test_troubled.SECOND,
+            ),
+            account=None,
+            arrived=now,
+            deadline=now + test_troubled.DEADLINE,
+            prompt_parts=parts,
+        )
+        try:
+            answer = self.flow.serve(request)
+            list(answer.body)
+        except model.RefusedError as error:
+            return error.refusal
+        return answer
+
+    def count_requests(self):
+        return sum(upstream.requests for upstream in self.upstreams)
+
+    def stop(self):
+        self.dispatcher.stop()
+        self.pool.stop()
+        for upstream in self.upstreams:
+            upstream.stop()
+
+
+@pytest.fixture(name="scene")
+def fixture_scene():
+    scene = Scene(crash)
+    yield scene
+    scene.stop()
+
+
+def test_crashing_part_is_refused_without_a_send(scene):
+    """Guards against a part that crashes one upstream after the other."""
+    first = scene.send(CRASHING)
+    assert (first.status, first.not_run) == (502, False)
+    assert scene.count_requests() == 1
+    scene.send(CRASHING)
+    assert scene.count_requests() == 2
+    for _ in range(5):
+        refusal = scene.send(CRASHING)
+        assert (refusal.status, refusal.not_run) == (503, True)
+        assert refusal.code == "request_quarantined"
+        assert refusal.retry_after > test_troubled.SECOND
+    assert scene.count_requests() == 2
+    # It does not wait for a slot, either.
+    scene.inventory.replace([])
+    assert scene.send(CRASHING).code == "request_quarantined"
+
+
+def test_cut_stream_of_a_living_upstream_is_sent_again(scene):
+    """Guards against requests given up since a connection broke."""
+    scene.liveness = liveness.Liveness.ALIVE
+    for _ in range(3):
+        scene.send(CRASHING)
+    assert scene.count_requests() >= 6
+    assert scene.tracker.get_fingerprint() == 0
+
+
+def test_sound_answers_clear_the_part_that_they_share():
+    """Guards against refusals of sound requests beside the crashing ones."""
+
+    def answer(request_id):
+        if request_id in (b"r1", b"r2"):
+            yield from crash(request_id)
+        yield from faulty_upstream.answer_stream(request_id)
+
+    scene = Scene(answer)
+    try:
+        for parts in (CRASHING, CRASHING):
+            assert scene.send(parts).status == 502
+        for _ in range(4):
+            assert scene.send(SOUND).status == 200
+        assert scene.send(CRASHING).status == 503
+    finally:
+        scene.stop()
--- a/arbutuscove/requests/tests/test_quarantine.py
+++ b/arbutuscove/requests/tests/test_quarantine.py
@@ -129,6 +129,30 @@
     assert codes[-1] == "request_quarantined"
 
 
+def test_quarantine_lost_request_with_a_part_is_not_retried():
+    """A retry would cost a second replica for certain."""
+    system = _System()
+    system.try_send(0, "q", None, ("first", CRASH))
+    assert len(system.fleet.deaths) == 1
+
+
+def test_quarantine_part_that_has_been_answered_is_not_blamed():
+    """Long answers at replicas that die must not get their parts refused."""
+    system = _System(replicas=2)
+    for number in range(4):
+        request = fleet_module.build_request(
+            system.fleet, f"long {number}", parts=("popular",)
+        )
+        events = system.daemons[0].flow.run(request).events
+        next(events)
+        (engine,) = (e for e in system.fleet.engines.values() if e.streams)
+        engine.die()
+        assert _read(events) == "incomplete"
+        system.settle()
+    assert not system.daemons[0].suspects.get_fingerprint()
+    assert system.try_send(1, "q", None, ("popular",)) is None
+
+
 def test_quarantine_crashing_part_is_tried_again_rarely():
     """A part that no longer crashes replicas must not be refused forever."""
     system = _System()
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -665,4 +665,107 @@
         test="fleet/tests/test_planner.py::"
         "test_planner_keeps_vms_for_the_model_that_lacks_groups",
     ),
+    Mutation(
+        promise="a culprit's deaths blame no other part",
+        path="crashes/evidence.py",
+        old="        unexplained = [\n"
+        "            death for death in unexplained if death "
+        "not in blame[key]\n"
+        "        ]",
+        new="        answers = {**answers, key: culprits[key].last_death}",
+        test="crashes/tests/test_evidence.py::test_evidence_convicts_the_part_and_not_its_companions",
+    ),
+    Mutation(
+        promise="an answer refutes earlier blame",
+        path="crashes/evidence.py",
+        old="return answered is not None and answered >= death.at",
+        new="return False",
+        test="crashes/tests/test_evidence.py::test_evidence_of_an_answer_refutes_earlier_deaths_only",
+    ),
+    Mutation(
+        promise="all daemons count a death once",
+        path="crashes/evidence.py",
+        old="merged = death if known is None else known.merge(death)",
+        new="merged = death",
+        test="crashes/tests/test_evidence.py::test_evidence_of_pieces_of_one_death_is_merged",
+    ),
+    Mutation(
+        promise="a broken connection is no death",
+        path="crashes/tracker.py",
+        old="            case liveness.Liveness.UNKNOWN:\n"
+        "                self._watched",
+        new="            case liveness.Liveness.ALIVE:\n"
+        "                self._record_death(death, request)\n"
+        "            case liveness.Liveness.UNKNOWN:\n"
+        "                self._watched",
+        test="crashes/tests/test_tracker.py::test_tracker_blames_nothing_for_a_cut_connection",
+    ),
+    Mutation(
+        promise="a request that may have crashed a VM is not repeated",
+        path="crashes/tracker.py",
+        old="if any(self._evidence.is_suspect(key) for key in keys):",
+        new="if False:",
+        test="crashes/tests/test_tracker.py::test_tracker_repeats_no_request_that_may_have_crashed_a_vm",
+    ),
+    Mutation(
+        promise="one daemon tries a culprit",
+        path="crashes/tracker.py",
+        old="if now < culprit.trial_due or not self._is_trial_owner("
+        "culprit.key):",
+        new="if now < culprit.trial_due:",
+        test="crashes/tests/test_tracker.py::test_tracker_tries_a_culprit_once_and_at_one_daemon",
+    ),
+    Mutation(
+        promise="a death is sent to the other daemons",
+        path="crashes/tracker.py",
+        old="        self._send(msgspec.msgpack.encode(report))\n",
+        new="",
+        test="crashes/tests/test_tracker.py::test_tracker_tells_the_other_daemons",
+    ),
+    Mutation(
+        promise="daemons with other evidence are sent it",
+        path="gossip/service.py",
+        old="        if source.get_fingerprint() == sender.evidence:\n",
+        new="        if True:\n",
+        test="gossip/tests/test_service.py::test_gossip_brings_evidence_to_a_daemon_that_starts",
+    ),
+    Mutation(
+        promise="a quarantined part is refused at arrival",
+        path="relay/flow.py",
+        old="        if retry_after is not None:\n"
+        "            raise build_quarantine_refusal(retry_after)",
+        new="        if False:\n"
+        "            raise build_quarantine_refusal(retry_after)",
+        test="relay/tests/test_crashing_part.py::test_crashing_part_is_refused_without_a_send",
+    ),
+    Mutation(
+        promise="a stream without framing needs an event",
+        path="relay/flow.py",
+        old="if not has_events and attempt.is_unframed():",
+        new="if False:",
+        test="relay/tests/test_troubled.py::test_stream_without_framing_or_events_is_no_success",
+    ),
+    Mutation(
+        promise="a crashing message is refused",
+        path="requests/suspects.py",
+        old="        culprit = self._find_culprit(work)\n        if",
+        new="        culprit = None\n        if",
+        test="requests/tests/test_quarantine.py::test_quarantine_crashing_part_costs_two_replicas",
+    ),
+    Mutation(
+        promise="only requests without an event are blamed",
+        path="requests/suspects.py",
+        old="            if attempt.answered_at is None\n",
+        new="",
+        test="requests/tests/test_quarantine.py::test_quarantine_part_that_has_been_answered_is_not_blamed",
+    ),
+    Mutation(
+        promise="a request that may have crashed a replica is not retried",
+        path="requests/flow.py",
+        old="            if not self._suspects.may_repeat(\n"
+        "                work\n"
+        "            ) or not",
+        new="            if not",
+        test="requests/tests/test_quarantine.py::test_quarantine_lost_request_with_a_part_is_not_retried",
+    ),
 )
