--- a/arbutuscove/relay/tests/test_crashing_part.py
+++ b/arbutuscove/relay/tests/test_crashing_part.py
@@ -47,7 +47,6 @@
         states = backends.BackendStates(clock)
         catalog = catalog_holder.CatalogHolder()
         self.clock = clock
-        self.inventory = inventory
         self.liveness = liveness.Liveness.DEAD
         self.tracker = tracker.CrashTracker(
             clock,
@@ -153,8 +152,8 @@
         assert refusal.code == "request_quarantined"
         assert refusal.retry_after > test_troubled.SECOND
     assert scene.count_requests() == 2
-    # It does not wait for a slot, either.
-    scene.inventory.replace([])
+    # Nor does it wait for a slot: the dispatcher is not asked.
+    scene.dispatcher.acquire = None
     assert scene.send(CRASHING).code == "request_quarantined"
 
 
