Keep verdicts on crashing parts in the table

Cause: the evidence lived in the daemons' memory, so that a restart of all daemons at once cost two more replicas for each part.

Change: a new culprit is written as one row, by the daemon that rendezvous hashing names (arbutuscoved: by those that saw its last death), and removed when it is cleared. Daemons read the rows at their start, on the users' platform with the addresses that they read there anyway.

Conclusion: the verdict is a hint, so its row needs no condition; if it is missing, two more deaths decide again.

--- a/arbutuscove/crashes/evidence.py
+++ b/arbutuscove/crashes/evidence.py
@@ -223,6 +223,10 @@
         """
         return self._fingerprint
 
+    def list_deaths(self) -> abc.Collection[Death]:
+        """Returns the known deaths."""
+        return self._deaths.values()
+
     def is_empty(self) -> bool:
         """Returns whether no death is known."""
         return not self._deaths
--- a/arbutuscove/crashes/tests/test_tracker.py
+++ b/arbutuscove/crashes/tests/test_tracker.py
@@ -8,8 +8,12 @@
 from arbutuscove.crashes import evidence
 from arbutuscove.crashes import liveness
 from arbutuscove.crashes import tracker
+from arbutuscove.crashes import verdicts
 from arbutuscove.fleet.tests import test_planner
 from arbutuscove.kernel import clock as clock_module
+from arbutuscove.standins import faulty
+from arbutuscove.standins import table as memory_table
+from arbutuscove.storage import table as table_module
 
 SECOND = datetime.timedelta(seconds=1)
 DEAD = liveness.Liveness.DEAD
@@ -31,7 +35,11 @@
 class Daemon:
     """A tracker whose probes, list and peers are controlled by a test."""
 
-    def __init__(self, clock, is_owner=True):
+    def __init__(self, clock, is_owner=True, table=None):
+        self.table = faulty.SwitchedTable(table or memory_table.MemoryTable())
+        self.keeper = verdicts.VerdictKeeper(
+            self.table, clock, lambda key: is_owner
+        )
         self.listed = {}
         self.liveness = DEAD
         self.probes = 0
@@ -42,6 +50,7 @@
             self._probe,
             self.sent.append,
             lambda key: is_owner,
+            self.keeper,
         )
 
     def _probe(self, vm):
@@ -180,3 +189,49 @@
     assert not owner.refuses("second trial")
     other.tracker.merge_evidence(owner.tracker.encode_evidence())
     assert not other.refuses("trial")
+
+
+def test_tracker_knows_culprits_after_a_restart_of_all_daemons(clock):
+    """Guards against a part that crashes VMs anew after each restart."""
+    daemon = Daemon(clock)
+    daemon.lose("r1", "a")
+    daemon.lose("r2", "b")
+    daemon.table.down = True
+    with pytest.raises(table_module.TableError):
+        daemon.keeper.write_pending()
+    daemon.table.down = False
+    daemon.keeper.write_pending()
+    rows = table_module.read_all(daemon.table, "")
+    started = Daemon(clock)
+    started.tracker.restore(rows)
+    assert started.refuses()
+    clock.advance(evidence.MIN_TRIAL_DELAY)
+    assert not started.refuses("trial")
+    started.tracker.record_answer(
+        Request(request_id="trial"), clock.monotonic()
+    )
+    assert not started.refuses()
+
+
+def test_tracker_removes_the_row_of_a_cleared_culprit(daemon, clock):
+    """Guards against a verdict that returns with each restart."""
+    daemon.lose("r1", "a")
+    daemon.lose("r2", "b")
+    daemon.keeper.write_pending()
+    daemon.tracker.record_answer(Request(request_id="sound"), clock.monotonic())
+    daemon.keeper.write_pending()
+    assert not table_module.read_all(daemon.table, "")
+
+
+def test_tracker_reads_no_foreign_rows(daemon):
+    """Guards against a daemon that does not start beside a damaged row."""
+    rows = [
+        table_module.Row(key=key, version=1, write_id="", value=value)
+        for key, value in (
+            ("crash/none", {"depth": 1, "deaths": ["a", "b"]}),
+            ("crash/0f", {"deaths": "ab"}),
+            ("daemon/d1", None),
+        )
+    ]
+    daemon.tracker.restore(rows)
+    assert not daemon.refuses()
--- a/arbutuscove/crashes/tracker.py
+++ b/arbutuscove/crashes/tracker.py
@@ -17,9 +17,11 @@
 
 from arbutuscove.crashes import evidence as evidence_module
 from arbutuscove.crashes import liveness
+from arbutuscove.crashes import verdicts
 from arbutuscove.fleet import model as fleet_model
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
+from arbutuscove.storage import table as table_module
 
 SERVICE_NAME = "crashes"
 WATCH_INTERVAL = datetime.timedelta(milliseconds=250)
@@ -72,6 +74,7 @@
         probe: abc.Callable[[fleet_model.Vm], liveness.Liveness],
         send: abc.Callable[[bytes], None],
         is_trial_owner: abc.Callable[[int], bool],
+        keeper: verdicts.VerdictKeeper,
     ) -> None:
         """Creates a tracker without any evidence.
 
@@ -82,12 +85,14 @@
             send: sends encoded evidence to all other daemons.
             is_trial_owner: whether this daemon may try a trait; all other
                 daemons refuse requests with it meanwhile.
+            keeper: writes the verdicts to the table.
         """
         self._clock = clock
         self._find_vm = find_vm
         self._probe = probe
         self._send = send
         self._is_trial_owner = is_trial_owner
+        self._keeper = keeper
         self._evidence = evidence_module.Evidence()
         self._trials: dict[int, _Trial] = {}
         self._watched: list[_Loss] = []
@@ -126,6 +131,12 @@
         self._evidence.merge(report, self._clock.monotonic())
         self._log_changes(before)
 
+    def restore(self, rows: abc.Iterable[table_module.Row]) -> None:
+        """Adds the verdicts of table rows, at the start of the daemon."""
+        before = self._evidence.culprits
+        verdicts.restore(rows, self._evidence, self._clock.monotonic())
+        self._log_changes(before)
+
     def find_culprit(self, request: Request) -> evidence_module.Culprit | None:
         """Returns the trait for which a request must not run, if any.
 
@@ -312,6 +323,7 @@
         for key in before.keys() - after.keys():
             self._trials.pop(key, None)
             eliot.log_message("crash:cleared", suspects=_format_keys((key,)))
+        self._keeper.record(before.keys(), self._evidence)
 
     def _run(self) -> None:
         expiry_due = self._clock.monotonic()
--- /dev/null
+++ b/arbutuscove/crashes/verdicts.py
@@ -0,0 +1,161 @@
+"""Culprits in the table service, where they outlive all daemons.
+
+Daemons exchange evidence among each other and read these rows only at their
+start, so the table may be slow or away. A row that is missing costs two more
+deaths; one that is left over is refuted by the next trial.
+"""
+
+import datetime
+import typing
+from collections import abc
+
+import eliot
+import msgspec
+from gevent import event
+
+from arbutuscove.crashes import evidence as evidence_module
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.kernel import services
+from arbutuscove.storage import table as table_module
+
+SERVICE_NAME = "verdicts"
+KEY_PREFIX = "crash/"
+RETRY_INTERVAL = datetime.timedelta(seconds=1)
+MAX_PENDING = 64  # rows not yet written; the oldest is dropped
+
+
+class Verdict(msgspec.Struct, frozen=True):
+    """A culprit as a row of the table.
+
+    Attributes:
+        depth: position of the part in the prompt, or `WHOLE_DEPTH`.
+        deaths: identities of the deaths that it explains.
+    """
+
+    depth: int
+    deaths: tuple[str, ...]
+
+
+class VerdictKeeper(services.LoopService):
+    """Writes changed verdicts to the table, again until it confirms them."""
+
+    def __init__(
+        self,
+        table: table_module.Table,
+        clock: clock_module.Clock,
+        may_write: abc.Callable[[int], bool],
+    ) -> None:
+        """Creates a keeper without pending rows.
+
+        Args:
+            table: the table service.
+            clock: the clock for the delay between attempts.
+            may_write: whether this daemon writes the row of a trait; all
+                daemons learn of a verdict, and one row is enough.
+        """
+        self._table = table
+        self._clock = clock
+        self._may_write = may_write
+        self._pending: dict[int, Verdict | None] = {}
+        self._has_pending = event.Event()
+
+    def start(self, kernel: services.Kernel) -> None:
+        """Starts the loop that writes."""
+        self.run_loop(self._run)
+
+    def record(
+        self,
+        before: abc.Collection[int],
+        evidence: evidence_module.Evidence,
+    ) -> None:
+        """Writes the rows of new culprits and removes those of cleared ones.
+
+        Args:
+            before: the keys of the culprits before a change.
+            evidence: the evidence after it.
+        """
+        after = evidence.culprits.keys()
+        for key in after - set(before):
+            self._put(key, _describe(evidence, key))
+        for key in set(before) - after:
+            self._put(key, None)
+
+    def write_pending(self) -> None:
+        """Writes all pending rows.
+
+        Raises:
+            TableError: a row was not written, or may not have been.
+        """
+        for key, verdict in list(self._pending.items()):
+            value = None if verdict is None else msgspec.to_builtins(verdict)
+            write = table_module.Write(key=_format_key(key), value=value)
+            self._table.transact(
+                table_module.Transaction(conditions=(), writes=(write,))
+            )
+            if self._pending.get(key) is verdict:
+                del self._pending[key]
+
+    def _put(self, key: int, verdict: Verdict | None) -> None:
+        if not self._may_write(key):
+            return
+        self._pending.pop(key, None)
+        self._pending[key] = verdict
+        if len(self._pending) > MAX_PENDING:
+            self._pending.pop(next(iter(self._pending)))
+        self._has_pending.set()
+
+    def _run(self) -> None:
+        while True:
+            self._has_pending.wait()
+            try:
+                self.write_pending()
+            except table_module.TableError as error:
+                eliot.log_message("crash:not_written", reason=str(error))
+                self._clock.sleep(RETRY_INTERVAL)
+            if not self._pending:
+                self._has_pending.clear()
+
+
+def restore(
+    rows: abc.Iterable[table_module.Row],
+    evidence: evidence_module.Evidence,
+    now: datetime.timedelta,
+) -> None:
+    """Adds the verdicts of table rows to the evidence.
+
+    The deaths count as of now: the time since then is not known.
+
+    Args:
+        rows: rows of the table; those of other kinds are left out.
+        evidence: the evidence to which they are added.
+        now: the monotonic time.
+    """
+    for row in rows:
+        if not row.key.startswith(KEY_PREFIX):
+            continue
+        try:
+            key = int(row.key.removeprefix(KEY_PREFIX), 16)
+            verdict: typing.Any = row.decode(Verdict)
+        except (msgspec.ValidationError, ValueError) as error:
+            eliot.log_message("crash:unreadable", reason=str(error))
+            continue
+        for identity in verdict.deaths[: evidence_module.MAX_DEATHS]:
+            evidence.record_death(
+                evidence_module.Death(
+                    identity=identity, at=now, suspects={key: verdict.depth}
+                )
+            )
+
+
+def _describe(evidence: evidence_module.Evidence, key: int) -> Verdict:
+    deaths = [
+        death for death in evidence.list_deaths() if key in death.suspects
+    ]
+    return Verdict(
+        depth=deaths[0].suspects[key],
+        deaths=tuple(death.identity for death in deaths),
+    )
+
+
+def _format_key(key: int) -> str:
+    return f"{KEY_PREFIX}{key:016x}"
--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -10,6 +10,7 @@
 
 from arbutuscove.catalog import holder as catalog_holder
 from arbutuscove.crashes import tracker as crash_tracker
+from arbutuscove.crashes import verdicts
 from arbutuscove.fleet import controller as controller_module
 from arbutuscove.fleet import health
 from arbutuscove.fleet import inventory as inventory_module
@@ -56,9 +57,10 @@
 
 
 class Registry(services.LoopService):
-    """Writes this daemon's IP address to the store and reads all addresses.
+    """Writes this daemon's IP address to the store and reads its table.
 
-    Passes these addresses to gossip as those of possible peers.
+    Passes the addresses in it to gossip as those of possible peers, and the
+    verdicts on crashes of upstreams to the tracker.
     """
 
     RETRY_INTERVAL = datetime.timedelta(milliseconds=300)
@@ -69,7 +71,9 @@
         store: store_module.Store,
         clock: clock_module.Clock,
         gossip: gossip_service.Gossip,
+        crashes: crash_tracker.CrashTracker,
     ) -> None:
+        self._crashes = crashes
         self._key = DAEMON_PREFIX + settings.name
         self._ip = settings.ip
         self._store = store
@@ -93,6 +97,11 @@
             except store_module.StoreError as error:
                 eliot.log_message("registry:failed", reason=str(error))
                 self._clock.sleep(self.RETRY_INTERVAL)
+        self._crashes.restore(
+            store_module.decode_table_row(row)
+            for row in rows
+            if row.key.startswith(verdicts.KEY_PREFIX)
+        )
         self._gossip.add_peers(
             msgspec.json.decode(row.content or b"{}").get("ip", self._ip)
             for row in rows
@@ -128,12 +137,18 @@
         )
         self._orders = engine.HttpOrderClient(self._connections, self._clock)
         self._gossip = self._build_gossip()
+        self._verdicts = verdicts.VerdictKeeper(
+            store_module.StoreTable(self._store),
+            self._clock,
+            self._gossip.owns,
+        )
         self._crashes = crash_tracker.CrashTracker(
             self._clock,
             self._inventory.find,
             self._orders.probe_liveness,
             self._gossip.broadcast_evidence,
             self._gossip.owns,
+            self._verdicts,
         )
         self._gossip.set_evidence_source(self._crashes)
         self._leases = lease_holder.LeaseHolder(
@@ -183,7 +198,11 @@
             self._is_lease_holder,
         )
         registry = Registry(
-            self._settings, self._store, self._clock, self._gossip
+            self._settings,
+            self._store,
+            self._clock,
+            self._gossip,
+            self._crashes,
         )
         kernel = services.Kernel()
         for name, service in (
@@ -193,6 +212,7 @@
             (followers.CONFIGURATION_SERVICE, configuration),
             (followers.SERVERS_SERVICE, servers),
             (gossip_service.SERVICE_NAME, self._gossip),
+            (verdicts.SERVICE_NAME, self._verdicts),
             (crash_tracker.SERVICE_NAME, self._crashes),
             (REGISTRY_SERVICE, registry),
             (lease_holder.SERVICE_NAME, self._leases),
--- a/arbutuscove/platform/store.py
+++ b/arbutuscove/platform/store.py
@@ -275,7 +275,7 @@
             rows = self._store.read_rows(OWN_TABLE, key).rows
         except StoreError as error:
             raise table_module.TableUnavailableError(str(error)) from error
-        return _decode_table_row(rows[0]) if rows else None
+        return decode_table_row(rows[0]) if rows else None
 
     def scan(
         self, prefix: str, after: str = "", limit: int = MAX_PAGE_ROWS
@@ -290,7 +290,7 @@
         except StoreError as error:
             raise table_module.TableUnavailableError(str(error)) from error
         matching = [
-            _decode_table_row(row)
+            decode_table_row(row)
             for row in rows
             if row.key.startswith(prefix) and row.key > after
         ]
@@ -341,7 +341,8 @@
     return msgspec.json.encode({"write_id": write_id, "value": write.value})
 
 
-def _decode_table_row(row: Row) -> table_module.Row:
+def decode_table_row(row: Row) -> table_module.Row:
+    """Returns a row of the product's table from one of the store."""
     fields = msgspec.json.decode(row.content or b"{}")
     return table_module.Row(
         key=row.key,
--- a/arbutuscove/relay/tests/test_crashing_part.py
+++ b/arbutuscove/relay/tests/test_crashing_part.py
@@ -9,6 +9,7 @@
 from arbutuscove.catalog import model as catalog_model
 from arbutuscove.crashes import liveness
 from arbutuscove.crashes import tracker
+from arbutuscove.crashes import verdicts
 from arbutuscove.fleet import inventory as inventory_module
 from arbutuscove.fleet.tests import test_planner
 from arbutuscove.kernel import clock as clock_module
@@ -54,6 +55,7 @@
             lambda vm: self.liveness,
             lambda data: None,
             lambda key: False,
+            verdicts.VerdictKeeper(None, clock, lambda key: False),
         )
         self.dispatcher = waiting.RequestDispatcher(
             clock,
--- a/arbutuscove/relay/tests/test_troubled.py
+++ b/arbutuscove/relay/tests/test_troubled.py
@@ -11,6 +11,7 @@
 from arbutuscove.catalog import model as catalog_model
 from arbutuscove.crashes import liveness
 from arbutuscove.crashes import tracker
+from arbutuscove.crashes import verdicts
 from arbutuscove.fleet import inventory as inventory_module
 from arbutuscove.fleet.tests import test_planner
 from arbutuscove.kernel import clock as clock_module
@@ -44,6 +45,7 @@
         lambda vm: liveness.Liveness.ALIVE,
         lambda data: None,
         lambda key: False,
+        verdicts.VerdictKeeper(None, clock, lambda key: False),
     )
 
 
--- a/arbutuscove/requests/suspects.py
+++ b/arbutuscove/requests/suspects.py
@@ -25,6 +25,7 @@
 from arbutuscove.admission import work as work_module
 from arbutuscove.crashes import evidence as evidence_module
 from arbutuscove.crashes import liveness as liveness_module
+from arbutuscove.crashes import verdicts
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
 from arbutuscove.peers import peer_pb2
@@ -123,6 +124,13 @@
         self._send_gossip = send_gossip
         self._records = quarantine.RecordCache()
         self._evidence = evidence_module.Evidence()
+        # Culprits that a death seen by this daemon decided: it writes their
+        # rows. Bounded by the deaths that are kept.
+        self._own_culprits: set[int] = set()
+        self._has_verdicts = False
+        self._verdicts = verdicts.VerdictKeeper(
+            table, clock, self._own_culprits.__contains__
+        )
         # Bounded by the requests in progress and by the detached attempts,
         # which are removed after DETACHED_WATCH_DURATION or TRIAL_TTL.
         self._attempts: set[TrackedAttempt] = set()
@@ -136,6 +144,12 @@
     def start(self, kernel: services.Kernel) -> None:
         """Starts the loop that checks detached attempts and loads the rows."""
         self.run_loop(self._run_watch)
+        self._verdicts.start(kernel)
+
+    def stop(self) -> None:
+        """Stops both loops."""
+        super().stop()
+        self._verdicts.stop()
 
     def list_suspicions(self) -> list[peer_pb2.Suspicion]:
         """Returns the suspicions to gossip to peers."""
@@ -174,7 +188,9 @@
         except msgspec.MsgspecError as error:
             eliot.log_message("quarantine:unreadable", reason=str(error))
             return
+        before = self._evidence.culprits
         self._evidence.merge(report, self._clock.monotonic())
+        self._record_changes(before)
 
     def may_repeat(self, work: work_module.Work) -> bool:
         """Returns whether a lost request may be sent again.
@@ -200,10 +216,27 @@
 
     def _record_survival(self, attempt: TrackedAttempt) -> None:
         attempt.is_survival_recorded = True
-        if attempt.answered_at is not None:
-            for part in attempt.prompt_parts:
-                key = evidence_module.hash_part(part)
-                self._evidence.record_answer(key, attempt.answered_at)
+        if attempt.answered_at is None:
+            return
+        before = self._evidence.culprits
+        for part in attempt.prompt_parts:
+            key = evidence_module.hash_part(part)
+            self._evidence.record_answer(key, attempt.answered_at)
+        self._record_changes(before)
+
+    def _record_changes(
+        self, before: abc.Mapping[int, evidence_module.Culprit]
+    ) -> None:
+        """Logs changed verdicts and writes those of this daemon."""
+        after = self._evidence.culprits
+        if after is before:
+            return
+        for key in after.keys() - before.keys():
+            eliot.log_message("quarantine:part", part=f"{key:016x}")
+        for key in before.keys() - after.keys():
+            eliot.log_message("quarantine:part_cleared", part=f"{key:016x}")
+        self._verdicts.record(before.keys(), self._evidence)
+        self._own_culprits.intersection_update(after)
 
     def exclude_replica(self, service: str, replica: str) -> frozenset[str]:
         """Returns the replicas that a retry of a request must avoid.
@@ -363,10 +396,21 @@
     def load(self) -> None:
         """Merges the rows of the table and deletes expired ones.
 
+        At its start the daemon also learns which prompt parts crash replicas.
+
         Raises:
             TableError: the rows could not be read, or the deletion of an
                 expired row failed.
         """
+        if not self._has_verdicts:
+            before = self._evidence.culprits
+            verdicts.restore(
+                table_module.read_all(self._table, verdicts.KEY_PREFIX),
+                self._evidence,
+                self._clock.monotonic(),
+            )
+            self._has_verdicts = True
+            self._record_changes(before)
         rows = self._read_rows()
         for digest, row in rows.items():
             known = self._records.get_record(digest)
@@ -487,8 +531,10 @@
                 suspects=evidence_module.limit_suspects(suspects),
             )
         )
-        for key in self._evidence.culprits.keys() - before.keys():
-            eliot.log_message("quarantine:part", part=f"{key:016x}")
+        self._own_culprits.update(
+            self._evidence.culprits.keys() - before.keys()
+        )
+        self._record_changes(before)
 
     def _shorten_watch(self, death: str, until: datetime.timedelta) -> None:
         """Shortens the watch of detached attempts whose replica is alive."""
@@ -643,6 +689,9 @@
         next_load = self._clock.monotonic()
         while True:
             self.check_detached()
+            before = self._evidence.culprits
+            self._evidence.expire(self._clock.monotonic())
+            self._record_changes(before)
             if self._clock.monotonic() >= next_load:
                 next_load = self._clock.monotonic() + LOAD_INTERVAL
                 try:
--- a/arbutuscove/requests/tests/test_quarantine.py
+++ b/arbutuscove/requests/tests/test_quarantine.py
@@ -153,6 +153,30 @@
     assert system.try_send(1, "q", None, ("popular",)) is None
 
 
+def test_quarantine_crashing_part_survives_restart_of_all_daemons():
+    """After a restart a crashing part must not crash two more replicas."""
+    system = _System()
+    for number in range(3):
+        system.try_send(number, f"q{number}", None, ("first", CRASH))
+        system.fleet.rebuild()
+    deaths = len(system.fleet.deaths)
+    for daemon in system.daemons:
+        daemon.suspects._verdicts.write_pending()
+    system.daemons = [
+        fleet_module.build_daemon(
+            system.fleet, system.table, f"new{number}", system.gossip
+        )
+        for number in range(DAEMONS)
+    ]
+    for daemon in system.daemons:
+        daemon.suspects.load()
+    for number in range(DAEMONS):
+        code = system.try_send(number, f"r{number}", None, ("first", CRASH))
+        assert code == "request_quarantined"
+        assert system.try_send(number, f"s{number}", None, ("first",)) is None
+    assert len(system.fleet.deaths) == deaths
+
+
 def test_quarantine_crashing_part_is_tried_again_rarely():
     """A part that no longer crashes replicas must not be refused forever."""
     system = _System()
