Do not claim that nothing ran when a verdict comes between attempts

Callers saw (in a test): 503 with not_run, though an earlier attempt of the request was lost and may have run, when its part became known to crash upstreams while it waited for the next attempt.

Change: the refusal is then the failure of the lost attempt (502).

Measured: bin/test arbutuscove/relay/tests/test_crashing_part.py: both cases of the new test fail without the change (503, True) and pass with it.

Found beside it, not changed here: after a lost attempt of a repeatable request a last attempt without any backend or slot is answered 503 with not_run, too.

--- a/arbutuscove/relay/flow.py
+++ b/arbutuscove/relay/flow.py
@@ -83,6 +83,7 @@
         excluded: frozenset[model.BackendKey] = frozenset()
         repeat = request.route.repeat
         attempts_made = 0
+        has_lost_attempt = False
         while True:
             attempt = attempt_module.Attempt(self.context, request, service)
             is_handed_over = False
@@ -101,10 +102,13 @@
                 reason = str(error)
                 attempts_made += 1
                 if not self._may_retry(request, service, attempts_made, reason):
-                    raise build_not_run_refusal(error) from error
+                    raise build_not_run_refusal(
+                        request, error, has_lost_attempt
+                    ) from error
             except attempt_module.AttemptLostError as error:
                 reason = str(error)
                 attempts_made += 1
+                has_lost_attempt = True
                 if not repeat.is_idempotent or not self._may_retry(
                     request, service, attempts_made, reason
                 ):
@@ -172,6 +176,7 @@
         self._last_event = request.last_event
         self._excluded: frozenset[model.BackendKey] = frozenset()
         self._attempts_made = 0
+        self._has_lost_attempt = False
         self._attempt: attempt_module.Attempt | None = None
 
     def start(self) -> model.Answer:
@@ -225,9 +230,12 @@
             except attempt_module.NotRunError as error:
                 attempt.close()
                 if not self._record_failed_attempt(attempt, str(error)):
-                    raise build_not_run_refusal(error) from error
+                    raise build_not_run_refusal(
+                        self._request, error, self._has_lost_attempt
+                    ) from error
             except attempt_module.AttemptLostError as error:
                 attempt.close()
+                self._has_lost_attempt = True
                 if not self._is_resumable() or not self._record_failed_attempt(
                     attempt, str(error)
                 ):
@@ -336,10 +344,20 @@
 
 
 def build_not_run_refusal(
+    request: model.Request,
     error: attempt_module.NotRunError,
+    has_lost_attempt: bool,
 ) -> model.RefusedError:
-    """Returns the error for a request that no upstream ran."""
+    """Returns the error for a request whose last attempt did not run.
+
+    Args:
+        request: the request.
+        error: why the last attempt did not run.
+        has_lost_attempt: whether an earlier attempt may have run.
+    """
     if isinstance(error, attempt_module.QuarantinedError):
+        if has_lost_attempt:
+            return build_failure(request, 502, str(error))
         return build_quarantine_refusal(error.retry_after)
     return model.RefusedError(
         model.Refusal(
--- a/arbutuscove/relay/tests/test_crashing_part.py
+++ b/arbutuscove/relay/tests/test_crashing_part.py
@@ -96,7 +96,7 @@
         )
         self.number = 0
 
-    def send(self, parts):
+    def send(self, parts, repeat=catalog_model.Repeat.STREAM_RESUMABLE):
         """Returns the status of the answer to a new request."""
         self.number += 1
         name = f"r{self.number}"
@@ -109,7 +109,7 @@
             body=name.encode(),
             route=dataclasses.replace(
                 test_waiting.ROUTE,
-                repeat=catalog_model.Repeat.STREAM_RESUMABLE,
+                repeat=repeat,
                 first_byte_target=test_troubled.SECOND,
             ),
             account=None,
@@ -185,3 +185,22 @@
         assert scene.send(CRASHING).status == 503
     finally:
         scene.stop()
+
+
+@pytest.mark.parametrize(
+    "repeat",
+    [catalog_model.Repeat.STREAM_RESUMABLE, catalog_model.Repeat.SAFE],
+)
+def test_refusal_after_a_lost_attempt_does_not_claim_that_nothing_ran(repeat):
+    """Guards against a false promise, if the verdict comes between attempts."""
+    scene = Scene(lambda request_id: iter([None]))
+    scene.liveness = liveness.Liveness.ALIVE
+    scene.tracker.check = lambda request: (
+        test_troubled.SECOND if scene.count_requests() else None
+    )
+    try:
+        refusal = scene.send(CRASHING, repeat)
+    finally:
+        scene.stop()
+    assert scene.count_requests() == 1
+    assert (refusal.status, refusal.not_run) == (502, False)
