Blame only requests that had begun, and none that had events before

A stream resumed after its first events was blamed by the second VM's crash. Found by reading. A trial was known by the caller's id, which a caller may use again for further requests.

Change: a loss is reported only if the answer had begun (an engine's head; any request to a plain service), had no event, and is no resumption. A trial is known by the request itself.

Conclusion: the evidence of a crash is the few requests that can have caused it.

--- a/arbutuscove/crashes/tracker.py
+++ b/arbutuscove/crashes/tracker.py
@@ -1,6 +1,6 @@
 """Tracks which requests crash upstreams, and keeps them from further ones.
 
-When the answer to a request is lost before its first event, the VM is probed.
+When an answer has begun and is lost before its first event, the VM is probed.
 Only a VM that is known to have crashed counts as a death: a connection also
 breaks without one. If the probe decides nothing, the list of VMs does, once it
 shows a later start of the VM.
@@ -60,7 +60,8 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _Trial:
-    request_id: str
+    # The object itself: its id comes from the caller, who may use it again.
+    request: Request
     started_at: datetime.timedelta
 
 
@@ -145,7 +146,7 @@
         culprits = self._evidence.culprits
         if not culprits:
             return None
-        for key in _list_traits(request, has_head=True):
+        for key in _list_traits(request):
             culprit = culprits.get(key)
             if culprit is not None and not self._may_try(culprit, request):
                 return culprit
@@ -195,27 +196,21 @@
                 self._evidence.record_answer(whole, at)
         self._log_changes(before)
 
-    def report_loss(
-        self, request: Request, vm: fleet_model.Vm, has_head: bool
-    ) -> None:
+    def report_loss(self, request: Request, vm: fleet_model.Vm) -> None:
         """Records a death if the VM of a lost answer has crashed.
 
         Returns once the other daemons have been told, so that the request is
         not sent again before.
 
         Args:
-            request: the request whose answer was lost before its first event.
+            request: the request, whose answer had begun without an event.
             vm: the VM that the request was sent to.
-            has_head: whether the head of the answer had arrived: the engine had
-                begun to run the request.
         """
         now = self._clock.monotonic()
         death = evidence_module.Death(
             identity=f"{vm.name}@{vm.started_at_ms}",
             at=now,
-            suspects=evidence_module.limit_suspects(
-                _list_traits(request, has_head)
-            ),
+            suspects=evidence_module.limit_suspects(_list_traits(request)),
         )
         match self._determine_liveness(vm, death.identity):
             case liveness.Liveness.DEAD:
@@ -292,15 +287,13 @@
         now = self._clock.monotonic()
         trial = self._trials.get(culprit.key)
         if trial is not None:
-            if trial.request_id == request.request_id:
+            if trial.request is request:
                 return True
             if now - trial.started_at < evidence_module.MIN_TRIAL_DELAY:
                 return False
         if now < culprit.trial_due or not self._is_trial_owner(culprit.key):
             return False
-        self._trials[culprit.key] = _Trial(
-            request_id=request.request_id, started_at=now
-        )
+        self._trials[culprit.key] = _Trial(request=request, started_at=now)
         eliot.log_message(
             "crash:trial",
             request_id=request.request_id,
@@ -344,21 +337,13 @@
                 }
 
 
-def _list_traits(request: Request, has_head: bool) -> dict[int, int]:
-    """Returns the depth of each trait by its key.
-
-    A request whose answer had no head may have waited in the engine's queue, so
-    that only the whole request is listed: it is blamed if it is lost with
-    several VMs.
-    """
+def _list_traits(request: Request) -> dict[int, int]:
+    """Returns the depth of each trait by its key."""
     whole = evidence_module.hash_request(request.encode_identity())
-    traits = {whole: evidence_module.WHOLE_DEPTH}
-    if has_head:
-        traits |= {
-            evidence_module.hash_part(part): depth
-            for depth, part in enumerate(request.prompt_parts)
-        }
-    return traits
+    return {whole: evidence_module.WHOLE_DEPTH} | {
+        evidence_module.hash_part(part): depth
+        for depth, part in enumerate(request.prompt_parts)
+    }
 
 
 def _has_restarted(vm: fleet_model.Vm, listed: fleet_model.Vm) -> bool:
--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -226,6 +226,7 @@
         self._connection: connection.Connection | None = None
         self._is_released = False
         self._has_answer_begun = False
+        self._is_resumed = False
         self._head_at: datetime.timedelta | None = None
         self._event_count = 0
         self._first_event_at: datetime.timedelta | None = None
@@ -259,6 +260,7 @@
         """
         context = self._context
         request = self._request
+        self._is_resumed = bool(last_event or request.last_event)
         self.backend = context.dispatcher.acquire(
             request, self._service, excluded, is_resumed=bool(last_event)
         )
@@ -566,24 +568,23 @@
             events=self._event_count,
             prompt_parts=self._request.prompt_parts,
         )
-        if (
-            isinstance(error, http.NoResponseError)
-            and not self._event_count
-            and not self._request.last_event
-        ):
+        if isinstance(error, http.NoResponseError):
             self._report_crash(self.backend)
         return AttemptLostError(str(error))
 
     def _report_crash(self, backend: model.Backend) -> None:
-        """Reports the loss of an answer before its first event.
+        """Reports an answer that was lost after it had begun, without an event.
 
-        A greenlet of its own completes the report if the caller leaves now.
+        An engine sends the head when it begins to run a request; plain services
+        send it with the answer. The events of a resumed stream have shown
+        before that its request is sound.
         """
+        has_begun = self._head_at is not None or not backend.model
+        if not has_begun or self._event_count or self._is_resumed:
+            return
+        # A greenlet of its own completes the report if the caller leaves now.
         gevent.spawn(
-            self._context.crashes.report_loss,
-            self._request,
-            backend.vm,
-            has_head=self._head_at is not None,
+            self._context.crashes.report_loss, self._request, backend.vm
         ).join()
 
     def _check_reply(self, reply: Reply) -> Reply:
--- /dev/null
+++ b/bench/evidence.py
@@ -0,0 +1,59 @@
+"""Size and processor time of the evidence on crashes, at its bounds.
+
+Run by `python -m bench.evidence`; reads real time.
+"""
+
+import datetime
+import random
+import time
+import tracemalloc
+
+import msgspec
+
+from arbutuscove.crashes import evidence
+
+SECOND = datetime.timedelta(seconds=1)
+DECISIONS = 50
+ANSWERS = 20_000
+
+
+def main() -> None:
+    """Prints the figures."""
+    generator = random.Random(1)
+    tracemalloc.start()
+    known = evidence.Evidence()
+    for number in range(evidence.MAX_DEATHS):
+        suspects = {
+            generator.getrandbits(64): depth
+            for depth in range(evidence.MAX_SUSPECTS)
+        }
+        known.record_death(
+            evidence.Death(
+                identity=f"i-{generator.getrandbits(40):010x}@1792178439056",
+                at=number * SECOND,
+                suspects=suspects,
+            )
+        )
+        report = msgspec.msgpack.encode(known.build_report(100 * SECOND))
+        if number in (0, evidence.MAX_DEATHS - 1):
+            print(f"report of {number + 1} deaths: {len(report)} bytes")
+    for _ in range(evidence.MAX_ANSWERS):
+        known.record_answer(generator.getrandbits(64), 100 * SECOND)
+    print(f"memory: {tracemalloc.get_traced_memory()[0] // 1024} KiB")
+    tracemalloc.stop()
+    deaths = known.list_deaths()
+    begin = time.perf_counter()
+    for _ in range(DECISIONS):
+        evidence.find_culprits(deaths, {})
+    seconds = (time.perf_counter() - begin) / DECISIONS
+    print(f"verdict: {seconds * 1e3:.2f} ms")
+    keys = [generator.getrandbits(64) for _ in range(ANSWERS)]
+    begin = time.perf_counter()
+    for key in keys:
+        known.record_answer(key, 101 * SECOND)
+    seconds = (time.perf_counter() - begin) / ANSWERS
+    print(f"answer: {seconds * 1e6:.1f} us")
+
+
+if __name__ == "__main__":
+    main()
