Repeat what did not run, and keep a culprit's deaths in the evidence

Cause: a request with a blamed part was not sent again even if the first upstream had said that it did not run it. Beyond 64 deaths the oldest was evicted, also one that convicts a part, so that unrelated crashes could end a verdict. Daemons of an older version were sent evidence that they cannot read. All found by reading.

Change: the question whether a request may have crashed an upstream is asked only after an attempt that may have run; the deaths of culprits are evicted last; evidence goes to daemons that know it.

Measured: bin/test arbutuscove/relay arbutuscove/crashes arbutuscove/gossip pass, with a new test each for the first two.

--- a/arbutuscove/crashes/evidence.py
+++ b/arbutuscove/crashes/evidence.py
@@ -27,7 +27,7 @@
 # Depth of the trait of a whole request. Parts have depths from 0.
 WHOLE_DEPTH = -1
 # All deaths with their suspects fit into one datagram.
-MAX_DEATHS = 64  # the oldest is evicted first
+MAX_DEATHS = 64  # the oldest that convicts no trait is evicted first
 MAX_SUSPECTS = 16  # traits blamed for one death; parts precede whole requests
 MAX_ANSWERS = 8192  # traits with a known answer; the oldest is evicted first
 DEATH_TTL = datetime.timedelta(minutes=10)
@@ -245,7 +245,7 @@
         merged = death if known is None else known.merge(death)
         self._deaths[death.identity] = merged
         if len(self._deaths) > MAX_DEATHS:
-            self._deaths.pop(min(self._deaths.values(), key=_get_time).identity)
+            self._evict_death()
         is_new = known is None or known.suspects != merged.suspects
         if is_new:
             self._decide()
@@ -327,6 +327,17 @@
         if expired or any(key in self._blamed for key in outdated):
             self._decide()
 
+    def _evict_death(self) -> None:
+        """Removes the oldest death, if possible one that convicts no trait."""
+        deaths = self._deaths.values()
+        removable = [
+            death
+            for death in deaths
+            if not death.suspects.keys() & self._culprits.keys()
+        ]
+        oldest = min(removable or deaths, key=_get_time)
+        del self._deaths[oldest.identity]
+
     def _decide(self) -> None:
         self._blamed = {}
         self._open_blame = {}
--- a/arbutuscove/crashes/tests/test_evidence.py
+++ b/arbutuscove/crashes/tests/test_evidence.py
@@ -136,6 +136,16 @@
     assert len(report.answers) <= evidence.MAX_DEATHS * evidence.MAX_SUSPECTS
 
 
+def test_evidence_of_a_culprit_is_not_displaced():
+    """Guards against a verdict that ends as many VMs crash for other causes."""
+    known = evidence.Evidence()
+    for number in (1, 2):
+        known.record_death(build_death(number, {CRASHING: 1}))
+    for number in range(10, 10 + 2 * evidence.MAX_DEATHS):
+        known.record_death(build_death(number, {1000 + number: 0}))
+    assert set(known.culprits) == {CRASHING}
+
+
 def test_culprit_is_tried_ever_more_rarely():
     """Guards against trials that crash a replica each minute."""
     delays = [
--- a/arbutuscove/gossip/service.py
+++ b/arbutuscove/gossip/service.py
@@ -140,7 +140,8 @@
             digest.EvidenceUpdate(sender=self._own.name, content=content)
         )
         for heartbeat in self.get_live():
-            self._send_data(heartbeat.ip, data)
+            if heartbeat.evidence >= 0:
+                self._send_data(heartbeat.ip, data)
 
     def owns(self, key: int) -> bool:
         """Returns whether this daemon is responsible for a key.
--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -76,6 +76,9 @@
     """The attempt failed; the upstream may have run the request."""
 
 
+FailedAttempt = NotRunError | AttemptLostError
+
+
 class StalledError(AttemptLostError):
     """The backend makes no progress, though the connection is open."""
 
--- a/arbutuscove/relay/flow.py
+++ b/arbutuscove/relay/flow.py
@@ -58,6 +58,18 @@
             return _StreamedAnswer(self, request, service).start()
         return self._serve_buffered(request, service)
 
+    def is_safe_to_repeat(
+        self, request: model.Request, error: attempt_module.FailedAttempt
+    ) -> bool:
+        """Returns whether another attempt crashes no upstream, as known now."""
+        match error:
+            case attempt_module.QuarantinedError():
+                return False
+            case attempt_module.NotRunError():
+                return True
+            case attempt_module.AttemptLostError():
+                return self.context.crashes.may_repeat(request)
+
     def acquire_retry(self, service: str) -> bool:
         """Acquires one retry from the budget of a service, if there is one."""
         now = self.clock.monotonic()
@@ -101,7 +113,7 @@
             except attempt_module.NotRunError as error:
                 reason = str(error)
                 attempts_made += 1
-                if not self._may_retry(request, service, attempts_made, reason):
+                if not self._may_retry(request, service, attempts_made, error):
                     raise build_not_run_refusal(
                         request, error, has_lost_attempt
                     ) from error
@@ -110,7 +122,7 @@
                 attempts_made += 1
                 has_lost_attempt = True
                 if not repeat.is_idempotent or not self._may_retry(
-                    request, service, attempts_made, reason
+                    request, service, attempts_made, error
                 ):
                     raise build_failure(
                         request, self._get_failure_status(request), reason
@@ -144,11 +156,11 @@
         request: model.Request,
         service: str,
         attempts_made: int,
-        reason: str,
+        error: attempt_module.FailedAttempt,
     ) -> bool:
         if attempts_made >= request.route.attempts:
             return False
-        if not self.context.crashes.may_repeat(request):
+        if not self.is_safe_to_repeat(request, error):
             return False
         return self._acquire_retry_in_time(request, service)
 
@@ -229,7 +241,7 @@
                 )
             except attempt_module.NotRunError as error:
                 attempt.close()
-                if not self._record_failed_attempt(attempt, str(error)):
+                if not self._record_failed_attempt(attempt, error):
                     raise build_not_run_refusal(
                         self._request, error, self._has_lost_attempt
                     ) from error
@@ -237,7 +249,7 @@
                 attempt.close()
                 self._has_lost_attempt = True
                 if not self._is_resumable() or not self._record_failed_attempt(
-                    attempt, str(error)
+                    attempt, error
                 ):
                     passed = self._request.deadline <= (
                         self._flow.clock.monotonic()
@@ -257,7 +269,9 @@
         )
 
     def _record_failed_attempt(
-        self, attempt: attempt_module.Attempt, reason: str
+        self,
+        attempt: attempt_module.Attempt,
+        error: attempt_module.FailedAttempt,
     ) -> bool:
         """Records a failed attempt and excludes its backend.
 
@@ -272,11 +286,11 @@
             return False
         if left <= attempt_module.MIN_TIME_LEFT:
             return False
-        if not self._flow.context.crashes.may_repeat(self._request):
+        if not self._flow.is_safe_to_repeat(self._request, error):
             return False
         if not self._flow.acquire_retry(self._service):
             return False
-        log_retry(self._request, self._attempts_made, reason)
+        log_retry(self._request, self._attempts_made, str(error))
         return True
 
     def _relay_events(self) -> abc.Generator[bytes, None, None]:
@@ -332,7 +346,7 @@
         self._attempt.close()
         broken = model.BrokenAnswerError(str(error))
         if not self._is_resumable() or not self._record_failed_attempt(
-            self._attempt, str(error)
+            self._attempt, error
         ):
             raise broken from error
         try:
--- a/arbutuscove/relay/tests/test_crashing_part.py
+++ b/arbutuscove/relay/tests/test_crashing_part.py
@@ -204,3 +204,25 @@
         scene.stop()
     assert scene.count_requests() == 1
     assert (refusal.status, refusal.not_run) == (502, False)
+
+
+def test_request_that_did_not_run_is_sent_again():
+    """Guards against refusals by busy upstreams that end a request."""
+    sent = []
+
+    def answer(request_id):
+        sent.append(request_id)
+        if request_id == b"r1":
+            yield from crash(request_id)
+        elif sent.count(request_id) == 1:
+            yield b"HTTP/1.1 503 -\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+        else:
+            yield from faulty_upstream.answer_stream(request_id)
+
+    scene = Scene(answer)
+    try:
+        assert scene.send(CRASHING).status == 502
+        assert scene.send(CRASHING).status == 200
+    finally:
+        scene.stop()
+    assert sent == [b"r1", b"r2", b"r2"]
