--- a/arbutuscove/relay/tests/test_crashing_part.py
+++ b/arbutuscove/relay/tests/test_crashing_part.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 
+import gevent
 import pytest
 
 from arbutuscove.catalog import holder as catalog_holder
@@ -226,3 +227,29 @@
     finally:
         scene.stop()
     assert sent == [b"r1", b"r2", b"r2"]
+
+
+def test_request_that_waits_in_an_engine_ends_with_the_verdict(monkeypatch):
+    """Guards against a crash by a request that was sent before the verdict."""
+    # Otherwise the wait would end as a stall; at the deadline it ends with 504.
+    monkeypatch.setattr(
+        attempt, "FIRST_BYTE_STALL_TIMEOUT", 2 * test_troubled.DEADLINE
+    )
+
+    def answer(request_id):
+        if request_id == b"r1":
+            yield test_troubled.DEADLINE.total_seconds()
+        yield from crash(request_id)
+
+    scene = Scene(answer)
+    try:
+        waiting_request = gevent.spawn(scene.send, CRASHING)
+        while not scene.count_requests():
+            gevent.sleep(0.01)
+        for _ in range(2):
+            assert scene.send(CRASHING).status == 502
+        refusal = waiting_request.get()
+        assert (refusal.status, refusal.not_run) == (502, False)
+        assert scene.count_requests() == 3
+    finally:
+        scene.stop()
