--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,9 +7,11 @@
 
 import pathlib
 import sys
+import tempfile
 
 import click
 
+from soak import crashing
 from soak import run
 
 
@@ -23,20 +25,46 @@
     default=None,
     help="Directory in which the daemons' logs stay.",
 )
+@click.option(
+    "--crashing-part",
+    is_flag=True,
+    help="Instead of random faults, a prompt part crashes servers.",
+)
 def main(
-    seed: int, count: int, seconds: float, logs: pathlib.Path | None
+    seed: int,
+    count: int,
+    seconds: float,
+    logs: pathlib.Path | None,
+    crashing_part: bool,
 ) -> None:
     """Runs daemons under random faults; exit code 1 if a promise broke."""
     failed_seeds = []
     for current_seed in range(seed, seed + count):
         log_directory = None if logs is None else logs / str(current_seed)
-        report = run.run_seed(current_seed, seconds, log_directory)
-        click.echo(report.describe())
-        if report.violations:
+        if crashing_part:
+            broken = _run_crashing_part(current_seed, log_directory)
+        else:
+            report = run.run_seed(current_seed, seconds, log_directory)
+            click.echo(report.describe())
+            broken = bool(report.violations)
+        if broken:
             failed_seeds.append(current_seed)
     click.echo(f"{count} seeds, broken: {failed_seeds or 'none'}")
     sys.exit(1 if failed_seeds else 0)
 
 
+def _run_crashing_part(seed: int, logs: pathlib.Path | None) -> bool:
+    """Runs one seed, every second one with forwarders; returns if it broke."""
+    with tempfile.TemporaryDirectory() as directory:
+        log_directory = pathlib.Path(directory) if logs is None else logs
+        log_directory.mkdir(parents=True, exist_ok=True)
+        report = crashing.run_seed(
+            log_directory, seed, has_server_links=bool(seed % 2)
+        )
+    broken = report.list_broken()
+    click.echo(f"seed {seed}: broken {broken or 'none'}; {report}")
+    return bool(broken)
+
+
 if __name__ == "__main__":
     main()
