Keep crashes below requests in the order of packages

Change: the tracker states the part of a VM that it reads as a protocol, so that crashes imports kernel and storage only and stands before requests. Types only; no behaviour.

Measured: arbutuscove/tool/tests/test_documents.py failed before and passes, with crashes, relay and platform (152 tests).

--- a/arbutuscove/crashes/tracker.py
+++ b/arbutuscove/crashes/tracker.py
@@ -18,7 +18,6 @@
 from arbutuscove.crashes import evidence as evidence_module
 from arbutuscove.crashes import liveness
 from arbutuscove.crashes import verdicts
-from arbutuscove.fleet import model as fleet_model
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
 from arbutuscove.storage import table as table_module
@@ -50,11 +49,30 @@
         """Returns what makes two requests equal."""
 
 
+class Vm(typing.Protocol):
+    """The part of a VM's listed state that tells whether it has crashed."""
+
+    @property
+    def name(self) -> str:
+        """The name, the same after a restart."""
+
+    @property
+    def started_at_ms(self) -> int:
+        """The start in Unix milliseconds, compared only with its own."""
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the VM drains."""
+
+
+VmT = typing.TypeVar("VmT", bound=Vm)
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _Loss:
     """A lost answer whose VM is neither known to be alive nor dead."""
 
-    vm: fleet_model.Vm
+    vm: Vm
     death: evidence_module.Death
 
 
@@ -65,14 +83,14 @@
     started_at: datetime.timedelta
 
 
-class CrashTracker(services.LoopService):
+class CrashTracker(services.LoopService, typing.Generic[VmT]):
     """Decides which requests may run, from the evidence of all daemons."""
 
     def __init__(
         self,
         clock: clock_module.Clock,
-        find_vm: abc.Callable[[str], fleet_model.Vm | None],
-        probe: abc.Callable[[fleet_model.Vm], liveness.Liveness],
+        find_vm: abc.Callable[[str], VmT | None],
+        probe: abc.Callable[[VmT], liveness.Liveness],
         send: abc.Callable[[bytes], None],
         is_trial_owner: abc.Callable[[int], bool],
         keeper: verdicts.VerdictKeeper,
@@ -196,7 +214,7 @@
                 self._evidence.record_answer(whole, at)
         self._log_changes(before)
 
-    def report_loss(self, request: Request, vm: fleet_model.Vm) -> None:
+    def report_loss(self, request: Request, vm: VmT) -> None:
         """Records a death if the VM of a lost answer has crashed.
 
         Returns once the other daemons have been told, so that the request is
@@ -233,9 +251,7 @@
         if not self._watched:
             self._has_watched.clear()
 
-    def _determine_liveness(
-        self, vm: fleet_model.Vm, identity: str
-    ) -> liveness.Liveness:
+    def _determine_liveness(self, vm: VmT, identity: str) -> liveness.Liveness:
         listed = self._find_vm(vm.name)
         if listed is not None and _has_restarted(vm, listed):
             return liveness.Liveness.DEAD
@@ -346,7 +362,7 @@
     }
 
 
-def _has_restarted(vm: fleet_model.Vm, listed: fleet_model.Vm) -> bool:
+def _has_restarted(vm: Vm, listed: Vm) -> bool:
     return listed.started_at_ms > vm.started_at_ms
 
 
--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -14,6 +14,7 @@
 from arbutuscove.fleet import controller as controller_module
 from arbutuscove.fleet import health
 from arbutuscove.fleet import inventory as inventory_module
+from arbutuscove.fleet import model as fleet_model
 from arbutuscove.gossip import digest
 from arbutuscove.gossip import service as gossip_service
 from arbutuscove.kernel import clock as clock_module
@@ -71,7 +72,7 @@
         store: store_module.Store,
         clock: clock_module.Clock,
         gossip: gossip_service.Gossip,
-        crashes: crash_tracker.CrashTracker,
+        crashes: crash_tracker.CrashTracker[fleet_model.Vm],
     ) -> None:
         self._crashes = crashes
         self._key = DAEMON_PREFIX + settings.name
@@ -142,7 +143,7 @@
             self._clock,
             self._gossip.owns,
         )
-        self._crashes = crash_tracker.CrashTracker(
+        self._crashes = crash_tracker.CrashTracker[fleet_model.Vm](
             self._clock,
             self._inventory.find,
             self._orders.probe_liveness,
--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -18,6 +18,7 @@
 from arbutuscove.catalog import holder as catalog_holder
 from arbutuscove.crashes import evidence
 from arbutuscove.crashes import tracker
+from arbutuscove.fleet import model as fleet_model
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.relay import backends as backends_module
 from arbutuscove.relay import model
@@ -150,7 +151,7 @@
         notify_peers: abc.Callable[[], None],
         probe_members: abc.Callable[[model.Backend], list[str]],
         generator: random.Random,
-        crashes: tracker.CrashTracker,
+        crashes: tracker.CrashTracker[fleet_model.Vm],
     ) -> None:
         self.clock = clock
         self.crashes = crashes
