Hold the evidence of both interfaces in one class

The users' platform and arbutuscoved each had the exchange, the log lines and the rows of verdicts. crashes/holder has them once; a tracker only observes and asks. arbutuscoved logs crash:quarantined and crash:cleared, too (before: quarantine:part). A row is written by the owner of the trait or, without one, by the daemon whose observation decided, and removed by the same.

--- /dev/null
+++ b/arbutuscove/crashes/holder.py
@@ -0,0 +1,122 @@
+"""The evidence of one daemon: exchanged, logged and kept in the table.
+
+Both interfaces observe deaths and answers in their own way and hold them here.
+"""
+
+import datetime
+from collections import abc
+
+import eliot
+import msgspec
+
+from arbutuscove.crashes import evidence as evidence_module
+from arbutuscove.crashes import verdicts
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.storage import table as table_module
+
+
+class EvidenceHolder:
+    """Holds the evidence, and logs and keeps the verdicts that it changes."""
+
+    def __init__(
+        self, clock: clock_module.Clock, keeper: verdicts.VerdictKeeper
+    ) -> None:
+        self._clock = clock
+        self._keeper = keeper
+        self._evidence = evidence_module.Evidence()
+
+    @property
+    def culprits(self) -> abc.Mapping[int, evidence_module.Culprit]:
+        """The traits that crash upstreams, by key."""
+        return self._evidence.culprits
+
+    def get_fingerprint(self) -> int:
+        """Returns a hash of the evidence, 0 if there is nothing to exchange."""
+        return self._evidence.fingerprint
+
+    def encode_evidence(self, death: str | None = None) -> bytes:
+        """Returns the evidence in the form that daemons exchange.
+
+        It is empty if no death is known.
+
+        Args:
+            death: identity of a death to which it is limited; None for all.
+        """
+        if self._evidence.is_empty():
+            return b""
+        report = self._evidence.build_report(self._clock.monotonic(), death)
+        return msgspec.msgpack.encode(report)
+
+    def merge_evidence(self, data: bytes) -> None:
+        """Adds the evidence of another daemon."""
+        try:
+            report = msgspec.msgpack.decode(data, type=evidence_module.Report)
+        except msgspec.MsgspecError as error:
+            eliot.log_message("crash:unreadable", reason=str(error))
+            return
+        before = self.culprits
+        self._evidence.merge(report, self._clock.monotonic())
+        self._record_changes(before)
+
+    def restore(self, rows: abc.Iterable[table_module.Row]) -> None:
+        """Adds the verdicts of table rows, at the start of the daemon."""
+        before = self.culprits
+        verdicts.restore(rows, self._evidence, self._clock.monotonic())
+        self._record_changes(before)
+
+    def is_blamed(self, key: int) -> bool:
+        """Returns whether a death blames the trait, refuted or not."""
+        return self._evidence.is_blamed(key)
+
+    def is_suspect(self, key: int) -> bool:
+        """Returns whether a death blames the trait and no answer is known."""
+        return self._evidence.is_suspect(key)
+
+    def record_death(self, death: evidence_module.Death) -> bool:
+        """Adds a death that this daemon observed.
+
+        Returns:
+            Whether it was unknown or blames more than before.
+        """
+        before = self.culprits
+        is_new = self._evidence.record_death(death)
+        self._record_changes(before, is_own=True)
+        return is_new
+
+    def record_answer(
+        self, keys: abc.Iterable[int], at: datetime.timedelta
+    ) -> None:
+        """Records when an answer began to a request with these traits."""
+        before = self.culprits
+        for key in keys:
+            self._evidence.record_answer(key, at)
+        self._record_changes(before)
+
+    def expire(self) -> None:
+        """Removes deaths and answers after their lifetimes."""
+        before = self.culprits
+        self._evidence.expire(self._clock.monotonic())
+        self._record_changes(before)
+
+    def _record_changes(
+        self,
+        before: abc.Mapping[int, evidence_module.Culprit],
+        is_own: bool = False,
+    ) -> None:
+        after = self.culprits
+        if after is before:
+            return
+        for key in after.keys() - before.keys():
+            eliot.log_message(
+                "crash:quarantined",
+                suspects=format_keys((key,)),
+                deaths=after[key].deaths,
+            )
+        for key in before.keys() - after.keys():
+            eliot.log_message("crash:cleared", suspects=format_keys((key,)))
+        self._keeper.record(before.keys(), self._evidence, is_own)
+
+
+def format_keys(keys: abc.Iterable[int]) -> list[str]:
+    """Returns the keys of traits as they appear in logs and in the table."""
+    return [f"{key:016x}" for key in keys]
--- a/arbutuscove/crashes/tests/test_tracker.py
+++ b/arbutuscove/crashes/tests/test_tracker.py
@@ -6,6 +6,7 @@
 import pytest
 
 from arbutuscove.crashes import evidence
+from arbutuscove.crashes import holder
 from arbutuscove.crashes import liveness
 from arbutuscove.crashes import tracker
 from arbutuscove.crashes import verdicts
@@ -45,13 +46,14 @@
         self.liveness = DEAD
         self.probes = 0
         self.sent = []
+        self.evidence = holder.EvidenceHolder(clock, self.keeper)
         self.tracker = tracker.CrashTracker(
             clock,
             self.listed.get,
             self._probe,
             self.sent.append,
             lambda key: is_owner,
-            self.keeper,
+            self.evidence,
         )
 
     def _probe(self, vm):
@@ -158,12 +160,12 @@
     daemon.lose("r1", "a")
     other.lose("r2", "b")
     for data in daemon.sent:
-        other.tracker.merge_evidence(data)
+        other.evidence.merge_evidence(data)
     assert other.refuses()
     started = Daemon(clock)
-    started.tracker.merge_evidence(other.tracker.encode_evidence())
+    started.evidence.merge_evidence(other.evidence.encode_evidence())
     assert started.refuses()
-    started.tracker.merge_evidence(b"no evidence")
+    started.evidence.merge_evidence(b"no evidence")
 
 
 def test_tracker_tries_a_culprit_once_and_at_one_daemon(clock):
@@ -182,7 +184,7 @@
     assert owner.refuses("trial")
     owner.tracker.record_answer(trial, clock.monotonic())
     assert not owner.refuses("second")
-    other.tracker.merge_evidence(owner.tracker.encode_evidence())
+    other.evidence.merge_evidence(owner.evidence.encode_evidence())
     assert not other.refuses("trial")
 
 
@@ -198,7 +200,7 @@
     daemon.keeper.write_pending()
     rows = table_module.read_all(daemon.table, "")
     started = Daemon(clock)
-    started.tracker.restore(rows)
+    started.evidence.restore(rows)
     assert started.refuses()
     clock.advance(evidence.MIN_TRIAL_DELAY)
     assert not started.refuses("trial")
@@ -228,5 +230,5 @@
             ("daemon/d1", None),
         )
     ]
-    daemon.tracker.restore(rows)
+    daemon.evidence.restore(rows)
     assert not daemon.refuses()
--- a/arbutuscove/crashes/tracker.py
+++ b/arbutuscove/crashes/tracker.py
@@ -12,15 +12,13 @@
 from collections import abc
 
 import eliot
-import msgspec
 from gevent import event
 
 from arbutuscove.crashes import evidence as evidence_module
+from arbutuscove.crashes import holder
 from arbutuscove.crashes import liveness
-from arbutuscove.crashes import verdicts
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
-from arbutuscove.storage import table as table_module
 
 SERVICE_NAME = "crashes"
 WATCH_INTERVAL = datetime.timedelta(milliseconds=250)
@@ -93,9 +91,9 @@
         probe: abc.Callable[[VmT], liveness.Liveness],
         send: abc.Callable[[bytes], None],
         is_trial_owner: abc.Callable[[int], bool],
-        keeper: verdicts.VerdictKeeper,
+        evidence: holder.EvidenceHolder,
     ) -> None:
-        """Creates a tracker without any evidence.
+        """Creates a tracker.
 
         Args:
             clock: the clock.
@@ -104,15 +102,14 @@
             send: sends encoded evidence to all other daemons.
             is_trial_owner: whether this daemon may try a trait; all other
                 daemons refuse requests with it meanwhile.
-            keeper: writes the verdicts to the table.
+            evidence: the evidence, which is exchanged with other daemons.
         """
         self._clock = clock
         self._find_vm = find_vm
         self._probe = probe
         self._send = send
         self._is_trial_owner = is_trial_owner
-        self._keeper = keeper
-        self._evidence = evidence_module.Evidence()
+        self._evidence = evidence
         self._trials: dict[int, _Trial] = {}
         self._watched: list[_Loss] = []
         self._has_watched = event.Event()
@@ -125,37 +122,6 @@
         """Starts the loop that settles undecided losses."""
         self.run_loop(self._run)
 
-    def get_fingerprint(self) -> int:
-        """Returns a hash of the evidence, 0 without any."""
-        return self._evidence.fingerprint
-
-    def encode_evidence(self) -> bytes:
-        """Returns the evidence in the form that daemons exchange.
-
-        It is empty if no death is known.
-        """
-        if self._evidence.is_empty():
-            return b""
-        report = self._evidence.build_report(self._clock.monotonic())
-        return msgspec.msgpack.encode(report)
-
-    def merge_evidence(self, data: bytes) -> None:
-        """Adds the evidence of another daemon."""
-        try:
-            report = msgspec.msgpack.decode(data, type=evidence_module.Report)
-        except msgspec.MsgspecError as error:
-            eliot.log_message("crash:unreadable", reason=str(error))
-            return
-        before = self._evidence.culprits
-        self._evidence.merge(report, self._clock.monotonic())
-        self._log_changes(before)
-
-    def restore(self, rows: abc.Iterable[table_module.Row]) -> None:
-        """Adds the verdicts of table rows, at the start of the daemon."""
-        before = self._evidence.culprits
-        verdicts.restore(rows, self._evidence, self._clock.monotonic())
-        self._log_changes(before)
-
     def find_culprit(self, request: Request) -> evidence_module.Culprit | None:
         """Returns the trait for which a request must not run, if any.
 
@@ -191,7 +157,7 @@
         eliot.log_message(
             "crash:refused",
             request_id=request.request_id,
-            suspects=_format_keys((culprit.key,)),
+            suspects=holder.format_keys((culprit.key,)),
             deaths=culprit.deaths,
             prompt_parts=request.prompt_parts[:MAX_LOGGED_PARTS],
             retry_after=round(retry_after.total_seconds(), 1),
@@ -205,14 +171,12 @@
             request: the request.
             at: monotonic time at which the answer began.
         """
-        before = self._evidence.culprits
-        for key in map(evidence_module.hash_part, request.prompt_parts):
-            self._evidence.record_answer(key, at)
-        if self._evidence.fingerprint:
+        keys = list(map(evidence_module.hash_part, request.prompt_parts))
+        if self._evidence.get_fingerprint():
             whole = evidence_module.hash_request(request.encode_identity())
             if self._evidence.is_blamed(whole):
-                self._evidence.record_answer(whole, at)
-        self._log_changes(before)
+                keys.append(whole)
+        self._evidence.record_answer(keys, at)
 
     def report_loss(self, request: Request, vm: VmT) -> None:
         """Records a death if the VM of a lost answer has crashed.
@@ -278,7 +242,6 @@
     def _record_death(
         self, death: evidence_module.Death, request: Request | None = None
     ) -> None:
-        before = self._evidence.culprits
         if not self._evidence.record_death(death):
             return
         eliot.log_message(
@@ -288,13 +251,9 @@
             prompt_parts=None
             if request is None
             else request.prompt_parts[:MAX_LOGGED_PARTS],
-            suspects=_format_keys(death.suspects),
-        )
-        self._log_changes(before)
-        report = self._evidence.build_report(
-            self._clock.monotonic(), death.identity
+            suspects=holder.format_keys(death.suspects),
         )
-        self._send(msgspec.msgpack.encode(report))
+        self._send(self._evidence.encode_evidence(death.identity))
 
     def _may_try(
         self, culprit: evidence_module.Culprit, request: Request
@@ -309,30 +268,22 @@
                 return False
         if now < culprit.trial_due or not self._is_trial_owner(culprit.key):
             return False
+        self._drop_trials()
         self._trials[culprit.key] = _Trial(request=request, started_at=now)
         eliot.log_message(
             "crash:trial",
             request_id=request.request_id,
-            suspects=_format_keys((culprit.key,)),
+            suspects=holder.format_keys((culprit.key,)),
         )
         return True
 
-    def _log_changes(
-        self, before: abc.Mapping[int, evidence_module.Culprit]
-    ) -> None:
-        after = self._evidence.culprits
-        if after is before:
-            return
-        for key in after.keys() - before.keys():
-            eliot.log_message(
-                "crash:quarantined",
-                suspects=_format_keys((key,)),
-                deaths=after[key].deaths,
-            )
-        for key in before.keys() - after.keys():
-            self._trials.pop(key, None)
-            eliot.log_message("crash:cleared", suspects=_format_keys((key,)))
-        self._keeper.record(before.keys(), self._evidence)
+    def _drop_trials(self) -> None:
+        """Forgets the trials of traits that have been cleared."""
+        self._trials = {
+            key: trial
+            for key, trial in self._trials.items()
+            if key in self._evidence.culprits
+        }
 
     def _run(self) -> None:
         expiry_due = self._clock.monotonic()
@@ -343,9 +294,8 @@
             now = self._clock.monotonic()
             if now >= expiry_due:
                 expiry_due = now + EXPIRY_INTERVAL
-                before = self._evidence.culprits
-                self._evidence.expire(now)
-                self._log_changes(before)
+                self._evidence.expire()
+                self._drop_trials()
                 self._probed = {
                     identity: probed
                     for identity, probed in self._probed.items()
@@ -364,7 +314,3 @@
 
 def _has_restarted(vm: Vm, listed: Vm) -> bool:
     return listed.started_at_ms > vm.started_at_ms
-
-
-def _format_keys(keys: abc.Iterable[int]) -> list[str]:
-    return [f"{key:016x}" for key in keys]
--- a/arbutuscove/crashes/verdicts.py
+++ b/arbutuscove/crashes/verdicts.py
@@ -43,19 +43,22 @@
         self,
         table: table_module.Table,
         clock: clock_module.Clock,
-        may_write: abc.Callable[[int], bool],
+        owns: abc.Callable[[int], bool] | None,
     ) -> None:
         """Creates a keeper without pending rows.
 
         Args:
             table: the table service.
             clock: the clock for the delay between attempts.
-            may_write: whether this daemon writes the row of a trait; all
-                daemons learn of a verdict, and one row is enough.
+            owns: whether this daemon writes the row of a trait; all daemons
+                learn of a verdict, and one row is enough. None: a daemon
+                writes the row if a death that it observed decided.
         """
         self._table = table
         self._clock = clock
-        self._may_write = may_write
+        self._owns = owns
+        # Bounded by the culprits, which are bounded by the deaths.
+        self._written: set[int] = set()
         self._pending: dict[int, Verdict | None] = {}
         self._has_pending = event.Event()
 
@@ -67,18 +70,25 @@
         self,
         before: abc.Collection[int],
         evidence: evidence_module.Evidence,
+        is_own: bool,
     ) -> None:
         """Writes the rows of new culprits and removes those of cleared ones.
 
         Args:
             before: the keys of the culprits before a change.
             evidence: the evidence after it.
+            is_own: whether this daemon observed what changed it.
         """
         after = evidence.culprits.keys()
         for key in after - set(before):
-            self._put(key, _describe(evidence, key))
+            if is_own if self._owns is None else self._owns(key):
+                self._written.add(key)
+                self._put(key, _describe(evidence, key))
         for key in set(before) - after:
-            self._put(key, None)
+            is_writer = key in self._written
+            self._written.discard(key)
+            if is_writer if self._owns is None else self._owns(key):
+                self._put(key, None)
 
     def write_pending(self) -> None:
         """Writes all pending rows.
@@ -96,8 +106,6 @@
                 del self._pending[key]
 
     def _put(self, key: int, verdict: Verdict | None) -> None:
-        if not self._may_write(key):
-            return
         self._pending.pop(key, None)
         self._pending[key] = verdict
         if len(self._pending) > MAX_PENDING:
--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -110,6 +110,7 @@
         membership.probe_peers,
     )
     membership.set_suspicion_source(suspect_tracker)
+    membership.set_evidence_source(suspect_tracker.evidence)
     request_flow = flow.RequestFlow(
         clock,
         admission,
--- a/arbutuscove/membership/service.py
+++ b/arbutuscove/membership/service.py
@@ -68,11 +68,15 @@
     ) -> None:
         """Merges the suspicions received from a peer."""
 
+
+class EvidenceSource(typing.Protocol):
+    """Source and receiver of evidence on prompt parts that crash upstreams."""
+
     def get_fingerprint(self) -> int:
-        """Returns a hash of the evidence on prompt parts, 0 without any."""
+        """Returns a hash of the evidence, 0 if there is nothing to send."""
 
     def encode_evidence(self) -> bytes:
-        """Returns the evidence on prompt parts, empty without any."""
+        """Returns the evidence to send to peers, empty without any."""
 
     def merge_evidence(self, data: bytes) -> None:
         """Merges the evidence received from a peer."""
@@ -99,6 +103,7 @@
         self._rank_loads: tuple[int, ...] = ()
         self._is_fetching = False
         self._suspicions: Suspicions | None = None
+        self._evidence: EvidenceSource | None = None
         # The fingerprint of each member's evidence, as last received.
         self._fingerprints: dict[str, int] = {}
 
@@ -133,6 +138,10 @@
         """Sets the source of the suspicions that are sent with each message."""
         self._suspicions = suspicions
 
+    def set_evidence_source(self, evidence: EvidenceSource) -> None:
+        """Sets the evidence on prompt parts to exchange with peers."""
+        self._evidence = evidence
+
     def probe_peers(self) -> None:
         """Probes peers at once, for updates that must not wait for gossip.
 
@@ -339,12 +348,12 @@
 
     def _add_evidence(self, gossip: peer_pb2.Gossip, receiver: str) -> None:
         """Adds the evidence on crashes that the receiver may not have."""
-        if self._suspicions is None:
+        if self._evidence is None:
             return
-        fingerprint = self._suspicions.get_fingerprint()
+        fingerprint = self._evidence.get_fingerprint()
         gossip.evidence_fingerprint = fingerprint
         if self._fingerprints.get(receiver, 0) != fingerprint:
-            gossip.evidence = self._suspicions.encode_evidence()
+            gossip.evidence = self._evidence.encode_evidence()
 
     def _encode(self, message: swim.Message) -> peer_pb2.Gossip:
         return peer_pb2.Gossip(
@@ -364,8 +373,9 @@
             return
         if self._suspicions is not None:
             self._suspicions.merge_suspicions(gossip.suspicions)
+        if self._evidence is not None:
             if gossip.evidence:
-                self._suspicions.merge_evidence(gossip.evidence)
+                self._evidence.merge_evidence(gossip.evidence)
             if len(self._fingerprints) >= MAX_FINGERPRINTS:
                 self._fingerprints.pop(next(iter(self._fingerprints)))
             self._fingerprints[gossip.sender.name] = gossip.evidence_fingerprint
--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from arbutuscove.catalog import holder as catalog_holder
+from arbutuscove.crashes import holder as crash_holder
 from arbutuscove.crashes import tracker as crash_tracker
 from arbutuscove.crashes import verdicts
 from arbutuscove.fleet import controller as controller_module
@@ -60,8 +61,8 @@
 class Registry(services.LoopService):
     """Writes this daemon's IP address to the store and reads its table.
 
-    Passes the addresses in it to gossip as those of possible peers, and the
-    verdicts on crashes of upstreams to the tracker.
+    Passes the addresses in it to gossip as those of possible peers, and adds
+    the verdicts on crashes of upstreams to the evidence.
     """
 
     RETRY_INTERVAL = datetime.timedelta(milliseconds=300)
@@ -72,9 +73,9 @@
         store: store_module.Store,
         clock: clock_module.Clock,
         gossip: gossip_service.Gossip,
-        crashes: crash_tracker.CrashTracker[fleet_model.Vm],
+        evidence: crash_holder.EvidenceHolder,
     ) -> None:
-        self._crashes = crashes
+        self._evidence = evidence
         self._key = DAEMON_PREFIX + settings.name
         self._ip = settings.ip
         self._store = store
@@ -98,7 +99,7 @@
             except store_module.StoreError as error:
                 eliot.log_message("registry:failed", reason=str(error))
                 self._clock.sleep(self.RETRY_INTERVAL)
-        self._crashes.restore(
+        self._evidence.restore(
             store_module.decode_table_row(row)
             for row in rows
             if row.key.startswith(verdicts.KEY_PREFIX)
@@ -143,15 +144,18 @@
             self._clock,
             self._gossip.owns,
         )
+        self._evidence = crash_holder.EvidenceHolder(
+            self._clock, self._verdicts
+        )
+        self._gossip.set_evidence_source(self._evidence)
         self._crashes = crash_tracker.CrashTracker[fleet_model.Vm](
             self._clock,
             self._inventory.find,
             self._orders.probe_liveness,
             self._gossip.broadcast_evidence,
             self._gossip.owns,
-            self._verdicts,
+            self._evidence,
         )
-        self._gossip.set_evidence_source(self._crashes)
         self._leases = lease_holder.LeaseHolder(
             self._identity,
             store_module.StoreTable(self._store),
@@ -203,7 +207,7 @@
             self._store,
             self._clock,
             self._gossip,
-            self._crashes,
+            self._evidence,
         )
         kernel = services.Kernel()
         for name, service in (
--- a/arbutuscove/relay/tests/test_crashing_part.py
+++ b/arbutuscove/relay/tests/test_crashing_part.py
@@ -8,6 +8,7 @@
 
 from arbutuscove.catalog import holder as catalog_holder
 from arbutuscove.catalog import model as catalog_model
+from arbutuscove.crashes import holder
 from arbutuscove.crashes import liveness
 from arbutuscove.crashes import tracker
 from arbutuscove.crashes import verdicts
@@ -50,13 +51,16 @@
         catalog = catalog_holder.CatalogHolder()
         self.clock = clock
         self.liveness = liveness.Liveness.DEAD
+        self.evidence = holder.EvidenceHolder(
+            clock, verdicts.VerdictKeeper(None, clock, lambda key: False)
+        )
         self.tracker = tracker.CrashTracker(
             clock,
             inventory.find,
             lambda vm: self.liveness,
             lambda data: None,
             lambda key: False,
-            verdicts.VerdictKeeper(None, clock, lambda key: False),
+            self.evidence,
         )
         self.dispatcher = waiting.RequestDispatcher(
             clock,
@@ -166,7 +170,7 @@
     for _ in range(3):
         scene.send(CRASHING)
     assert scene.count_requests() >= 6
-    assert scene.tracker.get_fingerprint() == 0
+    assert scene.evidence.get_fingerprint() == 0
 
 
 def test_sound_answers_clear_the_part_that_they_share():
--- a/arbutuscove/relay/tests/test_troubled.py
+++ b/arbutuscove/relay/tests/test_troubled.py
@@ -9,6 +9,7 @@
 
 from arbutuscove.catalog import holder as catalog_holder
 from arbutuscove.catalog import model as catalog_model
+from arbutuscove.crashes import holder
 from arbutuscove.crashes import liveness
 from arbutuscove.crashes import tracker
 from arbutuscove.crashes import verdicts
@@ -45,7 +46,9 @@
         lambda vm: liveness.Liveness.ALIVE,
         lambda data: None,
         lambda key: False,
-        verdicts.VerdictKeeper(None, clock, lambda key: False),
+        holder.EvidenceHolder(
+            clock, verdicts.VerdictKeeper(None, clock, lambda key: False)
+        ),
     )
 
 
--- a/arbutuscove/requests/suspects.py
+++ b/arbutuscove/requests/suspects.py
@@ -24,6 +24,7 @@
 
 from arbutuscove.admission import work as work_module
 from arbutuscove.crashes import evidence as evidence_module
+from arbutuscove.crashes import holder as holder_module
 from arbutuscove.crashes import liveness as liveness_module
 from arbutuscove.crashes import verdicts
 from arbutuscove.kernel import clock as clock_module
@@ -123,14 +124,9 @@
         self._list_serving = list_serving
         self._send_gossip = send_gossip
         self._records = quarantine.RecordCache()
-        self._evidence = evidence_module.Evidence()
-        # Culprits that a death seen by this daemon decided: it writes their
-        # rows. Bounded by the deaths that are kept.
-        self._own_culprits: set[int] = set()
         self._has_verdicts = False
-        self._verdicts = verdicts.VerdictKeeper(
-            table, clock, self._own_culprits.__contains__
-        )
+        self._verdicts = verdicts.VerdictKeeper(table, clock, None)
+        self.evidence = holder_module.EvidenceHolder(clock, self._verdicts)
         # Bounded by the requests in progress and by the detached attempts,
         # which are removed after DETACHED_WATCH_DURATION or TRIAL_TTL.
         self._attempts: set[TrackedAttempt] = set()
@@ -170,28 +166,6 @@
             )
             self._records.merge_hint(hint, self._clock.monotonic())
 
-    def get_fingerprint(self) -> int:
-        """Returns a hash of the evidence on prompt parts, 0 without any."""
-        return self._evidence.fingerprint
-
-    def encode_evidence(self) -> bytes:
-        """Returns the evidence on prompt parts, empty without any."""
-        if self._evidence.is_empty():
-            return b""
-        report = self._evidence.build_report(self._clock.monotonic())
-        return msgspec.msgpack.encode(report)
-
-    def merge_evidence(self, data: bytes) -> None:
-        """Merges the evidence on prompt parts received from a peer."""
-        try:
-            report = msgspec.msgpack.decode(data, type=evidence_module.Report)
-        except msgspec.MsgspecError as error:
-            eliot.log_message("quarantine:unreadable", reason=str(error))
-            return
-        before = self._evidence.culprits
-        self._evidence.merge(report, self._clock.monotonic())
-        self._record_changes(before)
-
     def may_repeat(self, work: work_module.Work) -> bool:
         """Returns whether a lost request may be sent again.
 
@@ -200,7 +174,7 @@
         """
         keys = list(map(evidence_module.hash_part, work.prompt_parts))
         return not any(
-            self._evidence.is_suspect(key) or key in self._evidence.culprits
+            self.evidence.is_suspect(key) or key in self.evidence.culprits
             for key in keys
         )
 
@@ -218,25 +192,8 @@
         attempt.is_survival_recorded = True
         if attempt.answered_at is None:
             return
-        before = self._evidence.culprits
-        for part in attempt.prompt_parts:
-            key = evidence_module.hash_part(part)
-            self._evidence.record_answer(key, attempt.answered_at)
-        self._record_changes(before)
-
-    def _record_changes(
-        self, before: abc.Mapping[int, evidence_module.Culprit]
-    ) -> None:
-        """Logs changed verdicts and writes those of this daemon."""
-        after = self._evidence.culprits
-        if after is before:
-            return
-        for key in after.keys() - before.keys():
-            eliot.log_message("quarantine:part", part=f"{key:016x}")
-        for key in before.keys() - after.keys():
-            eliot.log_message("quarantine:part_cleared", part=f"{key:016x}")
-        self._verdicts.record(before.keys(), self._evidence)
-        self._own_culprits.intersection_update(after)
+        keys = map(evidence_module.hash_part, attempt.prompt_parts)
+        self.evidence.record_answer(keys, attempt.answered_at)
 
     def exclude_replica(self, service: str, replica: str) -> frozenset[str]:
         """Returns the replicas that a retry of a request must avoid.
@@ -290,7 +247,7 @@
     ) -> evidence_module.Culprit | None:
         """Returns the part of the prompt that crashes replicas, if any."""
         for key in map(evidence_module.hash_part, work.prompt_parts):
-            culprit = self._evidence.culprits.get(key)
+            culprit = self.evidence.culprits.get(key)
             if culprit is not None:
                 return culprit
         return None
@@ -403,14 +360,10 @@
                 expired row failed.
         """
         if not self._has_verdicts:
-            before = self._evidence.culprits
-            verdicts.restore(
-                table_module.read_all(self._table, verdicts.KEY_PREFIX),
-                self._evidence,
-                self._clock.monotonic(),
+            self.evidence.restore(
+                table_module.read_all(self._table, verdicts.KEY_PREFIX)
             )
             self._has_verdicts = True
-            self._record_changes(before)
         rows = self._read_rows()
         for digest, row in rows.items():
             known = self._records.get_record(digest)
@@ -523,18 +476,13 @@
             if attempt.answered_at is None
             for depth, part in enumerate(attempt.prompt_parts)
         }
-        before = self._evidence.culprits
-        self._evidence.record_death(
+        self.evidence.record_death(
             evidence_module.Death(
                 identity=death,
                 at=self._clock.monotonic(),
                 suspects=evidence_module.limit_suspects(suspects),
             )
         )
-        self._own_culprits.update(
-            self._evidence.culprits.keys() - before.keys()
-        )
-        self._record_changes(before)
 
     def _shorten_watch(self, death: str, until: datetime.timedelta) -> None:
         """Shortens the watch of detached attempts whose replica is alive."""
@@ -689,9 +637,7 @@
         next_load = self._clock.monotonic()
         while True:
             self.check_detached()
-            before = self._evidence.culprits
-            self._evidence.expire(self._clock.monotonic())
-            self._record_changes(before)
+            self.evidence.expire()
             if self._clock.monotonic() >= next_load:
                 next_load = self._clock.monotonic() + LOAD_INTERVAL
                 try:
--- a/arbutuscove/requests/tests/test_quarantine.py
+++ b/arbutuscove/requests/tests/test_quarantine.py
@@ -45,9 +45,11 @@
             suspicions = sender.suspects.list_suspicions()
             for receiver in self.daemons:
                 receiver.suspects.merge_suspicions(suspicions)
-                evidence_of_sender = sender.suspects.encode_evidence()
+                evidence_of_sender = sender.suspects.evidence.encode_evidence()
                 if evidence_of_sender:
-                    receiver.suspects.merge_evidence(evidence_of_sender)
+                    receiver.suspects.evidence.merge_evidence(
+                        evidence_of_sender
+                    )
 
     def send(self, daemon, text, key=None, parts=()):
         """Returns the events of a request; with a key it is non-repeatable."""
@@ -149,7 +151,7 @@
         engine.die()
         assert _read(events) == "incomplete"
         system.settle()
-    assert not system.daemons[0].suspects.get_fingerprint()
+    assert not system.daemons[0].suspects.evidence.get_fingerprint()
     assert system.try_send(1, "q", None, ("popular",)) is None
 
 
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -718,8 +718,8 @@
     Mutation(
         promise="a death is sent to the other daemons",
         path="crashes/tracker.py",
-        old="        self._send(msgspec.msgpack.encode(report))\n",
-        new="",
+        old="self._send(self._evidence.encode_evidence(death.identity))",
+        new="return",
         test="crashes/tests/test_tracker.py::test_tracker_tells_the_other_daemons",
     ),
     Mutation(
