Test again that requests queued in an engine are not blamed

No product code is changed.

Measured: bin/test arbutuscove/relay/tests/test_crashing_part.py: 8 pass. The new test fails if either condition is removed from Attempt._report_crash (tried on both).

--- a/arbutuscove/relay/tests/test_crashing_part.py
+++ b/arbutuscove/relay/tests/test_crashing_part.py
@@ -101,12 +101,14 @@
         )
         self.number = 0
 
-    def send(self, parts, repeat=catalog_model.Repeat.STREAM_RESUMABLE):
-        """Returns the status of the answer to a new request."""
+    def create_request(
+        self, parts, repeat=catalog_model.Repeat.STREAM_RESUMABLE
+    ):
+        """Returns a new request."""
         self.number += 1
         name = f"r{self.number}"
         now = self.clock.monotonic()
-        request = model.Request(
+        return model.Request(
             request_id=name,
             method="POST",
             target="/",
@@ -122,6 +124,10 @@
             deadline=now + test_troubled.DEADLINE,
             prompt_parts=parts,
         )
+
+    def send(self, parts, repeat=catalog_model.Repeat.STREAM_RESUMABLE):
+        """Returns the answer to a new request, or its refusal."""
+        request = self.create_request(parts, repeat)
         try:
             answer = self.flow.serve(request)
             list(answer.body)
@@ -257,3 +263,29 @@
         assert scene.count_requests() == 3
     finally:
         scene.stop()
+
+
+def test_request_queued_in_an_engine_is_not_blamed(scene):
+    """Guards against blame of requests whose answer had not begun.
+
+    Nor is a resumed stream blamed: its events have shown it to be sound.
+    """
+    reports = []
+    scene.tracker.report_loss = lambda request, vm: reports.append(request)
+    lost = attempt.Attempt(
+        scene.flow.context, scene.create_request(CRASHING), "models"
+    )
+    lost.backend = model.Backend(
+        key=("chat~1", 1),
+        vm=test_planner.create_vm("vm0"),
+        model="chat",
+        slots=4,
+    )
+    lost.record_loss("cut", is_cut=True)
+    assert not reports
+    lost._head_at = scene.clock.monotonic()
+    lost.record_loss("cut", is_cut=True)
+    assert len(reports) == 1
+    lost._is_resumed = True
+    lost.record_loss("cut", is_cut=True)
+    assert len(reports) == 1
