Count how each request of a caller ends

The logs named the outcome of a request as a free text, so that requests without an answer could not be told apart by counting: an answer that broke off, a caller that left while its answer was written, and an exception of the daemon all began with "broken" or "cut".

Each request now ends in one place under one of six kinds, in the new counter arbutuscove_request_endings_total and in entry:request. An answer ended by a caller that left (GeneratorExit) no longer counts as a fault.

--- a/arbutuscove/observe/metrics.py
+++ b/arbutuscove/observe/metrics.py
@@ -33,6 +33,11 @@
             "Requests by service, rank, account and outcome code",
             registry=registry,
         )
+        self.request_endings = aioprometheus.Counter(
+            "arbutuscove_request_endings_total",
+            "Requests of callers by how they ended",
+            registry=registry,
+        )
         self.refusals = aioprometheus.Counter(
             "arbutuscove_refusals_total",
             "Refusals by reason code",
--- a/arbutuscove/platform/listener.py
+++ b/arbutuscove/platform/listener.py
@@ -5,6 +5,7 @@
 """
 
 import datetime
+import enum
 import errno
 import http.client
 import typing
@@ -75,6 +76,22 @@
     handler_class = _Handler
 
 
+class _Ending(enum.Enum):
+    """How a request ended, as its caller sees it.
+
+    The answer of an upstream or a refusal is whole. A failed request gets an
+    error that says that it may have run. The connection of a broken answer and
+    after a fault of this daemon ends without a whole answer.
+    """
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    FAILED = "failed"
+    BROKEN = "broken"
+    CALLER_LEFT = "caller_left"
+    FAULT = "fault"
+
+
 class _Refused(Exception):  # noqa: N818 - carries an answer, not a fault
     """The request is refused before it reaches the relay."""
 
@@ -203,6 +220,7 @@
         self._active_requests += 1
         started_at = self._clock.monotonic()
         request: model.Request | None = None
+        ending = _Ending.FAULT
         code = "ok"
         try:
             try:
@@ -216,37 +234,47 @@
                         self._build_headers(answer),
                     )
                     yield from answer.body
+                ending = _Ending.ANSWERED
             except model.RefusedError as error:
                 code = error.refusal.code
                 yield from self._refuse(error.refusal, start_response)
+                ending = _classify_refusal(error.refusal)
             except _Refused as error:
                 code = error.refusal.code
                 yield from self._refuse(error.refusal, start_response)
+                ending = _classify_refusal(error.refusal)
             except presence.CallerLeftError as error:
-                code = "caller_left"
+                code, ending = "caller_left", _Ending.CALLER_LEFT
                 raise ConnectionResetError(
                     errno.ECONNRESET, "caller left"
                 ) from error
             except model.BrokenAnswerError as error:
-                code = f"broken: {error}"
+                code, ending = f"broken: {error}", _Ending.BROKEN
+                raise
+            except GeneratorExit:
+                # The server could not write to the caller's connection.
+                code, ending = "caller_left", _Ending.CALLER_LEFT
                 raise
             except BaseException as error:
                 code = f"cut: {type(error).__name__} {error}"
                 raise
         finally:
             self._active_requests -= 1
-            self._log(environ, request, code, started_at)
+            self._log(environ, request, code, ending, started_at)
 
     def _log(
         self,
         environ: Environ,
         request: model.Request | None,
         code: str,
+        ending: "_Ending",
         started_at: datetime.timedelta,
     ) -> None:
+        """Records how a request ended; each request passes here once."""
         duration = (self._clock.monotonic() - started_at).total_seconds()
         route = "" if request is None else request.route.name
         self._metrics.requests.inc({"route": route, "outcome": code[:24]})
+        self._metrics.request_endings.inc({"ending": ending.value})
         if code != "200":
             eliot.log_message(
                 "entry:request",
@@ -254,6 +282,7 @@
                 route=route,
                 model="" if request is None else request.model,
                 outcome=code,
+                ending=ending.value,
                 seconds=round(duration, 4),
                 config_version=self._catalog.get_version(),
             )
@@ -329,6 +358,10 @@
         return _send_json(start_response, refusal.status, body, fields)
 
 
+def _classify_refusal(refusal: model.Refusal) -> _Ending:
+    return _Ending.REFUSED if refusal.not_run else _Ending.FAILED
+
+
 def _find_account(
     catalog: catalog_model.Catalog,
     route: catalog_model.Route,
