Keep a silent stream open until another upstream answers

What callers saw: a stream that had begun, or a request whose answer had not begun, ended without a complete answer although its upstream was sound: it had only sent nothing for 1.2 s (1.5 s before the head), or a peer had reported its group as stalled.

Cause: silence was taken for the end of an attempt. The attempt was closed first and another one begun afterwards. When no retry, no attempt, no backend or no slot was left, or the next upstream refused, failed or sent no answer, the caller's connection was closed (LOST) or it got an error, while the first upstream went on.

Ruled out for this path: an exception or a time limit of the listener.

Change: the stalled attempt stays open. Another one is begun in a greenlet of its own (relay/replacement) under the same bounds as before: attempts of the route, time, retry budget, crashing parts. It takes over only once its answer has a usable head; if it fails, the first attempt goes on, and if the first one makes progress, the other one is cancelled. If the first attempt is really lost, the pending one is awaited.

Why it works: what ends an attempt is now only its connection, its deadline, or a successor that has answered; silence alone is none of them. Streams that never go on (bytes now and then, comments) are left for another upstream as before (test_troubled).

--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -81,7 +81,14 @@
 
 
 class StalledError(AttemptLostError):
-    """The backend makes no progress, though the connection is open."""
+    """The backend makes no progress, and another attempt replaces this one."""
+
+
+IsReplaced = abc.Callable[[], bool]
+
+
+def _never_replace() -> bool:
+    return False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -247,15 +254,15 @@
         self,
         excluded: frozenset[model.BackendKey],
         last_event: str,
-        is_stall_fatal: bool,
+        is_replaced: IsReplaced = _never_replace,
     ) -> Reply:
         """Sends the request and returns the head of the response.
 
         Args:
             excluded: backends that the request was sent to before.
             last_event: id of the event after which a stream resumes, or empty.
-            is_stall_fatal: whether a stalled backend ends the attempt with a
-                `StalledError`.
+            is_replaced: called while the backend is stalled; ends the attempt
+                with a `StalledError` if it returns true.
 
         Raises:
             RefusedError: no slot becomes free in time.
@@ -309,7 +316,7 @@
                 request.method,
                 context.codec.encode(request, self.backend, left, last_event),
             )
-            self.reply = self._read_head(upstream, is_stall_fatal)
+            self.reply = self._read_head(upstream, is_replaced)
         except http.NoResponseError as error:
             raise self._record_loss(error) from error
         return self._check_reply(self.reply)
@@ -327,7 +334,7 @@
                 not self.parser.is_complete()
                 and len(body) < BUFFERED_BODY_BYTES
             ):
-                self._receive(is_stall_fatal=False)
+                self._receive(_never_replace)
                 body += self.parser.pop_body()
         except http.NoResponseError as error:
             raise self._record_loss(error) from error
@@ -392,9 +399,13 @@
         error = http.NoResponseError(reason) if is_cut else ValueError(reason)
         return self._record_loss(error)
 
-    def read_more(self, is_stall_fatal: bool) -> bytes:
+    def read_more(self, is_replaced: IsReplaced = _never_replace) -> bytes:
         """Returns body bytes as they arrive, b"" at the end.
 
+        Args:
+            is_replaced: called while the backend is stalled; ends the attempt
+                with a `StalledError` if it returns true.
+
         Raises:
             AttemptLostError: the body was cut short.
         """
@@ -402,7 +413,7 @@
         data = self.parser.pop_body()
         try:
             while not data and not self.parser.is_complete():
-                self._receive(is_stall_fatal)
+                self._receive(is_replaced)
                 data = self.parser.pop_body()
         except http.NoResponseError as error:
             raise self._record_loss(error) from error
@@ -465,11 +476,11 @@
         )
 
     def _read_head(
-        self, upstream: connection.Connection, is_stall_fatal: bool
+        self, upstream: connection.Connection, is_replaced: IsReplaced
     ) -> Reply:
         unmatched, unmatched_bytes = 0, 0
         while True:
-            self._receive(is_stall_fatal)
+            self._receive(is_replaced)
             assert self.parser is not None
             if not self.parser.has_head():
                 continue
@@ -485,7 +496,7 @@
                 not self.parser.is_complete()
                 and unmatched_bytes <= MAX_UNMATCHED_BODY_BYTES
             ):
-                self._receive(is_stall_fatal)
+                self._receive(is_replaced)
                 unmatched_bytes += len(self.parser.pop_body())
             # Each earlier request on the connection has at most one answer.
             if (
@@ -495,15 +506,16 @@
                 raise http.NoResponseError("another request's answer came")
             upstream.discard_response()
 
-    def _receive(self, is_stall_fatal: bool) -> None:
+    def _receive(self, is_replaced: IsReplaced) -> None:
         """Waits for bytes, at most until the deadline.
 
         Args:
-            is_stall_fatal: whether the wait also ends when the backend stalls.
+            is_replaced: called while the backend is stalled; the wait also ends
+                if it returns true.
 
         Raises:
-            AttemptLostError: the deadline has passed, or the backend stalled
-                (`StalledError`).
+            AttemptLostError: the deadline has passed, or another attempt
+                replaces this one (`StalledError`).
             NoResponseError: the connection failed.
         """
         context = self._context
@@ -531,7 +543,7 @@
             # Checked even while bytes arrive, as they may belong to no event.
             waited = self._read_wait
             stalled = context.states.is_stalled(key) or waited >= stall_timeout
-            if is_stall_fatal and stalled and waited >= STALL_CHECK_INTERVAL:
+            if stalled and waited >= STALL_CHECK_INTERVAL and is_replaced():
                 raise StalledError(f"{key[0]} moves nothing")
             try:
                 self.parser = self._connection.receive(
--- a/arbutuscove/relay/flow.py
+++ b/arbutuscove/relay/flow.py
@@ -17,6 +17,7 @@
 from arbutuscove.relay import attempt as attempt_module
 from arbutuscove.relay import budget as budget_module
 from arbutuscove.relay import model
+from arbutuscove.relay import replacement as replacement_module
 
 SERVICE_NAME = "flow"
 EVENT_END = b"\n\n"
@@ -24,6 +25,9 @@
 MAX_EVENT_BYTES = 65536
 EVENT_ID = re.compile(rb"(?:^|\n)id: ?([^\n]*)")
 RETRY_AFTER = datetime.timedelta(milliseconds=200)
+# Pause between two replacements of one silent attempt, of which the first got
+# no slot.
+REPLACEMENT_INTERVAL = datetime.timedelta(milliseconds=500)
 
 
 class Flow(services.BaseService):
@@ -100,7 +104,7 @@
             attempt = attempt_module.Attempt(self.context, request, service)
             is_handed_over = False
             try:
-                reply = attempt.open(excluded, "", is_stall_fatal=False)
+                reply = attempt.open(excluded, "")
                 body = attempt.read_body()
                 if not attempt.has_ended():
                     is_handed_over = True
@@ -187,9 +191,11 @@
         self._service = service
         self._last_event = request.last_event
         self._excluded: frozenset[model.BackendKey] = frozenset()
-        self._attempts_made = 0
+        self._attempts_begun = 0
         self._has_lost_attempt = False
         self._attempt: attempt_module.Attempt | None = None
+        self._replacement: replacement_module.Replacement | None = None
+        self._next_replacement_at = request.arrived
 
     def start(self) -> model.Answer:
         """Returns the answer once its head has arrived.
@@ -208,7 +214,7 @@
             except attempt_module.AttemptLostError as error:
                 raise build_failure(self._request, 502, str(error)) from error
             finally:
-                self._attempt.close()
+                self._close()
             return _build_buffered_answer(reply, body)
         events = self._relay_events()
         try:
@@ -231,23 +237,27 @@
     def _open(self) -> attempt_module.Reply:
         """Makes attempts until one returns the head of a response."""
         while True:
-            attempt = attempt_module.Attempt(
-                self._flow.context, self._request, self._service
-            )
+            attempt = self._begin_attempt()
             self._attempt = attempt
             try:
-                return attempt.open(
-                    self._excluded, self._last_event, self._may_switch()
+                reply = attempt.open(
+                    self._excluded, self._last_event, self._is_replaced
                 )
+                self._cancel_replacement()
+                return reply
             except attempt_module.NotRunError as error:
-                attempt.close()
+                replaced = self._switch(error)
+                if replaced is not None:
+                    return replaced
                 if not self._record_failed_attempt(attempt, error):
                     raise build_not_run_refusal(
                         self._request, error, self._has_lost_attempt
                     ) from error
             except attempt_module.AttemptLostError as error:
-                attempt.close()
                 self._has_lost_attempt = True
+                replaced = self._switch(error)
+                if replaced is not None:
+                    return replaced
                 if not self._is_resumable() or not self._record_failed_attempt(
                     attempt, error
                 ):
@@ -258,16 +268,127 @@
                         self._request, 504 if passed else 502, str(error)
                     ) from error
             except BaseException:
-                attempt.close()
+                self._close()
                 raise
 
-    def _may_switch(self) -> bool:
-        """Returns whether a stalled attempt may be replaced by another."""
+    def _begin_attempt(self) -> attempt_module.Attempt:
+        self._attempts_begun += 1
+        return attempt_module.Attempt(
+            self._flow.context, self._request, self._service
+        )
+
+    def _may_begin_attempt(self) -> bool:
+        """Returns whether attempts and time are left for another one."""
+        left = self._request.deadline - self._flow.clock.monotonic()
         return (
-            self._is_resumable()
-            and self._attempts_made + 1 < self._request.route.attempts
+            self._attempts_begun < self._request.route.attempts
+            and left > attempt_module.MIN_TIME_LEFT
+        )
+
+    def _is_replaced(self) -> bool:
+        """Returns whether another attempt can take over from a stalled one.
+
+        Begins one if that is allowed. The stalled attempt goes on until the
+        other one is answered: its backend may only be silent.
+        """
+        replacement = self._replacement
+        if replacement is None:
+            self._begin_replacement()
+            return False
+        if not replacement.has_ended():
+            return False
+        if replacement.reply is not None:
+            return True
+        self._drop_replacement(replacement)
+        return False
+
+    def _begin_replacement(self) -> None:
+        now = self._flow.clock.monotonic()
+        stalled = self._attempt
+        if (
+            stalled is None
+            or stalled.backend is None
+            or now < self._next_replacement_at
+            or not self._is_resumable()
+            or not self._may_begin_attempt()
+            or not self._flow.context.crashes.may_repeat(self._request)
+        ):
+            return
+        self._next_replacement_at = now + REPLACEMENT_INTERVAL
+        if not self._flow.acquire_retry(self._service):
+            return
+        replacement_module.log_step(
+            self._request, "begun", f"{stalled.backend.key[0]} moves nothing"
+        )
+        self._replacement = replacement_module.Replacement(
+            self._begin_attempt(),
+            self._excluded | {stalled.backend.key},
+            self._last_event,
+            self._is_usable,
         )
 
+    def _is_usable(self, reply: attempt_module.Reply) -> bool:
+        return reply.status == 200
+
+    def _drop_replacement(
+        self, replacement: replacement_module.Replacement
+    ) -> None:
+        """Forgets a replacement that failed, so that another one may begin."""
+        self._replacement = None
+        backend = replacement.attempt.backend
+        if backend is None:
+            # It was refused a slot, and no upstream was asked.
+            self._attempts_begun -= 1
+        else:
+            self._excluded |= {backend.key}
+        replacement_module.log_step(self._request, "failed", replacement.reason)
+
+    def _cancel_replacement(self) -> None:
+        """Ends a replacement that is not needed any more."""
+        replacement, self._replacement = self._replacement, None
+        if replacement is None:
+            return
+        replacement.cancel()
+        replacement_module.log_step(self._request, "cancelled")
+
+    def _switch(
+        self, error: attempt_module.FailedAttempt
+    ) -> attempt_module.Reply | None:
+        """Closes a failed attempt and waits for its replacement.
+
+        Returns:
+            The head of the replacement's answer; None without a replacement, or
+            if that failed, too.
+        """
+        failed, replacement = self._attempt, self._replacement
+        assert failed is not None
+        failed.close()
+        if replacement is None:
+            return None
+        if not self._flow.is_safe_to_repeat(self._request, error):
+            self._cancel_replacement()
+            return None
+        try:
+            reply = replacement.wait()
+        except BaseException:
+            self._cancel_replacement()
+            raise
+        if reply is None:
+            self._drop_replacement(replacement)
+            return None
+        self._replacement = None
+        if failed.backend is not None:
+            self._excluded |= {failed.backend.key}
+        self._attempt = replacement.attempt
+        replacement_module.log_step(self._request, "used", str(error))
+        return reply
+
+    def _close(self) -> None:
+        """Ends all attempts."""
+        self._cancel_replacement()
+        if self._attempt is not None:
+            self._attempt.close()
+
     def _record_failed_attempt(
         self,
         attempt: attempt_module.Attempt,
@@ -278,19 +399,15 @@
         Returns:
             Whether another attempt may follow; its retry is then acquired.
         """
-        self._attempts_made += 1
         if attempt.backend is not None:
             self._excluded |= {attempt.backend.key}
-        left = self._request.deadline - self._flow.clock.monotonic()
-        if self._attempts_made >= self._request.route.attempts:
-            return False
-        if left <= attempt_module.MIN_TIME_LEFT:
+        if not self._may_begin_attempt():
             return False
         if not self._flow.is_safe_to_repeat(self._request, error):
             return False
         if not self._flow.acquire_retry(self._service):
             return False
-        log_retry(self._request, self._attempts_made, str(error))
+        log_retry(self._request, self._attempts_begun, str(error))
         return True
 
     def _relay_events(self) -> abc.Generator[bytes, None, None]:
@@ -303,8 +420,7 @@
                 except attempt_module.AttemptLostError as error:
                     self._resume(error)
         finally:
-            if self._attempt is not None:
-                self._attempt.close()
+            self._close()
 
     def _relay_attempt(self) -> abc.Iterator[bytes]:
         attempt = self._attempt
@@ -312,7 +428,7 @@
         pending = bytearray()
         has_events = False
         while True:
-            data = attempt.read_more(self._may_switch())
+            data = attempt.read_more(self._is_replaced)
             if not data:
                 break
             search_start = max(0, len(pending) - len(EVENT_END) + 1)
@@ -328,6 +444,7 @@
             if event_ids:
                 self._last_event = event_ids[-1].decode("latin-1").strip()
                 attempt.record_progress()
+                self._cancel_replacement()
             has_events = True
             yield events
         if pending.strip():
@@ -339,11 +456,18 @@
             raise attempt.record_loss(
                 "the connection ended before the first event", is_cut=True
             )
+        self._cancel_replacement()
         attempt.finish()
 
     def _resume(self, error: attempt_module.AttemptLostError) -> None:
+        """Goes on with another attempt after the last event.
+
+        Raises:
+            BrokenAnswerError: no other upstream goes on with the answer.
+        """
         assert self._attempt is not None
-        self._attempt.close()
+        if self._switch(error) is not None:
+            return
         broken = model.BrokenAnswerError(str(error))
         if not self._is_resumable() or not self._record_failed_attempt(
             self._attempt, error
@@ -441,7 +565,7 @@
     def relay() -> abc.Generator[bytes, None, None]:
         try:
             yield body
-            while data := attempt.read_more(is_stall_fatal=False):
+            while data := attempt.read_more():
                 yield data
             attempt.finish()
         except attempt_module.AttemptLostError as error:
--- a/arbutuscove/relay/tests/test_troubled.py
+++ b/arbutuscove/relay/tests/test_troubled.py
@@ -83,8 +83,10 @@
             random.Random(1),
             create_tracker(clock),
         )
-        allowance = budget.RetryAllowance(ratio=1.0, slack=99.0, window=SECOND)
-        self.flow = flow.Flow(shared, allowance, lambda: 1, random.Random(1))
+        self._shared = shared
+        self.set_allowance(
+            budget.RetryAllowance(ratio=1.0, slack=99.0, window=SECOND)
+        )
         self.clock = clock
         self.bad = faulty_upstream.Upstream(faulty)
         self.good = faulty_upstream.Upstream(healthy)
@@ -93,6 +95,11 @@
         # The healthy upstream is in cooldown, so the faulty one is tried first.
         self.states.record_failure(("good", 1))
 
+    def set_allowance(self, allowance):
+        self.flow = flow.Flow(
+            self._shared, allowance, lambda: 1, random.Random(1)
+        )
+
     def list(self, *listed):
         names = {self.bad: "bad", self.good: "good"}
         self._inventory.replace(
