Keep a group whose VM is silent for a second

What callers see: all streams of a group end within an event when one of its VMs, all of them sound, sends nothing for about a second.

A daemon that misses events for 0.4 s probes the members of the group; one probe without an answer within 0.3 s marks the group as stalled. The holder of the duty then probes the members once more and, after one more probe without an answer, ordered the head to leave, which ends its requests.

Change: an answer that denies the membership, a VM that refuses connections, and a VM that neither answers nor is listed end the group at once as before. A listed VM that gives no answer ends it only if a later check, begun 0.6 s or more after the first one, has no answer to either of two probes.

Test: test_controller_keeps_a_group_with_a_silent_vm, for head and member, failed before; it states a silence of 1.5 s from the first probe. The fake VMs let probes expire on the manual clock.

Why it works: two probes without an answer 1 s apart are not explained by a silence of a second, while a VM that is gone stays silent.

--- a/arbutuscove/fleet/controller.py
+++ b/arbutuscove/fleet/controller.py
@@ -6,7 +6,9 @@
 """
 
 import collections
+import dataclasses
 import datetime
+import enum
 from collections import abc
 
 import eliot
@@ -14,6 +16,7 @@
 
 from arbutuscove.catalog import holder as catalog_holder
 from arbutuscove.catalog import model as catalog_model
+from arbutuscove.crashes import liveness
 from arbutuscove.fleet import inventory as inventory_module
 from arbutuscove.fleet import model
 from arbutuscove.fleet import orders as orders_module
@@ -50,10 +53,31 @@
 # An unresponsive VM is excluded from plans for this time. A dead VM leaves the
 # list within it.
 UNRESPONSIVE_VM_EXCLUSION = datetime.timedelta(seconds=4)
+# A listed VM that does not answer may only be silent for a moment. Its group is
+# ended by a check without answer that begins this long after the first one.
+SILENT_MEMBER_TIMEOUT = datetime.timedelta(milliseconds=600)
+# Checks of one group further apart belong to different silences.
+MAX_CHECK_GAP = datetime.timedelta(milliseconds=1500)
 # Fencing token of the first lease holder; no VM accepted an order before it.
 FIRST_FENCE = 1
 
 
+class _Answer(enum.Enum):
+    """What a VM says of its membership in a group."""
+
+    CONFIRMED = "confirmed"
+    DENIED = "denied"
+    SILENT = "silent"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Silence:
+    """The first and the last check in a row that a member did not answer."""
+
+    first: datetime.timedelta
+    last: datetime.timedelta
+
+
 class GroupController(services.LoopService):
     """Plans and sends orders while this daemon holds the lease."""
 
@@ -88,6 +112,7 @@
         self._unresponsive: dict[str, datetime.timedelta] = {}
         # When an unlisted head was first unresponsive, by group.
         self._unresponsive_heads: dict[tuple[str, int], datetime.timedelta] = {}
+        self._silences: dict[tuple[str, int], _Silence] = {}
         self._verifying: set[tuple[str, int]] = set()
         # An instance of a VM is its name and start time. The counts are the
         # orders that an instance has accepted, as far as known here.
@@ -130,6 +155,8 @@
         for times in (self._first_seen, self._unresponsive_heads):
             for key in times.keys() - groups.keys():
                 del times[key]
+        for key in self._silences.keys() - groups.keys():
+            del self._silences[key]
         vms += [departed.vm for departed in self._inventory.list_departed()]
         instances = {(vm.name, vm.started_at_ms) for vm in vms}
         self._ordered_instances &= instances
@@ -142,6 +169,7 @@
         self._planner_states.clear()
         self._first_seen.clear()
         self._unresponsive_heads.clear()
+        self._silences.clear()
         self._accepted_counts.clear()
         self._ordered_instances.clear()
         eliot.log_message("groups:duty_taken", fence=fence)
@@ -338,7 +366,8 @@
         """Verifies a group and confirms it or releases its members.
 
         An unlisted head must have ended before the members are released. A
-        listed head is ordered to leave if not all members confirm the group.
+        listed head is ordered to leave if a member denies the group, is missing
+        or has been silent for `SILENT_MEMBER_TIMEOUT`.
         """
         now = self._clock.monotonic()
         since = self._first_seen.setdefault(group.key, now)
@@ -347,11 +376,17 @@
             if self._may_release(group, since, now, fence):
                 self._mark_released(service, group.key)
             return
-        if self._confirm_all_members(group):
+        answers = self._ask_members(group)
+        if answers == {_Answer.CONFIRMED}:
+            self._silences.pop(group.key, None)
             self._mark_confirmed(service, group.key)
             return
         if head.membership is None:
             return
+        if _Answer.DENIED not in answers and not self._is_silent_for_long(
+            group.key, now
+        ):
+            return
         leave = orders_module.Leave(
             vm=head, group=group.name, epoch=group.epoch
         )
@@ -364,8 +399,22 @@
             case _:
                 pass
 
-    def _confirm_all_members(self, group: model.Group) -> bool:
-        """Probes all members and returns whether each confirms the group."""
+    def _is_silent_for_long(
+        self, key: tuple[str, int], now: datetime.timedelta
+    ) -> bool:
+        """Records a check that a member of a group did not answer.
+
+        Returns:
+            Whether the checks have had no answer for `SILENT_MEMBER_TIMEOUT`.
+        """
+        silence = self._silences.get(key)
+        if silence is None or now - silence.last > MAX_CHECK_GAP:
+            silence = _Silence(first=now, last=now)
+        self._silences[key] = dataclasses.replace(silence, last=now)
+        return now - silence.first >= SILENT_MEMBER_TIMEOUT
+
+    def _ask_members(self, group: model.Group) -> set["_Answer"]:
+        """Probes all members of a group and returns their answers."""
         missing = [
             departed.vm
             for departed in self._inventory.list_departed()
@@ -376,32 +425,43 @@
         engine = self._find_engine(group.members[0].service)
         spec = None if engine is None else engine.find_model(group.model)
         if spec is None or known_count < spec.size:
-            return False
-        jobs = [
-            gevent.spawn(self._confirm_member, vm)
-            for vm in (*group.members, *missing)
-        ]
+            return {_Answer.DENIED}
+        vms = (*group.members, *missing)
+        jobs = [gevent.spawn(self._ask_member, vm) for vm in vms]
         gevent.joinall(jobs)
-        answers = [job.value for job in jobs]
+        answers = [job.value or _Answer.SILENT for job in jobs]
         eliot.log_message(
             "groups:asked",
             group=group.name,
             missing=[vm.name for vm in missing],
-            answers=answers,
+            answers=[answer.value for answer in answers],
         )
-        return all(answers)
+        # A VM that neither answers nor renews its entry has ended.
+        return set(answers[: len(group.members)]) | {
+            _Answer.DENIED if answer == _Answer.SILENT else answer
+            for answer in answers[len(group.members) :]
+        }
 
-    def _confirm_member(self, vm: model.Vm) -> bool:
-        """Probes a VM and returns whether it confirms its membership."""
+    def _ask_member(self, vm: model.Vm) -> "_Answer":
+        """Probes a VM and returns what it says of its membership."""
         status = self._order_client.read_status(vm)
+        if status is None:
+            match self._order_client.probe_liveness(vm):
+                case liveness.Liveness.ALIVE:
+                    status = self._order_client.read_status(vm)
+                case liveness.Liveness.DEAD:
+                    self._unresponsive[vm.name] = self._clock.monotonic()
+                    return _Answer.DENIED
         if status is None:
             self._unresponsive[vm.name] = self._clock.monotonic()
-            return False
+            return _Answer.SILENT
         reported = status.membership
         if reported is None or vm.membership is None:
-            return False
+            return _Answer.DENIED
         is_broken = reported.state == model.MemberState.BROKEN
-        return reported.key == vm.membership.key and not is_broken
+        if reported.key != vm.membership.key or is_broken:
+            return _Answer.DENIED
+        return _Answer.CONFIRMED
 
     def _find_engine(self, service: str) -> catalog_model.Engine | None:
         catalog = self._catalog.get_current()
@@ -466,7 +526,9 @@
             return reported is None or reported.key != group.key
         if departed.may_be_serving():
             return now - departed.since >= DRAINED_HEAD_TIMEOUT
-        if not any(self._confirm_member(vm) for vm in group.members):
+        if not any(
+            self._ask_member(vm) == _Answer.CONFIRMED for vm in group.members
+        ):
             # This daemon may itself be disconnected from these VMs.
             self._unresponsive_heads.pop(group.key, None)
             return now - departed.since >= DRAINED_HEAD_TIMEOUT
--- a/arbutuscove/fleet/orders.py
+++ b/arbutuscove/fleet/orders.py
@@ -4,6 +4,7 @@
 import enum
 import typing
 
+from arbutuscove.crashes import liveness
 from arbutuscove.fleet import model
 
 
@@ -101,3 +102,6 @@
 
     def read_status(self, vm: model.Vm) -> Status | None:
         """Returns the status that a VM reports, or None without a response."""
+
+    def probe_liveness(self, vm: model.Vm) -> liveness.Liveness:
+        """Determines whether a VM still runs since the start that is known."""
--- a/arbutuscove/fleet/tests/test_controller.py
+++ b/arbutuscove/fleet/tests/test_controller.py
@@ -8,12 +8,14 @@
 
 from arbutuscove.catalog import holder as catalog_holder
 from arbutuscove.catalog import model as catalog_model
+from arbutuscove.crashes import liveness
 from arbutuscove.fleet import controller
 from arbutuscove.fleet import inventory as inventory_module
 from arbutuscove.fleet import model
 from arbutuscove.fleet import orders
 from arbutuscove.fleet.tests import test_planner
 from arbutuscove.kernel import clock as clock_module
+from arbutuscove.platform import engine
 
 SECOND = datetime.timedelta(seconds=1)
 
@@ -57,6 +59,14 @@
             return orders.Outcome.IN_EFFECT
         return orders.Outcome.ACCEPTED
 
+    def probe_liveness(self, vm):
+        self.probed.append(vm.name)
+        if vm.name in self.resetting:
+            return liveness.Liveness.DEAD
+        if vm.name in self.unresponsive:
+            return liveness.Liveness.UNKNOWN
+        return liveness.Liveness.ALIVE
+
     def read_status(self, vm):
         self.probed.append(vm.name)
         if vm.name in self.unresponsive | self.resetting:
@@ -190,6 +200,89 @@
     assert {order.vm.name for order in vms.sent} == {"b", "c", "d"}
 
 
+class SilentVms(FakeVms):
+    """VMs of which some do not answer for a time, at which probes expire."""
+
+    def __init__(self, clock):
+        super().__init__()
+        self._clock = clock
+        self._silent_until = {}
+
+    def silence(self, name, duration):
+        self._silent_until[name] = self._clock.monotonic() + duration
+
+    def _expire(self, vm):
+        now = self._clock.monotonic()
+        left = self._silent_until.get(vm.name, now) - now
+        if left > 0 * SECOND:
+            self._clock.advance(min(left, engine.REPORT_TIMEOUT))
+        return left > engine.REPORT_TIMEOUT
+
+    def send(self, order, fence, accepted):
+        if self._expire(order.vm):
+            return orders.Outcome.UNKNOWN
+        return super().send(order, fence, accepted)
+
+    def read_status(self, vm):
+        return None if self._expire(vm) else super().read_status(vm)
+
+    def probe_liveness(self, vm):
+        if self._expire(vm):
+            return liveness.Liveness.UNKNOWN
+        return super().probe_liveness(vm)
+
+
+@pytest.fixture
+def stalled(serving_setup):
+    """VMs of a listed group, and a function that verifies it for some time.
+
+    That function returns whether the group was ordered to end.
+    """
+    clock, inventory, _, _, group_controller = serving_setup
+    vms = group_controller._order_client = SilentVms(clock)
+    inventory.replace(
+        [
+            test_planner.create_member("h", 0, "open"),
+            test_planner.create_member("m", 1, "ready"),
+        ]
+    )
+    group_controller.run_cycle()  # begins the term of the lease
+
+    def verify(duration=2 * SECOND):
+        end = clock.monotonic() + duration
+        while clock.monotonic() < end:
+            inventory.update([], [])
+            (group,) = collect_listed_groups(inventory)
+            group_controller._check_group("models", group, 1)
+            clock.advance(controller.VERIFY_INTERVAL)
+        return group_controller.sent_counts["leave"] > 0
+
+    return vms, verify
+
+
+@pytest.mark.parametrize("name", ["h", "m"])
+def test_controller_keeps_a_group_with_a_silent_vm(stalled, name):
+    """Guards against streams cut as a sound VM is silent for a second."""
+    vms, verify = stalled
+    for _ in range(2):
+        vms.silence(name, 1.5 * SECOND)
+        assert not verify()
+
+
+def test_controller_ends_a_group_with_a_vm_that_stays_silent(stalled):
+    """Guards against a group that stands still until its engine gives up."""
+    vms, verify = stalled
+    vms.silence("m", 9 * SECOND)
+    assert verify()
+
+
+def test_controller_ends_a_group_with_a_dead_vm_at_once(stalled):
+    """Guards against waiting for a VM that refuses connections."""
+    vms, verify = stalled
+    vms.resetting.add("m")
+    assert verify(SECOND / 10)
+
+
 @pytest.fixture
 def headless(serving_setup):
     """Returns a function that removes the open head of a group from the list.
