Refuse requests that a draining daemon may not finish

What callers see: after SIGTERM, a request on a connection that was open before is read, passed on to an upstream, and its connection ends without an answer when the grace period ends, or at once when the process exits.

Cause: a draining daemon accepted every request on its kept connections until its exit, however little time was left. Callers use open connections until they learn of a new list of addresses, up to 6 s after the signal with the grace period of 8 s. After the last active request had ended, a request that arrived before the exit was served, too.

Change: from the end of the time in which new connections are accepted on, a request whose deadline lies beyond the end of the drain is refused with 503 (draining, not run) and Connection: close; after the drain each request is. Requests that can end in time are served as before.

Why it works: the check and the end of the wait for active requests have no switch of greenlets between them, so that no request is accepted that the drain does not wait for.

--- a/arbutuscove/platform/listener.py
+++ b/arbutuscove/platform/listener.py
@@ -131,7 +131,8 @@
         self._grace = grace
         self._servers: list[connections.CallerServer] = []
         self._active_requests = 0
-        self._is_draining = False
+        self._draining_since: datetime.timedelta | None = None
+        self._has_drained = False
 
     def start(self, kernel: services.Kernel) -> None:
         """Starts to accept connections on all addresses."""
@@ -144,19 +145,22 @@
 
     def is_draining(self) -> bool:
         """Returns whether this daemon is draining."""
-        return self._is_draining
+        return self._draining_since is not None
 
     def mark_draining(self) -> None:
         """Reports this daemon as not ready from now on."""
-        self._is_draining = True
+        if self._draining_since is None:
+            self._draining_since = self._clock.monotonic()
 
     def drain(self) -> None:
         """Accepts connections for a while, then waits until all requests ended.
 
-        The wait is limited by the grace period less a margin.
+        The wait is limited by the grace period less a margin. Requests that
+        arrive afterwards are refused.
         """
-        self._is_draining = True
-        started_at = self._clock.monotonic()
+        self.mark_draining()
+        assert self._draining_since is not None
+        started_at = self._draining_since
         while self._clock.monotonic() < started_at + DRAIN_ACCEPT_DURATION:
             self._clock.sleep(DRAIN_POLL_INTERVAL)
         for server in self._servers:
@@ -165,6 +169,7 @@
         end = started_at + self._grace - EXIT_MARGIN
         while self._active_requests and self._clock.monotonic() < end:
             self._clock.sleep(DRAIN_POLL_INTERVAL)
+        self._has_drained = True
 
     def stop(self) -> None:
         """Closes the listening sockets."""
@@ -192,7 +197,7 @@
     def _answer_ready(
         self, start_response: StartResponse
     ) -> abc.Iterable[bytes]:
-        ready = self._is_ready() and not self._is_draining
+        ready = self._is_ready() and not self.is_draining()
         return _send_json(start_response, 200 if ready else 503, {})
 
     def _answer_resolve(
@@ -294,7 +299,8 @@
 
         Raises:
             _Refused: no configuration is in force, no route matches, the key is
-                missing or unknown, or the body is too large.
+                missing or unknown, the body is too large, or the daemon may
+                exit before the request ends.
         """
         catalog = self._catalog.get_current()
         # The body is read before any refusal, so that the connection stays
@@ -317,7 +323,9 @@
         account = _find_account(catalog, route, headers_by_name)
         if len(body) > catalog.bounds.body_bytes_limit:
             raise _Refused(413, "body_too_large")
-        timeout = _parse_timeout(headers_by_name, route)
+        deadline = now + _parse_timeout(headers_by_name, route)
+        if self._may_be_cut(now, deadline):
+            raise _Refused(503, "draining")
         prompt, answer = _parse_token_counts(headers_by_name)
         return model.Request(
             request_id=headers_by_name.get(headers.REQUEST_ID.lower(), ""),
@@ -328,7 +336,7 @@
             route=route,
             account=account,
             arrived=now,
-            deadline=now + timeout,
+            deadline=deadline,
             model=headers_by_name.get(headers.MODEL.lower(), ""),
             prompt_tokens=prompt,
             answer_tokens=answer,
@@ -336,11 +344,20 @@
             prompt_parts=_parse_prompt_parts(headers_by_name),
         )
 
+    def _may_be_cut(
+        self, now: datetime.timedelta, deadline: datetime.timedelta
+    ) -> bool:
+        """Returns whether the daemon may exit before a new request ends."""
+        since = self._draining_since
+        if since is None or now < since + DRAIN_ACCEPT_DURATION:
+            return False
+        return self._has_drained or deadline > since + self._grace - EXIT_MARGIN
+
     def _build_headers(self, answer: model.Answer) -> list[tuple[str, str]]:
         fields = list(answer.fields)
         if answer.length is not None:
             fields.append(("Content-Length", str(answer.length)))
-        if self._is_draining:
+        if self.is_draining():
             fields.append(("Connection", "close"))
         return fields
 
@@ -352,7 +369,7 @@
         if refusal.retry_after is not None:
             seconds = f"{refusal.retry_after.total_seconds():.3f}"
             fields.append((headers.RETRY_AFTER, seconds))
-        if self._is_draining:
+        if self.is_draining():
             fields.append(("Connection", "close"))
         body = {"error": refusal.code, "not_run": refusal.not_run}
         return _send_json(start_response, refusal.status, body, fields)
