Refuse requests after the drain of arbutuscoved

The same race as on the users' platform: after the last active request had ended, a request on a kept connection was accepted and dispatched before the process exited, which cut it off.

After the drain each request is refused with 503 (draining, not run).

--- a/arbutuscove/entry/app.py
+++ b/arbutuscove/entry/app.py
@@ -87,6 +87,7 @@
         self._address_ttl = address_ttl
         self._active_requests = 0
         self._draining = False
+        self._has_drained = False
         self._server = connections.CallerServer(
             listen, self, bounds, self._count_refusal
         )
@@ -121,6 +122,7 @@
         received this address may still connect. Then stops accepting
         connections and waits for the last request, at most for the maximum
         deadline. Meanwhile responses ask the client to close the connection.
+        Requests that arrive afterwards are refused.
         """
         self._draining = True
         deadline = (
@@ -132,6 +134,7 @@
         end = self._clock.monotonic() + callers.MAX_DEADLINE
         while self._active_requests and self._clock.monotonic() < end:
             self._clock.sleep(DRAIN_POLL_INTERVAL)
+        self._has_drained = True
 
     def stop(self) -> None:
         """Stops the server."""
@@ -253,6 +256,8 @@
 
     def _get_unready_reason(self) -> str | None:
         """Returns why requests cannot be admitted now, None if they can."""
+        if self._has_drained:
+            return "draining"
         if not self._config.is_loaded():
             return "config_missing"
         if self._config.is_stale():
--- a/arbutuscove/entry/reasons.py
+++ b/arbutuscove/entry/reasons.py
@@ -58,6 +58,11 @@
         meaning="There is no capacity before the deadline.",
         advice="Come back after Retry-After.",
     ),
+    Reason(
+        code="draining",
+        meaning="This daemon exits now; the request did not run.",
+        advice="Use another entry address.",
+    ),
     Reason(
         code="headers_timeout",
         meaning="The headers did not arrive in time.",
--- a/arbutuscove/entry/tests/test_connections.py
+++ b/arbutuscove/entry/tests/test_connections.py
@@ -230,3 +230,16 @@
     response = server.exchange(outer)
     assert response.count(b"HTTP/1.1 ") == 1
     assert server.flow.run_count == 0
+
+
+def test_request_after_the_drain_is_refused(server, monkeypatch):
+    """Guards against a request accepted just before the process exits."""
+    monkeypatch.setattr(app, "LEAVE_PROPAGATION_TIME", datetime.timedelta())
+    with server.connect() as client:
+        gevent.sleep(0.05)
+        server.entry.drain()
+        client.sendall(serving.build_request())
+        response = serving.read_all(client)
+    assert response.startswith(b"HTTP/1.1 503")
+    assert b"\r\nArbutuscove-Run: not_run\r\n" in response
+    assert server.flow.run_count == 0
