Check in the soak that each request gets an answer

The soak checked requests without an answer only around a planned stop of their daemon, and only if no other fault was near. Sound servers were never silent, and changes of the configuration were single and alike.

`soak/ends.py` now reports LOST for each request that ended without a complete answer or refusal, unless an injected record explains it: a fault of the daemon that was called, a crash or link fault of a server that ran the request (by the servers' own records) or of another member of its group, the deadline, or a close that the request crossed. The older check of planned stops stays.

Callers use open connections until the daemon closes them, and a quarter of the callers uses them seldom. The servers of a varied configuration include one of a spare service, which gets no other faults; routes that come and go do not count in the check of the recovery.

`--planned-only` runs planned work and silence alone.

--- a/arbutuscove/standins/users_platform.py
+++ b/arbutuscove/standins/users_platform.py
@@ -73,6 +73,7 @@
         account: Account that the request was sent for.
         at: Monotonic time of the start, in seconds.
         prompt_parts: Ids of all parts of the prompt, in order.
+        members: Names of the servers of its group; empty for a plain server.
     """
 
     request_id: str
@@ -81,6 +82,7 @@
     account: str
     at: float
     prompt_parts: tuple[str, ...] = ()
+    members: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -115,7 +117,8 @@
         domain: Fabric domain; empty for a plain server.
         is_alive: Whether it runs; a crashed server hangs open connections.
         is_refusing: Whether it answers 503 without running requests.
-        silent_health: Always false; nothing reads it.
+        silent_until: Monotonic time, in seconds, until which it is sound but
+            sends nothing. Connections stay open and requests are accepted.
         failure_period: If n > 0, each n-th request to a plain server gets
             status 500 after it ran.
         leaving: Whether its entry shows that it drains.
@@ -146,7 +149,7 @@
         self.domain = domain
         self.is_alive = True
         self.is_refusing = False
-        self.silent_health = False
+        self.silent_until = 0.0
         self.failure_period = 0
         self.leaving = False
         self._platform = platform
@@ -213,7 +216,7 @@
         self, environ: Environ, start_response: StartResponse
     ) -> abc.Iterable[bytes]:
         """Handles one HTTP call."""
-        self._block_while_crashed()
+        self._block_while_unresponsive()
         body = environ["wsgi.input"].read()
         expected = environ.get("HTTP_X_EXPECT_INSTANCE", self.name)
         if expected != self.name:
@@ -229,9 +232,9 @@
                 return users_store.send_json(start_response, reply)
         return self._run(environ, body, start_response)
 
-    def _block_while_crashed(self) -> None:
-        while not self.is_alive:
-            gevent.sleep(0.05)
+    def _block_while_unresponsive(self) -> None:
+        while not self.is_alive or time.monotonic() < self.silent_until:
+            gevent.sleep(0.02)
             if self._platform.stopped:
                 raise ConnectionResetError(errno.ECONNRESET, "stopped")
 
@@ -338,12 +341,13 @@
             start_response(status, fields)
             return []
         self._platform.record_run(self, environ, request_id)
+        self._block_while_unresponsive()
         fields.append((STAMP, f"{self.name}.{request_id}"))
         if self.domain:
             start_response("200 -", fields)
             return self._stream(environ, request_id)
         gevent.sleep(EVENT_INTERVAL_SECONDS)
-        self._block_while_crashed()
+        self._block_while_unresponsive()
         data = f"{self.name}:{request_id}".encode() + body
         fields.append(("Content-Length", str(len(data))))
         fails = (
@@ -365,8 +369,9 @@
                 raise ConnectionResetError(errno.ECONNRESET, "crashed")
             for number in range(first, EVENTS_PER_STREAM + 1):
                 gevent.sleep(EVENT_INTERVAL_SECONDS)
+                self._block_while_unresponsive()
                 while not self.is_progressing():
-                    self._block_while_crashed()
+                    self._block_while_unresponsive()
                     if self.group is None or self.group["state"] == "broken":
                         raise ConnectionResetError(
                             errno.ECONNRESET, "group broken"
@@ -438,6 +443,7 @@
                 account=environ.get("HTTP_X_TENANT", ""),
                 at=time.monotonic(),
                 prompt_parts=read_prompt_parts(environ),
+                members=server.members,
             )
         )
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -30,12 +30,18 @@
     is_flag=True,
     help="Instead of random faults, a prompt part crashes servers.",
 )
+@click.option(
+    "--planned-only",
+    is_flag=True,
+    help="Only planned work, and servers that are silent for a second.",
+)
 def main(
     seed: int,
     count: int,
     seconds: float,
     logs: pathlib.Path | None,
     crashing_part: bool,
+    planned_only: bool,
 ) -> None:
     """Runs daemons under random faults; exit code 1 if a promise broke."""
     failed_seeds = []
@@ -44,7 +50,9 @@
         if crashing_part:
             broken = _run_crashing_part(current_seed, log_directory)
         else:
-            report = run.run_seed(current_seed, seconds, log_directory)
+            report = run.run_seed(
+                current_seed, seconds, log_directory, planned_only
+            )
             click.echo(report.describe())
             broken = bool(report.violations)
         if broken:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -19,6 +19,16 @@
 DEADLINE = datetime.timedelta(seconds=4)
 CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
 MAX_PAUSE_SECONDS = 0.05
+# Seldom callers use connections that were idle for a while, also at a daemon
+# that stops.
+SELDOM_SHARE = 0.25  # of the callers
+SELDOM_PAUSE_SECONDS = 4.0
+# How long a caller waits beyond its deadline for the end of a request.
+EXTRA_WAIT_SECONDS = 1.0
+# Share of requests after which a caller chooses another daemon.
+RECONNECT_SHARE = 0.05
+ADDED_SHARE = 0.1  # of the requests, to a route that comes and goes
+ADDED_ROUTE = "added"
 RESOLVE_INTERVAL_SECONDS = 1.0
 ROUTES = ("stream", "once", "safe")
 
@@ -29,7 +39,7 @@
 
     Attributes:
         request_id: ID that the caller sent with the request.
-        route: name of the route, one of `ROUTES`.
+        route: name of the route, one of `ROUTES`, or `ADDED_ROUTE`.
         daemon: name of the daemon that was called.
         status: HTTP status, or 0 if no complete response arrived.
         started_at: monotonic time at which the caller began, in seconds.
@@ -72,28 +82,39 @@
         self.violations: list[users_platform.Violation] = []
         self._request_count = 0
         self._is_stopping = False
-        self._greenlets = [gevent.spawn(self._run) for _ in range(count)]
+        seldom_count = int(SELDOM_SHARE * count)
+        self._greenlets = [
+            gevent.spawn(
+                self._run,
+                SELDOM_PAUSE_SECONDS
+                if number < seldom_count
+                else MAX_PAUSE_SECONDS,
+            )
+            for number in range(count)
+        ]
 
     def stop(self) -> None:
         """Stops the callers once their current requests have ended."""
         self._is_stopping = True
         gevent.joinall(self._greenlets)
 
-    def _run(self) -> None:
+    def _run(self, max_pause_seconds: float) -> None:
         http_connection: connection.Connection | None = None
         addresses: list[str] = []
         resolved_at = 0.0
         while not self._is_stopping:
-            gevent.sleep(MAX_PAUSE_SECONDS * self._generator.random())
+            gevent.sleep(max_pause_seconds * self._generator.random())
             if time.monotonic() > resolved_at + RESOLVE_INTERVAL_SECONDS:
                 addresses = self._resolve() or addresses
                 resolved_at = time.monotonic()
-                if (
-                    http_connection is not None
-                    and str(http_connection.address) not in addresses
-                ):
-                    http_connection.close()
-                    http_connection = None
+            # An open connection is used until its daemon closes it, although
+            # the address may no longer be listed.
+            if (
+                http_connection is not None
+                and self._generator.random() < RECONNECT_SHARE
+            ):
+                http_connection.close()
+                http_connection = None
             if not addresses:
                 continue
             http_connection = self._send(
@@ -132,18 +153,30 @@
         if route == "stream" and self._draw_prompt is not None:
             prompt_parts = self._draw_prompt(request_id)
         prompt = ",".join(f"{part}:40" for part in prompt_parts)
+        prefix = f"/{route}/"
+        if (
+            route == "safe"
+            and self._world.added_prefixes
+            and self._generator.random() < ADDED_SHARE
+        ):
+            route = ADDED_ROUTE
+            prefix = self._generator.choice(self._world.added_prefixes)
+        is_read = route in ("safe", ADDED_ROUTE)
         fields = (
             ("Host", "x.example"),
-            ("Authorization", "Token key-1"),
+            (
+                "Authorization",
+                f"Token {self._generator.choice(self._world.keys)}",
+            ),
             (headers.REQUEST_ID, request_id),
             (headers.DEADLINE, str(int(DEADLINE.total_seconds() * 1000))),
             *(((headers.MODEL, "chat"),) if route == "stream" else ()),
             *(((headers.PROMPT_PREFIX, prompt),) if prompt else ()),
         )
         body = b"body of " + request_id.encode()
-        method = "GET" if route == "safe" else "POST"
+        method = "GET" if is_read else "POST"
         data = connection.encode_request(
-            method, f"/{route}/1", fields, b"" if route == "safe" else body
+            method, f"{prefix}1", fields, b"" if is_read else body
         )
         begin_time = time.monotonic()
         status, answer, stamp, is_kept = 0, b"", None, False
@@ -155,9 +188,11 @@
         address = http_connection.address
         try:
             http_connection.send(method, data)
-            response_deadline = begin_time + DEADLINE.total_seconds() + 1
-            parser = http_connection.receive(DEADLINE)
-            while not parser.is_complete():
+            response_deadline = (
+                begin_time + DEADLINE.total_seconds() + EXTRA_WAIT_SECONDS
+            )
+            parser = None
+            while parser is None or not parser.is_complete():
                 remaining = datetime.timedelta(
                     seconds=response_deadline - time.monotonic()
                 )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -24,6 +24,38 @@
 # Time after the end of a fault in which the fault may still have effects.
 SETTLE_SECONDS = 3.0
 NO_FAULTS = forwarder.Faults()
+FAULTS = (
+    "configuration",
+    "kill",
+    "pause",
+    "server_crash",
+    "server_fails",
+    "server_link",
+    "server_refuses",
+    "store_forgets",
+    "store_link",
+    "store_loses",
+    "store_refuses",
+    "store_silent",
+    "term",
+)
+# None of these excuses a request without an answer.
+PLANNED_WORK = (
+    "server_silent",
+    "server_silent",
+    "server_silent",
+    "configuration_series",
+    "configuration_series",
+    "hup",
+)
+PLANNED_FAULTS = ("configuration", "configuration", "server_silent", "term")
+# Faults of one daemon after which its requests may get no answer.
+DAEMON_FAULTS = ("kill", "pause", "store_link")
+# Faults of one server after which it breaks off answers.
+SERVER_FAULTS = ("server_crash", "server_link")
+SILENT_SECONDS = (0.8, 1.8)  # shortest and longest silence of a sound server
+MAX_SERIES = 6  # changes of the configuration, or SIGHUPs, in one series
+MAX_SERIES_PAUSE_SECONDS = 0.6  # between two of them
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -33,23 +65,37 @@
     Attributes:
         started_at: monotonic time at which the fault began, in seconds.
         name: name of the fault.
-        target: name of the daemon or server, "store", or the version of the
+        target: name of the daemon or server, "store", names of servers that
+            are separated by commas, or the version of the
             configuration.
         seconds: duration that was drawn for the fault.
+        ended_at: monotonic time at which the fault was over, in seconds.
     """
 
     started_at: float
     name: str
     target: str
     seconds: float
+    ended_at: float
 
 
 class Injector:
     """Injects random faults into a world for a limited time."""
 
     def __init__(
-        self, world: world_module.World, generator: random.Random
+        self,
+        world: world_module.World,
+        generator: random.Random,
+        names: abc.Sequence[str] = FAULTS,
     ) -> None:
+        """Creates an injector.
+
+        Args:
+            world: the system to inject into.
+            generator: source of random choices.
+            names: names of the faults to draw from, each as often as it occurs.
+        """
+        self._names = sorted(names)
         self._world = world
         self._generator = generator
         self.records: list[Record] = []
@@ -68,6 +114,9 @@
             "server_refuses": self._make_server_refuse,
             "server_fails": self._make_server_fail,
             "configuration": self._change_configuration,
+            "configuration_series": self._change_configuration_often,
+            "hup": self._hang_up,
+            "server_silent": self._make_server_silent,
         }
 
     def run(self, seconds: float) -> None:
@@ -79,7 +128,7 @@
         deadline = time.monotonic() + seconds
         greenlets = []
         while time.monotonic() < deadline:
-            name = self._generator.choice(sorted(self._injectors))
+            name = self._generator.choice(self._names)
             duration = self._generator.uniform(0.3, 2.5)
             greenlets.append(gevent.spawn(self._inject, name, duration))
             gevent.sleep(self._generator.uniform(0.2, 1.5))
@@ -94,6 +143,7 @@
                 name=name,
                 target=target,
                 seconds=duration,
+                ended_at=time.monotonic(),
             )
         )
 
@@ -108,7 +158,12 @@
 
     def _pick_server(self) -> users_platform.Server:
         servers = self._world.platform.servers
-        return servers[self._generator.choice(sorted(servers))]
+        names = sorted(
+            name
+            for name, server in servers.items()
+            if server.service != world_module.SPARE_SERVICE
+        )
+        return servers[self._generator.choice(names)]
 
     def _kill(self, duration: float) -> str:
         daemon = self._pick_daemon(duration)
@@ -208,6 +263,40 @@
         server.failure_period = 0
         return server.name
 
+    def _make_server_silent(self, _: float) -> str:
+        """Makes servers silent: one, or more of its service at once."""
+        servers = self._world.platform.servers
+        service = self._generator.choice(sorted(servers.items()))[1].service
+        now = time.monotonic()
+        sending = [
+            server
+            for _, server in sorted(servers.items())
+            if server.service == service and now >= server.silent_until
+        ]
+        count = self._generator.choice((1, 2, len(sending)))
+        chosen = self._generator.sample(sending, min(count, len(sending)))
+        duration = self._generator.uniform(*SILENT_SECONDS)
+        for server in chosen:
+            server.silent_until = now + duration
+        gevent.sleep(duration)
+        return ",".join(server.name for server in chosen)
+
+    def _hang_up(self, _: float) -> str:
+        daemon = self._pick_daemon(0.0, is_planned_stop=True)
+        for _number in range(self._generator.randint(1, MAX_SERIES)):
+            self._world.signal(daemon, signal.SIGHUP)
+            self._pause_in_series()
+        return str(daemon.name)
+
+    def _change_configuration_often(self, _: float) -> str:
+        for _number in range(self._generator.randint(2, MAX_SERIES)):
+            self._world.vary_configuration(self._generator)
+            self._pause_in_series()
+        return str(self._world.version)
+
+    def _pause_in_series(self) -> None:
+        gevent.sleep(self._generator.uniform(0.0, MAX_SERIES_PAUSE_SECONDS))
+
     def _change_configuration(self, _: float) -> str:
         return str(self._world.change_configuration())
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,11 +11,13 @@
 
 from arbutuscove.standins import users_platform
 from soak import callers
+from soak import ends
 from soak import faults
 from soak import world as world_module
 
 START_TIMEOUT_SECONDS = 30.0
 RECOVERY_SECONDS = 12.0  # as stated in the users' settings
+PLANNED_RECOVERY_SECONDS = 1.0  # after planned work alone
 CHECK_SECONDS = 3.0
 CALLER_COUNT = 6
 MIN_SERVED_SHARE = 0.9  # of the requests after recovery
@@ -55,7 +57,12 @@
     """The system did not serve every route before the fault injection."""
 
 
-def run_seed(seed: int, seconds: float, logs: pathlib.Path | None) -> Report:
+def run_seed(
+    seed: int,
+    seconds: float,
+    logs: pathlib.Path | None,
+    is_planned_only: bool = False,
+) -> Report:
     """Runs the system under the faults of one seed.
 
     Args:
@@ -64,6 +71,8 @@
         seconds: time in which faults are injected.
         logs: directory in which the daemons' logs are kept; None for a
             temporary directory that is deleted after the run.
+        is_planned_only: whether there is only planned work and silence of
+            sound servers, so that each request gets an answer.
 
     Returns:
         The faults, outcomes and violations of the run.
@@ -76,20 +85,37 @@
         log_directory.mkdir(parents=True, exist_ok=True)
         world = world_module.World(log_directory, seed)
         try:
-            return _run(world, seed, seconds)
+            return _run(world, seed, seconds, is_planned_only)
         finally:
             world.stop()
 
 
-def _run(world: world_module.World, seed: int, seconds: float) -> Report:
+def _run(
+    world: world_module.World, seed: int, seconds: float, is_planned_only: bool
+) -> Report:
     generator = random.Random(seed)
     for daemon in world.daemons:
         world.start(daemon)
     clients = callers.Callers(world, random.Random(seed + 1), CALLER_COUNT)
     wait_until_serving(clients)
-    injector = faults.Injector(world, generator)
-    injector.run(seconds)
-    gevent.sleep(RECOVERY_SECONDS)
+    # The planned work has a generator of its own, so that the other faults of
+    # a seed stay the same.
+    injectors = [
+        faults.Injector(world, random.Random(seed + 2), faults.PLANNED_WORK),
+        faults.Injector(
+            world,
+            generator,
+            faults.PLANNED_FAULTS if is_planned_only else faults.FAULTS,
+        ),
+    ]
+    gevent.joinall(
+        [gevent.spawn(injector.run, seconds) for injector in injectors],
+        raise_error=True,
+    )
+    records = [record for item in injectors for record in item.records]
+    gevent.sleep(
+        PLANNED_RECOVERY_SECONDS if is_planned_only else RECOVERY_SECONDS
+    )
     recovered_at = time.monotonic()
     world.change_configuration()
     gevent.sleep(CHECK_SECONDS)
@@ -99,13 +125,16 @@
         *world.platform.violations,
         *callers.check_runs(clients.outcomes, world.platform.runs),
         *_check_recovery(clients.outcomes, recovered_at),
-        *_check_planned_stops(clients.outcomes, injector),
+        *_check_planned_stops(clients.outcomes, records),
+        *ends.check_ends(
+            clients.outcomes, world.platform.runs, records, world.changes
+        ),
         *_check_exits(world),
     ]
     return Report(
         seed=seed,
         violations=tuple(violations),
-        faults=tuple(injector.records),
+        faults=tuple(records),
         outcomes=tuple(clients.outcomes),
     )
 
@@ -119,7 +148,7 @@
     deadline = time.monotonic() + START_TIMEOUT_SECONDS
     while time.monotonic() < deadline:
         served_routes = {o.route for o in clients.outcomes if o.status == 200}
-        if served_routes == set(callers.ROUTES):
+        if served_routes.issuperset(callers.ROUTES):
             return
         gevent.sleep(0.1)
     raise StartError("not every route was served before the fault injection")
@@ -129,7 +158,9 @@
     outcomes: list[callers.Outcome], since: float
 ) -> list[users_platform.Violation]:
     after_recovery = [
-        outcome for outcome in outcomes if outcome.started_at > since
+        outcome
+        for outcome in outcomes
+        if outcome.started_at > since and outcome.route in callers.ROUTES
     ]
     served = sum(outcome.status == 200 for outcome in after_recovery)
     if served >= MIN_SERVED_SHARE * len(after_recovery) and after_recovery:
@@ -140,11 +171,11 @@
 
 def _check_planned_stops(
     outcomes: list[callers.Outcome],
-    injector: faults.Injector,
+    records: list[faults.Record],
 ) -> list[users_platform.Violation]:
     """Returns a violation for each request that only a planned stop cut off."""
     violations = []
-    for record in injector.records:
+    for record in records:
         if record.name != "term":
             continue
         # Another fault in the same window may have cut off the answer.
@@ -154,8 +185,13 @@
         )
         others = [
             other
-            for other in injector.records
-            if other.name not in ("term", "configuration", "store_forgets")
+            for other in records
+            if other.name
+            not in (
+                "store_forgets",
+                *faults.PLANNED_FAULTS,
+                *faults.PLANNED_WORK,
+            )
             and other.started_at < end
             and other.started_at + other.seconds + faults.SETTLE_SECONDS > begin
         ]
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -21,3 +21,14 @@
     assert not report.violations, report.describe()
     assert report.faults
     assert any(outcome.status == 200 for outcome in report.outcomes)
+
+
+# 1: all servers of a service were silent for over a second, and streams were
+# closed without an answer although the servers went on.
+@pytest.mark.parametrize("seed", [1])
+def test_planned_work_and_silent_servers_lose_no_request(seed):
+    """Guards against requests without an answer beside planned work."""
+    report = run.run_seed(seed, SECONDS, logs=None, is_planned_only=True)
+    assert not report.violations, report.describe()
+    assert {"server_silent"} <= {fault.name for fault in report.faults}
+    assert any(outcome.status == 200 for outcome in report.outcomes)
--- a/soak/world.py
+++ b/soak/world.py
@@ -7,9 +7,12 @@
 import dataclasses
 import os
 import pathlib
+import random
 import signal
 import subprocess
 import sys
+import time
+import typing
 
 import msgspec
 
@@ -22,6 +25,10 @@
 DAEMON_COUNT = 3
 GROUPED_SERVER_COUNT = 6
 PLAIN_SERVER_COUNT = 2
+# Its one server gets no faults but silence; only varied configurations use it.
+SPARE_SERVICE = "annex"
+CHANGE_TIMEOUTS_MS = (2500, 4000, 6000)
+MAX_ADDED_ROUTES = 3
 STOP_TIMEOUT_SECONDS = 12.0
 
 
@@ -52,8 +59,28 @@
     exits: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Change:
+    """One configuration that was stored.
+
+    Attributes:
+        stored_at: monotonic time in seconds.
+        timeouts: time-out of each route by its prefix, in seconds.
+    """
+
+    stored_at: float
+    timeouts: dict[str, float]
+
+
 class World:
-    """All daemon processes and stand-ins of one run."""
+    """All daemon processes and stand-ins of one run.
+
+    Attributes:
+        keys: keys that callers use; the newest configuration has them.
+        added_prefixes: prefixes of the routes that the newest configuration
+            has besides those of `users_platform.build_configuration`.
+        changes: stored configurations, in order.
+    """
 
     def __init__(
         self,
@@ -86,7 +113,16 @@
             GROUPED_SERVER_COUNT, GROUPED_SERVER_COUNT + PLAIN_SERVER_COUNT
         ):
             self._add_server(subnet, number, "desk", "")
+        self._add_server(
+            subnet,
+            GROUPED_SERVER_COUNT + PLAIN_SERVER_COUNT,
+            SPARE_SERVICE,
+            "",
+        )
         self.version = 1
+        self.keys: list[str] = []
+        self.added_prefixes: list[str] = []
+        self.changes: list[Change] = []
         self.change_configuration()
         self.daemons = [
             self._create_daemon(subnet, number)
@@ -96,16 +132,59 @@
     def change_configuration(self) -> int:
         """Stores a newer configuration with one more route.
 
+        Returns:
+            Version of the new configuration.
+        """
+        self.version += 3
+        return self._store(
+            users_platform.build_configuration(self.version),
+            [f"/v{self.version}/"],
+        )
+
+    def vary_configuration(self, generator: random.Random) -> int:
+        """Stores a newer configuration that differs in several ways.
+
+        Time-outs change, the route `safe` may use the spare service, and routes
+        and a key are added and removed.
+
+        Args:
+            generator: source of random choices.
+
         Returns:
             Version of the new configuration.
         """
         self.version += 3
         body = users_platform.build_configuration(self.version)
-        added_route = dict(body["routes"][2])
-        added_route["prefix"] = f"/v{self.version}/"
-        added_route["name"] = f"added-{self.version}"
-        body["routes"].append(added_route)
+        for route in body["routes"]:
+            route["timeout_ms"] = generator.choice(CHANGE_TIMEOUTS_MS)
+        if generator.random() < 0.5:
+            body["routes"][2]["service"] = SPARE_SERVICE
+        if generator.random() < 0.5:
+            keys = body["tenants"][0]["api_keys"]
+            keys.append(f"key-{self.version}")
+        kept = [p for p in self.added_prefixes if generator.random() < 0.5]
+        prefixes = [*kept, f"/v{self.version}/"][:MAX_ADDED_ROUTES]
+        return self._store(body, prefixes)
+
+    def _store(
+        self, body: dict[str, typing.Any], added_prefixes: list[str]
+    ) -> int:
+        """Stores a configuration with more routes like `safe`."""
+        body["services"].append({"name": SPARE_SERVICE, "max_connections": 100})
+        for prefix in added_prefixes:
+            added_route = dict(body["routes"][2])
+            added_route |= {"prefix": prefix, "name": f"added-{prefix[2:-1]}"}
+            body["routes"].append(added_route)
         self.platform.store.put("op", "config", body)
+        self.added_prefixes = added_prefixes
+        self.keys = body["tenants"][0]["api_keys"]
+        timeouts = {
+            route["prefix"]: route["timeout_ms"] / 1000
+            for route in body["routes"]
+        }
+        self.changes.append(
+            Change(stored_at=time.monotonic(), timeouts=timeouts)
+        )
         return self.version
 
     def start(self, daemon: Daemon) -> None:
