Reject server entries that are nested deeply or out of range

What callers see: one row that another writer left among the servers' entries stops the list follower of every daemon. It raises, is restarted, reads the same row and raises again; servers that come or go meanwhile are not noticed, and requests are sent to servers that have left.

Cause: the entry decoder caught msgspec's errors and ValueError only. 5,000 nested objects or 20,000 nested arrays, in a known or an unknown field, raise RecursionError. Also, numbers were accepted in any range: `epoch` and `born` of more than 64 bits cannot be encoded in datagrams, negative ones and ranks are meaningless, and a name with a line break or with letters outside Latin-1 cannot be sent in a header.

Ruled out: the JSON decoder rejects invalid UTF-8, lone surrogates and numbers beyond a double by itself (tried).

Change: kernel/decoding.py holds the limits on size, depth, range and form, with decoders that raise one error for anything beyond them. The entry decoder uses it.

--- a/arbutuscove/platform/entries.py
+++ b/arbutuscove/platform/entries.py
@@ -5,14 +5,22 @@
 """
 
 import dataclasses
+import typing
 
 import msgspec
 
 from arbutuscove.fleet import model
+from arbutuscove.kernel import decoding
 from arbutuscove.storage import http
 
 READY = "ready"
 DRAINING = "draining"
+MAX_ENTRY_BYTES = 65536
+MAX_SLOTS = 65535  # requests that one VM runs concurrently
+MAX_RANK = 65535  # of a member in its group
+
+_Slots = typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+_Rank = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_RANK)]
 
 
 class EntryError(Exception):
@@ -23,34 +31,34 @@
 class Group:
     """A server's membership in a group, in entries and in status reports."""
 
-    name: str
-    epoch: int
-    rank: int
-    state: str
+    name: decoding.Name
+    epoch: decoding.Count
+    rank: _Rank
+    state: decoding.Name
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Model:
-    name: str
+    name: decoding.Name
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Entry:
     # The field "sequence" is left out: here it counts heartbeats, while in a
     # status report the same name counts orders.
-    service: str
-    address: str
-    zone: str  # failure domain
-    state: str
-    slots: int
-    born: int = 0  # start of the VM in Unix milliseconds
-    domain: str | int = ""  # fabric domain
-    staged: tuple[str, ...] = ()  # models on the VM's host
+    service: decoding.Text
+    address: decoding.Name
+    zone: decoding.Text  # failure domain
+    state: decoding.Name
+    slots: _Slots
+    born: decoding.Count = 0  # start of the VM in Unix milliseconds
+    domain: decoding.Text | decoding.Integer = ""  # fabric domain
+    staged: tuple[decoding.Name, ...] = ()  # models on the VM's host
     models: tuple[_Model, ...] = ()  # models in the VM's memory
     group: Group | None = None
 
 
-_DECODER = msgspec.json.Decoder(_Entry)
+_DECODER = decoding.JsonDecoder(_Entry, MAX_ENTRY_BYTES)
 
 
 def decode(name: str, content: bytes) -> model.Vm:
@@ -61,19 +69,21 @@
         content: the JSON document in the entry.
 
     Raises:
-        EntryError: the entry cannot be decoded, its state is unknown, or its
-            port or number of slots is out of range.
+        EntryError: the name or the entry cannot be decoded, its state is
+            unknown, or a value is out of range.
     """
     try:
+        # The name is sent in headers of requests to the VM.
+        decoding.convert(name, decoding.Name)
         entry = _DECODER.decode(content)
         address = http.Address.parse(entry.address)
         membership = convert_group(entry.group)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except ValueError as error:
         raise EntryError(str(error)) from error
     if entry.state not in (READY, DRAINING):
         raise EntryError(f"entry state {entry.state!r} is unknown")
-    if not 0 < address.port < 65536 or entry.slots < 1:
-        raise EntryError("the port or the number of slots is out of range")
+    if not 0 < address.port < 65536:
+        raise EntryError("the port is out of range")
     return model.Vm(
         name=name,
         service=entry.service,
--- a/arbutuscove/platform/tests/test_entries.py
+++ b/arbutuscove/platform/tests/test_entries.py
@@ -30,6 +30,8 @@
     strategies.none()
     | strategies.booleans()
     | strategies.integers(-5, 100_000)
+    | strategies.integers()
+    | strategies.floats(allow_nan=False, allow_infinity=False)
     | strategies.text(max_size=8),
     lambda inner: (
         strategies.lists(inner, max_size=3)
@@ -76,6 +78,58 @@
         entries.decode("i-1", msgspec.json.encode(ENTRY | change))
 
 
+NESTED = {
+    "objects": b'{"a":' * 5000 + b"1" + b"}" * 5000,
+    "arrays": b"[" * 20_000 + b"]" * 20_000,
+    "objects not closed": b'{"a":' * 5000,
+}
+
+
+@pytest.mark.parametrize("nested", NESTED.values(), ids=NESTED.keys())
+@pytest.mark.parametrize("field", ["group", "domain", "unknown"])
+def test_deeply_nested_entry_is_an_error(field, nested):
+    """Guards against a follower that one nested entry ends."""
+    entry = msgspec.json.encode(ENTRY | {field: "NESTED"})
+    content = entry.replace(b'"NESTED"', nested)
+    with pytest.raises(entries.EntryError):
+        entries.decode("i-1", content)
+
+
+def create_group(**change):
+    return {"group": ENTRY["group"] | change}
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"born": 2**63},
+        {"born": -1},
+        {"slots": 2**16},
+        {"slots": 2**70},
+        {"domain": 2**70},
+        create_group(epoch=2**63),
+        create_group(epoch=-1),
+        create_group(rank=2**16),
+        create_group(rank=-1),
+        create_group(name="g" * 256),
+        {"service": "s" * 256},
+        {"zone": "a\r\nb"},
+        {"unknown": "x" * entries.MAX_ENTRY_BYTES},
+    ],
+)
+def test_entry_with_a_value_out_of_range_is_an_error(change):
+    """Guards against a value that cannot be sent on or computed with."""
+    with pytest.raises(entries.EntryError):
+        entries.decode("i-1", msgspec.json.encode(ENTRY | change))
+
+
+@pytest.mark.parametrize("name", ["a\r\nb", "é" * 3, "日", "i" * 256])
+def test_entry_of_a_name_that_no_header_holds_is_an_error(name):
+    """Guards against a request whose headers cannot be encoded."""
+    with pytest.raises(entries.EntryError):
+        entries.decode(name, msgspec.json.encode(ENTRY))
+
+
 @hypothesis.given(strategies.sampled_from(sorted(ENTRY)), JSON_VALUES)
 def test_entry_with_any_value_is_a_vm_or_an_error(field, value):
     """Guards against a decoder that fails in an unexpected way."""
--- a/arbutuscove/platform/tests/test_followers.py
+++ b/arbutuscove/platform/tests/test_followers.py
@@ -209,3 +209,15 @@
     gevent.sleep(0.02)
     assert not follower._greenlet.dead
     follower.stop()
+
+
+def test_odd_entry_does_not_cost_the_others_of_its_page(scene):
+    """Guards against one entry that stops the follower of the list."""
+    store, gossip, inventory, follower = scene
+    entry = create_entry(group="NESTED")
+    odd = entry.replace(b'"NESTED"', b'{"a":' * 5000 + b"1" + b"}" * 5000)
+    new = create_entry(address="10.0.0.9:80")
+    store.pages.append(create_page(12, a=create_entry(), b=odd, c=new))
+    assert follower.read_changes(10) == 12
+    assert inventory.find("c") is not None
+    assert inventory.find("b") is None
