Parse addresses strictly as IPv4 address or host name and port

What callers see: an entry with an address like `h...h:80` (300 letters) is used as a server, and each connection to it raises UnicodeError from the name look-up, which no caller of the connection pool expects. `10.0.0.1:+80`, `:8_0` and ports in other digits are read as numbers, a host with a line break becomes a header line of its own in the request.

Cause: Address.parse split at the last colon and passed the port to int(), which accepts signs, underscores, blanks and all Unicode digits; the host was not looked at, and the port's range was left to the callers.

Change: a host is an IPv4 address or a host name with labels of up to 63 characters and 253 in all; a port is one to five ASCII digits up to 65535. Port 0 is only valid to listen on (parse_listen, used by the own interface for its two listeners). The checks of the range in the entry decoder and in the daemon's settings are covered by it and removed. test_assembly.py passed port 0 as the address of the table, the objects and the inventory, to which nothing is sent there; it passes port 1 now.

Why it works: every address from outside passes this parser before it is used, and what it returns can be connected to and sent in a header.

--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -137,10 +137,10 @@
         journal,
     )
     admin = admin_api.AdminServer(
-        http.Address.parse(settings.admin_listen), operations
+        http.Address.parse_listen(settings.admin_listen), operations
     )
     entry = app.EntryServer(
-        http.Address.parse(settings.listen),
+        http.Address.parse_listen(settings.listen),
         clock,
         config,
         chat.ChatHandler(
--- a/arbutuscove/daemon/settings.py
+++ b/arbutuscove/daemon/settings.py
@@ -128,7 +128,7 @@
 
 def _is_address(text: str) -> bool:
     try:
-        address = http.Address.parse(text)
+        http.Address.parse(text)
     except ValueError:
         return False
-    return 0 < address.port < 65536
+    return True
--- a/arbutuscove/daemon/tests/test_assembly.py
+++ b/arbutuscove/daemon/tests/test_assembly.py
@@ -22,6 +22,7 @@
 
     def __init__(self, name):
         address = "127.0.0.1:0"  # only the peer server binds before the start
+        service = "127.0.0.1:1"  # nothing is sent to it before the start
         kernel = assembly.build_kernel(
             settings_module.Settings(
                 name=name,
@@ -33,9 +34,9 @@
                 advertise=address,
                 peer_advertise=address,
                 peers=(),
-                table=address,
-                objects=address,
-                inventory=address,
+                table=service,
+                objects=service,
+                inventory=service,
                 resume_secret="0123456789abcdef",
                 admin_key_digest="0" * 64,
                 keep_seconds=30.0,
--- a/arbutuscove/platform/entries.py
+++ b/arbutuscove/platform/entries.py
@@ -82,8 +82,6 @@
         raise EntryError(str(error)) from error
     if entry.state not in (READY, DRAINING):
         raise EntryError(f"entry state {entry.state!r} is unknown")
-    if not 0 < address.port < 65536:
-        raise EntryError("the port is out of range")
     return model.Vm(
         name=name,
         service=entry.service,
--- a/arbutuscove/storage/http.py
+++ b/arbutuscove/storage/http.py
@@ -6,6 +6,8 @@
 
 import datetime
 import errno
+import ipaddress
+import re
 import typing
 from collections import abc
 
@@ -20,6 +22,10 @@
 # `OSError`, is also raised if the connection is closed before the headers are
 # complete.
 READ_ERRORS = (OSError, ValueError, response_module.HTTPParseError)
+MAX_HOST_LENGTH = 253  # characters of a host name (RFC 1035)
+MAX_PORT = 65535
+_PORT = re.compile(r"[0-9]{1,5}")
+_LABEL = re.compile(r"(?!-)[A-Za-z0-9_-]{1,63}(?<!-)")
 
 
 class HttpError(Exception):
@@ -46,25 +52,61 @@
 
     @classmethod
     def parse(cls, text: str) -> "Address":
-        """Parses `host:port`.
+        """Parses `host:port`, an IPv4 address or host name and a TCP port.
 
         Example:
             >>> Address.parse("127.0.0.1:80")
             Address(host='127.0.0.1', port=80)
 
         Raises:
-            ValueError: the text has no host or port, or the port is not a
-                number.
+            ValueError: the host is no IPv4 address or host name, or the port
+                is not a decimal number from 1 to 65535.
         """
-        host, separator, port = text.rpartition(":")
-        if not separator or not host:
+        address = cls.parse_listen(text)
+        if address.port == 0:
+            raise ValueError("the port of a server cannot be 0")
+        return address
+
+    @classmethod
+    def parse_listen(cls, text: str) -> "Address":
+        """Parses an address to listen on; port 0 is any free port.
+
+        Example:
+            >>> Address.parse_listen("127.0.0.1:0")
+            Address(host='127.0.0.1', port=0)
+
+        Raises:
+            ValueError: the host is no IPv4 address or host name, or the port
+                is not a decimal number up to 65535.
+        """
+        if len(text) > MAX_HOST_LENGTH + len(":65535"):
+            raise ValueError(f"address has {len(text)} characters")
+        host, _, port = text.rpartition(":")
+        if not _is_host(host) or not _PORT.fullmatch(port):
             raise ValueError(f"address must be host:port, not {text!r}")
+        if int(port) > MAX_PORT:
+            raise ValueError(f"port {port} is out of range")
         return cls(host, int(port))
 
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
 
 
+def _is_host(text: str) -> bool:
+    """Returns whether the text is an IPv4 address or a host name."""
+    labels = text.split(".")
+    if len(text) > MAX_HOST_LENGTH or not all(map(_LABEL.fullmatch, labels)):
+        return False
+    if not labels[-1].isdecimal():
+        return True
+    # A name whose last label is a number would be resolved as an address.
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return True
+
+
 class Reply(typing.NamedTuple):
     """Status, body and headers of a complete HTTP response."""
 
--- a/arbutuscove/storage/tests/test_http.py
+++ b/arbutuscove/storage/tests/test_http.py
@@ -3,8 +3,10 @@
 import socket
 
 import gevent
+import hypothesis
 import pytest
 from gevent import server
+from hypothesis import strategies
 
 from arbutuscove.storage import http
 from arbutuscove.upstreams import engine
@@ -70,3 +72,70 @@
     with pytest.raises(errors.NotListeningError):
         client.read_status()
     client.close()
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "10.0.0.1",
+        ":80",
+        "10.0.0.1:",
+        "10.0.0.1:65536",
+        "10.0.0.1:-1",
+        "10.0.0.1:+80",
+        "10.0.0.1:8_0",
+        "10.0.0.1: 80",
+        "10.0.0.1:80\n",
+        "10.0.0.1:\u0668\u0660",
+        "10.0.0.1:\u00b2",
+        "10.0.0.1:" + "9" * 5000,
+        "10.0.0.1\r\nX: y:80",
+        "10.0.0.1 :80",
+        "10.0.0.1\x00:80",
+        "10.0.0.256:80",
+        "10.0.1:80",
+        "a..b:80",
+        "-a:80",
+        "h\u00e9:80",
+        "a" * 64 + ":80",
+        "a." * 130 + "a:80",
+    ],
+)
+def test_address_of_another_form_is_an_error(text):
+    """Guards against an address that fails only at the connection."""
+    with pytest.raises(ValueError):
+        http.Address.parse(text)
+    with pytest.raises(ValueError):
+        http.Address.parse_listen(text)
+
+
+@pytest.mark.parametrize(
+    ("text", "host", "port"),
+    [
+        ("127.0.0.1:1", "127.0.0.1", 1),
+        ("localhost:65535", "localhost", 65535),
+        ("entry-1.example_net.org:080", "entry-1.example_net.org", 80),
+    ],
+)
+def test_sound_address_is_parsed(text, host, port):
+    """Guards against a server that is left out for its sound address."""
+    assert http.Address.parse(text) == (host, port)
+
+
+def test_only_a_listener_has_port_zero():
+    """Guards against requests sent to port 0."""
+    assert http.Address.parse_listen("127.0.0.1:0") == ("127.0.0.1", 0)
+    with pytest.raises(ValueError):
+        http.Address.parse("127.0.0.1:0")
+
+
+@hypothesis.given(strategies.text(max_size=40))
+def test_address_of_any_text_is_parsed_or_an_error(text):
+    """Guards against a parser that fails in an unexpected way."""
+    try:
+        address = http.Address.parse(text)
+    except ValueError:
+        return
+    assert 0 < address.port <= http.MAX_PORT
+    assert address.host.isascii()
