Receive datagrams on after a handler raised an exception

What callers see: as after a datagram that cannot be decoded: a daemon that receives nothing any more and holds all its peers for dead.

Cause: the receiving loop expected errors of the decoder and the socket only. An exception in a handler of a message (the list of servers, the evidence, the configuration version) ended its greenlet for good.

Ruled out: to start the whole service again; its sending loop is sound, and the datagrams that arrive meanwhile would be lost.

Change: the exception is logged with its traceback, and the loop goes on with the next datagram.

Why it works: one message is the unit of work of the loop, so that none but it is lost.

--- a/arbutuscove/gossip/service.py
+++ b/arbutuscove/gossip/service.py
@@ -319,7 +319,10 @@
                 eliot.log_message("gossip:receive_failed", reason=str(error))
                 self._clock.sleep(datetime.timedelta(milliseconds=50))
                 continue
-            self._handle_message(message)
+            try:
+                self._handle_message(message)
+            except Exception:  # noqa: BLE001 - receive on after any error
+                eliot.write_traceback()
 
     def _handle_message(self, message: digest.Message) -> None:
         match message:
--- a/arbutuscove/gossip/tests/test_service.py
+++ b/arbutuscove/gossip/tests/test_service.py
@@ -117,3 +117,28 @@
     for key in range(20):
         owners = [daemon for daemon in fleet if daemon.gossip.owns(key)]
         assert len(owners) == 1
+
+
+def test_gossip_receives_on_after_a_message_that_no_handler_can_handle():
+    """Guards against a daemon that one message of a peer makes deaf."""
+    port = cluster.find_port()
+    daemon, peer = Daemon(0, port), Daemon(1, port)
+
+    class FailingEvidence(Evidence):
+        def merge_evidence(self, data):
+            raise OverflowError(data)
+
+    daemon.gossip.set_evidence_source(FailingEvidence(b"other"))
+    peer.gossip.set_evidence_source(Evidence(b"crash"))
+    daemon.gossip.start(None)
+    peer.gossip.start(None)
+    peer.gossip.add_peers([daemon.gossip.get_own().ip])
+    daemon.gossip.add_peers([peer.gossip.get_own().ip])
+    gevent.sleep(0.1)
+    peer.stalled = (KEY,)
+    peer.gossip.broadcast_evidence(b"crash")
+    peer.gossip.broadcast()
+    gevent.sleep(0.1)
+    assert daemon.received == [KEY]
+    peer.gossip.stop()
+    daemon.gossip.stop()
