Reject configurations that are nested deeply or out of range

What callers see: after one odd configuration a daemon takes no later one either: the follower raises, is restarted, reads the same row and raises again. A model with `size` 0 ends each round of the group controller.

Cause: configuration.decode caught msgspec's errors around the decoder only. Time-outs such as 1e300 ms raise OverflowError from timedelta when they are converted, deep nesting raises RecursionError. A version of more than 64 bits was put in force, and each heartbeat that states it cannot be encoded. A tenant's name with a line break or outside Latin-1 cannot be sent in X-Tenant.

Change: each field has a range within which all later arithmetic holds: times of up to 366 days, at least one VM in a group and one slot, factors and steps whose product is far below the range of timedelta, versions below 2^63, names without control characters. A configuration beyond them is logged as `catalog:unreadable`, and the one in force stays.

Why it works: ranges are checked while the row is decoded, before anything is converted, and the follower already skips a row with a ConfigurationError.

--- a/arbutuscove/kernel/decoding.py
+++ b/arbutuscove/kernel/decoding.py
@@ -22,10 +22,17 @@
 Amount = typing.Annotated[float, msgspec.Meta(ge=0, le=float(MAX_INTEGER))]
 Seconds = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_SECONDS)]
 Milliseconds = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_MS)]
+NO_CONTROLS = r"\A[^\x00-\x1f\x7f]*\Z"
 # Text without control characters.
 Text = typing.Annotated[
+    str, msgspec.Meta(max_length=MAX_TEXT_LENGTH, pattern=NO_CONTROLS)
+]
+# Text that a header can hold: printable characters of Latin-1.
+HeaderText = typing.Annotated[
     str,
-    msgspec.Meta(max_length=MAX_TEXT_LENGTH, pattern=r"\A[^\x00-\x1f\x7f]*\Z"),
+    msgspec.Meta(
+        max_length=MAX_TEXT_LENGTH, pattern=r"\A[\x20-\x7e\xa0-\xff]*\Z"
+    ),
 ]
 # Text of visible ASCII characters.
 Name = typing.Annotated[
--- a/arbutuscove/platform/configuration.py
+++ b/arbutuscove/platform/configuration.py
@@ -3,10 +3,30 @@
 import dataclasses
 import datetime
 import types
+import typing
 
 import msgspec
 
 from arbutuscove.catalog import model
+from arbutuscove.kernel import decoding
+
+MAX_CONFIGURATION_BYTES = 1024 * 1024
+MAX_LINE_LENGTH = 4096  # characters of a path or an API key
+MAX_SIZE = 65535  # VMs of a group, or requests that an engine runs at once
+MAX_STRIDE = 1024  # token steps between two events
+MAX_STEP_MS = 60_000.0
+MAX_FACTOR = 1000.0
+MAX_LIMIT_BYTES = 2**40  # of a limit that the operator sets
+
+_Line = typing.Annotated[
+    str,
+    msgspec.Meta(max_length=MAX_LINE_LENGTH, pattern=decoding.NO_CONTROLS),
+]
+_Bytes = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_LIMIT_BYTES)]
+_Size = typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_SIZE)]
+_Stride = typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_STRIDE)]
+_StepMs = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_STEP_MS)]
+_Factor = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_FACTOR)]
 
 
 class ConfigurationError(Exception):
@@ -15,91 +35,93 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Split:
-    service: str
-    weight: float
+    service: decoding.Text
+    weight: decoding.Amount
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Route:
-    host: str
-    prefix: str
-    kind: str  # "safe", "unsafe" or "stream"
-    timeout_ms: float
-    name: str = ""
-    service: str = ""
+    host: decoding.Text
+    prefix: _Line
+    kind: decoding.Text  # "safe", "unsafe" or "stream"
+    timeout_ms: decoding.Milliseconds
+    name: decoding.Text = ""
+    service: decoding.Text = ""
     traffic_split: tuple[_Split, ...] = ()
-    target_latency_ms: float = 1000.0  # to the first byte of the answer
-    target_gap_ms: float | None = None  # longest pause between stream events
-    max_attempts: int = 1
-    priority: int = 0  # 0 is the most urgent
+    # To the first byte of the answer.
+    target_latency_ms: decoding.Milliseconds = 1000.0
+    # Longest pause between stream events.
+    target_gap_ms: decoding.Milliseconds | None = None
+    max_attempts: decoding.Integer = 1
+    priority: decoding.Integer = 0  # 0 is the most urgent
     public: bool = False
     resumable: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Model:
-    name: str
-    size: int = 1
-    share: float = 1.0  # of the service's work
-    pace: float = 1.0  # multiplies all times of the model's groups
-    load_s: float = 0.0  # load from the weight store
-    warm_s: float = 0.0  # load from the host's own copy
+    name: decoding.Name
+    size: _Size = 1
+    share: _Factor = 1.0  # of the service's work
+    pace: _Factor = 1.0  # multiplies all times of the model's groups
+    load_s: decoding.Seconds = 0.0  # load from the weight store
+    warm_s: decoding.Seconds = 0.0  # load from the host's own copy
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Usual:
     # Tokens of a typical request and of its answer.
-    prompt: float = 1000.0
-    answer: float = 100.0
+    prompt: decoding.Amount = 1000.0
+    answer: decoding.Amount = 100.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Engine:
     models: tuple[_Model, ...]
-    slots: int
-    step_ms: float = 0.0
-    per_seq_ms: float = 0.0  # added to a step for each running request
-    context_per_k: float = 0.0  # milliseconds added for 1,000 context tokens
-    read_per_s: float = 1.0  # prompt tokens
-    stride: int = 1  # token steps between two events
-    loads_per_s: float = 1.0
-    loads_at_once: int = 1
-    form_ms: float = 0.0
+    slots: _Size
+    step_ms: _StepMs = 0.0
+    per_seq_ms: _StepMs = 0.0  # added to a step for each running request
+    context_per_k: _StepMs = 0.0  # milliseconds added for 1,000 context tokens
+    read_per_s: decoding.Amount = 1.0  # prompt tokens
+    stride: _Stride = 1  # token steps between two events
+    loads_per_s: decoding.Amount = 1.0
+    loads_at_once: decoding.Count = 1
+    form_ms: decoding.Milliseconds = 0.0
     usual: _Usual = _Usual()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Service:
-    name: str
-    max_connections: int = 100
+    name: decoding.Text
+    max_connections: decoding.Count = 100
     engine: _Engine | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Tenant:
-    name: str
-    api_keys: tuple[str, ...] = ()
-    priority: int | None = None
+    name: decoding.HeaderText
+    api_keys: tuple[_Line, ...] = ()
+    priority: decoding.Integer | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Limits:
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4194304
-    header_timeout_ms: float = 3000.0
-    idle_timeout_ms: float = 15000.0
+    max_header_bytes: _Bytes = 16384
+    max_body_bytes: _Bytes = 4194304
+    header_timeout_ms: decoding.Milliseconds = 3000.0
+    idle_timeout_ms: decoding.Milliseconds = 15000.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Configuration:
-    version: int
+    version: decoding.Count
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits = _Limits()
     tenants: tuple[_Tenant, ...] | None = None
 
 
-_DECODER = msgspec.json.Decoder(_Configuration)
+_DECODER = decoding.JsonDecoder(_Configuration, MAX_CONFIGURATION_BYTES)
 
 
 def decode(content: bytes) -> model.Catalog:
@@ -109,12 +131,12 @@
         content: the JSON document in the row.
 
     Raises:
-        ConfigurationError: the content is not JSON, a field is missing, or a
-            field has a value of the wrong type.
+        ConfigurationError: the content is not JSON, a field is missing, or the
+            value of a field has the wrong type or is out of range.
     """
     try:
         decoded = _DECODER.decode(content)
-    except msgspec.MsgspecError as error:
+    except decoding.DecodingError as error:
         raise ConfigurationError(str(error)) from error
     accounts = None
     if decoded.tenants is not None:
--- a/arbutuscove/platform/tests/test_configuration.py
+++ b/arbutuscove/platform/tests/test_configuration.py
@@ -1,13 +1,18 @@
 """Guards against wrongly decoded routes, keys or route kinds."""
 
+import contextlib
+import copy
 import datetime
 
+import hypothesis
 import msgspec
 import pytest
+from hypothesis import strategies
 
 from arbutuscove.catalog import holder
 from arbutuscove.catalog import model
 from arbutuscove.platform import configuration
+from arbutuscove.platform.tests import test_entries
 
 ROUTE = {
     "name": "r",
@@ -85,3 +90,124 @@
     assert catalogs.apply_if_newer(decode(ROUTE), "store")
     assert not catalogs.apply_if_newer(decode(ROUTE, version=6), "store")
     assert catalogs.get_version() == 7
+
+
+ENGINE = {
+    "models": [
+        {
+            "name": "daka",
+            "size": 4,
+            "share": 0.5,
+            "pace": 1.5,
+            "load_s": 20,
+            "warm_s": 2,
+        }
+    ],
+    "slots": 16,
+    "step_ms": 20,
+    "per_seq_ms": 0.5,
+    "context_per_k": 0.1,
+    "read_per_s": 9000,
+    "stride": 4,
+    "loads_per_s": 2,
+    "loads_at_once": 3,
+    "form_ms": 500,
+    "usual": {"prompt": 900, "answer": 90},
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [ROUTE | {"traffic_split": [{"service": "s", "weight": 1}]}],
+    "services": [{"name": "s", "max_connections": 9, "engine": ENGINE}],
+    "tenants": [{"name": "x", "api_keys": ["k1"], "priority": 2}],
+    "limits": {
+        "max_header_bytes": 9,
+        "max_body_bytes": 9,
+        "header_timeout_ms": 9,
+        "idle_timeout_ms": 9,
+    },
+}
+
+
+def list_paths(value, path=()):
+    match value:
+        case dict():
+            items = value.items()
+        case list():
+            items = enumerate(value)
+        case _:
+            items = ()
+    paths = [path] if path else []
+    for key, inner in items:
+        paths += list_paths(inner, (*path, key))
+    return paths
+
+
+def replace(path, value):
+    body = copy.deepcopy(CONFIGURATION)
+    inner = body
+    for key in path[:-1]:
+        inner = inner[key]
+    inner[path[-1]] = value
+    return msgspec.json.encode(body)
+
+
+LIMITS = ("limits",)
+MODEL = ("services", 0, "engine", "models", 0)
+OUT_OF_RANGE = [
+    (("version",), 2**63),
+    (("version",), -1),
+    (("routes", 0, "timeout_ms"), 1e300),
+    (("routes", 0, "timeout_ms"), -1),
+    (("routes", 0, "target_latency_ms"), 1e17),
+    (("routes", 0, "target_gap_ms"), 1e300),
+    (("routes", 0, "host"), "a\n"),
+    (("routes", 0, "traffic_split", 0, "weight"), -1),
+    (("routes", 0, "traffic_split", 0, "weight"), 1e300),
+    ((*LIMITS, "idle_timeout_ms"), 1e300),
+    ((*LIMITS, "header_timeout_ms"), 1e300),
+    ((*LIMITS, "max_body_bytes"), 2**63),
+    ((*LIMITS, "max_body_bytes"), -1),
+    ((*MODEL, "size"), 0),
+    ((*MODEL, "share"), 1e300),
+    ((*MODEL, "load_s"), 1e300),
+    ((*MODEL, "pace"), 1e300),
+    (("services", 0, "engine", "slots"), 2**70),
+    (("services", 0, "engine", "stride"), 2**40),
+    (("services", 0, "engine", "step_ms"), 1e300),
+    (("tenants", 0, "name"), "a\r\nb"),
+    (("tenants", 0, "name"), "\u65e5"),
+]
+
+
+@pytest.mark.parametrize(("path", "value"), OUT_OF_RANGE)
+def test_configuration_out_of_range_is_an_error(path, value):
+    """Guards against a value that fails where it is used."""
+    with pytest.raises(configuration.ConfigurationError):
+        configuration.decode(replace(path, value))
+
+
+@pytest.mark.parametrize("nested", test_entries.NESTED.values())
+def test_deeply_nested_configuration_is_an_error(nested):
+    """Guards against a follower that one nested configuration ends."""
+    content = replace(("unknown",), "NESTED").replace(b'"NESTED"', nested)
+    with pytest.raises(configuration.ConfigurationError):
+        configuration.decode(content)
+
+
+@hypothesis.given(
+    strategies.sampled_from(list_paths(CONFIGURATION)),
+    test_entries.JSON_VALUES,
+)
+def test_configuration_with_any_value_is_a_catalog_or_an_error(path, value):
+    """Guards against a decoder that fails in an unexpected way."""
+    with contextlib.suppress(configuration.ConfigurationError):
+        catalog = configuration.decode(replace(path, value))
+        # As sent in the heartbeats of this daemon.
+        msgspec.msgpack.encode(catalog.version)
+
+
+def test_whole_configuration_is_decoded():
+    """Guards against a limit that rejects a sound configuration."""
+    content = msgspec.json.encode(CONFIGURATION)
+    engine = configuration.decode(content).services["s"].engine
+    assert engine.find_model("daka").size == 4
--- a/arbutuscove/platform/tests/test_followers.py
+++ b/arbutuscove/platform/tests/test_followers.py
@@ -12,6 +12,7 @@
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.platform import followers
 from arbutuscove.platform import store as store_module
+from arbutuscove.platform.tests import test_configuration
 from arbutuscove.platform.tests import test_entries
 
 
@@ -221,3 +222,25 @@
     assert follower.read_changes(10) == 12
     assert inventory.find("c") is not None
     assert inventory.find("b") is None
+
+
+def test_odd_configuration_leaves_the_one_in_force():
+    """Guards against a follower that one configuration ends."""
+    catalog = catalog_holder.CatalogHolder()
+    store = FakeStore()
+    follower = followers.ConfigurationFollower(
+        store, clock_module.ManualClock(), random.Random(1), catalog
+    )
+    first, odd, last = (
+        test_configuration.replace(("version",), version)
+        for version in (7, 8, 9)
+    )
+    odd = odd.replace(b'"timeout_ms":8000', b'"timeout_ms":1e300')
+    store.pages.append(create_page(10, config=first))
+    store.pages.append(create_page(11, config=odd))
+    store.pages.append(create_page(12, config=last))
+    follower.read_snapshot()
+    assert follower.read_changes(10) == 11
+    assert catalog.get_version() == 7
+    assert follower.read_changes(11) == 12
+    assert catalog.get_version() == 9
