Serve requests whose time-out or token counts are odd numbers

What callers see: a request with X-Deadline-Ms of 20 digits, or with a superscript digit in it, is read whole and gets neither an answer nor a refusal; the connection is closed. X-Token-Counts likewise.

Cause: str.isdigit accepts digits that int() rejects, int() rejects more than 4,300 digits, and timedelta raises OverflowError for a count of 20 digits. The exception passes through the listener as `cut:`. A token count of hundreds of digits would overflow when it is divided by a weight.

Change: both are ASCII digits, up to 13 for milliseconds and up to 9 for tokens. Anything else counts as not stated: the route's time-out, which is shorter anyway, and no counts.

Why it works: 13 digits of milliseconds are far below the range of timedelta, and the shorter of caller's and route's time-out is in force.

--- a/arbutuscove/platform/listener.py
+++ b/arbutuscove/platform/listener.py
@@ -7,6 +7,7 @@
 import datetime
 import errno
 import http.client
+import re
 import typing
 import urllib.parse
 from collections import abc
@@ -47,6 +48,9 @@
 # Further parts of a prompt are not tracked.
 MAX_PROMPT_PARTS = 32
 MAX_PART_ID_CHARS = 64
+# Larger values of callers are not used.
+MILLISECONDS = re.compile("[0-9]{1,13}")
+TOKENS = re.compile(" *[0-9]{1,9} *")
 JSON_TYPE = "application/json"
 
 StartResponse = abc.Callable[[str, list[tuple[str, str]]], typing.Any]
@@ -356,7 +360,7 @@
 ) -> datetime.timedelta:
     """Returns the shorter of the time-outs of the caller and of the route."""
     text = headers_by_name.get(headers.DEADLINE.lower(), "")
-    if not text.isdigit():
+    if not MILLISECONDS.fullmatch(text):
         return route.timeout
     return min(route.timeout, datetime.timedelta(milliseconds=int(text)))
 
@@ -366,7 +370,7 @@
     prompt, _, answer = headers_by_name.get(
         headers.TOKEN_COUNTS.lower(), ""
     ).partition(",")
-    if not (prompt.strip().isdigit() and answer.strip().isdigit()):
+    if not (TOKENS.fullmatch(prompt) and TOKENS.fullmatch(answer)):
         return 0, 0
     return int(prompt), int(answer)
 
