Read the rows of a page one by one, so that an odd one costs itself

What callers see: one odd row of the store stops whoever reads its table. In the servers' table that is the list follower of every daemon; in the product's own table a daemon that starts finds no peers and writes its registration again each 200 ms, and the loop of the leases starts again and again.

Cause: a page was decoded as a whole. A value that is not ASCII raises ValueError out of the base64 decoder, where only binascii.Error was expected; a value of another type rejects the page. The contents of own rows were decoded without any check: a row that is not a JSON object raises AttributeError, a nested one RecursionError; an `ip` that is a list cannot be kept, one that is a name is looked up at each heartbeat. A verdict whose key has more than 16 digits, or whose depth has more than 64 bits, ends the evidence with OverflowError, since the fingerprint cannot be encoded.

Change: each row is decoded by itself and skipped with a log line if that fails; a row whose value is no base64 has empty content, as before. A page without any readable row is an error when more rows follow. The value of an own row that cannot be decoded is None, and Row.decode raises UnreadableRowError, a TableUnavailableError, which all users of tables expect: nothing is written over it. Registrations hold an IPv4 address, verdicts a key of up to 16 hexadecimal digits.

Not covered: the envelope of a page. If one of its rows is nested more than 32 levels in the store's own JSON, outside its base64 value, the page is a StoreError and is read again after a delay.

Decoding adds one small decode for each row of a page.

Why it works: the unit of failure is the row, and every error of its decoding is the one that its reader already skips.

--- a/arbutuscove/crashes/verdicts.py
+++ b/arbutuscove/crashes/verdicts.py
@@ -6,7 +6,7 @@
 """
 
 import datetime
-import typing
+import re
 from collections import abc
 
 import eliot
@@ -15,12 +15,14 @@
 
 from arbutuscove.crashes import evidence as evidence_module
 from arbutuscove.kernel import clock as clock_module
+from arbutuscove.kernel import decoding
 from arbutuscove.kernel import services
 from arbutuscove.storage import table as table_module
 
 SERVICE_NAME = "verdicts"
 KEY_PREFIX = "crash/"
 RETRY_INTERVAL = datetime.timedelta(seconds=1)
+_KEY = re.compile("[0-9a-f]{1,16}")  # 64 bits
 MAX_PENDING = 64  # rows not yet written; the oldest is dropped
 
 
@@ -32,8 +34,8 @@
         deaths: identities of the deaths that it explains.
     """
 
-    depth: int
-    deaths: tuple[str, ...]
+    depth: decoding.Integer
+    deaths: tuple[decoding.Text, ...]
 
 
 class VerdictKeeper(services.LoopService):
@@ -141,12 +143,16 @@
     for row in rows:
         if not row.key.startswith(KEY_PREFIX):
             continue
+        name = row.key.removeprefix(KEY_PREFIX)
         try:
-            key = int(row.key.removeprefix(KEY_PREFIX), 16)
-            verdict: typing.Any = row.decode(Verdict)
-        except (msgspec.ValidationError, ValueError) as error:
+            verdict = row.decode(Verdict)
+        except table_module.UnreadableRowError as error:
             eliot.log_message("crash:unreadable", reason=str(error))
             continue
+        if not _KEY.fullmatch(name):
+            eliot.log_message("crash:unreadable", reason=f"key {row.key!r}")
+            continue
+        key = int(name, 16)
         for identity in verdict.deaths[: evidence_module.MAX_DEATHS]:
             evidence.record_death(
                 evidence_module.Death(
--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -1,9 +1,11 @@
 """Construction of the services of a daemon on the platform."""
 
 import collections
+import dataclasses
 import datetime
 import random
 import time
+from collections import abc
 
 import eliot
 import msgspec
@@ -19,6 +21,7 @@
 from arbutuscove.gossip import digest
 from arbutuscove.gossip import service as gossip_service
 from arbutuscove.kernel import clock as clock_module
+from arbutuscove.kernel import decoding
 from arbutuscove.kernel import loop
 from arbutuscove.kernel import services
 from arbutuscove.leases import holder as lease_holder
@@ -46,6 +49,7 @@
 MIN_NEAR_DAEMONS = 4
 MAX_LOADS_AGE = datetime.timedelta(milliseconds=100)
 DAEMON_PREFIX = "daemon/"
+MAX_REGISTRATION_BYTES = 4096  # a row with the address of one daemon
 # Upstreams check fencing tokens, so a new holder need not wait until the orders
 # of an earlier holder have timed out. The guard covers the time between the
 # check of the lease and the send of an order.
@@ -58,6 +62,16 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Registration:
+    ip: decoding.Ipv4Address
+
+
+_REGISTRATION_DECODER = decoding.JsonDecoder(
+    _Registration, MAX_REGISTRATION_BYTES
+)
+
+
 class Registry(services.LoopService):
     """Writes this daemon's IP address to the store and reads its table.
 
@@ -104,11 +118,22 @@
             for row in rows
             if row.key.startswith(verdicts.KEY_PREFIX)
         )
-        self._gossip.add_peers(
-            msgspec.json.decode(row.content or b"{}").get("ip", self._ip)
-            for row in rows
-            if row.key.startswith(DAEMON_PREFIX)
-        )
+        self._gossip.add_peers(_list_peer_ips(rows))
+
+
+def _list_peer_ips(rows: abc.Iterable[store_module.Row]) -> list[str]:
+    """Returns the IP addresses in the rows of daemons."""
+    ips: list[str] = []
+    for row in rows:
+        if not row.key.startswith(DAEMON_PREFIX) or row.content is None:
+            continue
+        try:
+            ips.append(_REGISTRATION_DECODER.decode(row.content).ip)
+        except decoding.DecodingError as error:
+            eliot.log_message(
+                "registry:row_skipped", key=row.key, reason=str(error)
+            )
+    return ips
 
 
 class _Assembly:
--- a/arbutuscove/platform/store.py
+++ b/arbutuscove/platform/store.py
@@ -7,16 +7,18 @@
 """
 
 import base64
-import binascii
 import dataclasses
 import datetime
+import typing
 import urllib.parse
 from collections import abc
 
+import eliot
 import expression
 import msgspec
 
 from arbutuscove.kernel import clock as clock_module
+from arbutuscove.kernel import decoding
 from arbutuscove.storage import http
 from arbutuscove.storage import table as table_module
 from arbutuscove.transport import connection
@@ -50,18 +52,32 @@
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _WireRow:
     key: str
-    schema_version: int  # version of the row
-    value: str = ""
+    schema_version: decoding.Count  # version of the row
+    value: typing.Any = ""  # base64, unless another writer's
     deleted: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _WirePage:
-    schema_version: int  # newest version of the store
-    rows: tuple[_WireRow, ...] = ()
+    schema_version: decoding.Count  # newest version of the store
+    # Decoded one by one, so that an odd row does not cost the others.
+    rows: tuple[msgspec.Raw, ...] = ()
     has_more: bool = False
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _TableContent:
+    """Content of a row in the product's own table."""
+
+    write_id: decoding.Text = ""
+    value: typing.Any = None
+
+
+_ROW_DECODER = decoding.JsonDecoder(_WireRow, MAX_ANSWER_BYTES)
+_PAGE_DECODER = decoding.JsonDecoder(_WirePage, MAX_ANSWER_BYTES)
+_CONTENT_DECODER = decoding.JsonDecoder(_TableContent, MAX_ANSWER_BYTES)
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Row:
     """A row of a table; `content` is None if the row was removed."""
@@ -116,10 +132,13 @@
             fields |= {"from": start} if start is not None else {}
             fields |= {"to": end} if end is not None else {}
             page = self._read("/rows-get", fields, CALL_TIMEOUT)
-            rows.extend(map(_convert_row, page.rows))
+            page_rows = _convert_rows(page)
+            rows.extend(page_rows)
             if not page.has_more or not page.rows:
                 return Page(version=page.schema_version, rows=tuple(rows))
-            start = page.rows[-1].key + "\x00"
+            if not page_rows:
+                raise StoreError("the store's page has no readable row")
+            start = page_rows[-1].key + "\x00"
 
     def wait_for_changes(
         self, table: str, version: int, wait: datetime.timedelta
@@ -142,8 +161,7 @@
             "wait_ms": str(milliseconds),
         }
         page = self._read("/rows-feed", fields, wait + FEED_TIMEOUT_MARGIN)
-        rows = tuple(map(_convert_row, page.rows))
-        return Page(version=page.schema_version, rows=rows)
+        return Page(version=page.schema_version, rows=_convert_rows(page))
 
     def transact(
         self,
@@ -342,22 +360,42 @@
 
 
 def decode_table_row(row: Row) -> table_module.Row:
-    """Returns a row of the product's table from one of the store."""
-    fields = msgspec.json.decode(row.content or b"{}")
+    """Returns a row of the product's table from one of the store.
+
+    The value of a row that cannot be decoded is None.
+    """
+    try:
+        content = _CONTENT_DECODER.decode(row.content or b"{}")
+    except decoding.DecodingError as error:
+        eliot.log_message(
+            "store:row_unreadable", key=row.key, reason=str(error)
+        )
+        content = _TableContent()
     return table_module.Row(
         key=row.key,
         version=row.version,
-        write_id=fields.get("write_id", ""),
-        value=fields.get("value"),
+        write_id=content.write_id,
+        value=content.value,
     )
 
 
+def _convert_rows(page: _WirePage) -> tuple[Row, ...]:
+    """Returns the rows of a page that can be decoded."""
+    rows: list[Row] = []
+    for raw in page.rows:
+        try:
+            rows.append(_convert_row(_ROW_DECODER.decode(bytes(raw))))
+        except decoding.DecodingError as error:
+            eliot.log_message("store:row_skipped", reason=str(error))
+    return tuple(rows)
+
+
 def _convert_row(row: _WireRow) -> Row:
     content: bytes | None = None
     if not row.deleted:
         try:
             content = base64.b64decode(row.value, validate=True)
-        except binascii.Error:
+        except (TypeError, ValueError):
             # Not base64, from another writer; readers reject empty content.
             content = b""
     return Row(key=row.key, version=row.schema_version, content=content)
@@ -365,8 +403,8 @@
 
 def _decode_page(answer: bytes) -> _WirePage:
     try:
-        return msgspec.json.decode(answer, type=_WirePage)
-    except msgspec.MsgspecError as error:
+        return _PAGE_DECODER.decode(answer)
+    except decoding.DecodingError as error:
         raise StoreError(
             f"cannot decode the store's answer: {error}"
         ) from error
--- a/arbutuscove/storage/table.py
+++ b/arbutuscove/storage/table.py
@@ -21,6 +21,7 @@
 import msgspec
 
 from arbutuscove.kernel import clock as clock_module
+from arbutuscove.kernel import decoding
 from arbutuscove.storage import http
 
 SERVICE_NAME = "table"
@@ -40,6 +41,10 @@
     """The service is unreachable or rejects requests; nothing was written."""
 
 
+class UnreadableRowError(TableUnavailableError):
+    """A row holds another value than expected; nothing was written."""
+
+
 class OutcomeUnknownError(TableError):
     """A write may or may not have taken effect."""
 
@@ -54,8 +59,15 @@
     value: typing.Any
 
     def decode(self, value_type: type[ValueT]) -> ValueT:
-        """Returns the value converted to a type."""
-        return msgspec.convert(self.value, value_type)
+        """Returns the value converted to a type.
+
+        Raises:
+            UnreadableRowError: the value is not of that type.
+        """
+        try:
+            return decoding.convert(self.value, value_type)
+        except decoding.DecodingError as error:
+            raise UnreadableRowError(f"{self.key}: {error}") from error
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
