Count a write whose answer cannot be read as undecided

What callers see: a write that the store has carried out is reported as not done. A lease that was acquired is given up at once, and whoever relies on "nothing was written" may write again.

Cause: the answer of a transaction was decoded with the function for reads, which raises StoreError: nothing was written.

Change: after status 200 an unreadable answer raises OutcomeUnknownError; the lease reads the row back, as after a lost confirmation.

Why it works: status 200 says that the transaction was applied; only the version is unknown.

--- a/arbutuscove/platform/store.py
+++ b/arbutuscove/platform/store.py
@@ -207,7 +207,10 @@
         status, answer = self._call("POST", "/rows-tx", data, CALL_TIMEOUT)
         match status:
             case 200:
-                return _decode_page(answer).schema_version
+                try:
+                    return _decode_page(answer).schema_version
+                except StoreError as error:
+                    raise OutcomeUnknownError(str(error)) from error
             case 412:
                 return None
             case 429 | 503:
--- a/arbutuscove/platform/tests/test_store.py
+++ b/arbutuscove/platform/tests/test_store.py
@@ -101,6 +101,9 @@
     """Guards against an answer that ends a caller of the store."""
     with pytest.raises(store_module.StoreError):
         AnsweringStore(answer).read_rows("t")
+    # The store may have written, so that the write must not be repeated.
+    with pytest.raises(store_module.OutcomeUnknownError):
+        AnsweringStore(answer).transact("t", {}, {"a": b""})
 
 
 ODD_CONTENTS = [b"", b"7", b"[]", b"{", NESTED, b"\xff", b'{"value":7}']
