Reject status reports that are nested deeply or out of range

What callers see: a server with an odd report ends the round of the group controller that reads it, or the settling of a loss that probes it.

A count of orders beyond 64 bits was taken and sent back in the next order.

Change: the report has the same limits as the entries. A report beyond them is no status, and the probe stays undecided.

Measured: before the change 8 of the 12 tests of test_engine.py failed, three with RecursionError, the others since the report was taken. With it, bin/test arbutuscove/platform/tests/test_engine.py: 12 passed.

Why it works: both readers already treat an invalid report as none.

--- a/arbutuscove/platform/engine.py
+++ b/arbutuscove/platform/engine.py
@@ -11,6 +11,7 @@
 from arbutuscove.fleet import model
 from arbutuscove.fleet import orders
 from arbutuscove.kernel import clock as clock_module
+from arbutuscove.kernel import decoding
 from arbutuscove.platform import entries
 from arbutuscove.platform import headers
 from arbutuscove.storage import http
@@ -22,14 +23,18 @@
 ANOTHER_VM_STATUS = 421
 # A responsive server answers a status request within some milliseconds.
 REPORT_TIMEOUT = datetime.timedelta(milliseconds=300)
+MAX_REPORT_BYTES = 65536
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Report:
-    sequence: int  # orders accepted since the start
+    sequence: decoding.Count  # orders accepted since the start
     group: entries.Group | None = None
-    born: int = 0  # start of the VM in Unix milliseconds
-    pace: float = 1.0  # above 1 if the VM is slow
+    born: decoding.Count = 0  # start of the VM in Unix milliseconds
+    pace: decoding.Amount = 1.0  # above 1 if the VM is slow
+
+
+_DECODER = decoding.JsonDecoder(_Report, MAX_REPORT_BYTES)
 
 
 class HttpOrderClient:
@@ -75,9 +80,9 @@
             )
             if status != 200:
                 return None
-            report = msgspec.json.decode(answer, type=_Report)
+            report = _DECODER.decode(answer)
             membership = entries.convert_group(report.group)
-        except (http.HttpError, msgspec.MsgspecError, ValueError) as error:
+        except (http.HttpError, ValueError) as error:
             eliot.log_message("fleet:no_status", vm=vm.name, reason=str(error))
             return None
         return orders.Status(
@@ -104,8 +109,8 @@
         if status != 200:
             return liveness.Liveness.ALIVE
         try:
-            report = msgspec.json.decode(answer, type=_Report)
-        except msgspec.MsgspecError:
+            report = _DECODER.decode(answer)
+        except decoding.DecodingError:
             return liveness.Liveness.UNKNOWN
         if vm.started_at_ms and report.born > vm.started_at_ms:
             return liveness.Liveness.DEAD
