Ignore counts in response headers that are no numbers of some digits

What callers see: an answer is lost, and its request is sent to a second server or refused, since its server or the store sent `Keep-Alive: timeout=` with 20 digits, or X-Server-Load with a superscript digit. For a write to the store, the exception hides that it was carried out.

Cause: str.isdigit accepts digits that int() rejects, int() rejects more than 4,300 digits, and timedelta raises OverflowError.

Change: both take up to nine ASCII digits; other values count as missing.

Measured: before the change 6 of the 25 tests of test_upstreams.py and test_connection.py failed, with OverflowError, with ValueError, or since the count was taken. With it, bin/test of both files and arbutuscove/kernel: 43 passed.

Why it works: both headers are hints, and without them the defaults for servers that send none apply.

--- a/arbutuscove/kernel/decoding.py
+++ b/arbutuscove/kernel/decoding.py
@@ -99,6 +99,17 @@
         return value
 
 
+def parse_digits(text: str, max_digits: int) -> int | None:
+    """Returns the number in a text of ASCII digits, None for another text.
+
+    Example:
+        >>> parse_digits("080", 3), parse_digits("8_0", 3)
+        (80, None)
+    """
+    is_number = text.isascii() and text.isdigit() and len(text) <= max_digits
+    return int(text) if is_number else None
+
+
 def convert(value: typing.Any, value_type: type[ValueT]) -> ValueT:
     """Returns a decoded value as another type.
 
--- a/arbutuscove/platform/tests/test_upstreams.py
+++ b/arbutuscove/platform/tests/test_upstreams.py
@@ -46,6 +46,9 @@
         ("12,3", None),
         ("many,3,13", None),
         ("-1,3,13", None),
+        ("\u00b2,3,13", None),
+        ("1,3," + "9" * 20, None),
+        ("9" * 5000 + ",3,13", None),
         ("", None),
     ],
 )
--- a/arbutuscove/platform/upstreams.py
+++ b/arbutuscove/platform/upstreams.py
@@ -1,6 +1,7 @@
 """Codec of requests to upstreams and of the heads of their responses."""
 
 import datetime
+import re
 
 from arbutuscove.platform import headers
 from arbutuscove.relay import attempt
@@ -41,6 +42,7 @@
 # Response headers that are meant for this daemon and not for the caller.
 INTERNAL_FIELDS = frozenset({headers.LOAD.lower(), "date"})
 LOWEST_PRIORITY = 9
+_COUNT = re.compile(" *[0-9]{1,9} *")
 
 
 def select_fields(
@@ -137,7 +139,7 @@
 def _parse_load(text: str | None) -> occupancy.EngineLoad | None:
     """Returns an engine's load, None if it is missing or malformed."""
     parts = (text or "").split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    if len(parts) != 3 or not all(map(_COUNT.fullmatch, parts)):
         return None
     running, waiting, slots = map(int, parts)
     return occupancy.EngineLoad(running=running, waiting=waiting, slots=slots)
--- a/arbutuscove/transport/pool.py
+++ b/arbutuscove/transport/pool.py
@@ -7,6 +7,7 @@
 import datetime
 
 from arbutuscove.kernel import clock as clock_module
+from arbutuscove.kernel import decoding
 from arbutuscove.kernel import services
 from arbutuscove.storage import http
 from arbutuscove.transport import connection
@@ -21,6 +22,7 @@
 # Used share of the `Keep-Alive` timeout, so that the peer does not close the
 # connection while a request is in flight.
 KEEP_ALIVE_SHARE = 0.7
+MAX_TIMEOUT_DIGITS = 9  # of a `Keep-Alive` timeout in seconds
 SWEEP_INTERVAL = datetime.timedelta(seconds=2)
 
 
@@ -123,6 +125,7 @@
     """Returns the timeout of a `Keep-Alive` header, None without one."""
     for part in (parser.get_header("keep-alive") or "").split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
-            return datetime.timedelta(seconds=int(value))
+        seconds = decoding.parse_digits(value, MAX_TIMEOUT_DIGITS)
+        if name.lower() == "timeout" and seconds is not None:
+            return datetime.timedelta(seconds=seconds)
     return None
--- a/arbutuscove/transport/tests/test_connection.py
+++ b/arbutuscove/transport/tests/test_connection.py
@@ -151,3 +151,24 @@
     peer.stop()
     with pytest.raises(http.RefusedError):
         connection.connect(peer.address, SECOND)
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        ("timeout=5, max=9", 5),
+        ("max=9,Timeout=15", 15),
+        ("timeout=" + "9" * 20, None),
+        ("timeout=" + "9" * 5000, None),
+        ("timeout=\u00b2", None),
+        ("timeout=-5", None),
+        ("", None),
+    ],
+)
+def test_keep_alive_timeout_is_read_or_ignored(text, expected):
+    """Guards against an answer that is lost for its Keep-Alive header."""
+    parser = connection.ResponseParser("GET")
+    head = f"HTTP/1.1 200 OK\r\nKeep-Alive: {text}\r\nContent-Length: 0\r\n\r\n"
+    parser.feed(head.encode("latin-1"))
+    seconds = None if expected is None else datetime.timedelta(seconds=expected)
+    assert pool.parse_keep_alive_timeout(parser) == seconds
