Report a lack of file descriptors as a request that was not sent

Callers saw their connection closed without an answer or a refusal while the daemon had no file descriptor left for a connection to an upstream.

Cause: `connect` created its socket outside of the block that turns errors into `NotSentError`. The `OSError` passed the retries and refusals of `relay/flow` (the listener logs `cut: OSError`) and was taken for the loss of the caller, whose connection was closed.

Now it is a `NotSentError`: the request did not run, so it is tried at another backend or refused with 503. The own interface answered 500 before and uses its retries now.

The new test failed before with `OSError: [Errno 24] too many open files` (`bin/test arbutuscove/transport/tests/test_connection.py`: 1 failed, 9 passed; now 10 passed).

--- a/arbutuscove/transport/connection.py
+++ b/arbutuscove/transport/connection.py
@@ -247,9 +247,13 @@
 
     Raises:
         RefusedError: no process listens on the port.
-        NotSentError: the connection was not established within `timeout`.
+        NotSentError: the connection was not established within `timeout`, or
+            this process has no file descriptor left for it.
     """
-    sock = gevent_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock = gevent_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:
+        raise http.NotSentError(f"{address}: {error}") from error
     try:
         _set_options(sock)
         sock.settimeout(timeout.total_seconds())
--- a/arbutuscove/transport/tests/test_connection.py
+++ b/arbutuscove/transport/tests/test_connection.py
@@ -1,6 +1,7 @@
 """Guards against bytes of one response being read as part of another."""
 
 import datetime
+import errno
 
 import gevent
 import pytest
@@ -151,3 +152,14 @@
     peer.stop()
     with pytest.raises(http.RefusedError):
         connection.connect(peer.address, SECOND)
+
+
+def test_connection_without_a_file_descriptor_was_not_sent(monkeypatch):
+    """Guards against callers without an answer while descriptors run out."""
+
+    def fail(*_):
+        raise OSError(errno.EMFILE, "too many open files")
+
+    monkeypatch.setattr(connection.gevent_socket, "socket", fail)
+    with pytest.raises(http.NotSentError):
+        connection.connect(http.Address("127.0.0.1", 9), SECOND)
