Answer 500 if an error of the daemon's own system calls stops a request

A request that was read ended with a closed connection and without an answer if its handler raised an `OSError` that had nothing to do with the caller's connection, for example for lack of file descriptors.

Cause: `CallerHandler.handle_error` took each `OSError` for the loss of the caller. The application of `arbutuscoved` turns its errors into answers itself; the listener of `arbutuscove.platform` relies on the handler.

Now only errors of connections and time-outs count as the loss of the caller, and any `OSError` once the head of the answer was sent. Before that, other errors get the answer 500 that all other exceptions get.

The new test failed before: the connection was closed without a byte (`bin/test arbutuscove/entry/tests/test_connections.py`: 1 failed, 31 passed; now `bin/test arbutuscove/entry/tests`: 53 passed).

--- a/arbutuscove/entry/connections.py
+++ b/arbutuscove/entry/connections.py
@@ -201,8 +201,14 @@
         super().finalize_headers()
 
     def handle_error(self, *error: typing.Any) -> None:
-        """Closes the connection after a failure while a response is sent."""
-        if isinstance(error[1], OSError):
+        """Closes the connection after a failure while a response is sent.
+
+        Other errors of the operating system, for example a lack of file
+        descriptors, are no reason to leave a caller without an answer.
+        """
+        if isinstance(error[1], ConnectionError | TimeoutError) or (
+            isinstance(error[1], OSError) and self.headers_sent
+        ):
             is_stalled = isinstance(error[1], TimeoutError)
             self.server.count("write_stalled" if is_stalled else "client_lost")
             self.close_connection = True
--- a/arbutuscove/entry/tests/test_connections.py
+++ b/arbutuscove/entry/tests/test_connections.py
@@ -1,6 +1,8 @@
 """Guards against callers that degrade the daemon or other callers."""
 
 import datetime
+import errno
+import socket
 
 import gevent
 import msgspec
@@ -9,6 +11,8 @@
 from arbutuscove.entry import app
 from arbutuscove.entry import connections
 from arbutuscove.entry.tests import serving
+from arbutuscove.standins import cluster
+from arbutuscove.storage import http
 
 SHORT = datetime.timedelta(milliseconds=200)
 BOUNDS = connections.Bounds(
@@ -230,3 +234,24 @@
     response = server.exchange(outer)
     assert response.count(b"HTTP/1.1 ") == 1
     assert server.flow.run_count == 0
+
+
+def test_caller_gets_an_answer_if_the_daemon_lacks_descriptors():
+    """Guards against a request that was read and gets no answer.
+
+    Any error of the operating system counted as the loss of the caller.
+    """
+
+    def fail(_environ, _start_response):
+        raise OSError(errno.EMFILE, "too many open files")
+
+    address = http.Address("127.0.0.1", cluster.find_port())
+    running = connections.CallerServer(address, fail, BOUNDS, lambda _: None)
+    running.start()
+    try:
+        with socket.create_connection(address, timeout=10) as client:
+            client.sendall(serving.build_request())
+            response = serving.read_all(client)
+    finally:
+        running.stop()
+    assert response.startswith(b"HTTP/1.1 500 ")
