--- a/arbutuscove/transport/tests/test_connection.py
+++ b/arbutuscove/transport/tests/test_connection.py
@@ -1,6 +1,7 @@
 """Guards against bytes of one response being read as part of another."""
 
 import datetime
+import errno
 
 import gevent
 import pytest
@@ -172,3 +173,14 @@
     parser.feed(head.encode("latin-1"))
     seconds = None if expected is None else datetime.timedelta(seconds=expected)
     assert pool.parse_keep_alive_timeout(parser) == seconds
+
+
+def test_connection_without_a_file_descriptor_was_not_sent(monkeypatch):
+    """Guards against callers without an answer while descriptors run out."""
+
+    def fail(*_):
+        raise OSError(errno.EMFILE, "too many open files")
+
+    monkeypatch.setattr(connection.gevent_socket, "socket", fail)
+    with pytest.raises(http.NotSentError):
+        connection.connect(http.Address("127.0.0.1", 9), SECOND)
