Believe no unnamed refusal on a used connection

Callers were told that a request had not run, and that they may send it again, while an upstream ran it. A faulty upstream had written an earlier refusal once more on a kept connection. A failure of another request could reach the caller in the same way.

Cause: a status of 300 or above without X-Request-Id counted as the answer to the request on any connection, and its X-Not-Run or 421 was believed. A used connection may hold a copy of an earlier answer.

Ruled out: reading on after the unnamed refusal, as a request whose answer it was would wait until its deadline. Fewer reuses, as requests that may not be repeated already use new connections only.

Change: on a connection that has carried a request before, an answer counts only if it names the request. Otherwise the attempt is lost: another backend is tried if the request may be repeated, and the last attempt ends in 502.

--- a/arbutuscove/platform/upstreams.py
+++ b/arbutuscove/platform/upstreams.py
@@ -119,9 +119,8 @@
         # Upstreams echo the request id; only a refusal, with a status of 300 or
         # above, may lack it. A late copy of an earlier answer must not be
         # accepted as the answer to this request.
-        is_matching = echoed == request.request_id or (
-            echoed is None and status >= 300
-        )
+        is_named = echoed == request.request_id
+        is_matching = is_named or (echoed is None and status >= 300)
         not_run = (
             parser.get_header(headers.NOT_RUN) is not None or status == 421
         )
@@ -129,6 +128,7 @@
             status=status,
             fields=select_fields(list(parser.items()), INTERNAL_FIELDS),
             is_matching=is_matching,
+            is_named=is_named,
             is_signed=parser.get_header(headers.STAMP) is not None,
             not_run=not_run,
             is_busy=not_run and status in (429, 503),
--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -98,7 +98,8 @@
     Attributes:
         status: HTTP status.
         fields: the headers to forward.
-        is_matching: whether it answers the request that was sent.
+        is_matching: whether it may answer the request that was sent.
+        is_named: whether it names the request that was sent.
         is_signed: whether it carries an upstream's signature.
         not_run: whether the upstream did not run the request.
         is_busy: whether the upstream had no capacity for the request.
@@ -108,6 +109,7 @@
     status: int
     fields: model.Fields
     is_matching: bool
+    is_named: bool
     is_signed: bool
     not_run: bool
     is_busy: bool
@@ -486,6 +488,13 @@
                 continue
             reply = self._context.codec.read_reply(self._request, self.parser)
             if reply.is_matching:
+                if not reply.is_named and upstream.exchange_count > 1:
+                    # It may be a copy of an answer to an earlier request, while
+                    # the upstream runs this one.
+                    raise self.record_loss(
+                        f"status {reply.status} on a used connection names no"
+                        " request"
+                    )
                 self._head_at = self._context.clock.monotonic()
                 self.record_progress()
                 return reply
