Pass on no 408, 429 or 503 that an upstream did not promise

Callers read 408, 421, 429 and 503 as the promise that a request has not run and will not run. An upstream's answer with such a status and without X-Not-Run went to the caller as it was, though only X-Not-Run gives that promise, so that a caller could send a request again that had run.

Cause: without X-Not-Run the status was treated as the answer of a request that ran, and its status was passed through.

Change: such an answer is a lost attempt. A request that may be repeated goes to another backend; otherwise the caller gets 502, which promises nothing.

--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -50,6 +50,8 @@
 # Range of the random delay before a probe, which spreads the daemons' probes of
 # a silent group.
 PROBE_JITTER = datetime.timedelta(milliseconds=200)
+# To callers, each of these promises that the request did not run.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
 # How often a waiting attempt checks whether its backend is stalled.
 STALL_CHECK_INTERVAL = datetime.timedelta(milliseconds=150)
 
@@ -624,8 +626,11 @@
             raise NotRunError(
                 f"upstream answered {reply.status}", reply.is_busy
             )
+        if reply.status in NOT_RUN_STATUSES:
+            # The upstream gives no such promise without X-Not-Run.
+            raise self.record_loss(f"status {reply.status} may have run")
         if not reply.is_signed and reply.status < 300:
-            raise self._record_loss(ValueError("the answer is not signed"))
+            raise self.record_loss("the answer is not signed")
         if reply.status >= 500:
             self._context.states.record_failure(self.backend.key)
         return reply
--- a/arbutuscove/relay/tests/test_refusals.py
+++ b/arbutuscove/relay/tests/test_refusals.py
@@ -11,6 +11,10 @@
 
 NOT_RUN = b"X-Not-Run: 1\r\n"
 EVERY_REPEAT = [catalog_model.Repeat.SAFE, catalog_model.Repeat.ONCE]
+STREAMS = [
+    catalog_model.Repeat.STREAM_RESUMABLE,
+    catalog_model.Repeat.STREAM_ONCE,
+]
 
 
 @pytest.fixture(name="build")
@@ -145,3 +149,33 @@
     scene.serve(catalog_model.Repeat.SAFE, "r0")
     refusal = catch_refusal(scene, repeat)
     assert (refusal.status, refusal.not_run) == (502, False)
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+@pytest.mark.parametrize("repeat", [*EVERY_REPEAT, *STREAMS])
+def test_status_without_the_promise_is_no_promise(build, repeat, status):
+    """Guards against 429 or 503, read as `not run`, for a request that ran.
+
+    Only X-Not-Run says that the upstream did not run the request.
+    """
+
+    def fail(request_id):
+        yield build_refusal(status, request_id, fields=b"")
+
+    scene = build(fail, faulty_upstream.answer_completely)
+    scene.list(scene.bad)
+    refusal = catch_refusal(scene, repeat)
+    assert (refusal.status, refusal.not_run) == (502, False)
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_status_without_the_promise_is_sent_once(build, status):
+    """Guards against a second run of what may not be repeated."""
+
+    def fail(request_id):
+        yield build_refusal(status, request_id, fields=b"")
+
+    scene = build(fail, faulty_upstream.answer_completely)
+    refusal = catch_refusal(scene, catalog_model.Repeat.ONCE, attempts=2)
+    assert refusal.status == 502
+    assert (scene.bad.requests, scene.good.requests) == (1, 0)
