Do not say not run after an attempt that may have run

A request that may be repeated could end in 503 with not_run though an earlier upstream had run it or may have: the second upstream refused it, or the queue did.

Cause: the refusal was built from the last attempt alone. Lost attempts were considered for quarantined requests only, a failure status (5xx) of an earlier upstream and a replaced attempt were not recorded as lost, and a refusal of the queue was passed on as it was.

Ruled out: requests that may not be repeated. They have no attempt after a lost one.

Change: after an attempt that may have run, each refusal becomes 502, which promises nothing.

The replaced attempt has no test of its own.

--- a/arbutuscove/relay/flow.py
+++ b/arbutuscove/relay/flow.py
@@ -5,6 +5,7 @@
 complete event that the caller received.
 """
 
+import contextlib
 import datetime
 import random
 import re
@@ -104,7 +105,8 @@
             attempt = attempt_module.Attempt(self.context, request, service)
             is_handed_over = False
             try:
-                reply = attempt.open(excluded, "")
+                with correct_refusal(request, has_lost_attempt):
+                    reply = attempt.open(excluded, "")
                 body = attempt.read_body()
                 if not attempt.has_ended():
                     is_handed_over = True
@@ -113,6 +115,7 @@
                 attempts_made += 1
                 if self._is_final(request, service, attempts_made, reply):
                     return _build_buffered_answer(reply, body)
+                has_lost_attempt = True
                 reason = f"status {reply.status}"
             except attempt_module.NotRunError as error:
                 reason = str(error)
@@ -240,9 +243,10 @@
             attempt = self._begin_attempt()
             self._attempt = attempt
             try:
-                reply = attempt.open(
-                    self._excluded, self._last_event, self._is_replaced
-                )
+                with correct_refusal(self._request, self._has_lost_attempt):
+                    reply = attempt.open(
+                        self._excluded, self._last_event, self._is_replaced
+                    )
                 self._cancel_replacement()
                 return reply
             except attempt_module.NotRunError as error:
@@ -340,6 +344,7 @@
             # It was refused a slot, and no upstream was asked.
             self._attempts_begun -= 1
         else:
+            self._has_lost_attempt = True
             self._excluded |= {backend.key}
         replacement_module.log_step(self._request, "failed", replacement.reason)
 
@@ -348,6 +353,8 @@
         replacement, self._replacement = self._replacement, None
         if replacement is None:
             return
+        if replacement.attempt.backend is not None:
+            self._has_lost_attempt = True
         replacement.cancel()
         replacement_module.log_step(self._request, "cancelled")
 
@@ -481,6 +488,19 @@
             raise broken
 
 
+@contextlib.contextmanager
+def correct_refusal(
+    request: model.Request, has_lost_attempt: bool
+) -> abc.Iterator[None]:
+    """Turns a refusal into a failure if an earlier attempt may have run."""
+    try:
+        yield
+    except model.RefusedError as refused:
+        if has_lost_attempt:
+            raise build_failure(request, 502, str(refused)) from refused
+        raise
+
+
 def build_not_run_refusal(
     request: model.Request,
     error: attempt_module.NotRunError,
@@ -493,9 +513,9 @@
         error: why the last attempt did not run.
         has_lost_attempt: whether an earlier attempt may have run.
     """
+    if has_lost_attempt:
+        return build_failure(request, 502, str(error))
     if isinstance(error, attempt_module.QuarantinedError):
-        if has_lost_attempt:
-            return build_failure(request, 502, str(error))
         return build_quarantine_refusal(error.retry_after)
     return model.RefusedError(
         model.Refusal(
--- a/arbutuscove/relay/tests/test_refusals.py
+++ b/arbutuscove/relay/tests/test_refusals.py
@@ -179,3 +179,63 @@
     refusal = catch_refusal(scene, catalog_model.Repeat.ONCE, attempts=2)
     assert refusal.status == 502
     assert (scene.bad.requests, scene.good.requests) == (1, 0)
+
+
+def fail_without_answer(request_id):
+    """Ends the connection once the request has arrived."""
+    yield None
+
+
+def fail_with_status(request_id):
+    """Answers that the request failed, after it ran."""
+    yield build_refusal(500, request_id, fields=b"")
+
+
+def refuse_busy(request_id):
+    """Answers that there is no capacity."""
+    yield build_refusal(503, request_id)
+
+
+@pytest.mark.parametrize(
+    ("repeat", "first"),
+    [
+        (catalog_model.Repeat.SAFE, fail_without_answer),
+        (catalog_model.Repeat.SAFE, fail_with_status),
+        (catalog_model.Repeat.STREAM_RESUMABLE, fail_without_answer),
+    ],
+)
+def test_refusal_after_a_lost_attempt_does_not_say_not_run(
+    build, repeat, first
+):
+    """Guards against `not run` from the second of two upstreams.
+
+    The first may have run the request.
+    """
+    scene = build(first, refuse_busy)
+    refusal = catch_refusal(scene, repeat, attempts=2)
+    assert (scene.bad.requests, scene.good.requests) == (1, 1)
+    assert (refusal.status, refusal.not_run) == (502, False)
+
+
+@pytest.mark.parametrize(
+    "repeat",
+    [catalog_model.Repeat.SAFE, catalog_model.Repeat.STREAM_RESUMABLE],
+)
+def test_refused_wait_after_a_lost_attempt_does_not_say_not_run(
+    build, monkeypatch, repeat
+):
+    """Guards against `not run` from the queue after an upstream was lost."""
+    scene = build(fail_without_answer, faulty_upstream.answer_completely)
+    acquire = scene.dispatcher.acquire
+
+    def acquire_once(request, service, excluded, is_resumed):
+        if not excluded:
+            return acquire(request, service, excluded, is_resumed)
+        raise model.RefusedError(
+            model.Refusal(status=503, code="queue_full", not_run=True)
+        )
+
+    monkeypatch.setattr(scene.dispatcher, "acquire", acquire_once)
+    refusal = catch_refusal(scene, repeat, attempts=2)
+    assert (scene.bad.requests, scene.good.requests) == (1, 0)
+    assert (refusal.status, refusal.not_run) == (502, False)
