Write no refusal into an answer that has begun

A refusal raised within the body of an answer was written into that answer: the caller found {"error": ..., "not_run": true} in the middle of its stream, then the end of a complete stream, and the connection stayed open for more requests. The request was counted as refused.

Cause: one try spanned the choice of the answer and its body, so that the handlers of refusals also took errors of the body, after the head had been sent.

Ruled out: other exceptions within a body.

Change: the body is read by a function of its own, which turns a refusal into a broken answer. The connection then ends without a complete answer.

--- a/arbutuscove/platform/listener.py
+++ b/arbutuscove/platform/listener.py
@@ -242,7 +242,7 @@
                         _format_status(answer.status),
                         self._build_headers(answer),
                     )
-                    yield from answer.body
+                    yield from _relay_body(answer)
                 ending = _Ending.ANSWERED
             except model.RefusedError as error:
                 code = error.refusal.code
@@ -379,6 +379,19 @@
         return _send_json(start_response, refusal.status, body, fields)
 
 
+def _relay_body(answer: model.Answer) -> abc.Iterator[bytes]:
+    """Yields the body of an answer whose head has been sent.
+
+    Raises:
+        BrokenAnswerError: the rest cannot be delivered. A refusal is no part of
+            the answer any more.
+    """
+    try:
+        yield from answer.body
+    except (model.RefusedError, _Refused) as error:
+        raise model.BrokenAnswerError(f"refused: {error}") from error
+
+
 def _classify_refusal(refusal: model.Refusal) -> _Ending:
     return _Ending.REFUSED if refusal.not_run else _Ending.FAILED
 
