Send each order on a new connection

An order could count as in effect or as accepted though the VM had rejected it, fenced it or never carried it out: a faulty VM wrote an earlier answer, to a report or to another order, once more on a kept connection.

Cause: answers to orders and reports name no request, and orders reused idle connections of the pool that requests and reports share. Bytes that wait on an idle connection are found at check-out, but not a copy that comes later.

Ruled out: an id on orders, as VMs are not bound to return one for them. Reports still reuse connections: a copy can only be an earlier report, at most as old as the idle limit; the VM itself rejects an order that names an outdated count of orders, and a copy of an order's answer is no report.

Change: orders never use an idle connection.

Measured: platform/tests/test_orders.py; all 4 cases failed before (a copied 200 or 202 was taken for the outcome), all pass now.

--- a/arbutuscove/platform/engine.py
+++ b/arbutuscove/platform/engine.py
@@ -49,7 +49,10 @@
     def send(
         self, order: orders.Order, fence: int, accepted: int
     ) -> orders.Outcome:
-        """Sends one order.
+        """Sends one order on a new connection.
+
+        Answers to orders name no order, so that on a used connection a copy of
+        an earlier answer could be taken for the answer to this one.
 
         Args:
             order: the order.
@@ -64,7 +67,11 @@
         }
         try:
             status = self._call(
-                order.vm, "POST", "/order", msgspec.json.encode(body)
+                order.vm,
+                "POST",
+                "/order",
+                msgspec.json.encode(body),
+                max_idle_time=pool.NEVER_IDLE,
             )[0]
         except http.RefusedError:
             return orders.Outcome.NOT_LISTENING
