Open engine streams on new connections

A request could be reported as not run, and run a second time at another replica, while its engine ran it: an engine wrote an earlier refusal once more on a kept connection. In the same way a resumed stream could be given up as lost, and a refused dispatch could count as running.

Cause: dispatches and resumptions reused pooled connections, and answers of engines name no request. The pool finds bytes that wait on an idle connection, but not a copy that comes later. Events carry the number of their stream; refusals carry nothing.

Ruled out: calls of plain services, which have a connection each. Orders and status requests of this interface still reuse connections: the outcome of an order is only logged, and a copied status is one interval old.

Change: the client of engine streams keeps no connection for reuse.

--- a/arbutuscove/storage/http.py
+++ b/arbutuscove/storage/http.py
@@ -13,6 +13,7 @@
 
 import geventhttpclient
 import msgspec
+from geventhttpclient import connectionpool
 from geventhttpclient import response as response_module
 
 CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
@@ -127,8 +128,36 @@
             raise NoResponseError(f"response is not JSON: {error}") from error
 
 
+class _SingleUsePool(connectionpool.ConnectionPool):
+    """Limits the number of connections and keeps none for reuse."""
+
+    def return_socket(self, sock: typing.Any) -> None:
+        """Closes a connection whose response is complete."""
+        self.release_socket(sock)
+
+
+class _SingleUseClient(geventhttpclient.HTTPClient):
+    """Sends each request on a new connection."""
+
+    def __init__(self, address: Address, **options: typing.Any) -> None:
+        super().__init__(address.host, port=address.port, **options)
+        self._connection_pool = _SingleUsePool(
+            address.host,
+            address.port,
+            address.host,
+            address.port,
+            size=options["concurrency"],
+            connection_timeout=options["connection_timeout"],
+            network_timeout=options["network_timeout"],
+        )
+
+
 class JsonClient:
-    """Sends JSON requests to one address over pooled connections."""
+    """Sends JSON requests to one address over pooled connections.
+
+    With `is_single_use` each request has a new connection: a used one may hold
+    a copy of an earlier response, which names no request.
+    """
 
     def __init__(
         self,
@@ -136,14 +165,20 @@
         timeout: datetime.timedelta = REQUEST_TIMEOUT,
         connections: int = MAX_CONNECTIONS,
         connect_timeout: datetime.timedelta = CONNECT_TIMEOUT,
+        is_single_use: bool = False,
     ) -> None:
         self.address = address
-        self._client = geventhttpclient.HTTPClient(
-            address.host,
-            port=address.port,
-            concurrency=connections,
-            connection_timeout=connect_timeout.total_seconds(),
-            network_timeout=timeout.total_seconds(),
+        options: dict[str, typing.Any] = {
+            "concurrency": connections,
+            "connection_timeout": connect_timeout.total_seconds(),
+            "network_timeout": timeout.total_seconds(),
+        }
+        self._client = (
+            _SingleUseClient(address, **options)
+            if is_single_use
+            else geventhttpclient.HTTPClient(
+                address.host, port=address.port, **options
+            )
         )
 
     def send(
--- a/arbutuscove/upstreams/engine.py
+++ b/arbutuscove/upstreams/engine.py
@@ -60,7 +60,7 @@
         self._control = http.JsonClient(parsed, ORDER_TIMEOUT)
         self._status = http.JsonClient(parsed, STATUS_TIMEOUT, 2)
         self._streams = http.JsonClient(
-            parsed, STALL_TIMEOUT, MAX_STREAM_CONNECTIONS
+            parsed, STALL_TIMEOUT, MAX_STREAM_CONNECTIONS, is_single_use=True
         )
 
     def read_status(self) -> protocol.Status:
