--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -50,6 +50,8 @@
 # Range of the random delay before a probe, which spreads the daemons' probes of
 # a silent group.
 PROBE_JITTER = datetime.timedelta(milliseconds=200)
+# To callers, each of these promises that the request did not run.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
 # How often a waiting attempt checks whether its backend is stalled.
 STALL_CHECK_INTERVAL = datetime.timedelta(milliseconds=150)
 
@@ -98,7 +100,8 @@
     Attributes:
         status: HTTP status.
         fields: the headers to forward.
-        is_matching: whether it answers the request that was sent.
+        is_matching: whether it may answer the request that was sent.
+        is_named: whether it names the request that was sent.
         is_signed: whether it carries an upstream's signature.
         not_run: whether the upstream did not run the request.
         is_busy: whether the upstream had no capacity for the request.
@@ -108,6 +111,7 @@
     status: int
     fields: model.Fields
     is_matching: bool
+    is_named: bool
     is_signed: bool
     not_run: bool
     is_busy: bool
@@ -486,6 +490,13 @@
                 continue
             reply = self._context.codec.read_reply(self._request, self.parser)
             if reply.is_matching:
+                if not reply.is_named and upstream.exchange_count > 1:
+                    # It may be a copy of an answer to an earlier request, while
+                    # the upstream runs this one.
+                    raise self.record_loss(
+                        f"status {reply.status} on a used connection names no"
+                        " request"
+                    )
                 self._head_at = self._context.clock.monotonic()
                 self.record_progress()
                 return reply
@@ -615,8 +626,11 @@
             raise NotRunError(
                 f"upstream answered {reply.status}", reply.is_busy
             )
+        if reply.status in NOT_RUN_STATUSES:
+            # The upstream gives no such promise without X-Not-Run.
+            raise self.record_loss(f"status {reply.status} may have run")
         if not reply.is_signed and reply.status < 300:
-            raise self._record_loss(ValueError("the answer is not signed"))
+            raise self.record_loss("the answer is not signed")
         if reply.status >= 500:
             self._context.states.record_failure(self.backend.key)
         return reply
--- a/arbutuscove/relay/flow.py
+++ b/arbutuscove/relay/flow.py
@@ -5,9 +5,9 @@
 complete event that the caller received.
 """
 
+import contextlib
 import datetime
 import random
-import re
 from collections import abc
 
 import eliot
@@ -16,14 +16,13 @@
 from arbutuscove.kernel import services
 from arbutuscove.relay import attempt as attempt_module
 from arbutuscove.relay import budget as budget_module
+from arbutuscove.relay import continuation
 from arbutuscove.relay import model
 from arbutuscove.relay import replacement as replacement_module
 
 SERVICE_NAME = "flow"
-EVENT_END = b"\n\n"
 # An event has a few tokens; a faulty upstream may never end one.
 MAX_EVENT_BYTES = 65536
-EVENT_ID = re.compile(rb"(?:^|\n)id: ?([^\n]*)")
 RETRY_AFTER = datetime.timedelta(milliseconds=200)
 # Pause between two replacements of one silent attempt, of which the first got
 # no slot.
@@ -104,7 +103,8 @@
             attempt = attempt_module.Attempt(self.context, request, service)
             is_handed_over = False
             try:
-                reply = attempt.open(excluded, "")
+                with correct_refusal(request, has_lost_attempt):
+                    reply = attempt.open(excluded, "")
                 body = attempt.read_body()
                 if not attempt.has_ended():
                     is_handed_over = True
@@ -113,6 +113,7 @@
                 attempts_made += 1
                 if self._is_final(request, service, attempts_made, reply):
                     return _build_buffered_answer(reply, body)
+                has_lost_attempt = True
                 reason = f"status {reply.status}"
             except attempt_module.NotRunError as error:
                 reason = str(error)
@@ -196,6 +197,11 @@
         self._attempt: attempt_module.Attempt | None = None
         self._replacement: replacement_module.Replacement | None = None
         self._next_replacement_at = request.arrived
+        # The head of the stream that the caller receives.
+        self._first: attempt_module.Reply | None = None
+        self._has_delivered = False
+        # Whether the last delivered event has an id.
+        self._has_position = True
 
     def start(self) -> model.Answer:
         """Returns the answer once its head has arrived.
@@ -216,6 +222,7 @@
             finally:
                 self._close()
             return _build_buffered_answer(reply, body)
+        self._first = reply
         events = self._relay_events()
         try:
             # The head is returned only after the first event: if the attempt
@@ -232,7 +239,7 @@
         )
 
     def _is_resumable(self) -> bool:
-        return self._request.route.repeat.is_idempotent
+        return self._request.route.repeat.is_idempotent and self._has_position
 
     def _open(self) -> attempt_module.Reply:
         """Makes attempts until one returns the head of a response."""
@@ -240,9 +247,10 @@
             attempt = self._begin_attempt()
             self._attempt = attempt
             try:
-                reply = attempt.open(
-                    self._excluded, self._last_event, self._is_replaced
-                )
+                with correct_refusal(self._request, self._has_lost_attempt):
+                    reply = attempt.open(
+                        self._excluded, self._last_event, self._is_replaced
+                    )
                 self._cancel_replacement()
                 return reply
             except attempt_module.NotRunError as error:
@@ -328,7 +336,10 @@
         )
 
     def _is_usable(self, reply: attempt_module.Reply) -> bool:
-        return reply.status == 200
+        """Returns whether an answer may go on with the stream."""
+        if self._first is None:
+            return reply.status == 200
+        return continuation.is_continuation(self._first, reply)
 
     def _drop_replacement(
         self, replacement: replacement_module.Replacement
@@ -340,6 +351,7 @@
             # It was refused a slot, and no upstream was asked.
             self._attempts_begun -= 1
         else:
+            self._has_lost_attempt = True
             self._excluded |= {backend.key}
         replacement_module.log_step(self._request, "failed", replacement.reason)
 
@@ -348,6 +360,8 @@
         replacement, self._replacement = self._replacement, None
         if replacement is None:
             return
+        if replacement.attempt.backend is not None:
+            self._has_lost_attempt = True
         replacement.cancel()
         replacement_module.log_step(self._request, "cancelled")
 
@@ -426,25 +440,24 @@
         attempt = self._attempt
         assert attempt is not None
         pending = bytearray()
-        has_events = False
-        while True:
-            data = attempt.read_more(self._is_replaced)
-            if not data:
-                break
-            search_start = max(0, len(pending) - len(EVENT_END) + 1)
+        is_continued, has_events = self._has_delivered, False
+        while data := attempt.read_more(self._is_replaced):
+            search_start = max(
+                0, len(pending) - len(continuation.EVENT_END) + 1
+            )
             pending += data
-            end = pending.rfind(EVENT_END, search_start)
+            end = pending.rfind(continuation.EVENT_END, search_start)
             if end < 0:
                 if len(pending) > MAX_EVENT_BYTES:
                     raise attempt.record_loss("an event passes the bound")
                 continue
-            events = bytes(pending[: end + len(EVENT_END)])
-            del pending[: end + len(EVENT_END)]
-            event_ids = EVENT_ID.findall(events)
-            if event_ids:
-                self._last_event = event_ids[-1].decode("latin-1").strip()
-                attempt.record_progress()
-                self._cancel_replacement()
+            events = bytes(pending[: end + len(continuation.EVENT_END)])
+            del pending[: end + len(continuation.EVENT_END)]
+            if is_continued:
+                self._check_events(attempt, events, has_events)
+                if not has_events and continuation.is_comment(events):
+                    continue
+            self._record_events(attempt, events)
             has_events = True
             yield events
         if pending.strip():
@@ -456,9 +469,33 @@
             raise attempt.record_loss(
                 "the connection ended before the first event", is_cut=True
             )
+        if is_continued and not has_events:
+            # An upstream that knows nothing of the stream ends like this, too.
+            raise attempt.record_loss("the answer went on with no event")
         self._cancel_replacement()
         attempt.finish()
 
+    def _check_events(
+        self, attempt: attempt_module.Attempt, events: bytes, has_joined: bool
+    ) -> None:
+        fault = continuation.find_fault(events, self._last_event, has_joined)
+        if fault:
+            raise attempt.record_loss(fault)
+
+    def _record_events(
+        self, attempt: attempt_module.Attempt, events: bytes
+    ) -> None:
+        """Records events that the caller is about to receive."""
+        event_ids = continuation.EVENT_ID.findall(events)
+        if event_ids:
+            self._last_event = continuation.decode_id(event_ids[-1])
+            attempt.record_progress()
+            self._cancel_replacement()
+        self._has_position = continuation.may_resume_after(
+            events, self._has_position
+        )
+        self._has_delivered = True
+
     def _resume(self, error: attempt_module.AttemptLostError) -> None:
         """Goes on with another attempt after the last event.
 
@@ -466,19 +503,34 @@
             BrokenAnswerError: no other upstream goes on with the answer.
         """
         assert self._attempt is not None
-        if self._switch(error) is not None:
-            return
         broken = model.BrokenAnswerError(str(error))
-        if not self._is_resumable() or not self._record_failed_attempt(
-            self._attempt, error
-        ):
-            raise broken from error
-        try:
-            reply = self._open()
-        except model.RefusedError as refused:
-            raise broken from refused
-        if reply.status != 200:
-            raise broken
+        while self._switch(error) is None:
+            if not self._is_resumable() or not self._record_failed_attempt(
+                self._attempt, error
+            ):
+                raise broken from error
+            try:
+                reply = self._open()
+            except model.RefusedError as refused:
+                raise broken from refused
+            if self._is_usable(reply):
+                return
+            error = attempt_module.AttemptLostError(
+                f"status {reply.status} does not go on with the stream"
+            )
+
+
+@contextlib.contextmanager
+def correct_refusal(
+    request: model.Request, has_lost_attempt: bool
+) -> abc.Iterator[None]:
+    """Turns a refusal into a failure if an earlier attempt may have run."""
+    try:
+        yield
+    except model.RefusedError as refused:
+        if has_lost_attempt:
+            raise build_failure(request, 502, str(refused)) from refused
+        raise
 
 
 def build_not_run_refusal(
@@ -493,9 +545,9 @@
         error: why the last attempt did not run.
         has_lost_attempt: whether an earlier attempt may have run.
     """
+    if has_lost_attempt:
+        return build_failure(request, 502, str(error))
     if isinstance(error, attempt_module.QuarantinedError):
-        if has_lost_attempt:
-            return build_failure(request, 502, str(error))
         return build_quarantine_refusal(error.retry_after)
     return model.RefusedError(
         model.Refusal(
