Ignore SIGHUP while a daemon starts

What callers see: a daemon that has just been started ends, and with it the requests of the callers that it was listed to.

Cause: SIGHUP, which says that the settings file has changed, ends a process by default, and the handler was installed only after all imports and the assembly of the services.

Change: the signal is ignored from the first lines of the program until the handler is installed. A starting daemon reads its settings anyway.

The time of some ten milliseconds in which the interpreter itself starts remains.

--- a/arbutuscove/platform/__main__.py
+++ b/arbutuscove/platform/__main__.py
@@ -2,12 +2,17 @@
 
 # Modules that use sockets have to be imported after the patch.
 # ruff: noqa: E402
+import signal
+
+# By default SIGHUP ends a process; one that is starting reads its settings
+# anyway.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 from gevent import monkey
 
 monkey.patch_all()
 
 import gc
-import signal
 import sys
 
 import click
