Use a group again once its silent VM responds

What callers see: after sound VMs were silent for a second, requests are refused (no_backend) for up to seven seconds although all groups work.

Cause, once more: silence was taken for death. A group that is marked as stalled gets no requests, so that only a request that was there before can show its progress. A daemon without one, and each daemon that took the mark from a peer, kept it until it expired, although the members confirmed the group to the holder of the duty twice a second.

Change: the daemon that marked a group because a member was silent probes the members each 0.5 s and clears the mark once all respond and none has left the list. A daemon clears a mark that it took from a peer when that peer no longer reports the group. A mark for a stall in the middle of answers (all members respond, nothing moves) is kept as before.

Tests: relay/tests/test_silence.py (the mark is cleared within 1.5 s; it stays while a member is unlisted) and gossip/tests/test_service.py; on the former code there is nothing that clears a mark.

--- a/arbutuscove/gossip/service.py
+++ b/arbutuscove/gossip/service.py
@@ -46,7 +46,8 @@
 
     `update_own` returns a heartbeat with the current state of this daemon.
     `report_stalled` and `report_slow` are called with the name of a peer and
-    the key of a group that the peer reports as stalled or slow.
+    the key of a group that the peer reports as stalled or slow, and
+    `report_not_stalled` when the peer no longer reports it.
     """
 
     def __init__(
@@ -58,6 +59,9 @@
         update_own: abc.Callable[[digest.Heartbeat], digest.Heartbeat],
         report_stalled: abc.Callable[[str, tuple[str, int]], None],
         report_slow: abc.Callable[[str, tuple[str, int]], None],
+        report_not_stalled: abc.Callable[
+            [str, tuple[str, int]], None
+        ] = lambda peer, key: None,
     ) -> None:
         self._own = own
         self._port = port
@@ -66,6 +70,7 @@
         self._update_own = update_own
         self._report_stalled = report_stalled
         self._report_slow = report_slow
+        self._report_not_stalled = report_not_stalled
         self._stalled: dict[str, frozenset[tuple[str, int]]] = {}
         self._table = digest.PeerTable(own.name)
         self._known_ips: set[str] = set()
@@ -371,12 +376,18 @@
         self._send_data(sender.ip, digest.ENCODER.encode(update))
 
     def _report_impaired_groups(self, heartbeat: digest.Heartbeat) -> None:
-        """Reports groups that a peer newly found stalled or that are slow."""
+        """Reports groups that a peer newly found stalled or that are slow.
+
+        Also reports those that it no longer finds stalled.
+        """
         stalled_groups = frozenset(heartbeat.stalled)
-        for key in stalled_groups - self._stalled.get(
-            heartbeat.name, frozenset()
-        ):
-            self._report_stalled(heartbeat.name, key)
+        before = self._stalled.get(heartbeat.name, frozenset())
         self._stalled[heartbeat.name] = stalled_groups
+        for key in stalled_groups - before:
+            self._report_stalled(heartbeat.name, key)
+        # A list of full length may lack groups that are still stalled.
+        if len(before) < digest.MAX_REPORTED_GROUPS:
+            for key in before - stalled_groups:
+                self._report_not_stalled(heartbeat.name, key)
         for key in heartbeat.slow:
             self._report_slow(heartbeat.name, key)
--- a/arbutuscove/gossip/tests/test_service.py
+++ b/arbutuscove/gossip/tests/test_service.py
@@ -22,6 +22,7 @@
     def __init__(self, number, port):
         self.stalled = ()
         self.received = []
+        self.revoked = []
         self.gossip = service.Gossip(
             test_digest.create_heartbeat(
                 name=f"d{number:02}", ip=f"127.0.0.{number + 1}"
@@ -34,6 +35,7 @@
             ),
             lambda peer, key: self.received.append(key),
             lambda peer, key: None,
+            lambda peer, key: self.revoked.append((peer, key)),
         )
 
 
@@ -67,6 +69,21 @@
     assert [other.received for other in others] == [[KEY]] * (DAEMONS - 1)
 
 
+def test_news_of_a_group_that_moves_again_reaches_all_daemons(fleet):
+    """Guards against a sound group avoided for seconds after a short silence.
+
+    Peers kept the mark until it expired, as none of their requests was there.
+    """
+    first, *others = fleet
+    for first.stalled in ((KEY,), ()):
+        first.gossip.broadcast()
+        gevent.sleep(0.1)
+    name = first.gossip.get_own().name
+    assert [other.revoked for other in others] == [[(name, KEY)]] * (
+        DAEMONS - 1
+    )
+
+
 class Evidence:
     """Evidence that is only ever replaced by that of another daemon."""
 
--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -279,6 +279,7 @@
             self._update_own_heartbeat,
             self._record_stalled,
             self._record_slow,
+            self._record_not_stalled,
         )
 
     def _build_flow(self) -> flow_module.Flow:
@@ -365,6 +366,11 @@
     def _record_stalled(self, peer: str, key: relay_model.BackendKey) -> None:
         self._states.mark_stalled(key, peer, is_local=False)
 
+    def _record_not_stalled(
+        self, peer: str, key: relay_model.BackendKey
+    ) -> None:
+        self._states.clear_stalled(key, peer)
+
     def _record_slow(self, peer: str, key: relay_model.BackendKey) -> None:
         self._states.mark_slow(key, peer, is_local=False)
 
--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -52,6 +52,8 @@
 PROBE_JITTER = datetime.timedelta(milliseconds=200)
 # To callers, each of these promises that the request did not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+# Pause between two probes of a group that was marked as a member was silent.
+STALL_RECHECK_INTERVAL = datetime.timedelta(milliseconds=500)
 # How often a waiting attempt checks whether its backend is stalled.
 STALL_CHECK_INTERVAL = datetime.timedelta(milliseconds=150)
 
@@ -224,8 +226,33 @@
             reason = "silence"
         else:
             return
-        if self.states.mark_stalled(key, reason):
-            self._notify_peers()
+        if not self.states.mark_stalled(key, reason):
+            return
+        self._notify_peers()
+        if unresponsive:
+            self._recheck_stall(service, backend, reason)
+
+    def _recheck_stall(
+        self, service: str, backend: model.Backend, reason: str
+    ) -> None:
+        """Clears the mark of a stalled group once all its members respond.
+
+        A marked group gets no requests that could show its progress.
+        """
+        key = backend.key
+        while self.states.is_stalled(key):
+            self.clock.sleep(STALL_RECHECK_INTERVAL)
+            if not self.states.is_stalled(key) or self._probe_members(backend):
+                continue
+            # A member that has left the list since then is not probed.
+            current = self.dispatcher.list_backends((service, backend.model))
+            if any(
+                found.key == key and found.members >= backend.members
+                for found in current
+            ):
+                if self.states.clear_stalled(key, reason):
+                    self._notify_peers()
+                return
 
 
 class Attempt:
--- a/arbutuscove/relay/backends.py
+++ b/arbutuscove/relay/backends.py
@@ -58,6 +58,7 @@
     last_progress: datetime.timedelta = datetime.timedelta()
     stalled_until: datetime.timedelta | None = None
     is_stall_local: bool = False  # detected here, not reported by a peer
+    stall_source: str = ""  # what was observed, or the peer that reported it
     last_probe: datetime.timedelta | None = None
     probes_since_progress: int = 0
     pause_ratio: float = 1.0  # mean of pause / expected pause
@@ -248,6 +249,7 @@
             return False
         state.stalled_until = now + STALL_MARK_TTL
         state.is_stall_local = is_local
+        state.stall_source = source
         eliot.log_message(
             "backend:stalled",
             backend=key[0],
@@ -258,6 +260,22 @@
         )
         return True
 
+    def clear_stalled(self, key: model.BackendKey, source: str) -> bool:
+        """Removes a mark whose source does not hold any more.
+
+        Args:
+            key: the backend.
+            source: the source that the mark was set with.
+
+        Returns:
+            Whether the backend was marked as stalled by that source.
+        """
+        if not self.is_stalled(key) or self[key].stall_source != source:
+            return False
+        self[key].stalled_until = None
+        eliot.log_message("backend:not_stalled", backend=key[0], source=source)
+        return True
+
     def is_stalled(self, key: model.BackendKey) -> bool:
         """Returns whether a backend is marked as stalled."""
         state = self._states.get(key)
--- a/arbutuscove/relay/tests/test_silence.py
+++ b/arbutuscove/relay/tests/test_silence.py
@@ -1,10 +1,18 @@
 """Guards against answers that end because a sound upstream is silent."""
 
+import random
+
+import gevent
 import pytest
 
+from arbutuscove.catalog import holder as catalog_holder
 from arbutuscove.catalog import model as catalog_model
+from arbutuscove.fleet.tests import test_planner
+from arbutuscove.kernel import clock as clock_module
 from arbutuscove.relay import attempt
+from arbutuscove.relay import backends
 from arbutuscove.relay import budget
+from arbutuscove.relay import model
 from arbutuscove.relay.tests import test_troubled
 from arbutuscove.standins import faulty_upstream
 
@@ -102,3 +110,67 @@
     answer, body = scene.serve(RESUMABLE)
     assert (answer.status, body) == (200, b"".join(EVENTS))
     assert scene.good.requests == 0
+
+
+class Dispatcher:
+    """Lists one backend."""
+
+    def __init__(self, backend):
+        self.backend = backend
+
+    def list_backends(self, pool):
+        return [self.backend]
+
+
+@pytest.mark.parametrize("listed_members", [2, 1])
+def test_group_is_used_again_once_its_silent_member_responds(listed_members):
+    """Guards against a sound group refused for seconds after a short silence.
+
+    A group of which a member is no longer listed stays marked.
+    """
+    key = test_troubled.KEY
+    clock = clock_module.SystemClock()
+    states = backends.BackendStates(clock)
+    answers = [["m"], ["m"], []]
+    notified = []
+
+    def probe_members(_):
+        return answers.pop(0) if answers else []
+
+    def create_backend(members):
+        vm = test_planner.create_vm("head")
+        return model.Backend(
+            key=key, vm=vm, model="chat", slots=9, members=members
+        )
+
+    context = attempt.AttemptContext(
+        clock,
+        catalog_holder.CatalogHolder(),
+        Dispatcher(create_backend(listed_members)),
+        states,
+        None,
+        None,
+        lambda: notified.append(states.is_stalled(key)),
+        probe_members,
+        random.Random(1),
+        test_troubled.create_tracker(clock),
+    )
+    states.begin_request(key)
+    states[key].last_progress = clock.monotonic() - test_troubled.SECOND
+    context.probe("models", create_backend(2))
+    gevent.sleep(3 * attempt.STALL_RECHECK_INTERVAL.total_seconds())
+    is_sound = listed_members == 2
+    assert states.is_stalled(key) != is_sound
+    assert notified == ([True, False] if is_sound else [True])
+    states.retain(set())
+    states.end_request(key)
+    states.retain(set())
+
+
+def test_mark_of_one_source_is_not_cleared_by_another():
+    """Guards against requests to a stalled group after news of another one."""
+    states = backends.BackendStates(clock_module.ManualClock())
+    states.mark_stalled(test_troubled.KEY, "peer", is_local=False)
+    assert not states.clear_stalled(test_troubled.KEY, "other")
+    assert states.is_stalled(test_troubled.KEY)
+    assert states.clear_stalled(test_troubled.KEY, "peer")
