Excuse requests that cross the close of a stopping daemon in the soak

The older check of planned stops counted each request without an answer at a stopping daemon. Callers of the soak now use open connections until the daemon closes them, so that a request may be on its way when that happens.

A request that was not read is not lost; the caller may send it again.

The check of all endings (soak/ends.py) excuses the same case under the same conditions: no server ran the request, and it ended within 0.25 s. Every other request without an answer counts as before.

--- a/soak/ends.py
+++ b/soak/ends.py
@@ -68,6 +68,16 @@
     return violations
 
 
+def has_crossed(outcome: callers.Outcome, servers: abc.Collection[str]) -> bool:
+    """Returns whether a request met the close of a connection on its way.
+
+    Args:
+        outcome: a request without an answer.
+        servers: names of the servers that ran it.
+    """
+    return not servers and outcome.seconds < CROSSING_SECONDS
+
+
 def _find_excuse(
     outcome: callers.Outcome,
     servers: set[str],
@@ -99,7 +109,7 @@
         record.name == "term" and record.target == outcome.daemon
         for record in around
     )
-    if is_stopping and not servers and outcome.seconds < CROSSING_SECONDS:
+    if is_stopping and has_crossed(outcome, servers):
         return "crossing"
     return None
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -125,7 +125,7 @@
         *world.platform.violations,
         *callers.check_runs(clients.outcomes, world.platform.runs),
         *_check_recovery(clients.outcomes, recovered_at),
-        *_check_planned_stops(clients.outcomes, records),
+        *_check_planned_stops(clients.outcomes, records, world.platform.runs),
         *ends.check_ends(
             clients.outcomes, world.platform.runs, records, world.changes
         ),
@@ -172,8 +172,10 @@
 def _check_planned_stops(
     outcomes: list[callers.Outcome],
     records: list[faults.Record],
+    runs: list[users_platform.Run],
 ) -> list[users_platform.Violation]:
     """Returns a violation for each request that only a planned stop cut off."""
+    servers = {run.request_id: (run.server,) for run in runs}
     violations = []
     for record in records:
         if record.name != "term":
@@ -207,6 +209,7 @@
             <= o.started_at
             <= record.started_at + PLANNED_STOP_SECONDS
             and o.status == 0
+            and not ends.has_crossed(o, servers.get(o.request_id, ()))
         ]
     return violations
 
