Test that a replaced attempt may have run

The change of the refusals after lost attempts had no test for an attempt that replaced a silent one and ran the request, while the silent one refused it later.

--- a/arbutuscove/relay/tests/test_refusals.py
+++ b/arbutuscove/relay/tests/test_refusals.py
@@ -5,6 +5,7 @@
 import pytest
 
 from arbutuscove.catalog import model as catalog_model
+from arbutuscove.relay import attempt
 from arbutuscove.relay import model
 from arbutuscove.relay.tests import test_troubled
 from arbutuscove.standins import faulty_upstream
@@ -239,3 +240,21 @@
     refusal = catch_refusal(scene, repeat, attempts=2)
     assert (scene.bad.requests, scene.good.requests) == (1, 0)
     assert (refusal.status, refusal.not_run) == (502, False)
+
+
+def test_refusal_after_a_replaced_attempt_does_not_say_not_run(build):
+    """Guards against `not run` from a silent upstream that refuses late.
+
+    Another one has run the request meanwhile.
+    """
+
+    def refuse_late(request_id):
+        yield 1.4 * attempt.FIRST_BYTE_STALL_TIMEOUT.total_seconds()
+        yield build_refusal(503, request_id)
+
+    scene = build(refuse_late, fail_with_status)
+    refusal = catch_refusal(
+        scene, catalog_model.Repeat.STREAM_RESUMABLE, attempts=2
+    )
+    assert (scene.bad.requests, scene.good.requests) == (1, 1)
+    assert (refusal.status, refusal.not_run) == (502, False)
