Join no answer that skips events of a stream

A caller could find a gap in a stream that had broken off and went on at another upstream, if that one began later than after the last event.

Cause: ids only had to increase. Ids that rise by more than one may be sound, as those that count tokens do.

Ruled out: demanding the next number always, for that reason.

Change: if at least two ids of the stream have risen by one and none by more, an answer that goes on has to begin with the next number; otherwise its ids have to increase, as before.

Measured: relay/tests/test_continuation.py -k skips; 1 of 4 cases failed before (events 1, 2, 3, 5), all pass now.

--- a/arbutuscove/relay/continuation.py
+++ b/arbutuscove/relay/continuation.py
@@ -1,5 +1,6 @@
 """Whether an answer goes on with a stream that another upstream began."""
 
+import dataclasses
 import re
 
 from arbutuscove.relay import attempt as attempt_module
@@ -10,6 +11,50 @@
 ERROR_EVENT = re.compile(rb"(?:^|\n)event: ?error\s*(?:\n|$)")
 # Longer ids are compared as text.
 MAX_NUMBER_DIGITS = 18
+# Ids that rose by one each time, after which a larger rise shows a gap.
+MIN_SINGLE_RISES = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Position:
+    """Where a stream stands.
+
+    `event_id` is the id of the last event that has one, and `is_known` says
+    whether that is the last event. `single_rises` is how often an id was by one
+    larger than the one before; None once it was not.
+    """
+
+    event_id: str = ""
+    is_known: bool = True
+    single_rises: int | None = 0
+
+    def advance(self, events: bytes) -> "Position":
+        r"""Returns the position after complete events.
+
+        Example:
+            >>> Position().advance(b"id: 3\n\nid: 4\n\n")
+            Position(event_id='4', is_known=True, single_rises=1)
+        """
+        event_id, single_rises = self.event_id, self.single_rises
+        for found in EVENT_ID.findall(events):
+            following = decode_id(found)
+            if event_id and single_rises is not None:
+                is_single = _is_next(following, event_id)
+                single_rises = single_rises + 1 if is_single else None
+            event_id = following
+        return Position(
+            event_id=event_id,
+            is_known=_ends_with_id(events, self.is_known),
+            single_rises=single_rises,
+        )
+
+    def shows_gap(self, event_id: str) -> bool:
+        """Returns whether an id shows that events before it are missing."""
+        return (
+            self.single_rises is not None
+            and self.single_rises >= MIN_SINGLE_RISES
+            and not _is_next(event_id, self.event_id)
+        )
 
 
 def is_continuation(
@@ -30,14 +75,15 @@
     )
 
 
-def find_fault(events: bytes, last_event: str, has_joined: bool) -> str:
+def find_fault(events: bytes, position: Position, has_joined: bool) -> str:
     """Returns why complete events cannot go on with a stream, "" if they can.
 
     Args:
         events: complete events of one answer, as they arrived.
-        last_event: id of the last event that the caller received.
+        position: where the caller's stream stands.
         has_joined: whether earlier events of this answer went on with it.
     """
+    last_event = position.event_id
     for event in events.split(EVENT_END)[:-1]:
         if is_comment(event):
             continue
@@ -51,24 +97,13 @@
             event_id = decode_id(found[-1])
             if not _is_later(event_id, last_event):
                 return "an event comes twice"
+            if not has_joined and position.shows_gap(event_id):
+                return "events are missing"
             last_event = event_id
         has_joined = True
     return ""
 
 
-def may_resume_after(events: bytes, before: bool) -> bool:
-    """Returns whether the id of the last event says where to go on.
-
-    Args:
-        events: complete events that the caller received.
-        before: the result for the events before these.
-    """
-    for event in reversed(events.split(EVENT_END)[:-1]):
-        if not is_comment(event):
-            return EVENT_ID.search(event) is not None
-    return before
-
-
 def is_comment(event: bytes) -> bool:
     r"""Returns whether an event carries nothing but comments.
 
@@ -85,6 +120,14 @@
     return data.decode("latin-1").strip()
 
 
+def _ends_with_id(events: bytes, before: bool) -> bool:
+    """Returns whether the last event has an id, `before` without an event."""
+    for event in reversed(events.split(EVENT_END)[:-1]):
+        if not is_comment(event):
+            return EVENT_ID.search(event) is not None
+    return before
+
+
 def _read_kind(reply: attempt_module.Reply) -> str:
     return _get_field(reply, "content-type").partition(";")[0].strip()
 
@@ -107,5 +150,13 @@
     return event_id != last_event
 
 
+def _is_next(event_id: str, last_event: str) -> bool:
+    return (
+        _is_number(event_id)
+        and _is_number(last_event)
+        and int(event_id) == int(last_event) + 1
+    )
+
+
 def _is_number(text: str) -> bool:
     return text.isascii() and text.isdigit() and len(text) <= MAX_NUMBER_DIGITS
--- a/arbutuscove/relay/flow.py
+++ b/arbutuscove/relay/flow.py
@@ -190,7 +190,8 @@
         self._flow = flow
         self._request = request
         self._service = service
-        self._last_event = request.last_event
+        # What the caller has received.
+        self._position = continuation.Position(event_id=request.last_event)
         self._excluded: frozenset[model.BackendKey] = frozenset()
         self._attempts_begun = 0
         self._has_lost_attempt = False
@@ -200,8 +201,6 @@
         # The head of the stream that the caller receives.
         self._first: attempt_module.Reply | None = None
         self._has_delivered = False
-        # Whether the last delivered event has an id.
-        self._has_position = True
 
     def start(self) -> model.Answer:
         """Returns the answer once its head has arrived.
@@ -239,7 +238,9 @@
         )
 
     def _is_resumable(self) -> bool:
-        return self._request.route.repeat.is_idempotent and self._has_position
+        return (
+            self._request.route.repeat.is_idempotent and self._position.is_known
+        )
 
     def _open(self) -> attempt_module.Reply:
         """Makes attempts until one returns the head of a response."""
@@ -249,7 +250,9 @@
             try:
                 with correct_refusal(self._request, self._has_lost_attempt):
                     reply = attempt.open(
-                        self._excluded, self._last_event, self._is_replaced
+                        self._excluded,
+                        self._position.event_id,
+                        self._is_replaced,
                     )
                 self._cancel_replacement()
                 return reply
@@ -331,7 +334,7 @@
         self._replacement = replacement_module.Replacement(
             self._begin_attempt(),
             self._excluded | {stalled.backend.key},
-            self._last_event,
+            self._position.event_id,
             self._is_usable,
         )
 
@@ -478,7 +481,7 @@
     def _check_events(
         self, attempt: attempt_module.Attempt, events: bytes, has_joined: bool
     ) -> None:
-        fault = continuation.find_fault(events, self._last_event, has_joined)
+        fault = continuation.find_fault(events, self._position, has_joined)
         if fault:
             raise attempt.record_loss(fault)
 
@@ -486,14 +489,10 @@
         self, attempt: attempt_module.Attempt, events: bytes
     ) -> None:
         """Records events that the caller is about to receive."""
-        event_ids = continuation.EVENT_ID.findall(events)
-        if event_ids:
-            self._last_event = continuation.decode_id(event_ids[-1])
+        if continuation.EVENT_ID.search(events):
             attempt.record_progress()
             self._cancel_replacement()
-        self._has_position = continuation.may_resume_after(
-            events, self._has_position
-        )
+        self._position = self._position.advance(events)
         self._has_delivered = True
 
     def _resume(self, error: attempt_module.AttemptLostError) -> None:
--- a/arbutuscove/relay/tests/test_continuation.py
+++ b/arbutuscove/relay/tests/test_continuation.py
@@ -182,6 +182,42 @@
     assert (body, is_broken) == (EVENTS[0] + b"data: y\n\n", True)
 
 
+EARLY = b"id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n"
+WIDE = b"id: 2\ndata: x\n\nid: 4\ndata: x\n\nid: 5\ndata: x\n\n"
+
+
+@pytest.mark.parametrize(
+    ("begun", "events", "is_joined"),
+    [
+        (EARLY, (b"id: 4\ndata: x\n\n", b"id: 6\ndata: x\n\n"), True),
+        (EARLY, (b"id: 5\ndata: x\n\n",), False),
+        (WIDE, (b"id: 8\ndata: x\n\n",), True),
+        (EVENTS[0] + EVENTS[1], (EVENTS[3],), True),
+    ],
+    ids=["next", "skipped", "wider steps", "steps unknown"],
+)
+def test_answer_that_skips_events_is_not_joined(
+    build, begun, events, is_joined
+):
+    """Guards against a gap in a stream whose ids have risen by one so far.
+
+    Ids that rise by more, as counts of tokens do, show no gap.
+    """
+
+    def send_begun(request_id):
+        yield faulty_upstream.build_head(
+            request_id, faulty_upstream.CHUNKED, KIND
+        )
+        yield faulty_upstream.build_chunk(begun)
+        yield 0.05
+        yield None
+
+    scene = build(send_begun, answer_events(*events))
+    body, is_broken = collect(scene)
+    assert body == begun + (b"".join(events) if is_joined else b"")
+    assert is_broken != is_joined
+
+
 @pytest.mark.parametrize(
     ("last", "event", "is_fit"),
     [
@@ -196,7 +232,8 @@
 )
 def test_ids_go_on_increasing_where_they_are_numbers(last, event, is_fit):
     """Guards against a repeated event, and against ids that are no numbers."""
-    fault = continuation.find_fault(event, last, has_joined=False)
+    position = continuation.Position(event_id=last)
+    fault = continuation.find_fault(event, position, has_joined=False)
     assert (fault == "") == is_fit
 
 
