Mutate the mechanisms of refusals and joined streams

Two mutations named text that the changes to refusals and to streams replaced, so that they could not be applied any more; they name the new text. Nine new ones remove the mechanisms of these changes.

--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -556,21 +556,96 @@
     Mutation(
         promise="stream comments do not count as progress",
         path="relay/flow.py",
-        old="            if event_ids:\n                self._last_event",
-        new="            attempt.record_progress()\n"
-        "            if event_ids:\n                self._last_event",
+        old="if continuation.EVENT_ID.search(events):",
+        new="if True:",
         test="relay/tests/test_troubled.py::test_troubled_upstream_of"
         "_a_stream_is_left_for_another[send_comments]",
     ),
     Mutation(
         promise="an answer must echo its request ID",
         path="platform/upstreams.py",
-        old="is_matching = echoed == request.request_id or (\n"
-        "            echoed is None and status >= 300\n        )",
-        new="is_matching = echoed is None or echoed == request.request_id",
+        old="is_matching = is_named or (echoed is None and status >= 300)",
+        new="is_matching = is_named or echoed is None",
         test="relay/tests/test_troubled.py::test_troubled_upstream_of"
         "_a_whole_answer_costs_one_attempt[answer_without_id]",
     ),
+    Mutation(
+        promise="an unnamed refusal on a used connection is not believed",
+        path="relay/attempt.py",
+        old="if not reply.is_named and upstream.exchange_count > 1:",
+        new="if False:",
+        test="relay/tests/test_refusals.py::"
+        "test_unnamed_refusal_on_a_used_connection_is_not_believed[50"
+        "3]",
+    ),
+    Mutation(
+        promise="a status alone does not promise that nothing ran",
+        path="relay/attempt.py",
+        old="if reply.status in NOT_RUN_STATUSES:",
+        new="if False:",
+        test="relay/tests/test_refusals.py::"
+        "test_status_without_the_promise_is_no_promise[Repeat.ONCE-50"
+        "3]",
+    ),
+    Mutation(
+        promise="a refusal after a lost attempt does not say not run",
+        path="relay/flow.py",
+        old="    if has_lost_attempt:\n        return build",
+        new="    if False:\n        return build",
+        test="relay/tests/test_refusals.py::"
+        "test_refusal_after_a_lost_attempt_does_not_say_not_run[Repea"
+        "t.SAFE-fail_without_answer]",
+    ),
+    Mutation(
+        promise="no refusal is written into an answer",
+        path="platform/listener.py",
+        old="yield from _relay_body(answer)",
+        new="yield from answer.body",
+        test="platform/tests/test_bodies.py::"
+        "test_error_within_a_body_ends_the_connection[RefusedError-ch"
+        "unked]",
+    ),
+    Mutation(
+        promise="an order never reuses a connection",
+        path="platform/engine.py",
+        old="                max_idle_time=pool.NEVER_IDLE,\n",
+        new="",
+        test="platform/tests/test_orders.py::"
+        "test_copy_of_an_order_is_not_the_answer_to_the_next",
+    ),
+    Mutation(
+        promise="an engine stream never reuses a connection",
+        path="upstreams/engine.py",
+        old="is_single_use=True",
+        new="is_single_use=False",
+        test="upstreams/tests/test_engine.py::"
+        "test_engine_copied_refusal_does_not_refuse_the_next_dispatch"
+        "[503]",
+    ),
+    Mutation(
+        promise="a stream goes on with an answer of its kind only",
+        path="relay/flow.py",
+        old="return continuation.is_continuation(self._first, reply)",
+        new="return reply.status == 200",
+        test="relay/tests/test_continuation.py::"
+        "test_unfit_answer_is_not_joined_to_a_stream[other kind]",
+    ),
+    Mutation(
+        promise="a stream goes on with later events only",
+        path="relay/flow.py",
+        old="self._check_events(attempt, events, has_events)",
+        new="pass",
+        test="relay/tests/test_continuation.py::"
+        "test_unfit_answer_is_not_joined_to_a_stream[starts again]",
+    ),
+    Mutation(
+        promise="an answer without a further event ends no stream",
+        path="relay/flow.py",
+        old="if is_continued and not has_events:",
+        new="if False:",
+        test="relay/tests/test_continuation.py::"
+        "test_unfit_answer_is_not_joined_to_a_stream[nothing]",
+    ),
     Mutation(
         promise="discarded responses to other requests are bounded",
         path="relay/attempt.py",
