Test that a refusal within a stream ends the connection

The own interface shows no fault here: a refusal raised within the events of an answer ends the connection without the final chunk, and nothing of it is written. The test passes at once; it was run on this commit only.

--- a/arbutuscove/entry/tests/test_chat.py
+++ b/arbutuscove/entry/tests/test_chat.py
@@ -141,3 +141,24 @@
     client.sendall(serving.build_request())
     gevent.sleep(0.05)
     assert queue.waiting == 1
+
+
+@pytest.mark.parametrize("run", failures.RunStatus)
+def test_chat_refusal_within_a_stream_ends_the_connection(server, run):
+    """Guards against a refusal's head or text in the middle of a stream.
+
+    It also guards against a stream that ends as if it were complete.
+    """
+    refusal = work_module.Refusal(status=503, code="refused_late", message="")
+
+    def send_part():
+        yield serving.build_event(0, "one ")
+        raise failures.RequestFailedError(refusal, run)
+
+    server.flow._yield_events = send_part
+    body = serving.build_body(stream=True)
+    response = server.exchange(serving.build_request(body))
+    assert response.count(b"HTTP/1.1") == 1
+    assert b"one " in response
+    assert b"refused_late" not in response
+    assert not response.endswith(b"0\r\n\r\n")
