--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -378,11 +378,35 @@
     Mutation(
         promise="a disconnected daemon considers no head dead",
         path="fleet/controller.py",
-        old="if not any(self._confirm_member(vm) for vm in group.members):",
-        new="if False:",
+        old="if not any(\n            self._ask_member",
+        new="if False and not any(\n            self._ask_member",
         test="fleet/tests/test_controller.py::"
         "test_controller_distrusts_its_own_links",
     ),
+    Mutation(
+        promise="a silent attempt goes on until another one has answered",
+        path="relay/flow.py",
+        old="        return False\n        if not replacement.has_ended():",
+        new="        return True\n        if not replacement.has_ended():",
+        test="relay/tests/test_silence.py::"
+        "test_silent_stream_goes_on_without_another_upstream",
+    ),
+    Mutation(
+        promise="a VM that is silent for a second does not end its group",
+        path="fleet/controller.py",
+        old="now - first >= SILENT_MEMBER_TIMEOUT",
+        new="now >= first",
+        test="fleet/tests/test_controller.py::"
+        "test_controller_keeps_a_group_with_a_silent_vm",
+    ),
+    Mutation(
+        promise="a draining daemon refuses what it may not finish",
+        path="platform/listener.py",
+        old="return self._has_drained or deadline >",
+        new="return self._has_drained or now >",
+        test="platform/tests/test_drain.py::"
+        "test_request_that_may_outlive_a_draining_daemon_is_refused",
+    ),
     Mutation(
         promise="the other daemons' usage is capped at their equal shares",
         path="relay/placement.py",
