Give no lease token out again when the table comes back older

What callers see: on the users' platform, after the store came back from a copy some seconds old, two daemons can order VMs under one fencing token, a group's name and epoch can be given to two lists of members, and orders can be refused because their token is below one that the VMs have seen.

Cause: the epoch of a lease was the epoch of its row plus one. If the duty changed hands in the lost part, the row goes back to the former holder and the next holder takes the number of the lost one. A holder went on by its own clock though its row was gone, a missing row was taken for a duty never held, and a renewal read before the loss could hold by accident on a version that was given out again and replace the row of the new holder.

Ruled out: a floor from the tokens that VMs or peers report (a daemon that is cut off from the holder's VMs knows none), and one row for all eras with conditions (versions are given out again, so that no condition tells a late renewal of the earlier era).

Change: the era is in the high bits of an epoch, 17 low bits count the changes of holder in it; with the 20 bits of a group's number an epoch stays below 2**53, which decoders of JSON keep exactly. Each era has a row of its own. `get_active_epoch` returns None as soon as another era is known. The former holder goes on at once with an epoch of the new era; others wait a term from their first read in it, unless the newest known holder is lost. A write that another era answers is not held. Without an era (0) keys and epochs are as before.

Why it works: an epoch of a later era is above every epoch of an earlier one, and inside an era the row is never lost, so its compare-and-set orders the holders as before.

--- a/arbutuscove/leases/holder.py
+++ b/arbutuscove/leases/holder.py
@@ -5,6 +5,7 @@
 
 import datetime
 import typing
+from collections import abc
 
 import eliot
 import msgspec
@@ -18,6 +19,7 @@
 
 SERVICE_NAME = "leases"
 ROW_PREFIX = "lease/"
+ERA_SEPARATOR = "@"
 
 
 class Peers(typing.Protocol):
@@ -66,6 +68,7 @@
         lag: loop.LagMonitor,
         terms: lease.Terms = lease.DEFAULT_TERMS,
         peers: Peers | None = None,
+        get_era: abc.Callable[[], int] = lambda: 0,
     ) -> None:
         self._identity = identity
         self._table = table
@@ -73,9 +76,13 @@
         self._lag = lag
         self._terms = terms
         self._peers = peers or _NoPeers()
+        # The newest known era of the table; 0 while unknown, or if it has none.
+        self._get_era = get_era
         self._candidate_duties: set[str] = set()
         self._observed: dict[str, lease.Observation] = {}
         self._held: dict[str, lease.HeldLease] = {}
+        # By duty, the newest rows that are known of earlier eras.
+        self._former_rows: dict[str, lease.LeaseRow] = {}
         self._is_draining = False
         # By duty, the highest epoch from which this process resigned before its
         # term ended.
@@ -107,7 +114,9 @@
         if self._is_draining:
             return None
         held = self._held.get(duty)
-        if not lease.may_act(held, self._clock.monotonic(), self._terms):
+        if not lease.may_act(
+            held, self._clock.monotonic(), self._terms, self._get_era()
+        ):
             return None
         return None if held is None else held.epoch
 
@@ -155,23 +164,75 @@
         Raises:
             TableError: the row could not be read or written.
         """
-        row = self._table.read(ROW_PREFIX + duty)
+        era = self._get_era()
+        row = self._table.read(build_key(duty, era))
+        if era != self._get_era():
+            # The first answer names the era, or the table came back older.
+            era = self._get_era()
+            row = self._table.read(build_key(duty, era))
         version = table_module.ABSENT if row is None else row.version
         value = None if row is None else row.decode(lease.LeaseRow)
+        self._note_former(duty, era)
         now = self._clock.monotonic()
         observation = lease.observe(
-            self._observed.get(duty), version, value, now
+            self._observed.get(duty), version, value, now, era
         )
         self._observed[duty] = observation
         held = self._held.get(duty)
         is_holder_lost = value is not None and self._is_holder_lost(duty, value)
+        may_be_held = value is None and self._may_be_held(duty, era, held, now)
         match lease.decide(
-            observation, held, self._identity, now, self._terms, is_holder_lost
+            observation,
+            held if held is not None and held.era == era else None,
+            self._identity,
+            now,
+            self._terms,
+            is_holder_lost,
+            may_be_held,
         ):
             case lease.Wait():
                 self._held.pop(duty, None)
             case lease.Renew() | lease.TakeOver() as action:
-                self._write(duty, version, action)
+                self._write(duty, version, action, era)
+
+    def _note_former(self, duty: str, era: int) -> None:
+        """Remembers the last known row of the eras before this one."""
+        observation = self._observed.get(duty)
+        row = self.get_last_row(duty)
+        if observation is None or observation.era >= era or row is None:
+            return
+        former = self._former_rows.get(duty)
+        if former is None or row.epoch > former.epoch:
+            self._former_rows[duty] = row
+
+    def _may_be_held(
+        self,
+        duty: str,
+        era: int,
+        held: lease.HeldLease | None,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Returns whether another process may hold a lease without a row.
+
+        The row of an earlier era may be gone while its holder still acts; that
+        holder itself goes on at once.
+
+        Raises:
+            TableError: the rows of earlier eras could not be read.
+        """
+        if held is not None and held.era < era and now < held.expires:
+            return False
+        rows = [
+            row.decode(lease.LeaseRow)
+            for row in self._table.scan(ROW_PREFIX + duty)
+            if _is_key_of(row.key, duty) and row.key != build_key(duty, era)
+        ]
+        if duty in self._former_rows:
+            rows.append(self._former_rows[duty])
+        if not rows:
+            return False
+        newest = max(rows, key=lambda row: row.epoch)
+        return not self._is_holder_lost(duty, newest)
 
     def _is_holder_lost(self, duty: str, row: lease.LeaseRow) -> bool:
         """Returns whether the holder in a row need not be waited for.
@@ -184,9 +245,13 @@
         return self._peers.is_holder_lost(row.holder, row.epoch)
 
     def _write(
-        self, duty: str, version: int, action: lease.Renew | lease.TakeOver
+        self,
+        duty: str,
+        version: int,
+        action: lease.Renew | lease.TakeOver,
+        era: int,
     ) -> None:
-        key = ROW_PREFIX + duty
+        key = build_key(duty, era)
         transaction = table_module.Transaction(
             conditions=(table_module.Condition(key=key, version=version),),
             writes=(
@@ -198,9 +263,12 @@
         if isinstance(action, lease.TakeOver):
             transaction = self._append_audit_entry(duty, action, transaction)
         sent = self._clock.monotonic()
-        if table_module.commit(self._table, transaction, self._clock).is_ok():
+        outcome = table_module.commit(self._table, transaction, self._clock)
+        # A row that was written before or after a change of era counts for
+        # nothing: it is gone, or nobody reads its key.
+        if outcome.is_ok() and self._get_era() == era:
             new_lease = lease.compute_held_lease(
-                action, sent, self._held.get(duty), self._terms
+                action, sent, self._held.get(duty), self._terms, era
             )
             self._held[duty] = new_lease
         else:
@@ -242,3 +310,18 @@
                         "lease:step_failed", duty=duty, reason=str(error)
                     )
                     self.resign_if_overdue(duty)
+
+
+def build_key(duty: str, era: int) -> str:
+    """Returns the key of a lease row, which is another one in each era.
+
+    Example:
+        >>> build_key("groups", 0), build_key("groups", 2)
+        ('lease/groups', 'lease/groups@2')
+    """
+    return ROW_PREFIX + duty + (f"{ERA_SEPARATOR}{era}" if era else "")
+
+
+def _is_key_of(key: str, duty: str) -> bool:
+    name, _, era = key.removeprefix(ROW_PREFIX).partition(ERA_SEPARATOR)
+    return name == duty and (not era or era.isdecimal())
--- a/arbutuscove/leases/lease.py
+++ b/arbutuscove/leases/lease.py
@@ -5,6 +5,11 @@
 unchanged for a whole term on its own monotonic clock, unless the holder is
 known to be lost. A holder counts its term from the time before it sent the
 renewal, and stops acting a guard interval before the term ends.
+
+The table may come back from an older copy and lose what it acknowledged; its
+era then rises. The era is in the high bits of an epoch, so that no epoch is
+given out again, and each era has a row of its own, so that a late write of an
+earlier era does not replace it.
 """
 
 import dataclasses
@@ -16,6 +21,10 @@
 GUARD = datetime.timedelta(seconds=1)
 # Orders sent by the previous holder may be in flight for this long.
 ORDER_TIMEOUT = datetime.timedelta(seconds=2)
+# Low bits of an epoch, which count the changes of holder in one era. An epoch
+# has 33 bits: 20 more number the groups of a holder, and some decoders of JSON
+# round numbers of more than 53 bits.
+ERA_SHIFT = 17
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -53,6 +62,7 @@
     row_version: int
     row: LeaseRow | None
     first_seen: datetime.timedelta
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -60,12 +70,13 @@
     """A lease that this process holds until `expires`.
 
     The holder may start effects from `effective_from` on. Both are monotonic
-    times.
+    times. It holds the lease only while the table is in `era`.
     """
 
     epoch: int
     effective_from: datetime.timedelta
     expires: datetime.timedelta
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -95,6 +106,7 @@
     row_version: int,
     row: LeaseRow | None,
     now: datetime.timedelta,
+    era: int = 0,
 ) -> Observation:
     """Updates an observation after a read of the row.
 
@@ -103,13 +115,21 @@
         row_version: version of the row that was read.
         row: the row that was read, or None if it does not exist.
         now: monotonic time of the read.
+        era: era of the table at the read.
 
     Returns:
-        The previous observation if the version is unchanged, else a new one.
+        The previous observation if the version is unchanged in the same era,
+        else a new one.
     """
-    if previous is not None and previous.row_version == row_version:
+    if (
+        previous is not None
+        and previous.row_version == row_version
+        and previous.era == era
+    ):
         return previous
-    return Observation(row_version=row_version, row=row, first_seen=now)
+    return Observation(
+        row_version=row_version, row=row, first_seen=now, era=era
+    )
 
 
 def decide(
@@ -119,6 +139,7 @@
     now: datetime.timedelta,
     terms: Terms = DEFAULT_TERMS,
     is_holder_lost: bool = False,
+    may_be_held: bool = False,
 ) -> Action:
     """Decides whether to renew, acquire or wait for a lease.
 
@@ -133,21 +154,37 @@
         is_holder_lost: whether the holder is known to act under its epoch no
             longer, or to be unresponsive while upstreams check fencing tokens,
             so that its term need not pass first.
+        may_be_held: whether another process may hold the lease although there
+            is no row, since it took the lease in an earlier era of the table.
 
     Returns:
         The action, with the row to write.
     """
     row = observation.row
-    if row is None:
-        return TakeOver(row=LeaseRow(holder=candidate, epoch=1, renewals=0))
-    if held is not None and _is_own(row, held, candidate):
+    if held is not None and row is not None and _is_own(row, held, candidate):
         renewed = dataclasses.replace(row, renewals=row.renewals + 1)
         return Renew(row=renewed)
-    if now - observation.first_seen < terms.term and not is_holder_lost:
+    must_wait = may_be_held if row is None else not is_holder_lost
+    if must_wait and now - observation.first_seen < terms.term:
         return Wait()
-    return TakeOver(
-        row=LeaseRow(holder=candidate, epoch=row.epoch + 1, renewals=0)
-    )
+    epoch = compute_next_epoch(row, observation.era)
+    return TakeOver(row=LeaseRow(holder=candidate, epoch=epoch, renewals=0))
+
+
+def compute_next_epoch(row: LeaseRow | None, era: int) -> int:
+    """Returns the epoch of the next holder, which no holder has had.
+
+    Args:
+        row: the row of this era, or None if there is none.
+        era: era of the table; 0 if it reports none.
+
+    Example:
+        >>> compute_next_epoch(None, 0)
+        1
+        >>> compute_next_epoch(None, 2) >> ERA_SHIFT
+        2
+    """
+    return max(era << ERA_SHIFT, 0 if row is None else row.epoch) + 1
 
 
 def compute_held_lease(
@@ -155,6 +192,7 @@
     sent: datetime.timedelta,
     held: HeldLease | None,
     terms: Terms = DEFAULT_TERMS,
+    era: int = 0,
 ) -> HeldLease:
     """Computes the lease that is held once the write was confirmed.
 
@@ -163,6 +201,7 @@
         sent: monotonic time before the write was sent.
         held: the lease held before, or None.
         terms: timing parameters of the lease.
+        era: era of the table at the write.
 
     Returns:
         The lease. A renewal keeps the time from which effects may start.
@@ -177,6 +216,7 @@
                 epoch=row.epoch,
                 effective_from=sent + terms.order_timeout,
                 expires=sent + terms.term,
+                era=era,
             )
 
 
@@ -184,6 +224,7 @@
     held: HeldLease | None,
     now: datetime.timedelta,
     terms: Terms = DEFAULT_TERMS,
+    era: int = 0,
 ) -> bool:
     """Returns whether this process may start an effect at `now`.
 
@@ -191,8 +232,9 @@
         held: the lease that this process holds, or None.
         now: monotonic time.
         terms: timing parameters of the lease.
+        era: newest known era of the table.
     """
-    if held is None:
+    if held is None or held.era != era:
         return False
     return held.effective_from <= now < held.expires - terms.guard
 
