Learn the era of the store and drop what belongs to an older one

Callers may see requests handled by an older configuration, and the list of VMs as it was some seconds ago: the users' store may come back from an older copy, after which its counter assigns the same versions again. Positions in the history, conditions of transactions and answers in flight were compared by version alone.

Each answer names the era in the header Store-Era, refusals too. The store's client keeps the highest era that it has learned from an answer, a heartbeat or an update of the list. A position is ordered by (era, version). The version of a table row contains its era, so a condition does not hold for another row with the same version. Answers without the header count as of the known era. Eras above 32 bits are ignored, as a wrong one would invalidate all later answers.

--- a/arbutuscove/gossip/digest.py
+++ b/arbutuscove/gossip/digest.py
@@ -61,7 +61,8 @@
     long, each as name and epoch. `capacity` is the processor time of its VM in
     thousandths of a core. `resigned` is the highest fencing token from which it
     resigned before the lease had expired. `evidence` is the fingerprint of what
-    it knows of crashes of upstreams, -1 if its version has none.
+    it knows of crashes of upstreams, -1 if its version has none. `era` is the
+    highest era of the store that it knows, 0 for none.
     """
 
     name: str
@@ -81,6 +82,7 @@
     capacity: int = 0
     resigned: int = 0
     evidence: int = -1
+    era: int = 0
 
 
 class Datagram(
@@ -104,7 +106,8 @@
 
     `rows` has each changed entry by name, with None if it was removed. Entries
     that only renewed their heartbeat are left out. `relay` asks the recipient
-    to forward the update to its failure domain.
+    to forward the update to its failure domain. `era` is the era of the store
+    in which both versions were read.
     """
 
     sender: str
@@ -112,6 +115,7 @@
     version: int
     rows: tuple[tuple[str, bytes | None], ...] = ()
     relay: bool = False
+    era: int = 0
 
 
 class EvidenceUpdate(
@@ -173,7 +177,11 @@
 
 
 def split_update(
-    sender: str, before: int, version: int, rows: abc.Iterable[ListRow]
+    sender: str,
+    before: int,
+    version: int,
+    rows: abc.Iterable[ListRow],
+    era: int = 0,
 ) -> list[ListUpdate]:
     """Returns updates that lead from one version of the list to another.
 
@@ -185,6 +193,7 @@
         before: the version that it had before.
         version: the version that it read.
         rows: the entries that changed between them.
+        era: the era of both versions.
     """
     updates: list[ListUpdate] = []
     pending: list[ListRow] = []
@@ -198,6 +207,7 @@
                 before=first,
                 version=last,
                 rows=tuple((row.name, row.content) for row in pending),
+                era=era,
             )
         )
         pending.clear()
--- a/arbutuscove/gossip/service.py
+++ b/arbutuscove/gossip/service.py
@@ -77,6 +77,7 @@
             None
         )
         self._handle_config_version: abc.Callable[[int], None] | None = None
+        self._observe_peer: abc.Callable[[digest.Heartbeat], None] | None = None
         self._evidence: EvidenceSource | None = None
         self._evidence_sent_at: dict[str, datetime.timedelta] = {}
         self._started = clock.monotonic()
@@ -127,6 +128,12 @@
         """Sets the function that handles configuration versions of peers."""
         self._handle_config_version = handler
 
+    def set_peer_observer(
+        self, observer: abc.Callable[[digest.Heartbeat], None]
+    ) -> None:
+        """Sets the function to call with each new heartbeat of a peer."""
+        self._observe_peer = observer
+
     def set_evidence_source(self, source: EvidenceSource) -> None:
         """Sets the evidence to exchange with the other daemons."""
         self._evidence = source
@@ -170,6 +177,7 @@
         version: int,
         rows: abc.Iterable[digest.ListRow],
         to_all: bool,
+        era: int = 0,
     ) -> None:
         """Sends the changes of the list of VMs to other daemons.
 
@@ -179,12 +187,13 @@
             rows: the entries that changed between them.
             to_all: whether to send to other failure domains too, through one
                 daemon of each.
+            era: the era of the store in which both versions were read.
         """
         relays = (
             digest.pick_relays(self._own, self.get_live()) if to_all else []
         )
         for update in digest.split_update(
-            self._own.name, before, version, rows
+            self._own.name, before, version, rows, era
         ):
             self.forward_update(update)
             update = msgspec.structs.replace(update, relay=True)
@@ -338,6 +347,8 @@
         for heartbeat in (message.sender, *message.others):
             if self._table.merge(heartbeat, now):
                 self._report_impaired_groups(heartbeat)
+                if self._observe_peer is not None:
+                    self._observe_peer(heartbeat)
                 if self._handle_config_version is not None:
                     self._handle_config_version(heartbeat.config_version)
         self._reconcile_evidence(message.sender, now)
--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -194,6 +194,7 @@
         self._gossip.set_config_version_handler(
             configuration.record_peer_version
         )
+        self._gossip.set_peer_observer(self._observe_peer)
         servers = followers.ServersFollower(
             self._store,
             self._clock,
@@ -314,6 +315,7 @@
             ready=self._is_ready(),
             config_version=self._catalog.get_version(),
             store_ok=self._store.is_available,
+            era=self._store.get_era(),
             holding=self._leases.get_active_epoch(controller_module.DUTY) or 0,
             resigned=self._leases.get_resigned_epoch(controller_module.DUTY),
             loads=loads,
@@ -327,6 +329,9 @@
             ),
         )
 
+    def _observe_peer(self, heartbeat: digest.Heartbeat) -> None:
+        self._store.observe_era(heartbeat.era, heartbeat.name)
+
     def _is_ready(self) -> bool:
         return (
             self._catalog.get_current() is not None
--- a/arbutuscove/platform/followers.py
+++ b/arbutuscove/platform/followers.py
@@ -70,20 +70,22 @@
         """Starts to follow the table."""
         self.run_loop(self._run)
 
-    def read_snapshot(self) -> int:
-        """Reads a snapshot of the table and returns its version."""
+    def read_snapshot(self) -> store_module.Position:
+        """Reads a snapshot of the table and returns its position."""
         raise NotImplementedError
 
-    def read_changes(self, version: int) -> int:
-        """Waits for changes after a version and returns the version reached."""
+    def read_changes(
+        self, position: store_module.Position
+    ) -> store_module.Position:
+        """Waits for changes after a position and returns the one reached."""
         raise NotImplementedError
 
     def _run(self) -> None:
-        version: int | None = None
+        position: store_module.Position | None = None
         delay = MIN_RETRY_DELAY
         while True:
             try:
-                version, failed = self._read_once(version)
+                position, failed = self._read_once(position)
                 if not failed:
                     delay = MIN_RETRY_DELAY
                     continue
@@ -92,21 +94,23 @@
                 delay = min(delay * 2, MAX_RETRY_DELAY)
             except BehindError:
                 # May be raised in the middle of a call or of a delay.
-                version = None
+                position = None
 
-    def _read_once(self, version: int | None) -> tuple[int | None, bool]:
-        """Reads once; returns the new version and whether the read failed."""
+    def _read_once(
+        self, position: store_module.Position | None
+    ) -> tuple[store_module.Position | None, bool]:
+        """Reads once; returns the new position and whether the read failed."""
         try:
-            if version is None:
+            if position is None:
                 return self.read_snapshot(), False
-            return self.read_changes(version), False
+            return self.read_changes(position), False
         except store_module.HistoryLostError:
             return None, True
         except store_module.StoreError as error:
             eliot.log_message(
                 "store:read_failed", table=self.table, reason=str(error)
             )
-            return version, True
+            return position, True
 
 
 class ConfigurationFollower(_Follower):
@@ -151,19 +155,21 @@
             if self._greenlet is not None:
                 self._greenlet.kill(BehindError, block=False)
 
-    def read_snapshot(self) -> int:
-        """Reads a snapshot of the table and returns its version."""
+    def read_snapshot(self) -> store_module.Position:
+        """Reads a snapshot of the table and returns its position."""
         page = self._store.read_rows(self.table, CONFIGURATION_KEY)
         self._apply_page(page)
-        return page.version
+        return page.position
 
-    def read_changes(self, version: int) -> int:
-        """Waits for changes after a version and returns the version reached."""
+    def read_changes(
+        self, position: store_module.Position
+    ) -> store_module.Position:
+        """Waits for changes after a position and returns the one reached."""
         page = self._store.wait_for_changes(
-            self.table, version, CONFIGURATION_FEED_WAIT
+            self.table, position, CONFIGURATION_FEED_WAIT
         )
         self._apply_page(page)
-        return page.version
+        return page.position
 
     def _apply_page(self, page: store_module.Page) -> None:
         for row in page.rows:
@@ -197,21 +203,23 @@
         self._inventory = inventory
         self._gossip = gossip
         self._is_lease_holder = is_lease_holder
-        self._version = -1
+        self._position: store_module.Position | None = None
         self._update_received = event.Event()
         self._has_missed_update = False
         gossip.set_update_handler(self.receive_update)
 
-    def read_snapshot(self) -> int:
-        """Reads a snapshot of the table and returns its version."""
+    def read_snapshot(self) -> store_module.Position:
+        """Reads a snapshot of the table and returns its position."""
         page = self._store.read_rows(self.table)
         vms, _ = _decode({row.key: row.content for row in page.rows})
         self._inventory.replace(vms)
-        self._version = page.version
-        return page.version
+        self._position = page.position
+        return page.position
 
-    def read_changes(self, version: int) -> int:
-        """Waits for the next changes and returns the version after them.
+    def read_changes(
+        self, position: store_module.Position
+    ) -> store_module.Position:
+        """Waits for the next changes and returns the position after them.
 
         The daemon that holds the group controller's lease reads the store and
         sends updates to the other daemons. When its updates stop, one daemon of
@@ -219,7 +227,7 @@
         too, each daemon reads for itself. So does a daemon that missed an
         update.
         """
-        self._version = version = max(version, self._version)
+        position = self._advance(position)
         if self._is_lease_holder():
             self._clock.sleep(HOLDER_READ_INTERVAL)
         else:
@@ -230,36 +238,58 @@
                 if self._has_missed_update or self._is_lease_holder():
                     break
         self._has_missed_update = False
-        if self._version > version:
-            version = self._version
+        position = self._advance(position)
         page = self._store.wait_for_changes(
-            self.table, version, SERVERS_FEED_WAIT
+            self.table, position, SERVERS_FEED_WAIT
         )
-        if page.version < self._version:
-            return self._version
+        if page.position < self._advance(position):
+            return self._advance(position)
         rows = self._apply_page(page)
         is_lease_holder = self._is_lease_holder()
         if is_lease_holder or self._gossip.is_reader():
             self._gossip.send_update(
-                version, page.version, rows, to_all=is_lease_holder
+                position.version,
+                page.version,
+                rows,
+                to_all=is_lease_holder,
+                era=page.era,
             )
-        return page.version
+        return page.position
 
     def receive_update(self, update: digest.ListUpdate) -> None:
-        """Applies an update from a peer if no update before it was missed."""
-        current_version = self._version
-        if current_version < 0 or update.version <= current_version:
+        """Applies an update from a peer if no update before it was missed.
+
+        Only an update of the era that this daemon reads advances its position.
+        """
+        self._store.observe_era(update.era, "update")
+        if update.era < self._store.get_era():
+            # The peer still reads the store as it was before a restore.
+            return
+        current = self._position
+        if current is None:
             self._update_received.set()
             return
-        if update.before > current_version:
+        reached = store_module.Position(era=update.era, version=update.version)
+        if reached <= current:
+            self._update_received.set()
+            return
+        if update.era > current.era or update.before > current.version:
             self._has_missed_update = True
         else:
-            self._version = update.version
+            self._position = reached
             self._apply_rows(dict(update.rows))
             if update.relay:
                 self._gossip.forward_update(update)
         self._update_received.set()
 
+    def _advance(
+        self, position: store_module.Position
+    ) -> store_module.Position:
+        """Returns the later of a position and that reached by updates."""
+        if self._position is None or self._position < position:
+            self._position = position
+        return self._position
+
     def _get_update_timeout(self) -> datetime.timedelta:
         """Returns how long to wait for an update before reading the store."""
         if self._gossip.is_reader():
--- a/arbutuscove/platform/store.py
+++ b/arbutuscove/platform/store.py
@@ -4,6 +4,11 @@
 counter assigns the versions of all rows. `Store` is the client of these calls;
 `StoreTable` implements on it the table service that leases use, with one row of
 JSON under each key.
+
+The store may come back from an older copy: its counter then goes back and
+assigns the same versions again. Each answer names the *era* of the store, a
+number that increases with each such restore, so versions are compared only
+within one era.
 """
 
 import base64
@@ -13,6 +18,7 @@
 import urllib.parse
 from collections import abc
 
+import eliot
 import expression
 import msgspec
 
@@ -28,6 +34,9 @@
 # A page contains at most 1 MB of rows, with their values as base64 in JSON.
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 OWN_TABLE = "arbutuscove"
+ERA_HEADER = "store-era"
+MAX_ERA = 2**32 - 1
+VERSION_BITS = 48  # of the store's version in the version of a table row
 UNKNOWN_VERSION = -1  # a conflict does not report the version of the row
 
 
@@ -62,6 +71,17 @@
     has_more: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True, order=True)
+class Position:
+    """A point in the history of the store.
+
+    Positions of a later era are greater, whatever their version.
+    """
+
+    era: int
+    version: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Row:
     """A row of a table; `content` is None if the row was removed."""
@@ -69,14 +89,34 @@
     key: str
     version: int
     content: bytes | None
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Page:
-    """Rows as of `version`, the newest version of the store at the read."""
+    """Rows as of `version`, the newest version of the store at the read.
+
+    `era` is the era of the store at the read, 0 if the store names none.
+    """
 
     version: int
     rows: tuple[Row, ...]
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """The position after these rows."""
+        return Position(era=self.era, version=self.version)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Answer:
+    """An answer of the store; `is_stale` if its era has ended since."""
+
+    status: int
+    body: bytes
+    era: int
+    is_stale: bool
 
 
 class Store:
@@ -84,6 +124,9 @@
 
     `call_count` counts calls; `is_available` says whether the last one
     that ended was answered with a status other than 429 and 503.
+
+    The era is learned from every answer and from the peers, and only increases.
+    An answer of an older era is not used.
     """
 
     def __init__(
@@ -97,6 +140,38 @@
         self._clock = clock
         self.call_count = 0
         self.is_available = True
+        self._era: int | None = None  # None until it is first learned
+        self._era_listeners: list[abc.Callable[[], None]] = []
+
+    def get_era(self) -> int:
+        """Returns the highest era learned so far; 0 while unknown."""
+        return self._era or 0
+
+    def add_era_listener(self, callback: abc.Callable[[], None]) -> None:
+        """Adds a function that is called once after each change of the era.
+
+        The first era that is learned is not a change.
+        """
+        self._era_listeners.append(callback)
+
+    def observe_era(self, era: int, source: str) -> None:
+        """Learns an era; one that is not higher than the known one is ignored.
+
+        Args:
+            era: the era of an answer or of a peer; 0 if unknown.
+            source: where it was learned, for the log.
+        """
+        before = self._era
+        if not 0 < era <= MAX_ERA or era <= (before or 0):
+            return
+        self._era = era
+        if before is None:
+            return
+        eliot.log_message(
+            "store:era_changed", before=before, after=era, source=source
+        )
+        for callback in self._era_listeners:
+            callback()
 
     def read_rows(self, table: str, key: str | None = None) -> Page:
         """Returns all rows of a table, or the row of one key.
@@ -109,41 +184,52 @@
             StoreError: the rows could not be read.
         """
         rows: list[Row] = []
+        era: int | None = None
         start = key
         end = None if key is None else key + "\x00"
         while True:
             fields = {"table": table, "part": "", "limit": str(MAX_PAGE_ROWS)}
             fields |= {"from": start} if start is not None else {}
             fields |= {"to": end} if end is not None else {}
-            page = self._read("/rows-get", fields, CALL_TIMEOUT)
-            rows.extend(map(_convert_row, page.rows))
+            page, page_era = self._read("/rows-get", fields, CALL_TIMEOUT)
+            if era is not None and page_era != era:
+                raise StoreError("the store's era changed between two pages")
+            era = page_era
+            rows.extend(_convert_row(row, era) for row in page.rows)
             if not page.has_more or not page.rows:
-                return Page(version=page.schema_version, rows=tuple(rows))
+                return Page(
+                    version=page.schema_version, rows=tuple(rows), era=era
+                )
             start = page.rows[-1].key + "\x00"
 
     def wait_for_changes(
-        self, table: str, version: int, wait: datetime.timedelta
+        self, table: str, position: Position, wait: datetime.timedelta
     ) -> Page:
         """Waits for changes of a table and returns the rows that changed.
 
         Args:
             table: the table.
-            version: the version after which changes are returned.
+            position: the position after which changes are returned.
             wait: longest time to wait for a change.
 
         Raises:
-            HistoryLostError: the store no longer has the changes.
+            HistoryLostError: the store no longer has the changes, or the
+                position is one of an earlier era.
             StoreError: the changes could not be read.
         """
+        if self.get_era() != position.era:
+            raise HistoryLostError("the position is one of an earlier era")
         milliseconds = int(wait.total_seconds() * 1000)
         fields = {
             "table": table,
-            "since_revision": str(version),
+            "since_revision": str(position.version),
             "wait_ms": str(milliseconds),
         }
-        page = self._read("/rows-feed", fields, wait + FEED_TIMEOUT_MARGIN)
-        rows = tuple(map(_convert_row, page.rows))
-        return Page(version=page.schema_version, rows=rows)
+        page, era = self._read("/rows-feed", fields, wait + FEED_TIMEOUT_MARGIN)
+        if era != position.era:
+            raise HistoryLostError("the store's era changed during the call")
+        rows = tuple(_convert_row(row, era) for row in page.rows)
+        return Page(version=page.schema_version, rows=rows, era=era)
 
     def transact(
         self,
@@ -186,10 +272,18 @@
             ],
         }
         data = msgspec.json.encode(body)
-        status, answer = self._call("POST", "/rows-tx", data, CALL_TIMEOUT)
+        sent_era = self._era
+        answer = self._call("POST", "/rows-tx", data, CALL_TIMEOUT)
+        status = answer.status
         match status:
+            case 200 if answer.is_stale or sent_era not in (None, answer.era):
+                # Written before the restore and lost by it, or written after it
+                # under a condition on the version of another row.
+                raise OutcomeUnknownError("the store's era changed")
             case 200:
-                return _decode_page(answer).schema_version
+                return _decode_page(answer.body).schema_version
+            case 412 if answer.is_stale:
+                raise StoreError("a write was rejected in an earlier era")
             case 412:
                 return None
             case 429 | 503:
@@ -201,15 +295,19 @@
 
     def _read(
         self, path: str, fields: dict[str, str], timeout: datetime.timedelta
-    ) -> _WirePage:
+    ) -> tuple[_WirePage, int]:
+        """Returns the decoded answer and its era."""
         target = path + "?" + urllib.parse.urlencode(fields)
         try:
-            status, answer = self._call("GET", target, b"", timeout)
+            answer = self._call("GET", target, b"", timeout)
         except OutcomeUnknownError as error:
             raise StoreError(str(error)) from error
+        if answer.is_stale:
+            raise StoreError("the answer is one of an earlier era")
+        status = answer.status
         match status:
             case 200:
-                return _decode_page(answer)
+                return _decode_page(answer.body), answer.era
             case 410:
                 raise HistoryLostError("the store answered 410")
             case 429 | 503:
@@ -219,7 +317,7 @@
 
     def _call(
         self, method: str, target: str, body: bytes, timeout: datetime.timedelta
-    ) -> tuple[int, bytes]:
+    ) -> _Answer:
         self.call_count += 1
         deadline = self._clock.monotonic() + timeout
         fields = [("Host", str(self._address))]
@@ -241,7 +339,7 @@
                 parser = client_connection.receive(
                     deadline - self._clock.monotonic()
                 )
-            answer = parser.get_code(), parser.pop_body()
+            status, body = parser.get_code(), parser.pop_body()
         except http.NoResponseError as error:
             client_connection.close()
             self.is_available = False
@@ -252,14 +350,29 @@
         self._connections.check_in(
             client_connection, pool.parse_keep_alive_timeout(parser)
         )
-        self.is_available = answer[0] not in (429, 503)
-        return answer
+        self.is_available = status not in (429, 503)
+        era = _parse_era(parser.get_header(ERA_HEADER))
+        if era is None:
+            era = self.get_era()
+        self.observe_era(era, "store")
+        is_stale = era < self.get_era()
+        if is_stale:
+            eliot.log_message(
+                "store:stale_answer",
+                target=target,
+                status=status,
+                era=era,
+                known=self.get_era(),
+            )
+        return _Answer(status=status, body=body, era=era, is_stale=is_stale)
 
 
 class StoreTable:
     """The table service of the product, stored in one table of the store.
 
     All rows have the same part, since a transaction cannot span several parts.
+    The version of a row contains the era in which it was read, as the store
+    assigns the same version to another row after a restore.
     """
 
     def __init__(self, store: Store) -> None:
@@ -309,26 +422,55 @@
             write.key: _encode_table_value(write, transaction.write_id)
             for write in transaction.writes
         }
-        conditions = {
-            condition.key: condition.version
-            for condition in transaction.conditions
-        }
+        era = self._store.get_era()
+        conditions: dict[str, int] = {}
+        for condition in transaction.conditions:
+            condition_era, version = _split_version(condition.version)
+            if condition.version != table_module.ABSENT and (
+                condition_era != era
+            ):
+                conflict = table_module.Conflict(
+                    key=condition.key, found=UNKNOWN_VERSION
+                )
+                return expression.Error(conflict)
+            conditions[condition.key] = version
         try:
-            version = self._store.transact(OWN_TABLE, conditions, writes)
+            written = self._store.transact(OWN_TABLE, conditions, writes)
         except OutcomeUnknownError as error:
             raise table_module.OutcomeUnknownError(str(error)) from error
         except StoreError as error:
             raise table_module.TableUnavailableError(str(error)) from error
-        if version is None:
+        if written is None:
             key = transaction.conditions[0].key
             conflict = table_module.Conflict(key=key, found=UNKNOWN_VERSION)
             return expression.Error(conflict)
+        version = _join_version(self._store.get_era(), written)
         committed = table_module.Committed(
             versions=dict.fromkeys(writes, version)
         )
         return expression.Ok(committed)
 
 
+def _join_version(era: int, version: int) -> int:
+    return era << VERSION_BITS | version
+
+
+def _split_version(version: int) -> tuple[int, int]:
+    """Returns the era and the store's version in a version of a table row."""
+    return version >> VERSION_BITS, version & (1 << VERSION_BITS) - 1
+
+
+def _parse_era(value: str | None) -> int | None:
+    """Returns the era in a header, None without a valid one."""
+    value = (value or "").strip()
+    if not (value.isascii() and value.isdecimal()):
+        return None
+    if len(value) > len(str(MAX_ERA)):
+        return None
+    era = int(value)
+    return era if era <= MAX_ERA else None
+
+
 def _encode_row_name(table: str, key: str) -> dict[str, str]:
     return {"table": table, "part": "", "key": key}
 
@@ -346,13 +488,13 @@
     fields = msgspec.json.decode(row.content or b"{}")
     return table_module.Row(
         key=row.key,
-        version=row.version,
+        version=_join_version(row.era, row.version),
         write_id=fields.get("write_id", ""),
         value=fields.get("value"),
     )
 
 
-def _convert_row(row: _WireRow) -> Row:
+def _convert_row(row: _WireRow, era: int) -> Row:
     content: bytes | None = None
     if not row.deleted:
         try:
@@ -360,7 +502,9 @@
         except binascii.Error:
             # Not base64, from another writer; readers reject empty content.
             content = b""
-    return Row(key=row.key, version=row.schema_version, content=content)
+    return Row(
+        key=row.key, version=row.schema_version, content=content, era=era
+    )
 
 
 def _decode_page(answer: bytes) -> _WirePage:
--- a/arbutuscove/platform/tests/test_followers.py
+++ b/arbutuscove/platform/tests/test_followers.py
@@ -31,7 +31,7 @@
     def is_reader(self):
         return self.reader
 
-    def send_update(self, before, version, rows, to_all):
+    def send_update(self, before, version, rows, to_all, era):
         self.sent.append((before, version, rows))
         self.to_all = to_all
 
@@ -46,24 +46,43 @@
         self.pages = []
         self.requested_versions = []
         self.refuses = False
+        self.era = 0
+        self.era_listeners = []
+
+    def get_era(self):
+        return self.era
+
+    def observe_era(self, era, source):
+        if era > self.era:
+            self.era = era
+            for callback in self.era_listeners:
+                callback()
+
+    def add_era_listener(self, callback):
+        self.era_listeners.append(callback)
 
     def read_rows(self, table, key=None):
         if self.refuses:
             raise store_module.StoreError("refused")
         return self.pages.pop(0)
 
-    def wait_for_changes(self, table, version, wait):
-        self.requested_versions.append(version)
+    def wait_for_changes(self, table, position, wait):
+        self.requested_versions.append(position.version)
         return self.pages.pop(0)
 
 
+def at(version, era=0):
+    return store_module.Position(era=era, version=version)
+
+
 def create_entry(**change):
     return msgspec.json.encode(test_entries.ENTRY | change)
 
 
-def create_page(version, **rows):
+def create_page(version, era=0, **rows):
     return store_module.Page(
         version=version,
+        era=era,
         rows=tuple(
             store_module.Row(key=key, version=version, content=content)
             for key, content in rows.items()
@@ -80,7 +99,7 @@
         store, clock, random.Random(1), inventory, gossip, lambda: False
     )
     store.pages.append(create_page(10, a=create_entry()))
-    assert follower.read_snapshot() == 10
+    assert follower.read_snapshot() == at(10)
     return store, gossip, inventory, follower
 
 
@@ -90,7 +109,7 @@
     heartbeat_only = create_entry(sequence=9)
     new = create_entry(address="10.0.0.9:80")
     store.pages.append(create_page(12, a=heartbeat_only, b=new))
-    assert follower.read_changes(10) == 12
+    assert follower.read_changes(at(10)) == at(12)
     row = digest.ListRow(version=12, name="b", content=new)
     assert gossip.sent == [(10, 12, [row])]
 
@@ -104,7 +123,7 @@
     store, gossip, _, follower = scene
     follower._is_lease_holder = lambda: True
     store.pages.append(create_page(12))
-    follower.read_changes(10)
+    follower.read_changes(at(10))
     assert gossip.to_all
 
 
@@ -117,7 +136,7 @@
     gossip.deliver(update)
     assert gossip.forwarded == [update]
     store.pages.append(create_page(13))
-    follower.read_changes(10)  # reads when no further update arrives
+    follower.read_changes(at(10))  # reads when no further update arrives
     assert store.requested_versions == [12]
     assert gossip.sent == [(12, 13, [])]
     assert not gossip.to_all
@@ -132,7 +151,7 @@
     )
     gossip.deliver(update)
     store.pages.append(create_page(13))
-    assert follower.read_changes(10) == 13
+    assert follower.read_changes(at(10)) == at(13)
     assert store.requested_versions == [12]
     assert inventory.find("b") is None
 
@@ -143,7 +162,7 @@
     gossip.reader = False
     gossip.deliver(digest.ListUpdate(sender="p", before=11, version=12))
     store.pages.append(create_page(13, b=create_entry()))
-    assert follower.read_changes(10) == 13
+    assert follower.read_changes(at(10)) == at(13)
     assert store.requested_versions == [10]
     assert inventory.find("b") is not None
 
--- a/arbutuscove/standins/users_store.py
+++ b/arbutuscove/standins/users_store.py
@@ -1,6 +1,11 @@
-"""In-memory store of the users' platform: transactions and a change feed."""
+"""In-memory store of the users' platform: transactions and a change feed.
+
+It may be restored to its state of some seconds ago, with a new era: a number
+that every answer shows in the header `Store-Era`.
+"""
 
 import base64
+import collections
 import dataclasses
 import errno
 import time
@@ -17,18 +22,23 @@
 Reply = tuple[int, typing.Any]
 
 
-def send_json(start_response: StartResponse, reply: Reply) -> list[bytes]:
+def send_json(
+    start_response: StartResponse, reply: Reply, era: int | None = None
+) -> list[bytes]:
     """Starts a response with a JSON body and returns the body.
 
     Args:
         start_response: Callable of the WSGI server.
         reply: Status and body.
+        era: Value of the header `Store-Era`; None omits the header.
     """
     data = msgspec.json.encode(reply[1])
     fields = [
         ("Content-Type", "application/json"),
         ("Content-Length", str(len(data))),
     ]
+    if era is not None:
+        fields.append(("Store-Era", str(era)))
     start_response(f"{reply[0]} -", fields)
     return [data]
 
@@ -42,13 +52,18 @@
         is_unresponsive: Whether calls get no answer while this is set.
         lost_answer_period: If n > 0, the answer to each n-th transaction is
             lost after its commit.
-        delay: Seconds before each answer.
+        delay: Seconds before each call is carried out.
+        answer_delay: Seconds between each call and its answer.
+        is_swallowing: Whether calls that arrive or wait while this is set never
+            get an answer.
     """
 
     error_status: int = 0
     is_unresponsive: bool = False
     lost_answer_period: int = 0
     delay: float = 0.0
+    answer_delay: float = 0.0
+    is_swallowing: bool = False
 
 
 class Store:
@@ -57,11 +72,17 @@
     Attributes:
         faults: Faults in force.
         calls: Number of calls received.
+        feed_calls: Number of feed calls received, by table.
+        era: Number of restores, counted from one.
     """
 
     def __init__(self) -> None:
         self.faults = StoreFaults()
         self.calls = 0
+        self.feed_calls: collections.Counter[str] = collections.Counter()
+        self.era = 1
+        # Each change with the monotonic time of its commit, in seconds.
+        self._journal: list[tuple[float, int, str, str, str | None]] = []
         self._rows: dict[tuple[str, str], tuple[int, str]] = {}
         self._log: list[tuple[int, str, str, str | None]] = []
         self._version = 0
@@ -87,6 +108,27 @@
         self._oldest = self._version
         self._log.clear()
 
+    def restore(self, seconds: float) -> None:
+        """Restores the state as of some seconds ago and begins a new era.
+
+        Args:
+            seconds: age of the restored copy.
+        """
+        limit = time.monotonic() - seconds
+        self._journal = [row for row in self._journal if row[0] <= limit]
+        self._rows.clear()
+        for _, version, table, key, value in self._journal:
+            if value is None:
+                self._rows.pop((table, key), None)
+            else:
+                self._rows[table, key] = (version, value)
+        self._version = self._journal[-1][1] if self._journal else 0
+        self._oldest = min(self._oldest, self._version)
+        self._log = [row for row in self._log if row[0] <= self._version]
+        self.era += 1
+        self._changed.set()
+        self._changed.clear()
+
     def read(self, table: str, key: str) -> typing.Any:
         """Returns a row's decoded content, or None if it does not exist."""
         row = self._rows.get((table, key))
@@ -99,11 +141,13 @@
     ) -> abc.Iterable[bytes]:
         """Handles one HTTP call."""
         self.calls += 1
+        self._swallow()
         gevent.sleep(self.faults.delay)
         while self.faults.is_unresponsive:
             gevent.sleep(0.05)
         if self.faults.error_status:
-            return send_json(start_response, (self.faults.error_status, {}))
+            refusal: Reply = (self.faults.error_status, {})
+            return send_json(start_response, refusal, self.era)
         query = dict(urllib.parse.parse_qsl(environ["QUERY_STRING"]))
         body = environ["wsgi.input"].read()
         match environ["PATH_INFO"]:
@@ -122,7 +166,14 @@
                     )
             case _:
                 reply = (404, {})
-        return send_json(start_response, reply)
+        era = self.era
+        gevent.sleep(self.faults.answer_delay)
+        return send_json(start_response, reply, era)
+
+    def _swallow(self) -> None:
+        """Blocks without end if calls are to get no answer."""
+        if self.faults.is_swallowing:
+            event.Event().wait()
 
     def _apply(self, changes: list[tuple[str, str, str | None]]) -> None:
         self._version += 1
@@ -132,6 +183,9 @@
             else:
                 self._rows[table, key] = (self._version, value)
             self._log.append((self._version, table, key, value))
+            self._journal.append(
+                (time.monotonic(), self._version, table, key, value)
+            )
         self._changed.set()
         self._changed.clear()
 
@@ -151,10 +205,12 @@
         }
 
     def _feed(self, query: dict[str, str]) -> Reply:
+        self.feed_calls[query["table"]] += 1
         since = int(query["since_revision"])
         end = time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
-            if since < self._oldest:
+            self._swallow()
+            if since < self._oldest or since > self._version:
                 return 410, {}
             newest = {
                 key: (version, value)
