Let the leases on the users' platform follow the store's era

Change: the lease holder asks the store's client for the era. The highest era that the client believes is 2**26 - 1 instead of 2**32 - 1: 26 bits of era, 17 of changes of holder and 20 of a group's number are 63 bits.

Ruled out: a higher bound with fewer bits for the changes of holder (11 are used up by 2,047 restarts of daemons without a loss).

--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -163,6 +163,7 @@
             self._lag,
             LEASE_TERMS,
             self._gossip,
+            self._store.get_era,
         )
         self._controller = controller_module.GroupController(
             self._clock,
--- a/arbutuscove/platform/store.py
+++ b/arbutuscove/platform/store.py
@@ -35,7 +35,8 @@
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 OWN_TABLE = "arbutuscove"
 ERA_HEADER = "store-era"
-MAX_ERA = 2**32 - 1
+# With it, the epochs of groups still fit into 63 bits.
+MAX_ERA = 2**26 - 1
 VERSION_BITS = 48  # of the store's version in the version of a table row
 UNKNOWN_VERSION = -1  # a conflict does not report the version of the row
 
