Tell VMs without orders by what they show, not by the first token

Cause: the first token (1) stood for "no VM has accepted an order". The first token of an era says only that no other holder had the lease in that era.

Change: a holder with the first token of an era takes a VM for one without orders only if the VM shows neither a group nor staged weights, which orders leave behind. If that is wrong (an order undone at once), the count that each order names lets the VM refuse it, and the VM is probed.

Ruled out: probing all VMs in each term (a round trip to 171 VMs before the first group of a fleet).

Test: fleet/tests/test_controller.py. A test that a new token begins a new term passed before, too. After: 85 tests of fleet and leases pass.

--- a/arbutuscove/fleet/controller.py
+++ b/arbutuscove/fleet/controller.py
@@ -22,6 +22,7 @@
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
 from arbutuscove.leases import holder as lease_holder
+from arbutuscove.leases import lease
 
 SERVICE_NAME = "group-controller"
 DUTY = "groups"
@@ -50,8 +51,6 @@
 # An unresponsive VM is excluded from plans for this time. A dead VM leaves the
 # list within it.
 UNRESPONSIVE_VM_EXCLUSION = datetime.timedelta(seconds=4)
-# Fencing token of the first lease holder; no VM accepted an order before it.
-FIRST_FENCE = 1
 
 
 class GroupController(services.LoopService):
@@ -252,10 +251,7 @@
         """
         instance = (vm.name, vm.started_at_ms)
         if instance not in self._accepted_counts:
-            if (
-                self._fence == FIRST_FENCE
-                and instance not in self._ordered_instances
-            ):
+            if self._has_no_orders(vm):
                 self._accepted_counts[instance] = 0
             else:
                 status = self._order_client.read_status(vm)
@@ -264,6 +260,21 @@
                 self._accepted_counts[instance] = status.accepted
         return self._accepted_counts[instance]
 
+    def _has_no_orders(self, vm: model.Vm) -> bool:
+        """Returns whether a VM has accepted no order, as far as is known here.
+
+        No other holder had the lease in this era. One of an earlier era would
+        have left a group or staged weights on the VM, unless its order was
+        undone at once; the VM then refuses the first order, which names a wrong
+        count, and is probed before the next one.
+        """
+        return (
+            lease.is_first_of_era(self._fence)
+            and (vm.name, vm.started_at_ms) not in self._ordered_instances
+            and vm.membership is None
+            and not vm.staged
+        )
+
     def _record_outcome(
         self, vm: model.Vm, accepted: int, outcome: orders_module.Outcome
     ) -> None:
--- a/arbutuscove/fleet/tests/test_controller.py
+++ b/arbutuscove/fleet/tests/test_controller.py
@@ -14,6 +14,7 @@
 from arbutuscove.fleet import orders
 from arbutuscove.fleet.tests import test_planner
 from arbutuscove.kernel import clock as clock_module
+from arbutuscove.leases import lease
 
 SECOND = datetime.timedelta(seconds=1)
 
@@ -153,6 +154,64 @@
     assert {order.epoch for order in vms.sent} == {2 << controller.EPOCH_BITS}
 
 
+def list_order_counts(starting_setup, fence, listed):
+    """Lists VMs, lets a holder plan and returns the counts it first sent."""
+    clock, inventory, leases, vms, group_controller = starting_setup
+    leases.fence = fence
+    counts = []
+    send = vms.send
+
+    def record(order, fence, accepted):
+        counts.append(accepted)
+        return send(order, fence, accepted)
+
+    vms.send = record
+    inventory.replace(listed)
+    group_controller.record_traffic()
+    group_controller.run_cycle()
+    return counts
+
+
+@pytest.mark.parametrize("era", [0, 1, 2])
+def test_controller_asks_no_new_vms_at_the_first_start(starting_setup, era):
+    """Guards against a start of the fleet that probes each VM first."""
+    new = [test_planner.create_vm(name, staged=()) for name in "ab"]
+    fence = (era << lease.ERA_SHIFT) + 1
+    assert list_order_counts(starting_setup, fence, new) == [0, 0]
+    assert starting_setup[3].probed == []
+
+
+@pytest.mark.parametrize("era", [0, 1, 2])
+def test_controller_asks_vms_ordered_in_an_earlier_era(starting_setup, era):
+    """Guards against the first token of an era taken for that of the fleet.
+
+    The VMs have accepted orders of holders whose rows the table lost.
+    """
+    vms = starting_setup[3]
+    vms.accepted = {"a": 5, "b": 3}
+    ordered = [test_planner.create_vm(name) for name in "ab"]
+    fence = (era << lease.ERA_SHIFT) + 1
+    counts = list_order_counts(starting_setup, fence, ordered)
+    assert sorted(counts) == [3, 5]
+
+
+def test_controller_begins_a_term_with_the_token_of_a_new_era(serving_setup):
+    """Guards against a planner that goes on with what an era ago held."""
+    _, inventory, leases, vms, group_controller = serving_setup
+    leases.fence = (1 << lease.ERA_SHIFT) + 1
+    inventory.replace([test_planner.create_vm(name) for name in "ab"])
+    group_controller.run_cycle()
+    assert group_controller._planner_states
+    vms.sent.clear()
+    vms.probed.clear()
+    leases.fence = (2 << lease.ERA_SHIFT) + 1
+    group_controller.run_cycle()
+    assert sorted(vms.probed) == ["a", "b"]
+    assert {order.epoch for order in vms.sent} == {
+        leases.fence << controller.EPOCH_BITS
+    }
+
+
 def test_controller_checks_the_lease_after_it_asked_a_vm(serving_setup):
     """Guards against orders under a lease that expired during a probe.
 
--- a/arbutuscove/leases/lease.py
+++ b/arbutuscove/leases/lease.py
@@ -187,6 +187,16 @@
     return max(era << ERA_SHIFT, 0 if row is None else row.epoch) + 1
 
 
+def is_first_of_era(epoch: int) -> bool:
+    """Returns whether an epoch is that of the first holder in its era.
+
+    Example:
+        >>> is_first_of_era(compute_next_epoch(None, 2))
+        True
+    """
+    return epoch & ((1 << ERA_SHIFT) - 1) == 1
+
+
 def compute_held_lease(
     action: Renew | TakeOver,
     sent: datetime.timedelta,
