Write registrations and verdicts again that the store lost

What callers see: after the store of the users' platform came back from an older copy, a daemon that registered in the lost part is not found by daemons that start later, and a part of a prompt that crashed upstreams crashes them again after a restart of all daemons.

Cause: a daemon wrote its address once, at its start, and a verdict once, when it was reached; both counted as written for ever.

Change: with each new era, learned from an answer or from a peer, the registration is written again until it is confirmed, and each daemon writes the verdicts that it owns now or wrote before. Both are logged (registry:written_again, crash:written_again).

Not covered: the row of a verdict that was refuted in the lost part comes back; the next trial after a restart refutes it, as for other rows left over.

--- a/arbutuscove/crashes/holder.py
+++ b/arbutuscove/crashes/holder.py
@@ -64,6 +64,10 @@
         verdicts.restore(rows, self._evidence, self._clock.monotonic())
         self._record_changes(before)
 
+    def record_again(self) -> None:
+        """Writes the verdicts again, which the table may have lost."""
+        self._keeper.record_again(self._evidence)
+
     def is_blamed(self, key: int) -> bool:
         """Returns whether a death blames the trait, refuted or not."""
         return self._evidence.is_blamed(key)
--- a/arbutuscove/crashes/tests/test_tracker.py
+++ b/arbutuscove/crashes/tests/test_tracker.py
@@ -210,6 +210,27 @@
     assert not started.refuses()
 
 
+@pytest.mark.parametrize("is_writer", [True, False])
+def test_tracker_writes_verdicts_again_that_the_table_lost(clock, is_writer):
+    """Guards against a part that crashes VMs anew after a loss and a restart.
+
+    The daemon that wrote the verdict may have ended, so that another one owns
+    it now.
+    """
+    table = memory_table.MemoryTable()
+    daemon = Daemon(clock, is_writer, table)
+    daemon.lose("r1", "a")
+    daemon.lose("r2", "b")
+    daemon.keeper.write_pending()
+    daemon.keeper._owns = lambda key: not is_writer
+    table.rows.clear()
+    daemon.evidence.record_again()
+    daemon.keeper.write_pending()
+    started = Daemon(clock)
+    started.evidence.restore(table_module.read_all(daemon.table, ""))
+    assert started.refuses()
+
+
 def test_tracker_removes_the_row_of_a_cleared_culprit(daemon, clock):
     """Guards against a verdict that returns with each restart."""
     daemon.lose("r1", "a")
--- a/arbutuscove/crashes/verdicts.py
+++ b/arbutuscove/crashes/verdicts.py
@@ -90,6 +90,27 @@
             if is_writer if self._owns is None else self._owns(key):
                 self._put(key, None)
 
+    def record_again(self, evidence: evidence_module.Evidence) -> None:
+        """Writes the rows of all culprits that this daemon owns again.
+
+        The table may have lost them when it came back from an older copy.
+
+        Args:
+            evidence: the evidence with the culprits.
+        """
+        keys = [
+            key
+            for key in evidence.culprits
+            if key in self._written or (self._owns and self._owns(key))
+        ]
+        for key in keys:
+            self._written.add(key)
+            self._put(key, _describe(evidence, key))
+        if keys:
+            eliot.log_message(
+                "crash:written_again", keys=[_format_key(key) for key in keys]
+            )
+
     def write_pending(self) -> None:
         """Writes all pending rows.
 
--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -4,9 +4,11 @@
 import datetime
 import random
 import time
+from collections import abc
 
 import eliot
 import msgspec
+from gevent import event
 
 from arbutuscove.catalog import holder as catalog_holder
 from arbutuscove.crashes import holder as crash_holder
@@ -81,15 +83,29 @@
         self._store = store
         self._clock = clock
         self._gossip = gossip
+        self._is_due = event.Event()
 
     def start(self, kernel: services.Kernel) -> None:
-        """Starts the registration, which is retried until it succeeds."""
-        self.run_loop(self._register)
+        """Starts the registration, which is retried until it succeeds.
 
-    def _register(self) -> None:
+        It is done again in each later era of the store, which may have lost it.
+        """
+        self._store.add_era_listener(self._is_due.set)
+        self.run_loop(self._run)
+
+    def _run(self) -> None:
+        self._add_verdicts(self._register())
+        while True:
+            self._is_due.wait()
+            self._register()
+            eliot.log_message("registry:written_again", key=self._key)
+
+    def _register(self) -> tuple[store_module.Row, ...]:
+        """Writes the own row and returns the rows of the table."""
         table = store_module.OWN_TABLE
         content = msgspec.json.encode({"ip": self._ip})
         while True:
+            self._is_due.clear()
             try:
                 # The write comes first: of two daemons that start at the same
                 # time, the one that reads last finds the other's address.
@@ -99,16 +115,19 @@
             except store_module.StoreError as error:
                 eliot.log_message("registry:failed", reason=str(error))
                 self._clock.sleep(self.RETRY_INTERVAL)
-        self._evidence.restore(
-            store_module.decode_table_row(row)
-            for row in rows
-            if row.key.startswith(verdicts.KEY_PREFIX)
-        )
         self._gossip.add_peers(
             msgspec.json.decode(row.content or b"{}").get("ip", self._ip)
             for row in rows
             if row.key.startswith(DAEMON_PREFIX)
         )
+        return rows
+
+    def _add_verdicts(self, rows: abc.Iterable[store_module.Row]) -> None:
+        self._evidence.restore(
+            store_module.decode_table_row(row)
+            for row in rows
+            if row.key.startswith(verdicts.KEY_PREFIX)
+        )
 
 
 class _Assembly:
@@ -148,6 +167,7 @@
             self._clock, self._verdicts
         )
         self._gossip.set_evidence_source(self._evidence)
+        self._store.add_era_listener(self._evidence.record_again)
         self._crashes = crash_tracker.CrashTracker[fleet_model.Vm](
             self._clock,
             self._inventory.find,
