Send a configuration feed again that a silent store may have lost

Callers see requests handled by an old configuration for up to 20 s after a change was acknowledged, and refusals that the newest version forbids.

Cause: the store was silent. Each daemon's pending feed timed out during the silence, and the feed that it sent next was lost by the store and never answered. A daemon noticed only when the wait of 20 s had passed; no peer was ahead, so none was found behind. A feed that was sent before the store's last failure ended does not show that nothing has changed.

The store's client notices that the store answers again after a failed or refused call, or that it answers a peer again, and calls its listeners: a pending long feed is ended and sent again from the same position. A feed that is sent during a failure or within a second after it waits for 500 ms only, so the guard holds too where the feed is the only call. A working store gets no more calls than before. A shorter wait of the lease holder's feed was weighed: the holder reads the list four times a second, so its own reads fail in each such silence, and its peers learn newer versions from its heartbeats.

--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -331,6 +331,7 @@
 
     def _observe_peer(self, heartbeat: digest.Heartbeat) -> None:
         self._store.observe_era(heartbeat.era, heartbeat.name)
+        self._store.observe_peer(heartbeat.name, heartbeat.store_ok)
 
     def _is_ready(self) -> bool:
         return (
--- a/arbutuscove/platform/followers.py
+++ b/arbutuscove/platform/followers.py
@@ -26,6 +26,9 @@
 # A change ends the wait at once; the limit only bounds the use of a connection
 # on which nothing arrives.
 CONFIGURATION_FEED_WAIT = datetime.timedelta(seconds=20)
+# While the store may lose calls; with the margin of a feed call this is below
+# the two seconds within which a change must be in force.
+DOUBTFUL_FEED_WAIT = datetime.timedelta(milliseconds=500)
 # A working feed delivers a change within some milliseconds.
 BEHIND_TOLERANCE = datetime.timedelta(milliseconds=500)
 # Pause between reads by the lease holder, the daemon that holds the group
@@ -48,6 +51,10 @@
     """A peer has a newer version; the read in progress may hang."""
 
 
+class DoubtfulFeedError(Exception):
+    """The feed call in progress may have been lost by the store."""
+
+
 class _Follower(services.LoopService):
     """Reads a snapshot of a table and then its changes.
 
@@ -95,6 +102,8 @@
             except BehindError:
                 # May be raised in the middle of a call or of a delay.
                 position = None
+            except DoubtfulFeedError:
+                pass  # sends the call again, from the same position
 
     def _read_once(
         self, position: store_module.Position | None
@@ -127,6 +136,8 @@
     ) -> None:
         super().__init__(store, clock, generator)
         self._catalog = catalog
+        self._is_feed_pending = False
+        store.add_recovery_listener(self.end_feed)
         # The version here when a peer was first seen with a newer one, and the
         # time of that.
         self._behind_version = -1
@@ -155,6 +166,17 @@
             if self._greenlet is not None:
                 self._greenlet.kill(BehindError, block=False)
 
+    def end_feed(self) -> bool:
+        """Ends the pending feed call and returns whether there was one.
+
+        Without an answer, the call does not show that nothing has changed.
+        """
+        if not self._is_feed_pending or self._greenlet is None:
+            return False
+        self._is_feed_pending = False
+        self._greenlet.kill(DoubtfulFeedError, block=False)
+        return True
+
     def read_snapshot(self) -> store_module.Position:
         """Reads a snapshot of the table and returns its position."""
         page = self._store.read_rows(self.table, CONFIGURATION_KEY)
@@ -165,9 +187,18 @@
         self, position: store_module.Position
     ) -> store_module.Position:
         """Waits for changes after a position and returns the one reached."""
-        page = self._store.wait_for_changes(
-            self.table, position, CONFIGURATION_FEED_WAIT
-        )
+        if self._store.is_in_doubt():
+            page = self._store.wait_for_changes(
+                self.table, position, DOUBTFUL_FEED_WAIT
+            )
+        else:
+            self._is_feed_pending = True
+            try:
+                page = self._store.wait_for_changes(
+                    self.table, position, CONFIGURATION_FEED_WAIT
+                )
+            finally:
+                self._is_feed_pending = False
         self._apply_page(page)
         return page.position
 
--- a/arbutuscove/platform/store.py
+++ b/arbutuscove/platform/store.py
@@ -34,6 +34,9 @@
 # A page contains at most 1 MB of rows, with their values as base64 in JSON.
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 OWN_TABLE = "arbutuscove"
+# After a failure the store may fail again, or for some calls only.
+DOUBT_PERIOD = datetime.timedelta(seconds=1)
+MAX_UNAVAILABLE_PEERS = 4096
 ERA_HEADER = "store-era"
 MAX_ERA = 2**32 - 1
 VERSION_BITS = 48  # of the store's version in the version of a table row
@@ -127,6 +130,11 @@
 
     The era is learned from every answer and from the peers, and only increases.
     An answer of an older era is not used.
+
+    A feed call that was sent before the end of a failure may have been lost by
+    the store and never be answered. Recovery listeners are therefore called
+    when the store answers again, and `is_in_doubt` says whether a feed call
+    that is sent now should wait only briefly.
     """
 
     def __init__(
@@ -142,6 +150,10 @@
         self.is_available = True
         self._era: int | None = None  # None until it is first learned
         self._era_listeners: list[abc.Callable[[], None]] = []
+        self._has_failed = False  # whether no call was answered since a failure
+        self._recovered_at: datetime.timedelta | None = None
+        self._recovery_listeners: list[abc.Callable[[], bool]] = []
+        self._unavailable_peers: set[str] = set()
 
     def get_era(self) -> int:
         """Returns the highest era learned so far; 0 while unknown."""
@@ -173,6 +185,47 @@
         for callback in self._era_listeners:
             callback()
 
+    def add_recovery_listener(self, callback: abc.Callable[[], bool]) -> None:
+        """Adds a function that is called when the store answers again.
+
+        It ends the feed call that is pending, if any, and returns whether there
+        was one.
+        """
+        self._recovery_listeners.append(callback)
+
+    def is_in_doubt(self) -> bool:
+        """Returns whether a call failed, or did so until a moment ago."""
+        if self._has_failed:
+            return True
+        recovered = self._recovered_at
+        return (
+            recovered is not None
+            and self._clock.monotonic() - recovered < DOUBT_PERIOD
+        )
+
+    def observe_peer(self, name: str, is_available: bool) -> None:
+        """Learns whether the store answers a peer.
+
+        That it answers again is a hint that it also failed here.
+        """
+        if not is_available:
+            if len(self._unavailable_peers) < MAX_UNAVAILABLE_PEERS:
+                self._unavailable_peers.add(name)
+        elif name in self._unavailable_peers:
+            self._unavailable_peers.discard(name)
+            self._report_recovery(name)
+
+    def _record_failure(self) -> None:
+        self.is_available = False
+        self._has_failed = True
+
+    def _report_recovery(self, source: str) -> None:
+        self._recovered_at = self._clock.monotonic()
+        restarted = [callback() for callback in self._recovery_listeners]
+        eliot.log_message(
+            "store:available_again", source=source, feeds=sum(restarted)
+        )
+
     def read_rows(self, table: str, key: str | None = None) -> Page:
         """Returns all rows of a table, or the row of one key.
 
@@ -328,6 +381,7 @@
         try:
             client_connection = self._connections.check_out(self._address)
         except http.NotSentError as error:
+            self._record_failure()
             raise StoreError(str(error)) from error
         self.is_available = was_available
         try:
@@ -342,7 +396,7 @@
             status, body = parser.get_code(), parser.pop_body()
         except http.NoResponseError as error:
             client_connection.close()
-            self.is_available = False
+            self._record_failure()
             raise OutcomeUnknownError(str(error)) from error
         except BaseException:
             client_connection.close()
@@ -350,7 +404,13 @@
         self._connections.check_in(
             client_connection, pool.parse_keep_alive_timeout(parser)
         )
-        self.is_available = status not in (429, 503)
+        if status in (429, 503):
+            self._record_failure()
+        else:
+            self.is_available = True
+            if self._has_failed:
+                self._has_failed = False
+                self._report_recovery("store")
         era = _parse_era(parser.get_header(ERA_HEADER))
         if era is None:
             era = self.get_era()
--- a/arbutuscove/platform/tests/test_followers.py
+++ b/arbutuscove/platform/tests/test_followers.py
@@ -61,6 +61,12 @@
     def add_era_listener(self, callback):
         self.era_listeners.append(callback)
 
+    def add_recovery_listener(self, callback):
+        pass
+
+    def is_in_doubt(self):
+        return False
+
     def read_rows(self, table, key=None):
         if self.refuses:
             raise store_module.StoreError("refused")
