Pass on a VM that writes its entry again within its grace period

Callers of most daemons get 503 for lack of backends after an outage of the store during which entries expired, while one daemon serves.

Cause: the reader of the list sends removals to its peers at once, but still lists the VMs itself during their grace period. When a VM wrote the same entry again, the reader found no change and did not send it. Peers whose own grace period had ended, or had not begun, never listed the VM again. Ruled out: lost updates (the position was complete, so no peer read the list itself).

A VM whose entry was removed now counts as changed.

test_reader_passes_on_a_vm_that_returns failed before (an empty update was sent).

--- a/arbutuscove/fleet/inventory.py
+++ b/arbutuscove/fleet/inventory.py
@@ -71,9 +71,13 @@
         return self._vms.get(name)
 
     def has_changed(self, vm: model.Vm) -> bool:
-        """Returns whether a VM reports another state than before."""
+        """Returns whether a VM reports another state than before.
+
+        A VM whose entry was removed has changed, even if it is still listed
+        here: peers were told of the removal and may have delisted it.
+        """
         before = self._vms.get(vm.name)
-        if before is None:
+        if before is None or vm.name in self._grace_deadlines:
             return True
         return dataclasses.replace(before, last_model=vm.last_model) != vm
 
--- a/arbutuscove/platform/tests/test_followers.py
+++ b/arbutuscove/platform/tests/test_followers.py
@@ -120,6 +120,24 @@
     assert gossip.sent == [(10, 12, [row])]
 
 
+def test_reader_passes_on_a_vm_that_returns(scene):
+    """Guards against VMs that only the reader uses after an outage.
+
+    The reader still lists a VM during its grace period, while a peer delists it
+    at once; when the VM wrote the same entry again, the peer was not told
+    (nilavu-diary mix seed 928459047096: 503 for lack of backends).
+    """
+    store, gossip, inventory, follower = scene
+    store.pages.append(create_page(11, a=None))
+    position = follower.read_changes(at(10))
+    assert inventory.find("a") is not None
+    entry = create_entry(sequence=9)
+    store.pages.append(create_page(12, a=entry))
+    follower.read_changes(position)
+    row = digest.ListRow(version=12, name="a", content=entry)
+    assert gossip.sent[-1] == (11, 12, [row])
+
+
 def test_holder_of_the_duty_reads_for_all(scene):
     """Guards against store calls that grow with the failure domains.
 
