Let the own interface learn the era of its table

What callers see: nothing until a table comes back from an older copy; then an acceptance, a claim, a slice or a lease can be confirmed although its condition was read before the loss and holds by accident, since the table gives versions out again.

Cause: HttpTable compared versions across the loss.

Change: as on the users' platform, each answer may name an era (`Store-Era`). The version of a row contains the era in which it was read; a condition of another era is a conflict, a write that another era answers has an unknown outcome and is read back, an answer of an earlier era is not used. Without the header nothing changes. The stand-in can take a copy and be restored to it, with a new era.

Ruled out: a check of the era by each caller of the table (nine places).

--- a/arbutuscove/standins/table.py
+++ b/arbutuscove/standins/table.py
@@ -2,8 +2,10 @@
 
 `POST /faults` injects faults: `down` rejects all calls, `lose_confirmation`
 applies a write and drops its answer, `lose_request` drops a write unapplied,
-and `slow` delays each answer. Tests use the log of applied writes as a record
-that does not depend on the daemons.
+and `slow` delays each answer. `POST /restore` loses all writes since
+`POST /save`, gives their versions out again and begins a new era, which the
+header `Store-Era` then names in all answers. Tests use the log of applied
+writes as a record that does not depend on the daemons.
 """
 
 import dataclasses
@@ -76,12 +78,29 @@
     Attributes:
         rows: Current rows by key, in key order.
         log: Applied writes in order, up to `MAX_LOG_ENTRIES`.
+        era: Number of restores.
     """
 
     def __init__(self) -> None:
         self.rows: sortedcontainers.SortedDict = sortedcontainers.SortedDict()
         self.log: list[dict[str, typing.Any]] = []
         self._versions: dict[str, int] = {}
+        self.era = 0
+        self.save()
+
+    def save(self) -> None:
+        """Takes the copy that the next `restore` returns to."""
+        self._copy = self.rows.copy(), dict(self._versions)
+
+    def restore(self) -> None:
+        """Loses all writes since the copy and begins a new era."""
+        rows, versions = self._copy
+        self.rows, self._versions = rows.copy(), dict(versions)
+        self.era += 1
+
+    def get_era(self) -> int:
+        """Returns the era."""
+        return self.era
 
     def read(self, key: str) -> table.Row | None:
         """Returns the row, or None if it does not exist."""
@@ -162,15 +181,36 @@
         """Returns the WSGI application."""
         return server.App(
             [
-                ("GET", "/rows/<path:key>", self._read),
-                ("GET", "/scan", self._scan),
-                ("POST", "/transact", self._transact),
+                ("GET", "/rows/<path:key>", self._name_era(self._read)),
+                ("GET", "/scan", self._name_era(self._scan)),
+                ("POST", "/transact", self._name_era(self._transact)),
+                ("POST", "/save", self._save),
+                ("POST", "/restore", self._restore),
                 ("POST", "/faults", self._set_faults),
                 ("GET", "/log", self._get_log),
                 ("GET", "/counts", self._get_counts),
             ]
         )
 
+    def _name_era(self, handler: server.Handler) -> server.Handler:
+        def handle(
+            request: wrappers.Request, **values: typing.Any
+        ) -> wrappers.Response:
+            response = handler(request, **values)
+            if self._table.era:
+                response.headers["Store-Era"] = str(self._table.era)
+            return response
+
+        return handle
+
+    def _save(self, request: wrappers.Request) -> wrappers.Response:
+        self._table.save()
+        return server.respond({})
+
+    def _restore(self, request: wrappers.Request) -> wrappers.Response:
+        self._table.restore()
+        return server.respond({})
+
     def _check_available(self, limit: RateLimit) -> wrappers.Response | None:
         if self._faults.mode == Mode.SLOW:
             gevent.sleep(self._faults.delay.total_seconds())
--- a/arbutuscove/storage/table.py
+++ b/arbutuscove/storage/table.py
@@ -17,14 +17,17 @@
 import urllib.parse
 import uuid
 
+import eliot
 import expression
 import msgspec
 
 from arbutuscove.kernel import clock as clock_module
+from arbutuscove.storage import eras
 from arbutuscove.storage import http
 
 SERVICE_NAME = "table"
 ABSENT = 0  # version of a row that does not exist
+UNKNOWN_VERSION = -1  # a conflict that does not report the version of the row
 SCAN_LIMIT = 500  # rows per page of a scan
 COMMIT_TIMEOUT = datetime.timedelta(seconds=3)
 RETRY_DELAY = datetime.timedelta(milliseconds=100)
@@ -128,10 +131,19 @@
 
 
 class HttpTable:
-    """Client of the table service over HTTP."""
+    """Client of the table service over HTTP.
+
+    The era of the service is learned from its answers and only increases. An
+    answer of an earlier era is not used.
+    """
 
     def __init__(self, address: http.Address) -> None:
         self._client = http.JsonClient(address)
+        self._era = 0
+
+    def get_era(self) -> int:
+        """Returns the highest era learned so far; 0 if none was named."""
+        return self._era
 
     def read(self, key: str) -> Row | None:
         """Returns the row, or None if there is none.
@@ -139,10 +151,11 @@
         Raises:
             TableUnavailableError: the table could not be read.
         """
-        reply = self._read("/rows/" + urllib.parse.quote(key, safe="/"))
+        path = "/rows/" + urllib.parse.quote(key, safe="/")
+        reply, era = self._read(path)
         if reply.status == 404:
             return None
-        return msgspec.convert(reply.json(), Row)
+        return _join_era(msgspec.convert(reply.json(), Row), era)
 
     def scan(
         self, prefix: str, after: str = "", limit: int = SCAN_LIMIT
@@ -160,7 +173,9 @@
         query = urllib.parse.urlencode(
             {"prefix": prefix, "after": after, "limit": limit}
         )
-        return msgspec.convert(self._read("/scan?" + query).json(), list[Row])
+        reply, era = self._read("/scan?" + query)
+        rows = msgspec.convert(reply.json(), list[Row])
+        return [_join_era(row, era) for row in rows]
 
     def transact(self, transaction: Transaction) -> Outcome:
         """Applies a transaction once.
@@ -169,15 +184,39 @@
             TableUnavailableError: nothing was written.
             OutcomeUnknownError: the confirmation was lost.
         """
+        sent_era = self._era
+        conditions = []
+        for condition in transaction.conditions:
+            era, number = eras.split_version(condition.version)
+            if condition.version != ABSENT and era != sent_era:
+                conflict = Conflict(key=condition.key, found=UNKNOWN_VERSION)
+                return expression.Error(conflict)
+            conditions.append(dataclasses.replace(condition, version=number))
+        request = dataclasses.replace(transaction, conditions=tuple(conditions))
         try:
-            reply = self._client.send("POST", "/transact", transaction)
+            reply = self._client.send("POST", "/transact", request)
         except http.NotSentError as error:
             raise TableUnavailableError(str(error)) from error
         except http.HttpError as error:
             raise OutcomeUnknownError(str(error)) from error
+        era = self._learn_era(reply)
         match reply.status:
+            case 200 if not era == sent_era == self._era:
+                # Written before a restore and lost by it, or written after it
+                # under conditions that were read before it.
+                raise OutcomeUnknownError("the table's era changed")
+            case 409 if era < self._era:
+                raise TableUnavailableError("rejected in an earlier era")
             case 200:
-                return expression.Ok(msgspec.convert(reply.json(), Committed))
+                committed = msgspec.convert(reply.json(), Committed)
+                return expression.Ok(
+                    Committed(
+                        versions={
+                            key: eras.join_version(era, number)
+                            for key, number in committed.versions.items()
+                        }
+                    )
+                )
             case 409:
                 return expression.Error(msgspec.convert(reply.json(), Conflict))
             case 429 | 503:
@@ -185,14 +224,36 @@
             case _:
                 raise OutcomeUnknownError(f"table answered {reply.status}")
 
-    def _read(self, path: str) -> http.Reply:
+    def _read(self, path: str) -> tuple[http.Reply, int]:
+        """Returns the answer and its era."""
         try:
             reply = self._client.send("GET", path)
         except http.HttpError as error:
             raise TableUnavailableError(str(error)) from error
+        era = self._learn_era(reply)
         if reply.status not in (200, 404):
             raise TableUnavailableError(f"table answered {reply.status}")
-        return reply
+        if era < self._era:
+            raise TableUnavailableError("the answer is of an earlier era")
+        return reply, era
+
+    def _learn_era(self, reply: http.Reply) -> int:
+        """Learns the era of an answer and returns it."""
+        named = [
+            value
+            for name, value in reply.headers.items()
+            if name.lower() == eras.HEADER
+        ]
+        era = eras.parse(named[0]) if named else self._era
+        if era > self._era:
+            eliot.log_message("table:era", before=self._era, after=era)
+            self._era = era
+        return era
+
+
+def _join_era(row: Row, era: int) -> Row:
+    version = eras.join_version(era, row.version)
+    return dataclasses.replace(row, version=version)
 
 
 def read_all(table: Table, prefix: str) -> list[Row]:
