Run no request again whose claim the table may have lost

What callers see: on the own interface, after the table came back from an older copy, a repeat of a non-repeatable request runs a second time if its claim was written in the lost part. An abandoned claim that was taken again in that part can be taken once more.

Cause: an absent claim counted as the proof that a request has not run.

Change: each process remembers the claims that it wrote in the last two minutes and, from its next check (every 2 s) after a change of the era, writes the lost ones again. For 10 s after a process learns of the new era, which the read of the claim itself tells it, absent and abandoned claims answer 409 `outcome_unknown`, run `unknown`. After that a row names the era as settled, so that processes that start later need not wait. A claim whose write was answered by another era than its read is not dispatched. The leases of the own interface follow the era, too.

Ruled out: to refuse absent claims for ever (no request would run any more), and a time in the caller's key (callers choose the keys).

Not covered, see docs/guarantees.md: the claims of a process that died, or was cut off from the table for longer than the settle time, around the loss.

Test: requests/tests/test_lost_claims.py.

--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -88,7 +88,9 @@
         lambda: [member.peer_address for member in membership.get_alive()],
         peers,
     )
-    leases = holder.LeaseHolder(identity, table, clock, lag_monitor)
+    leases = holder.LeaseHolder(
+        identity, table, clock, lag_monitor, get_era=table.get_era
+    )
     replica_controller = controller.ReplicaController(
         identity, table, clock, config, leases, board, directory, engines
     )
@@ -122,7 +124,7 @@
         suspect_tracker,
     )
     at_most_once = once.AtMostOnce(
-        claims.Claims(table, clock, identity), objects
+        claims.Claims(table, clock, identity, table.get_era), objects
     )
     operations = operations_module.Operations(
         settings.name,
--- a/arbutuscove/requests/claims.py
+++ b/arbutuscove/requests/claims.py
@@ -6,17 +6,22 @@
 abandoned it before dispatch. If a claim is neither done nor abandoned, the
 outcome is reported as unknown and the request never runs again. While the
 table service hangs, a circuit breaker refuses new claims without a call.
+
+After the table came back from an older copy, a claim that is absent may have
+been lost. Its outcome is then reported as unknown, too.
 """
 
 import dataclasses
 import enum
 import hashlib
+from collections import abc
 
 import expression
 import msgspec
 
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.requests import breaker
+from arbutuscove.requests import lost_claims
 from arbutuscove.storage import table as table_module
 
 KEY_PREFIX = "claim/"
@@ -82,6 +87,10 @@
     return f"{KEY_PREFIX}{account}/{digest}"
 
 
+class ClaimLostError(Exception):
+    """The table may have lost the claim; nothing was dispatched."""
+
+
 class Claims:
     """Acquires and settles claims in the table service."""
 
@@ -90,10 +99,13 @@
         table: table_module.Table,
         clock: clock_module.Clock,
         daemon: str,
+        get_era: abc.Callable[[], int] = lambda: 0,
     ) -> None:
         self._table = table
         self._clock = clock
         self._daemon = daemon
+        self._get_era = get_era
+        self._lost = lost_claims.LostClaims(table, clock, get_era)
         self._breaker = breaker.Breaker(clock)
 
     def acquire(
@@ -114,6 +126,7 @@
         Raises:
             ClaimUnavailableError: nothing was written.
             ClaimUnknownError: the claim may or may not have been written.
+            ClaimLostError: the claim may have been lost.
         """
         if not self._breaker.allow_call():
             raise ClaimUnavailableError("the table service does not answer")
@@ -144,6 +157,9 @@
             is_abandoned = existing.state == ClaimState.ABANDONED
             if not is_abandoned or existing.digest != digest:
                 return expression.Error(existing)
+        if self._lost.may_be_lost():
+            raise ClaimLostError("the table may have lost the claim")
+        era = self._get_era()
         claim = Claim(
             attempt_id=attempt_id,
             digest=digest,
@@ -151,6 +167,9 @@
             daemon=self._daemon,
         )
         held_claim = self._write(key, version, claim)
+        if self._get_era() != era:
+            # Another attempt may have claimed the request in the lost part.
+            raise ClaimLostError("the table may have lost the claim")
         if held_claim is not None:
             return expression.Ok(held_claim)
         row = self._table.read(key)
@@ -158,6 +177,14 @@
             raise ClaimUnavailableError("the claim row changed meanwhile")
         return expression.Error(row.decode(Claim))
 
+    def restore_lost(self) -> None:
+        """Writes claims again that the table lost; to be called regularly.
+
+        Raises:
+            TableError: the table could not be read or written.
+        """
+        self._lost.check()
+
     def abandon(self, held_claim: HeldClaim) -> bool:
         """Abandons a claim before dispatch.
 
@@ -195,13 +222,13 @@
             return False
 
     def _write(self, key: str, version: int, claim: Claim) -> HeldClaim | None:
+        value = msgspec.to_builtins(claim)
         transaction = table_module.Transaction(
             conditions=(table_module.Condition(key=key, version=version),),
-            writes=(
-                table_module.Write(key=key, value=msgspec.to_builtins(claim)),
-            ),
+            writes=(table_module.Write(key=key, value=value),),
         )
         result = table_module.commit(self._table, transaction, self._clock)
         if result.is_error():
             return None
+        self._lost.remember(key, value)
         return HeldClaim(key=key, claim=claim, version=result.ok.versions[key])
--- a/arbutuscove/requests/once.py
+++ b/arbutuscove/requests/once.py
@@ -3,12 +3,15 @@
 import datetime
 
 import eliot
+import gevent
 
 from arbutuscove.admission import work as work_module
 from arbutuscove.kernel import services
 from arbutuscove.requests import claims as claims_module
 from arbutuscove.requests import failures
+from arbutuscove.requests import lost_claims
 from arbutuscove.storage import objects as objects_module
+from arbutuscove.storage import table as table_module
 
 SERVICE_NAME = "once"
 ANSWER_PREFIX = "answers/"
@@ -23,7 +26,7 @@
         self.answer = answer
 
 
-class AtMostOnce(services.BaseService):
+class AtMostOnce(services.LoopService):
     """Claims requests before dispatch and stores their answers afterwards."""
 
     def __init__(
@@ -34,6 +37,26 @@
         self._claims = claims
         self._objects = objects
 
+    def start(self, kernel: services.Kernel) -> None:
+        """Starts the loop that writes lost claims again."""
+        self.run_loop(self._run)
+
+    def _run(self) -> None:
+        while True:
+            gevent.sleep(lost_claims.CHECK_INTERVAL.total_seconds())
+            try:
+                self.check_claims()
+            except table_module.TableError as error:
+                eliot.log_message("claims:not_checked", reason=str(error))
+
+    def check_claims(self) -> None:
+        """Writes claims again that the table lost.
+
+        Raises:
+            TableError: the table could not be read or written.
+        """
+        self._claims.restore_lost()
+
     def begin(
         self, account: str, key: str, attempt_id: str, digest: str
     ) -> claims_module.HeldClaim:
@@ -56,6 +79,8 @@
             raise _build_error(503, "claims_unavailable", str(error)) from error
         except claims_module.ClaimUnknownError as error:
             raise _build_error(503, "claim_unsettled", str(error)) from error
+        except claims_module.ClaimLostError as error:
+            raise _build_unknown_outcome() from error
         if result.is_ok():
             return result.ok
         raise self._build_conflict(result.error, digest)
@@ -90,13 +115,7 @@
             )
         if existing.state == claims_module.ClaimState.DONE:
             return AlreadyRanError(self._load_answer(existing.answer))
-        refusal = work_module.Refusal(
-            status=409,
-            code="outcome_unknown",
-            message="the request is running or its outcome is unknown",
-            retry_after=RETRY_AFTER,
-        )
-        return failures.RequestFailedError(refusal, failures.RunStatus.UNKNOWN)
+        return _build_unknown_outcome()
 
     def _load_answer(self, object_key: str) -> bytes | None:
         if not object_key:
@@ -107,6 +126,16 @@
             return None
 
 
+def _build_unknown_outcome() -> failures.RequestFailedError:
+    refusal = work_module.Refusal(
+        status=409,
+        code="outcome_unknown",
+        message="the request is running or its outcome is unknown",
+        retry_after=RETRY_AFTER,
+    )
+    return failures.RequestFailedError(refusal, failures.RunStatus.UNKNOWN)
+
+
 def _build_error(
     status: int, code: str, message: str
 ) -> failures.RequestFailedError:
