Settle what is known when the store comes back from an older copy

Callers may meet a leaving VM as ready, miss live VMs, or wait for a change of the configuration whose version the store's counter has passed again.

Cause: a daemon noticed a new era only by its own answers; a pending feed of the older era waited on, and rows of the copy replaced newer ones that were known.

An update of an older era is dropped. One of a newer era has its entries applied, as the daemon may be unable to read the store, and makes it read for itself. Inventory.is_settling says so to the controller.

The heartbeat count of an entry is now decoded; an entry whose count is no integer is skipped, as are entries with other fields of another type.

--- a/arbutuscove/fleet/inventory.py
+++ b/arbutuscove/fleet/inventory.py
@@ -4,6 +4,9 @@
 not be read, or soon afterwards, the VM may be alive and only have been unable
 to write its heartbeat. The entry is then kept until the VM has had time to
 write it again.
+
+The list may also come back as it was some seconds ago. It then *settles* for as
+long: an entry that is older than the one known here does not replace it.
 """
 
 import dataclasses
@@ -58,9 +61,21 @@
         self._departed: dict[str, Departed] = {}
         self._read_at: datetime.timedelta | None = None
         self._recovered_at: datetime.timedelta | None = None
+        self._settled_at: datetime.timedelta | None = None
         self._changed = event.Event()
         self.revision = 0
 
+    def begin_settling(self) -> None:
+        """Records that the list came back as it was some time ago."""
+        now = self._clock.monotonic()
+        self._recovered_at = now
+        self._settled_at = now + LAPSE_GRACE
+
+    def is_settling(self) -> bool:
+        """Returns whether the list may lack what VMs have reported."""
+        settled = self._settled_at
+        return settled is not None and self._clock.monotonic() < settled
+
     def list_vms(self) -> abc.Collection[model.Vm]:
         """Returns the listed VMs and those kept during a grace period."""
         self._evict_expired()
@@ -76,6 +91,8 @@
         A VM whose entry was removed has changed, even if it is still listed
         here: peers were told of the removal and may have delisted it.
         """
+        if self._is_outdated(vm):
+            return False
         before = self._vms.get(vm.name)
         if before is None or vm.name in self._grace_deadlines:
             return True
@@ -134,6 +151,8 @@
         self._read_at = now
 
     def _put(self, vm: model.Vm) -> None:
+        if self._is_outdated(vm):
+            return
         before = self._vms.get(vm.name)
         vm = _carry_last_model(before, self._departed.get(vm.name), vm)
         self._grace_deadlines.pop(vm.name, None)
@@ -156,6 +175,17 @@
         elif before.leaving != vm.leaving:
             eliot.log_message("fleet:vm_leaving", vm=vm.name)
 
+    def _is_outdated(self, vm: model.Vm) -> bool:
+        """Returns whether an entry is older than what is known of its VM."""
+        if not self.is_settling():
+            return False
+        known = self._vms.get(vm.name)
+        if known is not None:
+            return vm.precedes(known)
+        departed = self._departed.get(vm.name)
+        # Not even the same report, as the VM's removal came after it.
+        return departed is not None and not departed.vm.precedes(vm)
+
     def _remove(self, name: str) -> None:
         if name not in self._vms:
             return
--- a/arbutuscove/fleet/model.py
+++ b/arbutuscove/fleet/model.py
@@ -51,7 +51,9 @@
     models on its host, `loaded` the models in its memory. `slots` is how many
     requests it runs concurrently. `last_model` is the model of its last group
     since its start, as observed by this daemon; the VM does not report it. The
-    VM joins a group of that model faster than a group of any other.
+    VM joins a group of that model faster than a group of any other. `sequence`
+    counts the VM's heartbeats since its start, 0 if unknown; it orders reports
+    and does not count in comparisons.
     """
 
     name: str
@@ -66,6 +68,19 @@
     loaded: tuple[str, ...] = ()
     membership: Membership | None = None
     last_model: str = ""
+    sequence: int = dataclasses.field(default=0, compare=False)
+
+    def precedes(self, other: "Vm") -> bool:
+        """Returns whether this report of a VM was made before another one.
+
+        Without both heartbeat counts, a VM that leaves does not become ready
+        again without a start.
+        """
+        if self.started_at_ms != other.started_at_ms:
+            return 0 < self.started_at_ms < other.started_at_ms
+        if self.sequence > 0 and other.sequence > 0:
+            return self.sequence < other.sequence
+        return other.leaving and not self.leaving
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/arbutuscove/fleet/tests/test_inventory.py
+++ b/arbutuscove/fleet/tests/test_inventory.py
@@ -83,3 +83,63 @@
         [],
     )
     assert vm_list.find("a").last_model == ""
+
+
+def test_older_copy_does_not_make_a_leaving_vm_ready():
+    """Guards against new requests to a VM that drains.
+
+    The list comes back as it was before the VM wrote that it leaves.
+    """
+    clock, vm_list = create_inventory()
+    leaving = test_planner.create_vm("a", sequence=7, leaving=True)
+    vm_list.update([leaving], [])
+    vm_list.begin_settling()
+    older = test_planner.create_vm("a", sequence=5)
+    assert not vm_list.has_changed(older)
+    vm_list.replace([older, test_planner.create_vm("b")])
+    assert vm_list.find("a").leaving
+    vm_list.update([test_planner.create_vm("a")], [])
+    assert vm_list.find("a").leaving
+    restarted = test_planner.create_vm("a", started_at_ms=9, sequence=1)
+    vm_list.update([restarted], [])
+    assert not vm_list.find("a").leaving
+    vm_list.update([leaving], [])
+    assert not vm_list.find("a").leaving
+    clock.advance(inventory.LAPSE_GRACE)
+    assert not vm_list.is_settling()
+
+
+def test_vms_missing_from_an_older_copy_are_kept():
+    """Guards against live VMs that are unlisted until they write again."""
+    clock, vm_list = create_inventory()
+    vm_list.begin_settling()
+    vm_list.replace([test_planner.create_vm("b")])
+    assert {vm.name for vm in vm_list.list_vms()} == {"a", "b"}
+    clock.advance(inventory.LAPSE_GRACE)
+    assert {vm.name for vm in vm_list.list_vms()} == {"b"}
+    departed = {vm.vm.name: vm for vm in vm_list.list_departed()}
+    assert departed["a"].may_be_serving()
+
+
+def test_older_copy_does_not_list_a_departed_vm():
+    """Guards against requests to a VM that left in the part that was lost."""
+    clock, vm_list = create_inventory()
+    vm_list.update([test_planner.create_vm("a", sequence=7)], [])
+    step(clock, vm_list)
+    vm_list.update([], ["a"])
+    vm_list.begin_settling()
+    vm_list.update([test_planner.create_vm("a", sequence=6)], [])
+    assert vm_list.find("a") is None
+    vm_list.update([test_planner.create_vm("a", sequence=8)], [])
+    assert vm_list.find("a") is not None
+
+
+def test_list_settles_only_after_a_restore():
+    """Guards against repairs that wait at a start or after an outage."""
+    clock, vm_list = create_inventory()
+    assert not vm_list.is_settling()
+    clock.advance(5 * SECOND)
+    vm_list.update([], [])
+    assert not vm_list.is_settling()
+    vm_list.begin_settling()
+    assert vm_list.is_settling()
--- a/arbutuscove/platform/entries.py
+++ b/arbutuscove/platform/entries.py
@@ -36,14 +36,14 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Entry:
-    # The field "sequence" is left out: here it counts heartbeats, while in a
-    # status report the same name counts orders.
     service: str
     address: str
     zone: str  # failure domain
     state: str
     slots: int
     born: int = 0  # start of the VM in Unix milliseconds
+    # Counts heartbeats; in a status report, the same name counts orders.
+    sequence: int = 0
     domain: str | int = ""  # fabric domain
     staged: tuple[str, ...] = ()  # models on the VM's host
     models: tuple[_Model, ...] = ()  # models in the VM's memory
@@ -86,6 +86,7 @@
         staged=entry.staged,
         loaded=tuple(loaded.name for loaded in entry.models),
         membership=membership,
+        sequence=entry.sequence,
     )
 
 
--- a/arbutuscove/platform/followers.py
+++ b/arbutuscove/platform/followers.py
@@ -5,6 +5,7 @@
 from collections import abc
 
 import eliot
+import gevent
 from gevent import event
 
 from arbutuscove.catalog import holder as catalog_holder
@@ -48,7 +49,7 @@
 
 
 class BehindError(Exception):
-    """A peer has a newer version; the read in progress may hang."""
+    """A peer has a newer version or era; the read in progress may hang."""
 
 
 class DoubtfulFeedError(Exception):
@@ -72,6 +73,13 @@
         self._store = store
         self._clock = clock
         self._generator = generator
+        store.add_era_listener(self.begin_era)
+
+    def begin_era(self) -> None:
+        """Ends the read in progress and reads a snapshot of the new era."""
+        # A read that learned the era itself does not use its old position.
+        if self._greenlet not in (None, gevent.getcurrent()):
+            self._greenlet.kill(BehindError, block=False)
 
     def start(self, kernel: services.Kernel) -> None:
         """Starts to follow the table."""
@@ -239,9 +247,17 @@
         self._has_missed_update = False
         gossip.set_update_handler(self.receive_update)
 
+    def begin_era(self) -> None:
+        """Ends the read in progress and reads a snapshot of the new era."""
+        self._inventory.begin_settling()
+        super().begin_era()
+
     def read_snapshot(self) -> store_module.Position:
         """Reads a snapshot of the table and returns its position."""
         page = self._store.read_rows(self.table)
+        if self._position is not None and page.era != self._position.era:
+            # Possibly long after the change of the era.
+            self._inventory.begin_settling()
         vms, _ = _decode({row.key: row.content for row in page.rows})
         self._inventory.replace(vms)
         self._position = page.position
@@ -291,6 +307,8 @@
         """Applies an update from a peer if no update before it was missed.
 
         Only an update of the era that this daemon reads advances its position.
+        Entries of a newer era are used, as this daemon may be unable to read
+        the store, but it reads for itself what else has changed.
         """
         self._store.observe_era(update.era, "update")
         if update.era < self._store.get_era():
@@ -304,7 +322,16 @@
         if reached <= current:
             self._update_received.set()
             return
-        if update.era > current.era or update.before > current.version:
+        if update.era > current.era:
+            self._has_missed_update = True
+            self._apply_rows(
+                {
+                    name: content
+                    for name, content in update.rows
+                    if content is not None
+                }
+            )
+        elif update.before > current.version:
             self._has_missed_update = True
         else:
             self._position = reached
--- a/arbutuscove/platform/tests/test_configuration_feed.py
+++ b/arbutuscove/platform/tests/test_configuration_feed.py
@@ -1,4 +1,7 @@
-"""Guards against a configuration that stays behind after a store failure."""
+"""Guards against a configuration that is behind or goes back.
+
+The store was silent, or it came back from an older copy.
+"""
 
 import datetime
 import random
@@ -140,3 +143,41 @@
     assert calls <= 6
     gevent.sleep(2 * followers.DOUBTFUL_FEED_WAIT.total_seconds())
     assert scene.service.feed_calls["op"] == calls
+
+
+def test_pending_feed_ends_when_a_peer_is_in_a_new_era(scene):
+    """Guards against a feed whose position the counter has passed again.
+
+    The feed hides what was written below its position, and this daemon makes no
+    other call.
+    """
+    gevent.sleep(0.3)
+    scene.service.put("other", "a", 1)
+    scene.change()
+    assert scene.wait_until_in_force()
+    scene.service.put("other", "a", 2)
+    gevent.sleep(0.05)
+    scene.service.faults.is_swallowing = True
+    gevent.sleep(0.2)  # the pending feed is lost
+    scene.service.faults.is_swallowing = False
+    scene.service.restore(0.4)
+    scene.change()
+    scene.store.observe_era(scene.service.era, "p")
+    assert scene.wait_until_in_force()
+
+
+def test_configuration_never_goes_back(scene):
+    """Guards against an older version of a copy that comes into force again.
+
+    Versions are the operator's own and outlive a restore.
+    """
+    gevent.sleep(0.2)
+    scene.change()
+    assert scene.wait_until_in_force()
+    scene.service.restore(0.15)
+    scene.store.read_rows("servers")
+    gevent.sleep(0.3)
+    assert scene.service.read("op", "config")["version"] == 1
+    assert scene.catalog.get_version() == 2
+    scene.change()
+    assert scene.wait_until_in_force()
--- a/arbutuscove/platform/tests/test_followers.py
+++ b/arbutuscove/platform/tests/test_followers.py
@@ -252,3 +252,71 @@
     gevent.sleep(0.02)
     assert not follower._greenlet.dead
     follower.stop()
+
+
+def test_update_of_an_earlier_era_changes_nothing(scene):
+    """Guards against entries from before a restore that replace newer ones.
+
+    The version of the update is higher than those assigned since.
+    """
+    store, gossip, inventory, follower = scene
+    store.observe_era(2, "store")
+    store.pages.append(create_page(4, era=2, b=create_entry()))
+    assert follower.read_snapshot() == at(4, era=2)
+    gossip.deliver(
+        digest.ListUpdate(
+            sender="p",
+            before=4,
+            version=12,
+            rows=(("b", None), ("z", create_entry())),
+            era=1,
+        )
+    )
+    assert inventory.find("z") is None
+    store.pages.append(create_page(5, era=2))
+    follower.read_changes(at(4, era=2))
+    assert store.requested_versions == [4]
+
+
+def test_page_of_a_new_era_is_used(scene):
+    """Guards against pages that are dropped until the counter has caught up."""
+    store, _, inventory, follower = scene
+    store.observe_era(2, "store")
+    store.pages.append(create_page(4, era=2, b=create_entry()))
+    position = follower.read_snapshot()
+    store.pages.append(create_page(5, era=2, c=create_entry()))
+    assert follower.read_changes(position) == at(5, era=2)
+    assert inventory.find("c") is not None
+
+
+def test_daemon_without_the_store_learns_the_era_from_an_update(scene):
+    """Guards against a daemon that stays in an era that its peers have left."""
+    store, gossip, inventory, follower = scene
+    killed = []
+    follower._greenlet = FakeGreenlet(killed)
+    gossip.deliver(
+        digest.ListUpdate(
+            sender="p",
+            before=3,
+            version=4,
+            rows=(("a", None), ("z", create_entry())),
+            era=2,
+        )
+    )
+    assert store.get_era() == 2
+    assert killed == [followers.BehindError]
+    assert inventory.find("a") is not None
+    assert inventory.find("z") is not None
+    assert inventory.is_settling()
+
+
+def test_late_first_read_of_a_new_era_settles_again(scene):
+    """Guards against a copy that replaces what is known, read long after."""
+    store, _, inventory, follower = scene
+    store.observe_era(2, "peer")
+    follower._clock.advance(inventory_module.LAPSE_GRACE * 2)
+    assert not inventory.is_settling()
+    older = create_entry(sequence=3, state="draining")
+    store.pages.append(create_page(4, era=2, a=older))
+    follower.read_snapshot()
+    assert not inventory.find("a").leaving
