Order no VM from a list that came back older

What callers see: after the store of the users' platform came back from an older copy, the holder of the duty forms groups of VMs that are in other groups by their last reports, which the store lost (TWO, PARTIAL, refused orders).

Cause: the controller asked for the age of the list only; the list of an older copy is as young as its read.

Change: no plan and no order while the inventory settles, also not an order whose VM was probed when the settling began.

Ruled out: to probe each VM before each order during that time (the plan itself rests on the list).

--- a/arbutuscove/fleet/controller.py
+++ b/arbutuscove/fleet/controller.py
@@ -106,12 +106,14 @@
     def run_cycle(self) -> None:
         """Plans each service once and sends the orders.
 
-        Nothing is done without the lease, a catalog and a recent list of VMs.
+        Nothing is done without the lease, a catalog and a recent list of VMs,
+        nor while the list may lack what VMs reported before the store came back
+        from an older copy.
         """
         fence = self._leases.get_active_epoch(DUTY)
         catalog = self._catalog.get_current()
         age = self._inventory.get_age()
-        if fence is None or catalog is None:
+        if fence is None or catalog is None or self._inventory.is_settling():
             return
         if age is None or age > MAX_LIST_AGE:
             return
@@ -218,14 +220,14 @@
     def _send(
         self, order: orders_module.Order, fence: int
     ) -> orders_module.Outcome:
-        if self._leases.get_active_epoch(DUTY) != fence:
+        if not self._may_send(fence):
             return orders_module.Outcome.FENCED
         vm = order.vm
         accepted = self._count_accepted(vm)
         if accepted is None:
             return orders_module.Outcome.UNKNOWN
         # The lease may have expired during the probe.
-        if self._leases.get_active_epoch(DUTY) != fence:
+        if not self._may_send(fence):
             return orders_module.Outcome.FENCED
         self._ordered_instances.add((vm.name, vm.started_at_ms))
         order_type = type(order).__name__.lower()
@@ -244,6 +246,12 @@
         )
         return outcome
 
+    def _may_send(self, fence: int) -> bool:
+        return (
+            self._leases.get_active_epoch(DUTY) == fence
+            and not self._inventory.is_settling()
+        )
+
     def _count_accepted(self, vm: model.Vm) -> int | None:
         """Returns how many orders a VM has accepted; probes it if unknown.
 
--- a/arbutuscove/fleet/tests/test_controller.py
+++ b/arbutuscove/fleet/tests/test_controller.py
@@ -134,6 +134,40 @@
     assert vms.sent == []
 
 
+def test_controller_sends_nothing_by_a_list_that_settles(serving_setup):
+    """Guards against groups formed of VMs whose last reports the store lost.
+
+    A VM may be in another group than the list says after it came back older.
+    """
+    clock, inventory, leases, vms, group_controller = serving_setup
+    inventory.replace([test_planner.create_vm(name) for name in "ab"])
+    inventory.begin_settling()
+    leases.fence = (2 << lease.ERA_SHIFT) + 1
+    group_controller.run_cycle()
+    assert vms.sent == []
+    clock.advance(inventory_module.LAPSE_GRACE)
+    inventory.update([], [])
+    group_controller.run_cycle()
+    assert vms.sent != []
+
+
+def test_controller_stops_orders_once_the_list_settles(serving_setup):
+    """Guards against an order planned just before the store came back older."""
+    _, inventory, leases, vms, group_controller = serving_setup
+    leases.fence = 2
+    inventory.replace([test_planner.create_vm(name) for name in "ab"])
+    probe = vms.read_status
+
+    def begin_settling(vm):
+        inventory.begin_settling()
+        return probe(vm)
+
+    vms.read_status = begin_settling
+    group_controller.run_cycle()
+    assert vms.probed
+    assert vms.sent == []
+
+
 def test_controller_sends_nothing_by_an_old_list(serving_setup):
     """Guards against orders from a list that is stale after an outage."""
     clock, inventory, _, vms, group_controller = serving_setup
