Write audit entries of leases again that the table lost

What callers see: after the table came back from an older copy, the audit trail lacks changes of holder under whose tokens orders were carried out, on both interfaces, and their numbers are given out again.

Cause: an entry counted as written for ever once it was confirmed.

The entry names the last known epoch as the one before, instead of the epoch minus one.

Ruled out: the former numbers, which other entries may have by then.

Test: leases/tests/test_era.py (audit_entries). With the new method empty, 2 of 2 failed (an entry missing; no error for a table that is away).

--- a/arbutuscove/leases/holder.py
+++ b/arbutuscove/leases/holder.py
@@ -10,6 +10,7 @@
 import eliot
 import msgspec
 
+from arbutuscove.audit import keeper
 from arbutuscove.audit import trail
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import loop
@@ -78,6 +79,7 @@
         self._peers = peers or _NoPeers()
         # The newest known era of the table; 0 while unknown, or if it has none.
         self._get_era = get_era
+        self._entries = keeper.EntryKeeper(table, clock, get_era)
         self._candidate_duties: set[str] = set()
         self._observed: dict[str, lease.Observation] = {}
         self._held: dict[str, lease.HeldLease] = {}
@@ -260,12 +262,18 @@
                 ),
             ),
         )
+        entry = None
         if isinstance(action, lease.TakeOver):
-            transaction = self._append_audit_entry(duty, action, transaction)
+            entry = self._build_audit_entry(duty, action)
+            transaction = trail.append_entry(
+                self._table, transaction, duty, entry
+            )
         sent = self._clock.monotonic()
         outcome = table_module.commit(self._table, transaction, self._clock)
         # A row that was written before or after a change of era counts for
         # nothing: it is gone, or nobody reads its key.
+        if outcome.is_ok() and entry is not None:
+            self._entries.remember(duty, entry, era)
         if outcome.is_ok() and self._get_era() == era:
             new_lease = lease.compute_held_lease(
                 action, sent, self._held.get(duty), self._terms, era
@@ -274,24 +282,29 @@
         else:
             self._held.pop(duty, None)
 
-    def _append_audit_entry(
-        self,
-        duty: str,
-        action: lease.TakeOver,
-        transaction: table_module.Transaction,
-    ) -> table_module.Transaction:
+    def _build_audit_entry(
+        self, duty: str, action: lease.TakeOver
+    ) -> trail.Entry:
         epoch = action.row.epoch
         eliot.log_message("lease:take_over", duty=duty, epoch=epoch)
-        entry = trail.Entry(
+        former = self.get_last_row(duty) or self._former_rows.get(duty)
+        return trail.Entry(
             actor=self._identity,
             action="lease.taken",
             subject=duty,
-            before=str(epoch - 1),
+            before=str(0 if former is None else former.epoch),
             after=str(epoch),
             reason="the row was absent or unchanged for a whole term",
             time=self._clock.now(),
         )
-        return trail.append_entry(self._table, transaction, duty, entry)
+
+    def restore_entries(self) -> None:
+        """Writes audit entries again that the table lost.
+
+        Raises:
+            TableError: an entry may not have been written.
+        """
+        self._entries.write_again()
 
     def _run(self) -> None:
         pause = datetime.timedelta(0)
@@ -310,6 +323,10 @@
                         "lease:step_failed", duty=duty, reason=str(error)
                     )
                     self.resign_if_overdue(duty)
+            try:
+                self.restore_entries()
+            except table_module.TableError as error:
+                eliot.log_message("lease:not_audited", reason=str(error))
 
 
 def build_key(duty: str, era: int) -> str:
--- a/arbutuscove/leases/tests/test_era.py
+++ b/arbutuscove/leases/tests/test_era.py
@@ -8,6 +8,7 @@
 import pytest
 from hypothesis import strategies
 
+from arbutuscove.audit import trail
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import loop
 from arbutuscove.leases import holder
@@ -225,6 +226,38 @@
     assert setup.step("a") is None
 
 
+def test_lease_audit_entries_are_written_again(setup):
+    """Guards against changes of holder that the audit trail lacks."""
+    setup.step("a")
+    setup.table.save()
+    setup.peers.lost = {"a"}
+    setup.step("b")
+    before = trail.read_scope(setup.table, DUTY)
+    setup.table.restore()
+    setup.step("c")
+    for _ in range(2):
+        for name in "abc":
+            setup.step(name)
+            setup.holders[name].restore_entries()
+    after = trail.read_scope(setup.table, DUTY)
+    entries = [numbered.entry for numbered in after]
+    assert all(entries.count(numbered.entry) == 1 for numbered in before)
+    assert not trail.find_gaps(after)
+
+
+def test_lease_audit_entries_wait_for_the_table(setup):
+    """Guards against entries that are given up while the table is away."""
+    setup.step("a")
+    setup.table.restore()
+    setup.clients["a"].era = 2
+    setup.clients["a"].is_cut = True
+    with pytest.raises(table_module.TableError):
+        setup.holders["a"].restore_entries()
+    setup.clients["a"].is_cut = False
+    setup.holders["a"].restore_entries()
+    assert len(trail.read_scope(setup.table, DUTY)) == 1
+
+
 def test_lease_epochs_fit_into_numbers_that_travel():
     """Guards against tokens and group epochs that decoders round."""
     row = lease.LeaseRow(holder="a", epoch=5, renewals=0)
