Write accepted changes again that the table lost

What callers see: on the own interface, after the table came back from an older copy, an accepted change is gone for daemons that start later, and the next accepted change gets its sequence number, so that daemons that have the lost one in force ignore the new one for ever.

Cause: a head below the configuration in force was not noticed.

Change: a daemon that reads a head below what it had in force before the read writes the missing changes again, each with an audit entry (configuration.restored), each only as the next one on the version that it was accepted on. The outcome is logged (config:changes_lost).

Ruled out: to skip numbers after a loss (changes are applied without gaps), and to revert the configuration in force.

--- a/arbutuscove/config/acceptance.py
+++ b/arbutuscove/config/acceptance.py
@@ -4,9 +4,13 @@
 operator reviewed, and it increments the sequence number in the head row. If
 only the head row has changed, because a change of another service was
 accepted, the transaction is rebuilt and retried.
+
+If the table came back from an older copy and lost accepted changes, daemons
+that still have them write them again.
 """
 
 import dataclasses
+from collections import abc
 
 import expression
 import msgspec
@@ -122,20 +126,67 @@
         author=proposal.author,
         reason=proposal.reason,
     )
+    if _write_change(table, clock, head, row, change, "configuration.accepted"):
+        return expression.Ok(change)
+    return None
+
+
+def restore(
+    table: table_module.Table,
+    clock: clock_module.Clock,
+    changes: abc.Iterable[model.Change],
+) -> bool:
+    """Writes accepted changes again that the table lost.
+
+    A change is written only as the next one after the head, on the version that
+    it was accepted on. Otherwise another change has been accepted since, or
+    another daemon writes these changes.
+
+    Args:
+        table: the table service that stores the configuration.
+        clock: the clock for the audit entries and for retries.
+        changes: the changes after those in the table, in order.
+
+    Returns:
+        Whether all changes were written.
+
+    Raises:
+        TableError: a change was not written, or may not have been.
+    """
+    for change in changes:
+        head = read_head(table)
+        row = table.read(keys.service_key(change.service.name))
+        version = 0 if row is None else row.decode(model.ServiceVersion).version
+        is_next = head.sequence + 1 == change.sequence
+        if not is_next or version != change.base_version:
+            return False
+        action = "configuration.restored"
+        if not _write_change(table, clock, head, row, change, action):
+            return False
+    return True
+
+
+def _write_change(
+    table: table_module.Table,
+    clock: clock_module.Clock,
+    head: model.Head,
+    row: table_module.Row | None,
+    change: model.Change,
+    action: str,
+) -> bool:
+    """Returns whether the change was written, with an audit entry."""
     transaction = _build_transaction(head, row, change)
     entry = trail.Entry(
-        actor=proposal.author,
-        action="configuration.accepted",
-        subject=name,
-        before=str(current_version),
+        actor=change.author,
+        action=action,
+        subject=change.service.name,
+        before=str(change.base_version),
         after=str(change.version),
-        reason=proposal.reason,
+        reason=change.reason,
         time=clock.now(),
     )
     transaction = trail.append_entry(table, transaction, "config", entry)
-    if table_module.commit(table, transaction, clock).is_ok():
-        return expression.Ok(change)
-    return None
+    return table_module.commit(table, transaction, clock).is_ok()
 
 
 def _build_transaction(
--- a/arbutuscove/config/follower.py
+++ b/arbutuscove/config/follower.py
@@ -2,7 +2,8 @@
 
 Changes are received from the table service or from peers and are applied in
 sequence order only; a change with a lower sequence number is ignored, so the
-configuration in force never reverts.
+configuration in force never reverts. If the table came back from an older copy
+without changes that are in force here, this daemon writes them again.
 
 The daemon reports its configuration as stale, since a newer version may be in
 force elsewhere, if it has had contact neither with the table service nor with
@@ -159,11 +160,14 @@
             Whether the configuration advanced.
 
         Raises:
-            TableUnavailableError: the table could not be read.
+            TableError: the table could not be read, or changes that it lost
+                could not be written again.
         """
         started_at = self._clock.monotonic()
         sequence_before = self._snapshot.sequence
         head = acceptance.read_head(self._table)
+        if head.sequence < sequence_before:
+            self._restore_lost(head.sequence, sequence_before)
         self.record_accepted(head.sequence)
         behind = head.sequence - self._snapshot.sequence
         if not self._has_config or behind > RECENT_CHANGES:
@@ -176,6 +180,20 @@
         self.record_contact(started_at)
         return self._snapshot.sequence > sequence_before
 
+    def _restore_lost(self, head: int, before: int) -> None:
+        """Writes changes again that were in force before the head was read."""
+        changes = self.get_changes_after(head) or []
+        known = [change for change in changes if change.sequence <= before]
+        is_restored = bool(known) and acceptance.restore(
+            self._table, self._clock, known
+        )
+        eliot.log_message(
+            "config:changes_lost",
+            head=head,
+            in_force=before,
+            is_restored=is_restored,
+        )
+
     def _read_snapshot(self, head: model.Head) -> model.Snapshot:
         # The head row is read before the service rows, so a service row may
         # be newer than the head. Its own sequence number then prevents the
@@ -196,7 +214,7 @@
         try:
             if self._should_read() and self.poll_once():
                 self._announce()
-        except table_module.TableUnavailableError as error:
+        except table_module.TableError as error:
             eliot.log_message("config:poll_failed", reason=str(error))
 
     def _run_poll_loop(self) -> None:
