Log a lost change whose write has an unknown outcome

What callers see: nothing; the loop of the membership would restart with a traceback in the log when it reads the configuration and a lost change cannot be written again, since the read may now end with an unknown outcome. It is logged as a failed read and tried again.

No test of its own; 54 tests of membership pass.

--- a/arbutuscove/membership/service.py
+++ b/arbutuscove/membership/service.py
@@ -463,5 +463,5 @@
     def _read_table(self) -> None:
         try:
             self._config.poll_once()
-        except table_module.TableUnavailableError as error:
+        except table_module.TableError as error:
             eliot.log_message("membership:read_failed", reason=str(error))
