Count draws again that the table forgot

What callers see: on the own interface, after the table came back from an older copy, the daemons together may spend more than the approved budget: draws of the lost part are forgotten and their tokens drawn again.

Cause: a draw counted only in its row.

Change: in a later era a daemon raises the rows of the total and of the rank to the values that it wrote at its last draw, with the condition on the row as read, and logs it (limits:draws_lost). The daemon that drew last knows of all draws before.

Ruled out: to add each daemon's own draws (counted twice if the copy has them).

--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -94,7 +94,9 @@
     replica_controller = controller.ReplicaController(
         identity, table, clock, config, leases, board, directory, engines
     )
-    limits = limits_service.Limits(table, clock, config, generator)
+    limits = limits_service.Limits(
+        table, clock, config, generator, table.get_era
+    )
     routing = routing_service.Routing(
         clock, directory, lambda: _read_demands(membership), generator
     )
--- a/arbutuscove/limits/service.py
+++ b/arbutuscove/limits/service.py
@@ -11,6 +11,7 @@
 import enum
 import random
 import uuid
+from collections import abc
 
 import eliot
 import expression
@@ -106,11 +107,19 @@
         clock: clock_module.Clock,
         config: follower.ConfigFollower,
         generator: random.Random,
+        get_era: abc.Callable[[], int] = lambda: 0,
     ) -> None:
         self._table = table
         self._clock = clock
         self._config = config
         self._random = generator
+        # The newest known era of the table; 0 if it has none.
+        self._get_era = get_era
+        # By service and rank or total, the last row that this daemon wrote for
+        # a draw, with its key and the era in which it was last confirmed.
+        self._written_rows: dict[
+            tuple[str, str], tuple[str, slices.BudgetRow, int]
+        ] = {}
         # Bounded by the ranks of configured services; see `refill_urgent`.
         self._slice_states: dict[tuple[str, str], _SliceState] = {}
         # Identities; bounded by the requests in progress.
@@ -263,14 +272,62 @@
             if isinstance(plan, _Outcome):
                 return plan
             transaction, tokens = plan
+            era = self._get_era()
             result = table_module.commit(self._table, transaction, self._clock)
             if result.is_ok():
+                self._note_written(service.name, transaction, era)
                 self._add_tokens(state, service, period, tokens)
                 return _Outcome.DRAWN
             backoff = CONFLICT_BACKOFF * self._random.uniform(0, 2**attempt)
             self._clock.sleep(backoff)
         return _Outcome.UNAVAILABLE
 
+    def _note_written(
+        self, service: str, transaction: table_module.Transaction, era: int
+    ) -> None:
+        for write in transaction.writes:
+            rank = write.key.rpartition("/")[2]
+            row = msgspec.convert(write.value, slices.BudgetRow)
+            self._written_rows[service, rank] = write.key, row, era
+
+    def restore_draws(self) -> None:
+        """Counts draws again that the table lost by a change of its era.
+
+        Each daemon raises the rows to what it wrote last; together they know of
+        all draws of daemons that live.
+
+        Raises:
+            TableError: a row may not have been written; the next call goes on.
+        """
+        era = self._get_era()
+        for name, (key, known, seen_era) in list(self._written_rows.items()):
+            if seen_era < era and self._raise_drawn(key, known):
+                self._written_rows[name] = key, known, era
+
+    def _raise_drawn(self, key: str, known: slices.BudgetRow) -> bool:
+        """Returns whether a row counts at least the known draws."""
+        row = self._table.read(key)
+        current = _decode(row) or slices.BudgetRow(limit=known.limit)
+        if current.drawn >= known.drawn:
+            return True
+        raised = dataclasses.replace(current, drawn=known.drawn)
+        version = table_module.ABSENT if row is None else row.version
+        transaction = table_module.Transaction(
+            conditions=(table_module.Condition(key=key, version=version),),
+            writes=(
+                table_module.Write(key=key, value=msgspec.to_builtins(raised)),
+            ),
+        )
+        result = table_module.commit(self._table, transaction, self._clock)
+        eliot.log_message(
+            "limits:draws_lost",
+            key=key,
+            found=current.drawn,
+            known=known.drawn,
+            is_counted=result.is_ok(),
+        )
+        return result.is_ok()
+
     def _plan_draw(
         self,
         state: _SliceState,
@@ -458,6 +515,10 @@
 
     def _run(self) -> None:
         while not self._draining:
+            try:
+                self.restore_draws()
+            except table_module.TableError as error:
+                eliot.log_message("limits:not_counted", reason=str(error))
             self.refill_urgent()
             self._clock.sleep(URGENT_REFILL_INTERVAL)
 
--- a/arbutuscove/limits/tests/test_limits.py
+++ b/arbutuscove/limits/tests/test_limits.py
@@ -133,6 +133,44 @@
     assert limits.reserve(_work(clock, 1000, URGENT)).is_ok()
 
 
+def test_limits_lost_draws_are_counted_again(table, clock):
+    """Guards against draws that a restored table forgot (P9).
+
+    One daemon knows of all draws before the loss; the other draws after it.
+    """
+    table.save()
+    first, second = (
+        service_module.Limits(
+            table, clock, _Config(_service()), random.Random(1), table.get_era
+        )
+        for _ in range(2)
+    )
+    spent = 0
+    for limits in (second, first):
+        for _ in range(10):
+            spent += limits.reserve(_work(clock, 1000)).is_ok()
+    table.restore()
+    first.restore_draws()
+    for _ in range(200):
+        spent += second.reserve(_work(clock, 1000)).is_ok()
+    assert spent <= 30
+    assert _sum_drawn(table, BULK.name) <= 30_000
+
+
+def test_limits_draws_are_not_counted_twice(table, clock):
+    """Guards against tokens that nobody can use after a loss."""
+    limits = service_module.Limits(
+        table, clock, _Config(_service()), random.Random(1), table.get_era
+    )
+    limits.reserve(_work(clock, 1000))
+    table.save()
+    before = _sum_drawn(table)
+    table.restore()
+    for _ in range(2):
+        limits.restore_draws()
+    assert _sum_drawn(table) == before
+
+
 def test_limits_lowered_limit_binds_late_follower(table, clock):
     """A daemon with a stale configuration must not draw under the old limit."""
     limits = _limits(table, clock)
