Write verdicts of the own interface again that the table lost

What callers see: on the own interface, after the table came back from an older copy and a restart of all daemons, a message that crashed replicas crashes them again.

Cause: a verdict counted as written for ever once it was confirmed.

Change: in a new era the daemon that wrote a verdict writes it again.

Not covered: verdicts of a daemon that died, and the records of single requests; both are in the decision.

--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -112,6 +112,7 @@
         engines,
         directory.list_serving,
         membership.probe_peers,
+        table.get_era,
     )
     membership.set_suspicion_source(suspect_tracker)
     membership.set_evidence_source(suspect_tracker.evidence)
--- a/arbutuscove/requests/suspects.py
+++ b/arbutuscove/requests/suspects.py
@@ -116,8 +116,12 @@
         engines: Engines,
         list_serving: ListServing,
         send_gossip: abc.Callable[[], None],
+        get_era: abc.Callable[[], int] = lambda: 0,
     ) -> None:
         self._table = table
+        # The newest known era of the table; 0 if it has none.
+        self._get_era = get_era
+        self._era = 0
         self._clock = clock
         self._daemon = daemon
         self._engines = engines
@@ -350,6 +354,13 @@
                 self._attempts.discard(attempt)
                 self._end_trial(attempt, is_cleared=False)
 
+    def check_era(self) -> None:
+        """Writes verdicts again in a new era of the table, which lost some."""
+        era = self._get_era()
+        if era != self._era:
+            self._era = era
+            self.evidence.record_again()
+
     def load(self) -> None:
         """Merges the rows of the table and deletes expired ones.
 
@@ -638,6 +649,7 @@
         while True:
             self.check_detached()
             self.evidence.expire()
+            self.check_era()
             if self._clock.monotonic() >= next_load:
                 next_load = self._clock.monotonic() + LOAD_INTERVAL
                 try:
