Keep a service that is interrupted in the pause before its restart

Callers may be served by an old configuration or list until the daemon restarts.

Cause: followers are interrupted by exceptions thrown into their greenlets. If one came during the pause between a failure of the loop and its restart, it ended the greenlet. Such interrupts are more frequent now, as recoveries of the store and changes of its era cause them.

test_loop_survives_an_interrupt_in_its_pause failed before (greenlet dead).

--- a/arbutuscove/kernel/services.py
+++ b/arbutuscove/kernel/services.py
@@ -6,6 +6,7 @@
 that use it.
 """
 
+import contextlib
 import datetime
 import typing
 from collections import abc
@@ -66,7 +67,9 @@
                 return
             except Exception:  # noqa: BLE001 - restart after any error
                 eliot.write_traceback()
-            gevent.sleep(RESTART_DELAY.total_seconds())
+            # An exception may also be thrown into the greenlet in the pause.
+            with contextlib.suppress(Exception):
+                gevent.sleep(RESTART_DELAY.total_seconds())
 
     def stop(self) -> None:
         """Stops the greenlet."""
