--- a/arbutuscove/platform/store.py
+++ b/arbutuscove/platform/store.py
@@ -99,7 +99,9 @@
 class Page:
     """Rows as of `version`, the newest version of the store at the read.
 
-    `era` is the era of the store at the read, 0 if the store names none.
+    If they were read in several answers, rows may be newer than `version`, but
+    not older. `era` is the era of the store at the read, 0 if the store names
+    none.
     """
 
     version: int
@@ -238,6 +240,7 @@
         """
         rows: list[Row] = []
         era: int | None = None
+        version: int | None = None
         start = key
         end = None if key is None else key + "\x00"
         while True:
@@ -248,11 +251,12 @@
             if era is not None and page_era != era:
                 raise StoreError("the store's era changed between two pages")
             era = page_era
+            if version is None:
+                # Rows of this page may change before the next one is read.
+                version = page.schema_version
             rows.extend(_convert_row(row, era) for row in page.rows)
             if not page.has_more or not page.rows:
-                return Page(
-                    version=page.schema_version, rows=tuple(rows), era=era
-                )
+                return Page(version=version, rows=tuple(rows), era=era)
             start = page.rows[-1].key + "\x00"
 
     def wait_for_changes(
--- a/arbutuscove/platform/tests/test_store.py
+++ b/arbutuscove/platform/tests/test_store.py
@@ -155,6 +155,25 @@
     assert table.read("lease").value == "other"
 
 
+def test_change_between_two_pages_is_not_hidden(served, monkeypatch):
+    """Guards against a snapshot whose position is past what it contains.
+
+    A row of the first page that changes before the second page is read has to
+    be delivered by the feed.
+    """
+    service, store = served
+    monkeypatch.setattr(store_module, "MAX_PAGE_ROWS", 1)
+    service.put("servers", "a", "old")
+    service.put("servers", "b", "old")
+    service.faults.answer_delay = 0.05
+    gevent.spawn_later(0.025, service.put, "servers", "a", "new")
+    page = store.read_rows("servers")
+    assert [row.key for row in page.rows] == ["a", "b"]
+    assert b"old" in page.rows[0].content
+    changes = store.wait_for_changes("servers", page.position, WAIT)
+    assert [row.key for row in changes.rows] == ["a"]
+
+
 def _create_write(key, version):
     return table_module.Transaction(
         write_id="w",
--- a/arbutuscove/standins/users_store.py
+++ b/arbutuscove/standins/users_store.py
@@ -20,6 +20,7 @@
 StartResponse = abc.Callable[..., typing.Any]
 Environ = dict[str, typing.Any]
 Reply = tuple[int, typing.Any]
+MAX_ROWS = 500  # in one answer
 
 
 def send_json(
@@ -198,9 +199,10 @@
             and key >= start
             and (end is None or key < end)
         ]
+        limit = int(query.get("limit", MAX_ROWS))
         return 200, {
-            "rows": rows,
-            "has_more": False,
+            "rows": rows[:limit],
+            "has_more": len(rows) > limit,
             "schema_version": self._version,
         }
 
