--- a/arbutuscove/platform/store.py
+++ b/arbutuscove/platform/store.py
@@ -37,6 +37,7 @@
 # After a failure the store may fail again, or for some calls only.
 DOUBT_PERIOD = datetime.timedelta(seconds=1)
 MAX_UNAVAILABLE_PEERS = 4096
+OWN_SOURCE = "store"  # in log lines, where the other sources are peers
 ERA_HEADER = "store-era"
 MAX_ERA = 2**32 - 1
 VERSION_BITS = 48  # of the store's version in the version of a table row
@@ -224,9 +225,10 @@
     def _report_recovery(self, source: str) -> None:
         self._recovered_at = self._clock.monotonic()
         restarted = [callback() for callback in self._recovery_listeners]
-        eliot.log_message(
-            "store:available_again", source=source, feeds=sum(restarted)
-        )
+        if source == OWN_SOURCE or any(restarted):
+            eliot.log_message(
+                "store:available_again", source=source, feeds=sum(restarted)
+            )
 
     def read_rows(self, table: str, key: str | None = None) -> Page:
         """Returns all rows of a table, or the row of one key.
@@ -414,11 +416,11 @@
             self.is_available = True
             if self._has_failed:
                 self._has_failed = False
-                self._report_recovery("store")
+                self._report_recovery(OWN_SOURCE)
         era = _parse_era(parser.get_header(ERA_HEADER))
         if era is None:
             era = self.get_era()
-        self.observe_era(era, "store")
+        self.observe_era(era, OWN_SOURCE)
         is_stale = era < self.get_era()
         if is_stale:
             eliot.log_message(
