Apply removals that a peer reads in a newer era

Callers of a daemon that cannot read the store after a restore may be sent to VMs that have left: of the updates of the newer era only entries were applied. A removal now lets the VM's grace period run, as for an outage's end; a VM that writes again is passed on by the reader. The extended test test_daemon_without_the_store_learns_the_era_from_an_update failed before (the removed VM stayed listed).

--- a/arbutuscove/platform/followers.py
+++ b/arbutuscove/platform/followers.py
@@ -324,13 +324,7 @@
             return
         if update.era > current.era:
             self._has_missed_update = True
-            self._apply_rows(
-                {
-                    name: content
-                    for name, content in update.rows
-                    if content is not None
-                }
-            )
+            self._apply_rows(dict(update.rows))
         elif update.before > current.version:
             self._has_missed_update = True
         else:
--- a/arbutuscove/platform/tests/test_followers.py
+++ b/arbutuscove/platform/tests/test_followers.py
@@ -305,9 +305,10 @@
     )
     assert store.get_era() == 2
     assert killed == [followers.BehindError]
-    assert inventory.find("a") is not None
-    assert inventory.find("z") is not None
+    assert {vm.name for vm in inventory.list_vms()} == {"a", "z"}
     assert inventory.is_settling()
+    follower._clock.advance(inventory_module.LAPSE_GRACE)
+    assert {vm.name for vm in inventory.list_vms()} == {"z"}
 
 
 def test_late_first_read_of_a_new_era_settles_again(scene):
