--- a/arbutuscove/platform/store.py
+++ b/arbutuscove/platform/store.py
@@ -37,6 +37,7 @@
 # After a failure the store may fail again, or for some calls only.
 DOUBT_PERIOD = datetime.timedelta(seconds=1)
 MAX_UNAVAILABLE_PEERS = 4096
+OWN_SOURCE = "store"  # in log lines, where the other sources are peers
 ERA_HEADER = "store-era"
 # With it, the epochs of groups still fit into 63 bits.
 MAX_ERA = 2**26 - 1
@@ -100,7 +101,9 @@
 class Page:
     """Rows as of `version`, the newest version of the store at the read.
 
-    `era` is the era of the store at the read, 0 if the store names none.
+    If they were read in several answers, rows may be newer than `version`, but
+    not older. `era` is the era of the store at the read, 0 if the store names
+    none.
     """
 
     version: int
@@ -223,9 +226,10 @@
     def _report_recovery(self, source: str) -> None:
         self._recovered_at = self._clock.monotonic()
         restarted = [callback() for callback in self._recovery_listeners]
-        eliot.log_message(
-            "store:available_again", source=source, feeds=sum(restarted)
-        )
+        if source == OWN_SOURCE or any(restarted):
+            eliot.log_message(
+                "store:available_again", source=source, feeds=sum(restarted)
+            )
 
     def read_rows(self, table: str, key: str | None = None) -> Page:
         """Returns all rows of a table, or the row of one key.
@@ -239,6 +243,7 @@
         """
         rows: list[Row] = []
         era: int | None = None
+        version: int | None = None
         start = key
         end = None if key is None else key + "\x00"
         while True:
@@ -249,11 +254,12 @@
             if era is not None and page_era != era:
                 raise StoreError("the store's era changed between two pages")
             era = page_era
+            if version is None:
+                # Rows of this page may change before the next one is read.
+                version = page.schema_version
             rows.extend(_convert_row(row, era) for row in page.rows)
             if not page.has_more or not page.rows:
-                return Page(
-                    version=page.schema_version, rows=tuple(rows), era=era
-                )
+                return Page(version=version, rows=tuple(rows), era=era)
             start = page.rows[-1].key + "\x00"
 
     def wait_for_changes(
@@ -411,11 +417,11 @@
             self.is_available = True
             if self._has_failed:
                 self._has_failed = False
-                self._report_recovery("store")
+                self._report_recovery(OWN_SOURCE)
         era = _parse_era(parser.get_header(ERA_HEADER))
         if era is None:
             era = self.get_era()
-        self.observe_era(era, "store")
+        self.observe_era(era, OWN_SOURCE)
         is_stale = era < self.get_era()
         if is_stale:
             eliot.log_message(
