--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -88,11 +88,15 @@
         lambda: [member.peer_address for member in membership.get_alive()],
         peers,
     )
-    leases = holder.LeaseHolder(identity, table, clock, lag_monitor)
+    leases = holder.LeaseHolder(
+        identity, table, clock, lag_monitor, get_era=table.get_era
+    )
     replica_controller = controller.ReplicaController(
         identity, table, clock, config, leases, board, directory, engines
     )
-    limits = limits_service.Limits(table, clock, config, generator)
+    limits = limits_service.Limits(
+        table, clock, config, generator, table.get_era
+    )
     routing = routing_service.Routing(
         clock, directory, lambda: _read_demands(membership), generator
     )
@@ -108,6 +112,7 @@
         engines,
         directory.list_serving,
         membership.probe_peers,
+        table.get_era,
     )
     membership.set_suspicion_source(suspect_tracker)
     membership.set_evidence_source(suspect_tracker.evidence)
@@ -122,7 +127,7 @@
         suspect_tracker,
     )
     at_most_once = once.AtMostOnce(
-        claims.Claims(table, clock, identity), objects
+        claims.Claims(table, clock, identity, table.get_era), objects
     )
     operations = operations_module.Operations(
         settings.name,
--- a/arbutuscove/fleet/controller.py
+++ b/arbutuscove/fleet/controller.py
@@ -24,6 +24,7 @@
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
 from arbutuscove.leases import holder as lease_holder
+from arbutuscove.leases import lease
 
 SERVICE_NAME = "group-controller"
 DUTY = "groups"
@@ -55,8 +56,6 @@
 # A listed VM that does not answer may only be silent for a moment. Its group is
 # ended by a check without answer that begins this long after the first one.
 SILENT_MEMBER_TIMEOUT = datetime.timedelta(milliseconds=600)
-# Fencing token of the first lease holder; no VM accepted an order before it.
-FIRST_FENCE = 1
 
 
 class _Answer(enum.Enum):
@@ -124,12 +123,14 @@
     def run_cycle(self) -> None:
         """Plans each service once and sends the orders.
 
-        Nothing is done without the lease, a catalog and a recent list of VMs.
+        Nothing is done without the lease, a catalog and a recent list of VMs,
+        nor while the list may lack what VMs reported before the store came back
+        from an older copy.
         """
         fence = self._leases.get_active_epoch(DUTY)
         catalog = self._catalog.get_current()
         age = self._inventory.get_age()
-        if fence is None or catalog is None:
+        if fence is None or catalog is None or self._inventory.is_settling():
             return
         if age is None or age > MAX_LIST_AGE:
             return
@@ -253,14 +254,14 @@
     def _send(
         self, order: orders_module.Order, fence: int
     ) -> orders_module.Outcome:
-        if self._leases.get_active_epoch(DUTY) != fence:
+        if not self._may_send(fence):
             return orders_module.Outcome.FENCED
         vm = order.vm
         accepted = self._count_accepted(vm)
         if accepted is None:
             return orders_module.Outcome.UNKNOWN
         # The lease may have expired during the probe.
-        if self._leases.get_active_epoch(DUTY) != fence:
+        if not self._may_send(fence):
             return orders_module.Outcome.FENCED
         self._ordered_instances.add((vm.name, vm.started_at_ms))
         order_type = type(order).__name__.lower()
@@ -279,6 +280,12 @@
         )
         return outcome
 
+    def _may_send(self, fence: int) -> bool:
+        return (
+            self._leases.get_active_epoch(DUTY) == fence
+            and not self._inventory.is_settling()
+        )
+
     def _count_accepted(self, vm: model.Vm) -> int | None:
         """Returns how many orders a VM has accepted; probes it if unknown.
 
@@ -286,10 +293,7 @@
         """
         instance = (vm.name, vm.started_at_ms)
         if instance not in self._accepted_counts:
-            if (
-                self._fence == FIRST_FENCE
-                and instance not in self._ordered_instances
-            ):
+            if self._has_no_orders(vm):
                 self._accepted_counts[instance] = 0
             else:
                 status = self._order_client.read_status(vm)
@@ -298,6 +302,21 @@
                 self._accepted_counts[instance] = status.accepted
         return self._accepted_counts[instance]
 
+    def _has_no_orders(self, vm: model.Vm) -> bool:
+        """Returns whether a VM has accepted no order, as far as is known here.
+
+        No other holder had the lease in this era. One of an earlier era would
+        have left a group or staged weights on the VM, unless its order was
+        undone at once; the VM then refuses the first order, which names a wrong
+        count, and is probed before the next one.
+        """
+        return (
+            lease.is_first_of_era(self._fence)
+            and (vm.name, vm.started_at_ms) not in self._ordered_instances
+            and vm.membership is None
+            and not vm.staged
+        )
+
     def _record_outcome(
         self, vm: model.Vm, accepted: int, outcome: orders_module.Outcome
     ) -> None:
--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -9,6 +9,7 @@
 
 import eliot
 import msgspec
+from gevent import event
 
 from arbutuscove.catalog import holder as catalog_holder
 from arbutuscove.crashes import holder as crash_holder
@@ -95,15 +96,29 @@
         self._store = store
         self._clock = clock
         self._gossip = gossip
+        self._is_due = event.Event()
 
     def start(self, kernel: services.Kernel) -> None:
-        """Starts the registration, which is retried until it succeeds."""
-        self.run_loop(self._register)
+        """Starts the registration, which is retried until it succeeds.
 
-    def _register(self) -> None:
+        It is done again in each later era of the store, which may have lost it.
+        """
+        self._store.add_era_listener(self._is_due.set)
+        self.run_loop(self._run)
+
+    def _run(self) -> None:
+        self._add_verdicts(self._register())
+        while True:
+            self._is_due.wait()
+            self._register()
+            eliot.log_message("registry:written_again", key=self._key)
+
+    def _register(self) -> tuple[store_module.Row, ...]:
+        """Writes the own row and returns the rows of the table."""
         table = store_module.OWN_TABLE
         content = msgspec.json.encode({"ip": self._ip})
         while True:
+            self._is_due.clear()
             try:
                 # The write comes first: of two daemons that start at the same
                 # time, the one that reads last finds the other's address.
@@ -113,12 +128,15 @@
             except store_module.StoreError as error:
                 eliot.log_message("registry:failed", reason=str(error))
                 self._clock.sleep(self.RETRY_INTERVAL)
+        self._gossip.add_peers(_list_peer_ips(rows))
+        return rows
+
+    def _add_verdicts(self, rows: abc.Iterable[store_module.Row]) -> None:
         self._evidence.restore(
             store_module.decode_table_row(row)
             for row in rows
             if row.key.startswith(verdicts.KEY_PREFIX)
         )
-        self._gossip.add_peers(_list_peer_ips(rows))
 
 
 def _list_peer_ips(rows: abc.Iterable[store_module.Row]) -> list[str]:
@@ -173,6 +191,7 @@
             self._clock, self._verdicts
         )
         self._gossip.set_evidence_source(self._evidence)
+        self._store.add_era_listener(self._evidence.record_again)
         self._crashes = crash_tracker.CrashTracker[fleet_model.Vm](
             self._clock,
             self._inventory.find,
@@ -188,6 +207,7 @@
             self._lag,
             LEASE_TERMS,
             self._gossip,
+            self._store.get_era,
         )
         self._controller = controller_module.GroupController(
             self._clock,
@@ -219,6 +239,7 @@
         self._gossip.set_config_version_handler(
             configuration.record_peer_version
         )
+        self._gossip.set_peer_observer(self._observe_peer)
         servers = followers.ServersFollower(
             self._store,
             self._clock,
@@ -340,6 +361,7 @@
             ready=self._is_ready(),
             config_version=self._catalog.get_version(),
             store_ok=self._store.is_available,
+            era=self._store.get_era(),
             holding=self._leases.get_active_epoch(controller_module.DUTY) or 0,
             resigned=self._leases.get_resigned_epoch(controller_module.DUTY),
             loads=loads,
@@ -353,6 +375,10 @@
             ),
         )
 
+    def _observe_peer(self, heartbeat: digest.Heartbeat) -> None:
+        self._store.observe_era(heartbeat.era, heartbeat.name)
+        self._store.observe_peer(heartbeat.name, heartbeat.store_ok)
+
     def _is_ready(self) -> bool:
         return (
             self._catalog.get_current() is not None
--- a/arbutuscove/platform/entries.py
+++ b/arbutuscove/platform/entries.py
@@ -44,14 +44,14 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Entry:
-    # The field "sequence" is left out: here it counts heartbeats, while in a
-    # status report the same name counts orders.
     service: decoding.Text
     address: decoding.Name
     zone: decoding.Text  # failure domain
     state: decoding.Name
     slots: _Slots
     born: decoding.Count = 0  # start of the VM in Unix milliseconds
+    # Counts heartbeats; in a status report, the same name counts orders.
+    sequence: decoding.Count = 0
     domain: decoding.Text | decoding.Integer = ""  # fabric domain
     staged: tuple[decoding.Name, ...] = ()  # models on the VM's host
     models: tuple[_Model, ...] = ()  # models in the VM's memory
@@ -94,6 +94,7 @@
         staged=entry.staged,
         loaded=tuple(loaded.name for loaded in entry.models),
         membership=membership,
+        sequence=entry.sequence,
     )
 
 
--- a/arbutuscove/platform/followers.py
+++ b/arbutuscove/platform/followers.py
@@ -5,6 +5,7 @@
 from collections import abc
 
 import eliot
+import gevent
 from gevent import event
 
 from arbutuscove.catalog import holder as catalog_holder
@@ -26,6 +27,9 @@
 # A change ends the wait at once; the limit only bounds the use of a connection
 # on which nothing arrives.
 CONFIGURATION_FEED_WAIT = datetime.timedelta(seconds=20)
+# While the store may lose calls; with the margin of a feed call this is below
+# the two seconds within which a change must be in force.
+DOUBTFUL_FEED_WAIT = datetime.timedelta(milliseconds=500)
 # A working feed delivers a change within some milliseconds.
 BEHIND_TOLERANCE = datetime.timedelta(milliseconds=500)
 # Pause between reads by the lease holder, the daemon that holds the group
@@ -45,7 +49,11 @@
 
 
 class BehindError(Exception):
-    """A peer has a newer version; the read in progress may hang."""
+    """A peer has a newer version or era; the read in progress may hang."""
+
+
+class DoubtfulFeedError(Exception):
+    """The feed call in progress may have been lost by the store."""
 
 
 class _Follower(services.LoopService):
@@ -65,25 +73,34 @@
         self._store = store
         self._clock = clock
         self._generator = generator
+        store.add_era_listener(self.begin_era)
+
+    def begin_era(self) -> None:
+        """Ends the read in progress and reads a snapshot of the new era."""
+        # A read that learned the era itself does not use its old position.
+        if self._greenlet not in (None, gevent.getcurrent()):
+            self._greenlet.kill(BehindError, block=False)
 
     def start(self, kernel: services.Kernel) -> None:
         """Starts to follow the table."""
         self.run_loop(self._run)
 
-    def read_snapshot(self) -> int:
-        """Reads a snapshot of the table and returns its version."""
+    def read_snapshot(self) -> store_module.Position:
+        """Reads a snapshot of the table and returns its position."""
         raise NotImplementedError
 
-    def read_changes(self, version: int) -> int:
-        """Waits for changes after a version and returns the version reached."""
+    def read_changes(
+        self, position: store_module.Position
+    ) -> store_module.Position:
+        """Waits for changes after a position and returns the one reached."""
         raise NotImplementedError
 
     def _run(self) -> None:
-        version: int | None = None
+        position: store_module.Position | None = None
         delay = MIN_RETRY_DELAY
         while True:
             try:
-                version, failed = self._read_once(version)
+                position, failed = self._read_once(position)
                 if not failed:
                     delay = MIN_RETRY_DELAY
                     continue
@@ -92,21 +109,25 @@
                 delay = min(delay * 2, MAX_RETRY_DELAY)
             except BehindError:
                 # May be raised in the middle of a call or of a delay.
-                version = None
-
-    def _read_once(self, version: int | None) -> tuple[int | None, bool]:
-        """Reads once; returns the new version and whether the read failed."""
+                position = None
+            except DoubtfulFeedError:
+                pass  # sends the call again, from the same position
+
+    def _read_once(
+        self, position: store_module.Position | None
+    ) -> tuple[store_module.Position | None, bool]:
+        """Reads once; returns the new position and whether the read failed."""
         try:
-            if version is None:
+            if position is None:
                 return self.read_snapshot(), False
-            return self.read_changes(version), False
+            return self.read_changes(position), False
         except store_module.HistoryLostError:
             return None, True
         except store_module.StoreError as error:
             eliot.log_message(
                 "store:read_failed", table=self.table, reason=str(error)
             )
-            return version, True
+            return position, True
 
 
 class ConfigurationFollower(_Follower):
@@ -123,6 +144,8 @@
     ) -> None:
         super().__init__(store, clock, generator)
         self._catalog = catalog
+        self._is_feed_pending = False
+        store.add_recovery_listener(self.end_feed)
         # The version here when a peer was first seen with a newer one, and the
         # time of that.
         self._behind_version = -1
@@ -151,19 +174,41 @@
             if self._greenlet is not None:
                 self._greenlet.kill(BehindError, block=False)
 
-    def read_snapshot(self) -> int:
-        """Reads a snapshot of the table and returns its version."""
+    def end_feed(self) -> bool:
+        """Ends the pending feed call and returns whether there was one.
+
+        Without an answer, the call does not show that nothing has changed.
+        """
+        if not self._is_feed_pending or self._greenlet is None:
+            return False
+        self._is_feed_pending = False
+        self._greenlet.kill(DoubtfulFeedError, block=False)
+        return True
+
+    def read_snapshot(self) -> store_module.Position:
+        """Reads a snapshot of the table and returns its position."""
         page = self._store.read_rows(self.table, CONFIGURATION_KEY)
         self._apply_page(page)
-        return page.version
-
-    def read_changes(self, version: int) -> int:
-        """Waits for changes after a version and returns the version reached."""
-        page = self._store.wait_for_changes(
-            self.table, version, CONFIGURATION_FEED_WAIT
-        )
+        return page.position
+
+    def read_changes(
+        self, position: store_module.Position
+    ) -> store_module.Position:
+        """Waits for changes after a position and returns the one reached."""
+        if self._store.is_in_doubt():
+            page = self._store.wait_for_changes(
+                self.table, position, DOUBTFUL_FEED_WAIT
+            )
+        else:
+            self._is_feed_pending = True
+            try:
+                page = self._store.wait_for_changes(
+                    self.table, position, CONFIGURATION_FEED_WAIT
+                )
+            finally:
+                self._is_feed_pending = False
         self._apply_page(page)
-        return page.version
+        return page.position
 
     def _apply_page(self, page: store_module.Page) -> None:
         for row in page.rows:
@@ -197,21 +242,31 @@
         self._inventory = inventory
         self._gossip = gossip
         self._is_lease_holder = is_lease_holder
-        self._version = -1
+        self._position: store_module.Position | None = None
         self._update_received = event.Event()
         self._has_missed_update = False
         gossip.set_update_handler(self.receive_update)
 
-    def read_snapshot(self) -> int:
-        """Reads a snapshot of the table and returns its version."""
+    def begin_era(self) -> None:
+        """Ends the read in progress and reads a snapshot of the new era."""
+        self._inventory.begin_settling()
+        super().begin_era()
+
+    def read_snapshot(self) -> store_module.Position:
+        """Reads a snapshot of the table and returns its position."""
         page = self._store.read_rows(self.table)
+        if self._position is not None and page.era != self._position.era:
+            # Possibly long after the change of the era.
+            self._inventory.begin_settling()
         vms, _ = _decode({row.key: row.content for row in page.rows})
         self._inventory.replace(vms)
-        self._version = page.version
-        return page.version
+        self._position = page.position
+        return page.position
 
-    def read_changes(self, version: int) -> int:
-        """Waits for the next changes and returns the version after them.
+    def read_changes(
+        self, position: store_module.Position
+    ) -> store_module.Position:
+        """Waits for the next changes and returns the position after them.
 
         The daemon that holds the group controller's lease reads the store and
         sends updates to the other daemons. When its updates stop, one daemon of
@@ -219,7 +274,7 @@
         too, each daemon reads for itself. So does a daemon that missed an
         update.
         """
-        self._version = version = max(version, self._version)
+        position = self._advance(position)
         if self._is_lease_holder():
             self._clock.sleep(HOLDER_READ_INTERVAL)
         else:
@@ -230,36 +285,63 @@
                 if self._has_missed_update or self._is_lease_holder():
                     break
         self._has_missed_update = False
-        if self._version > version:
-            version = self._version
+        position = self._advance(position)
         page = self._store.wait_for_changes(
-            self.table, version, SERVERS_FEED_WAIT
+            self.table, position, SERVERS_FEED_WAIT
         )
-        if page.version < self._version:
-            return self._version
+        if page.position < self._advance(position):
+            return self._advance(position)
         rows = self._apply_page(page)
         is_lease_holder = self._is_lease_holder()
         if is_lease_holder or self._gossip.is_reader():
             self._gossip.send_update(
-                version, page.version, rows, to_all=is_lease_holder
+                position.version,
+                page.version,
+                rows,
+                to_all=is_lease_holder,
+                era=page.era,
             )
-        return page.version
+        return page.position
 
     def receive_update(self, update: digest.ListUpdate) -> None:
-        """Applies an update from a peer if no update before it was missed."""
-        current_version = self._version
-        if current_version < 0 or update.version <= current_version:
+        """Applies an update from a peer if no update before it was missed.
+
+        Only an update of the era that this daemon reads advances its position.
+        Entries of a newer era are used, as this daemon may be unable to read
+        the store, but it reads for itself what else has changed.
+        """
+        self._store.observe_era(update.era, "update")
+        if update.era < self._store.get_era():
+            # The peer still reads the store as it was before a restore.
+            return
+        current = self._position
+        if current is None:
             self._update_received.set()
             return
-        if update.before > current_version:
+        reached = store_module.Position(era=update.era, version=update.version)
+        if reached <= current:
+            self._update_received.set()
+            return
+        if update.era > current.era:
+            self._has_missed_update = True
+            self._apply_rows(dict(update.rows))
+        elif update.before > current.version:
             self._has_missed_update = True
         else:
-            self._version = update.version
+            self._position = reached
             self._apply_rows(dict(update.rows))
             if update.relay:
                 self._gossip.forward_update(update)
         self._update_received.set()
 
+    def _advance(
+        self, position: store_module.Position
+    ) -> store_module.Position:
+        """Returns the later of a position and that reached by updates."""
+        if self._position is None or self._position < position:
+            self._position = position
+        return self._position
+
     def _get_update_timeout(self) -> datetime.timedelta:
         """Returns how long to wait for an update before reading the store."""
         if self._gossip.is_reader():
--- a/arbutuscove/platform/store.py
+++ b/arbutuscove/platform/store.py
@@ -4,6 +4,11 @@
 counter assigns the versions of all rows. `Store` is the client of these calls;
 `StoreTable` implements on it the table service that leases use, with one row of
 JSON under each key.
+
+The store may come back from an older copy: its counter then goes back and
+assigns the same versions again. Each answer names the *era* of the store, a
+number that increases with each such restore, so versions are compared only
+within one era.
 """
 
 import base64
@@ -30,6 +35,14 @@
 # A page contains at most 1 MB of rows, with their values as base64 in JSON.
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 OWN_TABLE = "arbutuscove"
+# After a failure the store may fail again, or for some calls only.
+DOUBT_PERIOD = datetime.timedelta(seconds=1)
+MAX_UNAVAILABLE_PEERS = 4096
+OWN_SOURCE = "store"  # in log lines, where the other sources are peers
+ERA_HEADER = "store-era"
+# With it, the epochs of groups still fit into 63 bits.
+MAX_ERA = 2**26 - 1
+VERSION_BITS = 48  # of the store's version in the version of a table row
 UNKNOWN_VERSION = -1  # a conflict does not report the version of the row
 
 
@@ -78,6 +91,17 @@
 _CONTENT_DECODER = decoding.JsonDecoder(_TableContent, MAX_ANSWER_BYTES)
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True, order=True)
+class Position:
+    """A point in the history of the store.
+
+    Positions of a later era are greater, whatever their version.
+    """
+
+    era: int
+    version: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Row:
     """A row of a table; `content` is None if the row was removed."""
@@ -85,14 +109,36 @@
     key: str
     version: int
     content: bytes | None
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Page:
-    """Rows as of `version`, the newest version of the store at the read."""
+    """Rows as of `version`, the newest version of the store at the read.
+
+    If they were read in several answers, rows may be newer than `version`, but
+    not older. `era` is the era of the store at the read, 0 if the store names
+    none.
+    """
 
     version: int
     rows: tuple[Row, ...]
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """The position after these rows."""
+        return Position(era=self.era, version=self.version)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Answer:
+    """An answer of the store; `is_stale` if its era has ended since."""
+
+    status: int
+    body: bytes
+    era: int
+    is_stale: bool
 
 
 class Store:
@@ -100,6 +146,14 @@
 
     `call_count` counts calls; `is_available` says whether the last one
     that ended was answered with a status other than 429 and 503.
+
+    The era is learned from every answer and from the peers, and only increases.
+    An answer of an older era is not used.
+
+    A feed call that was sent before the end of a failure may have been lost by
+    the store and never be answered. Recovery listeners are therefore called
+    when the store answers again, and `is_in_doubt` says whether a feed call
+    that is sent now should wait only briefly.
     """
 
     def __init__(
@@ -113,6 +167,84 @@
         self._clock = clock
         self.call_count = 0
         self.is_available = True
+        self._era: int | None = None  # None until it is first learned
+        self._era_listeners: list[abc.Callable[[], None]] = []
+        self._has_failed = False  # whether no call was answered since a failure
+        self._recovered_at: datetime.timedelta | None = None
+        self._recovery_listeners: list[abc.Callable[[], bool]] = []
+        self._unavailable_peers: set[str] = set()
+
+    def get_era(self) -> int:
+        """Returns the highest era learned so far; 0 while unknown."""
+        return self._era or 0
+
+    def add_era_listener(self, callback: abc.Callable[[], None]) -> None:
+        """Adds a function that is called once after each change of the era.
+
+        The first era that is learned is not a change.
+        """
+        self._era_listeners.append(callback)
+
+    def observe_era(self, era: int, source: str) -> None:
+        """Learns an era; one that is not higher than the known one is ignored.
+
+        Args:
+            era: the era of an answer or of a peer; 0 if unknown.
+            source: where it was learned, for the log.
+        """
+        before = self._era
+        if not 0 < era <= MAX_ERA or era <= (before or 0):
+            return
+        self._era = era
+        if before is None:
+            return
+        eliot.log_message(
+            "store:era_changed", before=before, after=era, source=source
+        )
+        for callback in self._era_listeners:
+            callback()
+
+    def add_recovery_listener(self, callback: abc.Callable[[], bool]) -> None:
+        """Adds a function that is called when the store answers again.
+
+        It ends the feed call that is pending, if any, and returns whether there
+        was one.
+        """
+        self._recovery_listeners.append(callback)
+
+    def is_in_doubt(self) -> bool:
+        """Returns whether a call failed, or did so until a moment ago."""
+        if self._has_failed:
+            return True
+        recovered = self._recovered_at
+        return (
+            recovered is not None
+            and self._clock.monotonic() - recovered < DOUBT_PERIOD
+        )
+
+    def observe_peer(self, name: str, is_available: bool) -> None:
+        """Learns whether the store answers a peer.
+
+        That it answers again is a hint that it also failed here.
+        """
+        if not is_available:
+            if len(self._unavailable_peers) < MAX_UNAVAILABLE_PEERS:
+                self._unavailable_peers.add(name)
+        elif name in self._unavailable_peers:
+            self._unavailable_peers.discard(name)
+            self._report_recovery(name)
+
+    def _record_failure(self) -> None:
+        self.is_available = False
+        self._has_failed = True
+
+    def _report_recovery(self, source: str) -> None:
+        self._recovered_at = self._clock.monotonic()
+        restarted = [callback() for callback in self._recovery_listeners]
+        if source == OWN_SOURCE or any(restarted):
+            eliot.log_message(
+                "store:available_again", source=source, feeds=sum(restarted)
+            )
 
     def read_rows(self, table: str, key: str | None = None) -> Page:
         """Returns all rows of a table, or the row of one key.
@@ -125,43 +257,58 @@
             StoreError: the rows could not be read.
         """
         rows: list[Row] = []
+        era: int | None = None
+        version: int | None = None
         start = key
         end = None if key is None else key + "\x00"
         while True:
             fields = {"table": table, "part": "", "limit": str(MAX_PAGE_ROWS)}
             fields |= {"from": start} if start is not None else {}
             fields |= {"to": end} if end is not None else {}
-            page = self._read("/rows-get", fields, CALL_TIMEOUT)
-            page_rows = _convert_rows(page)
+            page, page_era = self._read("/rows-get", fields, CALL_TIMEOUT)
+            if era is not None and page_era != era:
+                raise StoreError("the store's era changed between two pages")
+            era = page_era
+            if version is None:
+                # Rows of this page may change before the next one is read.
+                version = page.schema_version
+            page_rows = _convert_rows(page, era)
             rows.extend(page_rows)
             if not page.has_more or not page.rows:
-                return Page(version=page.schema_version, rows=tuple(rows))
+                return Page(version=version, rows=tuple(rows), era=era)
             if not page_rows:
                 raise StoreError("the store's page has no readable row")
             start = page_rows[-1].key + "\x00"
 
     def wait_for_changes(
-        self, table: str, version: int, wait: datetime.timedelta
+        self, table: str, position: Position, wait: datetime.timedelta
     ) -> Page:
         """Waits for changes of a table and returns the rows that changed.
 
         Args:
             table: the table.
-            version: the version after which changes are returned.
+            position: the position after which changes are returned.
             wait: longest time to wait for a change.
 
         Raises:
-            HistoryLostError: the store no longer has the changes.
+            HistoryLostError: the store no longer has the changes, or the
+                position is one of an earlier era.
             StoreError: the changes could not be read.
         """
+        if self.get_era() != position.era:
+            raise HistoryLostError("the position is one of an earlier era")
         milliseconds = int(wait.total_seconds() * 1000)
         fields = {
             "table": table,
-            "since_revision": str(version),
+            "since_revision": str(position.version),
             "wait_ms": str(milliseconds),
         }
-        page = self._read("/rows-feed", fields, wait + FEED_TIMEOUT_MARGIN)
-        return Page(version=page.schema_version, rows=_convert_rows(page))
+        page, era = self._read("/rows-feed", fields, wait + FEED_TIMEOUT_MARGIN)
+        if era != position.era:
+            raise HistoryLostError("the store's era changed during the call")
+        return Page(
+            version=page.schema_version, rows=_convert_rows(page, era), era=era
+        )
 
     def transact(
         self,
@@ -204,13 +351,21 @@
             ],
         }
         data = msgspec.json.encode(body)
-        status, answer = self._call("POST", "/rows-tx", data, CALL_TIMEOUT)
+        sent_era = self._era
+        answer = self._call("POST", "/rows-tx", data, CALL_TIMEOUT)
+        status = answer.status
         match status:
+            case 200 if answer.is_stale or sent_era not in (None, answer.era):
+                # Written before the restore and lost by it, or written after it
+                # under a condition on the version of another row.
+                raise OutcomeUnknownError("the store's era changed")
             case 200:
                 try:
-                    return _decode_page(answer).schema_version
+                    return _decode_page(answer.body).schema_version
                 except StoreError as error:
                     raise OutcomeUnknownError(str(error)) from error
+            case 412 if answer.is_stale:
+                raise StoreError("a write was rejected in an earlier era")
             case 412:
                 return None
             case 429 | 503:
@@ -222,15 +377,19 @@
 
     def _read(
         self, path: str, fields: dict[str, str], timeout: datetime.timedelta
-    ) -> _WirePage:
+    ) -> tuple[_WirePage, int]:
+        """Returns the decoded answer and its era."""
         target = path + "?" + urllib.parse.urlencode(fields)
         try:
-            status, answer = self._call("GET", target, b"", timeout)
+            answer = self._call("GET", target, b"", timeout)
         except OutcomeUnknownError as error:
             raise StoreError(str(error)) from error
+        if answer.is_stale:
+            raise StoreError("the answer is one of an earlier era")
+        status = answer.status
         match status:
             case 200:
-                return _decode_page(answer)
+                return _decode_page(answer.body), answer.era
             case 410:
                 raise HistoryLostError("the store answered 410")
             case 429 | 503:
@@ -240,7 +399,7 @@
 
     def _call(
         self, method: str, target: str, body: bytes, timeout: datetime.timedelta
-    ) -> tuple[int, bytes]:
+    ) -> _Answer:
         self.call_count += 1
         deadline = self._clock.monotonic() + timeout
         fields = [("Host", str(self._address))]
@@ -251,6 +410,7 @@
         try:
             client_connection = self._connections.check_out(self._address)
         except http.NotSentError as error:
+            self._record_failure()
             raise StoreError(str(error)) from error
         self.is_available = was_available
         try:
@@ -262,10 +422,10 @@
                 parser = client_connection.receive(
                     deadline - self._clock.monotonic()
                 )
-            answer = parser.get_code(), parser.pop_body()
+            status, body = parser.get_code(), parser.pop_body()
         except http.NoResponseError as error:
             client_connection.close()
-            self.is_available = False
+            self._record_failure()
             raise OutcomeUnknownError(str(error)) from error
         except BaseException:
             client_connection.close()
@@ -273,14 +433,35 @@
         self._connections.check_in(
             client_connection, pool.parse_keep_alive_timeout(parser)
         )
-        self.is_available = answer[0] not in (429, 503)
-        return answer
+        if status in (429, 503):
+            self._record_failure()
+        else:
+            self.is_available = True
+            if self._has_failed:
+                self._has_failed = False
+                self._report_recovery(OWN_SOURCE)
+        era = _parse_era(parser.get_header(ERA_HEADER))
+        if era is None:
+            era = self.get_era()
+        self.observe_era(era, OWN_SOURCE)
+        is_stale = era < self.get_era()
+        if is_stale:
+            eliot.log_message(
+                "store:stale_answer",
+                target=target,
+                status=status,
+                era=era,
+                known=self.get_era(),
+            )
+        return _Answer(status=status, body=body, era=era, is_stale=is_stale)
 
 
 class StoreTable:
     """The table service of the product, stored in one table of the store.
 
     All rows have the same part, since a transaction cannot span several parts.
+    The version of a row contains the era in which it was read, as the store
+    assigns the same version to another row after a restore.
     """
 
     def __init__(self, store: Store) -> None:
@@ -330,26 +511,55 @@
             write.key: _encode_table_value(write, transaction.write_id)
             for write in transaction.writes
         }
-        conditions = {
-            condition.key: condition.version
-            for condition in transaction.conditions
-        }
+        era = self._store.get_era()
+        conditions: dict[str, int] = {}
+        for condition in transaction.conditions:
+            condition_era, version = _split_version(condition.version)
+            if condition.version != table_module.ABSENT and (
+                condition_era != era
+            ):
+                conflict = table_module.Conflict(
+                    key=condition.key, found=UNKNOWN_VERSION
+                )
+                return expression.Error(conflict)
+            conditions[condition.key] = version
         try:
-            version = self._store.transact(OWN_TABLE, conditions, writes)
+            written = self._store.transact(OWN_TABLE, conditions, writes)
         except OutcomeUnknownError as error:
             raise table_module.OutcomeUnknownError(str(error)) from error
         except StoreError as error:
             raise table_module.TableUnavailableError(str(error)) from error
-        if version is None:
+        if written is None:
             key = transaction.conditions[0].key
             conflict = table_module.Conflict(key=key, found=UNKNOWN_VERSION)
             return expression.Error(conflict)
+        version = _join_version(self._store.get_era(), written)
         committed = table_module.Committed(
             versions=dict.fromkeys(writes, version)
         )
         return expression.Ok(committed)
 
 
+def _join_version(era: int, version: int) -> int:
+    return era << VERSION_BITS | version
+
+
+def _split_version(version: int) -> tuple[int, int]:
+    """Returns the era and the store's version in a version of a table row."""
+    return version >> VERSION_BITS, version & (1 << VERSION_BITS) - 1
+
+
+def _parse_era(value: str | None) -> int | None:
+    """Returns the era in a header, None without a valid one."""
+    value = (value or "").strip()
+    if not (value.isascii() and value.isdecimal()):
+        return None
+    if len(value) > len(str(MAX_ERA)):
+        return None
+    era = int(value)
+    return era if era <= MAX_ERA else None
+
+
 def _encode_row_name(table: str, key: str) -> dict[str, str]:
     return {"table": table, "part": "", "key": key}
 
@@ -376,24 +586,24 @@
         content = _TableContent()
     return table_module.Row(
         key=row.key,
-        version=row.version,
+        version=_join_version(row.era, row.version),
         write_id=content.write_id,
         value=content.value,
     )
 
 
-def _convert_rows(page: _WirePage) -> tuple[Row, ...]:
+def _convert_rows(page: _WirePage, era: int) -> tuple[Row, ...]:
     """Returns the rows of a page that can be decoded."""
     rows: list[Row] = []
     for raw in page.rows:
         try:
-            rows.append(_convert_row(_ROW_DECODER.decode(bytes(raw))))
+            rows.append(_convert_row(_ROW_DECODER.decode(bytes(raw)), era))
         except decoding.DecodingError as error:
             eliot.log_message("store:row_skipped", reason=str(error))
     return tuple(rows)
 
 
-def _convert_row(row: _WireRow) -> Row:
+def _convert_row(row: _WireRow, era: int) -> Row:
     content: bytes | None = None
     if not row.deleted:
         try:
@@ -401,7 +611,9 @@
         except (TypeError, ValueError):
             # Not base64, from another writer; readers reject empty content.
             content = b""
-    return Row(key=row.key, version=row.schema_version, content=content)
+    return Row(
+        key=row.key, version=row.schema_version, content=content, era=era
+    )
 
 
 def _decode_page(answer: bytes) -> _WirePage:
--- a/arbutuscove/platform/tests/test_followers.py
+++ b/arbutuscove/platform/tests/test_followers.py
@@ -32,7 +32,7 @@
     def is_reader(self):
         return self.reader
 
-    def send_update(self, before, version, rows, to_all):
+    def send_update(self, before, version, rows, to_all, era):
         self.sent.append((before, version, rows))
         self.to_all = to_all
 
@@ -47,24 +47,49 @@
         self.pages = []
         self.requested_versions = []
         self.refuses = False
+        self.era = 0
+        self.era_listeners = []
+
+    def get_era(self):
+        return self.era
+
+    def observe_era(self, era, source):
+        if era > self.era:
+            self.era = era
+            for callback in self.era_listeners:
+                callback()
+
+    def add_era_listener(self, callback):
+        self.era_listeners.append(callback)
+
+    def add_recovery_listener(self, callback):
+        pass
+
+    def is_in_doubt(self):
+        return False
 
     def read_rows(self, table, key=None):
         if self.refuses:
             raise store_module.StoreError("refused")
         return self.pages.pop(0)
 
-    def wait_for_changes(self, table, version, wait):
-        self.requested_versions.append(version)
+    def wait_for_changes(self, table, position, wait):
+        self.requested_versions.append(position.version)
         return self.pages.pop(0)
 
 
+def at(version, era=0):
+    return store_module.Position(era=era, version=version)
+
+
 def create_entry(**change):
     return msgspec.json.encode(test_entries.ENTRY | change)
 
 
-def create_page(version, **rows):
+def create_page(version, era=0, **rows):
     return store_module.Page(
         version=version,
+        era=era,
         rows=tuple(
             store_module.Row(key=key, version=version, content=content)
             for key, content in rows.items()
@@ -81,7 +106,7 @@
         store, clock, random.Random(1), inventory, gossip, lambda: False
     )
     store.pages.append(create_page(10, a=create_entry()))
-    assert follower.read_snapshot() == 10
+    assert follower.read_snapshot() == at(10)
     return store, gossip, inventory, follower
 
 
@@ -91,11 +116,29 @@
     heartbeat_only = create_entry(sequence=9)
     new = create_entry(address="10.0.0.9:80")
     store.pages.append(create_page(12, a=heartbeat_only, b=new))
-    assert follower.read_changes(10) == 12
+    assert follower.read_changes(at(10)) == at(12)
     row = digest.ListRow(version=12, name="b", content=new)
     assert gossip.sent == [(10, 12, [row])]
 
 
+def test_reader_passes_on_a_vm_that_returns(scene):
+    """Guards against VMs that only the reader uses after an outage.
+
+    The reader still lists a VM during its grace period, while a peer delists it
+    at once; when the VM wrote the same entry again, the peer was not told
+    (nilavu-diary mix seed 928459047096: 503 for lack of backends).
+    """
+    store, gossip, inventory, follower = scene
+    store.pages.append(create_page(11, a=None))
+    position = follower.read_changes(at(10))
+    assert inventory.find("a") is not None
+    entry = create_entry(sequence=9)
+    store.pages.append(create_page(12, a=entry))
+    follower.read_changes(position)
+    row = digest.ListRow(version=12, name="a", content=entry)
+    assert gossip.sent[-1] == (11, 12, [row])
+
+
 def test_holder_of_the_duty_reads_for_all(scene):
     """Guards against store calls that grow with the failure domains.
 
@@ -105,7 +148,7 @@
     store, gossip, _, follower = scene
     follower._is_lease_holder = lambda: True
     store.pages.append(create_page(12))
-    follower.read_changes(10)
+    follower.read_changes(at(10))
     assert gossip.to_all
 
 
@@ -118,7 +161,7 @@
     gossip.deliver(update)
     assert gossip.forwarded == [update]
     store.pages.append(create_page(13))
-    follower.read_changes(10)  # reads when no further update arrives
+    follower.read_changes(at(10))  # reads when no further update arrives
     assert store.requested_versions == [12]
     assert gossip.sent == [(12, 13, [])]
     assert not gossip.to_all
@@ -133,7 +176,7 @@
     )
     gossip.deliver(update)
     store.pages.append(create_page(13))
-    assert follower.read_changes(10) == 13
+    assert follower.read_changes(at(10)) == at(13)
     assert store.requested_versions == [12]
     assert inventory.find("b") is None
 
@@ -144,7 +187,7 @@
     gossip.reader = False
     gossip.deliver(digest.ListUpdate(sender="p", before=11, version=12))
     store.pages.append(create_page(13, b=create_entry()))
-    assert follower.read_changes(10) == 13
+    assert follower.read_changes(at(10)) == at(13)
     assert store.requested_versions == [10]
     assert inventory.find("b") is not None
 
@@ -219,7 +262,7 @@
     odd = entry.replace(b'"NESTED"', b'{"a":' * 5000 + b"1" + b"}" * 5000)
     new = create_entry(address="10.0.0.9:80")
     store.pages.append(create_page(12, a=create_entry(), b=odd, c=new))
-    assert follower.read_changes(10) == 12
+    assert follower.read_changes(at(10)) == at(12)
     assert inventory.find("c") is not None
     assert inventory.find("b") is None
 
@@ -240,7 +283,76 @@
     store.pages.append(create_page(11, config=odd))
     store.pages.append(create_page(12, config=last))
     follower.read_snapshot()
-    assert follower.read_changes(10) == 11
+    assert follower.read_changes(at(10)) == at(11)
     assert catalog.get_version() == 7
-    assert follower.read_changes(11) == 12
+    assert follower.read_changes(at(11)) == at(12)
     assert catalog.get_version() == 9
+
+
+def test_update_of_an_earlier_era_changes_nothing(scene):
+    """Guards against entries from before a restore that replace newer ones.
+
+    The version of the update is higher than those assigned since.
+    """
+    store, gossip, inventory, follower = scene
+    store.observe_era(2, "store")
+    store.pages.append(create_page(4, era=2, b=create_entry()))
+    assert follower.read_snapshot() == at(4, era=2)
+    gossip.deliver(
+        digest.ListUpdate(
+            sender="p",
+            before=4,
+            version=12,
+            rows=(("b", None), ("z", create_entry())),
+            era=1,
+        )
+    )
+    assert inventory.find("z") is None
+    store.pages.append(create_page(5, era=2))
+    follower.read_changes(at(4, era=2))
+    assert store.requested_versions == [4]
+
+
+def test_page_of_a_new_era_is_used(scene):
+    """Guards against pages that are dropped until the counter has caught up."""
+    store, _, inventory, follower = scene
+    store.observe_era(2, "store")
+    store.pages.append(create_page(4, era=2, b=create_entry()))
+    position = follower.read_snapshot()
+    store.pages.append(create_page(5, era=2, c=create_entry()))
+    assert follower.read_changes(position) == at(5, era=2)
+    assert inventory.find("c") is not None
+
+
+def test_daemon_without_the_store_learns_the_era_from_an_update(scene):
+    """Guards against a daemon that stays in an era that its peers have left."""
+    store, gossip, inventory, follower = scene
+    killed = []
+    follower._greenlet = FakeGreenlet(killed)
+    gossip.deliver(
+        digest.ListUpdate(
+            sender="p",
+            before=3,
+            version=4,
+            rows=(("a", None), ("z", create_entry())),
+            era=2,
+        )
+    )
+    assert store.get_era() == 2
+    assert killed == [followers.BehindError]
+    assert {vm.name for vm in inventory.list_vms()} == {"a", "z"}
+    assert inventory.is_settling()
+    follower._clock.advance(inventory_module.LAPSE_GRACE)
+    assert {vm.name for vm in inventory.list_vms()} == {"z"}
+
+
+def test_late_first_read_of_a_new_era_settles_again(scene):
+    """Guards against a copy that replaces what is known, read long after."""
+    store, _, inventory, follower = scene
+    store.observe_era(2, "peer")
+    follower._clock.advance(inventory_module.LAPSE_GRACE * 2)
+    assert not inventory.is_settling()
+    older = create_entry(sequence=3, state="draining")
+    store.pages.append(create_page(4, era=2, a=older))
+    follower.read_snapshot()
+    assert not inventory.find("a").leaving
--- a/arbutuscove/platform/tests/test_store.py
+++ b/arbutuscove/platform/tests/test_store.py
@@ -34,7 +34,9 @@
 
     def _call(self, method, target, body, timeout):
         self.targets.append(target)
-        return 200, self.answers.pop(0)
+        return store_module._Answer(
+            status=200, body=self.answers.pop(0), era=0, is_stale=False
+        )
 
 
 def create_row(key, content=b"{}", **fields):
@@ -61,7 +63,11 @@
 def test_odd_row_does_not_cost_the_others_of_its_page(odd):
     """Guards against one row that stops a follower of a table."""
     store = AnsweringStore(encode_page(create_row("a"), odd, create_row("b")))
-    page = store.wait_for_changes("servers", 4, datetime.timedelta())
+    page = store.wait_for_changes(
+        "servers",
+        store_module.Position(era=0, version=4),
+        datetime.timedelta(),
+    )
     assert [row.key for row in page.rows] == ["a", "b"]
     assert page.version == 9
 
