List the mutations of eras, lost feeds and returned VMs

Each of the five removes one mechanism, and the test named with it then fails. The mutation of the lease holder's updates matches the code again: its text had changed with the era in the call. Run one by one: all of these fail as listed.

--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -604,8 +604,8 @@
     Mutation(
         promise="the lease holder reads the list for all daemons",
         path="platform/followers.py",
-        old="version, page.version, rows, to_all=is_lease_holder",
-        new="version, page.version, rows, to_all=False",
+        old="to_all=is_lease_holder,",
+        new="to_all=False,",
         test="platform/tests/test_followers.py::test_holder_of_the_du"
         "ty_reads_for_all",
     ),
@@ -768,4 +768,44 @@
         new="            if not",
         test="requests/tests/test_quarantine.py::test_quarantine_lost_request_with_a_part_is_not_retried",
     ),
+    Mutation(
+        promise="a position of an earlier era is not used",
+        path="platform/store.py",
+        old="if era != position.era:",
+        new="if False:",
+        test="platform/tests/test_store.py::"
+        "test_feed_that_spans_a_restore_is_lost",
+    ),
+    Mutation(
+        promise="a write answered in another era is not confirmed",
+        path="platform/store.py",
+        old="if answer.is_stale or sent_era not in (None, answer.era)",
+        new="if answer.is_stale",
+        test="platform/tests/test_store.py::"
+        "test_write_that_meets_a_new_era_is_not_confirmed",
+    ),
+    Mutation(
+        promise="a feed that a silent store may have lost is sent again",
+        path="platform/followers.py",
+        old="self._greenlet.kill(DoubtfulFeedError, block=False)",
+        new="pass",
+        test="platform/tests/test_configuration_feed.py::"
+        "test_pending_feed_is_sent_again_after_a_failure",
+    ),
+    Mutation(
+        promise="an older copy of the list makes no leaving VM ready",
+        path="fleet/inventory.py",
+        old="return vm.precedes(known)",
+        new="return False",
+        test="fleet/tests/test_inventory.py::"
+        "test_older_copy_does_not_make_a_leaving_vm_ready",
+    ),
+    Mutation(
+        promise="peers are told of a VM that writes its entry again",
+        path="fleet/inventory.py",
+        old="if before is None or vm.name in self._grace_deadlines:",
+        new="if before is None:",
+        test="platform/tests/test_followers.py::"
+        "test_reader_passes_on_a_vm_that_returns",
+    ),
 )
