Close idle connections when a server that drains closes

Around a planned stop a request on a kept connection could get neither an answer nor a refusal: connections that were idle at the end of the drain stayed open until the process had ended, so that a request on one of them could still be read and passed to an upstream, and was lost at the exit. On the own interface, callers could also connect until the last request had ended, although nobody accepted or read these connections.

Cause: the servers closed only their listening socket (`arbutuscoved` only stopped to accept). The wait for the last request counts requests that have begun, and nothing kept further ones from beginning after it.

`CallerServer.close` now ends the wait of idle connections, and no request begins afterwards; those whose first bytes have arrived are served. A client sees the close while its connection is idle, or its request crosses the close and is not read. Both interfaces call it: the listener of the platform did already, `EntryServer.drain` does now. In flight connections were ruled out as a cause: they get `Connection: close` or end after their answer.

Read in the code and shown by tests, not seen in a soak: the three new tests failed before (`bin/test arbutuscove/entry/tests/test_connections.py -k "closes or draining"`: 3 failed; time-outs, and a connection that was accepted). Now `bin/test arbutuscove/entry/tests`: 56 passed.

--- a/arbutuscove/entry/app.py
+++ b/arbutuscove/entry/app.py
@@ -118,9 +118,10 @@
         """Serves while callers may use this address, then until requests end.
 
         First waits for the time to live of entry lists, because callers that
-        received this address may still connect. Then stops accepting
-        connections and waits for the last request, at most for the maximum
-        deadline. Meanwhile responses ask the client to close the connection.
+        received this address may still connect. Then closes the listening
+        socket and idle connections, and waits for the last request, at most for
+        the maximum deadline. Meanwhile responses ask the client to close the
+        connection.
         """
         self._draining = True
         deadline = (
@@ -128,7 +129,7 @@
         )
         while self._clock.monotonic() < deadline:
             self._clock.sleep(DRAIN_POLL_INTERVAL)
-        self._server.stop_accepting()
+        self._server.close()
         end = self._clock.monotonic() + callers.MAX_DEADLINE
         while self._active_requests and self._clock.monotonic() < end:
             self._clock.sleep(DRAIN_POLL_INTERVAL)
--- a/arbutuscove/entry/connections.py
+++ b/arbutuscove/entry/connections.py
@@ -129,8 +129,10 @@
         """Serves one request; returns None to end the connection."""
         bounds = self.server.bounds
         try:
-            self.socket.settimeout(bounds.idle_timeout.total_seconds())
-            if not self.rfile.peek(1):
+            timeout = bounds.idle_timeout.total_seconds()
+            # A server that closes still serves requests that have arrived.
+            self.socket.settimeout(0 if self.server.is_closing else timeout)
+            if not self.server.wait_idle(self.socket, self.rfile):
                 return None
             self.socket.settimeout(bounds.write_timeout.total_seconds())
         except (OSError, ValueError):
@@ -237,6 +239,9 @@
         count: called with the reason code of each refused connection or
             request head, and of each client that was lost or stalled while
             a response was sent.
+
+    Attributes:
+        is_closing: whether no more requests begin.
     """
 
     handler_class = CallerHandler
@@ -261,6 +266,8 @@
         self.count = count
         self._open_by_address: collections.Counter[str] = collections.Counter()
         self._lingering = 0
+        self.is_closing = False
+        self._idle: set[typing.Any] = set()  # sockets
 
     def handle(self, sock: typing.Any, address: typing.Any) -> None:
         """Serves a connection, or refuses it if too many are open."""
@@ -284,6 +291,37 @@
             if not self._open_by_address[host]:
                 del self._open_by_address[host]
 
+    def close(self) -> None:
+        """Stops accepting and closes idle connections.
+
+        Requests that have arrived are served. Otherwise a request on an idle
+        connection could begin while the process ends.
+        """
+        super().close()
+        self.is_closing = True
+        for sock in list(self._idle):
+            if not _has_bytes(sock):
+                self._idle.discard(sock)
+                # Ends the wait of the handler, which closes the connection.
+                _stop_reading(sock)
+
+    def wait_idle(self, sock: typing.Any, stream: typing.Any) -> bool:
+        """Waits for the first byte of the next request of a connection.
+
+        Args:
+            sock: the connection.
+            stream: its reader.
+
+        Returns:
+            Whether a request begins.
+        """
+        self._idle.add(sock)
+        try:
+            # A request that begins after its connection was closed is not read.
+            return bool(stream.peek(1)) and sock in self._idle
+        finally:
+            self._idle.discard(sock)
+
     def _refuse_connection(self, sock: typing.Any) -> None:
         self.count("too_many_connections")
         refusal = work_module.Refusal(
@@ -326,6 +364,22 @@
         )
 
 
+def _has_bytes(sock: typing.Any) -> bool:
+    """Returns whether unread bytes have arrived; sets the time-out to 0."""
+    sock.settimeout(0)
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
+
+
+def _stop_reading(sock: typing.Any) -> None:
+    try:
+        sock.shutdown(socket.SHUT_RD)
+    except OSError:
+        return  # the client closed it first
+
+
 def _send_refusal(sock: typing.Any, refusal: work_module.Refusal) -> None:
     run = failures.RunStatus.NOT_RUN
     body = msgspec.json.encode(refusals.build_body(refusal, run))
--- a/arbutuscove/entry/tests/test_connections.py
+++ b/arbutuscove/entry/tests/test_connections.py
@@ -1,5 +1,6 @@
 """Guards against callers that degrade the daemon or other callers."""
 
+import contextlib
 import datetime
 import errno
 import socket
@@ -7,6 +8,7 @@
 import gevent
 import msgspec
 import pytest
+from gevent import event
 
 from arbutuscove.entry import app
 from arbutuscove.entry import connections
@@ -255,3 +257,99 @@
     finally:
         running.stop()
     assert response.startswith(b"HTTP/1.1 500 ")
+
+
+KEPT_BOUNDS = connections.Bounds(idle_timeout=datetime.timedelta(seconds=8))
+KEPT_REQUEST = serving.build_request().replace(b"Connection: close\r\n", b"")
+MAX_WAIT_SECONDS = 4.0
+
+
+class Application:
+    """Counts its requests, whose answers wait until `release` is set."""
+
+    def __init__(self):
+        self.run_count = 0
+        self.release = event.Event()
+
+    def __call__(self, environ, start_response):
+        environ["wsgi.input"].read()
+        self.run_count += 1
+        self.release.wait()
+        start_response("200 OK", [("Content-Length", "5")])
+        return [b"whole"]
+
+
+@pytest.fixture
+def kept():
+    """A server of kept connections, its application and its address."""
+    application = Application()
+    address = http.Address("127.0.0.1", cluster.find_port())
+    running = connections.CallerServer(
+        address, application, KEPT_BOUNDS, lambda _: None
+    )
+    running.start()
+    yield running, application, address
+    application.release.set()
+    running.stop()
+
+
+def _connect(address):
+    return socket.create_connection(address, timeout=MAX_WAIT_SECONDS)
+
+
+def test_caller_idle_connection_ends_when_the_server_closes(kept):
+    """Guards against a request that begins while the process ends.
+
+    Idle connections stayed open until the exit, and a request on one of them
+    could be passed to an upstream and then lost.
+    """
+    running, application, address = kept
+    application.release.set()
+    with _connect(address) as client:
+        client.sendall(KEPT_REQUEST)
+        assert client.recv(65536).startswith(b"HTTP/1.1 200 OK")
+        gevent.sleep(0.05)
+        running.close()
+        gevent.sleep(0.05)
+        with contextlib.suppress(ConnectionError):
+            client.sendall(KEPT_REQUEST)
+        assert serving.read_all(client) == b""
+    assert application.run_count == 1
+
+
+def test_caller_gets_its_answer_while_the_server_closes(kept):
+    """Guards against a server that closes on requests that have arrived."""
+    running, application, address = kept
+    with _connect(address) as active, _connect(address) as arrived:
+        active.sendall(KEPT_REQUEST)
+        while not application.run_count:
+            gevent.sleep(0.01)
+        # The handler of this connection cannot run before the close.
+        arrived.sendall(KEPT_REQUEST)
+        running.close()
+        application.release.set()
+        for client in (active, arrived):
+            response = serving.read_all(client)
+            assert response.startswith(b"HTTP/1.1 200 OK")
+            assert response.endswith(b"whole")
+    assert application.run_count == 2
+
+
+def test_draining_server_refuses_connections_that_nobody_reads(server):
+    """Guards against callers that wait at a daemon that accepts no more.
+
+    Until the last request ended, the system accepted connections for a daemon
+    that did not read them.
+    """
+    server.flow.release = event.Event()
+    with server.connect() as active:
+        active.sendall(serving.build_request(serving.build_body(stream=True)))
+        while not server.flow.run_count:
+            gevent.sleep(0.01)
+        draining = gevent.spawn(server.entry.drain)
+        gevent.sleep(app.LEAVE_PROPAGATION_TIME.total_seconds() + 0.2)
+        with pytest.raises(ConnectionRefusedError):
+            server.connect()
+        server.flow.release.set()
+        assert b"one " in serving.read_all(active)
+        draining.join()
