Ignore SIGHUP until the daemon handles it

A daemon ended, and all its requests were lost, when SIGHUP arrived during its start; `arbutuscoved` ended without a drain by SIGHUP at any time.

Cause: SIGHUP ends a process by default. `arbutuscove.platform` installed its handler after all imports, about a second after the start of the process; `arbutuscoved` installed none.

`arbutuscove.platform` now ignores it before all other imports. The settings file is read later, so that the change which the signal announces is not missed. `arbutuscoved` takes its settings from its start only and ignores it. The time in which the interpreter itself starts remains.

The two new tests failed before (the process ended by signal 1; the signal had its default action).

--- a/arbutuscove/daemon/main.py
+++ b/arbutuscove/daemon/main.py
@@ -125,6 +125,8 @@
 @_add_options
 def serve(**values: typing.Any) -> None:
     """Serves until SIGTERM, then drains and exits."""
+    # By default it would end the process without a drain.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     settings = _read_settings(values)
     _exit_on_faults(settings)
     logs.configure(settings.name)
--- a/arbutuscove/platform/__main__.py
+++ b/arbutuscove/platform/__main__.py
@@ -2,12 +2,17 @@
 
 # Modules that use sockets have to be imported after the patch.
 # ruff: noqa: E402
+import signal
+
+# By default, a SIGHUP would end a process that is still importing. The settings
+# are read later, so that it loses nothing.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 from gevent import monkey
 
 monkey.patch_all()
 
 import gc
-import signal
 import sys
 
 import click
