Signal only started interpreters in the soak, and recover without a check

An interpreter that starts ends by SIGHUP before any of its program runs, so the soak sends none in the first half second of a process.

A run with planned work alone does not check the recovery: it waits for a second, and a recovery is promised only after 12 s. The check is unchanged in all other runs.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -54,6 +54,8 @@
 # Faults of one server after which it breaks off answers.
 SERVER_FAULTS = ("server_crash", "server_link")
 SILENT_SECONDS = (0.8, 1.8)  # shortest and longest silence of a sound server
+# An interpreter that starts ends by SIGHUP before any of its program runs.
+INTERPRETER_START_SECONDS = 0.5
 MAX_SERIES = 6  # changes of the configuration, or SIGHUPs, in one series
 MAX_SERIES_PAUSE_SECONDS = 0.6  # between two of them
 
@@ -284,7 +286,8 @@
     def _hang_up(self, _: float) -> str:
         daemon = self._pick_daemon(0.0, is_planned_stop=True)
         for _number in range(self._generator.randint(1, MAX_SERIES)):
-            self._world.signal(daemon, signal.SIGHUP)
+            if time.monotonic() > daemon.started_at + INTERPRETER_START_SECONDS:
+                self._world.signal(daemon, signal.SIGHUP)
             self._pause_in_series()
         return str(daemon.name)
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -124,13 +124,15 @@
         *clients.violations,
         *world.platform.violations,
         *callers.check_runs(clients.outcomes, world.platform.runs),
-        *_check_recovery(clients.outcomes, recovered_at),
         *_check_planned_stops(clients.outcomes, records),
         *ends.check_ends(
             clients.outcomes, world.platform.runs, records, world.changes
         ),
         *_check_exits(world),
     ]
+    # A recovery is promised only after `RECOVERY_SECONDS`.
+    if not is_planned_only:
+        violations += _check_recovery(clients.outcomes, recovered_at)
     return Report(
         seed=seed,
         violations=tuple(violations),
--- a/soak/world.py
+++ b/soak/world.py
@@ -44,6 +44,7 @@
         link: forwarder between the daemon and the store.
         process: current process; None before the start and while a fault
             restarts it.
+        started_at: monotonic time of the process's start, in seconds.
         disturbed_until: monotonic time, in seconds, until which faults other
             than planned stops may affect the daemon.
         exits: unused.
@@ -55,6 +56,7 @@
     log: pathlib.Path
     link: forwarder.Forwarder
     process: subprocess.Popen[bytes] | None = None
+    started_at: float = 0.0
     disturbed_until: float = 0.0
     exits: int = 0
 
@@ -192,6 +194,7 @@
         environment = dict(os.environ)
         environment[settings.SETTINGS_FILE_VARIABLE] = str(daemon.settings)
         environment["PYTHONPATH"] = str(self._root)
+        daemon.started_at = time.monotonic()
         with daemon.log.open("ab") as log:
             daemon.process = subprocess.Popen(
                 [sys.executable, "-m", "arbutuscove.platform"],
