--- a/arbutuscove/platform/__main__.py
+++ b/arbutuscove/platform/__main__.py
@@ -4,8 +4,8 @@
 # ruff: noqa: E402
 import signal
 
-# By default SIGHUP ends a process; one that is starting reads its settings
-# anyway.
+# By default, a SIGHUP would end a process that is still importing. The settings
+# are read later, so that it loses nothing.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 from gevent import monkey
