Turn odd replies of the platform's services into errors of their clients

What callers see, on the own interface: one odd reply of the table, the object store or the VM list, or one odd VM in that list, ends the loop that reads it; it is started again, reads the same and ends again. A VM with an address of another form raises ValueError in each reader of its status. A stored answer that is no text is returned as its Python form.

Cause: the clients caught errors of the request, while the body was decoded outside of that: HttpError, msgspec's ValidationError and RecursionError passed through, which nobody above expects. The VM list was converted as a whole, its addresses were not looked at.

Change: Reply.json and Reply.decode turn each such error into NoResponseError, and each client turns that into its own error: a read is unavailable, a write is undecided. VMs are converted one by one, with the same limits as on the users' platform; an odd one is logged and left out.

Not covered: a row of the table whose value is nested more than 32 levels makes the whole page unreadable; only daemons write that table.

Why it works: every call of a client now ends with a value of the stated type or with the error that its callers handle.

--- a/arbutuscove/kernel/decoding.py
+++ b/arbutuscove/kernel/decoding.py
@@ -58,7 +58,7 @@
 class JsonDecoder(typing.Generic[ValueT]):
     """Decodes JSON documents of one type."""
 
-    def __init__(self, value_type: type[ValueT], max_bytes: int) -> None:
+    def __init__(self, value_type: typing.Any, max_bytes: int) -> None:
         self._decoder = msgspec.json.Decoder(value_type)
         self._max_bytes = max_bytes
 
@@ -72,9 +72,10 @@
             raise DecodingError(f"{len(content)} bytes exceed the limit")
         _check_depth(content)
         try:
-            return self._decoder.decode(content)
+            value: ValueT = self._decoder.decode(content)
         except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
             raise DecodingError(str(error)) from error
+        return value
 
 
 class MessagePackDecoder(typing.Generic[ValueT]):
--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -67,7 +67,7 @@
     ip: decoding.Ipv4Address
 
 
-_REGISTRATION_DECODER = decoding.JsonDecoder(
+_REGISTRATION_DECODER = decoding.JsonDecoder[_Registration](
     _Registration, MAX_REGISTRATION_BYTES
 )
 
--- a/arbutuscove/platform/configuration.py
+++ b/arbutuscove/platform/configuration.py
@@ -121,7 +121,9 @@
     tenants: tuple[_Tenant, ...] | None = None
 
 
-_DECODER = decoding.JsonDecoder(_Configuration, MAX_CONFIGURATION_BYTES)
+_DECODER = decoding.JsonDecoder[_Configuration](
+    _Configuration, MAX_CONFIGURATION_BYTES
+)
 
 
 def decode(content: bytes) -> model.Catalog:
--- a/arbutuscove/platform/engine.py
+++ b/arbutuscove/platform/engine.py
@@ -34,7 +34,7 @@
     pace: decoding.Amount = 1.0  # above 1 if the VM is slow
 
 
-_DECODER = decoding.JsonDecoder(_Report, MAX_REPORT_BYTES)
+_DECODER = decoding.JsonDecoder[_Report](_Report, MAX_REPORT_BYTES)
 
 
 class HttpOrderClient:
--- a/arbutuscove/platform/entries.py
+++ b/arbutuscove/platform/entries.py
@@ -58,7 +58,7 @@
     group: Group | None = None
 
 
-_DECODER = decoding.JsonDecoder(_Entry, MAX_ENTRY_BYTES)
+_DECODER = decoding.JsonDecoder[_Entry](_Entry, MAX_ENTRY_BYTES)
 
 
 def decode(name: str, content: bytes) -> model.Vm:
--- a/arbutuscove/platform/store.py
+++ b/arbutuscove/platform/store.py
@@ -73,9 +73,11 @@
     value: typing.Any = None
 
 
-_ROW_DECODER = decoding.JsonDecoder(_WireRow, MAX_ANSWER_BYTES)
-_PAGE_DECODER = decoding.JsonDecoder(_WirePage, MAX_ANSWER_BYTES)
-_CONTENT_DECODER = decoding.JsonDecoder(_TableContent, MAX_ANSWER_BYTES)
+_ROW_DECODER = decoding.JsonDecoder[_WireRow](_WireRow, MAX_ANSWER_BYTES)
+_PAGE_DECODER = decoding.JsonDecoder[_WirePage](_WirePage, MAX_ANSWER_BYTES)
+_CONTENT_DECODER = decoding.JsonDecoder[_TableContent](
+    _TableContent, MAX_ANSWER_BYTES
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/arbutuscove/storage/http.py
+++ b/arbutuscove/storage/http.py
@@ -15,6 +15,8 @@
 import msgspec
 from geventhttpclient import response as response_module
 
+from arbutuscove.kernel import decoding
+
 CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
 REQUEST_TIMEOUT = datetime.timedelta(seconds=2)
 MAX_CONNECTIONS = 8  # pooled per address; bounds sockets to one server
@@ -24,9 +26,13 @@
 READ_ERRORS = (OSError, ValueError, response_module.HTTPParseError)
 MAX_HOST_LENGTH = 253  # characters of a host name (RFC 1035)
 MAX_PORT = 65535
+MAX_BODY_BYTES = 64 * 1024 * 1024  # of a response that is decoded
+_DECODER = decoding.JsonDecoder[typing.Any](typing.Any, MAX_BODY_BYTES)
 _PORT = re.compile(r"[0-9]{1,5}")
 _LABEL = re.compile(r"(?!-)[A-Za-z0-9_-]{1,63}(?<!-)")
 
+ValueT = typing.TypeVar("ValueT")
+
 
 class HttpError(Exception):
     """A request failed without a complete HTTP response."""
@@ -118,14 +124,26 @@
         """Decodes the body as JSON.
 
         Raises:
-            NoResponseError: the body is not JSON, so the outcome of the
-                request is unknown.
+            NoResponseError: the body is not JSON or beyond a limit, so the
+                outcome of the request is unknown.
         """
         try:
-            return msgspec.json.decode(self.body)
-        except msgspec.DecodeError as error:
+            return _DECODER.decode(self.body)
+        except decoding.DecodingError as error:
             raise NoResponseError(f"response is not JSON: {error}") from error
 
+    def decode(self, value_type: type[ValueT]) -> ValueT:
+        """Decodes the body as JSON of a type.
+
+        Raises:
+            NoResponseError: the body is not of that type, so the outcome of
+                the request is unknown.
+        """
+        try:
+            return decoding.convert(self.json(), value_type)
+        except decoding.DecodingError as error:
+            raise NoResponseError(f"response is invalid: {error}") from error
+
 
 class JsonClient:
     """Sends JSON requests to one address over pooled connections."""
--- a/arbutuscove/storage/inventory.py
+++ b/arbutuscove/storage/inventory.py
@@ -4,8 +4,9 @@
 import enum
 import typing
 
-import msgspec
+import eliot
 
+from arbutuscove.kernel import decoding
 from arbutuscove.storage import http
 
 SERVICE_NAME = "inventory"
@@ -26,11 +27,11 @@
 class Vm:
     """One upstream VM as listed by the platform."""
 
-    name: str
-    address: str
-    fabric_domain: str
-    failure_domain: str
-    accelerators: int
+    name: decoding.Name
+    address: decoding.Name
+    fabric_domain: decoding.Text
+    failure_domain: decoding.Text
+    accelerators: decoding.Count
     state: VmState = VmState.LIVE
 
 
@@ -48,17 +49,27 @@
         self._client = http.JsonClient(address)
 
     def list_vms(self) -> list[Vm]:
-        """Returns the live and leaving VMs.
+        """Returns the live and leaving VMs; invalid ones are left out.
 
         Raises:
             InventoryUnavailableError: the list could not be read.
         """
         try:
             reply = self._client.send("GET", "/vms")
+            if reply.status != 200:
+                raise InventoryUnavailableError(
+                    f"VM list request got status {reply.status}"
+                )
+            listed = reply.decode(list[typing.Any])
         except http.HttpError as error:
             raise InventoryUnavailableError(str(error)) from error
-        if reply.status != 200:
-            raise InventoryUnavailableError(
-                f"VM list request got status {reply.status}"
-            )
-        return msgspec.convert(reply.json(), list[Vm])
+        vms: list[Vm] = []
+        for item in listed:
+            try:
+                vm = decoding.convert(item, Vm)
+                http.Address.parse(vm.address)
+            except ValueError as error:
+                eliot.log_message("inventory:vm_skipped", reason=str(error))
+                continue
+            vms.append(vm)
+        return vms
--- a/arbutuscove/storage/objects.py
+++ b/arbutuscove/storage/objects.py
@@ -47,7 +47,7 @@
         reply = self._send("GET", key, None)
         match reply.status:
             case 200:
-                return str(reply.json()).encode()
+                return _decode_body(reply)
             case 404:
                 return None
             case status:
@@ -59,3 +59,10 @@
             return self._client.send(method, path, body)
         except http.HttpError as error:
             raise ObjectStoreUnavailableError(str(error)) from error
+
+
+def _decode_body(reply: http.Reply) -> bytes:
+    try:
+        return reply.decode(str).encode()
+    except http.HttpError as error:
+        raise ObjectStoreUnavailableError(str(error)) from error
--- a/arbutuscove/storage/table.py
+++ b/arbutuscove/storage/table.py
@@ -18,7 +18,6 @@
 import uuid
 
 import expression
-import msgspec
 
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import decoding
@@ -54,7 +53,7 @@
     """One row as read; `write_id` names the transaction that wrote it."""
 
     key: str
-    version: int
+    version: decoding.Count
     write_id: str
     value: typing.Any
 
@@ -154,7 +153,7 @@
         reply = self._read("/rows/" + urllib.parse.quote(key, safe="/"))
         if reply.status == 404:
             return None
-        return msgspec.convert(reply.json(), Row)
+        return _decode_reply(reply, Row)
 
     def scan(
         self, prefix: str, after: str = "", limit: int = SCAN_LIMIT
@@ -172,7 +171,7 @@
         query = urllib.parse.urlencode(
             {"prefix": prefix, "after": after, "limit": limit}
         )
-        return msgspec.convert(self._read("/scan?" + query).json(), list[Row])
+        return _decode_reply(self._read("/scan?" + query), list[Row])
 
     def transact(self, transaction: Transaction) -> Outcome:
         """Applies a transaction once.
@@ -188,10 +187,8 @@
         except http.HttpError as error:
             raise OutcomeUnknownError(str(error)) from error
         match reply.status:
-            case 200:
-                return expression.Ok(msgspec.convert(reply.json(), Committed))
-            case 409:
-                return expression.Error(msgspec.convert(reply.json(), Conflict))
+            case 200 | 409:
+                return _decode_outcome(reply)
             case 429 | 503:
                 raise TableUnavailableError(f"table answered {reply.status}")
             case _:
@@ -207,6 +204,22 @@
         return reply
 
 
+def _decode_reply(reply: http.Reply, value_type: type[ValueT]) -> ValueT:
+    try:
+        return reply.decode(value_type)
+    except http.HttpError as error:
+        raise TableUnavailableError(str(error)) from error
+
+
+def _decode_outcome(reply: http.Reply) -> Outcome:
+    try:
+        if reply.status == 200:
+            return expression.Ok(reply.decode(Committed))
+        return expression.Error(reply.decode(Conflict))
+    except http.HttpError as error:
+        raise OutcomeUnknownError(str(error)) from error
+
+
 def read_all(table: Table, prefix: str) -> list[Row]:
     """Returns all rows whose keys have a prefix; reads them page by page.
 
