Reject statuses of engines that are out of range, one by one

What callers see, on the own interface: one VM with a negative or huge count in its status makes the daemon that reads it fail to answer all its peers (the fields are 32 bits there). One status of a peer that cannot be decoded ends the pull, and since its position had been advanced, the other statuses of that reply are not sent again: these VMs are read directly until the peer restarts.

Cause: no field of a status had a range. Inbox.read_reply decoded the entries of a reply without a check. A refusal of an order that is no object raises AttributeError.

Change: a status has ranges that fit the messages to peers, and a token interval of up to an hour; an engine with another status counts as unreachable. An entry of a peer that cannot be decoded is logged and left out.

Why it works: a status is checked where it enters the fleet, and again at each daemon that receives it.

--- a/arbutuscove/replicas/sharing.py
+++ b/arbutuscove/replicas/sharing.py
@@ -16,9 +16,11 @@
 import math
 from collections import abc
 
+import eliot
 import msgspec
 import xxhash
 
+from arbutuscove.kernel import decoding
 from arbutuscove.peers import peer_pb2
 from arbutuscove.replicas import model
 from arbutuscove.upstreams import protocol
@@ -28,6 +30,7 @@
 # status read 0.19 ms (bench.control). The cost of V/c reads and c - 1 pulls is
 # minimal at c = sqrt(V * 0.19 / 2.4).
 VMS_PER_MEMBER_SQUARED = 13
+MAX_STATUS_BYTES = 65536
 KV_SCALE = 1000  # fractions are sent as integer thousandths
 
 
@@ -144,6 +147,11 @@
         return reply
 
 
+_DECODER = decoding.JsonDecoder[protocol.Status](
+    protocol.Status, MAX_STATUS_BYTES
+)
+
+
 class Inbox:
     """The statuses that one peer has sent, to complete later replies."""
 
@@ -173,9 +181,14 @@
         decoded = []
         for entry in reply.reports:
             if entry.status:
-                self._stable[entry.vm] = msgspec.json.decode(
-                    entry.status, type=protocol.Status
-                )
+                # Later entries of this VM complete only the newest status.
+                self._stable.pop(entry.vm, None)
+                try:
+                    self._stable[entry.vm] = _DECODER.decode(entry.status)
+                except decoding.DecodingError as error:
+                    eliot.log_message(
+                        "board:report_skipped", vm=entry.vm, reason=str(error)
+                    )
             stable = self._stable.get(entry.vm)
             if stable is None:
                 continue
--- a/arbutuscove/replicas/tests/test_sharing.py
+++ b/arbutuscove/replicas/tests/test_sharing.py
@@ -3,11 +3,13 @@
 import datetime
 
 import hypothesis
+import pytest
 from hypothesis import strategies
 
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.membership import swim
 from arbutuscove.peers import client as peer_client
+from arbutuscove.platform.tests import test_entries
 from arbutuscove.replicas import board as board_module
 from arbutuscove.replicas import model
 from arbutuscove.replicas import serving
@@ -74,6 +76,22 @@
     assert not reply.reports[0].status
 
 
+@pytest.mark.parametrize(
+    "odd",
+    [b"{", b"7", b'{"vm":"vm-2"}', test_entries.NESTED["objects"]],
+)
+def test_odd_status_of_a_peer_does_not_cost_the_others(odd):
+    """Guards against reports that are never sent again after an odd one."""
+    outbox, inbox = sharing.Outbox("process"), sharing.Inbox()
+    for name in ("vm-1", "vm-2", "vm-3"):
+        status = protocol.Status(vm=name, state=protocol.State.READY)
+        outbox.add(model.StatusReport(status=status, requested_at=SECOND))
+    reply = outbox.build_reply(inbox.build_request(), SECOND, SECOND)
+    reply.reports[1].status = odd
+    reports = inbox.read_reply(reply, SECOND)
+    assert [report.status.vm for report in reports] == ["vm-1", "vm-3"]
+
+
 class World:
     """Boards of several daemons on one clock; engines respond immediately."""
 
--- a/arbutuscove/storage/tests/test_replies.py
+++ b/arbutuscove/storage/tests/test_replies.py
@@ -12,6 +12,9 @@
 from arbutuscove.storage import inventory
 from arbutuscove.storage import objects
 from arbutuscove.storage import table
+from arbutuscove.upstreams import engine
+from arbutuscove.upstreams import errors
+from arbutuscove.upstreams import protocol
 
 ADDRESS = http.Address("127.0.0.1", 1)
 WRITE = table.Transaction(
@@ -120,3 +123,59 @@
     row = table.Row(key="a", version=1, write_id="", value=value)
     with pytest.raises(table.UnreadableRowError):
         row.decode(table.Conflict)
+
+
+STATUS = {
+    "vm": "v1",
+    "state": "ready",
+    "replica": "r",
+    "generation": 3,
+    "slots": 16,
+    "running": 3,
+    "queued": 1,
+    "kv_used": 0.5,
+    "token_interval": "PT0.02S",
+}
+ODD_STATUSES = [
+    msgspec.json.encode(STATUS | change)
+    for change in (
+        {"vm": "a\r\nb"},
+        {"generation": 2**63},
+        {"running": -1},
+        {"running": 2**32},
+        {"slots": 2**40},
+        {"kv_used": -1.0},
+        {"kv_used": 1e300},
+        {"token_interval": "P9999999D"},
+        {"token_interval": "-PT1S"},
+    )
+]
+
+
+@pytest.mark.parametrize("body", [*ODD_BODIES, *ODD_STATUSES])
+def test_odd_reply_of_an_engine_is_no_status(body):
+    """Guards against a status that ends its reader or cannot be sent on."""
+    client = engine.EngineClient(str(ADDRESS))
+    client._status = Replies(body)
+    with pytest.raises(errors.UnreachableError):
+        client.read_status()
+    order = protocol.Order(replica="r", generation=1, epoch=1)
+    client._control = Replies(body)
+    with pytest.raises(errors.UnreachableError):
+        client.send_order(order)
+
+
+@pytest.mark.parametrize("body", [b"7", b"[]", b'{"code":7}'])
+def test_odd_refusal_of_an_order_is_an_error(body):
+    """Guards against a refusal that ends the sender of orders."""
+    client = engine.EngineClient(str(ADDRESS))
+    client._control = Replies(body, 409)
+    with pytest.raises(errors.UnreachableError):
+        client.send_order(protocol.Order(replica="r", generation=1, epoch=1))
+
+
+def test_status_is_decoded():
+    """Guards against a limit that rejects a sound status."""
+    client = engine.EngineClient(str(ADDRESS))
+    client._status = Replies(msgspec.json.encode(STATUS))
+    assert client.read_status().running == 3
--- a/arbutuscove/upstreams/engine.py
+++ b/arbutuscove/upstreams/engine.py
@@ -6,9 +6,9 @@
 import urllib.parse
 
 import expression
-import msgspec
 from geventhttpclient import response as response_module
 
+from arbutuscove.kernel import decoding
 from arbutuscove.storage import http
 from arbutuscove.upstreams import errors
 from arbutuscove.upstreams import protocol
@@ -52,6 +52,11 @@
         self._response.release()
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Refusal:
+    code: decoding.Text = "unknown"
+
+
 class EngineClient:
     """Sends dispatches, orders and status requests to one engine."""
 
@@ -72,10 +77,10 @@
         """
         try:
             reply = self._status.send("GET", "/status")
-            return msgspec.convert(reply.json(), protocol.Status)
+            return reply.decode(protocol.Status)
         except http.RefusedError as error:
             raise errors.NotListeningError(str(error)) from error
-        except (http.HttpError, msgspec.ValidationError) as error:
+        except http.HttpError as error:
             raise errors.UnreachableError(str(error)) from error
 
     def send_order(
@@ -89,12 +94,11 @@
         try:
             reply = self._control.send("POST", "/orders", order)
             if reply.status == 200:
-                status = msgspec.convert(reply.json(), protocol.Status)
+                status = reply.decode(protocol.Status)
                 return expression.Ok(status)
-            return expression.Error(
-                errors.OrderRefused(code=str(reply.json().get("code")))
-            )
-        except (http.HttpError, msgspec.ValidationError) as error:
+            refusal = reply.decode(_Refusal)
+            return expression.Error(errors.OrderRefused(code=refusal.code))
+        except http.HttpError as error:
             raise errors.UnreachableError(str(error)) from error
 
     def open_stream(
--- a/arbutuscove/upstreams/protocol.py
+++ b/arbutuscove/upstreams/protocol.py
@@ -8,6 +8,11 @@
 import dataclasses
 import datetime
 import enum
+import typing
+
+import msgspec
+
+from arbutuscove.kernel import decoding
 
 REQUEST_ID = "X-Request-Id"
 REPLICA = "X-Replica"
@@ -18,6 +23,12 @@
 NOT_READY = 503  # HTTP status of a dispatch that was rejected and not run
 DONE = b"data: [DONE]"
 EVENT_END = b"\n\n"
+MAX_REQUEST_COUNT = 1_000_000  # requests that one VM reports
+MAX_INTERVAL = datetime.timedelta(hours=1)  # between two tokens
+
+_RequestCount = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_REQUEST_COUNT)]
+# Of a memory; a report may be a little above 1.
+_Fraction = typing.Annotated[float, msgspec.Meta(ge=0, le=10)]
 
 
 class Role(enum.StrEnum):
@@ -67,16 +78,20 @@
     cache memory in use; `leaving` is set by a VM that is about to stop.
     """
 
-    vm: str
+    vm: decoding.Name
     state: State
-    replica: str = ""
-    generation: int = 0
+    replica: decoding.Text = ""
+    generation: decoding.Count = 0
     role: Role = Role.MEMBER
-    model: str = ""
-    members: tuple[str, ...] = ()
-    slots: int = 0
-    running: int = 0
-    queued: int = 0
-    kv_used: float = 0.0
+    model: decoding.Text = ""
+    members: tuple[decoding.Text, ...] = ()
+    slots: _RequestCount = 0
+    running: _RequestCount = 0
+    queued: _RequestCount = 0
+    kv_used: _Fraction = 0.0
     leaving: bool = False
     token_interval: datetime.timedelta = datetime.timedelta()
+
+    def __post_init__(self) -> None:
+        if not datetime.timedelta() <= self.token_interval <= MAX_INTERVAL:
+            raise ValueError("the token interval is out of range")
