Report settings out of range as settings errors

What callers see: a reload of odd settings (SIGHUP) logs a traceback instead of the fault, and a start with them ends with one instead of exit code 2. A name, address or failure domain that other daemons reject in heartbeats leaves a daemon alone.

Cause: times out of timedelta's range, infinite products and deep nesting raise OverflowError or RecursionError, which were not caught; ports were compared only with each other.

Change: the file has the limits of other documents, times are not negative and at most 366 days, ports are at most 65535, and what the daemon states in heartbeats has the form that they require.

Why it works: whatever is out of range becomes the one error that both callers report.

--- a/arbutuscove/platform/settings.py
+++ b/arbutuscove/platform/settings.py
@@ -9,11 +9,15 @@
 import pathlib
 import typing
 
-import msgspec
-
+from arbutuscove.kernel import decoding
 from arbutuscove.storage import http
 
 SETTINGS_FILE_VARIABLE = "ARBUTUSCOVE_NODE_FILE"
+MAX_SETTINGS_BYTES = 1024 * 1024
+
+_DECODER = decoding.JsonDecoder[dict[str, typing.Any]](
+    dict[str, typing.Any], MAX_SETTINGS_BYTES
+)
 
 
 class SettingsError(Exception):
@@ -100,25 +104,23 @@
             invalid.
     """
     try:
-        fields = msgspec.json.decode(content, type=dict[str, typing.Any])
-        return _convert(fields)
-    except msgspec.MsgspecError as error:
-        raise SettingsError(f"settings: {error}") from error
+        return _convert(_DECODER.decode(content))
     except KeyError as error:
         raise SettingsError(f"settings: {error} is missing") from error
-    except (TypeError, ValueError, AttributeError) as error:
+    except (TypeError, ValueError, ArithmeticError, AttributeError) as error:
         raise SettingsError(f"settings: {error}") from error
 
 
 def _convert(fields: dict[str, typing.Any]) -> Settings:
     listen = fields["listen"]
     first_port, last_port = fields["internal_ports"]
-    if last_port <= first_port:
+    if not 0 < first_port < last_port <= http.MAX_PORT:
         raise SettingsError("settings: internal_ports needs two ports")
     return Settings(
-        name=str(fields["node"]),
-        ip=str(fields["ip"]),
-        failure_domain=str(fields["zone"]),
+        # Other daemons reject heartbeats with values of another form.
+        name=decoding.convert(str(fields["node"]), decoding.Text),
+        ip=decoding.convert(str(fields["ip"]), decoding.Ipv4Address),
+        failure_domain=decoding.convert(str(fields["zone"]), decoding.Text),
         region=str(fields["region"]),
         region_by_domain=dict(fields["zones"]),
         caller_address=_parse_address(listen, "front"),
@@ -140,7 +142,8 @@
     # "cores" is the speed of the VM as a multiple of one core, "cpu_share" the
     # fraction of that processor time which the VM gets.
     share = float(limits.get("cpu_share", 1.0))
-    return int(1000 * share * float(limits.get("cores", 1)))
+    millicores = int(1000 * share * float(limits.get("cores", 1)))
+    return decoding.convert(millicores, decoding.Count)
 
 
 def _convert_bounds(fields: dict[str, typing.Any]) -> Bounds:
@@ -167,8 +170,10 @@
 
 
 def _convert_milliseconds(value: float) -> datetime.timedelta:
-    return datetime.timedelta(milliseconds=float(value))
+    milliseconds = decoding.convert(float(value), decoding.Milliseconds)
+    return datetime.timedelta(milliseconds=milliseconds)
 
 
 def _convert_seconds(value: float) -> datetime.timedelta:
-    return datetime.timedelta(seconds=float(value))
+    seconds = decoding.convert(float(value), decoding.Seconds)
+    return datetime.timedelta(seconds=seconds)
--- a/arbutuscove/platform/tests/test_settings.py
+++ b/arbutuscove/platform/tests/test_settings.py
@@ -1,11 +1,16 @@
 """Guards against a start with invalid or misread settings."""
 
+import contextlib
 import datetime
+import json
 
+import hypothesis
 import msgspec
 import pytest
+from hypothesis import strategies
 
 from arbutuscove.platform import settings
+from arbutuscove.platform.tests import test_entries
 
 FIELDS = {
     "node": "front-a-1",
@@ -35,7 +40,7 @@
 
 
 def decode(**change):
-    return settings.decode(msgspec.json.encode(FIELDS | change))
+    return settings.decode(json.dumps(FIELDS | change).encode())
 
 
 def test_settings_ignore_unknown_fields():
@@ -63,6 +68,17 @@
         {"internal_ports": [1, 1]},
         {"heartbeat_ms": "often"},
         {"listen": []},
+        {"internal_ports": [7340, 70000]},
+        {"internal_ports": [0, 9]},
+        {"internal_ports": [2**70, 2**71]},
+        {"ip": "somewhere"},
+        {"node": "a\n"},
+        {"heartbeat_ms": 1e300},
+        {"heartbeat_ms": -1},
+        {"heartbeat_ms": "nan"},
+        {"heartbeat_ms": 2**2000},
+        {"limits": {"max_fds": 4200, "cores": 1e200, "cpu_share": 1e200}},
+        {"limits": {"max_fds": 4200, "cores": -1}},
     ],
 )
 def test_settings_with_a_wrong_value_are_an_error(change):
@@ -75,3 +91,20 @@
     """Guards against leases that are assigned to the smallest VM."""
     limits = {"max_fds": 4200, "cpu_share": 0.717, "cores": 3}
     assert decode(limits=limits).cpu_millicores == 2151
+
+
+@pytest.mark.parametrize("nested", test_entries.NESTED.values())
+def test_deeply_nested_settings_are_an_error(nested):
+    """Guards against a daemon that a reload of its settings ends."""
+    content = msgspec.json.encode(FIELDS | {"unknown": "NESTED"})
+    with pytest.raises(settings.SettingsError):
+        settings.decode(content.replace(b'"NESTED"', nested))
+
+
+@hypothesis.given(
+    strategies.sampled_from(sorted(FIELDS)), test_entries.JSON_VALUES
+)
+def test_settings_with_any_value_are_read_or_an_error(field, value):
+    """Guards against a decoder that fails in an unexpected way."""
+    with contextlib.suppress(settings.SettingsError):
+        decode(**{field: value})
