Leave out odd records, changes and rows of peers on the own interface

What callers see: one record with an unknown state, as of a newer version, makes all gossip of that peer unusable: it is suspected although it answers, and each probe of it ends without a result. One change that cannot be decoded ends the fetch before the table is read, so that a daemon stays behind. A head row of another form ends the reader of the table each time; odd replica rows of a peer hold up a start during an outage.

Cause: ValueError out of the enumeration, msgspec's errors, RecursionError, TypeError and OverflowError passed through functions whose callers expect PeerUnreachableError or TableUnavailableError.

Change: a record of another member that is invalid is logged and left out; a sender that is invalid counts as no answer. The head row is decoded like other rows.

Why it works: what a peer sends is a hint, and its readers already have a way without it.

--- a/arbutuscove/config/acceptance.py
+++ b/arbutuscove/config/acceptance.py
@@ -15,6 +15,7 @@
 from arbutuscove.config import keys
 from arbutuscove.config import model
 from arbutuscove.kernel import clock as clock_module
+from arbutuscove.kernel import decoding
 from arbutuscove.storage import table as table_module
 
 MAX_ATTEMPTS = 20  # a failed attempt means that another change was accepted
@@ -47,6 +48,11 @@
     """The change may or may not have been accepted."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _HeadRow:
+    sequence: decoding.Count
+
+
 def read_head(table: table_module.Table) -> model.Head:
     """Reads the newest sequence number and the version of the head row.
 
@@ -59,7 +65,7 @@
     row = table.read(keys.HEAD)
     if row is None:
         return model.Head(0, table_module.ABSENT)
-    return model.Head(int(row.value["sequence"]), row.version)
+    return model.Head(row.decode(_HeadRow).sequence, row.version)
 
 
 def accept(
--- a/arbutuscove/membership/service.py
+++ b/arbutuscove/membership/service.py
@@ -20,6 +20,7 @@
 from arbutuscove.config import model as config_model
 from arbutuscove.config import readers
 from arbutuscove.kernel import clock as clock_module
+from arbutuscove.kernel import decoding
 from arbutuscove.kernel import loop
 from arbutuscove.kernel import services
 from arbutuscove.membership import swim
@@ -43,6 +44,14 @@
 # more peers than this are probed at once.
 SMALL_FLEET_PEERS = 16
 APPLIED_POLL_INTERVAL = datetime.timedelta(milliseconds=200)
+MAX_DOCUMENT_BYTES = 4 * 1024 * 1024  # gRPC's limit of one message
+
+_CHANGE_DECODER = decoding.JsonDecoder[config_model.Change](
+    config_model.Change, MAX_DOCUMENT_BYTES
+)
+_SNAPSHOT_DECODER = decoding.JsonDecoder[config_model.Snapshot](
+    config_model.Snapshot, MAX_DOCUMENT_BYTES
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -301,9 +310,14 @@
             gossip = self._client.probe(
                 address, self._build_gossip(name), timeout
             )
+            self._process_gossip(gossip)
         except client_module.PeerUnreachableError:
             return ""
-        self._process_gossip(gossip)
+        except decoding.DecodingError as error:
+            eliot.log_message(
+                "membership:answer_invalid", peer=address, reason=str(error)
+            )
+            return ""
         return str(gossip.sender.name)
 
     def _request_indirect_probes(
@@ -445,14 +459,18 @@
         reply = self._client.fetch_changes(address, before, FETCH_TIMEOUT)
         if not reply.loaded:
             return False
-        changes = [
-            msgspec.json.decode(item, type=config_model.Change)
-            for item in reply.changes
-        ]
-        if reply.snapshot:
-            snapshot = msgspec.json.decode(
-                reply.snapshot, type=config_model.Snapshot
+        try:
+            changes = list(map(_CHANGE_DECODER.decode, reply.changes))
+            snapshot = (
+                _SNAPSHOT_DECODER.decode(reply.snapshot)
+                if reply.snapshot
+                else None
             )
+        except decoding.DecodingError as error:
+            raise client_module.PeerUnreachableError(
+                f"{address}: {error}"
+            ) from error
+        if snapshot is not None:
             self._config.merge_snapshot(snapshot)
         elif not changes and not before:
             self._config.merge_snapshot(config_model.Snapshot())
--- a/arbutuscove/membership/tests/test_service.py
+++ b/arbutuscove/membership/tests/test_service.py
@@ -13,6 +13,7 @@
 from arbutuscove.admin import operations
 from arbutuscove.config import acceptance
 from arbutuscove.config import follower
+from arbutuscove.config import keys
 from arbutuscove.config import model
 from arbutuscove.config.tests import test_follower
 from arbutuscove.kernel import clock as clock_module
@@ -21,7 +22,9 @@
 from arbutuscove.membership import wire
 from arbutuscove.membership.tests import fleet as fleet_module
 from arbutuscove.peers import client as client_module
+from arbutuscove.peers import peer_pb2
 from arbutuscove.storage import http
+from arbutuscove.storage import table as table_module
 
 ROUND = datetime.timedelta(seconds=1)
 STALE_ROUNDS = 11  # ten seconds, and the round that detects it
@@ -346,3 +349,72 @@
         for daemon in world.daemons.values()
     }
     assert teams == {"desk"}
+
+
+ODD_RECORDS = [
+    {"state": 99},
+    {"name": "x" * 300},
+    {"name": "a\n"},
+    {"peer_address": "h" * 300},
+]
+
+
+@pytest.mark.parametrize("change", ODD_RECORDS)
+def test_service_odd_record_does_not_cost_the_others(change):
+    """Guards against a peer whose gossip is lost for one odd record."""
+    world = _build_running(2)
+    first, second = (world.daemons[f"entry-{n}"].membership for n in (0, 1))
+    gossip = first._build_gossip("entry-1")
+    odd = gossip.updates.add(name="odd", peer_address="127.0.0.1:9")
+    for name, value in change.items():
+        setattr(odd, name, value)
+    gossip.updates.add(name="new", peer_address="127.0.0.1:8")
+    second.answer_probe(gossip)
+    assert {member.name for member in second.get_alive()} == {"entry-0", "new"}
+
+
+@pytest.mark.parametrize("change", ODD_RECORDS)
+def test_service_odd_answer_counts_as_none(change, monkeypatch):
+    """Guards against a probe whose end is never recorded."""
+    world = _build_running(2)
+    first, second = (world.daemons[f"entry-{n}"].membership for n in (0, 1))
+    gossip = second._build_gossip("entry-0")
+    for name, value in change.items():
+        setattr(gossip.sender, name, value)
+    monkeypatch.setattr(second, "answer_probe", lambda _: gossip)
+    address = world.members["entry-1"].peer_address
+    assert first._probe("entry-1", address) == ""
+
+
+@pytest.mark.parametrize("odd", [b"{", b"7", b"[]", b"[" * 20_000])
+@pytest.mark.parametrize("is_snapshot", [False, True])
+def test_service_odd_changes_of_a_peer_are_not_applied(
+    odd, is_snapshot, monkeypatch
+):
+    """Guards against a fetch that ends before the table is read."""
+    world = _build_running(2)
+    first, second = (world.daemons[f"entry-{n}"] for n in (0, 1))
+    world.accept(1)
+    first.config.record_accepted(2)
+    reply = peer_pb2.ChangesReply(loaded=True)
+    if is_snapshot:
+        reply.snapshot = odd
+    else:
+        reply.changes.append(odd)
+    monkeypatch.setattr(second.membership, "answer_changes", lambda _: reply)
+    first.membership._fetch(world.members["entry-1"].peer_address)
+    assert first.sequence() == 2
+
+
+@pytest.mark.parametrize("value", [None, 7, {}, {"sequence": "many"}])
+def test_service_odd_head_row_is_an_unreadable_table(value):
+    """Guards against a follower that one row ends."""
+    world = _build_running(2)
+    write = table_module.Write(key=keys.HEAD, value=value or [])
+    world.table.transact(
+        table_module.Transaction(conditions=(), writes=(write,))
+    )
+    follower_of_first = world.daemons["entry-0"].config
+    with pytest.raises(table_module.TableUnavailableError):
+        follower_of_first.poll_once()
+    follower_of_first.poll_if_due()
--- a/arbutuscove/membership/wire.py
+++ b/arbutuscove/membership/wire.py
@@ -2,6 +2,9 @@
 
 import typing
 
+import eliot
+
+from arbutuscove.kernel import decoding
 from arbutuscove.membership import swim
 from arbutuscove.peers import peer_pb2
 
@@ -29,7 +32,22 @@
 
 
 def decode_member(member: peer_pb2.Member) -> swim.Member:
-    """Returns the membership record in a gRPC message."""
+    """Returns the membership record in a gRPC message.
+
+    Raises:
+        DecodingError: a name or an address is too long or has control
+            characters, or the state is unknown.
+    """
+    for text in (
+        member.name,
+        member.peer_address,
+        member.entry_address,
+        member.region,
+        member.failure_domain,
+    ):
+        decoding.convert(text, decoding.Text)
+    if member.state not in set(swim.State):
+        raise decoding.DecodingError(f"state {member.state} is unknown")
     return swim.Member(
         name=member.name,
         peer_address=member.peer_address,
@@ -45,9 +63,21 @@
 
 
 def decode_message(gossip: peer_pb2.Gossip) -> swim.Message:
-    """Returns the membership part of a gossip message."""
+    """Returns the membership part of a gossip message.
+
+    Records of other members that are invalid are left out.
+
+    Raises:
+        DecodingError: the record of the sender is invalid.
+    """
+    updates: list[swim.Member] = []
+    for item in gossip.updates:
+        try:
+            updates.append(decode_member(item))
+        except decoding.DecodingError as error:
+            eliot.log_message("membership:record_skipped", reason=str(error))
     return swim.Message(
         sender=decode_member(gossip.sender),
-        updates=tuple(decode_member(item) for item in gossip.updates),
+        updates=tuple(updates),
         is_sync_request=gossip.whole,
     )
--- a/arbutuscove/replicas/directory.py
+++ b/arbutuscove/replicas/directory.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from arbutuscove.kernel import clock as clock_module
+from arbutuscove.kernel import decoding
 from arbutuscove.kernel import services
 from arbutuscove.peers import client as peer_client
 from arbutuscove.peers import peer_pb2
@@ -29,6 +30,12 @@
 ROWS_INTERVAL = datetime.timedelta(seconds=1)
 FETCH_TIMEOUT = datetime.timedelta(seconds=1)
 MILLISECOND = datetime.timedelta(milliseconds=1)
+MAX_AGE_MS = 10**10  # an older read of a peer counts as this old
+MAX_ROWS_BYTES = 4 * 1024 * 1024  # gRPC's limit of one message
+
+_DECODER = decoding.JsonDecoder[tuple[model.ReplicaRow, ...]](
+    tuple[model.ReplicaRow, ...], MAX_ROWS_BYTES
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -127,7 +134,8 @@
         """Fetches the rows of the next peer, unless the table was read.
 
         Raises:
-            PeerUnreachableError: the peer did not reply within the timeout.
+            PeerUnreachableError: the peer did not reply within the timeout, or
+                its reply cannot be decoded.
         """
         addresses = self._list_peers()
         if self._read_at is not None or self._peers is None or not addresses:
@@ -140,12 +148,16 @@
         # This is the latest possible time of the peer's read. The error is at
         # most the duration of the call; its only effect is that a hint may
         # wrongly count as newer than another.
-        read_at = self._clock.monotonic() - reply.age_ms * MILLISECOND
+        age_ms = min(reply.age_ms, MAX_AGE_MS)
+        read_at = self._clock.monotonic() - age_ms * MILLISECOND
         if self._hints is not None and self._hints.read_at >= read_at:
             return
-        rows = msgspec.json.decode(
-            reply.rows, type=tuple[model.ReplicaRow, ...]
-        )
+        try:
+            rows = _DECODER.decode(reply.rows)
+        except decoding.DecodingError as error:
+            raise peer_client.PeerUnreachableError(
+                f"{address}: {error}"
+            ) from error
         self._hints = _PeerRows(rows=rows, read_at=read_at)
 
     def _list_routable_rows(self) -> abc.Iterable[model.ReplicaRow]:
--- a/arbutuscove/replicas/tests/test_directory.py
+++ b/arbutuscove/replicas/tests/test_directory.py
@@ -6,6 +6,7 @@
 import pytest
 
 from arbutuscove.kernel import clock as clock_module
+from arbutuscove.peers import client as peer_client
 from arbutuscove.replicas import directory as directory_module
 from arbutuscove.replicas import model
 from arbutuscove.standins import faulty
@@ -188,3 +189,30 @@
     world.new.read_once()
     assert _served(world.new) == [2]
     assert world.new.get_rows()["r"].generation == 2
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"rows": b"{"},
+        {"rows": b"[7]"},
+        {"rows": b'[{"replica":"r"}]'},
+        {"rows": b"[" * 20_000},
+    ],
+)
+def test_directory_odd_rows_of_a_peer_are_an_error(world, change):
+    """Guards against a start that one peer's reply holds up."""
+    reply = world.old.answer_rows()
+    for name, value in change.items():
+        setattr(reply, name, value)
+    world.old.answer_rows = lambda: reply
+    with pytest.raises(peer_client.PeerUnreachableError):
+        world.new.fetch_once()
+
+
+def test_directory_huge_age_of_a_peer_is_old(world):
+    """Guards against an age that overflows."""
+    reply = world.old.answer_rows()
+    reply.age_ms = 2**64 - 1
+    world.old.answer_rows = lambda: reply
+    world.new.fetch_once()
