Take a lease row out of range as an unreadable one

What callers see: with an epoch of 70 bits in a lease row, the next holder takes one more, and neither its orders nor its heartbeats can be encoded.

Cause: the row had no ranges. An epoch is also shifted by 20 bits for the numbers of groups.

Change: an epoch is at most 2^43 - 1, and numbers are not negative.

Why it works: an unreadable row is a TableError of one duty, which the loop logs and passes.

--- a/arbutuscove/leases/lease.py
+++ b/arbutuscove/leases/lease.py
@@ -9,6 +9,11 @@
 
 import dataclasses
 import datetime
+import typing
+
+import msgspec
+
+from arbutuscove.kernel import decoding
 
 TERM = datetime.timedelta(seconds=6)
 RENEW_INTERVAL = datetime.timedelta(seconds=2)
@@ -16,6 +21,10 @@
 GUARD = datetime.timedelta(seconds=1)
 # Orders sent by the previous holder may be in flight for this long.
 ORDER_TIMEOUT = datetime.timedelta(seconds=2)
+# Leaves 20 bits of a signed integer of 64 bits to numbers below an epoch.
+MAX_EPOCH = 2**43 - 1
+
+_Epoch = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_EPOCH)]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -41,9 +50,9 @@
 class LeaseRow:
     """A lease row; the epoch increases with each change of holder."""
 
-    holder: str
-    epoch: int
-    renewals: int
+    holder: decoding.Text
+    epoch: _Epoch
+    renewals: decoding.Count
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/arbutuscove/leases/tests/test_lease.py
+++ b/arbutuscove/leases/tests/test_lease.py
@@ -192,3 +192,44 @@
     cut.cut = False
     first.step(DUTY)
     assert first.get_active_epoch(DUTY) is None
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        None,
+        7,
+        {"holder": "a", "epoch": 2**70, "renewals": 0},
+        {"holder": "a", "epoch": -1, "renewals": 0},
+        {"holder": "a" * 300, "epoch": 1, "renewals": 0},
+        {"holder": "a", "epoch": 2**43, "renewals": 0},
+    ],
+)
+def test_lease_odd_row_does_not_cost_the_other_leases(value):
+    """Guards against leases that expire beside the row of another duty."""
+    table = table_standin.MemoryTable()
+    write = table_module.Write(key=holder.ROW_PREFIX + "a", value=value or [])
+    table.transact(table_module.Transaction(conditions=(), writes=(write,)))
+    clock = StoppingClock()
+    leases = holder.LeaseHolder("own", table, clock, loop.LagMonitor(clock))
+    leases.register_candidate("a")
+    leases.register_candidate("b")
+    with pytest.raises(StopIteration):
+        leases._run()
+    assert table.read(holder.ROW_PREFIX + "b") is not None
+    with pytest.raises(table_module.UnreadableRowError):
+        leases.step("a")
+    assert table.read(holder.ROW_PREFIX + "a").version == 1
+
+
+class StoppingClock(clock_module.ManualClock):
+    """A clock whose second sleep ends the loop that sleeps."""
+
+    def __init__(self):
+        super().__init__()
+        self.sleeps = 0
+
+    def sleep(self, duration):
+        self.sleeps += 1
+        if self.sleeps > 1:
+            raise StopIteration
