Count events and tokens that an engine numbers oddly as foreign

What callers see, on the own interface: an event with a number of 5,000 digits ends its answer without a stated fault. A negative count of tokens in the last event gives budget back, a count of 30 digits uses it up.

Cause: int() rejects more than 4,300 digits; the count had no range, and a nested value beside it raises RecursionError.

Change: an event number has up to 18 ASCII digits, another one marks a foreign event; a count of tokens is between 0 and a billion, otherwise the events are counted, as for an engine that reports none.

Why it works: both cases already have a way for a missing value.

--- a/arbutuscove/requests/answers.py
+++ b/arbutuscove/requests/answers.py
@@ -15,6 +15,7 @@
 import gevent
 
 from arbutuscove.kernel import clock as clock_module
+from arbutuscove.kernel import decoding
 from arbutuscove.requests import attempts
 from arbutuscove.storage import http
 from arbutuscove.upstreams import engine
@@ -23,6 +24,7 @@
 
 # Upper bound of one read: connecting, the response head and the event.
 EVENT_READ_TIMEOUT = http.CONNECT_TIMEOUT + 2 * engine.STALL_TIMEOUT
+MAX_NUMBER_DIGITS = 18  # of an event
 MAX_RESUMPTIONS = 5  # consecutive resumptions without a new event
 
 
@@ -111,10 +113,11 @@
         return Refetch()
     line = event.partition(b"\n")[0]
     prefix = b"id: " + stream_id + b"-"
-    number = line[len(prefix) :]
-    if not line.startswith(prefix) or not number.isdigit():
+    text = line[len(prefix) :].decode("latin-1")
+    number = decoding.parse_digits(text, MAX_NUMBER_DIGITS)
+    if not line.startswith(prefix) or number is None:
         return Foreign()
-    return Drop() if int(number) < expected else Refetch()
+    return Drop() if number < expected else Refetch()
 
 
 class Upstream(typing.Protocol):
--- a/arbutuscove/requests/flow.py
+++ b/arbutuscove/requests/flow.py
@@ -18,6 +18,7 @@
 from arbutuscove.admission import service as admission_module
 from arbutuscove.admission import work as work_module
 from arbutuscove.kernel import clock as clock_module
+from arbutuscove.kernel import decoding
 from arbutuscove.kernel import services
 from arbutuscove.limits import service as limits_module
 from arbutuscove.requests import answers
@@ -40,6 +41,10 @@
 )
 ANSWER_LENGTH_FIELDS = ("max_tokens", "max_completion_tokens")
 NOT_RUN_STATUSES = (409, 429, 503)  # an engine sends these before a run
+MAX_REPORT_BYTES = 1024 * 1024  # of the last event of an answer
+MAX_TOKENS = 1_000_000_000  # of one answer
+
+_TokenCount = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKENS)]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -87,7 +92,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _Usage:
-    completion_tokens: int
+    completion_tokens: _TokenCount
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -95,6 +100,9 @@
     usage: _Usage | None = None
 
 
+_REPORT_DECODER = decoding.JsonDecoder[_Report](_Report, MAX_REPORT_BYTES)
+
+
 class _AttemptResources:
     """The resources of one attempt, which are released exactly once."""
 
@@ -421,10 +429,8 @@
     If the engine does not report usage there, returns the number of events.
     """
     try:
-        report = msgspec.json.decode(
-            event.partition(b"data: ")[2], type=_Report
-        )
-    except msgspec.DecodeError:
+        report = _REPORT_DECODER.decode(event.partition(b"data: ")[2])
+    except decoding.DecodingError:
         return event_count
     if report.usage is None:
         return event_count
--- a/arbutuscove/requests/tests/test_answers.py
+++ b/arbutuscove/requests/tests/test_answers.py
@@ -9,6 +9,7 @@
 
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.requests import answers
+from arbutuscove.requests import flow
 from arbutuscove.upstreams import errors
 
 
@@ -126,3 +127,26 @@
     with gevent.Timeout(2), pytest.raises(answers.DeadlinePassedError):
         next(events)
     assert reader.closed
+
+
+@pytest.mark.parametrize("number", [b"9" * 20, b"9" * 5000, b"\xb2", b"-1"])
+def test_event_of_an_odd_number_is_foreign(number):
+    """Guards against an answer without an end for the number of an event."""
+    action = answers.classify_event(b"id: a-" + number + b"\n\n", b"a", 1)
+    assert action == answers.Foreign()
+
+
+@pytest.mark.parametrize(
+    "usage",
+    [
+        b"[" * 20_000,
+        b'{"completion_tokens":-5}',
+        b'{"completion_tokens":' + b"9" * 30 + b"}",
+        b'{"completion_tokens":"many"}',
+        b"7",
+    ],
+)
+def test_odd_usage_of_an_answer_is_not_counted(usage):
+    """Guards against a limit that an engine's report uses up or raises."""
+    event_with_usage = b'id: a-1\ndata: {"usage":' + usage + b"}\n\n"
+    assert flow._read_token_count(event_with_usage, 12) == 12
