Refuse nested bodies and odd numbers of operators' calls

What callers see, on the administration interface: a body with 5,000 nested objects, or `limit` with a superscript digit or 5,000 digits, is answered with a server error instead of a refusal.

Cause: RecursionError of the decoder and ValueError of int() were not caught.

Change: bodies have the depth of other documents, numbers in a query have up to 18 ASCII digits.

Why it works: both errors become the AdminError of an invalid call.

--- a/arbutuscove/admin/api.py
+++ b/arbutuscove/admin/api.py
@@ -15,6 +15,7 @@
 from arbutuscove.admin import routes
 from arbutuscove.entry import callers
 from arbutuscove.entry import refusals
+from arbutuscove.kernel import decoding
 from arbutuscove.kernel import services
 from arbutuscove.replicas import drains
 from arbutuscove.storage import http
@@ -22,6 +23,7 @@
 
 SERVICE_NAME = "admin"
 MAX_BODY_BYTES = 1 << 20
+MAX_PARAMETER_DIGITS = 18  # of a number in a query
 
 
 class AdminServer(services.BaseService):
@@ -101,9 +103,9 @@
     text = request.args.get(name)
     if text is None or isinstance(default, str):
         return text if text is not None else default
-    if not text.isdigit():
+    value = decoding.parse_digits(text, MAX_PARAMETER_DIGITS)
+    if value is None:
         raise errors.AdminError(400, "invalid_parameter", f"{name}: {text}")
-    value = int(text)
     if name == "limit" and not 1 <= value <= routes.MAX_PAGE_ITEMS:
         raise errors.AdminError(
             400, "invalid_parameter", f"limit is 1 to {routes.MAX_PAGE_ITEMS}"
@@ -112,9 +114,10 @@
 
 
 def _decode_body(content: bytes, body_type: type) -> typing.Any:
+    decoder = decoding.JsonDecoder[typing.Any](body_type, MAX_BODY_BYTES)
     try:
-        return msgspec.json.decode(content, type=body_type)
-    except msgspec.DecodeError as error:
+        return decoder.decode(content)
+    except decoding.DecodingError as error:
         raise errors.AdminError(400, "invalid_body", str(error)) from error
 
 
