Read the services when the row of a change cannot be decoded

What callers see, on the own interface: after one odd row among the changes, daemons that are behind it never get any later change, report their configuration as stale and stop admitting requests.

Cause: changes are applied in sequence, and the rows after the odd one were read together with it each time.

Ruled out: to leave the odd change out, since the next one could not be applied after the gap.

Change: the rows of the services are read instead, as by a daemon that is far behind; they have the result of all changes.

Measured: test_follower_passes_an_odd_change failed before in all four cases (UnreadableRowError) and passes with it: bin/test arbutuscove/config, 30 passed.

--- a/arbutuscove/config/follower.py
+++ b/arbutuscove/config/follower.py
@@ -171,7 +171,14 @@
         elif behind > 0:
             after = keys.change_key(self._snapshot.sequence)
             rows = self._table.scan(keys.CHANGE_PREFIX, after, RECENT_CHANGES)
-            self.apply_changes([row.decode(model.Change) for row in rows])
+            try:
+                changes = [row.decode(model.Change) for row in rows]
+            except table_module.UnreadableRowError as error:
+                # The rows of the services have the result of all changes.
+                eliot.log_message("config:change_skipped", reason=str(error))
+                self.merge_snapshot(self._read_snapshot(head))
+            else:
+                self.apply_changes(changes)
         self._read_at = started_at
         self.record_contact(started_at)
         return self._snapshot.sequence > sequence_before
--- a/arbutuscove/config/tests/test_follower.py
+++ b/arbutuscove/config/tests/test_follower.py
@@ -292,6 +292,24 @@
     return snapshot.sequence, versions
 
 
+@pytest.mark.parametrize("value", [7, [], {}, {"sequence": "many"}])
+def test_follower_passes_an_odd_change(world, value):
+    """Guards against a daemon that stays behind for the row of one change."""
+    table, clock, config = world
+    accept(table, clock, 0)
+    config.poll_once()
+    accept(table, clock, 1, team="second")
+    accept(table, clock, 2, team="third")
+    write = table_module.Write(key=keys.change_key(2), value=value)
+    table.transact(table_module.Transaction(conditions=(), writes=(write,)))
+    assert config.poll_once()
+    assert config.get_snapshot().sequence == 3
+    assert config.get_snapshot().find("chat").team == "third"
+    accept(table, clock, 3, team="fourth")
+    assert config.poll_once()
+    assert config.get_snapshot().find("chat").team == "fourth"
+
+
 @hypothesis.settings(derandomize=True, max_examples=400, deadline=None)
 @hypothesis.example(
     [("accept", 0, 0), ("poll_during_changes", 0, 1), ("exchange", 1, 0)]
