Leave out odd quarantine rows when the others are loaded

What callers see, on the own interface: beside one odd quarantine row a daemon that starts learns of no suspect, and runs requests that have crashed replicas before. With a count of more than 32 bits in a row, it can build no message to its peers any more.

Cause: the rows were merged in one loop that ended at the first row that could not be decoded; the count had no range.

Change: load logs an odd row and goes on. A count is at most a million.

Why it works: records are independent of each other when they are merged.

--- a/arbutuscove/requests/quarantine.py
+++ b/arbutuscove/requests/quarantine.py
@@ -14,15 +14,23 @@
 import dataclasses
 import datetime
 import enum
+import typing
 from collections import abc
 
+import msgspec
+
+from arbutuscove.kernel import decoding
+
 DEATHS_TO_QUARANTINE = 2  # bound on replicas lost to one request
+MAX_DEATHS = 1_000_000  # of one request; sent to peers in 32 bits
 MAX_RECORDS = 10_000  # records in the memory of one daemon
 MAX_HINTS = 100  # hints in one gossip message, newest first
 HINT_TTL = datetime.timedelta(minutes=5)  # a change is gossiped for this long
 # Longer than HINT_TTL, so that hints sent before the clearing are ignored.
 CLEARED_TTL = datetime.timedelta(minutes=10)
 
+_DeathCount = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_DEATHS)]
+
 
 class QuarantineState(enum.StrEnum):
     """Whether a request may run freely, only in a trial, or not at all."""
@@ -43,8 +51,8 @@
         tried: whether the request ran in a trial during one of the deaths.
     """
 
-    deaths: tuple[str, ...] = ()
-    count: int = 0
+    deaths: tuple[decoding.Text, ...] = ()
+    count: _DeathCount = 0
     tried: bool = False
 
     def add(self, death: str, is_later: bool = False) -> "Record":
--- a/arbutuscove/requests/suspects.py
+++ b/arbutuscove/requests/suspects.py
@@ -364,10 +364,16 @@
                 table_module.read_all(self._table, verdicts.KEY_PREFIX)
             )
             self._has_verdicts = True
-        rows = self._read_rows()
-        for digest, row in rows.items():
+        rows: dict[str, table_module.Row] = {}
+        for digest, row in self._read_rows().items():
+            try:
+                record = row.decode(quarantine.Record)
+            except table_module.UnreadableRowError as error:
+                eliot.log_message("quarantine:unreadable", reason=str(error))
+                continue
+            rows[digest] = row
             known = self._records.get_record(digest)
-            merged = known.merge(row.decode(quarantine.Record))
+            merged = known.merge(record)
             if merged != known:
                 self._records.put(digest, merged, self._clock.monotonic())
         self._delete_expired(rows)
--- a/arbutuscove/requests/tests/test_quarantine.py
+++ b/arbutuscove/requests/tests/test_quarantine.py
@@ -21,6 +21,7 @@
 from arbutuscove.routing import service as routing_service
 from arbutuscove.standins import faulty
 from arbutuscove.standins import table as table_standin
+from arbutuscove.storage import table as table_module
 
 DAEMONS = 3
 CRASH = fleet_module.CRASH
@@ -356,6 +357,28 @@
     assert len(system.fleet.deaths) == deaths
 
 
+@pytest.mark.parametrize(
+    "value", [7, {"count": 2**40}, {"count": -1}, {"deaths": ["d" * 300]}]
+)
+def test_quarantine_odd_row_does_not_cost_the_others(value):
+    """Guards against daemons that know no suspects beside an odd row."""
+    system = _System()
+    for daemon in range(DAEMONS):
+        system.try_send(daemon, CRASH)
+        system.settle()
+    write = table_module.Write(key=suspects.KEY_PREFIX + "0", value=value)
+    system.table.transact(
+        table_module.Transaction(conditions=(), writes=(write,))
+    )
+    fresh = fleet_module.build_daemon(system.fleet, system.table, "new")
+    fresh.suspects.load()
+    assert [item.digest for item in fresh.suspects.list_suspicions()] == [CRASH]
+    with pytest.raises(failures.RequestFailedError) as caught:
+        fresh.flow.run(fleet_module.build_request(system.fleet, CRASH))
+    assert caught.value.refusal.status >= 400
+    assert len(system.fleet.deaths) == quarantine.DEATHS_TO_QUARANTINE
+
+
 def test_quarantine_rows_of_lost_suspects_end():
     """Rows of suspects that are never sent again must not fill the table."""
     system = _System()
