--- a/arbutuscove/leases/lease.py
+++ b/arbutuscove/leases/lease.py
@@ -14,6 +14,11 @@
 
 import dataclasses
 import datetime
+import typing
+
+import msgspec
+
+from arbutuscove.kernel import decoding
 
 TERM = datetime.timedelta(seconds=6)
 RENEW_INTERVAL = datetime.timedelta(seconds=2)
@@ -25,6 +30,10 @@
 # has 33 bits: 20 more number the groups of a holder, and some decoders of JSON
 # round numbers of more than 53 bits.
 ERA_SHIFT = 17
+# Leaves 20 bits of a signed integer of 64 bits to numbers below an epoch.
+MAX_EPOCH = 2**43 - 1
+
+_Epoch = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_EPOCH)]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -50,9 +59,9 @@
 class LeaseRow:
     """A lease row; the epoch increases with each change of holder."""
 
-    holder: str
-    epoch: int
-    renewals: int
+    holder: decoding.Text
+    epoch: _Epoch
+    renewals: decoding.Count
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/arbutuscove/storage/table.py
+++ b/arbutuscove/storage/table.py
@@ -19,7 +19,6 @@
 
 import eliot
 import expression
-import msgspec
 
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import decoding
@@ -57,7 +56,7 @@
     """One row as read; `write_id` names the transaction that wrote it."""
 
     key: str
-    version: int
+    version: decoding.Count
     write_id: str
     value: typing.Any
 
@@ -167,7 +166,7 @@
         reply, era = self._read(path)
         if reply.status == 404:
             return None
-        return _join_era(msgspec.convert(reply.json(), Row), era)
+        return _join_era(_decode_reply(reply, Row), era)
 
     def scan(
         self, prefix: str, after: str = "", limit: int = SCAN_LIMIT
@@ -186,8 +185,7 @@
             {"prefix": prefix, "after": after, "limit": limit}
         )
         reply, era = self._read("/scan?" + query)
-        rows = msgspec.convert(reply.json(), list[Row])
-        return [_join_era(row, era) for row in rows]
+        return [_join_era(row, era) for row in _decode_reply(reply, list[Row])]
 
     def transact(self, transaction: Transaction) -> Outcome:
         """Applies a transaction once.
@@ -219,18 +217,8 @@
                 raise OutcomeUnknownError("the table's era changed")
             case 409 if era < self._era:
                 raise TableUnavailableError("rejected in an earlier era")
-            case 200:
-                committed = msgspec.convert(reply.json(), Committed)
-                return expression.Ok(
-                    Committed(
-                        versions={
-                            key: eras.join_version(era, number)
-                            for key, number in committed.versions.items()
-                        }
-                    )
-                )
-            case 409:
-                return expression.Error(msgspec.convert(reply.json(), Conflict))
+            case 200 | 409:
+                return _decode_outcome(reply, era)
             case 429 | 503:
                 raise TableUnavailableError(f"table answered {reply.status}")
             case _:
@@ -268,6 +256,30 @@
     return dataclasses.replace(row, version=version)
 
 
+def _decode_reply(reply: http.Reply, value_type: type[ValueT]) -> ValueT:
+    try:
+        return reply.decode(value_type)
+    except http.HttpError as error:
+        raise TableUnavailableError(str(error)) from error
+
+
+def _decode_outcome(reply: http.Reply, era: int) -> Outcome:
+    try:
+        if reply.status == 200:
+            committed = reply.decode(Committed)
+            return expression.Ok(
+                Committed(
+                    versions={
+                        key: eras.join_version(era, number)
+                        for key, number in committed.versions.items()
+                    }
+                )
+            )
+        return expression.Error(reply.decode(Conflict))
+    except http.HttpError as error:
+        raise OutcomeUnknownError(str(error)) from error
+
+
 def read_all(table: Table, prefix: str) -> list[Row]:
     """Returns all rows whose keys have a prefix; reads them page by page.
 
