--- a/arbutuscove/platform/listener.py
+++ b/arbutuscove/platform/listener.py
@@ -328,7 +328,7 @@
         if len(body) > catalog.bounds.body_bytes_limit:
             raise _Refused(413, "body_too_large")
         deadline = now + _parse_timeout(headers_by_name, route)
-        if self._may_be_cut(now, deadline):
+        if self._may_be_cut(self._clock.monotonic(), deadline):
             raise _Refused(503, "draining")
         prompt, answer = _parse_token_counts(headers_by_name)
         return model.Request(
--- a/arbutuscove/platform/tests/test_drain.py
+++ b/arbutuscove/platform/tests/test_drain.py
@@ -100,3 +100,23 @@
     assert status == 503
     assert b'"not_run":true' in body
     assert flow.served == 1
+
+
+def test_request_whose_body_ends_after_the_drain_is_refused(scene):
+    """Guards against a request that is sent on just before the process exits.
+
+    Its head arrived before the drain; its body is read only afterwards.
+    """
+    flow, listener, _ = scene
+    address = next(iter(listener._addresses))
+    caller = connection.connect(address, SECOND)
+    head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n"
+    caller.send("POST", head + b"a")
+    gevent.sleep(0.05)
+    listener.mark_draining()
+    listener.drain()
+    caller._socket.sendall(b"b")
+    while not (parser := caller.receive(3 * SECOND)).is_complete():
+        pass
+    caller.close()
+    assert (parser.get_code(), flow.served) == (503, 1)
