Show a retry budget and a mark of a stall that are lost

Two further cases fail on: a replacement that waits for a slot and is cancelled uses up the only retry, so that the stream is not resumed when it breaks off; and the mark of a group that two peers report is cleared as soon as the first of them clears it, though the second reports it only once.

--- a/arbutuscove/relay/tests/test_replacement.py
+++ b/arbutuscove/relay/tests/test_replacement.py
@@ -1,10 +1,15 @@
 """Guards against replacements of silent streams that harm the stream."""
 
+import dataclasses
+
 import gevent
 import pytest
 
 from arbutuscove.catalog import model as catalog_model
+from arbutuscove.kernel import clock as clock_module
 from arbutuscove.relay import attempt
+from arbutuscove.relay import backends
+from arbutuscove.relay import budget
 from arbutuscove.relay.tests import test_silence
 from arbutuscove.relay.tests import test_troubled
 from arbutuscove.requests import presence
@@ -168,3 +173,48 @@
     assert all(used._socket.closed for used in opened)
     for _ in range(held):
         scene.states.end_request(GOOD)
+
+
+def test_replacement_that_asked_no_upstream_uses_no_retry(build):
+    """Guards against a retry budget that waiting replacements use up.
+
+    Attempts are left; the budget has one retry, which the stream needs when it
+    breaks off.
+    """
+    scene = build(pause_then_break_off, faulty_upstream.answer_stream)
+    scene.set_allowance(
+        budget.RetryAllowance(
+            ratio=0.0, slack=2.0, window=9 * test_troubled.SECOND
+        )
+    )
+    slots = sum(
+        backend.slots
+        for backend in scene.dispatcher.list_backends(("models", ""))
+    )
+    for _ in range(slots - 1):
+        scene.states.begin_request(GOOD)
+
+    def free_slots():
+        for _ in range(slots - 1):
+            scene.states.end_request(GOOD)
+
+    gevent.spawn_later(test_silence.SILENCE_SECONDS + 0.15, free_slots)
+    request = scene.create_request(RESUMABLE)
+    route = dataclasses.replace(request.route, attempts=9)
+    answer = scene.flow.serve(dataclasses.replace(request, route=route))
+    assert b"".join(answer.body) == b"".join(EVENTS)
+    assert (scene.bad.requests, scene.good.requests) == (1, 1)
+
+
+def test_mark_of_two_peers_stays_until_both_clear_it():
+    """Guards against requests to a group that one daemon still finds stalled.
+
+    A peer reports a group once, when it marks it, and not again.
+    """
+    states = backends.BackendStates(clock_module.ManualClock())
+    for peer in ("first", "second"):
+        states.mark_stalled(test_troubled.KEY, peer, is_local=False)
+    states.clear_stalled(test_troubled.KEY, "first")
+    assert states.is_stalled(test_troubled.KEY)
+    states.clear_stalled(test_troubled.KEY, "second")
+    assert not states.is_stalled(test_troubled.KEY)
