Give back the attempt and the retry of a replacement without a slot

What callers see: a stream that breaks off is not resumed although an attempt is left and another upstream is free.

Cause: an attempt that was to replace a silent one and was cancelled while it waited for a slot counted as sent, and its retry stayed spent; a replacement that was refused a slot spent another retry each 0.5 s.

Change: an attempt that occupied no slot asked no upstream; it and its retry are given back.

--- a/arbutuscove/relay/budget.py
+++ b/arbutuscove/relay/budget.py
@@ -64,6 +64,11 @@
         self._retries.append(now)
         return True
 
+    def give_back(self) -> None:
+        """Takes the newest retry back, as it was not sent."""
+        if self._retries:
+            self._retries.pop()
+
     def _expire(self, now: datetime.timedelta) -> None:
         start = now - self._allowance.window
         for times in (self._requests, self._retries):
--- a/arbutuscove/relay/flow.py
+++ b/arbutuscove/relay/flow.py
@@ -78,6 +78,10 @@
         now = self.clock.monotonic()
         return self._get_budget(service).try_acquire(now, self._count_daemons())
 
+    def give_retry_back(self, service: str) -> None:
+        """Returns the last retry that was acquired and not used."""
+        self._get_budget(service).give_back()
+
     def _get_budget(self, service: str) -> budget_module.RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
@@ -351,13 +355,17 @@
         self._replacement = None
         backend = replacement.attempt.backend
         if backend is None:
-            # It was refused a slot, and no upstream was asked.
-            self._attempts_begun -= 1
+            self._give_attempt_back()
         else:
             self._has_lost_attempt = True
             self._excluded |= {backend.key}
         replacement_module.log_step(self._request, "failed", replacement.reason)
 
+    def _give_attempt_back(self) -> None:
+        """Takes back an attempt that got no slot, and its retry."""
+        self._attempts_begun -= 1
+        self._flow.give_retry_back(self._service)
+
     def _cancel_replacement(self) -> None:
         """Ends a replacement that is not needed any more."""
         replacement, self._replacement = self._replacement, None
@@ -365,6 +373,8 @@
             return
         if replacement.attempt.backend is not None:
             self._has_lost_attempt = True
+        else:
+            self._give_attempt_back()
         replacement.cancel()
         replacement_module.log_step(self._request, "cancelled")
 
