Leave a replacement once any event has passed its position

What callers see: an event comes twice in a stream that mixes events with and without ids.

Cause: a replacement is asked to go on after the last event; it was cancelled only by an event with an id. An event without one from the silent upstream passed it, and the replacement then sent it again.

Change: every event but a comment cancels the replacement, and none takes over while the position in the stream is unknown.

--- a/arbutuscove/relay/flow.py
+++ b/arbutuscove/relay/flow.py
@@ -312,6 +312,9 @@
             return False
         if not replacement.has_ended():
             return False
+        if not self._is_resumable():
+            self._cancel_replacement()
+            return False
         if replacement.reply is not None:
             return True
         self._drop_replacement(replacement)
@@ -501,6 +504,8 @@
         """Records events that the caller is about to receive."""
         if continuation.EVENT_ID.search(events):
             attempt.record_progress()
+        if not continuation.is_comment(events):
+            # The replacement was asked to go on after an earlier event.
             self._cancel_replacement()
         self._position = self._position.advance(events)
         self._has_delivered = True
