Give a silent stream up only for an event of another upstream

What callers see: a sound stream that is silent for a second is cut, as the upstream that was to replace it sent a head and nothing more, or bytes that are no event.

The head says only that an upstream has accepted the request.

Change: the replacement reads ahead to the first event and judges it (relay/continuation) before the silent attempt is closed; what it has read is passed on from there.

--- a/arbutuscove/relay/flow.py
+++ b/arbutuscove/relay/flow.py
@@ -202,6 +202,8 @@
         self._attempt: attempt_module.Attempt | None = None
         self._replacement: replacement_module.Replacement | None = None
         self._next_replacement_at = request.arrived
+        # Bytes that a replacement has read of its answer.
+        self._read_ahead = b""
         # The head of the stream that the caller receives.
         self._first: attempt_module.Reply | None = None
         self._has_delivered = False
@@ -343,6 +345,7 @@
             self._excluded | {stalled.backend.key},
             self._position.event_id,
             self._is_usable,
+            self._find_fault,
         )
 
     def _is_usable(self, reply: attempt_module.Reply) -> bool:
@@ -351,6 +354,12 @@
             return reply.status == 200
         return continuation.is_continuation(self._first, reply)
 
+    def _find_fault(self, events: bytes) -> str:
+        """Returns why the first events of an answer cannot go on with it."""
+        if not self._has_delivered:
+            return ""
+        return continuation.find_fault(events, self._position, has_joined=False)
+
     def _drop_replacement(
         self, replacement: replacement_module.Replacement
     ) -> None:
@@ -410,6 +419,7 @@
         if failed.backend is not None:
             self._excluded |= {failed.backend.key}
         self._attempt = replacement.attempt
+        self._read_ahead = replacement.data
         replacement_module.log_step(self._request, "used", str(error))
         return reply
 
@@ -457,7 +467,7 @@
         assert attempt is not None
         pending = bytearray()
         is_continued, has_events = self._has_delivered, False
-        while data := attempt.read_more(self._is_replaced):
+        while data := self._read_more(attempt):
             search_start = max(
                 0, len(pending) - len(continuation.EVENT_END) + 1
             )
@@ -491,6 +501,10 @@
         self._cancel_replacement()
         attempt.finish()
 
+    def _read_more(self, attempt: attempt_module.Attempt) -> bytes:
+        data, self._read_ahead = self._read_ahead, b""
+        return data or attempt.read_more(self._is_replaced)
+
     def _check_events(
         self, attempt: attempt_module.Attempt, events: bytes, has_joined: bool
     ) -> None:
--- a/arbutuscove/relay/replacement.py
+++ b/arbutuscove/relay/replacement.py
@@ -1,7 +1,7 @@
 """Another attempt at a stream while the first one is silent.
 
 A silent backend may be sound and go on. The first attempt therefore stays open
-until another backend has answered, and goes on if none does.
+until another backend has sent an event, and goes on if none does.
 """
 
 from collections import abc
@@ -10,15 +10,18 @@
 import gevent
 
 from arbutuscove.relay import attempt as attempt_module
+from arbutuscove.relay import continuation
 from arbutuscove.relay import model
 
+MAX_BEGINNING_BYTES = 65536  # of an answer before its first event
+
 
 class Replacement:
     """An attempt that is opened in a greenlet of its own.
 
     `attempt` is closed unless its answer is accepted; the owner then closes it.
-    `reply` is the head of an accepted answer, and `reason` says why there is
-    none.
+    `reply` is the head of an accepted answer and `data` its body so far, with
+    at least one event; `reason` says why there is none.
     """
 
     def __init__(
@@ -27,11 +30,24 @@
         excluded: frozenset[model.BackendKey],
         last_event: str,
         is_usable: abc.Callable[[attempt_module.Reply], bool],
+        find_fault: abc.Callable[[bytes], str],
     ) -> None:
+        """Begins the attempt.
+
+        Args:
+            attempt: the attempt, not yet opened.
+            excluded: backends that the request was sent to before.
+            last_event: id of the event after which the stream goes on.
+            is_usable: judges the head of its answer.
+            find_fault: returns why the first events of its answer cannot be
+                used, "" if they can.
+        """
         self.attempt = attempt
         self.reply: attempt_module.Reply | None = None
+        self.data = b""
         self.reason = ""
         self._is_usable = is_usable
+        self._find_fault = find_fault
         self._is_cancelled = False
         self._greenlet = gevent.spawn(self._open, excluded, last_event)
 
@@ -57,10 +73,12 @@
     ) -> None:
         reply: attempt_module.Reply | None = None
         try:
-            reply = self.attempt.open(excluded, last_event)
-            if not self._is_usable(reply):
-                self.reason = f"status {reply.status}"
-                reply = None
+            opened = self.attempt.open(excluded, last_event)
+            if self._is_usable(opened):
+                self.data = self._read_event()
+                reply = opened
+            else:
+                self.reason = f"status {opened.status}"
         except (
             model.RefusedError,
             attempt_module.NotRunError,
@@ -73,6 +91,22 @@
             else:
                 self.reply = reply
 
+    def _read_event(self) -> bytes:
+        """Returns the beginning of the body, with at least one event."""
+        data = bytearray()
+        while more := self.attempt.read_more():
+            data += more
+            end = data.rfind(continuation.EVENT_END)
+            events = bytes(data[: end + len(continuation.EVENT_END)])
+            if end >= 0 and not continuation.is_comment(events):
+                fault = self._find_fault(events)
+                if fault:
+                    raise self.attempt.record_loss(fault)
+                return bytes(data)
+            if len(data) > MAX_BEGINNING_BYTES:
+                raise self.attempt.record_loss("an event passes the bound")
+        raise self.attempt.record_loss("the answer has no event")
+
 
 def log_step(request: model.Request, step: str, reason: str = "") -> None:
     """Logs a step of the replacement of a silent attempt."""
