Keep a stall mark until each of its sources has cleared it

What callers see: requests are sent to a group that one daemon still finds stalled.

Cause: a mark had one source. Of two peers that reported a group, the first to report that it moves cleared the mark of both, and a peer reports a group only once.

--- a/arbutuscove/relay/backends.py
+++ b/arbutuscove/relay/backends.py
@@ -58,7 +58,8 @@
     last_progress: datetime.timedelta = datetime.timedelta()
     stalled_until: datetime.timedelta | None = None
     is_stall_local: bool = False  # detected here, not reported by a peer
-    stall_source: str = ""  # what was observed, or the peer that reported it
+    # What was observed, and the peers that reported it.
+    stall_sources: set[str] = dataclasses.field(default_factory=set)
     last_probe: datetime.timedelta | None = None
     probes_since_progress: int = 0
     pause_ratio: float = 1.0  # mean of pause / expected pause
@@ -246,10 +247,11 @@
         state = self[key]
         now = self._clock.monotonic()
         if state.stalled_until is not None and now < state.stalled_until:
+            state.stall_sources.add(source)
             return False
         state.stalled_until = now + STALL_MARK_TTL
         state.is_stall_local = is_local
-        state.stall_source = source
+        state.stall_sources = {source}
         eliot.log_message(
             "backend:stalled",
             backend=key[0],
@@ -261,18 +263,22 @@
         return True
 
     def clear_stalled(self, key: model.BackendKey, source: str) -> bool:
-        """Removes a mark whose source does not hold any more.
+        """Removes one source of a mark, and the mark with its last source.
 
         Args:
             key: the backend.
             source: the source that the mark was set with.
 
         Returns:
-            Whether the backend was marked as stalled by that source.
+            Whether the mark was removed.
         """
-        if not self.is_stalled(key) or self[key].stall_source != source:
+        if not self.is_stalled(key) or source not in self[key].stall_sources:
             return False
-        self[key].stalled_until = None
+        state = self[key]
+        state.stall_sources.discard(source)
+        if state.stall_sources:
+            return False
+        state.stalled_until = None
         eliot.log_message("backend:not_stalled", backend=key[0], source=source)
         return True
 
