Close groups of a changed model instead of ending their requests

What callers see: beside a change of the configuration that drops a model or makes its groups larger, all streams of its open groups end within an event.

Cause: such a group was taken for one that lacks members: its head was ordered to leave, which ends its requests at once.

Change: a group of a model that the configuration does not have is closed and dissolved once its requests have ended, as a group is whose VMs another model needs. A group with fewer members than its model needs is closed in the same way while no daemon reports that it stands still.

--- a/arbutuscove/fleet/controller.py
+++ b/arbutuscove/fleet/controller.py
@@ -402,6 +402,8 @@
                 self._mark_released(service, group.key)
             return
         answers = self._ask_members(group)
+        if not answers and self._close_if_moving(group, head, fence):
+            return
         if set(answers.values()) == {_Answer.CONFIRMED}:
             self._silences.pop(group.key, None)
             self._mark_confirmed(service, group.key)
@@ -409,7 +411,8 @@
         if head.membership is None:
             return
         is_silent = self._is_silent_for_long(group.key, answers, now)
-        if _Answer.DENIED not in answers.values() and not is_silent:
+        is_doubtful = not answers or _Answer.DENIED in answers.values()
+        if not is_doubtful and not is_silent:
             return
         leave = orders_module.Leave(
             vm=head, group=group.name, epoch=group.epoch
@@ -423,6 +426,31 @@
             case _:
                 pass
 
+    def _close_if_moving(
+        self, group: model.Group, head: model.Vm, fence: int
+    ) -> bool:
+        """Closes a group that is too small but moves, so that requests end.
+
+        Its model may have become larger since it was formed.
+
+        Returns:
+            Whether the group moves, as far as the daemons report.
+        """
+        if group.key in self._list_stalled_groups():
+            return False
+        reported = head.membership
+        if reported is None or reported.state not in (
+            model.MemberState.OPEN,
+            model.MemberState.CLOSING,
+        ):
+            return False
+        if reported.state == model.MemberState.OPEN:
+            close = orders_module.Close(
+                vm=head, group=group.name, epoch=group.epoch
+            )
+            self._send(close, fence)
+        return True
+
     def _is_silent_for_long(
         self,
         key: tuple[str, int],
@@ -445,7 +473,10 @@
         )
 
     def _ask_members(self, group: model.Group) -> dict[str, "_Answer"]:
-        """Probes all members of a group and returns their answers by VM."""
+        """Probes all members of a group and returns their answers by VM.
+
+        The result is empty if the group has fewer members than its model needs.
+        """
         missing = [
             departed.vm
             for departed in self._inventory.list_departed()
@@ -456,7 +487,7 @@
         engine = self._find_engine(group.members[0].service)
         spec = None if engine is None else engine.find_model(group.model)
         if spec is None or known_count < spec.size:
-            return {vm.name: _Answer.DENIED for vm in group.members}
+            return {}
         vms = (*group.members, *missing)
         jobs = [gevent.spawn(self._ask_member, vm) for vm in vms]
         gevent.joinall(jobs)
--- a/arbutuscove/fleet/planner.py
+++ b/arbutuscove/fleet/planner.py
@@ -200,10 +200,10 @@
             return
         spec = self._engine.find_model(group.model)
         head = group.head
-        if spec is None or head is None or head.membership is None:
+        if head is None or head.membership is None:
             self._plan_headless_group(group)
             return
-        if group.key in self._donor_keys:
+        if spec is None or group.key in self._donor_keys:
             self._vacate(group, head)
             return
         is_complete = len(group.members) == spec.size
