--- a/soak/ends.py
+++ b/soak/ends.py
@@ -29,7 +29,7 @@
 # How long an older configuration may stay in force after a newer one.
 APPLY_SECONDS = 2.0
 # Time until a caller learns that its request crossed the close of a connection.
-CROSSING_SECONDS = 0.25
+CROSSING_SECONDS = 0.2
 
 
 def check_ends(
