Settle the list in a daemon that starts after a restore

What callers see: a daemon that starts just after the store came back from an older copy, and takes the duty at once, orders VMs by entries of before; all others wait until the VMs have written again.

Cause: the first era that a daemon learned was no change of era.

Change: it is one if it is higher than the first, or if the store has answered without naming an era before. Starts without a restore are as before.

Tests: three cases of platform/tests/test_store_eras.py; the first and the third failed before (no change was reported).

--- a/arbutuscove/platform/store.py
+++ b/arbutuscove/platform/store.py
@@ -40,6 +40,7 @@
 MAX_UNAVAILABLE_PEERS = 4096
 OWN_SOURCE = "store"  # in log lines, where the other sources are peers
 ERA_HEADER = "store-era"
+FIRST_ERA = 1  # of a store that was never restored
 # With it, the epochs of groups still fit into 63 bits.
 MAX_ERA = 2**26 - 1
 VERSION_BITS = 48  # of the store's version in the version of a table row
@@ -170,6 +171,8 @@
         self.call_count = 0
         self.is_available = True
         self._era: int | None = None  # None until it is first learned
+        # Whether an answer came that named no era, before any was known.
+        self._has_unnamed_era = False
         self._era_listeners: list[abc.Callable[[], None]] = []
         self._has_failed = False  # whether no call was answered since a failure
         self._recovered_at: datetime.timedelta | None = None
@@ -183,7 +186,8 @@
     def add_era_listener(self, callback: abc.Callable[[], None]) -> None:
         """Adds a function that is called once after each change of the era.
 
-        The first era that is learned is not a change.
+        The first era that is learned is one, unless it is the store's first: a
+        daemon that starts after a restore may read an older copy.
         """
         self._era_listeners.append(callback)
 
@@ -198,10 +202,10 @@
         if not 0 < era <= MAX_ERA or era <= (before or 0):
             return
         self._era = era
-        if before is None:
+        if before is None and era == FIRST_ERA and not self._has_unnamed_era:
             return
         eliot.log_message(
-            "store:era_changed", before=before, after=era, source=source
+            "store:era_changed", before=before or 0, after=era, source=source
         )
         for callback in self._era_listeners:
             callback()
@@ -444,6 +448,7 @@
                 self._report_recovery(OWN_SOURCE)
         era = _parse_era(parser.get_header(ERA_HEADER))
         if era is None:
+            self._has_unnamed_era = self._era is None
             era = self.get_era()
         self.observe_era(era, OWN_SOURCE)
         is_stale = era < self.get_era()
--- a/arbutuscove/platform/tests/test_store_eras.py
+++ b/arbutuscove/platform/tests/test_store_eras.py
@@ -187,3 +187,32 @@
         return function(*arguments)
     except Exception as error:
         return error
+
+
+def test_daemon_that_starts_after_a_restore_learns_of_it(served):
+    """Guards against a list of an older copy that is used as it is read."""
+    service, store = served
+    service.restore(0.0)
+    changes = []
+    store.add_era_listener(lambda: changes.append(store.get_era()))
+    store.read_rows("op")
+    assert changes == [2]
+
+
+def test_first_era_is_no_change(served):
+    """Guards against a list that settles at each start without a restore."""
+    _, store = served
+    changes = []
+    store.add_era_listener(lambda: changes.append(store.get_era()))
+    store.read_rows("op")
+    assert not changes
+
+
+def test_era_that_appears_after_unnamed_answers_is_a_change(served):
+    """Guards against a restore that is missed as it brings the first era."""
+    _, store = served
+    changes = []
+    store.add_era_listener(lambda: changes.append(store.get_era()))
+    store._has_unnamed_era = True
+    store.read_rows("op")
+    assert changes == [1]
