Believe no era of a peer that is far ahead

What callers see: nothing until one false heartbeat names a very high era; from then on every answer of the store counts as one of an earlier era, in all daemons, until all of them are restarted.

Cause: the highest era that any message named was taken.

Change: an era of a peer counts only if it is at most 64 above the known one; the store's own answers bring every era.

Test: test_false_era_of_a_peer_is_not_believed; it failed before (era 67,108,863).

--- a/arbutuscove/platform/store.py
+++ b/arbutuscove/platform/store.py
@@ -43,6 +43,9 @@
 FIRST_ERA = 1  # of a store that was never restored
 # With it, the epochs of groups still fit into 63 bits.
 MAX_ERA = 2**26 - 1
+# Restores between two heartbeats of a peer. A higher era is not believed: all
+# answers of the store would count as stale for ever.
+MAX_PEER_ERA_STEP = 64
 VERSION_BITS = 48  # of the store's version in the version of a table row
 UNKNOWN_VERSION = -1  # a conflict does not report the version of the row
 
@@ -201,6 +204,15 @@
         before = self._era
         if not 0 < era <= MAX_ERA or era <= (before or 0):
             return
+        if (
+            source != OWN_SOURCE
+            and before is not None
+            and era > before + MAX_PEER_ERA_STEP
+        ):
+            eliot.log_message(
+                "store:era_rejected", before=before, era=era, source=source
+            )
+            return
         self._era = era
         if before is None and era == FIRST_ERA and not self._has_unnamed_era:
             return
--- a/arbutuscove/platform/tests/test_store_eras.py
+++ b/arbutuscove/platform/tests/test_store_eras.py
@@ -216,3 +216,14 @@
     store._has_unnamed_era = True
     store.read_rows("op")
     assert changes == [1]
+
+
+def test_false_era_of_a_peer_is_not_believed(served):
+    """Guards against a store that no daemon uses after one false message."""
+    _, store = served
+    store.read_rows("op")
+    store.observe_era(store_module.MAX_ERA, "peer")
+    assert store.get_era() == 1
+    store.read_rows("op")
+    store.observe_era(2, "peer")
+    assert store.get_era() == 2
