--- a/arbutuscove/storage/http.py
+++ b/arbutuscove/storage/http.py
@@ -6,6 +6,7 @@
 
 import datetime
 import errno
+import functools
 import ipaddress
 import re
 import typing
@@ -86,19 +87,25 @@
             ValueError: the host is no IPv4 address or host name, or the port
                 is not a decimal number up to 65535.
         """
-        if len(text) > MAX_HOST_LENGTH + len(":65535"):
-            raise ValueError(f"address has {len(text)} characters")
-        host, _, port = text.rpartition(":")
-        if not _is_host(host) or not _PORT.fullmatch(port):
-            raise ValueError(f"address must be host:port, not {text!r}")
-        if int(port) > MAX_PORT:
-            raise ValueError(f"port {port} is out of range")
-        return cls(host, int(port))
+        return cls(*_parse_address(text))
 
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
 
 
+# The addresses of all VMs are parsed again with each of their heartbeats.
+@functools.lru_cache(maxsize=4096)
+def _parse_address(text: str) -> tuple[str, int]:
+    if len(text) > MAX_HOST_LENGTH + len(":65535"):
+        raise ValueError(f"address has {len(text)} characters")
+    host, _, port = text.rpartition(":")
+    if not _is_host(host) or not _PORT.fullmatch(port):
+        raise ValueError(f"address must be host:port, not {text!r}")
+    if int(port) > MAX_PORT:
+        raise ValueError(f"port {port} is out of range")
+    return host, int(port)
+
+
 def _is_host(text: str) -> bool:
     """Returns whether the text is an IPv4 address or a host name."""
     labels = text.split(".")
