--- a/arbutuscove/platform/store.py
+++ b/arbutuscove/platform/store.py
@@ -24,6 +24,7 @@
 
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import decoding
+from arbutuscove.storage import eras
 from arbutuscove.storage import http
 from arbutuscove.storage import table as table_module
 from arbutuscove.transport import connection
@@ -39,14 +40,10 @@
 DOUBT_PERIOD = datetime.timedelta(seconds=1)
 MAX_UNAVAILABLE_PEERS = 4096
 OWN_SOURCE = "store"  # in log lines, where the other sources are peers
-ERA_HEADER = "store-era"
 FIRST_ERA = 1  # of a store that was never restored
-# With it, the epochs of groups still fit into 63 bits.
-MAX_ERA = 2**26 - 1
 # Restores between two heartbeats of a peer. A higher era is not believed: all
 # answers of the store would count as stale for ever.
 MAX_PEER_ERA_STEP = 64
-VERSION_BITS = 48  # of the store's version in the version of a table row
 UNKNOWN_VERSION = -1  # a conflict does not report the version of the row
 
 
@@ -202,7 +199,7 @@
             source: where it was learned, for the log.
         """
         before = self._era
-        if not 0 < era <= MAX_ERA or era <= (before or 0):
+        if not 0 < era <= eras.MAX_ERA or era <= (before or 0):
             return
         if (
             source != OWN_SOURCE
@@ -458,7 +455,7 @@
             if self._has_failed:
                 self._has_failed = False
                 self._report_recovery(OWN_SOURCE)
-        era = _parse_era(parser.get_header(ERA_HEADER))
+        era = _parse_era(parser.get_header(eras.HEADER))
         if era is None:
             self._has_unnamed_era = self._era is None
             era = self.get_era()
@@ -533,7 +530,7 @@
         era = self._store.get_era()
         conditions: dict[str, int] = {}
         for condition in transaction.conditions:
-            condition_era, version = _split_version(condition.version)
+            condition_era, version = eras.split_version(condition.version)
             if condition.version != table_module.ABSENT and (
                 condition_era != era
             ):
@@ -552,31 +549,16 @@
             key = transaction.conditions[0].key
             conflict = table_module.Conflict(key=key, found=UNKNOWN_VERSION)
             return expression.Error(conflict)
-        version = _join_version(self._store.get_era(), written)
+        version = eras.join_version(self._store.get_era(), written)
         committed = table_module.Committed(
             versions=dict.fromkeys(writes, version)
         )
         return expression.Ok(committed)
 
 
-def _join_version(era: int, version: int) -> int:
-    return era << VERSION_BITS | version
-
-
-def _split_version(version: int) -> tuple[int, int]:
-    """Returns the era and the store's version in a version of a table row."""
-    return version >> VERSION_BITS, version & (1 << VERSION_BITS) - 1
-
-
 def _parse_era(value: str | None) -> int | None:
     """Returns the era in a header, None without a valid one."""
-    value = (value or "").strip()
-    if not (value.isascii() and value.isdecimal()):
-        return None
-    if len(value) > len(str(MAX_ERA)):
-        return None
-    era = int(value)
-    return era if era <= MAX_ERA else None
+    return eras.parse(value) or None
 
 
 def _encode_row_name(table: str, key: str) -> dict[str, str]:
@@ -605,7 +587,7 @@
         content = _TableContent()
     return table_module.Row(
         key=row.key,
-        version=_join_version(row.era, row.version),
+        version=eras.join_version(row.era, row.version),
         write_id=content.write_id,
         value=content.value,
     )
--- a/arbutuscove/platform/tests/test_lease_era.py
+++ b/arbutuscove/platform/tests/test_lease_era.py
@@ -12,6 +12,7 @@
 from arbutuscove.platform import store as store_module
 from arbutuscove.platform.tests import test_settings
 from arbutuscove.standins import users_store
+from arbutuscove.storage import eras
 from arbutuscove.storage import http
 from arbutuscove.transport import pool
 
@@ -72,5 +73,5 @@
 
 def test_epochs_of_the_highest_era_fit_into_numbers_that_travel():
     """Guards against tokens and group epochs beyond 63 bits."""
-    epoch = lease.compute_next_epoch(None, store_module.MAX_ERA)
+    epoch = lease.compute_next_epoch(None, eras.MAX_ERA)
     assert ((epoch + 1) << controller.EPOCH_BITS) <= MAX_SIGNED
--- a/arbutuscove/platform/tests/test_store_eras.py
+++ b/arbutuscove/platform/tests/test_store_eras.py
@@ -10,6 +10,7 @@
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.platform import store as store_module
 from arbutuscove.standins import users_store
+from arbutuscove.storage import eras
 from arbutuscove.storage import http
 from arbutuscove.storage import table as table_module
 from arbutuscove.transport import pool
@@ -222,7 +223,7 @@
     """Guards against a store that no daemon uses after one false message."""
     _, store = served
     store.read_rows("op")
-    store.observe_era(store_module.MAX_ERA, "peer")
+    store.observe_era(eras.MAX_ERA, "peer")
     assert store.get_era() == 1
     store.read_rows("op")
     store.observe_era(2, "peer")
--- a/arbutuscove/storage/eras.py
+++ b/arbutuscove/storage/eras.py
@@ -7,6 +7,7 @@
 """
 
 HEADER = "store-era"
+# With it, the epochs of groups still fit into 63 bits.
 MAX_ERA = 2**26 - 1
 VERSION_BITS = 48  # of the service's number in the version of a row
 
