--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -654,7 +654,7 @@
                 f"upstream answered {reply.status}", reply.is_busy
             )
         if reply.status in NOT_RUN_STATUSES:
-            # The upstream gives no such promise without X-Not-Run.
+            # The status alone is not the upstream's word that nothing ran.
             raise self.record_loss(f"status {reply.status} may have run")
         if not reply.is_signed and reply.status < 300:
             raise self.record_loss("the answer is not signed")
