--- a/arbutuscove/relay/continuation.py
+++ b/arbutuscove/relay/continuation.py
@@ -7,6 +7,8 @@
 
 EVENT_STREAM = "text/event-stream"
 EVENT_END = b"\n\n"
+# An event has a few tokens; a faulty upstream may never end one.
+MAX_EVENT_BYTES = 65536
 EVENT_ID = re.compile(rb"(?:^|\n)id: ?([^\n]*)")
 ERROR_EVENT = re.compile(rb"(?:^|\n)event: ?error\s*(?:\n|$)")
 # Longer ids are compared as text.
--- a/arbutuscove/relay/replacement.py
+++ b/arbutuscove/relay/replacement.py
@@ -13,8 +13,6 @@
 from arbutuscove.relay import continuation
 from arbutuscove.relay import model
 
-MAX_BEGINNING_BYTES = 65536  # of an answer before its first event
-
 
 class Replacement:
     """An attempt that is opened in a greenlet of its own.
@@ -103,7 +101,7 @@
                 if fault:
                     raise self.attempt.record_loss(fault)
                 return bytes(data)
-            if len(data) > MAX_BEGINNING_BYTES:
+            if len(data) > continuation.MAX_EVENT_BYTES:
                 raise self.attempt.record_loss("an event passes the bound")
         raise self.attempt.record_loss("the answer has no event")
 
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -433,7 +433,7 @@
     ),
     Mutation(
         promise="a silent attempt goes on until another one has answered",
-        path="relay/flow.py",
+        path="relay/streams.py",
         old="        return False\n        if not replacement.has_ended():",
         new="        return True\n        if not replacement.has_ended():",
         test="relay/tests/test_silence.py::"
@@ -611,15 +611,15 @@
     ),
     Mutation(
         promise="an unterminated event is bounded",
-        path="relay/flow.py",
-        old="if len(pending) > MAX_EVENT_BYTES:",
+        path="relay/streams.py",
+        old="if len(pending) > continuation.MAX_EVENT_BYTES:",
         new="if False:",
         test="relay/tests/test_troubled.py::test_troubled_upstream_of"
         "_a_stream_is_left_for_another[send_endless_event]",
     ),
     Mutation(
         promise="a stream that ends within an event is not complete",
-        path="relay/flow.py",
+        path="relay/streams.py",
         old="if pending.strip():",
         new="if False:",
         test="relay/tests/test_troubled.py::test_troubled_upstream_of"
@@ -627,7 +627,7 @@
     ),
     Mutation(
         promise="stream comments do not count as progress",
-        path="relay/flow.py",
+        path="relay/streams.py",
         old="if continuation.EVENT_ID.search(events):",
         new="if True:",
         test="relay/tests/test_troubled.py::test_troubled_upstream_of"
@@ -661,7 +661,7 @@
     ),
     Mutation(
         promise="a refusal after a lost attempt does not say not run",
-        path="relay/flow.py",
+        path="relay/refusals.py",
         old="    if has_lost_attempt:\n        return build",
         new="    if False:\n        return build",
         test="relay/tests/test_refusals.py::"
@@ -696,7 +696,7 @@
     ),
     Mutation(
         promise="a stream goes on with an answer of its kind only",
-        path="relay/flow.py",
+        path="relay/streams.py",
         old="return continuation.is_continuation(self._first, reply)",
         new="return reply.status == 200",
         test="relay/tests/test_continuation.py::"
@@ -704,7 +704,7 @@
     ),
     Mutation(
         promise="a stream goes on with later events only",
-        path="relay/flow.py",
+        path="relay/streams.py",
         old="self._check_events(attempt, events, has_events)",
         new="pass",
         test="relay/tests/test_continuation.py::"
@@ -712,7 +712,7 @@
     ),
     Mutation(
         promise="an answer without a further event ends no stream",
-        path="relay/flow.py",
+        path="relay/streams.py",
         old="if is_continued and not has_events:",
         new="if False:",
         test="relay/tests/test_continuation.py::"
@@ -880,14 +880,14 @@
         promise="a quarantined part is refused at arrival",
         path="relay/flow.py",
         old="        if retry_after is not None:\n"
-        "            raise build_quarantine_refusal(retry_after)",
+        "            raise refusals.build_quarantine_refusal(retry_after)",
         new="        if False:\n"
-        "            raise build_quarantine_refusal(retry_after)",
+        "            raise refusals.build_quarantine_refusal(retry_after)",
         test="relay/tests/test_crashing_part.py::test_crashing_part_is_refused_without_a_send",
     ),
     Mutation(
         promise="a stream without framing needs an event",
-        path="relay/flow.py",
+        path="relay/streams.py",
         old="if not has_events and attempt.is_unframed():",
         new="if False:",
         test="relay/tests/test_troubled.py::test_stream_without_framing_or_events_is_no_success",
