--- a/arbutuscove/kernel/decoding.py
+++ b/arbutuscove/kernel/decoding.py
@@ -55,11 +55,15 @@
     """The document is not valid, or beyond a limit."""
 
 
-class JsonDecoder(typing.Generic[ValueT]):
-    """Decodes JSON documents of one type."""
-
-    def __init__(self, value_type: typing.Any, max_bytes: int) -> None:
-        self._decoder = msgspec.json.Decoder(value_type)
+class _Decoder(typing.Generic[ValueT]):
+    """Decodes documents of one type and a bounded size."""
+
+    def __init__(
+        self,
+        decoder: msgspec.json.Decoder[ValueT] | msgspec.msgpack.Decoder[ValueT],
+        max_bytes: int,
+    ) -> None:
+        self._decoder = decoder
         self._max_bytes = max_bytes
 
     def decode(self, content: bytes) -> ValueT:
@@ -70,20 +74,17 @@
         """
         if len(content) > self._max_bytes:
             raise DecodingError(f"{len(content)} bytes exceed the limit")
-        _check_depth(content)
         try:
-            value: ValueT = self._decoder.decode(content)
+            return self._decoder.decode(content)
         except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
             raise DecodingError(str(error)) from error
-        return value
 
 
-class MessagePackDecoder(typing.Generic[ValueT]):
-    """Decodes MessagePack documents of one type."""
+class JsonDecoder(_Decoder[ValueT]):
+    """Decodes JSON documents of one type."""
 
     def __init__(self, value_type: typing.Any, max_bytes: int) -> None:
-        self._decoder = msgspec.msgpack.Decoder(value_type)
-        self._max_bytes = max_bytes
+        super().__init__(msgspec.json.Decoder(value_type), max_bytes)
 
     def decode(self, content: bytes) -> ValueT:
         """Returns the value of a document.
@@ -91,13 +92,16 @@
         Raises:
             DecodingError: the document is not valid, or beyond a limit.
         """
-        if len(content) > self._max_bytes:
-            raise DecodingError(f"{len(content)} bytes exceed the limit")
-        try:
-            value: ValueT = self._decoder.decode(content)
-        except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
-            raise DecodingError(str(error)) from error
-        return value
+        if len(content) <= self._max_bytes:
+            _check_depth(content)
+        return super().decode(content)
+
+
+class MessagePackDecoder(_Decoder[ValueT]):
+    """Decodes MessagePack documents of one type."""
+
+    def __init__(self, value_type: typing.Any, max_bytes: int) -> None:
+        super().__init__(msgspec.msgpack.Decoder(value_type), max_bytes)
 
 
 def parse_digits(text: str, max_digits: int) -> int | None:
