Split the product's table from the client of the store

The table service that rests on the store is in platform/table now, with the table's name and the decoding of its rows.

--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -33,6 +33,7 @@
 from arbutuscove.platform import listener as listener_module
 from arbutuscove.platform import settings as settings_module
 from arbutuscove.platform import store as store_module
+from arbutuscove.platform import table as platform_table
 from arbutuscove.platform import upstreams
 from arbutuscove.relay import attempt
 from arbutuscove.relay import backends as backends_module
@@ -115,7 +116,7 @@
 
     def _register(self) -> tuple[store_module.Row, ...]:
         """Writes the own row and returns the rows of the table."""
-        table = store_module.OWN_TABLE
+        table = platform_table.OWN_TABLE
         content = msgspec.json.encode({"ip": self._ip})
         while True:
             self._is_due.clear()
@@ -133,7 +134,7 @@
 
     def _add_verdicts(self, rows: abc.Iterable[store_module.Row]) -> None:
         self._evidence.restore(
-            store_module.decode_table_row(row)
+            platform_table.decode_row(row)
             for row in rows
             if row.key.startswith(verdicts.KEY_PREFIX)
         )
@@ -183,7 +184,7 @@
         self._orders = engine.HttpOrderClient(self._connections, self._clock)
         self._gossip = self._build_gossip()
         self._verdicts = verdicts.VerdictKeeper(
-            store_module.StoreTable(self._store),
+            platform_table.StoreTable(self._store),
             self._clock,
             self._gossip.owns,
         )
@@ -202,7 +203,7 @@
         )
         self._leases = lease_holder.LeaseHolder(
             self._identity,
-            store_module.StoreTable(self._store),
+            platform_table.StoreTable(self._store),
             self._clock,
             self._lag,
             LEASE_TERMS,
--- a/arbutuscove/platform/store.py
+++ b/arbutuscove/platform/store.py
@@ -1,9 +1,7 @@
 """Client of the platform's table store.
 
 A row is identified by table, part and key; its value is base64 on the wire. One
-counter assigns the versions of all rows. `Store` is the client of these calls;
-`StoreTable` implements on it the table service that leases use, with one row of
-JSON under each key.
+counter assigns the versions of all rows.
 
 The store may come back from an older copy: its counter then goes back and
 assigns the same versions again. Each answer names the *era* of the store, a
@@ -19,14 +17,12 @@
 from collections import abc
 
 import eliot
-import expression
 import msgspec
 
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import decoding
 from arbutuscove.storage import eras
 from arbutuscove.storage import http
-from arbutuscove.storage import table as table_module
 from arbutuscove.transport import connection
 from arbutuscove.transport import pool
 
@@ -35,7 +31,6 @@
 MAX_PAGE_ROWS = 500  # rows that the store returns in one answer
 # A page contains at most 1 MB of rows, with their values as base64 in JSON.
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
-OWN_TABLE = "arbutuscove"
 # After a failure the store may fail again, or for some calls only.
 DOUBT_PERIOD = datetime.timedelta(seconds=1)
 MAX_UNAVAILABLE_PEERS = 4096
@@ -44,7 +39,6 @@
 # Restores between two heartbeats of a peer. A higher era is not believed: all
 # answers of the store would count as stale for ever.
 MAX_PEER_ERA_STEP = 64
-UNKNOWN_VERSION = -1  # a conflict does not report the version of the row
 
 
 class StoreError(Exception):
@@ -79,19 +73,8 @@
     has_more: bool = False
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _TableContent:
-    """Content of a row in the product's own table."""
-
-    write_id: decoding.Text = ""
-    value: typing.Any = None
-
-
 _ROW_DECODER = decoding.JsonDecoder[_WireRow](_WireRow, MAX_ANSWER_BYTES)
 _PAGE_DECODER = decoding.JsonDecoder[_WirePage](_WirePage, MAX_ANSWER_BYTES)
-_CONTENT_DECODER = decoding.JsonDecoder[_TableContent](
-    _TableContent, MAX_ANSWER_BYTES
-)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True, order=True)
@@ -472,90 +455,6 @@
         return _Answer(status=status, body=body, era=era, is_stale=is_stale)
 
 
-class StoreTable:
-    """The table service of the product, stored in one table of the store.
-
-    All rows have the same part, since a transaction cannot span several parts.
-    The version of a row contains the era in which it was read, as the store
-    assigns the same version to another row after a restore.
-    """
-
-    def __init__(self, store: Store) -> None:
-        self._store = store
-
-    def read(self, key: str) -> table_module.Row | None:
-        """Returns the row, or None if there is none.
-
-        Raises:
-            TableUnavailableError: no answer was received.
-        """
-        try:
-            rows = self._store.read_rows(OWN_TABLE, key).rows
-        except StoreError as error:
-            raise table_module.TableUnavailableError(str(error)) from error
-        return decode_table_row(rows[0]) if rows else None
-
-    def scan(
-        self, prefix: str, after: str = "", limit: int = MAX_PAGE_ROWS
-    ) -> list[table_module.Row]:
-        """Returns rows by prefix in key order, after a key, at most `limit`.
-
-        Raises:
-            TableUnavailableError: no answer was received.
-        """
-        try:
-            rows = self._store.read_rows(OWN_TABLE).rows
-        except StoreError as error:
-            raise table_module.TableUnavailableError(str(error)) from error
-        matching = [
-            decode_table_row(row)
-            for row in rows
-            if row.key.startswith(prefix) and row.key > after
-        ]
-        return matching[:limit]
-
-    def transact(
-        self, transaction: table_module.Transaction
-    ) -> table_module.Outcome:
-        """Applies a transaction once.
-
-        Raises:
-            TableUnavailableError: nothing was written.
-            OutcomeUnknownError: the confirmation was lost.
-        """
-        writes = {
-            write.key: _encode_table_value(write, transaction.write_id)
-            for write in transaction.writes
-        }
-        era = self._store.get_era()
-        conditions: dict[str, int] = {}
-        for condition in transaction.conditions:
-            condition_era, version = eras.split_version(condition.version)
-            if condition.version != table_module.ABSENT and (
-                condition_era != era
-            ):
-                conflict = table_module.Conflict(
-                    key=condition.key, found=UNKNOWN_VERSION
-                )
-                return expression.Error(conflict)
-            conditions[condition.key] = version
-        try:
-            written = self._store.transact(OWN_TABLE, conditions, writes)
-        except OutcomeUnknownError as error:
-            raise table_module.OutcomeUnknownError(str(error)) from error
-        except StoreError as error:
-            raise table_module.TableUnavailableError(str(error)) from error
-        if written is None:
-            key = transaction.conditions[0].key
-            conflict = table_module.Conflict(key=key, found=UNKNOWN_VERSION)
-            return expression.Error(conflict)
-        version = eras.join_version(self._store.get_era(), written)
-        committed = table_module.Committed(
-            versions=dict.fromkeys(writes, version)
-        )
-        return expression.Ok(committed)
-
-
 def _parse_era(value: str | None) -> int | None:
     """Returns the era in a header, None without a valid one."""
     return eras.parse(value) or None
@@ -565,34 +464,6 @@
     return {"table": table, "part": "", "key": key}
 
 
-def _encode_table_value(
-    write: table_module.Write, write_id: str
-) -> bytes | None:
-    if write.value is None:
-        return None
-    return msgspec.json.encode({"write_id": write_id, "value": write.value})
-
-
-def decode_table_row(row: Row) -> table_module.Row:
-    """Returns a row of the product's table from one of the store.
-
-    The value of a row that cannot be decoded is None.
-    """
-    try:
-        content = _CONTENT_DECODER.decode(row.content or b"{}")
-    except decoding.DecodingError as error:
-        eliot.log_message(
-            "store:row_unreadable", key=row.key, reason=str(error)
-        )
-        content = _TableContent()
-    return table_module.Row(
-        key=row.key,
-        version=eras.join_version(row.era, row.version),
-        write_id=content.write_id,
-        value=content.value,
-    )
-
-
 def _convert_rows(page: _WirePage, era: int) -> tuple[Row, ...]:
     """Returns the rows of a page that can be decoded."""
     rows: list[Row] = []
--- a/arbutuscove/platform/tests/test_lease_era.py
+++ b/arbutuscove/platform/tests/test_lease_era.py
@@ -10,6 +10,7 @@
 from arbutuscove.leases import lease
 from arbutuscove.platform import assembly
 from arbutuscove.platform import store as store_module
+from arbutuscove.platform import table as platform_table
 from arbutuscove.platform.tests import test_settings
 from arbutuscove.standins import users_store
 from arbutuscove.storage import eras
@@ -35,7 +36,7 @@
     store = store_module.Store(address, pool.ConnectionPool(clock), clock)
     return holder.LeaseHolder(
         identity,
-        store_module.StoreTable(store),
+        platform_table.StoreTable(store),
         clock,
         loop.LagMonitor(clock),
         assembly.LEASE_TERMS,
--- a/arbutuscove/platform/tests/test_rewritten_rows.py
+++ b/arbutuscove/platform/tests/test_rewritten_rows.py
@@ -10,11 +10,11 @@
 from arbutuscove.crashes import verdicts
 from arbutuscove.kernel import services
 from arbutuscove.platform import assembly
-from arbutuscove.platform import store as store_module
+from arbutuscove.platform import table as platform_table
 from arbutuscove.platform.tests import test_settings
 from arbutuscove.standins import users_store
 
-TABLE = store_module.OWN_TABLE
+TABLE = platform_table.OWN_TABLE
 REGISTRATION = assembly.DAEMON_PREFIX + test_settings.FIELDS["node"]
 VERDICT = f"{verdicts.KEY_PREFIX}{7:016x}"
 TIMEOUT = 5.0  # seconds
--- a/arbutuscove/platform/tests/test_store.py
+++ b/arbutuscove/platform/tests/test_store.py
@@ -15,6 +15,7 @@
 from arbutuscove.leases import lease
 from arbutuscove.platform import assembly
 from arbutuscove.platform import store as store_module
+from arbutuscove.platform import table as platform_table
 from arbutuscove.platform.tests import test_entries
 from arbutuscove.storage import http
 from arbutuscove.storage import table as table_module
@@ -119,7 +120,7 @@
 def test_odd_content_of_an_own_row_is_unreadable(content):
     """Guards against one row that ends the loop of the leases."""
     store = AnsweringStore(encode_page(create_row("lease/duty", content)))
-    row = store_module.StoreTable(store).read("lease/duty")
+    row = platform_table.StoreTable(store).read("lease/duty")
     with pytest.raises(table_module.UnreadableRowError):
         row.decode(lease.LeaseRow)
 
@@ -160,7 +161,7 @@
     peers, clock = Peers(), clock_module.ManualClock()
     store = AnsweringStore(encode_page(), encode_page(*rows))
     keeper = verdicts.VerdictKeeper(
-        store_module.StoreTable(store), clock, lambda key: True
+        platform_table.StoreTable(store), clock, lambda key: True
     )
     evidence = crash_holder.EvidenceHolder(clock, keeper)
     assembly.Registry(Settings, store, clock, peers, evidence)._register()
--- a/arbutuscove/platform/tests/test_store_eras.py
+++ b/arbutuscove/platform/tests/test_store_eras.py
@@ -9,6 +9,7 @@
 
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.platform import store as store_module
+from arbutuscove.platform import table as platform_table
 from arbutuscove.standins import users_store
 from arbutuscove.storage import eras
 from arbutuscove.storage import http
@@ -119,7 +120,7 @@
 def test_write_of_an_earlier_era_is_not_confirmed(served):
     """Guards against a lease that was confirmed and then lost by a restore."""
     service, store = served
-    table = store_module.StoreTable(store)
+    table = platform_table.StoreTable(store)
     assert table.read("lease") is None
     service.faults.answer_delay = 0.1
     late = gevent.spawn(_get_error, table.transact, _create_write("lease", 0))
@@ -134,7 +135,7 @@
 def test_write_that_meets_a_new_era_is_not_confirmed(served):
     """Guards against a condition that holds for the version of another row."""
     service, store = served
-    table = store_module.StoreTable(store)
+    table = platform_table.StoreTable(store)
     table.read("lease")
     service.restore(0.0)
     with pytest.raises(table_module.OutcomeUnknownError):
@@ -144,11 +145,11 @@
 def test_condition_of_an_earlier_era_conflicts(served):
     """Guards against a write over a row whose version was assigned again."""
     service, store = served
-    table = store_module.StoreTable(store)
+    table = platform_table.StoreTable(store)
     table.transact(_create_write("lease", 0))
     row = table.read("lease")
     service.restore(10.0)
-    service.put(store_module.OWN_TABLE, "lease", {"value": "other"})
+    service.put(platform_table.OWN_TABLE, "lease", {"value": "other"})
     assert table.read("lease").value == "other"
     outcome = table.transact(_create_write("lease", row.version))
     assert isinstance(outcome, expression.Result)
