Bound the attempts to write a lost audit entry again

What callers see: nothing while it lasts a moment; under lasting conflicts in one scope of the audit trail a lease holder does not return from writing old entries, and its lease is not renewed.

Cause, found by reading: the loop after a conflict had no end.

Change: eight attempts a call; the next call goes on with the entry.

--- a/arbutuscove/audit/keeper.py
+++ b/arbutuscove/audit/keeper.py
@@ -15,6 +15,7 @@
 from arbutuscove.storage import table as table_module
 
 MAX_REMEMBERED = 64  # entries; the oldest is dropped
+MAX_WRITE_ATTEMPTS = 8  # of one entry in one call, each after a conflict
 
 
 class EntryKeeper:
@@ -59,7 +60,7 @@
                 self._remembered[index] = scope, entry, era
 
     def _write_if_lost(self, scope: str, entry: trail.Entry) -> None:
-        while True:
+        for _ in range(MAX_WRITE_ATTEMPTS):
             empty = table_module.Transaction(conditions=(), writes=())
             transaction = trail.append_entry(self._table, empty, scope, entry)
             # Read after the head row, so that the transaction conflicts with
@@ -76,3 +77,6 @@
                     "audit:written_again", scope=scope, action=entry.action
                 )
                 return
+        raise table_module.TableUnavailableError(
+            f"other entries of {scope} are written all the time"
+        )
