Open a new connection for each further attempt of a request

Callers saw streams closed midway, and 502 for requests that may be repeated, seconds before their deadline, while no upstream had failed.

Cause: what ends one connection often ends others, such as a partition that resets, a loss that is silent, or a restart on the path. The next attempt took an idle connection to another upstream, which was lost to the same cause milliseconds later (or stayed silent), and the route's attempts were used up.

Ruled out: a failed upstream (the servers ran on), the retry budget (each retry was granted), the deadline (7 s were left).

Change: an attempt that follows another one opens a new connection. It costs one connection for each retry, and an address that accepts none is certain not to have run the request.

--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -329,8 +329,9 @@
             raise QuarantinedError(retry_after)
         repeat = request.route.repeat
         max_idle_time = pool_module.MAX_IDLE_TIME
-        if not repeat.is_idempotent:
-            # The upstream may close an idle one while the request is sent.
+        # The upstream may close an idle connection while the request is sent,
+        # and what ended an earlier attempt may have ended idle ones, too.
+        if not repeat.is_idempotent or excluded:
             max_idle_time = pool_module.NEVER_IDLE
         try:
             upstream = context.connections.check_out(
