Count no attempt if an upstream accepts no connection

Callers saw 503 (not run) and streams closed midway although an upstream could take the request: the two attempts of the route were used up by upstreams that accepted no connection.

Cause: a connection that is not opened counted as an attempt of the route and used a retry, though the route bounds to how many upstreams a request is sent, and the budget what upstreams receive.

Ruled out: a lack of slots or backends (another backend was free and listed).

Change: such an attempt raises UnsentError; the request goes on at another upstream, at most three times, without a retry of the budget.

Conclusion: attempts and retries count what upstreams received.

--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -38,6 +38,8 @@
 # A longer body is forwarded as it arrives: an endless body would otherwise fill
 # the memory of a small VM.
 BUFFERED_BODY_BYTES = 65536
+# Upstreams that one request finds unable to accept a connection.
+MAX_UNSENT_ATTEMPTS = 3
 # Another attempt cannot answer within less time.
 MIN_TIME_LEFT = datetime.timedelta(milliseconds=30)
 # Longest pause of a healthy engine, as a multiple of the pause between two
@@ -69,6 +71,13 @@
         self.is_busy = is_busy
 
 
+class UnsentError(NotRunError):
+    """The upstream accepted no connection, so that nothing was sent to it.
+
+    It does not count as an attempt of the route, nor as a retry.
+    """
+
+
 class QuarantinedError(NotRunError):
     """The request did not run, since requests like it crash upstreams."""
 
@@ -341,7 +350,7 @@
             )
         except http.NotSentError as error:
             context.states.record_failure(self.backend.key)
-            raise NotRunError(str(error)) from error
+            raise UnsentError(str(error)) from error
         self._connection = upstream
         try:
             upstream.send(
--- a/arbutuscove/relay/flow.py
+++ b/arbutuscove/relay/flow.py
@@ -62,6 +62,21 @@
             case attempt_module.AttemptLostError():
                 return self.context.crashes.may_repeat(request)
 
+    def may_try_elsewhere(
+        self, request: model.Request, unsent_count: int
+    ) -> bool:
+        """Returns whether a request that was not sent may try another upstream.
+
+        Args:
+            request: the request.
+            unsent_count: how many upstreams accepted no connection for it.
+        """
+        left = request.deadline - self.clock.monotonic()
+        return (
+            unsent_count <= attempt_module.MAX_UNSENT_ATTEMPTS
+            and left > attempt_module.MIN_TIME_LEFT
+        )
+
     def acquire_retry(self, service: str) -> bool:
         """Acquires one retry from the budget of a service, if there is one."""
         now = self.clock.monotonic()
@@ -91,6 +106,7 @@
         excluded: frozenset[model.BackendKey] = frozenset()
         repeat = request.route.repeat
         attempts_made = 0
+        unsent_count = 0
         has_lost_attempt = False
         while True:
             attempt = attempt_module.Attempt(self.context, request, service)
@@ -110,8 +126,12 @@
                 reason = f"status {reply.status}"
             except attempt_module.NotRunError as error:
                 reason = str(error)
-                attempts_made += 1
-                if not self._may_retry(request, service, attempts_made, error):
+                is_unsent = isinstance(error, attempt_module.UnsentError)
+                unsent_count += is_unsent
+                attempts_made += not is_unsent
+                if not self._may_go_on(
+                    request, service, attempts_made, unsent_count, error
+                ):
                     raise refusals.build_not_run_refusal(
                         request, error, has_lost_attempt
                     ) from error
@@ -149,6 +169,24 @@
             return True
         return not self._acquire_retry_in_time(request, service)
 
+    def _may_go_on(
+        self,
+        request: model.Request,
+        service: str,
+        attempts_made: int,
+        unsent_count: int,
+        error: attempt_module.NotRunError,
+    ) -> bool:
+        """Returns whether a request that did not run may try another upstream.
+
+        Acquires a retry from the budget if an upstream received the request.
+        """
+        match error:
+            case attempt_module.UnsentError():
+                return self.may_try_elsewhere(request, unsent_count)
+            case _:
+                return self._may_retry(request, service, attempts_made, error)
+
     def _may_retry(
         self,
         request: model.Request,
--- a/arbutuscove/relay/replacement.py
+++ b/arbutuscove/relay/replacement.py
@@ -44,6 +44,7 @@
         self.reply: attempt_module.Reply | None = None
         self.data = b""
         self.reason = ""
+        self.is_unsent = False
         self._is_usable = is_usable
         self._find_fault = find_fault
         self._is_cancelled = False
@@ -83,6 +84,7 @@
             attempt_module.AttemptLostError,
         ) as error:
             self.reason = str(error)
+            self.is_unsent = isinstance(error, attempt_module.UnsentError)
         finally:
             if reply is None or self._is_cancelled:
                 self.attempt.close()
--- a/arbutuscove/relay/streams.py
+++ b/arbutuscove/relay/streams.py
@@ -33,6 +33,11 @@
     ) -> bool:
         """Returns whether another attempt crashes no upstream, as known now."""
 
+    def may_try_elsewhere(
+        self, request: model.Request, unsent_count: int
+    ) -> bool:
+        """Returns whether a request that was not sent may go elsewhere."""
+
     def acquire_retry(self, service: str) -> bool:
         """Acquires one retry from the budget of a service, if there is one."""
 
@@ -53,6 +58,7 @@
         self._position = continuation.Position(event_id=request.last_event)
         self._excluded: frozenset[model.BackendKey] = frozenset()
         self._attempts_begun = 0
+        self._unsent_count = 0
         self._has_lost_attempt = False
         self._attempt: attempt_module.Attempt | None = None
         self._replacement: replacement_module.Replacement | None = None
@@ -127,7 +133,7 @@
                 replaced = self._switch(error)
                 if replaced is not None:
                     return replaced
-                if not self._record_failed_attempt(attempt, error):
+                if not self._may_go_on(attempt, error):
                     raise refusals.build_not_run_refusal(
                         self._request, error, self._has_lost_attempt
                     ) from error
@@ -155,6 +161,24 @@
             self._policy.context, self._request, self._service
         )
 
+    def _may_go_on(
+        self,
+        attempt: attempt_module.Attempt,
+        error: attempt_module.NotRunError,
+    ) -> bool:
+        """Returns whether another attempt may follow one that did not run."""
+        match error:
+            case attempt_module.UnsentError():
+                if attempt.backend is not None:
+                    self._excluded |= {attempt.backend.key}
+                self._attempts_begun -= 1
+                self._unsent_count += 1
+                return self._policy.may_try_elsewhere(
+                    self._request, self._unsent_count
+                )
+            case _:
+                return self._record_failed_attempt(attempt, error)
+
     def _may_begin_attempt(self) -> bool:
         """Returns whether attempts and time are left for another one."""
         left = self._request.deadline - self._policy.clock.monotonic()
@@ -227,11 +251,12 @@
         """Forgets a replacement that failed, so that another one may begin."""
         self._replacement = None
         backend = replacement.attempt.backend
-        if backend is None:
+        if backend is not None:
+            self._excluded |= {backend.key}
+        if backend is None or replacement.is_unsent:
             self._give_attempt_back()
         else:
             self._has_lost_attempt = True
-            self._excluded |= {backend.key}
         replacement_module.log_step(self._request, "failed", replacement.reason)
 
     def _give_attempt_back(self) -> None:
--- a/arbutuscove/relay/tests/test_lost_connections.py
+++ b/arbutuscove/relay/tests/test_lost_connections.py
@@ -9,6 +9,10 @@
 from gevent import socket as gevent_socket
 
 from arbutuscove.catalog import model as catalog_model
+from arbutuscove.fleet.tests import test_planner
+from arbutuscove.relay import attempt
+from arbutuscove.relay import budget
+from arbutuscove.relay import model
 from arbutuscove.relay.tests import test_troubled
 from arbutuscove.standins import faulty_upstream
 from arbutuscove.storage import http
@@ -16,6 +20,9 @@
 
 EVENTS = faulty_upstream.EVENTS
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER of zero seconds
+NO_RETRY = budget.RetryAllowance(
+    ratio=0.0, slack=0.0, window=test_troubled.SECOND
+)
 
 build = test_troubled.build_fixture
 
@@ -82,3 +89,61 @@
     add_idle(scene, scene.good, reset)
     answer, body = scene.serve(catalog_model.Repeat.SAFE)
     assert (answer.status, body) == (200, test_troubled.WHOLE)
+
+
+def list_unreachable(scene, count):
+    """Lists upstreams on ports where nothing listens, and the good one."""
+    vms = [
+        test_planner.create_vm(
+            "bad" if port == 1 else f"closed{port}",
+            fabric_domain="",
+            address=http.Address("127.0.0.1", port),
+        )
+        for port in range(1, count + 1)
+    ]
+    good = test_planner.create_vm(
+        "good",
+        fabric_domain="",
+        address=http.Address("127.0.0.1", scene.good.port),
+    )
+    scene.inventory.replace([*vms, good])
+
+
+@pytest.mark.parametrize(
+    ("repeat", "expected"),
+    [
+        (catalog_model.Repeat.ONCE, test_troubled.WHOLE),
+        (catalog_model.Repeat.SAFE, test_troubled.WHOLE),
+        (catalog_model.Repeat.STREAM_RESUMABLE, b"".join(EVENTS)),
+        (catalog_model.Repeat.STREAM_ONCE, b"".join(EVENTS)),
+    ],
+)
+def test_connection_that_is_not_opened_is_no_attempt(build, repeat, expected):
+    """Guards against a refusal although one upstream accepts connections.
+
+    The route allows two attempts, and no upstream received the request.
+    """
+    answer_whole = expected == test_troubled.WHOLE
+    scene = build(
+        faulty_upstream.answer_completely,
+        faulty_upstream.answer_completely
+        if answer_whole
+        else faulty_upstream.answer_stream,
+    )
+    list_unreachable(scene, attempt.MAX_UNSENT_ATTEMPTS)
+    scene.set_allowance(NO_RETRY)
+    answer, body = scene.serve(repeat)
+    assert (answer.status, body) == (200, expected)
+    assert scene.good.requests == 1
+
+
+def test_upstreams_that_accept_no_connection_are_not_tried_for_ever(build):
+    """Guards against a request that is held until its deadline."""
+    scene = build(
+        faulty_upstream.answer_completely, faulty_upstream.answer_completely
+    )
+    list_unreachable(scene, attempt.MAX_UNSENT_ATTEMPTS + 1)
+    with pytest.raises(model.RefusedError) as caught:
+        scene.serve(catalog_model.Repeat.ONCE)
+    assert caught.value.refusal.not_run
+    assert scene.good.requests == 0
