Take a connection that the kernel gave up for lost

What callers saw: an upstream's host that lost power or network within a body without a length was taken for one that had ended its answer. The caller got the part that had arrived, with a 2xx status, and, up to 64 KiB, with a Content-Length that fitted it.

Cause: keep-alive probes and sent data that are not acknowledged end a connection with ETIMEDOUT, which Python raises as TimeoutError, like a wait that has ended. Connection.receive reported "nothing arrived", the relay read on, and as the kernel reports the error only once, the next read returned the end of the stream, which ends a body without a length.

Ruled out: a reset (ECONNRESET) was reported as a lost connection already; answers with a length or in chunks, as the parser rejects their early end.

Change: ETIMEDOUT is a lost connection. A mutation removes the check.

Conclusion: a body without a length is whole only after a FIN.

--- a/arbutuscove/transport/connection.py
+++ b/arbutuscove/transport/connection.py
@@ -6,6 +6,7 @@
 """
 
 import datetime
+import errno
 import socket
 import typing
 
@@ -188,6 +189,12 @@
             data = self._socket.recv(READ_SIZE_BYTES)
             parser.feed(data)
         except TimeoutError as error:
+            if error.errno == errno.ETIMEDOUT:
+                # The kernel gave the connection up. The next read would return
+                # the end of the stream, as after a complete response.
+                raise http.NoResponseError(
+                    f"{self.address}: {error}"
+                ) from error
             raise ResponseTimeoutError(
                 f"{self.address}: nothing arrived"
             ) from error
--- a/arbutuscove/transport/tests/test_connection.py
+++ b/arbutuscove/transport/tests/test_connection.py
@@ -137,6 +137,47 @@
     assert not used.is_reusable()
 
 
+class LostSocket:
+    """Socket whose peer is gone after a part of a response.
+
+    As with the kernel's, the error is raised once, and the end follows.
+    """
+
+    def __init__(self, data, error):
+        self._results = [data, error, b""]
+
+    def settimeout(self, seconds):
+        pass
+
+    def sendall(self, data):
+        pass
+
+    def recv(self, size):
+        result = self._results.pop(0)
+        if isinstance(result, bytes):
+            return result
+        raise result
+
+
+@pytest.mark.parametrize("code", [errno.ETIMEDOUT, errno.ECONNRESET])
+def test_connection_lost_in_a_body_without_length_is_an_error(code):
+    """Guards against a cut body that looks whole, as its peer is gone.
+
+    Probes that are not acknowledged end a connection with ETIMEDOUT, which is
+    a `TimeoutError` like a wait that has ended.
+    """
+    head = b"HTTP/1.1 200 OK\r\n\r\n"
+    used = connection.Connection(
+        LostSocket(head + b"a", OSError(code, "lost")),
+        http.Address("127.0.0.1", 1),
+    )
+    used.send("GET", b"")
+    assert used.receive(SECOND).pop_body() == b"a"
+    with pytest.raises(http.NoResponseError) as caught:
+        used.receive(SECOND)
+    assert not isinstance(caught.value, connection.ResponseTimeoutError)
+
+
 def test_connection_that_stays_silent_times_out(start):
     """Guards against an endless wait."""
     peer = start()
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -609,6 +609,14 @@
         test="relay/tests/test_troubled.py::test_deadline_ends_a_call"
         "_whose_bytes_never_pause",
     ),
+    Mutation(
+        promise="a body whose peer is gone is not whole",
+        path="transport/connection.py",
+        old="if error.errno == errno.ETIMEDOUT:",
+        new="if False:",
+        test="transport/tests/test_connection.py::"
+        "test_connection_lost_in_a_body_without_length_is_an_error",
+    ),
     Mutation(
         promise="an unterminated event is bounded",
         path="relay/streams.py",
