--- a/arbutuscove/relay/tests/test_continuation.py
+++ b/arbutuscove/relay/tests/test_continuation.py
@@ -36,7 +36,7 @@
     for event in EVENTS[:2]:
         yield faulty_upstream.build_chunk(event)
     yield 0.05
-    yield None
+    yield faulty_upstream.Ending.CLOSE
 
 
 def fall_silent(request_id):
@@ -158,7 +158,7 @@
         )
         yield faulty_upstream.build_chunk(b"data: x\n\n")
         yield 0.05
-        yield None
+        yield faulty_upstream.Ending.CLOSE
 
     scene = build(send_without_ids, answer_events(b"data: x\n\n"))
     body, is_broken = collect(scene)
@@ -175,7 +175,7 @@
         )
         yield faulty_upstream.build_chunk(EVENTS[0] + b"data: y\n\n")
         yield 0.05
-        yield None
+        yield faulty_upstream.Ending.CLOSE
 
     scene = build(send_mixed, answer_events(b"data: y\n\n", *EVENTS[1:]))
     body, is_broken = collect(scene)
@@ -210,7 +210,7 @@
         )
         yield faulty_upstream.build_chunk(begun)
         yield 0.05
-        yield None
+        yield faulty_upstream.Ending.CLOSE
 
     scene = build(send_begun, answer_events(*events))
     body, is_broken = collect(scene)
--- a/arbutuscove/relay/tests/test_crashing_part.py
+++ b/arbutuscove/relay/tests/test_crashing_part.py
@@ -38,7 +38,7 @@
     """Sends the head of a stream and ends the connection."""
     yield faulty_upstream.build_head(request_id, faulty_upstream.CHUNKED)
     yield faulty_upstream.PAUSE_SECONDS
-    yield None
+    yield faulty_upstream.Ending.CLOSE
 
 
 class Scene:
--- a/arbutuscove/relay/tests/test_refusals.py
+++ b/arbutuscove/relay/tests/test_refusals.py
@@ -184,7 +184,7 @@
 
 def fail_without_answer(request_id):
     """Ends the connection once the request has arrived."""
-    yield None
+    yield faulty_upstream.Ending.CLOSE
 
 
 def fail_with_status(request_id):
--- a/arbutuscove/relay/tests/test_replacement.py
+++ b/arbutuscove/relay/tests/test_replacement.py
@@ -32,7 +32,7 @@
     yield test_silence.SILENCE_SECONDS
     yield faulty_upstream.build_chunk(EVENTS[2])
     yield 0.3
-    yield None
+    yield faulty_upstream.Ending.CLOSE
 
 
 def test_replacement_that_asked_no_upstream_uses_no_attempt(build):
--- a/arbutuscove/standins/faulty_upstream.py
+++ b/arbutuscove/standins/faulty_upstream.py
@@ -7,7 +7,9 @@
 `FAULTY_STREAMS` list the faulty ones.
 """
 
+import enum
 import re
+import struct
 import typing
 from collections import abc
 
@@ -45,8 +47,18 @@
 
 CHUNKED = b"Transfer-Encoding: chunked"
 LAST_CHUNK = b"0\r\n\r\n"
-# Bytes to send, seconds to wait, or None to end the connection.
-Pieces = abc.Iterator[bytes | float | None]
+NO_LINGER = struct.pack("ii", 1, 0)  # a close then resets the connection
+
+
+class Ending(enum.Enum):
+    """How an upstream ends a connection, FIN or RST."""
+
+    CLOSE = "close"
+    RESET = "reset"
+
+
+# Bytes to send, seconds to wait, or how to end the connection.
+Pieces = abc.Iterator[bytes | float | Ending]
 
 
 def _stream(request_id: bytes, events: abc.Iterable[bytes]) -> Pieces:
@@ -152,7 +164,7 @@
 def answer_unframed(request_id: bytes) -> Pieces:
     """Sends a complete answer without a length, and ends the connection."""
     yield build_head(request_id) + b"whole"
-    yield None
+    yield Ending.CLOSE
 
 
 def _stream_unframed(request_id: bytes, events: abc.Iterable[bytes]) -> Pieces:
@@ -160,7 +172,7 @@
     for event in events:
         yield event
         yield PAUSE_SECONDS / 10
-    yield None
+    yield Ending.CLOSE
 
 
 def answer_stream_unframed(request_id: bytes) -> Pieces:
@@ -252,8 +264,8 @@
     def _send(self, sock: socket.socket, pieces: Pieces) -> None:
         initial = self.sent
         for piece in pieces:
-            if piece is None:
-                sock.shutdown(socket.SHUT_RDWR)
+            if isinstance(piece, Ending):
+                _end_connection(sock, piece)
                 return
             if isinstance(piece, float):
                 gevent.sleep(piece)
@@ -262,3 +274,11 @@
             self.sent += len(piece)
             if self.sent - initial > MAX_SENT_BYTES:
                 return
+
+
+def _end_connection(sock: socket.socket, ending: Ending) -> None:
+    if ending is Ending.CLOSE:
+        sock.shutdown(socket.SHUT_RDWR)
+        return
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    sock.close()
