Read answers of plain services with the parser of transport

What callers saw: a plain service that stopped within its answer's head and closed; they got a 200 with an empty body and a Content-Length of 0. Under an idempotency key it was stored as the answer of the call (read in the code, not run). A body in chunks that ended within the digits of a chunk size ("0" of "0a") or before the end of its trailer was taken for whole, too.

Cause: http.client ends a head at the end of the connection as at its blank line, reads what is left of a chunk size as a number, and takes a missing trailer for an empty one. A head without Content-Length or Transfer-Encoding then has a body that ends with the connection.

Change: http.client still sends the call, once; the answer is read with the parser of the relay's connections, which has limits for heads and framing besides. Bare line feeds between header lines are rejected now.

Measured: python -m pytest entry/tests/test_cut_answers.py: 46 failed, 104 passed before the change, 150 passed after; with the tests of sound answers and test_plain.py 170 passed.

--- a/arbutuscove/upstreams/plain.py
+++ b/arbutuscove/upstreams/plain.py
@@ -1,8 +1,10 @@
 """Client of plain services.
 
-Uses the client of the standard library and not geventhttpclient. The latter
-sends PUT and DELETE again when a connection breaks, but a call that must not be
-repeated may be sent only once.
+Sends with the client of the standard library and not with geventhttpclient. The
+latter sends PUT and DELETE again when a connection breaks, but a call that must
+not be repeated may be sent only once. Answers are read with the parser of
+`transport`: the standard library takes a head, a chunk size or a trailer that
+the end of the connection cuts short for a complete one.
 """
 
 import dataclasses
@@ -14,6 +16,7 @@
 import gevent
 
 from arbutuscove.storage import http as storage_http
+from arbutuscove.transport import connection as transport
 from arbutuscove.upstreams import errors
 
 CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
@@ -73,35 +76,40 @@
         with timer:
             assert isinstance(connection.sock, socket.socket)
             connection.sock.settimeout(timeout.total_seconds())
-            return _exchange(connection, call)
-    except (OSError, http.client.HTTPException) as error:
+            headers = {
+                "Content-Type": call.content_type,
+                "X-Request-Id": call.attempt_id,
+            }
+            connection.request(call.method, call.path, call.body, headers)
+            return expression.Ok(_read_answer(connection.sock, call.method))
+    except (
+        OSError,
+        http.client.HTTPException,
+        storage_http.NoResponseError,
+    ) as error:
         return expression.Error(errors.DispatchUnknownError(str(error)))
     finally:
         connection.close()
 
 
-def _exchange(
-    connection: http.client.HTTPConnection, call: PlainCall
-) -> expression.Result[PlainAnswer, errors.UpstreamError]:
-    headers = {
-        "Content-Type": call.content_type,
-        "X-Request-Id": call.attempt_id,
-    }
-    connection.request(call.method, call.path, call.body, headers)
-    response = connection.getresponse()
-    body = response.read(MAX_ANSWER_BYTES + 1)
-    if len(body) > MAX_ANSWER_BYTES:
-        return expression.Error(
-            errors.DispatchUnknownError("the answer is too large")
-        )
-    if response.length:
-        return expression.Error(
-            errors.DispatchUnknownError("the answer was cut short")
-        )
-    return expression.Ok(
-        PlainAnswer(
-            status=response.status,
-            content_type=response.getheader("Content-Type", ""),
-            body=body,
-        )
+def _read_answer(sock: socket.socket, method: str) -> PlainAnswer:
+    """Returns the complete answer.
+
+    Raises:
+        OSError: the connection was lost, or the deadline has passed.
+        NoResponseError: the answer is malformed, too large or cut short.
+    """
+    parser = transport.ResponseParser(method, MAX_ANSWER_BYTES)
+    while not parser.is_complete():
+        data = sock.recv(transport.READ_SIZE_BYTES)
+        try:
+            parser.feed(data)
+        except storage_http.READ_ERRORS as error:
+            raise storage_http.NoResponseError(str(error)) from error
+        if not data and not parser.is_complete():
+            raise storage_http.NoResponseError("the connection closed early")
+    return PlainAnswer(
+        status=parser.get_code(),
+        content_type=parser.get_header("Content-Type") or "",
+        body=parser.pop_body(),
     )
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -617,6 +617,14 @@
         test="transport/tests/test_connection.py::"
         "test_connection_lost_in_a_body_without_length_is_an_error",
     ),
+    Mutation(
+        promise="a plain service's answer that breaks off is not whole",
+        path="upstreams/plain.py",
+        old="raise storage_http.NoResponseError(str(error)) from error",
+        new="break",
+        test="entry/tests/test_cut_answers.py::"
+        "test_plain_answer_that_broke_off_is_no_success",
+    ),
     Mutation(
         promise="an unterminated event is bounded",
         path="relay/streams.py",
