Send a request on a connection of its own only once

What was seen: for one chat request to an engine that accepted connections and closed them unanswered, the engine got 6,168 requests to resume a stream, on as many connections, within about 4 s (trial with the entry server, the request flow and an upstream on loopback). Callers got a late refusal.

Cause: geventhttpclient sends an idempotent request that got no answer again, size of the pool + 1 times, as kept connections may be stale. The pool of streams has a size of 512 and keeps no connection, so that each of the twelve resumptions was sent 514 times.

Ruled out: dispatches; POST is not sent again.

Change: the pool that keeps no connection states no further attempts. The backoff between resumptions, which existed, now bounds them. A mutation removes the change.

Conclusion: mended for streams. Clients that keep connections still send GET, PUT and DELETE up to 10 times in all (status requests: 4 times; seen in the trial).

--- a/arbutuscove/storage/http.py
+++ b/arbutuscove/storage/http.py
@@ -156,6 +156,12 @@
 class _SingleUsePool(connectionpool.ConnectionPool):
     """Limits the number of connections and keeps none for reuse."""
 
+    def __init__(self, *args: typing.Any, **options: typing.Any) -> None:
+        super().__init__(*args, **options)
+        # A request that got no answer is sent again `size + 1` times, in case
+        # its connection was kept too long. No connection is kept here.
+        self.size = -1
+
     def return_socket(self, sock: typing.Any) -> None:
         """Closes a connection whose response is complete."""
         self.release_socket(sock)
--- a/arbutuscove/upstreams/tests/test_engine.py
+++ b/arbutuscove/upstreams/tests/test_engine.py
@@ -4,6 +4,8 @@
 import pytest
 from gevent import server
 
+from arbutuscove.standins import cut_answers
+from arbutuscove.standins import faulty_upstream
 from arbutuscove.upstreams import engine
 from arbutuscove.upstreams import errors
 
@@ -103,3 +105,17 @@
     assert opened.ok.read() == EVENT
     opened.ok.close()
     assert client.open_stream(build_dispatch("c")).error.status == 503
+
+
+@pytest.mark.parametrize("ending", faulty_upstream.Ending)
+def test_engine_that_closes_unanswered_is_asked_once(ending):
+    """Guards against one resumption that opens hundreds of connections."""
+    upstream = faulty_upstream.Upstream(cut_answers.break_off(b"", ending))
+    client = engine.EngineClient(f"127.0.0.1:{upstream.port}")
+    try:
+        with pytest.raises(errors.StreamBrokenError):
+            client.resume_stream("a", -1)
+        assert upstream.requests == 1
+    finally:
+        client.close()
+        upstream.stop()
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -625,6 +625,14 @@
         test="entry/tests/test_cut_answers.py::"
         "test_plain_answer_that_broke_off_is_no_success",
     ),
+    Mutation(
+        promise="an engine that closes unanswered is asked once",
+        path="storage/http.py",
+        old="self.size = -1",
+        new="pass",
+        test="upstreams/tests/test_engine.py::"
+        "test_engine_that_closes_unanswered_is_asked_once",
+    ),
     Mutation(
         promise="an unterminated event is bounded",
         path="relay/streams.py",
