Test answers of engines that break off, through the whole path

The tests send a caller's chat request, streamed and whole, through the entry server, the request flow and the client of engines to an upstream on loopback: the cut heads and bodies of the users' platform's tests, and streams whose events name the dispatch, cut after an event in ten ways, by FIN and RST, with and without a resumption.

--- a/arbutuscove/entry/tests/test_cut_answers.py
+++ b/arbutuscove/entry/tests/test_cut_answers.py
@@ -4,6 +4,7 @@
 a client of upstreams, and an upstream on loopback that breaks off.
 """
 
+import dataclasses
 import random
 
 import pytest
@@ -19,7 +20,9 @@
 from arbutuscove.standins import cut_answers
 from arbutuscove.standins import faulty_upstream
 from arbutuscove.transport import connection
+from arbutuscove.upstreams import engine
 from arbutuscove.upstreams import plain as plain_upstream
+from arbutuscove.upstreams import protocol
 
 KEY = "plain-key"
 
@@ -59,6 +62,34 @@
         )
 
 
+class LoopbackFleet(fleet_module.Fleet):
+    """One replica, whose leader is an upstream on loopback."""
+
+    def __init__(self, upstream):
+        super().__init__(replicas=1)
+        self._address = f"127.0.0.1:{upstream.port}"
+        self._client = engine.EngineClient(self._address)
+
+    def get(self, address):
+        return self._client
+
+    def list_serving(self, service):
+        leader = protocol.Member(name="r0", address=self._address)
+        return [
+            dataclasses.replace(replica, leader=leader)
+            for replica in super().list_serving(service)
+        ]
+
+
+class ChatServer(serving.Server):
+    """An entry server with one model service."""
+
+    def __init__(self, upstream):
+        fleet = LoopbackFleet(upstream)
+        daemon = fleet_module.build_daemon(fleet)
+        super().__init__(connections.Bounds(), flow=daemon.flow)
+
+
 @pytest.fixture(name="start")
 def start_fixture():
     started = []
@@ -161,3 +192,120 @@
     assert received.get_code() == 503
     assert received.get_header("Arbutuscove-Run") == "unknown"
     assert upstream.requests == 1
+
+
+def exchange_chat(server, is_streamed):
+    """Returns the response to a chat request, as far as it was received."""
+    body = serving.build_body(stream=is_streamed)
+    return parse(server.exchange(serving.build_request(body)))
+
+
+@pytest.mark.parametrize("is_streamed", [False, True], ids=["whole", "stream"])
+@pytest.mark.parametrize(("name", "ending"), cut_answers.CASES, ids=name_ending)
+def test_chat_answer_that_broke_off_is_no_success(
+    start, name, ending, is_streamed
+):
+    """Guards against an empty or short completion that looks whole."""
+    server, _ = start(
+        ChatServer, cut_answers.break_off(cut_answers.SENT[name], ending)
+    )
+    received = exchange_chat(server, is_streamed)
+    assert received.is_complete()
+    assert received.get_code() == 503
+    assert received.get_header("Arbutuscove-Run") == "unknown"
+
+
+class Engine:
+    """Breaks off each stream after an event.
+
+    Attributes:
+        dispatches: number of requests that were dispatched to it.
+    """
+
+    def __init__(self, head, rest, ending, is_resumable):
+        self.dispatches = 0
+        self._sent = head, rest, ending
+        self._is_resumable = is_resumable
+        self._events = ()
+
+    def answer(self, request_id):
+        """Sends what a dispatch or, without a request id, a resumption gets."""
+        if request_id:
+            self.dispatches += 1
+            self._events = [
+                event.replace(serving.STREAM.encode(), request_id)
+                for event in serving.build_answer(["one ", "two "])
+            ]
+        elif self._is_resumable:
+            yield b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (
+                len(b"".join(self._events)),
+                b"".join(self._events),
+            )
+            return
+        head, rest, ending = self._sent
+        event = self._events[0]
+        is_chunked = faulty_upstream.CHUNKED in head
+        yield head
+        yield faulty_upstream.build_chunk(event) if is_chunked else event
+        yield rest
+        yield ending
+
+
+CHUNKED_HEAD = cut_answers.CHUNKED_HEAD
+LONG_HEAD = faulty_upstream.build_head(b"r1", b"Content-Length: 9999")
+# Head of a stream, and what follows its first event.
+CUT_STREAMS = {
+    "with_length": (LONG_HEAD, b""),
+    "with_length_in_event": (LONG_HEAD, b"id: "),
+    "after_chunk": (CHUNKED_HEAD, b""),
+    "in_chunk_size": (CHUNKED_HEAD, b"1"),
+    "in_chunk_size_with_zeros": (CHUNKED_HEAD, b"0"),
+    "before_trailer": (CHUNKED_HEAD, b"0\r\n"),
+    "in_trailer": (CHUNKED_HEAD, b"0\r\nX-T"),
+    "after_last_chunk": (CHUNKED_HEAD, faulty_upstream.LAST_CHUNK),
+    "unframed": (cut_answers.UNFRAMED_HEAD, b""),
+    "unframed_in_event": (cut_answers.UNFRAMED_HEAD, b"id: "),
+}
+
+
+@pytest.mark.parametrize("is_streamed", [False, True], ids=["whole", "stream"])
+@pytest.mark.parametrize(
+    "ending", faulty_upstream.Ending, ids=lambda ending: ending.value
+)
+@pytest.mark.parametrize("name", CUT_STREAMS)
+def test_chat_stream_that_broke_off_is_no_success(
+    start, name, ending, is_streamed
+):
+    """Guards against a stream without its last event that looks whole.
+
+    It also guards against a second run of a request whose answer has begun.
+    """
+    cut = Engine(*CUT_STREAMS[name], ending, is_resumable=False)
+    server, _ = start(ChatServer, cut.answer)
+    received = exchange_chat(server, is_streamed)
+    body = received.pop_body()
+    if is_streamed:
+        assert received.get_code() == 200
+        assert not received.is_complete()
+    else:
+        assert received.is_complete()
+        assert received.get_code() == 502
+    assert b"answer_incomplete" in body
+    assert b"[DONE]" not in body
+    assert cut.dispatches == 1
+
+
+@pytest.mark.parametrize("is_streamed", [False, True], ids=["whole", "stream"])
+@pytest.mark.parametrize("name", CUT_STREAMS)
+def test_chat_stream_that_broke_off_is_resumed(start, name, is_streamed):
+    """Guards against a broken stream that is given up or sent twice."""
+    cut = Engine(
+        *CUT_STREAMS[name], faulty_upstream.Ending.CLOSE, is_resumable=True
+    )
+    server, _ = start(ChatServer, cut.answer)
+    received = exchange_chat(server, is_streamed)
+    assert received.is_complete()
+    assert received.get_code() == 200
+    body = received.pop_body()
+    assert body.count(b"one ") == body.count(b"two ") == 1
+    assert cut.dispatches == 1
