Reject answers with an unknown transfer coding

What callers saw: an upstream whose head named another coding than "chunked" (in the test "chunk", as cut by a faulty writer) and that closed before its body; they got a 200 with an empty body that looked whole, on both interfaces and for all kinds of routes, streams included. With a body they got it still encoded, without the header that says so.

Cause: for a coding that it does not know, the parser takes all bytes up to the end of the connection for the body. The relay's check of streams that end without framing took the header for framing.

Ruled out: two values or "gzip, chunked" do not end early, but their body is encoded; they are rejected as well.

Change: the parser of the transport rejects each coding but "chunked", as no request offers one (RFC 9112, section 7.4). "identity", which that document dropped, is rejected, too. A mutation removes the check.

Conclusion: of answers without a length, only those without any transfer coding end with their connection.

--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -393,7 +393,7 @@
         assert self.parser is not None
         return not (
             self.parser.get_header(CONTENT_LENGTH)
-            or self.parser.get_header("transfer-encoding")
+            or self.parser.get_header(connection.TRANSFER_ENCODING)
         )
 
     def record_progress(self) -> None:
--- a/arbutuscove/standins/cut_answers.py
+++ b/arbutuscove/standins/cut_answers.py
@@ -46,6 +46,7 @@
         faulty_upstream.build_head(b"r1", b"Content-Length: 75")
         + faulty_upstream.EVENTS[0]
     ),
+    "with_cut_encoding": SIGNED + b"Transfer-Encoding: chunk\r\n\r\n",
     "before_first_chunk": CHUNKED_HEAD,
     "in_chunk_size": CHUNKED_HEAD + FIRST_CHUNK + b"1",
     "in_chunk_size_with_zeros": CHUNKED_HEAD + FIRST_CHUNK + b"0",
--- a/arbutuscove/transport/connection.py
+++ b/arbutuscove/transport/connection.py
@@ -16,6 +16,7 @@
 from arbutuscove.storage import http
 
 READ_SIZE_BYTES = 65536
+TRANSFER_ENCODING = "transfer-encoding"
 # The response heads of model engines and stores have some hundred bytes.
 # Informational responses before a final one count as part of its head.
 MAX_HEAD_BYTES = 65536
@@ -69,6 +70,7 @@
 
         Raises:
             OversizeError: the response exceeds a size limit.
+            ValueError: the response has an unknown transfer coding.
         """
         in_head = not self.has_head()
         buffered = len(self._body_buffer)
@@ -120,6 +122,17 @@
             raise _ExtraBytesError("a second response began")
         super()._on_message_begin()
 
+    def _on_headers_complete(self) -> int | bool | None:
+        result = super()._on_headers_complete()
+        value = self.get(TRANSFER_ENCODING)
+        if value is not None and (
+            isinstance(value, list) or value.strip().lower() != "chunked"
+        ):
+            # No request asks for a coding. The bytes up to the end of the
+            # connection would pass for the body.
+            raise ValueError(f"unknown transfer coding {value!r:.100}")
+        return result
+
 
 class Connection:
     """One open connection to an address.
--- a/arbutuscove/transport/tests/test_connection.py
+++ b/arbutuscove/transport/tests/test_connection.py
@@ -178,6 +178,21 @@
     assert not isinstance(caught.value, connection.ResponseTimeoutError)
 
 
+@pytest.mark.parametrize(
+    "encoding", [b"chunk", b"gzip", b"chunked, gzip", b"gzip, chunked"]
+)
+def test_connection_with_another_transfer_encoding_is_an_error(start, encoding):
+    """Guards against an encoded or cut body that is passed on as a whole one.
+
+    Its head takes the bytes up to the end of the connection for its body.
+    """
+    fields = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: " + encoding
+    peer = start(fields + b"\r\n\r\n2\r\nab\r\n0\r\n\r\n", close=True)
+    used = connection.connect(peer.address, SECOND)
+    with pytest.raises(http.NoResponseError):
+        exchange(used)
+
+
 def test_connection_that_stays_silent_times_out(start):
     """Guards against an endless wait."""
     peer = start()
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -633,6 +633,14 @@
         test="upstreams/tests/test_engine.py::"
         "test_engine_that_closes_unanswered_is_asked_once",
     ),
+    Mutation(
+        promise="a body with an unknown transfer coding is not whole",
+        path="transport/connection.py",
+        old='isinstance(value, list) or value.strip().lower() != "chunked"',
+        new="False",
+        test="platform/tests/test_cut_answers.py::"
+        "test_answer_that_broke_off_is_no_success",
+    ),
     Mutation(
         promise="an unterminated event is bounded",
         path="relay/streams.py",
