--- a/arbutuscove/transport/tests/test_connection.py
+++ b/arbutuscove/transport/tests/test_connection.py
@@ -15,6 +15,10 @@
 LATE_SECONDS = 0.05
 SECOND = datetime.timedelta(seconds=1)
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+CHUNKED = (
+    b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n02\r\nab\r\n00\r\nX-T: a\r\n\r\n"
+)
 
 
 class Peer:
@@ -137,6 +141,25 @@
     assert not used.is_reusable()
 
 
+@pytest.mark.parametrize("size", [1, connection.READ_SIZE_BYTES])
+@pytest.mark.parametrize(
+    "whole", [OK + b"ab", CHUNKED], ids=["length", "chunks"]
+)
+def test_response_cut_after_any_byte_is_an_error(whole, size):
+    """Guards against a head or a body that ends early and looks whole.
+
+    The response is parsed in pieces of `size` bytes.
+    """
+    for end in range(1, len(whole)):
+        parser = connection.ResponseParser("GET")
+        for start in range(0, end, size):
+            parser.feed(whole[start : min(start + size, end)])
+        assert not parser.is_complete()
+        with pytest.raises(connection.READ_ERRORS):
+            parser.feed(b"")
+        assert not parser.is_complete()
+
+
 class LostSocket:
     """Socket whose peer is gone after a part of a response.
 
