--- a/arbutuscove/transport/tests/test_connection.py
+++ b/arbutuscove/transport/tests/test_connection.py
@@ -15,6 +15,10 @@
 LATE_SECONDS = 0.05
 SECOND = datetime.timedelta(seconds=1)
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+CHUNKED = (
+    b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n02\r\nab\r\n00\r\nX-T: a\r\n\r\n"
+)
 
 
 class Peer:
@@ -137,6 +141,81 @@
     assert not used.is_reusable()
 
 
+@pytest.mark.parametrize("size", [1, connection.READ_SIZE_BYTES])
+@pytest.mark.parametrize(
+    "whole", [OK + b"ab", CHUNKED], ids=["length", "chunks"]
+)
+def test_response_cut_after_any_byte_is_an_error(whole, size):
+    """Guards against a head or a body that ends early and looks whole.
+
+    The response is parsed in pieces of `size` bytes.
+    """
+    for end in range(1, len(whole)):
+        parser = connection.ResponseParser("GET")
+        for start in range(0, end, size):
+            parser.feed(whole[start : min(start + size, end)])
+        assert not parser.is_complete()
+        with pytest.raises(connection.READ_ERRORS):
+            parser.feed(b"")
+        assert not parser.is_complete()
+
+
+class LostSocket:
+    """Socket whose peer is gone after a part of a response.
+
+    As with the kernel's, the error is raised once, and the end follows.
+    """
+
+    def __init__(self, data, error):
+        self._results = [data, error, b""]
+
+    def settimeout(self, seconds):
+        pass
+
+    def sendall(self, data):
+        pass
+
+    def recv(self, size):
+        result = self._results.pop(0)
+        if isinstance(result, bytes):
+            return result
+        raise result
+
+
+@pytest.mark.parametrize("code", [errno.ETIMEDOUT, errno.ECONNRESET])
+def test_connection_lost_in_a_body_without_length_is_an_error(code):
+    """Guards against a cut body that looks whole, as its peer is gone.
+
+    Probes that are not acknowledged end a connection with ETIMEDOUT, which is
+    a `TimeoutError` like a wait that has ended.
+    """
+    head = b"HTTP/1.1 200 OK\r\n\r\n"
+    used = connection.Connection(
+        LostSocket(head + b"a", OSError(code, "lost")),
+        http.Address("127.0.0.1", 1),
+    )
+    used.send("GET", b"")
+    assert used.receive(SECOND).pop_body() == b"a"
+    with pytest.raises(http.NoResponseError) as caught:
+        used.receive(SECOND)
+    assert not isinstance(caught.value, connection.ResponseTimeoutError)
+
+
+@pytest.mark.parametrize(
+    "encoding", [b"chunk", b"gzip", b"chunked, gzip", b"gzip, chunked"]
+)
+def test_connection_with_another_transfer_encoding_is_an_error(start, encoding):
+    """Guards against an encoded or cut body that is passed on as a whole one.
+
+    Its head takes the bytes up to the end of the connection for its body.
+    """
+    fields = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: " + encoding
+    peer = start(fields + b"\r\n\r\n2\r\nab\r\n0\r\n\r\n", close=True)
+    used = connection.connect(peer.address, SECOND)
+    with pytest.raises(http.NoResponseError):
+        exchange(used)
+
+
 def test_connection_that_stays_silent_times_out(start):
     """Guards against an endless wait."""
     peer = start()
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -609,6 +609,38 @@
         test="relay/tests/test_troubled.py::test_deadline_ends_a_call"
         "_whose_bytes_never_pause",
     ),
+    Mutation(
+        promise="a body whose peer is gone is not whole",
+        path="transport/connection.py",
+        old="if error.errno == errno.ETIMEDOUT:",
+        new="if False:",
+        test="transport/tests/test_connection.py::"
+        "test_connection_lost_in_a_body_without_length_is_an_error",
+    ),
+    Mutation(
+        promise="a plain service's answer that breaks off is not whole",
+        path="upstreams/plain.py",
+        old="raise storage_http.NoResponseError(str(error)) from error",
+        new="break",
+        test="entry/tests/test_cut_answers.py::"
+        "test_plain_answer_that_broke_off_is_no_success",
+    ),
+    Mutation(
+        promise="an engine that closes unanswered is asked once",
+        path="storage/http.py",
+        old="self.size = -1",
+        new="pass",
+        test="upstreams/tests/test_engine.py::"
+        "test_engine_that_closes_unanswered_is_asked_once",
+    ),
+    Mutation(
+        promise="a body with an unknown transfer coding is not whole",
+        path="transport/connection.py",
+        old='isinstance(value, list) or value.strip().lower() != "chunked"',
+        new="False",
+        test="platform/tests/test_cut_answers.py::"
+        "test_answer_that_broke_off_is_no_success",
+    ),
     Mutation(
         promise="an unterminated event is bounded",
         path="relay/streams.py",
