--- a/arbutuscove/relay/tests/test_lost_connections.py
+++ b/arbutuscove/relay/tests/test_lost_connections.py
@@ -32,7 +32,7 @@
     yield faulty_upstream.build_head(request_id, faulty_upstream.CHUNKED)
     for event in EVENTS[:2]:
         yield faulty_upstream.build_chunk(event)
-    yield None
+    yield faulty_upstream.Ending.CLOSE
 
 
 def reset(sock, _):
@@ -84,7 +84,8 @@
 ):
     """Guards against a failure by two connections lost to one cause."""
     scene = build(
-        lambda request_id: iter([None]), faulty_upstream.answer_completely
+        lambda request_id: iter([faulty_upstream.Ending.CLOSE]),
+        faulty_upstream.answer_completely,
     )
     add_idle(scene, scene.good, reset)
     answer, body = scene.serve(catalog_model.Repeat.SAFE)
