Use an answered replacement whatever crash evidence arrives

What callers see: a resumable stream whose server is silent for a moment is cut, although another server has already gone on with it.

Cause: relay/streams closes the silent attempt once its replacement has sent an event, and asked only then whether the request may be repeated. If evidence of a crash against a part of its prompt had arrived since the replacement began, the answered replacement was cancelled as well, so that neither of two sound answers was left.

Ruled out: to keep the silent attempt instead. The replacement has moved and the other has not; its server has survived the request, which is what the evidence asks about.

Change: the question is asked only while the replacement has no answer.

Measured: pytest arbutuscove/relay/tests/test_resumption.py -k evidence failed before ("bad moves nothing") and passes now. Beside it, test_crashing_part.py passes.

--- a/arbutuscove/relay/streams.py
+++ b/arbutuscove/relay/streams.py
@@ -265,7 +265,11 @@
         failed.close()
         if replacement is None:
             return None
-        if not self._policy.is_safe_to_repeat(self._request, error):
+        # An answered replacement is used in any case: its backend has survived
+        # the request.
+        if replacement.reply is None and not self._policy.is_safe_to_repeat(
+            self._request, error
+        ):
             self._cancel_replacement()
             return None
         try:
