Resume a broken stream while a server may become free

What callers see: a stream that has begun ends with its connection, although seconds are left and another server can go on with it a moment later.

Cause: when a stream's server breaks off, the next attempt asks for a slot. A refusal for lack of one (all groups of the model marked as stalled, or the account's queue too slow) ended the stream at once: a refusal can no longer be sent, so that the caller got a closed connection. Such an attempt was sent nowhere, but counted against the route's attempts and the retry budget.

Ruled out: to wait until the deadline. Callers may resume the stream by themselves at another daemon, which may have servers when this one has none.

Change: a broken stream whose attempt got no slot gives the attempt and its retry back and asks again each 200 ms, for at most 2 s. Quarantine and loss at a server end it as before.

--- a/arbutuscove/relay/streams.py
+++ b/arbutuscove/relay/streams.py
@@ -20,6 +20,11 @@
 # Pause between two replacements of one silent attempt, of which the first got
 # no slot.
 REPLACEMENT_INTERVAL = datetime.timedelta(milliseconds=500)
+# A broken stream whose next attempt gets no slot asks again for this long.
+# Callers give a silent stream up after two seconds at the earliest, and may
+# resume it at another daemon.
+MAX_RESUME_WAIT = datetime.timedelta(seconds=2)
+RESUME_INTERVAL = datetime.timedelta(milliseconds=200)
 
 
 class RetryPolicy(typing.Protocol):
@@ -397,6 +402,7 @@
         """
         assert self._attempt is not None
         broken = model.BrokenAnswerError(str(error))
+        end = self._policy.clock.monotonic() + MAX_RESUME_WAIT
         while self._switch(error) is None:
             if not self._is_resumable() or not self._record_failed_attempt(
                 self._attempt, error
@@ -405,9 +411,28 @@
             try:
                 reply = self._open()
             except model.RefusedError as refused:
-                raise broken from refused
+                if not self._wait_without_slot(end):
+                    raise broken from refused
+                continue
             if self._is_usable(reply):
                 return
             error = attempt_module.AttemptLostError(
                 f"status {reply.status} does not go on with the stream"
             )
+
+    def _wait_without_slot(self, end: datetime.timedelta) -> bool:
+        """Waits before another attempt if the last one was sent nowhere.
+
+        Args:
+            end: when to give the stream up.
+
+        Returns:
+            Whether another attempt may be made.
+        """
+        assert self._attempt is not None
+        now = self._policy.clock.monotonic()
+        if self._attempt.backend is not None or now >= end:
+            return False
+        self._give_attempt_back()
+        self._policy.clock.sleep(RESUME_INTERVAL)
+        return True
