Let requests of a removed service go on at its servers

What callers see: a stream that has begun ends with its connection when its server breaks off, and a request that was not run is refused, after a new configuration has removed the service, although other servers of the service are listed and free.

Cause: the queue of a request was looked up anew for each attempt. A service that is not configured counted as a plain one without a queue, so that the next attempt was refused at once.

Ruled out: requests that wait while their service is removed, becomes a plain one or loses its models are served (3 cases, they passed before), as are streams whose model is dropped (passed before). A service that changes between model service and plain service under one name is not handled for streams: nothing tells such requests from new ones.

Change: a service that is not configured keeps the queue of the model, if there is one. No new request can name it, as routes name configured services only.

--- a/arbutuscove/relay/tests/test_continuation.py
+++ b/arbutuscove/relay/tests/test_continuation.py
@@ -267,7 +267,7 @@
     scene = build(break_off, take_turns)
     other = faulty_upstream.Upstream(take_turns)
     names = {"bad": scene.bad, "good": scene.good, "other": other}
-    scene._inventory.replace(
+    scene.inventory.replace(
         test_planner.create_vm(
             name,
             fabric_domain="",
--- a/arbutuscove/relay/tests/test_troubled.py
+++ b/arbutuscove/relay/tests/test_troubled.py
@@ -59,7 +59,7 @@
         clock = clock_module.SystemClock()
         inventory = inventory_module.Inventory(clock)
         self.states = backends.BackendStates(clock)
-        catalog = catalog_holder.CatalogHolder()
+        catalog = self.catalog = catalog_holder.CatalogHolder()
         loads = placement.PeerLoads(running={}, daemons=0)
         self.dispatcher = waiting.RequestDispatcher(
             clock,
@@ -90,7 +90,7 @@
         self.clock = clock
         self.bad = faulty_upstream.Upstream(faulty)
         self.good = faulty_upstream.Upstream(healthy)
-        self._inventory = inventory
+        self.inventory = inventory
         self.list(self.bad, self.good)
         # The healthy upstream is in cooldown, so the faulty one is tried first.
         self.states.record_failure(("good", 1))
@@ -102,7 +102,7 @@
 
     def list(self, *listed):
         names = {self.bad: "bad", self.good: "good"}
-        self._inventory.replace(
+        self.inventory.replace(
             test_planner.create_vm(
                 names[upstream],
                 fabric_domain="",
--- a/arbutuscove/relay/waiting.py
+++ b/arbutuscove/relay/waiting.py
@@ -207,9 +207,14 @@
 
     def _get_pool(self, service: str, request: model.Request) -> PoolKey:
         """Returns the key of the backends and queue of a request."""
-        engine = self._get_engine(service)
-        is_plain = engine is None and self._catalog.get_current() is not None
-        return (service, "" if is_plain else request.model)
+        pool = (service, request.model)
+        catalog = self._catalog.get_current()
+        if catalog is None or self._get_engine(service) is not None:
+            return pool
+        if service not in catalog.services and pool in self._queues:
+            # The service was removed; requests that had begun go on there.
+            return pool
+        return (service, "")
 
     def _is_configured(self, pool: PoolKey) -> bool:
         """Returns whether the configuration has the service and model."""
