Keep a silent group whose model a new version changes

What callers see: beside a change of the configuration that drops a model or makes its groups larger, the streams of a sound group end with their connections, as one of its VMs was silent for less than a second.

Cause: a group with fewer members than its model needs has no check of its members. If any daemon reported it as stalled (0.4 s without an event and one probe without an answer), its head was ordered to leave at once, which ends its requests. A new version makes any group too small for its model, or leaves it without a model, while the check is under way. The check of silent members (0.6 s later) did not apply there.

Ruled out: closing instead of leaving while the group is stalled. A member may really be gone, and a closed head stands still until its engine gives up.

Change: the missing member counts as a silent one. The group is ended if a check 0.6 s later finds it stalled still; if it has moved meanwhile, it is closed, and its requests end.

Measured: pytest arbutuscove/fleet/tests/test_changed_models.py: the two cases of test_silent_group_of_a_changed_model_is_not_left_at_once failed before (Leave was sent) and pass now. A guard that a group with a member that is gone is ended passes. pytest arbutuscove/fleet: 80 passed.

Conclusion: this cause needs both a change and a silence, as in the users' report. A stalled group with a member that is neither listed nor known to have departed is ended 0.6 s later than before.

--- a/arbutuscove/fleet/controller.py
+++ b/arbutuscove/fleet/controller.py
@@ -56,6 +56,7 @@
 # A listed VM that does not answer may only be silent for a moment. Its group is
 # ended by a check without answer that begins this long after the first one.
 SILENT_MEMBER_TIMEOUT = datetime.timedelta(milliseconds=600)
+UNKNOWN_MEMBER = ""  # name of a member that is neither listed nor departed
 
 
 class _Answer(enum.Enum):
@@ -391,8 +392,10 @@
         """Verifies a group and confirms it or releases its members.
 
         An unlisted head must have ended before the members are released. A
-        listed head is ordered to leave if a member denies the group, is missing
-        or has been silent for `SILENT_MEMBER_TIMEOUT`.
+        listed head is ordered to leave if a member denies the group or has been
+        silent for `SILENT_MEMBER_TIMEOUT`. A stalled group that is too small
+        for its model counts as one with a silent member: a member may be gone,
+        or the model may have been changed while all members are sound.
         """
         now = self._clock.monotonic()
         since = self._first_seen.setdefault(group.key, now)
@@ -402,8 +405,11 @@
                 self._mark_released(service, group.key)
             return
         answers = self._ask_members(group)
-        if not answers and self._close_if_moving(group, head, fence):
-            return
+        if not answers:
+            if self._close_if_moving(group, head, fence):
+                self._silences.pop(group.key, None)
+                return
+            answers = {UNKNOWN_MEMBER: _Answer.SILENT}
         if set(answers.values()) == {_Answer.CONFIRMED}:
             self._silences.pop(group.key, None)
             self._mark_confirmed(service, group.key)
@@ -411,8 +417,7 @@
         if head.membership is None:
             return
         is_silent = self._is_silent_for_long(group.key, answers, now)
-        is_doubtful = not answers or _Answer.DENIED in answers.values()
-        if not is_doubtful and not is_silent:
+        if _Answer.DENIED not in answers.values() and not is_silent:
             return
         leave = orders_module.Leave(
             vm=head, group=group.name, epoch=group.epoch
