Resume an answer for two seconds while its engine is unreachable

What callers see: an answer of arbutuscoved that has begun ends with an error, as the connection to its engine broke and new ones failed for a second, although the engine keeps the stream and minutes are left.

Cause: an answer is resumed five times in a row. Refused connections fail at once, so that all five are over after the back-off: 0.75 s at most, about 0.4 s on average.

Ruled out: more attempts by count, which end sooner or later depending on how a connection fails; waiting until the deadline, as callers of a dead engine would wait for nothing. A request without an event is given up as before, since another replica can run it.

Change: an answer of which the caller has an event is resumed for at least 2 s after its connection broke. An engine that no longer has the stream still ends it at once.

Measured: pytest arbutuscove/requests/tests/test_answers.py -k "second_without" failed before (2 of 4 events) and passes now; the guards for a dead engine (the bound is new) and for an answer without an event pass. test_answers, test_flow and test_quarantine: 78 passed.

Conclusion: answers of a dead engine whose host refuses connections end up to 2 s later than before, and so does the report of that loss; answers without an event report a death as soon as before.

--- a/arbutuscove/requests/answers.py
+++ b/arbutuscove/requests/answers.py
@@ -26,6 +26,10 @@
 EVENT_READ_TIMEOUT = http.CONNECT_TIMEOUT + 2 * engine.STALL_TIMEOUT
 MAX_NUMBER_DIGITS = 18  # of an event
 MAX_RESUMPTIONS = 5  # consecutive resumptions without a new event
+# Only its own engine can go on with an answer that the caller has begun to
+# receive. It is resumed for this long after the connection broke, also beyond
+# `MAX_RESUMPTIONS`: new connections may fail for a moment at a sound engine.
+MIN_RESUME_DURATION = datetime.timedelta(seconds=2)
 
 
 class AnswerIncompleteError(Exception):
@@ -58,7 +62,8 @@
     def back_off(self, failures: int) -> None:
         """Sleeps before a resumption, except before the first one."""
         if failures > 1:
-            backoff = attempts.draw_backoff(failures - 1, self.generator)
+            step = min(failures, MAX_RESUMPTIONS) - 1
+            backoff = attempts.draw_backoff(step, self.generator)
             remaining = self.deadline - self.clock.monotonic()
             self.clock.sleep(max(datetime.timedelta(), min(backoff, remaining)))
 
@@ -150,7 +155,7 @@
         DeadlinePassedError: the deadline passed before the terminal event.
         AnswerIncompleteError: the terminal event cannot be received.
     """
-    stream = _ResumableStream(client, stream_id, reader)
+    stream = _ResumableStream(client, stream_id, reader, policy)
     expected = start
     failures = 0
     encoded = stream_id.encode()
@@ -174,11 +179,11 @@
                     )
                 case Refetch():
                     failures += 1
-                    if failures > MAX_RESUMPTIONS:
-                        raise AnswerIncompleteError("stream broken", expected)
                     stream.disconnect()
-                    if policy is not None:
-                        policy.back_off(failures)
+                    if not stream.prepare_resumption(
+                        failures, has_begun=expected > start
+                    ):
+                        raise AnswerIncompleteError("stream broken", expected)
     finally:
         stream.disconnect()
 
@@ -209,10 +214,13 @@
         client: Upstream,
         stream_id: str,
         reader: engine.EventReader | None,
+        policy: ReadPolicy | None,
     ) -> None:
         self._client = client
         self._stream_id = stream_id
         self._reader = reader
+        self._policy = policy
+        self._broken_at = datetime.timedelta()
 
     def read(self, expected: int) -> bytes:
         """Returns the next event, or b"" if the connection broke or ended."""
@@ -227,6 +235,30 @@
         except errors.StreamBrokenError:
             return b""
 
+    def prepare_resumption(self, failures: int, has_begun: bool) -> bool:
+        """Backs off before a resumption.
+
+        Args:
+            failures: number of this resumption since the last event.
+            has_begun: whether the caller has received an event.
+
+        Returns:
+            Whether the stream is to be resumed.
+        """
+        policy = self._policy
+        if policy is None:
+            return failures <= MAX_RESUMPTIONS
+        now = policy.clock.monotonic()
+        if failures == 1:
+            self._broken_at = now
+        may_come_back = (
+            has_begun and now - self._broken_at < MIN_RESUME_DURATION
+        )
+        if failures > MAX_RESUMPTIONS and not may_come_back:
+            return False
+        policy.back_off(failures)
+        return True
+
     def disconnect(self) -> None:
         """Closes the connection; the next read resumes the stream."""
         if self._reader is not None:
--- a/arbutuscove/requests/tests/test_answers.py
+++ b/arbutuscove/requests/tests/test_answers.py
@@ -12,6 +12,8 @@
 from arbutuscove.requests import flow
 from arbutuscove.upstreams import errors
 
+SECOND = datetime.timedelta(seconds=1)
+
 
 def _event(number, stream="s", data=b"{}"):
     return f"id: {stream}-{number}\ndata: ".encode() + data + b"\n\n"
@@ -129,6 +131,61 @@
     assert reader.closed
 
 
+class _UnreachableEngine(_Engine):
+    """Cannot be connected to until some time, and then goes on."""
+
+    def __init__(self, clock, until):
+        super().__init__()
+        self._clock = clock
+        self._until = until
+
+    def resume_stream(self, stream_id, after):
+        if self._clock.monotonic() < self._until:
+            raise errors.StreamBrokenError("connection refused")
+        return super().resume_stream(stream_id, after)
+
+
+def read_while_unreachable(reader, outage, deadline):
+    """Returns the delivered events and the time at which they ended."""
+    clock = clock_module.ManualClock()
+    started_at = clock.monotonic()
+    policy = answers.ReadPolicy(
+        clock=clock,
+        deadline=started_at + deadline,
+        generator=random.Random(1),
+    )
+    engine = _UnreachableEngine(clock, started_at + outage)
+    delivered = []
+    try:
+        for data in answers.read_answer(engine, "s", reader, policy=policy):
+            delivered.append(data)
+    except answers.AnswerIncompleteError:
+        pass
+    return delivered, clock.monotonic() - started_at
+
+
+def test_answer_goes_on_after_a_second_without_connections():
+    """Guards against a stream cut as its engine cannot be reached briefly."""
+    reader = _Reader(WHOLE[:2], broken=True)
+    delivered, _ = read_while_unreachable(reader, SECOND, 60 * SECOND)
+    assert delivered == WHOLE
+
+
+def test_answer_of_a_dead_engine_ends_soon():
+    """Guards against callers that wait until the deadline for a dead engine."""
+    reader = _Reader(WHOLE[:2], broken=True)
+    delivered, passed = read_while_unreachable(reader, 60 * SECOND, 60 * SECOND)
+    assert delivered == WHOLE[:2]
+    assert passed <= 2 * answers.MIN_RESUME_DURATION
+
+
+def test_answer_without_an_event_is_given_up_at_once():
+    """Guards against a request kept from another replica that is free."""
+    delivered, passed = read_while_unreachable(None, 60 * SECOND, 60 * SECOND)
+    assert delivered == []
+    assert passed <= SECOND
+
+
 @pytest.mark.parametrize("number", [b"9" * 20, b"9" * 5000, b"\xb2", b"-1"])
 def test_event_of_an_odd_number_is_foreign(number):
     """Guards against an answer without an end for the number of an event."""
