End a whole stream whole although its copy cannot be stored

What callers see: the stream of a request that may not be repeated ends without its final chunk after the last event, and its key has an unknown outcome for ever; without streaming, the answer is 500 internal_error.

Cause: arbutuscoved assembles the events of such a request to store the answer under its key. An event of another form (choices that are null or no objects, no JSON) raised an exception: after the last event of the stream, before its end, and before the claim was finished.

Ruled out: to skip such events in the assembled answer, which would then lack a part without saying so.

Change: an answer that cannot be assembled is not kept; the claim is finished, a stream ends whole, and a caller without a stream gets 502 answer_unreadable (ran). Null choices count as none.

--- a/arbutuscove/entry/chat.py
+++ b/arbutuscove/entry/chat.py
@@ -206,9 +206,15 @@
             raise AnswerCutShortError(104, ERROR_CODE) from error
         finally:
             _close(answer.events)
-        if held_claim is not None:
-            completion = completions.assemble(relayed)
-            self._once.finish(held_claim, msgspec.json.encode(completion))
+        if held_claim is None:
+            return
+        try:
+            stored = msgspec.json.encode(completions.assemble(relayed))
+        except completions.UnreadableAnswerError as error:
+            # The caller has the whole answer; only its copy is not kept.
+            eliot.log_message("answer:unreadable", reason=str(error))
+            stored = None
+        self._once.finish(held_claim, stored)
 
     def _assemble(
         self,
@@ -226,7 +232,16 @@
             raise failures.RequestFailedError(refusal, run) from error
         finally:
             _close(answer.events)
-        body = msgspec.json.encode(completions.assemble(events))
+        try:
+            body = msgspec.json.encode(completions.assemble(events))
+        except completions.UnreadableAnswerError as error:
+            if held_claim is not None:
+                self._once.finish(held_claim, None)
+            refusal = refusals.BadRequestError(
+                502, "answer_unreadable", str(error)
+            ).refusal
+            run = failures.RunStatus.RAN
+            raise failures.RequestFailedError(refusal, run) from error
         if held_claim is not None:
             self._once.finish(held_claim, body)
         return wrappers.Response(body, content_type=refusals.JSON_TYPE)
--- a/arbutuscove/entry/completions.py
+++ b/arbutuscove/entry/completions.py
@@ -11,6 +11,17 @@
 import msgspec
 
 DONE = b"[DONE]"
+# Raised for an event that is not JSON or has fields of other types.
+FORM_ERRORS = (
+    msgspec.DecodeError,
+    AttributeError,
+    RecursionError,
+    TypeError,
+)
+
+
+class UnreadableAnswerError(Exception):
+    """An event of an answer has another form than chat completions have."""
 
 
 def assemble(events: abc.Iterable[bytes]) -> dict[str, typing.Any]:
@@ -18,7 +29,17 @@
 
     Args:
         events: all events of the stream, in order.
+
+    Raises:
+        UnreadableAnswerError: an event cannot be read.
     """
+    try:
+        return _assemble(events)
+    except FORM_ERRORS as error:
+        raise UnreadableAnswerError(str(error)) from error
+
+
+def _assemble(events: abc.Iterable[bytes]) -> dict[str, typing.Any]:
     choices: dict[int, dict[str, typing.Any]] = {}
     last_chunk: dict[str, typing.Any] = {}
     usage: dict[str, typing.Any] = {}
@@ -28,7 +49,7 @@
             continue
         last_chunk = msgspec.json.decode(data)
         usage = last_chunk.get("usage") or usage
-        for choice_delta in last_chunk.get("choices", []):
+        for choice_delta in last_chunk.get("choices") or []:
             _add_delta(choices, choice_delta)
     return {
         "id": last_chunk.get("id"),
--- a/arbutuscove/entry/reasons.py
+++ b/arbutuscove/entry/reasons.py
@@ -23,6 +23,11 @@
         meaning="The answer broke off and could not be resumed.",
         advice="Resume with the resume token, or send it again.",
     ),
+    Reason(
+        code="answer_unreadable",
+        meaning="The request ran; its answer is no chat completion.",
+        advice="Ask for a stream, which is passed on as it is.",
+    ),
     Reason(
         code="body_timeout",
         meaning="The body did not arrive in time.",
--- a/arbutuscove/entry/tests/test_chat.py
+++ b/arbutuscove/entry/tests/test_chat.py
@@ -162,3 +162,65 @@
     assert b"one " in response
     assert b"refused_late" not in response
     assert not response.endswith(b"0\r\n\r\n")
+
+
+class _HeldClaims:
+    """Grants every claim and records the answers that are stored."""
+
+    def __init__(self):
+        self.stored = []
+
+    def begin(self, account, key, attempt_id, digest):
+        return object()
+
+    def finish(self, held_claim, answer):
+        self.stored.append(answer)
+
+
+ODD_EVENTS = [b'{"choices":[1]}', b"[]", b"no json"]
+
+
+@pytest.fixture
+def claiming():
+    once = _HeldClaims()
+    running = serving.Server(connections.Bounds(), once)
+    yield running, once
+    running.entry.stop()
+
+
+@pytest.mark.parametrize("data", ODD_EVENTS)
+def test_chat_whole_stream_of_odd_events_ends_whole(claiming, data):
+    """Guards against a whole answer cut as its copy cannot be stored.
+
+    The claim must be finished, so that the key's outcome is known.
+    """
+    server, once = claiming
+    name = serving.STREAM.encode()
+    odd = b"id: " + name + b"-0\ndata: " + data + b"\n\n"
+    server.flow.events = [odd, *server.flow.events]
+    body = serving.build_body(stream=True)
+    response = server.exchange(serving.build_request(body, extra=NEVER))
+    assert response.endswith(b"0\r\n\r\n")
+    assert once.stored == [None]
+
+
+@pytest.mark.parametrize("data", ODD_EVENTS)
+def test_chat_answer_of_odd_events_is_refused_as_run(claiming, data):
+    """Guards against a request that ran and whose outcome stays unknown."""
+    server, once = claiming
+    server.flow.events = [b"id: x-0\ndata: " + data + b"\n\n"]
+    response = server.exchange(serving.build_request(extra=NEVER))
+    assert response.startswith(b"HTTP/1.1 502")
+    assert b"Arbutuscove-Run: ran" in response
+    assert once.stored == [None]
+
+
+def test_completions_accept_an_event_without_choices(claiming):
+    """Guards against an answer refused for a last event that counts tokens."""
+    server, once = claiming
+    name = serving.STREAM.encode()
+    odd = b"id: " + name + b'-2\ndata: {"choices":null}\n\n'
+    server.flow.events = [*server.flow.events[:-1], odd]
+    response = server.exchange(serving.build_request(extra=NEVER))
+    assert response.startswith(b"HTTP/1.1 200")
+    assert len(once.stored) == 1
--- a/arbutuscove/requests/once.py
+++ b/arbutuscove/requests/once.py
@@ -92,17 +92,29 @@
         return failures.RunStatus.UNKNOWN
 
     def finish(
-        self, held_claim: claims_module.HeldClaim, answer: bytes
+        self, held_claim: claims_module.HeldClaim, answer: bytes | None
     ) -> None:
-        """Stores the answer if possible, and records that the request ran."""
-        object_key = ANSWER_PREFIX + held_claim.key
+        """Stores the answer if possible, and records that the request ran.
+
+        Args:
+            held_claim: the claim of the request.
+            answer: the answer; None if it cannot be kept.
+        """
+        object_key = ""
+        if answer is not None:
+            object_key = self._store_answer(held_claim.key, answer)
+        if not self._claims.finish(held_claim, object_key):
+            eliot.log_message("once:finish_not_recorded", key=held_claim.key)
+
+    def _store_answer(self, key: str, answer: bytes) -> str:
+        """Stores an answer and returns its object key, "" if that failed."""
+        object_key = ANSWER_PREFIX + key
         try:
             self._objects.put(object_key, answer)
         except objects_module.ObjectStoreUnavailableError as error:
             eliot.log_message("once:answer_not_stored", reason=str(error))
-            object_key = ""
-        if not self._claims.finish(held_claim, object_key):
-            eliot.log_message("once:finish_not_recorded", key=held_claim.key)
+            return ""
+        return object_key
 
     def _build_conflict(
         self, existing: claims_module.Claim, digest: str
