Answer a request with 502 after a fault of the daemon itself

What callers see: the connection of a request that was read completely ends without an answer.

Cause: an exception of the relay before the head of the answer was left to the HTTP server. Other exceptions gave 500 without a body in the format of the system.

Ruled out: to judge by the type of the exception. A socket to an upstream raises the same types as that of the caller. Faults while the head is parsed are not touched; they give 500 as before.

Ruled out as causes: a new version that removes the route, the service or the key, shortens the time-out or lowers all limits while a request runs, streams, or is in the middle of its body.

Change: the listener turns each exception of the relay, but refusals and the loss of the caller, into a failure (502, may have run), counted as fault and logged with its traceback.

Conclusion: no place in the relay is known that raises such an exception today; the test replaces the relay. The class of the fault is closed for the time before the head.

--- a/arbutuscove/platform/listener.py
+++ b/arbutuscove/platform/listener.py
@@ -14,6 +14,7 @@
 from collections import abc
 
 import eliot
+import gevent
 import msgspec
 
 from arbutuscove.catalog import holder as catalog_holder
@@ -53,6 +54,7 @@
 MILLISECONDS = re.compile("[0-9]{1,13}")
 TOKENS = re.compile(" *[0-9]{1,9} *")
 JSON_TYPE = "application/json"
+FAULT_REFUSAL = model.Refusal(status=502, code="fault", not_run=False)
 
 StartResponse = abc.Callable[[str, list[tuple[str, str]]], typing.Any]
 Environ = dict[str, typing.Any]
@@ -84,8 +86,9 @@
     """How a request ended, as its caller sees it.
 
     The answer of an upstream or a refusal is whole. A failed request gets an
-    error that says that it may have run. The connection of a broken answer and
-    after a fault of this daemon ends without a whole answer.
+    error that says that it may have run, as after a fault of this daemon. The
+    connection of a broken answer ends without a whole answer, and so does that
+    of a fault within an answer.
     """
 
     ANSWERED = "answered"
@@ -109,6 +112,10 @@
         )
 
 
+class _FaultError(Exception):
+    """A fault of this daemon before the head of the answer."""
+
+
 class Listener(services.BaseService):
     """Serves callers and the platform's status requests on one daemon."""
 
@@ -236,7 +243,7 @@
                 request = self._read_request(environ, started_at)
                 self._record_traffic()
                 with environ[connections.PRESENCE_KEY].watch():
-                    answer = self._flow.serve(request)
+                    answer = self._run(request)
                     code = str(answer.status)
                     start_response(
                         _format_status(answer.status),
@@ -252,6 +259,9 @@
                 code = error.refusal.code
                 yield from self._refuse(error.refusal, start_response)
                 ending = _classify_refusal(error.refusal)
+            except _FaultError as error:
+                code = f"fault: {error}"
+                yield from self._refuse(FAULT_REFUSAL, start_response)
             except presence.CallerLeftError as error:
                 code, ending = "caller_left", _Ending.CALLER_LEFT
                 raise ConnectionResetError(
@@ -271,6 +281,23 @@
             self._active_requests -= 1
             self._log(environ, request, code, ending, started_at)
 
+    def _run(self, request: model.Request) -> model.Answer:
+        """Returns the answer of the relay.
+
+        Raises:
+            RefusedError: the request is answered by the system itself.
+            CallerLeftError: the caller closed its connection.
+            _FaultError: the relay failed. The error itself might look like the
+                loss of the caller's connection.
+        """
+        try:
+            return self._flow.serve(request)
+        except (model.RefusedError, presence.CallerLeftError):
+            raise
+        except (Exception, gevent.Timeout) as error:
+            eliot.write_traceback()
+            raise _FaultError(f"{type(error).__name__} {error}") from error
+
     def _log(
         self,
         environ: Environ,
