--- a/arbutuscove/relay/tests/test_troubled.py
+++ b/arbutuscove/relay/tests/test_troubled.py
@@ -59,7 +59,7 @@
         clock = clock_module.SystemClock()
         inventory = inventory_module.Inventory(clock)
         self.states = backends.BackendStates(clock)
-        catalog = catalog_holder.CatalogHolder()
+        catalog = self.catalog = catalog_holder.CatalogHolder()
         loads = placement.PeerLoads(running={}, daemons=0)
         self.dispatcher = waiting.RequestDispatcher(
             clock,
