Answer what upstreams still run when the grace period ends

What callers saw: a request that an upstream still ran when the grace period of a planned stop ended lost its connection without an answer, whether it was sent before SIGTERM or after it, and whether or not it may run twice. The same happened to a repeat that began late in the grace period.

Cause: the listener waited for the requests in progress until 0.4 s before the end of the grace period and then ended their greenlets. Attempts knew only the caller's deadline, so that nothing gave them up before.

Ruled out: requests that arrive 0 to 7.9 s after SIGTERM of a grace period of 8 s, on idle connections, in the middle of a head or a body, on new connections, and behind another request on the same connection. They are whole or refused as not run on the code before, too, for routes of all four kinds and for a deadline within and beyond the rest of the grace period.

Change: `kernel/shutdown` holds the times of a planned stop. A request that arrives late and whose deadline is beyond the cutoff is refused, as before.

Conclusion: each request that was read gets a final answer before the exit, except a stream whose head was sent.

--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -25,6 +25,7 @@
 from arbutuscove.kernel import decoding
 from arbutuscove.kernel import loop
 from arbutuscove.kernel import services
+from arbutuscove.kernel import shutdown
 from arbutuscove.leases import holder as lease_holder
 from arbutuscove.leases import lease
 from arbutuscove.observe import metrics as metrics_module
@@ -221,6 +222,7 @@
         if not settings.is_first_start:
             # Callers may have sent requests before this process started.
             self._controller.record_traffic()
+        self._shutdown = shutdown.Shutdown()
         self._dispatcher = waiting.RequestDispatcher(
             self._clock,
             self._catalog,
@@ -228,6 +230,7 @@
             self._states,
             self._get_peer_loads,
             self._generator,
+            self._shutdown,
         )
         self._flow = self._build_flow()
         self._listener = self._build_listener()
@@ -346,6 +349,7 @@
             self._is_ready,
             self._controller.record_traffic,
             settings.bounds.shutdown_grace,
+            self._shutdown,
         )
 
     def _update_own_heartbeat(
--- a/arbutuscove/platform/listener.py
+++ b/arbutuscove/platform/listener.py
@@ -21,11 +21,13 @@
 from arbutuscove.entry import connections
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
+from arbutuscove.kernel import shutdown as shutdown_module
 from arbutuscove.observe import metrics as metrics_module
 from arbutuscove.platform import headers
 from arbutuscove.platform import upstreams
 from arbutuscove.relay import flow as flow_module
 from arbutuscove.relay import model
+from arbutuscove.relay import waiting
 from arbutuscove.requests import presence
 from arbutuscove.storage import http as storage_http
 
@@ -40,9 +42,7 @@
 # have to end before the daemon exits.
 DRAIN_ACCEPT_DURATION = datetime.timedelta(seconds=3)
 DRAIN_POLL_INTERVAL = datetime.timedelta(milliseconds=50)
-# Part of the grace period that a drain leaves for the exit of the process.
-EXIT_MARGIN = datetime.timedelta(milliseconds=400)
-# Retry-After of a daemon that cannot serve yet or any more.
+# Retry-After of a daemon that cannot serve yet.
 UNAVAILABLE_RETRY_AFTER = datetime.timedelta(milliseconds=100)
 # Limit on bodies before a configuration is in force.
 DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -123,6 +123,7 @@
         is_ready: abc.Callable[[], bool],
         record_traffic: abc.Callable[[], None],
         grace: datetime.timedelta,
+        shutdown: shutdown_module.Shutdown | None = None,
     ) -> None:
         self._clock = clock
         self._addresses = set(addresses)
@@ -133,9 +134,9 @@
         self._is_ready = is_ready
         self._record_traffic = record_traffic
         self._grace = grace
+        self._shutdown = shutdown or shutdown_module.Shutdown()
         self._servers: list[connections.CallerServer] = []
         self._active_requests = 0
-        self._draining_since: datetime.timedelta | None = None
         self._has_drained = False
 
     def start(self, kernel: services.Kernel) -> None:
@@ -149,29 +150,33 @@
 
     def is_draining(self) -> bool:
         """Returns whether this daemon is draining."""
-        return self._draining_since is not None
+        return self._shutdown.get_schedule() is not None
 
     def mark_draining(self) -> None:
-        """Reports this daemon as not ready from now on."""
-        if self._draining_since is None:
-            self._draining_since = self._clock.monotonic()
+        """Begins the planned stop: this daemon is not ready from now on."""
+        self._shutdown.begin(
+            shutdown_module.plan_stop(
+                self._clock.monotonic(), self._grace, DRAIN_ACCEPT_DURATION
+            )
+        )
 
     def drain(self) -> None:
         """Accepts connections for a while, then waits until all requests ended.
 
-        The wait is limited by the grace period less a margin. Requests that
-        arrive afterwards are refused.
+        The wait ends before the grace period does. Requests that arrive
+        afterwards are refused.
         """
         self.mark_draining()
-        assert self._draining_since is not None
-        started_at = self._draining_since
-        while self._clock.monotonic() < started_at + DRAIN_ACCEPT_DURATION:
+        schedule = self._shutdown.get_schedule()
+        assert schedule is not None
+        while self._clock.monotonic() < schedule.refuse_at:
             self._clock.sleep(DRAIN_POLL_INTERVAL)
         for server in self._servers:
             server.stop_accepting()
             server.close()
-        end = started_at + self._grace - EXIT_MARGIN
-        while self._active_requests and self._clock.monotonic() < end:
+        while (
+            self._active_requests and self._clock.monotonic() < schedule.exit_at
+        ):
             self._clock.sleep(DRAIN_POLL_INTERVAL)
         self._has_drained = True
 
@@ -303,8 +308,8 @@
 
         Raises:
             _Refused: no configuration is in force, no route matches, the key is
-                missing or unknown, the body is too large, or the daemon may
-                exit before the request ends.
+                missing or unknown, or the body is too large.
+            RefusedError: the daemon may exit before the request ends.
         """
         catalog = self._catalog.get_current()
         # The body is read before any refusal, so that the connection stays
@@ -328,8 +333,10 @@
         if len(body) > catalog.bounds.body_bytes_limit:
             raise _Refused(413, "body_too_large")
         deadline = now + _parse_timeout(headers_by_name, route)
-        if self._may_be_cut(self._clock.monotonic(), deadline):
-            raise _Refused(503, "draining")
+        if self._has_drained or self._shutdown.may_cut(
+            self._clock.monotonic(), deadline
+        ):
+            raise model.RefusedError(waiting.build_stop_refusal())
         prompt, answer = _parse_token_counts(headers_by_name)
         return model.Request(
             request_id=headers_by_name.get(headers.REQUEST_ID.lower(), ""),
@@ -348,15 +355,6 @@
             prompt_parts=_parse_prompt_parts(headers_by_name),
         )
 
-    def _may_be_cut(
-        self, now: datetime.timedelta, deadline: datetime.timedelta
-    ) -> bool:
-        """Returns whether the daemon may exit before a new request ends."""
-        since = self._draining_since
-        if since is None or now < since + DRAIN_ACCEPT_DURATION:
-            return False
-        return self._has_drained or deadline > since + self._grace - EXIT_MARGIN
-
     def _build_headers(self, answer: model.Answer) -> list[tuple[str, str]]:
         fields = list(answer.fields)
         if answer.length is not None:
--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -196,6 +196,10 @@
         milliseconds = max(engine.stride * step * spec.time_factor, 1.0)
         return datetime.timedelta(milliseconds=milliseconds)
 
+    def compute_end(self, request: model.Request) -> datetime.timedelta:
+        """Returns when the attempts at a request have to end."""
+        return self.dispatcher.shutdown.bound_deadline(request.deadline)
+
     def get_longest_pause(
         self, service: str, model_name: str
     ) -> datetime.timedelta:
@@ -321,7 +325,7 @@
             excluded=len(excluded),
             last_event=last_event,
         )
-        left = request.deadline - self._started_at
+        left = context.compute_end(request) - self._started_at
         if left <= MIN_TIME_LEFT:
             raise NotRunError("no time is left")
         retry_after = context.crashes.check(request)
@@ -552,8 +556,8 @@
                 if it returns true.
 
         Raises:
-            AttemptLostError: the deadline has passed, or another attempt
-                replaces this one (`StalledError`).
+            AttemptLostError: the deadline has passed, this daemon stops, or
+                another attempt replaces this one (`StalledError`).
             NoResponseError: the connection failed.
         """
         context = self._context
@@ -568,9 +572,12 @@
         stall_timeout = max(stall_timeout, longest_healthy_pause)
         while True:
             now = context.clock.monotonic()
-            left = self._request.deadline - now
+            left = context.compute_end(self._request) - now
             if left <= datetime.timedelta():
-                raise AttemptLostError("the deadline has passed")
+                is_late = now >= self._request.deadline
+                raise AttemptLostError(
+                    "the deadline has passed" if is_late else "the daemon stops"
+                )
             # A request that waits in an engine may have become known to crash
             # upstreams since it was sent.
             if (
--- a/arbutuscove/relay/flow.py
+++ b/arbutuscove/relay/flow.py
@@ -166,7 +166,7 @@
         self, request: model.Request, service: str
     ) -> bool:
         """Returns whether a retry was acquired, with time left to send it."""
-        left = request.deadline - self.clock.monotonic()
+        left = self.context.compute_end(request) - self.clock.monotonic()
         return left > attempt_module.MIN_TIME_LEFT and self.acquire_retry(
             service
         )
--- a/arbutuscove/relay/streams.py
+++ b/arbutuscove/relay/streams.py
@@ -157,7 +157,8 @@
 
     def _may_begin_attempt(self) -> bool:
         """Returns whether attempts and time are left for another one."""
-        left = self._request.deadline - self._policy.clock.monotonic()
+        end = self._policy.context.compute_end(self._request)
+        left = end - self._policy.clock.monotonic()
         return (
             self._attempts_begun < self._request.route.attempts
             and left > attempt_module.MIN_TIME_LEFT
--- a/arbutuscove/relay/waiting.py
+++ b/arbutuscove/relay/waiting.py
@@ -24,6 +24,7 @@
 from arbutuscove.fleet import inventory as inventory_module
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
+from arbutuscove.kernel import shutdown as shutdown_module
 from arbutuscove.relay import backends as backends_module
 from arbutuscove.relay import model
 from arbutuscove.relay import occupancy
@@ -37,6 +38,8 @@
 NO_BACKEND_TIMEOUT_SHARE = 1.0
 # Retry-After of a service without any backend.
 NO_BACKEND_RETRY_AFTER = datetime.timedelta(seconds=1)
+# Retry-After of a daemon that stops: other daemons serve the request at once.
+DRAINING_RETRY_AFTER = datetime.timedelta(milliseconds=100)
 # Upper bound of Retry-After, as a share of the time left to the deadline;
 # callers wait no longer than a third of it.
 RETRY_AFTER_SHARE = 0.3
@@ -69,7 +72,11 @@
 
 
 class RequestDispatcher(services.LoopService):
-    """Queues requests and assigns them to slots of backends, in order."""
+    """Queues requests and assigns them to slots of backends, in order.
+
+    Attributes:
+        shutdown: the planned stop of this daemon.
+    """
 
     def __init__(
         self,
@@ -79,7 +86,9 @@
         states: backends_module.BackendStates,
         read_loads: ReadLoads,
         generator: random.Random,
+        shutdown: shutdown_module.Shutdown | None = None,
     ) -> None:
+        self.shutdown = shutdown or shutdown_module.Shutdown()
         self._clock = clock
         self._catalog = catalog
         self._inventory = inventory
@@ -493,6 +502,16 @@
         return max(min(retry_after, left * RETRY_AFTER_SHARE), MIN_RETRY_AFTER)
 
 
+def build_stop_refusal() -> model.Refusal:
+    """Returns the refusal of a request that a planned stop may cut."""
+    return model.Refusal(
+        status=503,
+        code="draining",
+        not_run=True,
+        retry_after=DRAINING_RETRY_AFTER,
+    )
+
+
 def _build_unknown_refusal(request: model.Request) -> model.Refusal:
     eliot.log_message(
         "waiting:unknown_model",
