Refuse what waits or was not run once a planned stop may cut it

What callers saw: a request that waited for a free place while its daemon stopped was sent on at any time up to the end of the grace period, one that may not be repeated too, and was given up there if the upstream needed longer than was left. The same happened to a request that an upstream refused late in the grace period: it was sent to the next one.

Cause: whether a stop leaves enough time was asked once, when the request was read, and not again before it was sent.

Ruled out: a request that arrives that late itself (refused before).

From 3 s after SIGTERM a request that may outlive the grace period is refused (503, draining, not run, with Retry-After), as one that arrives then is. A request that an earlier attempt may have run, and a stream of which the caller has a part, may wait and be sent until the cutoff: only another attempt can still serve them.

The double of `acquire` in relay/tests/test_refusals passes all further arguments on, as there is one more; what it checks is the same.

Conclusion: from 3 s after SIGTERM nothing is sent for the first time that the end of the grace period may cut. A request that was sent earlier may still get 502 then.

--- a/arbutuscove/platform/tests/test_late_requests.py
+++ b/arbutuscove/platform/tests/test_late_requests.py
@@ -81,6 +81,14 @@
     yield 60.0
 
 
+def refuse(request_id):
+    """Refuses the request without running it."""
+    yield (
+        b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n"
+        b"X-Request-Id: " + request_id + b"\r\n\r\n"
+    )
+
+
 def close(_request_id):
     """Ends the connection without an answer."""
     yield None
@@ -379,6 +387,52 @@
     assert len(scene.received) == 1 or kind == "resumable"
 
 
+@pytest.mark.parametrize("kind", KINDS)
+def test_waiting_request_is_refused_before_it_may_be_cut(scene, kind):
+    """Guards against a request that waits, and is sent on only to be cut.
+
+    All places are taken until late in the grace period.
+    """
+    names = [f"unsafe-{number}" for number in range(2 * SLOTS)]
+    held = [scene.hold(name) for name in names]
+    callers = []
+    for number in range(3):
+        callers.append(Caller(scene))
+        callers[-1].send(f"{kind}-waiting-{number}")
+    gevent.sleep(0.05)
+    scene.begin_stop()
+    scene.move_to(5)
+    for caller in held:
+        caller._connection.close()
+    outcomes = receive_all(callers)
+    assert all(outcome.is_refused() for outcome in outcomes), outcomes
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_refused_attempt_is_not_sent_again_late(scene, kind):
+    """Guards against a second send too late for an answer in the grace.
+
+    The first upstream refuses the request late, and has not run it.
+    """
+    name = f"{kind}-refused"
+    released = event.Event()
+
+    def refuse_late(request_id):
+        released.wait()
+        yield from refuse(request_id)
+
+    scene.behaviours[name] = [refuse_late, stay_silent]
+    caller = Caller(scene)
+    caller.send(name)
+    gevent.sleep(0.05)
+    scene.begin_stop()
+    scene.move_to(5)
+    released.set()
+    outcome = caller.receive()
+    assert (outcome.status, outcome.is_not_run) == (503, True), outcome
+    assert outcome.runs == 1
+
+
 @pytest.mark.parametrize("second", [answer, stay_silent])
 @pytest.mark.parametrize("kind", KINDS)
 def test_lost_attempt_late_in_a_stop_gets_an_answer(scene, kind, second):
--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -290,6 +290,7 @@
         excluded: frozenset[model.BackendKey],
         last_event: str,
         is_replaced: IsReplaced = _never_replace,
+        may_have_run: bool = False,
     ) -> Reply:
         """Sends the request and returns the head of the response.
 
@@ -298,6 +299,7 @@
             last_event: id of the event after which a stream resumes, or empty.
             is_replaced: called while the backend is stalled; ends the attempt
                 with a `StalledError` if it returns true.
+            may_have_run: whether an earlier attempt may have run the request.
 
         Raises:
             RefusedError: no slot becomes free in time.
@@ -308,7 +310,11 @@
         request = self._request
         self._is_resumed = bool(last_event or request.last_event)
         self.backend = context.dispatcher.acquire(
-            request, self._service, excluded, is_resumed=bool(last_event)
+            request,
+            self._service,
+            excluded,
+            is_resumed=bool(last_event),
+            may_have_run=may_have_run,
         )
         requested_at, self._started_at = (
             self._started_at,
--- a/arbutuscove/relay/flow.py
+++ b/arbutuscove/relay/flow.py
@@ -97,7 +97,9 @@
             is_handed_over = False
             try:
                 with refusals.correct_refusal(request, has_lost_attempt):
-                    reply = attempt.open(excluded, "")
+                    reply = attempt.open(
+                        excluded, "", may_have_run=has_lost_attempt
+                    )
                 body = attempt.read_body()
                 if not attempt.has_ended():
                     is_handed_over = True
--- a/arbutuscove/relay/replacement.py
+++ b/arbutuscove/relay/replacement.py
@@ -71,7 +71,7 @@
     ) -> None:
         reply: attempt_module.Reply | None = None
         try:
-            opened = self.attempt.open(excluded, last_event)
+            opened = self.attempt.open(excluded, last_event, may_have_run=True)
             if self._is_usable(opened):
                 self.data = self._read_event()
                 reply = opened
--- a/arbutuscove/relay/streams.py
+++ b/arbutuscove/relay/streams.py
@@ -120,6 +120,8 @@
                         self._excluded,
                         self._position.event_id,
                         self._is_replaced,
+                        may_have_run=self._has_lost_attempt
+                        or self._has_delivered,
                     )
                 self._cancel_replacement()
                 return reply
--- a/arbutuscove/relay/tests/test_refusals.py
+++ b/arbutuscove/relay/tests/test_refusals.py
@@ -229,9 +229,9 @@
     scene = build(fail_without_answer, faulty_upstream.answer_completely)
     acquire = scene.dispatcher.acquire
 
-    def acquire_once(request, service, excluded, is_resumed):
+    def acquire_once(request, service, excluded, **fields):
         if not excluded:
-            return acquire(request, service, excluded, is_resumed)
+            return acquire(request, service, excluded, **fields)
         raise model.RefusedError(
             model.Refusal(status=503, code="queue_full", not_run=True)
         )
--- a/arbutuscove/relay/waiting.py
+++ b/arbutuscove/relay/waiting.py
@@ -67,6 +67,7 @@
     work: work_module.Work
     excluded: frozenset[model.BackendKey]
     pool: PoolKey
+    may_have_run: bool
     enqueued_at: datetime.timedelta
     assignment: event.AsyncResult
 
@@ -114,6 +115,7 @@
         service: str,
         excluded: frozenset[model.BackendKey] = frozenset(),
         is_resumed: bool = False,
+        may_have_run: bool = False,
     ) -> model.Backend:
         """Waits for a free slot for the request and returns its backend.
 
@@ -126,6 +128,9 @@
             is_resumed: whether the caller has a part of the answer. Such a
                 request never counts as late, as its caller waits in the middle
                 of the answer.
+            may_have_run: whether an earlier attempt may have run the request.
+                Only another attempt can then serve its caller, even late in a
+                planned stop.
 
         Returns:
             The backend whose slot the request occupies.
@@ -141,7 +146,10 @@
                 # invent would fill the memory.
                 raise model.RefusedError(_build_unknown_refusal(request))
             queue = self._queues[pool] = queue_module.WorkQueue()
-        waiter = self._create_waiter(request, excluded, pool, is_resumed)
+        waiter = self._create_waiter(
+            request, excluded, pool, is_resumed, may_have_run
+        )
+        self._check_shutdown(waiter)
         now = self._clock.monotonic()
         refusal = queue.push(waiter.work, now)
         if refusal is not None:
@@ -150,7 +158,9 @@
         try:
             self._dispatch(pool)
             self._has_waiters.set()
-            return waiter.assignment.get()
+            backend: model.Backend = waiter.assignment.get()
+            self._check_shutdown(waiter)
+            return backend
         except BaseException:
             self._withdraw(waiter)
             raise
@@ -241,6 +251,7 @@
         excluded: frozenset[model.BackendKey],
         pool: PoolKey,
         is_resumed: bool,
+        may_have_run: bool,
     ) -> _Waiter:
         self._sequence += 1
         work = self._create_work(
@@ -256,6 +267,7 @@
             work=work,
             excluded=excluded,
             pool=pool,
+            may_have_run=may_have_run,
             enqueued_at=self._clock.monotonic(),
             assignment=event.AsyncResult(),
         )
@@ -432,6 +444,7 @@
                 if len(queue):
                     self._dispatch(pool)
                     self._reject_expired(pool, queue)
+                    self._reject_stopped(pool, queue)
             if not self._waiters:
                 self._has_waiters.clear()
 
@@ -467,6 +480,43 @@
                 )
                 waiter.assignment.set_exception(model.RefusedError(refusal))
 
+    def _reject_stopped(
+        self, pool: PoolKey, queue: queue_module.WorkQueue
+    ) -> None:
+        """Refuses waiting requests that a planned stop may cut."""
+        if self.shutdown.get_schedule() is None:
+            return
+        for waiter in list(self._waiters.values()):
+            if waiter.pool != pool:
+                continue
+            refusal = self._find_stop_refusal(waiter)
+            if refusal is not None and queue.withdraw(waiter.work.request_id):
+                waiter.assignment.set_exception(model.RefusedError(refusal))
+
+    def _check_shutdown(self, waiter: _Waiter) -> None:
+        refusal = self._find_stop_refusal(waiter)
+        if refusal is not None:
+            raise model.RefusedError(refusal)
+
+    def _find_stop_refusal(self, waiter: _Waiter) -> model.Refusal | None:
+        """Returns why a planned stop allows no send now, None if it does."""
+        now = self._clock.monotonic()
+        request = waiter.request
+        is_allowed = not self.shutdown.has_cut(now) and (
+            waiter.may_have_run
+            or not self.shutdown.may_cut(now, request.deadline)
+        )
+        if is_allowed:
+            return None
+        eliot.log_message(
+            "waiting:draining",
+            request_id=request.request_id,
+            model=waiter.pool[1],
+            left=round((request.deadline - now).total_seconds(), 3),
+            may_have_run=waiter.may_have_run,
+        )
+        return build_stop_refusal()
+
     def _build_refusal(
         self, waiter: _Waiter, refusal: work_module.Refusal
     ) -> model.Refusal:
