Keep a grace period that is shorter than the time to accept requests

What callers saw: with a grace period below 3.4 s a daemon on the users' platform accepted requests until it was killed, and cut them.

Cause: a stop accepts requests for 3 s, whatever the grace period is.

Ruled out: the site files at hand, whose grace period is 8 s; their times stay as they are.

Change: requests are accepted without a check for at most half of the time until the cutoff, and the margins shrink with the grace period.

--- a/arbutuscove/kernel/shutdown.py
+++ b/arbutuscove/kernel/shutdown.py
@@ -14,6 +14,8 @@
 EXIT_MARGIN = datetime.timedelta(milliseconds=400)
 # Time for the answers to requests that are given up at the cutoff.
 LAST_ANSWERS_DURATION = datetime.timedelta(milliseconds=200)
+# Part of a short time until the cutoff in which all requests are accepted.
+MAX_ACCEPT_SHARE = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -41,7 +43,8 @@
     Args:
         begun_at: when the stop began.
         grace: time until the process is killed.
-        accept_duration: how long callers may still use this daemon.
+        accept_duration: how long callers may still use this daemon; a short
+            grace period shortens it.
 
     Example:
         >>> second = datetime.timedelta(seconds=1)
@@ -49,10 +52,13 @@
         >>> schedule.refuse_at / second, schedule.cutoff / second
         (3.0, 7.4)
     """
-    exit_at = begun_at + grace - EXIT_MARGIN
+    exit_at = begun_at + max(grace - EXIT_MARGIN, grace / 2)
+    left = exit_at - begun_at
+    cutoff = exit_at - min(LAST_ANSWERS_DURATION, left / 2)
+    longest = MAX_ACCEPT_SHARE * (cutoff - begun_at)
     return Schedule(
-        refuse_at=begun_at + accept_duration,
-        cutoff=exit_at - LAST_ANSWERS_DURATION,
+        refuse_at=begun_at + min(accept_duration, longest),
+        cutoff=cutoff,
         exit_at=exit_at,
     )
 
--- a/arbutuscove/platform/tests/test_late_requests.py
+++ b/arbutuscove/platform/tests/test_late_requests.py
@@ -490,3 +490,21 @@
     assert caller.receive().is_whole()
     gevent.sleep(0.05)
     assert "unsafe-second" not in scene.received
+
+
+@pytest.mark.parametrize("grace_seconds", [1, 3])
+def test_short_grace_is_kept(build, grace_seconds):
+    """Guards against a stop that accepts requests until it is killed."""
+    scene = build(grace_seconds=grace_seconds)
+    begun = Caller(scene)
+    begun.send("unsafe-late", cut=20)
+    held = scene.hold("safe-held")
+    scene.begin_stop()
+    scene.move_to(0.9 * grace_seconds)
+    begun.send_rest()
+    outcome = begun.receive()
+    assert outcome.is_refused() or outcome.is_unread()
+    assert held.receive().status == 502
+    scene.move_to(grace_seconds)
+    scene.stopping.join(timeout=1)
+    assert scene.stopping.ready()
