Wait in a drain of arbutuscoved for the longest request it accepted

What callers saw: a request whose first byte came just before the daemon closed its connections, and the rest of its head or body some seconds later, could be cut without an answer 600 s after the close, before its own deadline.

Cause: a drain waited for the longest deadline, 600 s, from the close on.

Ruled out: requests that arrive 0, 0.5, 1, 3 and 599 s after SIGTERM, on idle and new connections and in the middle of a head or a body: answered whole, or not run and refused or unread, on the code before too.

Change: a drain waits for the longest head, body, deadline and stall of an engine together, 630 s.

The clock that tests move on is shared by the tests of both interfaces.

Conclusion: a daemon that is left to exit by itself cuts nothing that it accepted. arbutuscoved knows no grace period: who kills it earlier, cuts what runs then.

--- a/arbutuscove/entry/app.py
+++ b/arbutuscove/entry/app.py
@@ -25,6 +25,7 @@
 from arbutuscove.observe import metrics as metrics_module
 from arbutuscove.requests import failures
 from arbutuscove.storage import http
+from arbutuscove.upstreams import engine
 
 SERVICE_NAME = "entry"
 MAX_BODY_BYTES = 4 << 20
@@ -32,6 +33,9 @@
 DEFAULT_BOUNDS = connections.Bounds()
 # Until the departure has propagated, peers may still return this address.
 LEAVE_PROPAGATION_TIME = datetime.timedelta(seconds=1)
+# How long after its deadline the last answer may end: an engine's stream is
+# read until it stalls.
+LAST_ANSWER_TIMEOUT = engine.STALL_TIMEOUT
 DRAIN_POLL_INTERVAL = datetime.timedelta(milliseconds=50)
 # Reason codes of the errors that werkzeug raises, by HTTP status.
 REASON_CODES = {
@@ -121,8 +125,8 @@
         First waits for the time to live of entry lists, because callers that
         received this address may still connect. Then closes the listening
         socket and idle connections, and waits for the last request, at most for
-        the maximum deadline. Meanwhile responses ask the client to close the
-        connection.
+        the maximum deadline of one whose first byte came just before. Meanwhile
+        responses ask the client to close the connection.
         Requests that arrive afterwards are refused.
         """
         self._draining = True
@@ -132,11 +136,21 @@
         while self._clock.monotonic() < deadline:
             self._clock.sleep(DRAIN_POLL_INTERVAL)
         self._server.close()
-        end = self._clock.monotonic() + callers.MAX_DEADLINE
+        end = self._clock.monotonic() + self._compute_longest_request()
         while self._active_requests and self._clock.monotonic() < end:
             self._clock.sleep(DRAIN_POLL_INTERVAL)
         self._has_drained = True
 
+    def _compute_longest_request(self) -> datetime.timedelta:
+        """Returns the longest time from the first byte to the last answer."""
+        bounds = self._server.bounds
+        return (
+            bounds.head_timeout
+            + bounds.body_timeout
+            + callers.MAX_DEADLINE
+            + LAST_ANSWER_TIMEOUT
+        )
+
     def stop(self) -> None:
         """Stops the server."""
         self._server.stop(timeout=1)
--- a/arbutuscove/platform/tests/test_late_requests.py
+++ b/arbutuscove/platform/tests/test_late_requests.py
@@ -14,6 +14,7 @@
 
 from arbutuscove.fleet.tests import test_planner
 from arbutuscove.kernel import clock as clock_module
+from arbutuscove.kernel.tests import clocks
 from arbutuscove.platform import assembly
 from arbutuscove.platform import configuration
 from arbutuscove.platform.tests import test_settings
@@ -38,19 +39,6 @@
 }
 
 
-class MovedClock(clock_module.SystemClock):
-    """The clock of the machine, moved on by a test."""
-
-    def __init__(self):
-        self._added = datetime.timedelta()
-
-    def monotonic(self):
-        return super().monotonic() + self._added
-
-    def move_to(self, time):
-        self._added += max(datetime.timedelta(), time - self.monotonic())
-
-
 def build_configuration():
     """Returns a configuration with one route for each kind."""
     routes = [
@@ -275,7 +263,7 @@
 @pytest.fixture(name="build")
 def build_fixture(monkeypatch):
     scenes = []
-    monkeypatch.setattr(clock_module, "SystemClock", MovedClock)
+    monkeypatch.setattr(clock_module, "SystemClock", clocks.MovedClock)
 
     def build(**fields):
         scenes.append(Scene(**fields))
