Name what keeps late requests of a planned stop from being cut

The entry for a draining daemon points to `kernel/shutdown`, where its mechanism is now.

The whole list was not run.

--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -449,12 +449,44 @@
     ),
     Mutation(
         promise="a draining daemon refuses what it may not finish",
-        path="platform/listener.py",
-        old="return self._has_drained or deadline >",
-        new="return self._has_drained or now >",
+        path="kernel/shutdown.py",
+        old="and deadline > schedule.cutoff",
+        new="and False",
         test="platform/tests/test_drain.py::"
         "test_request_that_may_outlive_a_draining_daemon_is_refused",
     ),
+    Mutation(
+        promise="a planned stop answers what upstreams still run",
+        path="relay/attempt.py",
+        old="left = context.compute_end(self._request) - now",
+        new="left = self._request.deadline - now",
+        test="platform/tests/test_late_requests.py::"
+        "test_request_at_a_slow_upstream_gets_an_answer[1-unsafe]",
+    ),
+    Mutation(
+        promise="a planned stop sends nothing that it may cut",
+        path="relay/waiting.py",
+        old="or not self.shutdown.may_cut(now, request.deadline)",
+        new="or True",
+        test="platform/tests/test_late_requests.py::"
+        "test_waiting_request_is_refused_before_it_may_be_cut[unsafe]",
+    ),
+    Mutation(
+        promise="a planned stop keeps a short grace period",
+        path="kernel/shutdown.py",
+        old="min(accept_duration, longest)",
+        new="accept_duration",
+        test="kernel/tests/test_shutdown.py::"
+        "test_shutdown_times_lie_in_the_grace_period[3-3]",
+    ),
+    Mutation(
+        promise="a drain waits for the longest request that it accepted",
+        path="entry/app.py",
+        old="self._clock.monotonic() + self._compute_longest_request()",
+        new="self._clock.monotonic() + callers.MAX_DEADLINE",
+        test="entry/tests/test_late_requests.py::"
+        "test_drain_waits_for_the_longest_request",
+    ),
     Mutation(
         promise="the other daemons' usage is capped at their equal shares",
         path="relay/placement.py",
