--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -205,6 +205,10 @@
         milliseconds = max(engine.stride * step * spec.time_factor, 1.0)
         return datetime.timedelta(milliseconds=milliseconds)
 
+    def compute_end(self, request: model.Request) -> datetime.timedelta:
+        """Returns when the attempts at a request have to end."""
+        return self.dispatcher.shutdown.bound_deadline(request.deadline)
+
     def get_longest_pause(
         self, service: str, model_name: str
     ) -> datetime.timedelta:
@@ -295,6 +299,7 @@
         excluded: frozenset[model.BackendKey],
         last_event: str,
         is_replaced: IsReplaced = _never_replace,
+        may_have_run: bool = False,
     ) -> Reply:
         """Sends the request and returns the head of the response.
 
@@ -303,6 +308,7 @@
             last_event: id of the event after which a stream resumes, or empty.
             is_replaced: called while the backend is stalled; ends the attempt
                 with a `StalledError` if it returns true.
+            may_have_run: whether an earlier attempt may have run the request.
 
         Raises:
             RefusedError: no slot becomes free in time.
@@ -313,7 +319,11 @@
         request = self._request
         self._is_resumed = bool(last_event or request.last_event)
         self.backend = context.dispatcher.acquire(
-            request, self._service, excluded, is_resumed=bool(last_event)
+            request,
+            self._service,
+            excluded,
+            is_resumed=bool(last_event),
+            may_have_run=may_have_run,
         )
         requested_at, self._started_at = (
             self._started_at,
@@ -330,7 +340,7 @@
             excluded=len(excluded),
             last_event=last_event,
         )
-        left = request.deadline - self._started_at
+        left = context.compute_end(request) - self._started_at
         if left <= MIN_TIME_LEFT:
             raise NotRunError("no time is left")
         retry_after = context.crashes.check(request)
@@ -562,8 +572,8 @@
                 if it returns true.
 
         Raises:
-            AttemptLostError: the deadline has passed, or another attempt
-                replaces this one (`StalledError`).
+            AttemptLostError: the deadline has passed, this daemon stops, or
+                another attempt replaces this one (`StalledError`).
             NoResponseError: the connection failed.
         """
         context = self._context
@@ -578,9 +588,12 @@
         stall_timeout = max(stall_timeout, longest_healthy_pause)
         while True:
             now = context.clock.monotonic()
-            left = self._request.deadline - now
+            left = context.compute_end(self._request) - now
             if left <= datetime.timedelta():
-                raise AttemptLostError("the deadline has passed")
+                is_late = now >= self._request.deadline
+                raise AttemptLostError(
+                    "the deadline has passed" if is_late else "the daemon stops"
+                )
             # A request that waits in an engine may have become known to crash
             # upstreams since it was sent.
             if (
--- a/arbutuscove/relay/flow.py
+++ b/arbutuscove/relay/flow.py
@@ -113,7 +113,9 @@
             is_handed_over = False
             try:
                 with refusals.correct_refusal(request, has_lost_attempt):
-                    reply = attempt.open(excluded, "")
+                    reply = attempt.open(
+                        excluded, "", may_have_run=has_lost_attempt
+                    )
                 body = attempt.read_body()
                 if not attempt.has_ended():
                     is_handed_over = True
@@ -204,7 +206,7 @@
         self, request: model.Request, service: str
     ) -> bool:
         """Returns whether a retry was acquired, with time left to send it."""
-        left = request.deadline - self.clock.monotonic()
+        left = self.context.compute_end(request) - self.clock.monotonic()
         return left > attempt_module.MIN_TIME_LEFT and self.acquire_retry(
             service
         )
