Let the forwarder of the tests cut only some peers

All daemons of the soak reach a server through the same forwarder, so that it could not play one daemon that reaches no server. A cut of peers now names their connections by a callable: once for the open ones when it begins, then for each new one. It is silent, resets all, or resets only new connections. After a silent cut, connections that lost data are closed, and nothing that was dropped is delivered.

A new connection of a silent cut succeeds, since its peer is not known before; the first read from it hangs. This is written at the mode.

--- a/arbutuscove/standins/forwarder.py
+++ b/arbutuscove/standins/forwarder.py
@@ -2,13 +2,16 @@
 
 It forwards connections between two processes and can reset or delay them, drop
 their data in one direction or both, and accept connections without forwarding.
+It can also cut only the connections of some peers.
 """
 
 import dataclasses
 import datetime
 import enum
 import socket
+import struct
 import typing
+from collections import abc
 
 import gevent
 import msgspec
@@ -21,6 +24,12 @@
 
 READ_SIZE = 65536  # bytes
 CONNECT_TIMEOUT = 2.0  # seconds
+# Without lingering, a closed socket sends a reset.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+# Addresses of a connection: of the peer that opened it, and of the forwarder.
+Ends = tuple[tuple[str, int], tuple[str, int]]
+FindCut = abc.Callable[[abc.Set[Ends]], abc.Set[Ends]]
 
 
 class Mode(enum.StrEnum):
@@ -33,6 +42,28 @@
     HALF_OPEN = "half_open"  # accepted, but data is dropped both ways
 
 
+class CutMode(enum.StrEnum):
+    """How the connections of some peers are cut.
+
+    The kernel opens a connection before its peer can be looked up. Therefore a
+    new connection of a silent cut succeeds, and the first read from it hangs.
+    The kernel also acknowledges data and keep-alive probes, so that, unlike in
+    a cut of the network, the peer's TCP does not time out.
+    """
+
+    SILENT = "silent"  # data is dropped both ways, new ones are accepted
+    RESET = "reset"  # open and new connections are reset
+    REFUSED = "refused"  # open connections live on, new ones are reset
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Cut:
+    """A cut of some peers that is in force."""
+
+    mode: CutMode
+    find_cut: FindCut
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Faults:
     """Faults to inject.
@@ -56,6 +87,8 @@
     def __init__(self, listen: http.Address, target: http.Address) -> None:
         self._target = target
         self._faults = Faults()
+        self._cut: _Cut | None = None
+        self._silenced: set[socket.socket] = set()
         self._lossy: set[socket.socket] = set()
         self._open: set[socket.socket] = set()
         self._changed = event.Event()
@@ -71,6 +104,7 @@
         """Stops listening and closes all connections."""
         self._server.stop(timeout=1)
         self._close(self._open)
+        self.end_cut()
 
     def connections(self) -> int:
         """Returns the number of open connections."""
@@ -82,7 +116,51 @@
         if faults.mode == Mode.CUT:
             self._close(self._open)
         elif faults.mode == Mode.PASS:
-            self._close(self._lossy)
+            self._close(self._lossy - self._silenced)
+        self._notify()
+
+    def cut_peers(self, mode: CutMode, find_cut: FindCut) -> None:
+        """Cuts the connections of some peers until `end_cut`.
+
+        Args:
+            mode: what happens to the connections.
+            find_cut: returns which of the given connections belong to the peers
+                that are cut. It is called once for the open connections, then
+                for each new one, and may yield.
+        """
+        self._cut = _Cut(mode=mode, find_cut=find_cut)
+        if mode == CutMode.REFUSED:
+            return
+        for client in self._list_cut(self._cut, self._open):
+            if mode == CutMode.SILENT:
+                self._silenced.add(client)
+            else:
+                _reset(client)
+
+    def end_cut(self) -> None:
+        """Ends the cut of peers; closes connections that lost data."""
+        self._cut = None
+        lossy = self._lossy & self._silenced
+        self._silenced.clear()
+        self._close(lossy)
+        self._notify()
+
+    def _list_cut(
+        self, cut: _Cut, sockets: abc.Iterable[socket.socket]
+    ) -> list[socket.socket]:
+        """Returns the sockets of cut peers; none if the cut has ended."""
+        by_ends = {}
+        for sock in list(sockets):
+            try:
+                by_ends[(sock.getpeername(), sock.getsockname())] = sock
+            except OSError:
+                continue  # closed meanwhile
+        found = cut.find_cut(by_ends.keys())
+        if self._cut is not cut:
+            return []
+        return [sock for ends, sock in by_ends.items() if ends in found]
+
+    def _notify(self) -> None:
         self._changed.set()
         self._changed.clear()
 
@@ -97,6 +175,12 @@
             return
         self._open.add(client)
         try:
+            cut = self._cut
+            if cut is not None and self._list_cut(cut, [client]):
+                while cut.mode == CutMode.SILENT and self._cut is cut:
+                    self._changed.wait()
+                _reset(client)
+                return
             if self._faults.mode == Mode.HALF_OPEN:
                 self._lossy.add(client)
                 while self._faults.mode == Mode.HALF_OPEN:
@@ -108,6 +192,7 @@
         finally:
             self._open.discard(client)
             self._lossy.discard(client)
+            self._silenced.discard(client)
             client.close()
 
     def _connect_to_target(self, client: socket.socket) -> None:
@@ -135,12 +220,16 @@
                 if not data:
                     break
                 gevent.sleep(self._faults.delay.total_seconds())
-                if self._faults.mode in (drop_mode, Mode.HALF_OPEN):
+                is_dropped = self._faults.mode in (drop_mode, Mode.HALF_OPEN)
+                if is_dropped or client in self._silenced:
                     self._lossy.add(client)
                     continue
                 sink.sendall(data)
         except OSError:
             _shut_down(source)
+        # The end of a silenced connection does not reach the other side.
+        while client in self._silenced:
+            self._changed.wait()
         _shut_down(sink)
 
 
@@ -166,3 +255,11 @@
         sock.shutdown(socket.SHUT_RDWR)
     except OSError:
         return
+
+
+def _reset(sock: socket.socket) -> None:
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    except OSError:
+        return
+    sock.close()
--- a/arbutuscove/standins/tests/test_forwarder.py
+++ b/arbutuscove/standins/tests/test_forwarder.py
@@ -90,3 +90,63 @@
     assert _connect(proxy).recv(100) == b""
     gevent.sleep(0.01)
     assert proxy.connections() == 0
+
+
+def _cut(proxy, mode, *peers):
+    ports = {peer.getsockname()[1] for peer in peers}
+    proxy.cut_peers(
+        mode, lambda ends: {pair for pair in ends if pair[0][1] in ports}
+    )
+
+
+def _cut_new(proxy, mode):
+    proxy.cut_peers(mode, lambda ends: set(ends))
+    return _connect(proxy)
+
+
+@pytest.mark.parametrize("mode", list(forwarder.CutMode))
+def test_forwarder_cuts_open_connections_of_some_peers_only(proxy, mode):
+    """A cut of one peer must not affect the connections of another."""
+    cut, other = _connect(proxy), _connect(proxy)
+    assert _echo(cut, b"a") == _echo(other, b"a") == b"a"
+    _cut(proxy, mode, cut)
+    assert _echo(other, b"b") == b"b"
+    match mode:
+        case forwarder.CutMode.SILENT:
+            assert _echo(cut, b"c") is None
+            assert b"c" not in proxy.heard
+        case forwarder.CutMode.RESET:
+            with pytest.raises(ConnectionResetError):
+                _echo(cut, b"c")
+        case forwarder.CutMode.REFUSED:
+            assert _echo(cut, b"c") == b"c"
+    proxy.end_cut()
+    assert _echo(other, b"d") == b"d"
+
+
+@pytest.mark.parametrize("mode", list(forwarder.CutMode))
+def test_forwarder_cuts_new_connections_of_peers(proxy, mode):
+    """A cut peer must get no answer on a new connection until the end."""
+    client = _cut_new(proxy, mode)
+    if mode == forwarder.CutMode.SILENT:
+        assert _echo(client, b"a") is None
+    else:
+        with pytest.raises(ConnectionResetError):
+            client.recv(100)
+    proxy.end_cut()
+    with pytest.raises((ConnectionResetError, BrokenPipeError)):
+        _echo(client, b"b")
+    assert _echo(_connect(proxy), b"c") == b"c"
+    assert proxy.heard == [b"c"]
+
+
+def test_forwarder_closes_only_connections_that_lost_data_in_a_cut(proxy):
+    """A silent cut must spare idle connections, and never deliver late."""
+    idle, busy = _connect(proxy), _connect(proxy)
+    assert _echo(idle, b"a") == _echo(busy, b"a") == b"a"
+    _cut(proxy, forwarder.CutMode.SILENT, idle, busy)
+    assert _echo(busy, b"b") is None
+    proxy.end_cut()
+    assert busy.recv(100) == b""
+    assert _echo(idle, b"c") == b"c"
+    assert b"b" not in proxy.heard
