Acknowledge nothing in a silent cut of peers

The forwarder read and dropped what a silently cut peer sent, so that the peer's kernel got acknowledgements and answers to keep-alive probes. In a cut of the network it gets none, and TCP_USER_TIMEOUT or keep-alive ends the connection; a test of what a daemon does then could not be written.

A socket filter now drops all segments of the peer, so that none is acknowledged. When the cut ends, a connection that dropped a segment, as the kernel counts them, is reset, so that nothing is sent again; an idle one lives on. Connecting still succeeds, since a filter on the listener would hit all peers, and what is sent before the peer is looked up is acknowledged.

`bin/test arbutuscove/standins/tests/test_forwarder.py` three times: passed; its two new cases guard against acknowledged segments.

--- a/arbutuscove/standins/forwarder.py
+++ b/arbutuscove/standins/forwarder.py
@@ -5,6 +5,7 @@
 It can also cut only the connections of some peers.
 """
 
+import ctypes
 import dataclasses
 import datetime
 import enum
@@ -27,6 +28,15 @@
 # Without lingering, a closed socket sends a reset.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
+# Options of Linux that the module `socket` does not name.
+SO_ATTACH_FILTER = 26
+SO_DETACH_FILTER = 27
+SO_MEMINFO = 55
+DROPS_POSITION = 8  # of the count of dropped segments in the memory information
+MEMINFO_SIZE = 36  # bytes
+# A socket filter of one instruction, which keeps 0 bytes of each segment.
+DROP_ALL = ctypes.create_string_buffer(struct.pack("HBBI", 6, 0, 0, 0))
+
 # Addresses of a connection: of the peer that opened it, and of the forwarder.
 Ends = tuple[tuple[str, int], tuple[str, int]]
 FindCut = abc.Callable[[abc.Set[Ends]], abc.Set[Ends]]
@@ -45,13 +55,14 @@
 class CutMode(enum.StrEnum):
     """How the connections of some peers are cut.
 
-    The kernel opens a connection before its peer can be looked up. Therefore a
-    new connection of a silent cut succeeds, and the first read from it hangs.
-    The kernel also acknowledges data and keep-alive probes, so that, unlike in
-    a cut of the network, the peer's TCP does not time out.
+    In a silent cut, the kernel drops what the peer sends before it acknowledges
+    it, so that the peer's TCP times out as in a cut of the network. However, a
+    connection is opened before its peer can be looked up. Therefore a new one
+    succeeds, what is sent on it meanwhile is acknowledged and dropped, and the
+    first read from it hangs.
     """
 
-    SILENT = "silent"  # data is dropped both ways, new ones are accepted
+    SILENT = "silent"  # segments are dropped both ways, new ones are accepted
     RESET = "reset"  # open and new connections are reset
     REFUSED = "refused"  # open connections live on, new ones are reset
 
@@ -133,18 +144,31 @@
             return
         for client in self._list_cut(self._cut, self._open):
             if mode == CutMode.SILENT:
-                self._silenced.add(client)
+                self._silence(client)
             else:
                 _reset(client)
 
     def end_cut(self) -> None:
         """Ends the cut of peers; closes connections that lost data."""
         self._cut = None
-        lossy = self._lossy & self._silenced
+        silenced = list(self._silenced)
         self._silenced.clear()
-        self._close(lossy)
+        for client in silenced:
+            # A reset, as the peer's kernel would otherwise send again.
+            if client in self._lossy or _has_dropped(client):
+                _reset(client)
+            else:
+                client.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
         self._notify()
 
+    def _silence(self, client: socket.socket) -> None:
+        program = struct.pack("HP", 1, ctypes.addressof(DROP_ALL))
+        try:
+            client.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+        except OSError:
+            return  # closed meanwhile
+        self._silenced.add(client)
+
     def _list_cut(
         self, cut: _Cut, sockets: abc.Iterable[socket.socket]
     ) -> list[socket.socket]:
@@ -177,8 +201,10 @@
         try:
             cut = self._cut
             if cut is not None and self._list_cut(cut, [client]):
-                while cut.mode == CutMode.SILENT and self._cut is cut:
-                    self._changed.wait()
+                if cut.mode == CutMode.SILENT:
+                    self._silence(client)
+                    while self._cut is cut:
+                        self._changed.wait()
                 _reset(client)
                 return
             if self._faults.mode == Mode.HALF_OPEN:
@@ -257,6 +283,17 @@
         return
 
 
+def _has_dropped(sock: socket.socket) -> bool:
+    """Returns whether the socket is closed or has dropped a segment."""
+    try:
+        information = sock.getsockopt(
+            socket.SOL_SOCKET, SO_MEMINFO, MEMINFO_SIZE
+        )
+    except OSError:
+        return True
+    return struct.unpack("9I", information)[DROPS_POSITION] > 0
+
+
 def _reset(sock: socket.socket) -> None:
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
--- a/arbutuscove/standins/tests/test_forwarder.py
+++ b/arbutuscove/standins/tests/test_forwarder.py
@@ -1,6 +1,7 @@
 """Guards against a forwarder that does not inject the requested faults."""
 
 import datetime
+import errno
 import socket
 
 import gevent
@@ -147,6 +148,24 @@
     _cut(proxy, forwarder.CutMode.SILENT, idle, busy)
     assert _echo(busy, b"b") is None
     proxy.end_cut()
-    assert busy.recv(100) == b""
+    with pytest.raises(ConnectionResetError):
+        busy.recv(100)
     assert _echo(idle, b"c") == b"c"
     assert b"b" not in proxy.heard
+
+
+@pytest.mark.parametrize("is_new", [False, True])
+def test_forwarder_acknowledges_nothing_in_a_silent_cut(proxy, is_new):
+    """A peer that is cut silently must see its TCP time out."""
+    if is_new:
+        client = _cut_new(proxy, forwarder.CutMode.SILENT)
+        gevent.sleep(0.01)  # for the accept, which the kernel does not await
+    else:
+        client = _connect(proxy)
+        assert _echo(client, b"a") == b"a"
+        _cut(proxy, forwarder.CutMode.SILENT, client)
+    client.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 300)
+    client.settimeout(10)
+    with pytest.raises(OSError) as caught:
+        _ = client.sendall(b"b"), client.recv(100)
+    assert caught.value.errno == errno.ETIMEDOUT
