--- a/arbutuscove/transport/connection.py
+++ b/arbutuscove/transport/connection.py
@@ -38,6 +38,10 @@
     """No bytes were received before the timeout; the connection is open."""
 
 
+class NoSocketError(http.NotSentError):
+    """This process could not open a socket; the peer is not the cause."""
+
+
 class OversizeError(ValueError):
     """A response exceeds a size limit; it may be endless."""
 
@@ -125,11 +129,13 @@
 
     `exchange_count` counts the requests sent on it. `idle_since` is a monotonic
     time; `max_idle_time` is derived from the peer's `Keep-Alive` header, None
-    without one.
+    without one. `carrier` is the daemon through which a tunnel leads to the
+    address, None on a direct connection.
     """
 
     def __init__(self, sock: gevent_socket.socket, address: http.Address):
         self.address = address
+        self.carrier: http.Address | None = None
         self.exchange_count = 0
         self.idle_since = ZERO
         self.max_idle_time: datetime.timedelta | None = None
@@ -241,21 +247,28 @@
         """Closes the connection."""
         self._socket.close()
 
+    def detach(self) -> gevent_socket.socket:
+        """Returns the open socket, which the caller then has to close.
+
+        The connection must not be used afterwards.
+        """
+        return self._socket
+
 
 def connect(address: http.Address, timeout: datetime.timedelta) -> Connection:
     """Opens a connection.
 
     Raises:
         RefusedError: no process listens on the port.
-        NotSentError: the connection was not established within `timeout`, or
-            this process has no file descriptor left for it.
+        NoSocketError: this process has no file descriptor left for it.
+        NotSentError: the connection was not established within `timeout`.
     """
     try:
         sock = gevent_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     except OSError as error:
-        raise http.NotSentError(f"{address}: {error}") from error
+        raise NoSocketError(f"{address}: {error}") from error
     try:
-        _set_options(sock)
+        set_options(sock)
         sock.settimeout(timeout.total_seconds())
         sock.connect((address.host, address.port))
     except ConnectionRefusedError as error:
@@ -284,7 +297,12 @@
     return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
 
 
-def _set_options(sock: gevent_socket.socket) -> None:
+def set_options(sock: gevent_socket.socket) -> None:
+    """Sets the options by which the loss of a peer is noticed.
+
+    Raises:
+        OSError: the peer has closed the connection.
+    """
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     for option, value in (
