Decode the frames of tunnels in a module of their own

Change: `transport/frames` holds the decoding, apart from I/O, and an error there lasts. Tests for what was not seen: the sizes of socket buffers, bytes right behind the handshake, a silent upstream behind short time-outs, a handshake that trickles, a time-out after a part of a length, a look at unread bytes, a line that is too long, and an end while the target is connected.

--- a/arbutuscove/transport/tests/test_tunnel.py
+++ b/arbutuscove/transport/tests/test_tunnel.py
@@ -9,16 +9,15 @@
 
 import eliot
 import gevent
-import hypothesis
 import pytest
 from gevent import server
 from gevent import socket as gevent_socket
-from hypothesis import strategies
 
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
 from arbutuscove.storage import http
 from arbutuscove.transport import connection
+from arbutuscove.transport import frames
 from arbutuscove.transport import pool
 from arbutuscove.transport import tunnel
 
@@ -225,40 +224,6 @@
     return len(greenlets), len(os.listdir("/proc/self/fd"))
 
 
-@hypothesis.given(
-    payloads=strategies.lists(strategies.binary(min_size=1, max_size=9)),
-    cuts=strategies.lists(strategies.integers(1, 7), min_size=1),
-)
-def test_frames_are_decoded_however_they_are_cut(payloads, cuts):
-    """Guards against bytes lost or added where a read ends within a frame."""
-    encoded = b"".join(map(tunnel.encode_frame, payloads)) + tunnel.END_FRAME
-    decoder = tunnel.FrameDecoder()
-    decoded = b""
-    position = 0
-    while position < len(encoded):
-        assert not decoder.is_ended
-        size = cuts[position % len(cuts)]
-        decoded += decoder.feed(encoded[position : position + size])
-        position += size
-    assert decoded == b"".join(payloads)
-    assert decoder.is_ended
-
-
-@pytest.mark.parametrize(
-    "data",
-    [
-        struct.pack("!I", tunnel.MAX_FRAME_BYTES + 1),
-        b"\xff" * 4,
-        tunnel.END_FRAME + b"\x00",
-        tunnel.END_FRAME + tunnel.encode_frame(b"a"),
-    ],
-)
-def test_frames_that_are_odd_are_errors(data):
-    """Guards against an answer made of bytes that no carrier sends."""
-    with pytest.raises(tunnel.FrameError):
-        tunnel.FrameDecoder().feed(data)
-
-
 def test_tunnel_is_used_like_a_direct_connection(start):
     """Guards against a tunnel that cannot be kept and used again."""
     upstream = start(answer(OK + b"ab", OK + b"cd"))
@@ -362,6 +327,30 @@
     first.get().close()
 
 
+@pytest.mark.parametrize("end", ["initiator leaves", "carrier stops"])
+def test_handshake_that_ends_while_the_target_is_connected(start, end):
+    """Guards against upstream connections that nobody uses or closes."""
+    upstream = start(answer(OK + b"ab"))
+
+    def connect_slowly(address, timeout):
+        opened = connection.connect(address, timeout)
+        gevent.sleep(0.05)
+        return opened
+
+    before = count_resources()
+    carrier = start(Carrier(connect=connect_slowly))
+    line = b'{"target":"%s"}\n' % str(upstream.address).encode()
+    sock = connect_raw(carrier, line)
+    wait_until(lambda: upstream.accepted == 1)
+    if end == "initiator leaves":
+        sock.close()
+        wait_until(lambda: carrier.open_count == 0)
+    carrier.stop()
+    sock.close()
+    wait_until(lambda: upstream.ended == 1)
+    wait_until(lambda: count_resources() <= before)
+
+
 def test_handshake_with_a_target_that_refuses(start):
     """Guards against a dead upstream that is taken for a failed carrier."""
     upstream = start(answer())
@@ -462,7 +451,6 @@
         (CLOSE,),
         (RESET,),
         (0.4,),
-        tuple(step for byte in b"opened" * 9 for step in (b"%c" % byte, 0.02)),
     ],
 )
 def test_handshake_with_an_odd_or_silent_carrier(start, steps):
@@ -475,6 +463,20 @@
     wait_until(lambda: count_resources() <= before)
 
 
+def test_handshake_that_trickles_ends_in_time(start):
+    """Guards against a deadline moved by a carrier that sends single bytes."""
+
+    def trickle(double, sock):
+        while double.sent < tunnel.MAX_HANDSHAKE_BYTES:
+            double.sent += sock.send(b" ")
+            gevent.sleep(0.01)
+
+    carrier = start(trickle)
+    with pytest.raises(tunnel.CarrierError):
+        tunnel.open_tunnel(carrier.address, carrier.address, SHORT)
+    assert carrier.sent < tunnel.MAX_HANDSHAKE_BYTES / 4
+
+
 @pytest.mark.parametrize(
     "line",
     [
@@ -494,6 +496,8 @@
     assert connect_raw(carrier, line).recv(1) == b""
     assert carrier.refused == 1
     assert list_reasons(logged, "tunnel:refused") == ["handshake"]
+    is_long = any("a line of more than" in item["error"] for item in logged)
+    assert is_long == (len(line) >= tunnel.MAX_HANDSHAKE_BYTES)
 
 
 def test_handshake_of_a_silent_peer_is_closed(start, monkeypatch):
@@ -514,6 +518,34 @@
         sock.close()
 
 
+def test_bytes_behind_the_handshake_are_kept(start):
+    """Guards against an answer whose begin arrives with the handshake."""
+
+    def serve(double, sock):
+        sock.recv(65536)
+        sock.sendall(OPENED + frames.encode(OK + b"ab"))
+        sock.recv(65536)
+
+    carrier = start(serve)
+    used = tunnel.open_tunnel(carrier.address, carrier.address, SECOND)
+    ask(used)
+    assert read(used) == b"ab"
+    used.close()
+
+
+def test_tunnel_stays_open_while_its_upstream_is_silent(start, monkeypatch):
+    """Guards against the time-out of the handshake in a long request."""
+    monkeypatch.setattr(tunnel, "CONNECT_TIMEOUT", SHORT)
+    monkeypatch.setattr(tunnel, "HANDSHAKE_TIMEOUT", SHORT)
+    upstream = start(answer_once(3 * SHORT.total_seconds(), OK + b"ab"))
+    carrier = start(Carrier())
+    used = tunnel.open_tunnel(carrier.address, upstream.address, 2 * SHORT)
+    gevent.sleep(2 * SHORT.total_seconds())
+    ask(used)
+    assert read(used) == b"ab"
+    used.close()
+
+
 def test_answer_without_a_length_ends_with_its_upstream(start):
     """Guards against a whole answer that is rejected in a tunnel."""
     upstream = start(answer_once(UNFRAMED + b"ab", CLOSE))
@@ -533,12 +565,13 @@
     for _ in range(10):
         sock.sendall(b"x" * 1000)
         gevent.sleep(0.01)
-    decoder = tunnel.FrameDecoder()
+    decoder = frames.FrameDecoder()
     received = b""
-    while data := sock.recv(65536):
+    while not decoder.is_ended:
+        data = sock.recv(65536)
+        assert data
         received += decoder.feed(data)
     assert received == content
-    assert decoder.is_ended
     sock.close()
 
 
@@ -572,16 +605,16 @@
     [
         (CLOSE,),
         (RESET,),
-        (tunnel.END_FRAME[:3], CLOSE),
+        (frames.END_FRAME[:3], CLOSE),
         (struct.pack("!I", 5) + b"abcd", CLOSE),
-        (struct.pack("!I", tunnel.MAX_FRAME_BYTES + 1) + b"a" * 100,),
-        (tunnel.END_FRAME + b"a",),
+        (struct.pack("!I", frames.MAX_FRAME_BYTES + 1) + b"a" * 100,),
+        (frames.END_FRAME + b"a",),
         (b"HTTP/1.1 200 OK\r\n\r\n",),
     ],
 )
 def test_answer_without_a_length_is_lost_with_odd_frames(start, steps):
     """Guards against an answer that looks whole without the last frame."""
-    head = tunnel.encode_frame(UNFRAMED + b"ab")
+    head = frames.encode(UNFRAMED + b"ab")
     carrier = start(carry(head, 0.02, *steps))
     used = tunnel.open_tunnel(carrier.address, carrier.address, SECOND)
     ask(used)
@@ -739,12 +772,16 @@
         assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
         timeout = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
         assert timeout == connection.TCP_USER_TIMEOUT_MS
+    for sock in used_sockets[-2:]:  # those of the carrier
+        for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
+            size = sock.getsockopt(socket.SOL_SOCKET, option)
+            assert size <= 2 * tunnel.SOCKET_BUFFER_BYTES
     used.close()
 
 
 def test_tunnel_time_outs_lose_no_bytes(start):
     """Guards against an answer garbled by a time-out within a frame."""
-    content = tunnel.encode_frame(OK) + tunnel.encode_frame(b"ab")
+    content = frames.encode(OK) + frames.encode(b"ab")
     pause = 0.01
     steps = [step for byte in content for step in (b"%c" % byte, pause)]
     carrier = start(carry(content[:2], pause, *steps[4:]))
@@ -782,22 +819,24 @@
     with pytest.raises(TimeoutError):
         sock.recv(65536)
     assert len(sent) < 3
+    # The time-out of the next call is whole again.
+    assert sock._socket.gettimeout() == 0.075
     used.close()
 
 
 @pytest.mark.parametrize(
     "step",
     [
-        tunnel.END_FRAME,
-        tunnel.END_FRAME[:1],
-        tunnel.encode_frame(b"a"),
+        frames.END_FRAME,
+        frames.END_FRAME[:1],
+        frames.encode(b"a"),
         CLOSE,
         RESET,
     ],
 )
 def test_tunnel_with_anything_unread_is_not_idle(start, step):
     """Guards against a request on a tunnel that has ended or holds bytes."""
-    carrier = start(carry(tunnel.encode_frame(OK + b"ab"), 0.03, step))
+    carrier = start(carry(frames.encode(OK + b"ab"), 0.03, step))
     used = tunnel.open_tunnel(carrier.address, carrier.address, SECOND)
     ask(used)
     assert read(used) == b"ab"
@@ -806,11 +845,11 @@
     used.close()
 
 
-@pytest.mark.parametrize("size", range(1, len(tunnel.END_FRAME) + 1))
+@pytest.mark.parametrize("size", range(1, len(frames.END_FRAME) + 1))
 def test_tunnel_that_has_read_further_is_not_idle(start, size):
     """Guards against a request after a last frame read with the answer."""
-    answer_frame = tunnel.encode_frame(OK + b"ab")
-    carrier = start(carry(answer_frame + tunnel.END_FRAME[:size]))
+    answer_frame = frames.encode(OK + b"ab")
+    carrier = start(carry(answer_frame + frames.END_FRAME[:size]))
     used = tunnel.open_tunnel(carrier.address, carrier.address, SECOND)
     ask(used)
     assert read(used) == b"ab"
@@ -818,6 +857,18 @@
     used.close()
 
 
+def test_tunnel_keeps_what_a_test_for_idleness_has_seen(start):
+    """Guards against bytes lost where a tunnel is looked at."""
+    carrier = start(carry(frames.encode(b"ab")))
+    used = tunnel.open_tunnel(carrier.address, carrier.address, SECOND)
+    sock = used.detach()
+    sock.sendall(b"x")
+    wait_until(lambda: not used.is_still_idle())
+    sock.settimeout(1)
+    assert sock.recv(65536) == b"ab"
+    used.close()
+
+
 def test_tunnel_within_a_frame_is_not_idle(start):
     """Guards against a request before the rest of a frame has arrived."""
     carrier = start(carry(struct.pack("!I", len(OK) + 3) + OK + b"ab"))
--- a/arbutuscove/transport/tunnel.py
+++ b/arbutuscove/transport/tunnel.py
@@ -4,10 +4,9 @@
 daemons still reach them. The initiator connects to the carrier and names the
 target; the carrier connects to it directly, so that a path has one hop. After
 one JSON line in each direction, the bytes of the initiator follow as they are.
-Those of the target follow in frames: a length (4 bytes, big-endian), then as
-many bytes. A frame of length zero means that the target closed the connection
-in an orderly way. A tunnel that ends without one was lost, so an answer that
-ends with its connection cannot look complete when the carrier dies.
+Those of the target follow in frames (`transport/frames`). A tunnel that ends
+without the last frame was lost, so an answer that ends with its connection
+cannot look complete when the carrier dies.
 """
 
 import contextlib
@@ -31,6 +30,7 @@
 from arbutuscove.kernel import services
 from arbutuscove.storage import http
 from arbutuscove.transport import connection
+from arbutuscove.transport import frames
 
 MAX_HANDSHAKE_BYTES = 512  # of a line, with its end
 HANDSHAKE_TIMEOUT = datetime.timedelta(milliseconds=500)
@@ -39,20 +39,19 @@
 # Less than the time of an initiator to open a tunnel, so that a silent target
 # is reported as unreachable before the carrier is taken for silent.
 CONNECT_TIMEOUT = datetime.timedelta(milliseconds=250)
-MAX_FRAME_BYTES = connection.READ_SIZE_BYTES
 # The kernel doubles it. A tunnel has four such buffers.
 SOCKET_BUFFER_BYTES = 262144
 # As in `Connection.send` to a target that does not read.
 TARGET_WRITE_TIMEOUT = datetime.timedelta(seconds=2)
-# As long as a daemon waits for a caller that does not read.
+# As long as a daemon waits for a caller that does not read. An initiator that
+# reads nothing at all, with all buffers full, is taken for lost after
+# `connection.TCP_USER_TIMEOUT_MS`.
 INITIATOR_WRITE_TIMEOUT = datetime.timedelta(seconds=10)
 # How long a tunnel whose target has closed waits until the initiator has read
 # the rest: closing a socket with unread bytes discards what is not yet sent.
 LINGER_TIMEOUT = datetime.timedelta(seconds=1)
 HANDSHAKE_ERRORS = (OSError, ValueError)
 
-_LENGTH = struct.Struct("!I")
-END_FRAME = _LENGTH.pack(0)
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # value of SO_LINGER
 
 Connect = abc.Callable[
@@ -95,72 +94,12 @@
     """
 
 
-class FrameError(ValueError):
-    """The bytes of the carrier are not valid frames."""
-
-
-class FrameDecoder:
-    """Decodes frames; keeps no bytes but those of an incomplete length.
-
-    Attributes:
-        is_ended: whether the target has closed the connection.
-
-    Example:
-        >>> decoder = FrameDecoder()
-        >>> decoder.feed(encode_frame(b"ab") + END_FRAME[:3]), decoder.is_ended
-        (b'ab', False)
-        >>> decoder.feed(END_FRAME[3:]), decoder.is_ended
-        (b'', True)
-    """
-
-    def __init__(self) -> None:
-        self.is_ended = False
-        self._length = b""
-        self._remaining = 0  # bytes of the current frame
-
-    def feed(self, data: bytes) -> bytes:
-        """Returns the bytes of the target among those of the carrier.
-
-        Raises:
-            FrameError: a frame is too long, or bytes follow the last one.
-        """
-        payload = []
-        start = 0
-        while start < len(data):
-            if self.is_ended:
-                raise FrameError("bytes follow the last frame")
-            if self._remaining:
-                piece = data[start : start + self._remaining]
-                self._remaining -= len(piece)
-                payload.append(piece)
-            else:
-                missing = _LENGTH.size - len(self._length)
-                piece = data[start : start + missing]
-                self._read_length(piece)
-            start += len(piece)
-        return b"".join(payload)
-
-    def _read_length(self, piece: bytes) -> None:
-        self._length += piece
-        if len(self._length) < _LENGTH.size:
-            return
-        (self._remaining,) = _LENGTH.unpack(self._length)
-        self._length = b""
-        self.is_ended = self._remaining == 0
-        if self._remaining > MAX_FRAME_BYTES:
-            raise FrameError(f"a frame has {self._remaining} bytes")
-
-    def is_between_frames(self) -> bool:
-        """Returns whether the last frame is complete and others may follow."""
-        return not (self._length or self._remaining or self.is_ended)
-
-
 class FramedSocket:
     """The initiator's end of a tunnel, used like a plain socket."""
 
     def __init__(self, sock: gevent_socket.socket) -> None:
         self._socket = sock
-        self._decoder = FrameDecoder()
+        self._decoder = frames.FrameDecoder()
 
     def settimeout(self, seconds: float | None) -> None:
         """Sets the time-out of `recv` and `sendall`; None waits for ever."""
@@ -258,11 +197,6 @@
                 raise CarrierError(text)
 
 
-def encode_frame(data: bytes) -> bytes:
-    """Returns a frame of up to `MAX_FRAME_BYTES` bytes, at least one."""
-    return _LENGTH.pack(len(data)) + data
-
-
 class _Listener(server.StreamServer):
     """Accepts connections; a failure is logged before gevent tries again."""
 
@@ -479,12 +413,11 @@
 def _copy_to_initiator(
     upstream: gevent_socket.socket, sock: gevent_socket.socket
 ) -> None:
-    while data := upstream.recv(MAX_FRAME_BYTES):
+    while data := upstream.recv(frames.MAX_FRAME_BYTES):
         with _limit_time(INITIATOR_WRITE_TIMEOUT):
-            sock.sendall(encode_frame(data))
+            sock.sendall(frames.encode(data))
     with _limit_time(INITIATOR_WRITE_TIMEOUT):
-        sock.sendall(END_FRAME)
-    sock.shutdown(socket.SHUT_WR)
+        sock.sendall(frames.END_FRAME)
 
 
 def _linger(sock: gevent_socket.socket) -> None:
