Determine by trial connections which services a daemon reaches

Change: paths/reach decides without I/O, from rounds of trial connections, whether this daemon reaches a service, is cut off from it (a peer reaches it) or whether nobody is known to reach it. paths/monitor runs a round when a connection has failed and no other one was opened since, and at intervals while a service is not reached; the further trials of a round begin only if the first one is not accepted within 50 ms. A daemon without peers cannot find itself cut off, as a connection through a peer is the proof.

Ruled out: heartbeats with the age of the last contact as the proof. A peer that is cut off at the same time still reports a fresh contact.

--- /dev/null
+++ b/arbutuscove/paths/__init__.py
@@ -0,0 +1,1 @@
+"""Paths from this daemon to the upstreams, directly or through a peer."""
--- /dev/null
+++ b/arbutuscove/paths/monitor.py
@@ -0,0 +1,309 @@
+"""Determines which services this daemon reaches, by trial connections.
+
+`paths.reach` decides. A round of trial connections begins when a connection
+has failed and no other one was opened since, and at intervals as long as a
+service is not reached.
+"""
+
+import datetime
+import random
+import typing
+from collections import abc
+
+import eliot
+import gevent
+
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.kernel import services
+from arbutuscove.paths import reach as reach_module
+from arbutuscove.storage import http
+from arbutuscove.transport import connection
+
+SERVICE_NAME = "paths"
+TRIAL_TIMEOUT = datetime.timedelta(milliseconds=300)
+# The further upstreams of a round are tried only if the first one has not
+# accepted within this time.
+FIRST_TRIAL_TIME = datetime.timedelta(milliseconds=50)
+WATCH_INTERVAL = datetime.timedelta(milliseconds=100)
+SEARCH_INTERVAL = datetime.timedelta(milliseconds=20)
+UNREACHED = reach_module.Verdict.UNREACHED
+
+
+class Upstream(typing.Protocol):
+    """The part of a listed upstream that trial connections need."""
+
+    @property
+    def address(self) -> http.Address:
+        """The address that it listens on."""
+
+    @property
+    def fabric_domain(self) -> str:
+        """The fabric domain, empty without one."""
+
+
+OpenConnection = abc.Callable[
+    [str, http.Address, datetime.timedelta], connection.Connection
+]
+
+
+class ReachMonitor(services.LoopService):
+    """Holds the verdict on each service and runs the rounds."""
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        list_upstreams: abc.Callable[[str], abc.Sequence[Upstream]],
+        open_through_peer: OpenConnection,
+        generator: random.Random,
+        open_direct: abc.Callable[
+            [http.Address, datetime.timedelta], connection.Connection
+        ] = connection.connect,
+    ) -> None:
+        """Creates a monitor.
+
+        Args:
+            clock: the clock.
+            list_upstreams: returns the listed upstreams of a service.
+            open_through_peer: opens a connection to an upstream of a service
+                through a peer, within a timeout.
+            generator: source of random choices.
+            open_direct: opens a direct connection within a timeout.
+        """
+        self._clock = clock
+        self._list_upstreams = list_upstreams
+        self._open_through_peer = open_through_peer
+        self._generator = generator
+        self._open_direct = open_direct
+        self._reaches: dict[str, reach_module.Reach] = {}
+        self._rounds: dict[str, gevent.Greenlet] = {}
+        self._handlers: list[abc.Callable[[str], None]] = []
+
+    def start(self, kernel: services.Kernel) -> None:
+        """Starts the rounds for services that are not reached."""
+        self.run_loop(self._watch)
+
+    def stop(self) -> None:
+        """Ends all rounds."""
+        super().stop()
+        for greenlet in list(self._rounds.values()):
+            greenlet.kill()
+
+    def add_change_handler(self, handler: abc.Callable[[str], None]) -> None:
+        """Adds a function to call with a service whose verdict has changed."""
+        self._handlers.append(handler)
+
+    def get_verdict(self, service: str) -> reach_module.Verdict:
+        """Returns the present verdict on a service."""
+        return self._get(service).verdict
+
+    def is_cut_off(self, service: str) -> bool:
+        """Returns whether only peers reach a service."""
+        return self.get_verdict(service) is reach_module.Verdict.CUT_OFF
+
+    def list_unreached(self) -> tuple[str, ...]:
+        """Returns the services that this daemon does not reach directly."""
+        return tuple(
+            sorted(
+                service
+                for service, reach in self._reaches.items()
+                if reach.verdict is not reach_module.Verdict.REACHED
+            )
+        )
+
+    def record_open(self, service: str) -> None:
+        """Records that an upstream accepted a direct connection."""
+        self._set(
+            service,
+            reach_module.record_open(
+                self._get(service), self._clock.monotonic()
+            ),
+        )
+
+    def record_contact(self, service: str) -> None:
+        """Records that an upstream accepted a connection through a peer."""
+        self._set(
+            service,
+            reach_module.record_contact(
+                self._get(service), self._clock.monotonic()
+            ),
+        )
+
+    def was_opened(self, service: str, since: datetime.timedelta) -> bool:
+        """Returns whether a direct connection was opened since a time."""
+        return _is_since(self._get(service).opened_at, since)
+
+    def wait_for_path(
+        self, service: str, deadline: datetime.timedelta | None
+    ) -> bool:
+        """Waits for the rounds that may still find a path to a service.
+
+        Args:
+            service: the service.
+            deadline: monotonic time after which the wait ends, None without.
+
+        Returns:
+            Whether a path was found.
+        """
+        while reach_module.is_searching(self._get(service)):
+            now = self._clock.monotonic()
+            if deadline is not None and now >= deadline:
+                return False
+            greenlet = self._begin_round(service)
+            if greenlet is None:
+                self._clock.sleep(SEARCH_INTERVAL)
+            else:
+                greenlet.join()
+        return self.get_verdict(service) is not UNREACHED
+
+    def suspect(self, service: str, since: datetime.timedelta) -> None:
+        """Begins a round unless a direct connection was opened since."""
+        if not self.was_opened(service, since):
+            self._begin_round(service)
+
+    def confirm_reach(self, service: str, since: datetime.timedelta) -> bool:
+        """Returns whether a direct connection was opened since a time.
+
+        Runs a round of trial connections if that is not known.
+
+        Args:
+            service: the service.
+            since: monotonic time, when a connection began to fail.
+        """
+        return self._confirm(service, since, lambda reach: reach.opened_at)
+
+    def confirm_contact(self, service: str, since: datetime.timedelta) -> bool:
+        """Returns whether a connection was opened since, on any path.
+
+        Only then does the silence of one upstream say something about it.
+        """
+        return self._confirm(service, since, lambda reach: reach.contact_at)
+
+    def _confirm(
+        self,
+        service: str,
+        since: datetime.timedelta,
+        read_time: abc.Callable[
+            [reach_module.Reach], datetime.timedelta | None
+        ],
+    ) -> bool:
+        if not _is_since(read_time(self._get(service)), since):
+            greenlet = self._begin_round(service)
+            if greenlet is not None:
+                greenlet.join()
+        return _is_since(read_time(self._get(service)), since)
+
+    def _begin_round(self, service: str) -> gevent.Greenlet | None:
+        """Returns the running round, a new one, or None if none may begin."""
+        running = self._rounds.get(service)
+        if running is not None:
+            return running
+        next_round_at = self._get(service).next_round_at
+        now = self._clock.monotonic()
+        if next_round_at is not None and now < next_round_at:
+            return None
+        greenlet = gevent.spawn(self._run_round, service)
+        self._rounds[service] = greenlet
+        return greenlet
+
+    def _run_round(self, service: str) -> None:
+        try:
+            sample = self._pick_sample(service)
+            if not sample:
+                return
+            paths = self._try_all(service, sample)
+            self._set(
+                service,
+                reach_module.finish_round(
+                    self._get(service), paths, self._clock.monotonic()
+                ),
+            )
+        finally:
+            self._rounds.pop(service, None)
+
+    def _pick_sample(self, service: str) -> list[http.Address]:
+        """Returns some upstreams, of different fabric domains if possible."""
+        upstreams = list(self._list_upstreams(service))
+        self._generator.shuffle(upstreams)
+        seen: set[str] = set()
+        first: list[http.Address] = []
+        others: list[http.Address] = []
+        for upstream in upstreams:
+            is_new = upstream.fabric_domain not in seen
+            seen.add(upstream.fabric_domain)
+            (first if is_new else others).append(upstream.address)
+        return (first + others)[: reach_module.SAMPLE_SIZE]
+
+    def _try_all(
+        self, service: str, sample: abc.Sequence[http.Address]
+    ) -> list[reach_module.Path]:
+        needs_all = self.is_cut_off(service)
+        jobs = [gevent.spawn(self._try_direct, sample[0])]
+        if not needs_all:
+            jobs[0].join(FIRST_TRIAL_TIME.total_seconds())
+            if jobs[0].ready() and jobs[0].value:
+                return [reach_module.Path.DIRECT]
+        jobs += [
+            gevent.spawn(self._try_direct, address) for address in sample[1:]
+        ]
+        gevent.joinall(jobs)
+        accepted = [bool(job.value) for job in jobs]
+        if any(accepted):
+            return [
+                reach_module.Path.DIRECT if is_open else reach_module.Path.NONE
+                for is_open in accepted
+            ]
+        jobs = [
+            gevent.spawn(self._try_peer, service, address) for address in sample
+        ]
+        gevent.joinall(jobs)
+        return [
+            reach_module.Path.PEER if job.value else reach_module.Path.NONE
+            for job in jobs
+        ]
+
+    def _try_direct(self, address: http.Address) -> bool:
+        try:
+            self._open_direct(address, TRIAL_TIMEOUT).close()
+        except http.NotSentError:
+            return False
+        return True
+
+    def _try_peer(self, service: str, address: http.Address) -> bool:
+        try:
+            self._open_through_peer(service, address, TRIAL_TIMEOUT).close()
+        except http.NotSentError:
+            return False
+        return True
+
+    def _get(self, service: str) -> reach_module.Reach:
+        return self._reaches.get(service, reach_module.Reach())
+
+    def _set(self, service: str, reach: reach_module.Reach) -> None:
+        before = self._get(service).verdict
+        self._reaches[service] = reach
+        if reach.verdict is before:
+            return
+        eliot.log_message(
+            "paths:verdict",
+            service=service,
+            verdict=reach.verdict.value,
+            before=before.value,
+            failed_rounds=reach.failed_rounds,
+        )
+        for handler in self._handlers:
+            handler(service)
+
+    def _watch(self) -> None:
+        while True:
+            self._clock.sleep(WATCH_INTERVAL)
+            for service in self.list_unreached():
+                if self._list_upstreams(service):
+                    self._begin_round(service)
+                else:
+                    del self._reaches[service]
+
+
+def _is_since(
+    time: datetime.timedelta | None, since: datetime.timedelta
+) -> bool:
+    return time is not None and time >= since
