Open connections to upstreams through a peer while a daemon is cut off

Callers of entry VMs that were partitioned from all servers got 503 (no_backend, upstream_unavailable) for nearly every request, although the other daemons reached the servers.

Cause: there was one path from a daemon to an upstream, and a failure of the path counted as one of the upstream.

Ruled out: leaving the directory alone (callers keep addresses for up to 5 s and connections longer); handing whole requests to a peer (attempts, slots, limits, deadlines, resumption and the truth of a refusal would have to hold in two daemons; with a connection through a peer they stay where the caller is).

Change: while paths/monitor finds this daemon cut off from a service, new connections to it go through a peer that reaches it (transport/tunnel), one hop, chosen by weighted rendezvous hashing. A connection that fails during the search waits for the search. NoPathError says that nothing is known of the upstream: no cooldown, and a refused connection counts as refused only while another upstream accepts one. Attempts whose direct connection is silent while the daemon is cut off are replaced (streams) or sent again (repeatable requests). Heartbeats tell the tunnel port and the services not reached; a version without them carries nothing.

--- a/arbutuscove/gossip/digest.py
+++ b/arbutuscove/gossip/digest.py
@@ -64,7 +64,9 @@
     thousandths of a core. `resigned` is the highest fencing token from which it
     resigned before the lease had expired. `evidence` is the fingerprint of what
     it knows of crashes of upstreams, -1 if its version has none. `era` is the
-    highest era of the store that it knows, 0 for none.
+    highest era of the store that it knows, 0 for none. `tunnel_port` is the TCP
+    port on which it carries connections of other daemons, 0 if it carries none.
+    `unreached` names the services that its own connections do not reach.
     """
 
     name: decoding.Text
@@ -85,6 +87,8 @@
     resigned: decoding.Count = 0
     evidence: int = -1  # unsigned 64 bits if not negative
     era: decoding.Count = 0
+    tunnel_port: decoding.Count = 0
+    unreached: tuple[decoding.Name, ...] = ()
 
 
 class Datagram(
@@ -321,6 +325,10 @@
             if now - peer.last_increase <= timeout
         ]
 
+    def has_ip(self, ip: str) -> bool:
+        """Returns whether a daemon with this IP address was ever heard."""
+        return any(peer.heartbeat.ip == ip for peer in self._peers.values())
+
     def _get_failure_timeout(self) -> datetime.timedelta:
         """Returns the time after which a daemon counts as unresponsive."""
         return (
--- a/arbutuscove/gossip/service.py
+++ b/arbutuscove/gossip/service.py
@@ -218,6 +218,13 @@
         """Returns the heartbeats of the other live daemons."""
         return self._table.list_live(self._clock.monotonic())
 
+    def is_known(self, ip: str) -> bool:
+        """Returns whether an IP address belongs to a daemon, as far as known.
+
+        Daemons that are not live count, too.
+        """
+        return ip in self._known_ips or self._table.has_ip(ip)
+
     def must_defer(self, duty: str) -> bool:
         """Returns whether this daemon must not apply for the duty yet.
 
--- a/arbutuscove/gossip/tests/test_digest.py
+++ b/arbutuscove/gossip/tests/test_digest.py
@@ -341,3 +341,13 @@
     """Guards against a decoder that fails in an unexpected way."""
     with contextlib.suppress(digest.MessageError):
         digest.decode(zlib.compress(data) if compressed else data)
+
+
+def test_heartbeat_of_a_version_without_tunnels_is_read():
+    """Guards against versions that do not hear each other."""
+    new = create_heartbeat(tunnel_port=7340, unreached=("chat",))
+    encoded = msgspec.to_builtins(new)
+    old = msgspec.convert(encoded[:-2], digest.Heartbeat)
+    assert (old.tunnel_port, old.unreached) == (0, ())
+    later = msgspec.convert([*encoded, "more"], digest.Heartbeat)
+    assert later == new
--- /dev/null
+++ b/arbutuscove/paths/connections.py
@@ -0,0 +1,195 @@
+"""Connections to upstreams, directly or through a peer.
+
+While this daemon is cut off from a service, its new connections go through a
+peer that reaches it. A failed connection counts against the upstream only if
+another upstream of the service accepted one meanwhile.
+"""
+
+import datetime
+from collections import abc
+
+import gevent
+
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.paths import errors
+from arbutuscove.paths import monitor as monitor_module
+from arbutuscove.paths import peers
+from arbutuscove.paths import reach
+from arbutuscove.storage import http
+from arbutuscove.transport import connection
+from arbutuscove.transport import pool as pool_module
+
+# A direct connection that takes longer begins a round of trial connections.
+SUSPECT_TIME = datetime.timedelta(milliseconds=100)
+
+
+class UpstreamConnections:
+    """Opens connections to upstreams and keeps idle ones for reuse."""
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        direct: pool_module.ConnectionPool,
+        tunnels: pool_module.ConnectionPool,
+        monitor: monitor_module.ReachMonitor,
+        peer_paths: peers.PeerPaths,
+    ) -> None:
+        """Creates the connections.
+
+        Args:
+            clock: the clock.
+            direct: opens direct connections and holds idle ones.
+            tunnels: holds idle connections through peers.
+            monitor: determines which services this daemon reaches.
+            peer_paths: opens connections through peers.
+        """
+        self._clock = clock
+        self._direct = direct
+        self._tunnels = tunnels
+        self._monitor = monitor
+        self._peer_paths = peer_paths
+
+    def check_out(
+        self,
+        service: str,
+        address: http.Address,
+        timeout: datetime.timedelta = pool_module.CONNECT_TIMEOUT,
+        max_idle_time: datetime.timedelta = pool_module.MAX_IDLE_TIME,
+        deadline: datetime.timedelta | None = None,
+    ) -> connection.Connection:
+        """Returns an idle connection or a new one, on the path that works.
+
+        Args:
+            service: the service of the upstream.
+            address: the address of the upstream.
+            timeout: timeout for a new connection on one path.
+            max_idle_time: longest idle time of a reused connection; zero forces
+                a new one.
+            deadline: monotonic time after which no other path is tried.
+
+        Raises:
+            RefusedError: no process listens on the port.
+            NoPathError: no path to the upstream was found, which may say
+                nothing of the upstream.
+            NotSentError: the upstream accepted no connection.
+        """
+        if not self._monitor.is_cut_off(service):
+            started = self._clock.monotonic()
+            try:
+                return self._check_out_direct(
+                    service, address, timeout, max_idle_time
+                )
+            except http.NotSentError as error:
+                if self._monitor.confirm_reach(service, started):
+                    raise
+                self._monitor.wait_for_path(service, deadline)
+                if not self._monitor.is_cut_off(service):
+                    raise errors.NoPathError(str(error)) from error
+        idle = self._tunnels.find_idle(address, max_idle_time)
+        if idle is not None:
+            return idle
+        now = self._clock.monotonic()
+        if deadline is not None:
+            timeout = min(timeout, deadline - now)
+        if timeout <= datetime.timedelta():
+            raise errors.NoPathError(f"{address}: no time is left")
+        opened = self._peer_paths.open(service, address, timeout)
+        self._monitor.record_contact(service)
+        return opened
+
+    def connect_for_peer(
+        self,
+        service: str,
+        address: http.Address,
+        timeout: datetime.timedelta,
+    ) -> connection.Connection:
+        """Opens a direct connection that a peer will use.
+
+        The peer waits for a short time only, so that a failure is not examined
+        before it is reported.
+
+        Raises:
+            RefusedError: no process listens on the port.
+            NotSentError: no connection was accepted, or this daemon does not
+                know whether its own path has failed.
+        """
+        started = self._clock.monotonic()
+        if self._monitor.get_verdict(service) is not reach.Verdict.REACHED:
+            raise errors.NoPathError(f"{address}: the service is not reached")
+        try:
+            opened = self._direct.open(address, timeout)
+        except http.NotSentError as error:
+            if self._monitor.was_opened(service, started):
+                raise
+            self._monitor.suspect(service, started)
+            raise errors.NoPathError(str(error)) from error
+        self._monitor.record_open(service)
+        return opened
+
+    def confirm_reach(self, service: str, since: datetime.timedelta) -> bool:
+        """Returns whether a direct connection was opened since a time.
+
+        Runs trial connections if that is not known.
+
+        Args:
+            service: the service.
+            since: monotonic time, when an upstream began to fail.
+        """
+        return self._monitor.confirm_reach(service, since)
+
+    def confirm_contact(self, service: str, since: datetime.timedelta) -> bool:
+        """Returns whether a connection was opened since, on any path."""
+        return self._monitor.confirm_contact(service, since)
+
+    def close_idle(self, addresses: abc.Iterable[http.Address]) -> None:
+        """Closes the idle direct connections to some upstreams."""
+        for address in addresses:
+            self._direct.close_idle(address)
+
+    def close_idle_through(self, host: str) -> None:
+        """Closes the idle connections through a peer that leaves."""
+        self._tunnels.close_idle_through(host)
+
+    def check_in(
+        self,
+        used: connection.Connection,
+        keep_alive_timeout: datetime.timedelta | None,
+    ) -> None:
+        """Returns a connection after an exchange, for reuse.
+
+        Args:
+            used: the connection.
+            keep_alive_timeout: the peer's `Keep-Alive` timeout, if it sent one.
+        """
+        pool = self._direct if used.carrier is None else self._tunnels
+        pool.check_in(used, keep_alive_timeout)
+
+    def has_lost_path(self, service: str, used: connection.Connection) -> bool:
+        """Returns whether a connection takes a path known to have failed.
+
+        It may still work: a path may refuse new connections only.
+        """
+        return used.carrier is None and self._monitor.is_cut_off(service)
+
+    def _check_out_direct(
+        self,
+        service: str,
+        address: http.Address,
+        timeout: datetime.timedelta,
+        max_idle_time: datetime.timedelta,
+    ) -> connection.Connection:
+        idle = self._direct.find_idle(address, max_idle_time)
+        if idle is not None:
+            return idle
+        timer = gevent.spawn_later(
+            SUSPECT_TIME.total_seconds(),
+            self._monitor.suspect,
+            service,
+            self._clock.monotonic(),
+        )
+        try:
+            opened = self._direct.open(address, timeout)
+        finally:
+            timer.kill(block=False)
+        self._monitor.record_open(service)
+        return opened
--- /dev/null
+++ b/arbutuscove/paths/peers.py
@@ -0,0 +1,116 @@
+"""Opens connections to upstreams through peers."""
+
+import datetime
+from collections import abc
+
+import eliot
+
+from arbutuscove.kernel import clock as clock_module
+from arbutuscove.paths import carriers as carriers_module
+from arbutuscove.paths import errors
+from arbutuscove.storage import http
+from arbutuscove.transport import connection
+from arbutuscove.transport import tunnel
+
+# A peer that could not carry a connection is asked last for this time.
+AVOID_TIME = datetime.timedelta(seconds=1)
+
+OpenTunnel = abc.Callable[
+    [http.Address, http.Address, datetime.timedelta], connection.Connection
+]
+
+
+class PeerPaths:
+    """Asks peers for connections, in the order of `paths.carriers`."""
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        own_name: str,
+        list_carriers: abc.Callable[[], abc.Iterable[carriers_module.Carrier]],
+        open_tunnel: OpenTunnel = tunnel.open_tunnel,
+    ) -> None:
+        """Creates the paths.
+
+        Args:
+            clock: the clock.
+            own_name: name of this daemon.
+            list_carriers: returns the live peers.
+            open_tunnel: opens a tunnel through a carrier to a target, within a
+                timeout.
+        """
+        self._clock = clock
+        self._own_name = own_name
+        self._list_carriers = list_carriers
+        self._open_tunnel = open_tunnel
+        self._avoided: dict[str, datetime.timedelta] = {}
+        self.opened_count = 0
+
+    def open(
+        self, service: str, target: http.Address, timeout: datetime.timedelta
+    ) -> connection.Connection:
+        """Returns a connection to an upstream through a peer.
+
+        Args:
+            service: the service of the upstream.
+            target: the address of the upstream.
+            timeout: longest time for all peers together.
+
+        Raises:
+            RefusedError: no process listens on the target's port.
+            NotSentError: the target did not accept the peer's connection.
+            NoPathError: no peer carries connections to the service.
+        """
+        deadline = self._clock.monotonic() + timeout
+        failure: http.NotSentError | None = None
+        for carrier in self._rank(service, target):
+            left = deadline - self._clock.monotonic()
+            if left <= datetime.timedelta():
+                break
+            try:
+                opened = self._open_tunnel(
+                    http.Address(carrier.host, carrier.port), target, left
+                )
+            except tunnel.CarrierError as error:
+                self._avoid(carrier, service, error)
+            except http.RefusedError:
+                raise
+            except http.NotSentError as error:
+                # This peer may have lost its own path to the target.
+                self._avoid(carrier, service, error)
+                failure = error
+            else:
+                self.opened_count += 1
+                return opened
+        if failure is not None:
+            raise failure
+        raise errors.NoPathError(f"{target}: no peer reaches it")
+
+    def _rank(
+        self, service: str, target: http.Address
+    ) -> list[carriers_module.Carrier]:
+        now = self._clock.monotonic()
+        self._avoided = {
+            name: until for name, until in self._avoided.items() if now < until
+        }
+        return carriers_module.rank_carriers(
+            self._list_carriers(),
+            self._own_name,
+            service,
+            str(target),
+            self._avoided,
+        )
+
+    def _avoid(
+        self,
+        carrier: carriers_module.Carrier,
+        service: str,
+        error: http.NotSentError,
+    ) -> None:
+        self._avoided[carrier.name] = self._clock.monotonic() + AVOID_TIME
+        eliot.log_message(
+            "paths:peer_failed",
+            peer=carrier.name,
+            service=service,
+            reason=str(error),
+        )
--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -29,6 +29,10 @@
 from arbutuscove.leases import holder as lease_holder
 from arbutuscove.leases import lease
 from arbutuscove.observe import metrics as metrics_module
+from arbutuscove.paths import carriers
+from arbutuscove.paths import connections as path_connections
+from arbutuscove.paths import monitor as path_monitor
+from arbutuscove.paths import peers as peer_paths
 from arbutuscove.platform import engine
 from arbutuscove.platform import followers
 from arbutuscove.platform import listener as listener_module
@@ -43,14 +47,22 @@
 from arbutuscove.relay import model as relay_model
 from arbutuscove.relay import placement
 from arbutuscove.relay import waiting
+from arbutuscove.storage import http
+from arbutuscove.transport import connection
 from arbutuscove.transport import pool
+from arbutuscove.transport import tunnel
 
 REGISTRY_SERVICE = "registry"
 DRAIN_ANNOUNCER_SERVICE = "leaving"
+TUNNEL_POOL_SERVICE = "tunnel-connections"
 # With at least this number of daemons in their failure domain, callers get no
 # addresses in other domains.
 MIN_NEAR_DAEMONS = 4
 MAX_LOADS_AGE = datetime.timedelta(milliseconds=100)
+# A carried connection takes two file descriptors; the others serve callers.
+DESCRIPTORS_PER_TUNNEL = 8
+# A daemon whose loop is later than this carries no further connections.
+MAX_CARRIER_LAG = datetime.timedelta(milliseconds=100)
 DAEMON_PREFIX = "daemon/"
 MAX_REGISTRATION_BYTES = 4096  # a row with the address of one daemon
 # Upstreams check fencing tokens, so a new holder need not wait until the orders
@@ -169,6 +181,9 @@
         self._identity = f"{settings.name}.{self._process_start_us}"
         self._peer_loads = placement.PeerLoads(running={}, daemons=0)
         self._peer_loads_read_at: datetime.timedelta | None = None
+        # The service of each listed VM by its address, at one revision.
+        self._services: dict[http.Address, str] = {}
+        self._service_revision = -1
         self._generator = random.Random(self._identity)
         self._metrics = metrics_module.Metrics()
         self._lag = loop.LagMonitor(self._clock)
@@ -182,8 +197,27 @@
         self._caller_address = (
             "" if not settings.caller_address else str(settings.caller_address)
         )
-        self._orders = engine.HttpOrderClient(self._connections, self._clock)
         self._gossip = self._build_gossip()
+        self._tunnels = pool.ConnectionPool(self._clock)
+        self._peer_paths = peer_paths.PeerPaths(
+            self._clock, settings.name, self._list_carriers
+        )
+        self._paths = path_monitor.ReachMonitor(
+            self._clock,
+            self._list_service_vms,
+            self._peer_paths.open,
+            self._generator,
+        )
+        self._paths.add_change_handler(self._apply_verdict)
+        self._upstreams = path_connections.UpstreamConnections(
+            self._clock,
+            self._connections,
+            self._tunnels,
+            self._paths,
+            self._peer_paths,
+        )
+        self._orders = engine.HttpOrderClient(self._upstreams, self._clock)
+        self._tunnel_server = self._build_tunnel_server()
         self._verdicts = verdicts.VerdictKeeper(
             platform_table.StoreTable(self._store),
             self._clock,
@@ -264,6 +298,9 @@
             (loop.SERVICE_NAME, self._lag),
             (metrics_module.SERVICE_NAME, self._metrics),
             (pool.SERVICE_NAME, self._connections),
+            (TUNNEL_POOL_SERVICE, self._tunnels),
+            (path_monitor.SERVICE_NAME, self._paths),
+            (tunnel.SERVICE_NAME, self._tunnel_server),
             (followers.CONFIGURATION_SERVICE, configuration),
             (followers.SERVERS_SERVICE, servers),
             (gossip_service.SERVICE_NAME, self._gossip),
@@ -295,6 +332,7 @@
             ready=False,
             leaving=False,
             capacity=settings.cpu_millicores,
+            tunnel_port=settings.tunnel_port,
         )
         return gossip_service.Gossip(
             own,
@@ -307,6 +345,65 @@
             self._record_not_stalled,
         )
 
+    def _build_tunnel_server(self) -> tunnel.TunnelServer:
+        settings = self._settings
+        return tunnel.TunnelServer(
+            http.Address(settings.ip, settings.tunnel_port),
+            self._gossip.is_known,
+            lambda address: self._find_service(address) is not None,
+            self._may_carry,
+            settings.max_descriptors // DESCRIPTORS_PER_TUNNEL,
+            self._connect_for_peer,
+        )
+
+    def _may_carry(self) -> bool:
+        lag = self._lag.get_sustained_lag()
+        return lag < MAX_CARRIER_LAG and not self._listener.is_draining()
+
+    def _connect_for_peer(
+        self, address: http.Address, timeout: datetime.timedelta
+    ) -> connection.Connection:
+        service = self._find_service(address)
+        if service is None:
+            raise http.NotSentError(f"{address}: not listed")
+        return self._upstreams.connect_for_peer(service, address, timeout)
+
+    def _find_service(self, address: http.Address) -> str | None:
+        """Returns the service of a listed VM by its address."""
+        if self._service_revision != self._inventory.revision:
+            self._service_revision = self._inventory.revision
+            self._services = {
+                vm.address: vm.service for vm in self._inventory.list_vms()
+            }
+        return self._services.get(address)
+
+    def _list_service_vms(self, service: str) -> list[fleet_model.Vm]:
+        return [
+            vm
+            for vm in self._inventory.list_vms()
+            if vm.service == service and not vm.leaving
+        ]
+
+    def _list_carriers(self) -> list[carriers.Carrier]:
+        return [
+            carriers.Carrier(
+                name=heartbeat.name,
+                host=heartbeat.ip,
+                port=heartbeat.tunnel_port,
+                capacity=heartbeat.capacity,
+                unreached=frozenset(heartbeat.unreached),
+                is_leaving=heartbeat.leaving,
+            )
+            for heartbeat in self._gossip.get_live()
+        ]
+
+    def _apply_verdict(self, service: str) -> None:
+        """Tells the peers, and drops connections that may have been lost."""
+        self._upstreams.close_idle(
+            vm.address for vm in self._list_service_vms(service)
+        )
+        self._gossip.broadcast()
+
     def _build_flow(self) -> flow_module.Flow:
         bounds = self._settings.bounds
         context = attempt.AttemptContext(
@@ -314,7 +411,7 @@
             self._catalog,
             self._dispatcher,
             self._states,
-            self._connections,
+            self._upstreams,
             upstreams.HttpCodec(),
             self._gossip.broadcast,
             self._probe_members,
@@ -378,11 +475,15 @@
             slow=tuple(
                 self._states.list_locally_slow()[: digest.MAX_REPORTED_GROUPS]
             ),
+            unreached=self._paths.list_unreached(),
         )
 
     def _observe_peer(self, heartbeat: digest.Heartbeat) -> None:
         self._store.observe_era(heartbeat.era, heartbeat.name)
         self._store.observe_peer(heartbeat.name, heartbeat.store_ok)
+        if heartbeat.leaving:
+            # It waits for the connections that it carries.
+            self._upstreams.close_idle_through(heartbeat.ip)
 
     def _is_ready(self) -> bool:
         return (
--- a/arbutuscove/platform/engine.py
+++ b/arbutuscove/platform/engine.py
@@ -12,6 +12,7 @@
 from arbutuscove.fleet import orders
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import decoding
+from arbutuscove.paths import connections as connections_module
 from arbutuscove.platform import entries
 from arbutuscove.platform import headers
 from arbutuscove.storage import http
@@ -41,7 +42,9 @@
     """Sends orders and status requests to model servers over HTTP."""
 
     def __init__(
-        self, connections: pool.ConnectionPool, clock: clock_module.Clock
+        self,
+        connections: connections_module.UpstreamConnections,
+        clock: clock_module.Clock,
     ) -> None:
         self._connections = connections
         self._clock = clock
@@ -140,7 +143,7 @@
         if body:
             fields.append(("Content-Type", "application/json"))
         client_connection = self._connections.check_out(
-            vm.address, timeout, max_idle_time
+            vm.service, vm.address, timeout, max_idle_time, deadline
         )
         try:
             data = connection.encode_request(method, target, fields, body)
--- a/arbutuscove/platform/settings.py
+++ b/arbutuscove/platform/settings.py
@@ -53,9 +53,10 @@
     `ready_address` and `directory_address` are the addresses on which the
     daemon listens for callers, readiness checks and address look-ups; an
     address is None if the daemon does not serve that part. `gossip_port` is the
-    UDP port for gossip, the same on all VMs. `max_descriptors` bounds the
-    open file descriptors. `cpu_millicores` is the processor time of the VM in
-    thousandths of a core.
+    UDP port for gossip and `tunnel_port` the TCP port on which connections of
+    other daemons are carried, both the same on all VMs. `max_descriptors`
+    bounds the open file descriptors. `cpu_millicores` is the processor time of
+    the VM in thousandths of a core.
     """
 
     name: str
@@ -68,6 +69,7 @@
     directory_address: http.Address | None
     gossip_port: int
     metrics_port: int
+    tunnel_port: int
     store_address: http.Address
     heartbeat_interval: datetime.timedelta
     max_descriptors: int
@@ -128,6 +130,8 @@
         directory_address=_parse_address(listen, "directory"),
         gossip_port=int(first_port),
         metrics_port=int(first_port) + 1,
+        # UDP and TCP ports have the same numbers.
+        tunnel_port=int(first_port),
         store_address=http.Address.parse(fields["platform"]["address"]),
         heartbeat_interval=_convert_milliseconds(fields["heartbeat_ms"]),
         max_descriptors=int(fields["limits"]["max_fds"]),
--- a/arbutuscove/platform/tests/test_orders.py
+++ b/arbutuscove/platform/tests/test_orders.py
@@ -7,6 +7,7 @@
 from arbutuscove.fleet import orders
 from arbutuscove.fleet.tests import test_planner
 from arbutuscove.kernel import clock as clock_module
+from arbutuscove.paths.tests import doubles
 from arbutuscove.platform import engine
 from arbutuscove.storage import http
 from arbutuscove.transport import pool
@@ -67,7 +68,9 @@
     upstream = CopyingVm(status)
     clock = clock_module.SystemClock()
     connections = pool.ConnectionPool(clock)
-    client = engine.HttpOrderClient(connections, clock)
+    client = engine.HttpOrderClient(
+        doubles.build_connections(clock, connections), clock
+    )
     vm = test_planner.create_vm("vm", address=upstream.address)
     try:
         assert client.read_status(vm).accepted == 3
@@ -83,7 +86,9 @@
     upstream = CopyingVm(202)
     clock = clock_module.SystemClock()
     connections = pool.ConnectionPool(clock)
-    client = engine.HttpOrderClient(connections, clock)
+    client = engine.HttpOrderClient(
+        doubles.build_connections(clock, connections), clock
+    )
     vm = test_planner.create_vm("vm", address=upstream.address)
     try:
         leave = orders.Leave(vm=vm, group="g", epoch=1)
--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -20,6 +20,8 @@
 from arbutuscove.crashes import tracker
 from arbutuscove.fleet import model as fleet_model
 from arbutuscove.kernel import clock as clock_module
+from arbutuscove.paths import connections as connections_module
+from arbutuscove.paths import errors as path_errors
 from arbutuscove.relay import backends as backends_module
 from arbutuscove.relay import model
 from arbutuscove.relay import occupancy
@@ -56,6 +58,8 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Pause between two probes of a group that was marked as a member was silent.
 STALL_RECHECK_INTERVAL = datetime.timedelta(milliseconds=500)
+# Silence on a direct connection while this daemon is cut off from the service.
+LOST_PATH_TIMEOUT = datetime.timedelta(milliseconds=300)
 # How often a waiting attempt checks whether its backend is stalled.
 STALL_CHECK_INTERVAL = datetime.timedelta(milliseconds=150)
 
@@ -168,7 +172,7 @@
         catalog: catalog_holder.CatalogHolder,
         request_dispatcher: waiting.RequestDispatcher,
         states: backends_module.BackendStates,
-        connections: pool_module.ConnectionPool,
+        connections: connections_module.UpstreamConnections,
         codec: Codec,
         notify_peers: abc.Callable[[], None],
         probe_members: abc.Callable[[model.Backend], list[str]],
@@ -354,10 +358,14 @@
             max_idle_time = pool_module.NEVER_IDLE
         try:
             upstream = context.connections.check_out(
+                self._service,
                 self.backend.vm.address,
                 min(CONNECT_TIMEOUT, left),
                 max_idle_time,
+                request.deadline,
             )
+        except path_errors.NoPathError as error:
+            raise UnsentError(str(error)) from error
         except http.NotSentError as error:
             context.states.record_failure(self.backend.key)
             raise UnsentError(str(error)) from error
@@ -603,7 +611,19 @@
                 raise AttemptLostError("requests like it crash upstreams")
             # Checked even while bytes arrive, as they may belong to no event.
             waited = self._read_wait
-            stalled = context.states.is_stalled(key) or waited >= stall_timeout
+            has_lost_path = (
+                waited >= LOST_PATH_TIMEOUT
+                and context.connections.has_lost_path(
+                    self._service, self._connection
+                )
+            )
+            if has_lost_path and self._may_leave_path():
+                raise http.NoResponseError(f"{key[0]}: the path was lost")
+            stalled = (
+                context.states.is_stalled(key)
+                or waited >= stall_timeout
+                or has_lost_path
+            )
             if stalled and waited >= STALL_CHECK_INTERVAL and is_replaced():
                 raise StalledError(f"{key[0]} moves nothing")
             try:
@@ -617,6 +637,14 @@
                 passed = context.clock.monotonic() - now
                 self._read_wait += min(passed, 2 * STALL_CHECK_INTERVAL)
 
+    def _may_leave_path(self) -> bool:
+        """Returns whether the request may be sent again on another path.
+
+        Streams go on until another attempt has replaced them.
+        """
+        repeat = self._request.route.repeat
+        return repeat.is_idempotent and not repeat.is_streamed
+
     def _compute_pause_ratio(self, pause: datetime.timedelta) -> float | None:
         """Returns a pause between two events divided by the expected one."""
         assert self.backend is not None
--- a/arbutuscove/relay/tests/test_crashing_part.py
+++ b/arbutuscove/relay/tests/test_crashing_part.py
@@ -15,6 +15,7 @@
 from arbutuscove.fleet import inventory as inventory_module
 from arbutuscove.fleet.tests import test_planner
 from arbutuscove.kernel import clock as clock_module
+from arbutuscove.paths.tests import doubles
 from arbutuscove.platform import upstreams
 from arbutuscove.relay import attempt
 from arbutuscove.relay import backends
@@ -77,7 +78,9 @@
             catalog,
             self.dispatcher,
             states,
-            self.pool,
+            doubles.build_connections(
+                clock, self.pool, lambda service: list(inventory.list_vms())
+            ),
             upstreams.HttpCodec(),
             lambda: None,
             lambda backend: [],
--- a/arbutuscove/transport/pool.py
+++ b/arbutuscove/transport/pool.py
@@ -55,6 +55,18 @@
         Raises:
             NotSentError: a new connection could not be opened.
         """
+        idle = self.find_idle(address, max_idle_time)
+        return self.open(address, timeout) if idle is None else idle
+
+    def find_idle(
+        self, address: http.Address, max_idle_time: datetime.timedelta
+    ) -> connection.Connection | None:
+        """Returns an idle connection, None if there is none.
+
+        Args:
+            address: the address of the peer.
+            max_idle_time: longest idle time; zero finds none.
+        """
         now = self._clock.monotonic()
         idle = self._idle.get(address, [])
         while idle and max_idle_time > connection.ZERO:
@@ -64,6 +76,16 @@
             if idle_time <= limit and candidate.is_still_idle():
                 return candidate
             candidate.close()
+        return None
+
+    def open(
+        self, address: http.Address, timeout: datetime.timedelta
+    ) -> connection.Connection:
+        """Opens a new connection.
+
+        Raises:
+            NotSentError: it could not be opened.
+        """
         self.opened_count += 1
         return connection.connect(address, timeout)
 
@@ -96,6 +118,18 @@
         for idle_connection in self._idle.pop(address, []):
             idle_connection.close()
 
+    def close_idle_through(self, carrier_host: str) -> None:
+        """Closes all idle connections that a daemon carries."""
+        for address, idle in list(self._idle.items()):
+            kept = []
+            for idle_connection in idle:
+                carrier = idle_connection.carrier
+                if carrier is not None and carrier.host == carrier_host:
+                    idle_connection.close()
+                else:
+                    kept.append(idle_connection)
+            self._idle[address] = kept
+
     def stop(self) -> None:
         """Closes all idle connections."""
         super().stop()
--- a/arbutuscove/transport/tunnel.py
+++ b/arbutuscove/transport/tunnel.py
@@ -32,6 +32,7 @@
 from arbutuscove.transport import connection
 from arbutuscove.transport import frames
 
+SERVICE_NAME = "tunnels"
 MAX_HANDSHAKE_BYTES = 512  # of a line, with its end
 HANDSHAKE_TIMEOUT = datetime.timedelta(milliseconds=500)
 # Connections without a tunnel: in their handshake, or just refused.
