Report no group as stalled while the own path may have failed

A daemon that was cut off reported all groups it used as stalled, and every other daemon marked them, too: with few requests or a slow model the groups stood unused for up to 7 s.

Cause: members that do not answer a probe, or long silence, counted against the group without a check of the path.

Ruled out: rejecting reports of daemons whose heartbeat says that they are cut off. The reports come before the verdict.

Change: unanswered probes count only if a connection to another upstream of the service was opened since the probe began, on any path, and silence only if a direct one was.

--- a/arbutuscove/paths/tests/doubles.py
+++ b/arbutuscove/paths/tests/doubles.py
@@ -21,3 +21,13 @@
         reach_monitor,
         peer_paths,
     )
+
+
+class SoundPath:
+    """Stands for connections of a daemon whose path is known to be sound."""
+
+    def confirm_reach(self, service, since):
+        return True
+
+    def confirm_contact(self, service, since):
+        return True
--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -232,6 +232,7 @@
         self.clock.sleep(PROBE_JITTER * self._generator.random())
         if self.states.is_stalled(key) or not self.states.is_silent(key):
             return
+        started_at = self.clock.monotonic()
         unresponsive = self._probe_members(backend)
         if not self.states.is_silent(key):
             return
@@ -243,12 +244,29 @@
             reason = "silence"
         else:
             return
+        if not self._is_path_sound(service, started_at, bool(unresponsive)):
+            return
         if not self.states.mark_stalled(key, reason):
             return
         self._notify_peers()
         if unresponsive:
             self._recheck_stall(service, backend, reason)
 
+    def _is_path_sound(
+        self, service: str, since: datetime.timedelta, has_probed: bool
+    ) -> bool:
+        """Returns whether silence is one of the group and not of the path.
+
+        Args:
+            service: the service of the group.
+            since: monotonic time of the begin of the probe.
+            has_probed: whether members were silent to the probe, which takes
+                the path in use now; else requests that began before were.
+        """
+        if has_probed:
+            return self.connections.confirm_contact(service, since)
+        return self.connections.confirm_reach(service, since)
+
     def _recheck_stall(
         self, service: str, backend: model.Backend, reason: str
     ) -> None:
--- a/arbutuscove/relay/tests/test_cut_off.py
+++ b/arbutuscove/relay/tests/test_cut_off.py
@@ -5,11 +5,16 @@
 import gevent
 import pytest
 
+from arbutuscove.catalog import holder as catalog_holder
 from arbutuscove.catalog import model as catalog_model
+from arbutuscove.fleet.tests import test_planner
+from arbutuscove.kernel import clock as clock_module
 from arbutuscove.paths import carriers
 from arbutuscove.paths import connections as connections_module
 from arbutuscove.paths import monitor as monitor_module
 from arbutuscove.paths import peers
+from arbutuscove.relay import attempt
+from arbutuscove.relay import backends
 from arbutuscove.relay import model
 from arbutuscove.relay.tests import test_troubled
 from arbutuscove.standins import faulty_upstream
@@ -218,3 +223,47 @@
     for number in range(3):
         scene.serve(catalog_model.Repeat.SAFE, f"r{number}")
     assert scene.carrier.opened == carried
+
+
+@pytest.mark.parametrize("members", [["m"], []])
+def test_group_is_not_stalled_because_the_path_has_failed(members):
+    """Guards against sound groups that a cut-off daemon reports as stalled.
+
+    All daemons believe such a report. The members do not answer a probe, or
+    do and the group has been silent for long.
+    """
+    clock = clock_module.SystemClock()
+    states = backends.BackendStates(clock)
+    vm = test_planner.create_vm("head")
+    key = test_troubled.KEY
+    backend = model.Backend(key=key, vm=vm, model="chat", slots=9)
+    direct = CutPool(clock)
+    direct.cut("reset")
+    peer_paths = peers.PeerPaths(clock, "own", list)
+    monitor = monitor_module.ReachMonitor(
+        clock,
+        lambda service: [vm],
+        peer_paths.open,
+        random.Random(1),
+        direct.open,
+    )
+    context = attempt.AttemptContext(
+        clock,
+        catalog_holder.CatalogHolder(),
+        None,
+        states,
+        connections_module.UpstreamConnections(
+            clock, direct, direct, monitor, peer_paths
+        ),
+        None,
+        lambda: None,
+        lambda _: members,
+        random.Random(1),
+        test_troubled.create_tracker(clock),
+    )
+    states.begin_request(key)
+    states.begin_answer(key)
+    states[key].last_progress = clock.monotonic() - 3 * test_troubled.SECOND
+    context.probe("models", backend)
+    gevent.sleep(2 * attempt.PROBE_JITTER.total_seconds())
+    assert not states.is_stalled(key)
--- a/arbutuscove/relay/tests/test_silence.py
+++ b/arbutuscove/relay/tests/test_silence.py
@@ -9,6 +9,7 @@
 from arbutuscove.catalog import model as catalog_model
 from arbutuscove.fleet.tests import test_planner
 from arbutuscove.kernel import clock as clock_module
+from arbutuscove.paths.tests import doubles
 from arbutuscove.relay import attempt
 from arbutuscove.relay import backends
 from arbutuscove.relay import budget
@@ -148,7 +149,7 @@
         catalog_holder.CatalogHolder(),
         Dispatcher(create_backend(listed_members)),
         states,
-        None,
+        doubles.SoundPath(),
         None,
         lambda: notified.append(states.is_stalled(key)),
         probe_members,
--- a/arbutuscove/relay/tests/test_troubled.py
+++ b/arbutuscove/relay/tests/test_troubled.py
@@ -372,7 +372,7 @@
             catalog_holder.CatalogHolder(),
             None,
             states,
-            None,
+            doubles.SoundPath(),
             None,
             notify_peers,
             probe_members,
