End no group while its controller reaches no VM of the service

The daemon that holds the duty of the groups may be cut off itself. Groups reported as stalled were then ordered to leave, and the members of a head that left the list reused, although the VMs served other daemons.

Cause: silence of the members at this one daemon counted as silence of the VMs.

Ruled out: passing the duty on at once. Orders and probes go through a peer while one reaches the VMs; if none does, another holder would see the same.

Change: a check counts only if this daemon has opened a connection to some VM of the service since the check began, on any path. Otherwise silences and marks of unresponsive VMs of that check are dropped (groups:no_contact).

--- a/arbutuscove/fleet/controller.py
+++ b/arbutuscove/fleet/controller.py
@@ -78,13 +78,30 @@
         leases: lease_holder.LeaseHolder,
         order_client: orders_module.OrderClient,
         list_stalled_groups: abc.Callable[[], frozenset[tuple[str, int]]],
+        confirm_contact: abc.Callable[
+            [str, datetime.timedelta], bool
+        ] = lambda service, since: True,
     ) -> None:
+        """Creates a controller.
+
+        Args:
+            clock: the clock.
+            catalog: the configuration in force.
+            inventory: the listed VMs.
+            leases: the leases of this daemon.
+            order_client: sends orders and reads the status of VMs.
+            list_stalled_groups: returns the groups reported as stalled.
+            confirm_contact: returns whether this daemon has opened a connection
+                to a VM of a service since a monotonic time. Without one, the
+                silence of a VM shows nothing.
+        """
         self._clock = clock
         self._catalog = catalog
         self._inventory = inventory
         self._leases = leases
         self._order_client = order_client
         self._list_stalled_groups = list_stalled_groups
+        self._confirm_contact = confirm_contact
         self._planner_states: dict[str, state.PlannerState] = {}
         self._fence = -1
         self._next_epoch = 0
@@ -401,7 +418,9 @@
         since = self._first_seen.setdefault(group.key, now)
         head = group.head
         if head is None:
-            if self._may_release(group, since, now, fence):
+            if self._may_release(
+                group, since, now, fence
+            ) and self._confirm_contact(service, now):
                 self._mark_released(service, group.key)
             return
         answers = self._ask_members(group)
@@ -416,6 +435,12 @@
             return
         if head.membership is None:
             return
+        if not self._confirm_contact(service, now):
+            for name in answers:
+                self._unresponsive.pop(name, None)
+            self._silences.pop(group.key, None)
+            eliot.log_message("groups:no_contact", group=group.name)
+            return
         is_silent = self._is_silent_for_long(group.key, answers, now)
         if _Answer.DENIED not in answers.values() and not is_silent:
             return
--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -252,6 +252,7 @@
             self._leases,
             self._orders,
             self._list_stalled_groups,
+            self._upstreams.confirm_contact,
         )
         if not settings.is_first_start:
             # Callers may have sent requests before this process started.
