Send callers and duties to daemons that reach all services

Callers were still sent to entry VMs that had lost their links to the servers, where each request costs a peer, and such a daemon could take the duty of the groups.

Change: /resolve leaves out daemons whose heartbeat names a service that they do not reach, unless fewer than half of the daemons would remain: these could not serve the callers of all. Such daemons apply for the duty last. Readiness is not changed, so that callers that hold an address are served.

--- a/arbutuscove/gossip/digest.py
+++ b/arbutuscove/gossip/digest.py
@@ -404,15 +404,32 @@
     return [ip for _, _, ip in best.values()]
 
 
+def select_reaching(heartbeats: abc.Sequence[Heartbeat]) -> list[Heartbeat]:
+    """Returns the daemons to which callers should connect.
+
+    Those that do not reach a service themselves are left out, unless fewer than
+    half would remain, which could not serve the callers of all.
+    """
+    reaching = [
+        heartbeat for heartbeat in heartbeats if not heartbeat.unreached
+    ]
+    is_enough = 2 * len(reaching) >= len(heartbeats)
+    return reaching if is_enough else list(heartbeats)
+
+
 def rank_for_duty(own: Heartbeat, live: abc.Iterable[Heartbeat]) -> int:
     """Returns how many live daemons precede this one as candidates for a duty.
 
-    Larger VMs precede smaller ones. Among equal ones the last by name comes
-    first, as the first by name reads the list of VMs.
+    Daemons that reach all services precede others, and larger VMs smaller ones.
+    Among equal ones the last by name comes first, as the first by name reads
+    the list of VMs.
     """
-    rank = (own.capacity, own.name)
+
+    def rank(heartbeat: Heartbeat) -> tuple[bool, int, str]:
+        return (not heartbeat.unreached, heartbeat.capacity, heartbeat.name)
+
     return sum(
-        (heartbeat.capacity, heartbeat.name) > rank
+        rank(heartbeat) > rank(own)
         for heartbeat in live
         if not heartbeat.leaving
     )
--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -552,6 +552,7 @@
         ]
         if self._is_ready() and self._caller_address:
             heartbeats.append(self._gossip.get_own())
+        heartbeats = digest.select_reaching(heartbeats)
         near = [
             heartbeat
             for heartbeat in heartbeats
