--- a/arbutuscove/fleet/controller.py
+++ b/arbutuscove/fleet/controller.py
@@ -444,6 +444,12 @@
         is_silent = self._is_silent_for_long(group.key, answers, now)
         if _Answer.DENIED not in answers.values() and not is_silent:
             return
+        self._end_group(service, group, head, fence)
+
+    def _end_group(
+        self, service: str, group: model.Group, head: model.Vm, fence: int
+    ) -> None:
+        """Orders a head to leave and releases the members once it has."""
         leave = orders_module.Leave(
             vm=head, group=group.name, epoch=group.epoch
         )
