Send upstreams the time that is left once a connection is open

Upstreams were given up to a second more than the caller had left: the deadline that is sent was computed before the connection was opened, and the search for a path may take that long.

Change: the time left is computed after the connection is open; a request without time left is not sent.

--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -388,6 +388,10 @@
             context.states.record_failure(self.backend.key)
             raise UnsentError(str(error)) from error
         self._connection = upstream
+        # Opening a connection may have taken a part of the time.
+        left = request.deadline - context.clock.monotonic()
+        if left <= MIN_TIME_LEFT:
+            raise NotRunError("no time is left")
         try:
             upstream.send(
                 request.method,
--- a/arbutuscove/relay/tests/test_cut_off.py
+++ b/arbutuscove/relay/tests/test_cut_off.py
@@ -13,6 +13,7 @@
 from arbutuscove.paths import connections as connections_module
 from arbutuscove.paths import monitor as monitor_module
 from arbutuscove.paths import peers
+from arbutuscove.platform import upstreams
 from arbutuscove.relay import attempt
 from arbutuscove.relay import backends
 from arbutuscove.relay import model
@@ -63,6 +64,7 @@
     def __init__(self, clock):
         super().__init__(clock)
         self.mode = ""
+        self.opened_by_requests = 0
         self._opened = []
 
     def cut(self, mode):
@@ -72,6 +74,10 @@
             opened._socket = CutSocket(mode)
 
     def open(self, address, timeout):
+        self.opened_by_requests += 1
+        return self.open_for_trial(address, timeout)
+
+    def open_for_trial(self, address, timeout):
         match self.mode:
             case "":
                 self._opened.append(super().open(address, timeout))
@@ -113,7 +119,7 @@
             lambda service: list(self.inventory.list_vms()),
             peer_paths.open,
             random.Random(1),
-            self.direct.open,
+            self.direct.open_for_trial,
         )
         self.monitor.start(None)
         self._shared.connections = connections_module.UpstreamConnections(
@@ -208,6 +214,29 @@
     assert scene.monitor.get_verdict("models") is monitor_module.UNREACHED
 
 
+class RecordingCodec(upstreams.HttpCodec):
+    """Records by how much the deadline that is sent exceeds the request's."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.excess = []
+
+    def encode(self, request, backend, left, last_event):
+        self.excess.append(self._clock.monotonic() + left - request.deadline)
+        return super().encode(request, backend, left, last_event)
+
+
+@MODES
+def test_upstream_is_not_given_the_time_of_the_search(build, mode):
+    """Guards against upstreams that work on after the caller's deadline."""
+    scene = build(faulty_upstream.answer_completely)
+    codec = scene._shared.codec = RecordingCodec(scene.clock)
+    scene.direct.cut(mode)
+    scene.serve(catalog_model.Repeat.ONCE)
+    (excess,) = codec.excess
+    assert excess < attempt.MIN_TIME_LEFT
+
+
 def test_requests_take_the_direct_path_after_the_cut(build):
     """Guards against peers that carry connections for ever."""
     scene = build(faulty_upstream.answer_completely)
