Refuse a request at once when no path leads to its service

A request that found no path, after a search, went on to up to three other upstreams of the service, each with its own time-out: a refusal that was certain came more than a second late.

Change: an attempt without any path ends the request (NoPathError). If the search finds that another upstream accepts connections, the failure counts against the first one, and the request goes on elsewhere.

--- a/arbutuscove/paths/connections.py
+++ b/arbutuscove/paths/connections.py
@@ -83,8 +83,13 @@
                 if self._monitor.confirm_reach(service, started):
                     raise
                 self._monitor.wait_for_path(service, deadline)
-                if not self._monitor.is_cut_off(service):
-                    raise errors.NoPathError(str(error)) from error
+                match self._monitor.get_verdict(service):
+                    case reach.Verdict.REACHED:
+                        raise
+                    case reach.Verdict.UNREACHED:
+                        raise errors.NoPathError(str(error)) from error
+                    case reach.Verdict.CUT_OFF:
+                        pass
         idle = self._tunnels.find_idle(address, max_idle_time)
         if idle is not None:
             return idle
--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -82,6 +82,10 @@
     """
 
 
+class NoPathError(UnsentError):
+    """No path leads to the service, after a search; no upstream was reached."""
+
+
 class QuarantinedError(NotRunError):
     """The request did not run, since requests like it crash upstreams."""
 
@@ -383,7 +387,7 @@
                 request.deadline,
             )
         except path_errors.NoPathError as error:
-            raise UnsentError(str(error)) from error
+            raise NoPathError(str(error)) from error
         except http.NotSentError as error:
             context.states.record_failure(self.backend.key)
             raise UnsentError(str(error)) from error
--- a/arbutuscove/relay/flow.py
+++ b/arbutuscove/relay/flow.py
@@ -184,6 +184,8 @@
         Acquires a retry from the budget if an upstream received the request.
         """
         match error:
+            case attempt_module.NoPathError():
+                return False
             case attempt_module.UnsentError():
                 return self.may_try_elsewhere(request, unsent_count)
             case _:
--- a/arbutuscove/relay/streams.py
+++ b/arbutuscove/relay/streams.py
@@ -180,6 +180,8 @@
                     self._excluded |= {attempt.backend.key}
                 self._attempts_begun -= 1
                 self._unsent_count += 1
+                if isinstance(error, attempt_module.NoPathError):
+                    return False
                 return self._policy.may_try_elsewhere(
                     self._request, self._unsent_count
                 )
--- a/arbutuscove/relay/tests/test_cut_off.py
+++ b/arbutuscove/relay/tests/test_cut_off.py
@@ -214,6 +214,18 @@
     assert scene.monitor.get_verdict("models") is monitor_module.UNREACHED
 
 
+@MODES
+def test_request_without_any_path_is_refused_at_once(build, mode):
+    """Guards against connections to each upstream although no path is left."""
+    scene = build(faulty_upstream.answer_completely, False)
+    scene.direct.cut(mode)
+    for _ in range(2):
+        before = scene.direct.opened_by_requests
+        with pytest.raises(model.RefusedError):
+            scene.serve(catalog_model.Repeat.SAFE)
+        assert scene.direct.opened_by_requests == before + 1
+
+
 class RecordingCodec(upstreams.HttpCodec):
     """Records by how much the deadline that is sent exceeds the request's."""
 
