Let a broken stream wait for a path to another upstream

A stream whose connection was lost ended when no upstream accepted a connection at that moment, though one did a second later.

Cause: a resumption that got no slot was tried again for two seconds, one that found no upstream was not.

Change: both are tried again. A resumption that was not sent excludes no backend and gives its retry back.

Measured: relay/tests/test_cut_off.py::test_stream_waits_for_a_path failed before and passes now; test_cut_off 31 passed.

--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -306,6 +306,7 @@
         self._started_at = context.clock.monotonic()
         self._connection: connection.Connection | None = None
         self._is_released = False
+        self._was_sent = False
         self._has_answer_begun = False
         self._is_resumed = False
         self._head_at: datetime.timedelta | None = None
@@ -396,6 +397,7 @@
         left = request.deadline - context.clock.monotonic()
         if left <= MIN_TIME_LEFT:
             raise NotRunError("no time is left")
+        self._was_sent = True
         try:
             upstream.send(
                 request.method,
@@ -406,6 +408,10 @@
             raise self._record_loss(error) from error
         return self._check_reply(self.reply)
 
+    def was_sent(self) -> bool:
+        """Returns whether any byte of the request may have left."""
+        return self._was_sent
+
     def read_body(self) -> bytes:
         """Returns the whole body, or its beginning if it is long.
 
--- a/arbutuscove/relay/streams.py
+++ b/arbutuscove/relay/streams.py
@@ -20,7 +20,7 @@
 # Pause between two replacements of one silent attempt, of which the first got
 # no slot.
 REPLACEMENT_INTERVAL = datetime.timedelta(milliseconds=500)
-# A broken stream whose next attempt gets no slot asks again for this long.
+# A broken stream whose next attempt is not sent tries again for this long.
 # Callers give a silent stream up after two seconds at the earliest, and may
 # resume it at another daemon.
 MAX_RESUME_WAIT = datetime.timedelta(seconds=2)
@@ -176,12 +176,12 @@
         """Returns whether another attempt may follow one that did not run."""
         match error:
             case attempt_module.UnsentError():
-                if attempt.backend is not None:
-                    self._excluded |= {attempt.backend.key}
                 self._attempts_begun -= 1
                 self._unsent_count += 1
                 if isinstance(error, attempt_module.NoPathError):
                     return False
+                if attempt.backend is not None:
+                    self._excluded |= {attempt.backend.key}
                 return self._policy.may_try_elsewhere(
                     self._request, self._unsent_count
                 )
@@ -339,7 +339,7 @@
         Returns:
             Whether another attempt may follow; its retry is then acquired.
         """
-        if attempt.backend is not None:
+        if attempt.backend is not None and attempt.was_sent():
             self._excluded |= {attempt.backend.key}
         if not self._may_begin_attempt():
             return False
@@ -441,7 +441,7 @@
             try:
                 reply = self._open()
             except model.RefusedError as refused:
-                if not self._wait_without_slot(end):
+                if not self._wait_unsent(end):
                     raise broken from refused
                 continue
             if self._is_usable(reply):
@@ -450,9 +450,11 @@
                 f"status {reply.status} does not go on with the stream"
             )
 
-    def _wait_without_slot(self, end: datetime.timedelta) -> bool:
+    def _wait_unsent(self, end: datetime.timedelta) -> bool:
         """Waits before another attempt if the last one was sent nowhere.
 
+        It had no slot, or no upstream accepted a connection for it.
+
         Args:
             end: when to give the stream up.
 
@@ -461,8 +463,12 @@
         """
         assert self._attempt is not None
         now = self._policy.clock.monotonic()
-        if self._attempt.backend is not None or now >= end:
+        if self._attempt.was_sent() or now >= end:
             return False
-        self._give_attempt_back()
+        if self._attempt.backend is None:
+            self._give_attempt_back()
+        else:
+            self._policy.give_retry_back(self._service)
+        self._unsent_count = 0
         self._policy.clock.sleep(RESUME_INTERVAL)
         return True
--- a/arbutuscove/relay/tests/test_cut_off.py
+++ b/arbutuscove/relay/tests/test_cut_off.py
@@ -249,6 +249,19 @@
     assert excess < attempt.MIN_TIME_LEFT
 
 
+def test_stream_waits_for_a_path(build):
+    """Guards against a stream cut although the path is back within a second."""
+    scene = build(faulty_upstream.answer_stream, False)
+    scene.bad._behaviour = send_slowly
+    chunks = []
+    for chunk in scene.flow.serve(scene.create_request(RESUMABLE)).body:
+        chunks.append(chunk)
+        if len(chunks) == 2:
+            scene.direct.cut("reset")
+            gevent.spawn_later(1.2, scene.direct.cut, "")
+    assert b"".join(chunks) == b"".join(EVENTS)
+
+
 def test_requests_take_the_direct_path_after_the_cut(build):
     """Guards against peers that carry connections for ever."""
     scene = build(faulty_upstream.answer_completely)
