Test connections through peers and the path of each connection

Cause: `paths/peers` and `paths/connections` had no tests. Change: tests on scripted connections and a clock that the test advances.

--- /dev/null
+++ b/arbutuscove/paths/tests/test_connections.py
@@ -0,0 +1,206 @@
+"""Tests of the path of each connection."""
+
+import pytest
+
+from arbutuscove.paths import errors
+from arbutuscove.paths import reach
+from arbutuscove.paths.tests import scripts
+from arbutuscove.storage import http
+from arbutuscove.transport import pool as pool_module
+from arbutuscove.transport import tunnel
+
+ms = scripts.ms
+
+
+@pytest.fixture(name="daemon")
+def fixture_daemon():
+    daemon = scripts.Daemon()
+    yield daemon
+    daemon.stop()
+
+
+def test_connection_is_direct_while_all_is_well(daemon):
+    """Guards against trials and tunnels that a sound path does not need."""
+    opened = daemon.check_out()
+    assert opened.carrier is None
+    assert daemon.network.calls == [("direct", daemon.addresses[0])]
+
+
+def test_connection_idle_is_reused(daemon):
+    """Guards against a new connection for each request."""
+    opened = daemon.check_out()
+    daemon.connections.check_in(opened, None)
+    assert daemon.check_out() is opened
+    daemon.connections.check_in(opened, None)
+    assert daemon.check_out(max_idle_time=pool_module.NEVER_IDLE) is not opened
+
+
+@pytest.mark.parametrize("error", [http.NotSentError, http.RefusedError])
+def test_connection_failure_of_one_upstream_is_passed_on(daemon, error):
+    """Guards against a dead upstream that passes for a path that failed."""
+    daemon.network.direct[daemon.addresses[0]] = error
+    with pytest.raises(error) as caught:
+        daemon.check_out()
+    assert type(caught.value) is error
+    assert daemon.network.count_tunnels() == 0
+    assert daemon.changes == []
+
+
+def test_connection_goes_through_a_peer_within_the_call(daemon):
+    """Guards against a first request that is lost to find the cut."""
+    daemon.network.all_direct = http.NotSentError
+    opened = daemon.check_out()
+    assert opened.carrier is not None
+    assert opened.address == daemon.addresses[0]
+    assert daemon.changes == [reach.Verdict.CUT_OFF]
+
+
+def test_connection_takes_the_peer_at_once_while_cut_off(daemon):
+    """Guards against a wait for the failed path in each request."""
+    daemon.cut()
+    daemon.network.calls.clear()
+    assert daemon.check_out().carrier is not None
+    assert daemon.network.count("direct") == 0
+
+
+@pytest.mark.parametrize("error", [http.NotSentError, http.RefusedError])
+def test_connection_without_any_path_blames_no_upstream(daemon, error):
+    """Guards against upstreams on cooldown as this daemon is alone."""
+    daemon.network.all_direct = error
+    daemon.network.all_tunnels = tunnel.CarrierError
+    now = daemon.clock.monotonic()
+    with pytest.raises(errors.NoPathError) as caught:
+        daemon.check_out(deadline=now)
+    assert not isinstance(caught.value, http.RefusedError)
+    assert daemon.changes == [reach.Verdict.UNREACHED]
+
+
+def test_connection_is_direct_again_after_the_heal(daemon):
+    """Guards against tunnels that outlast the cut.
+
+    An idle tunnel is not used for a direct connection, and not closed while it
+    may be of use.
+    """
+    daemon.start()
+    daemon.cut()
+    tunnelled = daemon.check_out()
+    daemon.connections.check_in(tunnelled, None)
+    daemon.heal()
+    daemon.clock.run(reach.ROUND_INTERVAL + ms(100))
+    assert daemon.changes[-1] is reach.Verdict.REACHED
+    opened = daemon.check_out()
+    assert opened.carrier is None
+    assert opened is not tunnelled
+
+
+def test_connection_idle_tunnel_is_reused_while_cut_off(daemon):
+    """Guards against a handshake with the peer in each request."""
+    daemon.cut()
+    tunnelled = daemon.check_out()
+    daemon.connections.check_in(tunnelled, None)
+    assert daemon.check_out() is tunnelled
+    daemon.connections.check_in(tunnelled, None)
+    daemon.connections.close_idle_through(tunnelled.carrier.host)
+    assert tunnelled.is_closed
+    assert daemon.check_out() is not tunnelled
+
+
+def test_connection_idle_direct_is_not_used_while_cut_off(daemon):
+    """Guards against requests sent into a connection that is lost."""
+    direct = daemon.check_out()
+    daemon.connections.check_in(direct, None)
+    daemon.clock.advance(ms(1))
+    daemon.cut()
+    assert daemon.check_out().carrier is not None
+
+
+def test_connection_is_not_opened_through_a_peer_after_the_deadline(daemon):
+    """Guards against work for a caller that has given up."""
+    daemon.cut()
+    daemon.network.calls.clear()
+    with pytest.raises(errors.NoPathError):
+        daemon.check_out(deadline=daemon.clock.monotonic())
+    assert daemon.network.calls == []
+
+
+def test_connection_through_a_peer_has_the_time_left(daemon):
+    """Guards against a peer that is given more time than the request has."""
+    daemon.cut()
+    timeouts = []
+    daemon.network.all_tunnels = timeouts.append
+    daemon.check_out(deadline=daemon.clock.monotonic() + ms(120))
+    assert timeouts == [ms(120)]
+
+
+def test_connection_for_a_peer_is_direct(daemon):
+    """Guards against a carrier that never carries."""
+    opened = daemon.connections.connect_for_peer(
+        scripts.SERVICE, daemon.addresses[0], ms(250)
+    )
+    assert opened.carrier is None
+
+
+@pytest.mark.parametrize("names", ["ab", ""])
+def test_connection_for_a_peer_has_one_hop(names):
+    """Guards against daemons that are all cut off and carry in a circle."""
+    daemon = scripts.Daemon(peer_names=names)
+    daemon.cut()
+    daemon.network.calls.clear()
+    with pytest.raises(errors.NoPathError):
+        daemon.connections.connect_for_peer(
+            scripts.SERVICE, daemon.addresses[0], ms(250)
+        )
+    assert daemon.network.calls == []
+    daemon.stop()
+
+
+def test_connection_for_a_peer_that_fails_stays_direct(daemon):
+    """Guards against a second hop by a carrier that does not know of its cut.
+
+    It examines its path afterwards, as the initiator waits for a short time.
+    """
+    daemon.network.all_direct = http.RefusedError
+    with pytest.raises(errors.NoPathError) as caught:
+        daemon.connections.connect_for_peer(
+            scripts.SERVICE, daemon.addresses[0], ms(250)
+        )
+    assert not isinstance(caught.value, http.RefusedError)
+    assert daemon.network.calls == [("direct", daemon.addresses[0])]
+    scripts.settle()
+    assert daemon.changes == [reach.Verdict.CUT_OFF]
+
+
+def test_connection_for_a_peer_reports_a_refusal_it_can_prove(daemon):
+    """Guards against an ended upstream that a peer never reports."""
+
+    def refuse(timeout):
+        daemon.monitor.record_open(scripts.SERVICE)
+        raise http.RefusedError("scripted")
+
+    daemon.network.direct[daemon.addresses[0]] = refuse
+    with pytest.raises(http.RefusedError):
+        daemon.connections.connect_for_peer(
+            scripts.SERVICE, daemon.addresses[0], ms(250)
+        )
+
+
+def test_connection_on_a_lost_path_is_known(daemon):
+    """Guards against answers awaited on a direct path that has failed."""
+    direct = daemon.check_out()
+    assert not daemon.connections.has_lost_path(scripts.SERVICE, direct)
+    daemon.clock.advance(ms(1))
+    daemon.cut()
+    tunnelled = daemon.check_out()
+    assert daemon.connections.has_lost_path(scripts.SERVICE, direct)
+    assert not daemon.connections.has_lost_path("other", direct)
+    assert not daemon.connections.has_lost_path(scripts.SERVICE, tunnelled)
+
+
+def test_connection_to_another_service_stays_direct(daemon):
+    """Guards against a cut from one service that moves all to tunnels."""
+    other = scripts.Upstream(http.Address("10.2.0.1", 80))
+    daemon.upstreams["other"] = [other]
+    daemon.cut()
+    daemon.network.direct[other.address] = lambda timeout: None
+    opened = daemon.connections.check_out("other", other.address)
+    assert opened.carrier is None
