--- a/arbutuscove/paths/tests/scripts.py
+++ b/arbutuscove/paths/tests/scripts.py
@@ -205,6 +205,7 @@
     def cut(self):
         """Cuts all direct paths and lets a round find that."""
         self.network.all_direct = http.NotSentError
+        self.clock.advance(ms(1))
         self.confirm()
 
     def heal(self):
--- a/arbutuscove/paths/tests/test_connections.py
+++ b/arbutuscove/paths/tests/test_connections.py
@@ -109,7 +109,6 @@
     """Guards against requests sent into a connection that is lost."""
     direct = daemon.check_out()
     daemon.connections.check_in(direct, None)
-    daemon.clock.advance(ms(1))
     daemon.cut()
     assert daemon.check_out().carrier is not None
 
@@ -188,7 +187,6 @@
     """Guards against answers awaited on a direct path that has failed."""
     direct = daemon.check_out()
     assert not daemon.connections.has_lost_path(scripts.SERVICE, direct)
-    daemon.clock.advance(ms(1))
     daemon.cut()
     tunnelled = daemon.check_out()
     assert daemon.connections.has_lost_path(scripts.SERVICE, direct)
