End a cut beside upstreams that no path leads to

Seen: a daemon whose cut has healed goes on through its peers for as long as one of two listed upstreams (or two of three) is dead. Cause: a majority of the upstreams that were tried had to accept direct connections, and the dead ones counted. Change: while cut off, a round also tries through peers what did not accept directly. The cut ends when more upstreams accept directly than through peers only. Conclusion: a dead upstream no longer keeps a cut.

--- a/arbutuscove/paths/monitor.py
+++ b/arbutuscove/paths/monitor.py
@@ -246,20 +246,29 @@
             gevent.spawn(self._try_direct, address) for address in sample[1:]
         ]
         gevent.joinall(jobs)
-        accepted = [bool(job.value) for job in jobs]
-        if any(accepted):
-            return [
-                reach_module.Path.DIRECT if is_open else reach_module.Path.NONE
-                for is_open in accepted
-            ]
-        jobs = [
-            gevent.spawn(self._try_peer, service, address) for address in sample
-        ]
-        gevent.joinall(jobs)
-        return [
-            reach_module.Path.PEER if job.value else reach_module.Path.NONE
-            for job in jobs
-        ]
+        paths = {
+            address: reach_module.Path.DIRECT
+            if job.value
+            else reach_module.Path.NONE
+            for address, job in zip(sample, jobs, strict=True)
+        }
+        if needs_all or reach_module.Path.DIRECT not in paths.values():
+            self._try_peers(service, paths)
+        return list(paths.values())
+
+    def _try_peers(
+        self, service: str, paths: dict[http.Address, reach_module.Path]
+    ) -> None:
+        """Tries the upstreams without a direct path through peers."""
+        jobs = {
+            address: gevent.spawn(self._try_peer, service, address)
+            for address, path in paths.items()
+            if path is reach_module.Path.NONE
+        }
+        gevent.joinall(jobs.values())
+        for address, job in jobs.items():
+            if job.value:
+                paths[address] = reach_module.Path.PEER
 
     def _try_direct(self, address: http.Address) -> bool:
         try:
--- a/arbutuscove/paths/reach.py
+++ b/arbutuscove/paths/reach.py
@@ -92,9 +92,9 @@
 ) -> Reach:
     """Returns the state after a round of trial connections.
 
-    While a service is cut off, most of the upstreams tried have to accept
-    direct connections before these are used again: one may still be reached by
-    chance.
+    While a service is cut off, most of the upstreams that accept connections
+    have to accept direct ones before these are used again: one may still be
+    reached by chance. Those that no path leads to may have ended.
 
     Args:
         reach: the state before.
@@ -102,17 +102,18 @@
         now: monotonic time.
     """
     direct = sum(path is Path.DIRECT for path in paths)
-    needed = len(paths) // 2 + 1 if reach.verdict is Verdict.CUT_OFF else 1
-    if direct >= needed:
+    through_peer = sum(path is Path.PEER for path in paths)
+    is_reached = direct > 0
+    if reach.verdict is Verdict.CUT_OFF:
+        is_reached = direct > through_peer
+    if is_reached:
         return Reach(
             verdict=Verdict.REACHED,
             opened_at=now,
             contact_at=now,
             next_round_at=now,
         )
-    has_peer_path = Path.PEER in paths
-    keeps_cut = reach.verdict is Verdict.CUT_OFF and direct
-    is_cut_off = has_peer_path or keeps_cut
+    is_cut_off = through_peer > 0
     failed_rounds = reach.failed_rounds + 1
     pause = ROUND_INTERVAL
     if not is_cut_off:
--- a/arbutuscove/paths/tests/test_monitor.py
+++ b/arbutuscove/paths/tests/test_monitor.py
@@ -188,6 +188,32 @@
     daemon.stop()
 
 
+@pytest.mark.parametrize(("count", "dead"), [(2, 1), (3, 2)])
+def test_verdict_cut_off_ends_beside_dead_upstreams(count, dead):
+    """Guards against a cut that never ends as half of a service is dead.
+
+    Peers do not reach the dead upstreams, either.
+    """
+    daemon = scripts.Daemon(upstreams=count)
+    lost = set(daemon.addresses[:dead])
+
+    def open_tunnel(carrier, target, timeout):
+        if target in lost:
+            daemon.network.calls.append((carrier.host, target))
+            raise http.NotSentError("scripted")
+        return daemon.network.open_tunnel(carrier, target, timeout)
+
+    daemon.use_tunnels(open_tunnel)
+    daemon.cut()
+    assert daemon.changes == [CUT_OFF]
+    daemon.heal()
+    daemon.network.direct = dict.fromkeys(lost, http.NotSentError)
+    daemon.clock.advance(reach.ROUND_INTERVAL)
+    daemon.confirm()
+    assert daemon.changes == [CUT_OFF, REACHED]
+    daemon.stop()
+
+
 def test_verdict_of_a_daemon_without_peers_is_unreached():
     """Guards against a daemon alone that takes itself for cut off."""
     daemon = scripts.Daemon(peer_names="")
