Search anew when the carriers of a long cut are lost

Seen: after a cut of 10 s, one round without any path refuses all requests at once and the next round begins 0.8 s later. Cause: `failed_rounds` also counted the rounds in which a peer reached the service, so that the search counted as over. Change: only rounds without any path count. Measured: `pytest arbutuscove/paths/tests/test_reach.py`: before, 1 failed (test_reach_searches_again_when_the_carriers_are_lost) and 24 passed; after, `pytest arbutuscove/paths/tests`: 92 passed.

--- a/arbutuscove/paths/reach.py
+++ b/arbutuscove/paths/reach.py
@@ -54,7 +54,7 @@
         opened_at: when a direct connection was opened last, None if never.
         contact_at: when a connection was opened last on any path.
         next_round_at: no round begins before it.
-        failed_rounds: rounds in a row with no direct connection.
+        failed_rounds: rounds in a row in which no path led to an upstream.
     """
 
     verdict: Verdict = Verdict.REACHED
@@ -114,7 +114,7 @@
             next_round_at=now,
         )
     is_cut_off = through_peer > 0
-    failed_rounds = reach.failed_rounds + 1
+    failed_rounds = 0 if is_cut_off else reach.failed_rounds + 1
     pause = ROUND_INTERVAL
     if not is_cut_off:
         exponent = min(failed_rounds, MAX_SEARCH_ROUNDS) - 1
--- a/arbutuscove/paths/tests/test_reach.py
+++ b/arbutuscove/paths/tests/test_reach.py
@@ -184,6 +184,16 @@
     assert not reach.is_searching(cut_off())
 
 
+def test_reach_searches_again_when_the_carriers_are_lost():
+    """Guards against refusals at once after a long cut, as a carrier ends."""
+    state = reach.Reach()
+    for i in range(20):
+        state = reach.finish_round(state, [PEER], ms(500 * i))
+    state = reach.finish_round(state, [NONE], ms(10000))
+    assert state.next_round_at - ms(10000) == reach.MIN_RETRY_INTERVAL
+    assert reach.is_searching(state)
+
+
 def test_reach_pause_doubles_while_no_path_is_found():
     """Guards against a fleet that tries dead upstreams at a constant rate."""
     state = reach.Reach()
