--- a/arbutuscove/paths/monitor.py
+++ b/arbutuscove/paths/monitor.py
@@ -24,11 +24,6 @@
 # The further upstreams of a round are tried only if the first one has not
 # accepted within this time.
 FIRST_TRIAL_TIME = datetime.timedelta(milliseconds=50)
-# Trials that end later than this after their timeout were not waited for in
-# time: this process was paused or busy, and the timers expire before the
-# connections that were accepted meanwhile are noticed.
-MAX_TRIAL_LATENESS = datetime.timedelta(milliseconds=200)
-MAX_TRIES = 2  # of a round whose trials end too late
 WATCH_INTERVAL = datetime.timedelta(milliseconds=100)
 SEARCH_INTERVAL = datetime.timedelta(milliseconds=20)
 UNREACHED = reach_module.Verdict.UNREACHED
@@ -215,20 +210,15 @@
             sample = self._pick_sample(service)
             if not sample:
                 return
-            for _ in range(MAX_TRIES):
-                started = self._clock.monotonic()
-                paths = self._try_all(service, sample, started)
-                if paths is not None:
-                    now = self._clock.monotonic()
-                    self._set(
-                        service,
-                        reach_module.finish_round(
-                            self._get(service), paths, now
-                        ),
-                    )
-                    return
-                if self.was_opened(service, started):
-                    return
+            paths = self._try_all(service, sample)
+            if paths is None:
+                return
+            self._set(
+                service,
+                reach_module.finish_round(
+                    self._get(service), paths, self._clock.monotonic()
+                ),
+            )
         finally:
             self._rounds.pop(service, None)
 
@@ -246,16 +236,10 @@
         return (first + others)[: reach_module.SAMPLE_SIZE]
 
     def _try_all(
-        self,
-        service: str,
-        sample: abc.Sequence[http.Address],
-        started: datetime.timedelta,
+        self, service: str, sample: abc.Sequence[http.Address]
     ) -> list[reach_module.Path] | None:
-        """Returns the paths, None if the failures show nothing.
-
-        That is so if a connection was opened meanwhile or the trials ended too
-        late.
-        """
+        """Returns the paths, None if a connection opened meanwhile decides."""
+        started = self._clock.monotonic()
         needs_all = self.is_cut_off(service)
         jobs = [gevent.spawn(self._try_direct, sample[0])]
         if not needs_all:
@@ -276,18 +260,13 @@
         if not needs_all:
             if has_direct:
                 return list(paths.values())
-            if self.was_opened(service, started) or self._is_late(started):
+            if self.was_opened(service, started):
                 return None
         self._try_peers(service, paths)
         if not needs_all and self.was_opened(service, started):
             return None
         return list(paths.values())
 
-    def _is_late(self, started: datetime.timedelta) -> bool:
-        """Returns whether direct trials begun at a time ended too late."""
-        limit = FIRST_TRIAL_TIME + TRIAL_TIMEOUT + MAX_TRIAL_LATENESS
-        return self._clock.monotonic() - started > limit
-
     def _try_peers(
         self, service: str, paths: dict[http.Address, reach_module.Path]
     ) -> None:
