End the wait for a round at the deadline of the request

Seen: a request or an order with 20 ms left waits until all trials of a round have ended, up to 0.6 s with the time-outs of the trials. Cause: `confirm_reach` and `wait_for_path` joined the round without a limit. Change: both take the deadline of the connection; the round goes on.

--- a/arbutuscove/paths/connections.py
+++ b/arbutuscove/paths/connections.py
@@ -80,7 +80,7 @@
                     service, address, timeout, max_idle_time
                 )
             except http.NotSentError as error:
-                if self._monitor.confirm_reach(service, started):
+                if self._monitor.confirm_reach(service, started, deadline):
                     raise
                 self._monitor.wait_for_path(service, deadline)
                 match self._monitor.get_verdict(service):
--- a/arbutuscove/paths/monitor.py
+++ b/arbutuscove/paths/monitor.py
@@ -152,7 +152,7 @@
             if greenlet is None:
                 self._clock.sleep(SEARCH_INTERVAL)
             else:
-                greenlet.join()
+                self._join(greenlet, deadline)
         return self.get_verdict(service) is not UNREACHED
 
     def suspect(self, service: str, since: datetime.timedelta) -> None:
@@ -160,7 +160,12 @@
         if not self.was_opened(service, since):
             self._begin_round(service)
 
-    def confirm_reach(self, service: str, since: datetime.timedelta) -> bool:
+    def confirm_reach(
+        self,
+        service: str,
+        since: datetime.timedelta,
+        deadline: datetime.timedelta | None = None,
+    ) -> bool:
         """Returns whether a direct connection was opened since a time.
 
         Runs a round of trial connections if that is not known.
@@ -168,8 +173,12 @@
         Args:
             service: the service.
             since: monotonic time, when a connection began to fail.
+            deadline: monotonic time after which the wait for the round ends,
+                None without.
         """
-        return self._confirm(service, since, lambda reach: reach.opened_at)
+        return self._confirm(
+            service, since, lambda reach: reach.opened_at, deadline
+        )
 
     def confirm_contact(self, service: str, since: datetime.timedelta) -> bool:
         """Returns whether a connection was opened since, on any path.
@@ -185,13 +194,24 @@
         read_time: abc.Callable[
             [reach_module.Reach], datetime.timedelta | None
         ],
+        deadline: datetime.timedelta | None = None,
     ) -> bool:
         if not _is_since(read_time(self._get(service)), since):
             greenlet = self._begin_round(service)
             if greenlet is not None:
-                greenlet.join()
+                self._join(greenlet, deadline)
         return _is_since(read_time(self._get(service)), since)
 
+    def _join(
+        self, greenlet: gevent.Greenlet, deadline: datetime.timedelta | None
+    ) -> None:
+        """Waits for a round, which goes on after the deadline."""
+        if deadline is None:
+            greenlet.join()
+            return
+        left = deadline - self._clock.monotonic()
+        greenlet.join(max(left.total_seconds(), 0))
+
     def _begin_round(self, service: str) -> gevent.Greenlet | None:
         """Returns the running round, a new one, or None if none may begin."""
         running = self._rounds.get(service)
--- a/arbutuscove/paths/tests/test_monitor.py
+++ b/arbutuscove/paths/tests/test_monitor.py
@@ -340,6 +340,25 @@
     assert waiting.ready() and waiting.value is False
 
 
+def test_wait_for_path_leaves_a_round_at_the_deadline(daemon):
+    """Guards against a request that waits for trials past its deadline."""
+    lose_all(daemon)
+    daemon.confirm()
+    ended = gevent_event.Event()
+    daemon.network.all_direct = lambda timeout: ended.wait()
+    daemon.clock.advance(reach.MAX_RETRY_INTERVAL)
+    deadline = daemon.clock.monotonic() + ms(20)
+    waiting = gevent.spawn(daemon.monitor.wait_for_path, SERVICE, deadline)
+    scripts.settle()
+    daemon.clock.advance(ms(20))
+    waiting.join(2)
+    has_ended = waiting.ready()
+    ended.set()
+    waiting.join()
+    assert has_ended
+    assert waiting.value is False
+
+
 def test_stop_ends_the_rounds(daemon):
     """Guards against greenlets that outlive the service."""
     released = gevent_event.Event()
