Confirm contact by the next round while cut off

Seen: the holder of the duty that is cut off from a service hardly ever releases a group whose head has ended, though it reaches the members through peers. Cause: it asks whether a connection was opened since the check began. Idle tunnels open none, and no round may begin within 0.5 s of the one before, so that the answer is no unless the check meets the few milliseconds of a round. Change: `confirm_contact` waits for the next round while the service is cut off. Where nothing is reached, it still answers at once. Measured: `pytest arbutuscove/paths/tests`: before, 1 failed (test_contact_is_confirmed_by_the_next_round_while_cut_off) and 97 passed; after, 98 passed. Not played with a group controller. Conclusion: a check by a daemon that is cut off ends within a round.

--- a/arbutuscove/paths/monitor.py
+++ b/arbutuscove/paths/monitor.py
@@ -184,7 +184,17 @@
         """Returns whether a connection was opened since, on any path.
 
         Only then does the silence of one upstream say something about it.
+        While the service is cut off, the next round may have to be waited for,
+        which is at most `reach.ROUND_INTERVAL` away.
         """
+        next_round_at = self._get(service).next_round_at
+        while (
+            self.is_cut_off(service)
+            and self._get(service).next_round_at == next_round_at
+            and not _is_since(self._get(service).contact_at, since)
+            and self._begin_round(service) is None
+        ):
+            self._clock.sleep(SEARCH_INTERVAL)
         return self._confirm(service, since, lambda reach: reach.contact_at)
 
     def _confirm(
--- a/arbutuscove/paths/tests/test_monitor.py
+++ b/arbutuscove/paths/tests/test_monitor.py
@@ -139,6 +139,48 @@
     assert daemon.network.calls == []
 
 
+def test_contact_is_confirmed_by_the_next_round_while_cut_off(daemon):
+    """Guards against groups never repaired by a daemon that is cut off.
+
+    Its orders go through peers on idle tunnels, which open nothing.
+    """
+    daemon.start()
+    daemon.cut()
+    daemon.clock.run(ms(50))
+    started = daemon.clock.monotonic()
+    waiting = gevent.spawn(daemon.monitor.confirm_contact, SERVICE, started)
+    daemon.clock.run(reach.ROUND_INTERVAL + monitor.WATCH_INTERVAL)
+    assert waiting.ready()
+    assert waiting.value
+
+
+def test_contact_is_denied_at_once_while_nothing_is_reached(daemon):
+    """Guards against checks that wait for an upstream of a dead service."""
+    lose_all(daemon)
+    daemon.start()
+    daemon.confirm()
+    waiting = gevent.spawn(
+        daemon.monitor.confirm_contact, SERVICE, daemon.clock.monotonic()
+    )
+    scripts.settle()
+    assert waiting.ready()
+    assert waiting.value is False
+
+
+def test_contact_is_denied_when_the_carriers_are_lost(daemon):
+    """Guards against a check that waits on as the cut becomes a full one."""
+    daemon.start()
+    daemon.cut()
+    lose_all(daemon)
+    daemon.clock.run(ms(50))
+    waiting = gevent.spawn(
+        daemon.monitor.confirm_contact, SERVICE, daemon.clock.monotonic()
+    )
+    daemon.clock.run(reach.ROUND_INTERVAL + monitor.WATCH_INTERVAL)
+    assert waiting.ready()
+    assert waiting.value is False
+
+
 def test_verdict_changes_as_the_rounds_decide(daemon):
     """Guards against a verdict that peers are not told, or twice."""
     daemon.confirm()
