Blame no upstream for carriers that are cut off, too

Seen: while several daemons lose their paths together, those that ask a carrier which does not know of its own cut put sound upstreams on cooldown. Cause: a carrier reports every failure but a proven refusal as unreachable, and the initiator counted that against the upstream. Change: it counts only if a connection to the service was opened on any path since the call began, else the error is `NoPathError`. Refusals are passed on as before. Conclusion: a silent upstream is noticed later by a daemon that is cut off and opens no other connection meanwhile.

--- a/arbutuscove/paths/connections.py
+++ b/arbutuscove/paths/connections.py
@@ -93,14 +93,7 @@
         idle = self._tunnels.find_idle(address, max_idle_time)
         if idle is not None:
             return idle
-        now = self._clock.monotonic()
-        if deadline is not None:
-            timeout = min(timeout, deadline - now)
-        if timeout <= datetime.timedelta():
-            raise errors.NoPathError(f"{address}: no time is left")
-        opened = self._peer_paths.open(service, address, timeout)
-        self._monitor.record_contact(service)
-        return opened
+        return self._open_through_peer(service, address, timeout, deadline)
 
     def connect_for_peer(
         self,
@@ -176,6 +169,30 @@
         """
         return used.carrier is None and self._monitor.is_cut_off(service)
 
+    def _open_through_peer(
+        self,
+        service: str,
+        address: http.Address,
+        timeout: datetime.timedelta,
+        deadline: datetime.timedelta | None,
+    ) -> connection.Connection:
+        now = self._clock.monotonic()
+        if deadline is not None:
+            timeout = min(timeout, deadline - now)
+        if timeout <= datetime.timedelta():
+            raise errors.NoPathError(f"{address}: no time is left")
+        try:
+            opened = self._peer_paths.open(service, address, timeout)
+        except http.RefusedError:
+            raise
+        except http.NotSentError as error:
+            # The peers may have lost their own paths and not know it yet.
+            if self._monitor.was_contacted(service, now):
+                raise
+            raise errors.NoPathError(str(error)) from error
+        self._monitor.record_contact(service)
+        return opened
+
     def _check_out_direct(
         self,
         service: str,
--- a/arbutuscove/paths/monitor.py
+++ b/arbutuscove/paths/monitor.py
@@ -132,6 +132,10 @@
         """Returns whether a direct connection was opened since a time."""
         return _is_since(self._get(service).opened_at, since)
 
+    def was_contacted(self, service: str, since: datetime.timedelta) -> bool:
+        """Returns whether a connection was opened since, on any path."""
+        return _is_since(self._get(service).contact_at, since)
+
     def wait_for_path(
         self, service: str, deadline: datetime.timedelta | None
     ) -> bool:
--- a/arbutuscove/paths/tests/test_connections.py
+++ b/arbutuscove/paths/tests/test_connections.py
@@ -208,6 +208,36 @@
         )
 
 
+def test_connection_through_blind_carriers_blames_no_upstream(daemon):
+    """Guards against upstreams on cooldown as the carriers are cut off, too.
+
+    They may not know it yet. The upstream counts as failed only if another one
+    accepted a connection meanwhile.
+    """
+    daemon.cut()
+    daemon.clock.advance(ms(1))
+    daemon.network.all_tunnels = http.NotSentError
+    with pytest.raises(errors.NoPathError):
+        daemon.check_out()
+
+    def fail(timeout):
+        daemon.monitor.record_contact(scripts.SERVICE)
+        raise http.NotSentError("scripted")
+
+    daemon.network.all_tunnels = fail
+    with pytest.raises(http.NotSentError) as caught:
+        daemon.check_out()
+    assert not isinstance(caught.value, errors.NoPathError)
+
+
+def test_connection_through_a_peer_passes_on_the_refusal(daemon):
+    """Guards against an ended upstream that a cut-off daemon never notices."""
+    daemon.cut()
+    daemon.network.all_tunnels = http.RefusedError
+    with pytest.raises(http.RefusedError):
+        daemon.check_out()
+
+
 def test_connection_on_a_lost_path_is_known(daemon):
     """Guards against answers awaited on a direct path that has failed."""
     direct = daemon.check_out()
