Limit the time that one peer takes of a connection

Seen: while cut off, a request whose first peer is frozen or unreachable finds no path although another peer carries. Cause: the first peer was given all the time of the connection. Change: one peer gets 300 ms at most, more than it may need to find that the target is silent. A connection of 500 ms thus leaves 200 ms for the next. Conclusion: one silent peer costs a request 0.3 s and not its path.

--- a/arbutuscove/paths/peers.py
+++ b/arbutuscove/paths/peers.py
@@ -14,6 +14,9 @@
 
 # A peer that could not carry a connection is asked last for this time.
 AVOID_TIME = datetime.timedelta(seconds=1)
+# For one peer. More than it may take itself to find that the target is silent
+# (`tunnel.CONNECT_TIMEOUT`).
+PEER_TIMEOUT = datetime.timedelta(milliseconds=300)
 
 OpenTunnel = abc.Callable[
     [http.Address, http.Address, datetime.timedelta], connection.Connection
@@ -69,7 +72,9 @@
                 break
             try:
                 opened = self._open_tunnel(
-                    http.Address(carrier.host, carrier.port), target, left
+                    http.Address(carrier.host, carrier.port),
+                    target,
+                    min(left, PEER_TIMEOUT),
                 )
             except tunnel.CarrierError as error:
                 self._avoid(carrier, service, error)
--- a/arbutuscove/paths/tests/test_peers.py
+++ b/arbutuscove/paths/tests/test_peers.py
@@ -103,6 +103,17 @@
     assert min(scene.timeouts) > scripts.ms(0)
 
 
+def test_peer_that_is_silent_leaves_time_for_the_next():
+    """Guards against a request lost to one frozen peer of several."""
+    scene = Scene()
+    scene.network.tunnels[scene.order[0]] = fail_after(
+        scene.clock, TIMEOUT, tunnel.CarrierError
+    )
+    assert scene.open().carrier.host == scene.order[1]
+    assert scene.timeouts[0] > tunnel.CONNECT_TIMEOUT
+    assert scene.timeouts[1] >= scripts.ms(150)
+
+
 def test_peers_are_not_asked_without_time():
     """Guards against a connection that is opened after the deadline."""
     scene = Scene()
