Start no cooldown for answers lost with the path

Seen: the daemon that finds itself cut off puts each backend with a request in progress on cooldown, for up to 4 s, although peers reach it. Cause: an attempt that leaves its lost path, or whose connection ends on it, was counted as a failure of the backend. Change: a connection lost on a direct path that is known to have failed counts no failure. Invalid answers still do. Conclusion: what is lost before the cut is found still counts.

--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -644,10 +644,7 @@
             # Checked even while bytes arrive, as they may belong to no event.
             waited = self._read_wait
             has_lost_path = (
-                waited >= LOST_PATH_TIMEOUT
-                and context.connections.has_lost_path(
-                    self._service, self._connection
-                )
+                waited >= LOST_PATH_TIMEOUT and self._has_lost_path()
             )
             if has_lost_path and self._may_leave_path():
                 raise http.NoResponseError(f"{key[0]}: the path was lost")
@@ -669,6 +666,15 @@
                 passed = context.clock.monotonic() - now
                 self._read_wait += min(passed, 2 * STALL_CHECK_INTERVAL)
 
+    def _has_lost_path(self) -> bool:
+        """Returns whether a failure may be one of the path alone."""
+        return (
+            self._connection is not None
+            and self._context.connections.has_lost_path(
+                self._service, self._connection
+            )
+        )
+
     def _may_leave_path(self) -> bool:
         """Returns whether the request may be sent again on another path.
 
@@ -689,7 +695,11 @@
 
     def _record_loss(self, error: Exception) -> AttemptLostError:
         assert self.backend is not None
-        self._context.states.record_failure(self.backend.key)
+        has_lost_path = (
+            isinstance(error, http.NoResponseError) and self._has_lost_path()
+        )
+        if not has_lost_path:
+            self._context.states.record_failure(self.backend.key)
         now = self._context.clock.monotonic()
         head_at = self._head_at
         eliot.log_message(
@@ -698,6 +708,7 @@
             backend=self.backend.key[0],
             vm=self.backend.vm.name,
             reason=str(error),
+            has_lost_path=has_lost_path,
             since_sent=(now - self._started_at).total_seconds(),
             since_head=(
                 None if head_at is None else (now - head_at).total_seconds()
