Limit the unreached services in a heartbeat

Seen: a heartbeat names every service that is not reached, and a datagram holds up to 24 further heartbeats; above 65,000 bytes it cannot be received. Cause: stalled and slow groups in a heartbeat are limited, `unreached` was not. Change: the first 16 by name are listed. The rounds go on for all. A peer that is asked to carry for a service that it does not list denies it. Measured: `pytest arbutuscove/paths/tests/test_monitor.py`: before, failed (test_unreached_services_of_a_heartbeat_are_limited, for want of the limit); after, 31 passed. Conclusion: the size no longer follows the number of services.

--- a/arbutuscove/paths/monitor.py
+++ b/arbutuscove/paths/monitor.py
@@ -24,6 +24,7 @@
 # The further upstreams of a round are tried only if the first one has not
 # accepted within this time.
 FIRST_TRIAL_TIME = datetime.timedelta(milliseconds=50)
+MAX_LISTED_SERVICES = 16  # in one heartbeat
 WATCH_INTERVAL = datetime.timedelta(milliseconds=100)
 SEARCH_INTERVAL = datetime.timedelta(milliseconds=20)
 UNREACHED = reach_module.Verdict.UNREACHED
@@ -101,14 +102,12 @@
         return self.get_verdict(service) is reach_module.Verdict.CUT_OFF
 
     def list_unreached(self) -> tuple[str, ...]:
-        """Returns the services that this daemon does not reach directly."""
-        return tuple(
-            sorted(
-                service
-                for service, reach in self._reaches.items()
-                if reach.verdict is not reach_module.Verdict.REACHED
-            )
-        )
+        """Returns services that this daemon does not reach directly.
+
+        At most `MAX_LISTED_SERVICES`, the first by name: peers are told of
+        them. A peer that is asked to carry for another one denies it.
+        """
+        return tuple(sorted(self._find_unreached())[:MAX_LISTED_SERVICES])
 
     def record_open(self, service: str) -> None:
         """Records that an upstream accepted a direct connection."""
@@ -329,6 +328,13 @@
             return False
         return True
 
+    def _find_unreached(self) -> list[str]:
+        return [
+            service
+            for service, reach in self._reaches.items()
+            if reach.verdict is not reach_module.Verdict.REACHED
+        ]
+
     def _get(self, service: str) -> reach_module.Reach:
         return self._reaches.get(service, reach_module.Reach())
 
@@ -350,7 +356,7 @@
     def _watch(self) -> None:
         while True:
             self._clock.sleep(WATCH_INTERVAL)
-            for service in self.list_unreached():
+            for service in self._find_unreached():
                 if self._list_upstreams(service):
                     self._begin_round(service)
                 else:
--- a/arbutuscove/paths/tests/test_monitor.py
+++ b/arbutuscove/paths/tests/test_monitor.py
@@ -279,6 +279,25 @@
     assert daemon.changes[1:] == [REACHED]
 
 
+def test_unreached_services_of_a_heartbeat_are_limited(daemon):
+    """Guards against a datagram too large to send as many services are cut.
+
+    The watch loop goes on for all of them.
+    """
+    names = [f"service-{i:03}" for i in range(300)]
+    daemon.upstreams |= dict.fromkeys(names, daemon.upstreams[SERVICE])
+    daemon.network.all_direct = http.NotSentError
+    for name in names:
+        daemon.monitor.confirm_reach(name, ms(0))
+    listed = daemon.monitor.list_unreached()
+    assert 0 < len(listed) <= monitor.MAX_LISTED_SERVICES
+    assert all(map(daemon.monitor.is_cut_off, listed))
+    daemon.heal()
+    daemon.start()
+    daemon.clock.run(reach.ROUND_INTERVAL + monitor.WATCH_INTERVAL)
+    assert not any(map(daemon.monitor.is_cut_off, names))
+
+
 def test_watch_opens_nothing_while_all_is_well(daemon):
     """Guards against probes by each daemon that nothing has failed for."""
     daemon.start()
