Forget the paths to services that are gone

Seen: the monitor keeps an entry for each service that ever had upstreams. Cause: only services that are not reached were removed with their upstreams. Change: each minute, those without listed upstreams are removed. Measured: `pytest arbutuscove/paths/tests/test_monitor.py`: before, 1 failed (test_reached_services_that_are_gone_are_forgotten, 101 entries instead of 1) and 31 passed; after, 32 passed. Conclusion: the entries follow the list.

--- a/arbutuscove/paths/monitor.py
+++ b/arbutuscove/paths/monitor.py
@@ -26,6 +26,7 @@
 FIRST_TRIAL_TIME = datetime.timedelta(milliseconds=50)
 MAX_LISTED_SERVICES = 16  # in one heartbeat
 WATCH_INTERVAL = datetime.timedelta(milliseconds=100)
+FORGET_INTERVAL = datetime.timedelta(seconds=60)
 SEARCH_INTERVAL = datetime.timedelta(milliseconds=20)
 UNREACHED = reach_module.Verdict.UNREACHED
 
@@ -101,6 +102,11 @@
         """Returns whether only peers reach a service."""
         return self.get_verdict(service) is reach_module.Verdict.CUT_OFF
 
+    @property
+    def service_count(self) -> int:
+        """The number of services about which something is stored."""
+        return len(self._reaches)
+
     def list_unreached(self) -> tuple[str, ...]:
         """Returns services that this daemon does not reach directly.
 
@@ -354,8 +360,17 @@
             handler(service)
 
     def _watch(self) -> None:
+        forgotten_at = self._clock.monotonic()
         while True:
             self._clock.sleep(WATCH_INTERVAL)
+            now = self._clock.monotonic()
+            if now - forgotten_at >= FORGET_INTERVAL:
+                forgotten_at = now
+                self._reaches = {
+                    service: reach
+                    for service, reach in self._reaches.items()
+                    if self._list_upstreams(service)
+                }
             for service in self._find_unreached():
                 if self._list_upstreams(service):
                     self._begin_round(service)
--- a/arbutuscove/paths/tests/test_monitor.py
+++ b/arbutuscove/paths/tests/test_monitor.py
@@ -298,6 +298,19 @@
     assert not any(map(daemon.monitor.is_cut_off, names))
 
 
+def test_reached_services_that_are_gone_are_forgotten(daemon):
+    """Guards against state for each service that ever was configured."""
+    daemon.start()
+    names = [f"service-{i}" for i in range(100)]
+    daemon.upstreams |= dict.fromkeys(names, daemon.upstreams[SERVICE])
+    for name in [SERVICE, *names]:
+        daemon.monitor.record_open(name)
+    for name in names:
+        del daemon.upstreams[name]
+    daemon.clock.run(monitor.FORGET_INTERVAL + monitor.WATCH_INTERVAL)
+    assert daemon.monitor.service_count == 1
+
+
 def test_watch_opens_nothing_while_all_is_well(daemon):
     """Guards against probes by each daemon that nothing has failed for."""
     daemon.start()
