Let the pause between rounds reach its maximum

Seen: while nothing is reached, a round begins each 0.8 s and not each second, which is what `MAX_RETRY_INTERVAL` says. Cause: the doubling ended with the fourth round. Change: the doubling has a limit of its own. The test of the bound on trials now counts with the maximum. Measured: `pytest arbutuscove/paths/tests`: before, 1 failed (test_reach_pause_doubles_while_no_path_is_found); after, all passed.

--- a/arbutuscove/paths/reach.py
+++ b/arbutuscove/paths/reach.py
@@ -24,6 +24,7 @@
 # After a round in which no path led to any upstream; doubles up to the maximum.
 MIN_RETRY_INTERVAL = datetime.timedelta(milliseconds=100)
 MAX_RETRY_INTERVAL = datetime.timedelta(seconds=1)
+MAX_RETRY_DOUBLINGS = 8  # avoids an overflow; more than the maximum needs
 # Daemons that are cut off at the same time learn of each other within this
 # number of rounds.
 MAX_SEARCH_ROUNDS = 4
@@ -117,7 +118,7 @@
     failed_rounds = 0 if is_cut_off else reach.failed_rounds + 1
     pause = ROUND_INTERVAL
     if not is_cut_off:
-        exponent = min(failed_rounds, MAX_SEARCH_ROUNDS) - 1
+        exponent = min(failed_rounds - 1, MAX_RETRY_DOUBLINGS)
         pause = min(MIN_RETRY_INTERVAL * 2**exponent, MAX_RETRY_INTERVAL)
     return dataclasses.replace(
         reach,
--- a/arbutuscove/paths/tests/test_monitor.py
+++ b/arbutuscove/paths/tests/test_monitor.py
@@ -342,7 +342,7 @@
     daemon.start()
     daemon.cut()
     daemon.clock.run(ms(5000))
-    interval = reach.ROUND_INTERVAL if has_peers else ms(800)
+    interval = reach.ROUND_INTERVAL if has_peers else reach.MAX_RETRY_INTERVAL
     daemon.network.calls.clear()
     seconds = 20
     for _ in range(seconds * 100):
--- a/arbutuscove/paths/tests/test_reach.py
+++ b/arbutuscove/paths/tests/test_reach.py
@@ -198,8 +198,9 @@
     """Guards against a fleet that tries dead upstreams at a constant rate."""
     state = reach.Reach()
     pauses = []
-    for _ in range(4):
+    for _ in range(100):
         state = reach.finish_round(state, [NONE], ms(0))
         pauses.append(state.next_round_at)
     first = reach.MIN_RETRY_INTERVAL
-    assert pauses == [first, 2 * first, 4 * first, 8 * first]
+    assert pauses[:4] == [first, 2 * first, 4 * first, 8 * first]
+    assert set(pauses[4:]) == {reach.MAX_RETRY_INTERVAL}
