--- a/arbutuscove/paths/tests/scripts.py
+++ b/arbutuscove/paths/tests/scripts.py
@@ -158,8 +158,8 @@
 class Daemon:
     """The paths of one daemon before scripted upstreams and peers."""
 
-    def __init__(self, upstreams=3, peer_names="ab"):
-        self.clock = SteppedClock()
+    def __init__(self, upstreams=3, peer_names="ab", clock=None, name="own"):
+        self.clock = clock or SteppedClock()
         self.network = Network()
         self.upstreams = {SERVICE: list_upstreams(upstreams)}
         self.addresses = [it.address for it in self.upstreams[SERVICE]]
@@ -168,7 +168,7 @@
         self._open_tunnel = self.network.open_tunnel
         self.peer_paths = peers.PeerPaths(
             self.clock,
-            "own",
+            name,
             lambda: self.carriers,
             lambda *args: self._open_tunnel(*args),
         )
