Test the duty and the heartbeats of a daemon that is cut off

Cause: that the group controller ends nothing without contact, that a daemon which reaches all services precedes others as candidate, and that heartbeats with and without the two new fields are understood had no tests. Change: tests of these. Measured: `pytest arbutuscove/gossip/tests/test_digest.py arbutuscove/fleet/tests/test_controller.py`: 74 passed. With the two checks of contact taken out of the controller, its new tests fail. Conclusion: no fault found by these.

--- a/arbutuscove/fleet/tests/test_controller.py
+++ b/arbutuscove/fleet/tests/test_controller.py
@@ -400,6 +400,52 @@
     assert verify(SECOND / 10)
 
 
+@pytest.mark.parametrize("cut", ["silent", "resetting"])
+def test_controller_ends_no_group_without_contact(stalled, serving_setup, cut):
+    """Guards against groups ended by the one daemon that has lost its paths.
+
+    The silence counts from the time when it reaches VMs again.
+    """
+    contacts = []
+    is_in_contact = False
+
+    def confirm_contact(service, since):
+        contacts.append((service, since))
+        return is_in_contact
+
+    group_controller = serving_setup[4]
+    group_controller._confirm_contact = confirm_contact
+    vms, verify = stalled
+    for name in "hm":
+        if cut == "silent":
+            vms.silence(name, 60 * SECOND)
+        else:
+            vms.resetting.add(name)
+    assert not verify(10 * SECOND)
+    assert {service for service, _ in contacts} == {"models"}
+    assert not group_controller._list_unresponsive(serving_setup[0].monotonic())
+    vms.silence("h", 0 * SECOND)
+    vms.resetting.discard("h")
+    is_in_contact = True
+    assert not verify(SECOND) or cut == "resetting"
+    assert verify(4 * SECOND)
+
+
+def test_controller_releases_no_headless_group_without_contact(serving_setup):
+    """Guards against members reused by the one daemon that reaches none."""
+    clock, inventory, _, _, group_controller = serving_setup
+    group_controller._confirm_contact = lambda service, since: is_in_contact
+    inventory.replace([test_planner.create_member("m", 1, "ready")])
+    (group,) = collect_listed_groups(inventory)
+    released = []
+    group_controller._mark_released = lambda service, key: released.append(key)
+    for is_in_contact in (False, False, True):
+        group_controller._check_group("models", group, 1)
+        clock.advance(controller.UNSEEN_HEAD_TIMEOUT)
+        inventory.update([], [])
+        assert released == ([group.key] if is_in_contact else [])
+
+
 @pytest.fixture
 def headless(serving_setup):
     """Returns a function that removes the open head of a group from the list.
--- a/arbutuscove/gossip/tests/test_digest.py
+++ b/arbutuscove/gossip/tests/test_digest.py
@@ -132,6 +132,60 @@
     assert (readers, first) == (["b"], ["c"])
 
 
+def test_daemon_that_does_not_reach_a_service_holds_the_duty_last():
+    """Guards against orders by the daemon that reaches none of the VMs.
+
+    Where none reaches them, the largest VM is the first as before.
+    """
+
+    def rank(unreached):
+        heartbeats = [
+            create_heartbeat(
+                name=name,
+                capacity=capacity,
+                unreached=("chat",) if name in unreached else (),
+            )
+            for name, capacity in (("a", 500), ("b", 2000), ("c", 1000))
+        ]
+        ranks = {
+            own.name: digest.rank_for_duty(
+                own, [other for other in heartbeats if other != own]
+            )
+            for own in heartbeats
+        }
+        return sorted(ranks, key=ranks.get)
+
+    assert rank("") == ["b", "c", "a"]
+    assert rank("b") == ["c", "a", "b"]
+    assert rank("bc") == ["a", "b", "c"]
+    assert rank("abc") == ["b", "c", "a"]
+
+
+def test_beats_of_an_old_version_are_understood_and_understand():
+    """Guards against daemons of two versions that take each other for dead.
+
+    The old one accepts no tunnels and names no unreached services.
+    """
+    new = create_heartbeat(tunnel_port=7340, unreached=("chat",))
+    fields = msgspec.msgpack.decode(msgspec.msgpack.encode(new))
+    added = len(digest.Heartbeat.__struct_fields__) - (
+        digest.Heartbeat.__struct_fields__.index("tunnel_port")
+    )
+    data = digest.ENCODER.encode(digest.Datagram(sender=new))
+    old_data = data.replace(
+        msgspec.msgpack.encode(fields),
+        msgspec.msgpack.encode(fields[:-added]),
+    )
+    assert old_data != data
+    old = digest.decode(old_data).sender
+    assert (old.name, old.tunnel_port, old.unreached) == (new.name, 0, ())
+    longer = data.replace(
+        msgspec.msgpack.encode(fields),
+        msgspec.msgpack.encode([*fields, "of a later version"]),
+    )
+    assert digest.decode(longer).sender == new
+
+
 def test_one_daemon_of_each_other_domain_passes_an_update_on():
     """Guards against updates sent to every daemon of other domains."""
     own = create_heartbeat(name="own", failure_domain="x")
