Pause between looks for a path to a service that is gone

Seen: requests that wait for a path to a service without listed upstreams begin rounds in a loop without a pause until the watch loop forgets it. Cause: a round without upstreams ends at once and leaves the search going. Change: a wait pauses for `SEARCH_INTERVAL` if the round changed nothing. Measured: `pytest arbutuscove/paths/tests/test_monitor.py`: before, 1 failed (test_wait_for_path_to_a_service_that_is_gone_does_not_spin) and 32 passed; after, `pytest arbutuscove/paths/tests`: 110 passed.

--- a/arbutuscove/paths/monitor.py
+++ b/arbutuscove/paths/monitor.py
@@ -154,14 +154,15 @@
             Whether a path was found.
         """
         while reach_module.is_searching(self._get(service)):
-            now = self._clock.monotonic()
-            if deadline is not None and now >= deadline:
+            if self._is_past(deadline):
                 return False
+            before = self._get(service)
             greenlet = self._begin_round(service)
-            if greenlet is None:
-                self._clock.sleep(SEARCH_INTERVAL)
-            else:
+            if greenlet is not None:
                 self._join(greenlet, deadline)
+            # No round may begin yet, or no upstream is listed.
+            if self._get(service) == before and not self._is_past(deadline):
+                self._clock.sleep(SEARCH_INTERVAL)
         return self.get_verdict(service) is not UNREACHED
 
     def suspect(self, service: str, since: datetime.timedelta) -> None:
@@ -221,6 +222,9 @@
                 self._join(greenlet, deadline)
         return _is_since(read_time(self._get(service)), since)
 
+    def _is_past(self, deadline: datetime.timedelta | None) -> bool:
+        return deadline is not None and self._clock.monotonic() >= deadline
+
     def _join(
         self, greenlet: gevent.Greenlet, deadline: datetime.timedelta | None
     ) -> None:
--- a/arbutuscove/paths/tests/test_monitor.py
+++ b/arbutuscove/paths/tests/test_monitor.py
@@ -414,6 +414,31 @@
     assert waiting.ready() and waiting.value is False
 
 
+def test_wait_for_path_to_a_service_that_is_gone_does_not_spin(daemon):
+    """Guards against a busy loop as a service loses its last upstream."""
+    lose_all(daemon)
+    daemon.confirm()
+    reads = []
+
+    class Counting(dict):
+        def get(self, service, default):
+            reads.append(service)
+            return default
+
+    daemon.upstreams = Counting()
+    daemon.clock.advance(reach.MAX_RETRY_INTERVAL)
+    waiting = gevent.spawn(
+        daemon.monitor.wait_for_path,
+        SERVICE,
+        daemon.clock.monotonic() + ms(1000),
+    )
+    daemon.clock.run(ms(100))
+    assert len(reads) <= ms(100) / monitor.SEARCH_INTERVAL + 1
+    daemon.start()
+    daemon.clock.run(monitor.WATCH_INTERVAL + monitor.SEARCH_INTERVAL)
+    assert waiting.ready()
+
+
 def test_wait_for_path_leaves_a_round_at_the_deadline(daemon):
     """Guards against a request that waits for trials past its deadline."""
     lose_all(daemon)
