Open a connection again once its path has come back

Seen: a request to a service with one upstream is refused although the path came back while it waited for one. Change: if a direct connection was opened since the check-out began, it opens one more within the deadline. A failure then still is `NoPathError`. Conclusion: a cut shorter than the search costs time and no request.

--- a/arbutuscove/paths/connections.py
+++ b/arbutuscove/paths/connections.py
@@ -69,8 +69,9 @@
 
         Raises:
             RefusedError: no process listens on the port.
-            NoPathError: no path to the upstream was found, which may say
-                nothing of the upstream.
+            UnreachedError: no path leads to any upstream of the service.
+            NoPathError: no path to the upstream was found, which says nothing
+                of the upstream.
             NotSentError: the upstream accepted no connection.
         """
         if not self._monitor.is_cut_off(service):
@@ -84,12 +85,16 @@
                     raise
                 self._monitor.wait_for_path(service, deadline)
                 match self._monitor.get_verdict(service):
-                    case reach.Verdict.REACHED:
-                        raise
-                    case reach.Verdict.UNREACHED:
-                        raise errors.NoPathError(str(error)) from error
                     case reach.Verdict.CUT_OFF:
                         pass
+                    case reach.Verdict.UNREACHED:
+                        raise errors.UnreachedError(str(error)) from error
+                    case reach.Verdict.REACHED:
+                        if not self._monitor.was_opened(service, started):
+                            raise errors.NoPathError(str(error)) from error
+                        return self._open_again(
+                            service, address, timeout, deadline
+                        )
         idle = self._tunnels.find_idle(address, max_idle_time)
         if idle is not None:
             return idle
@@ -177,10 +182,7 @@
         deadline: datetime.timedelta | None,
     ) -> connection.Connection:
         now = self._clock.monotonic()
-        if deadline is not None:
-            timeout = min(timeout, deadline - now)
-        if timeout <= datetime.timedelta():
-            raise errors.NoPathError(f"{address}: no time is left")
+        timeout = self._limit(address, timeout, deadline)
         try:
             opened = self._peer_paths.open(service, address, timeout)
         except http.RefusedError:
@@ -193,6 +195,39 @@
         self._monitor.record_contact(service)
         return opened
 
+    def _open_again(
+        self,
+        service: str,
+        address: http.Address,
+        timeout: datetime.timedelta,
+        deadline: datetime.timedelta | None,
+    ) -> connection.Connection:
+        """Opens a direct connection once the path has come back.
+
+        Raises:
+            NoPathError: it could not be opened; the path may have failed again.
+        """
+        timeout = self._limit(address, timeout, deadline)
+        try:
+            return self._check_out_direct(
+                service, address, timeout, pool_module.NEVER_IDLE
+            )
+        except http.NotSentError as error:
+            raise errors.NoPathError(str(error)) from error
+
+    def _limit(
+        self,
+        address: http.Address,
+        timeout: datetime.timedelta,
+        deadline: datetime.timedelta | None,
+    ) -> datetime.timedelta:
+        """Returns the timeout of a further connection within a deadline."""
+        if deadline is not None:
+            timeout = min(timeout, deadline - self._clock.monotonic())
+        if timeout <= datetime.timedelta():
+            raise errors.NoPathError(f"{address}: no time is left")
+        return timeout
+
     def _check_out_direct(
         self,
         service: str,
--- a/arbutuscove/paths/tests/test_connections.py
+++ b/arbutuscove/paths/tests/test_connections.py
@@ -48,6 +48,40 @@
     assert daemon.changes == []
 
 
+def test_connection_is_opened_when_a_short_cut_has_healed():
+    """Guards against a request refused beside its only upstream, which works.
+
+    The path comes back while the request waits for one.
+    """
+    daemon = scripts.Daemon(upstreams=1, peer_names="")
+    daemon.start()
+    daemon.network.all_direct = http.RefusedError
+    call = gevent.spawn(daemon.check_out)
+    daemon.clock.run(ms(20))
+    assert not call.ready()
+    daemon.heal()
+    daemon.clock.run(ms(500))
+    assert call.ready()
+    assert call.get().carrier is None
+    assert daemon.changes == [reach.Verdict.UNREACHED, reach.Verdict.REACHED]
+    daemon.stop()
+
+
+def test_connection_that_fails_after_the_heal_blames_no_upstream():
+    """Guards against an upstream blamed while the path comes and goes."""
+    daemon = scripts.Daemon(upstreams=2, peer_names="")
+    daemon.start()
+    daemon.network.all_direct = http.RefusedError
+    call = gevent.spawn(daemon.check_out)
+    daemon.clock.run(ms(20))
+    daemon.network.direct[daemon.addresses[1]] = lambda timeout: None
+    daemon.clock.run(ms(500))
+    assert isinstance(call.exception, errors.NoPathError)
+    # The request may go on at another upstream.
+    assert not isinstance(call.exception, errors.UnreachedError)
+    daemon.stop()
+
+
 def test_connection_gives_up_the_round_at_the_deadline(daemon):
     """Guards against a request that waits for trials past its deadline."""
     ended = gevent_event.Event()
--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -387,8 +387,10 @@
                 max_idle_time,
                 request.deadline,
             )
-        except path_errors.NoPathError as error:
+        except path_errors.UnreachedError as error:
             raise NoPathError(str(error)) from error
+        except path_errors.NoPathError as error:
+            raise UnsentError(str(error)) from error
         except http.NotSentError as error:
             context.states.record_failure(self.backend.key)
             raise UnsentError(str(error)) from error
