Test the timer that suspects a slow connection

Cause: that a slow direct connection begins a round before its time-out, and that its timer ends with it, had no tests. Change: tests of both, also for a greenlet that is killed.

--- a/arbutuscove/paths/tests/test_connections.py
+++ b/arbutuscove/paths/tests/test_connections.py
@@ -4,6 +4,7 @@
 import pytest
 from gevent import event as gevent_event
 
+from arbutuscove.paths import connections
 from arbutuscove.paths import errors
 from arbutuscove.paths import reach
 from arbutuscove.paths.tests import scripts
@@ -48,6 +49,47 @@
     assert daemon.changes == []
 
 
+@pytest.fixture(name="suspect_soon")
+def fixture_suspect_soon(monkeypatch):
+    """Shortens the real time after which a connection is suspected."""
+    monkeypatch.setattr(connections, "SUSPECT_TIME", ms(10))
+
+
+def test_connection_that_is_slow_begins_a_round(daemon, suspect_soon):
+    """Guards against a cut that is looked for only after a whole time-out."""
+    released = gevent_event.Event()
+    daemon.network.direct[daemon.addresses[0]] = lambda timeout: released.wait()
+    call = gevent.spawn(daemon.check_out)
+    with gevent.Timeout(5):
+        while daemon.network.count("direct") < 2:
+            gevent.sleep(0.005)
+    assert not call.ready()
+    released.set()
+    assert call.get().carrier is None
+
+
+@pytest.mark.parametrize("end", ["opened", "failed", "killed"])
+def test_connection_that_has_ended_begins_no_round_later(
+    daemon, suspect_soon, end
+):
+    """Guards against timers that outlive their connection, one for each."""
+    daemon.clock.advance(ms(1))
+    if end == "killed":
+        daemon.network.all_direct = lambda timeout: gevent.sleep(5)
+        call = gevent.spawn(daemon.check_out)
+        scripts.settle()
+        call.kill()
+    else:
+        if end == "failed":
+            daemon.network.direct[daemon.addresses[0]] = http.RefusedError
+        call = gevent.spawn(daemon.check_out)
+        call.join()
+    daemon.network.calls.clear()
+    daemon.clock.advance(ms(1))
+    gevent.sleep(0.03)
+    assert daemon.network.calls == []
+
+
 def test_connection_is_opened_when_a_short_cut_has_healed():
     """Guards against a request refused beside its only upstream, which works.
 
