Blame no upstream that accepted the trial itself

Seen: the only upstream of a service counts as failed, and its request is refused, when one connection is lost on the way. Cause: the round that confirms the path may try the upstream that has just failed, and its acceptance counted as that of another one. Change: if the upstream itself accepted a direct trial since the check-out began, a connection to it is opened again within the deadline, once. Conclusion: holds for upstreams in the sample; those of large services that are not in it are blamed as before.

--- a/arbutuscove/paths/connections.py
+++ b/arbutuscove/paths/connections.py
@@ -81,9 +81,15 @@
                     service, address, timeout, max_idle_time
                 )
             except http.NotSentError as error:
-                if self._monitor.confirm_reach(service, started, deadline):
+                is_reached = self._monitor.confirm_reach(
+                    service, started, deadline
+                )
+                if is_reached and not self._monitor.has_accepted(
+                    service, address, started
+                ):
                     raise
-                self._monitor.wait_for_path(service, deadline)
+                if not is_reached:
+                    self._monitor.wait_for_path(service, deadline)
                 match self._monitor.get_verdict(service):
                     case reach.Verdict.CUT_OFF:
                         pass
@@ -202,7 +208,7 @@
         timeout: datetime.timedelta,
         deadline: datetime.timedelta | None,
     ) -> connection.Connection:
-        """Opens a direct connection once the path has come back.
+        """Opens a direct connection after a failure of the path.
 
         Raises:
             NoPathError: it could not be opened; the path may have failed again.
--- a/arbutuscove/paths/monitor.py
+++ b/arbutuscove/paths/monitor.py
@@ -78,6 +78,8 @@
         self._open_direct = open_direct
         self._reaches: dict[str, reach_module.Reach] = {}
         self._rounds: dict[str, gevent.Greenlet] = {}
+        # When upstreams accepted direct trials of the last round.
+        self._accepted: dict[str, dict[http.Address, datetime.timedelta]] = {}
         self._handlers: list[abc.Callable[[str], None]] = []
 
     def start(self, kernel: services.Kernel) -> None:
@@ -137,6 +139,13 @@
         """Returns whether a direct connection was opened since a time."""
         return _is_since(self._get(service).opened_at, since)
 
+    def has_accepted(
+        self, service: str, address: http.Address, since: datetime.timedelta
+    ) -> bool:
+        """Returns whether an upstream accepted a direct trial since a time."""
+        accepted = self._accepted.get(service, {})
+        return _is_since(accepted.get(address), since)
+
     def was_contacted(self, service: str, since: datetime.timedelta) -> bool:
         """Returns whether a connection was opened since, on any path."""
         return _is_since(self._get(service).contact_at, since)
@@ -284,13 +293,15 @@
         """Returns the paths, None if a connection opened meanwhile decides."""
         started = self._clock.monotonic()
         needs_all = self.is_cut_off(service)
-        jobs = [gevent.spawn(self._try_direct, sample[0])]
+        self._accepted[service] = {}
+        jobs = [gevent.spawn(self._try_direct, service, sample[0])]
         if not needs_all:
             jobs[0].join(FIRST_TRIAL_TIME.total_seconds())
             if jobs[0].ready() and jobs[0].value:
                 return [reach_module.Path.DIRECT]
         jobs += [
-            gevent.spawn(self._try_direct, address) for address in sample[1:]
+            gevent.spawn(self._try_direct, service, address)
+            for address in sample[1:]
         ]
         gevent.joinall(jobs)
         paths = {
@@ -324,11 +335,13 @@
             if job.value:
                 paths[address] = reach_module.Path.PEER
 
-    def _try_direct(self, address: http.Address) -> bool:
+    def _try_direct(self, service: str, address: http.Address) -> bool:
         try:
             self._open_direct(address, TRIAL_TIMEOUT).close()
         except http.NotSentError:
             return False
+        accepted = self._accepted.setdefault(service, {})
+        accepted[address] = self._clock.monotonic()
         return True
 
     def _try_peer(self, service: str, address: http.Address) -> bool:
@@ -375,11 +388,14 @@
                     for service, reach in self._reaches.items()
                     if self._list_upstreams(service)
                 }
+                for service in self._accepted.keys() - self._reaches.keys():
+                    del self._accepted[service]
             for service in self._find_unreached():
                 if self._list_upstreams(service):
                     self._begin_round(service)
                 else:
                     del self._reaches[service]
+                    self._accepted.pop(service, None)
 
 
 def _is_since(
--- a/arbutuscove/paths/tests/test_connections.py
+++ b/arbutuscove/paths/tests/test_connections.py
@@ -49,6 +49,28 @@
     assert daemon.changes == []
 
 
+@pytest.mark.parametrize("error", [http.NotSentError, http.RefusedError])
+def test_connection_to_the_only_upstream_is_opened_if_the_trial_was(error):
+    """Guards against an upstream blamed on proof that it accepts connections.
+
+    With one packet of ten lost, one connection of five fails, and the only
+    upstream of a service is also the one that is tried.
+    """
+    daemon = scripts.Daemon(upstreams=1)
+    is_first = iter([True])
+
+    def fail_first(timeout):
+        if next(is_first, False):
+            raise error("scripted")
+
+    daemon.network.all_direct = fail_first
+    opened = daemon.check_out()
+    assert opened.carrier is None
+    assert daemon.network.count("direct") == 3
+    assert daemon.changes == []
+    daemon.stop()
+
+
 @pytest.fixture(name="suspect_soon")
 def fixture_suspect_soon(monkeypatch):
     """Shortens the real time after which a connection is suspected."""
