Go through a peer if a failed connection finds the service cut off

Seen: a connection that times out while a round finds the cut is counted against its upstream, and its request does not go through a peer. Cause: another upstream had accepted a connection after this one had begun and before the cut, which counted as proof of the path. Change: the verdict at the end decides; while the service is cut off, the connection goes through a peer. Measured: `pytest arbutuscove/paths/tests`: 119 passed; without the change, test_connection_that_fails_as_the_cut_is_found_goes_through_a_peer fails. Conclusion: requests in flight when the cut is found take the way through a peer, too.

--- a/arbutuscove/paths/connections.py
+++ b/arbutuscove/paths/connections.py
@@ -84,8 +84,12 @@
                 is_reached = self._monitor.confirm_reach(
                     service, started, deadline
                 )
-                if is_reached and not self._monitor.has_accepted(
-                    service, address, started
+                if (
+                    is_reached
+                    and not self._monitor.is_cut_off(service)
+                    and not self._monitor.has_accepted(
+                        service, address, started
+                    )
                 ):
                     raise
                 if not is_reached:
--- a/arbutuscove/paths/tests/test_connections.py
+++ b/arbutuscove/paths/tests/test_connections.py
@@ -71,6 +71,24 @@
     daemon.stop()
 
 
+def test_connection_that_fails_as_the_cut_is_found_goes_through_a_peer(daemon):
+    """Guards against an upstream blamed for a cut in the midst of its time-out.
+
+    Another one had accepted a connection just before the cut.
+    """
+
+    def fail_late(timeout):
+        daemon.monitor.record_open(scripts.SERVICE)
+        daemon.network.direct.clear()
+        daemon.cut()
+        raise http.NotSentError("scripted")
+
+    daemon.network.direct[daemon.addresses[0]] = fail_late
+    opened = daemon.check_out()
+    assert daemon.changes == [reach.Verdict.CUT_OFF]
+    assert opened.carrier is not None
+
+
 @pytest.fixture(name="suspect_soon")
 def fixture_suspect_soon(monkeypatch):
     """Shortens the real time after which a connection is suspected."""
