Take a path for reached only if an upstream answers on it

A daemon behind something that accepts connections and then loses or resets them found itself never cut off: an accepted connection counted as contact, and lost answers began no trial.

Cause: the evidence was the handshake of TCP and not an answer.

Change: a trial connection exchanges a request that runs nothing (the report of a model server, the health of a plain service); the first answer on a new connection counts as opened, not the connection itself; an attempt that is lost, or silent for 300 ms before its head, has the path examined.

--- a/arbutuscove/catalog/model.py
+++ b/arbutuscove/catalog/model.py
@@ -140,11 +140,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Service:
-    """A service; `engine` is None for a plain service."""
+    """A service.
+
+    `engine` is None for a plain service. `health_path` is the path at which its
+    upstreams tell whether they are healthy.
+    """
 
     name: str
     connections: int
     engine: Engine | None = None
+    health_path: str = "/"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/arbutuscove/paths/connections.py
+++ b/arbutuscove/paths/connections.py
@@ -139,6 +139,31 @@
         self._monitor.record_open(service)
         return opened
 
+    def record_answer(self, service: str, used: connection.Connection) -> None:
+        """Records that an upstream answered on a connection.
+
+        Only the first answer on a direct connection shows that the path accepts
+        new ones: something between may accept connections and lose them.
+        """
+        if used.carrier is None and used.exchange_count <= 1:
+            self._monitor.record_open(service)
+
+    def suspect(
+        self,
+        service: str,
+        used: connection.Connection,
+        since: datetime.timedelta,
+    ) -> None:
+        """Has the path examined, as a connection fails or is silent.
+
+        Args:
+            service: the service of the upstream.
+            used: the connection.
+            since: monotonic time at which the request was sent on it.
+        """
+        if used.carrier is None:
+            self._monitor.suspect(service, since)
+
     def confirm_reach(self, service: str, since: datetime.timedelta) -> bool:
         """Returns whether a direct connection was opened since a time.
 
@@ -255,8 +280,6 @@
             self._clock.monotonic(),
         )
         try:
-            opened = self._direct.open(address, timeout)
+            return self._direct.open(address, timeout)
         finally:
             timer.kill(block=False)
-        self._monitor.record_open(service)
-        return opened
--- a/arbutuscove/paths/monitor.py
+++ b/arbutuscove/paths/monitor.py
@@ -60,6 +60,9 @@
         open_direct: abc.Callable[
             [http.Address, datetime.timedelta], connection.Connection
         ] = connection.connect,
+        is_answered: abc.Callable[
+            [str, connection.Connection, datetime.timedelta], bool
+        ] = lambda service, opened, timeout: True,
     ) -> None:
         """Creates a monitor.
 
@@ -70,12 +73,15 @@
                 through a peer, within a timeout.
             generator: source of random choices.
             open_direct: opens a direct connection within a timeout.
+            is_answered: returns whether an upstream of a service answers on a
+                new connection within a timeout.
         """
         self._clock = clock
         self._list_upstreams = list_upstreams
         self._open_through_peer = open_through_peer
         self._generator = generator
         self._open_direct = open_direct
+        self._is_answered = is_answered
         self._reaches: dict[str, reach_module.Reach] = {}
         self._rounds: dict[str, gevent.Greenlet] = {}
         # When upstreams accepted direct trials of the last round.
@@ -336,20 +342,37 @@
                 paths[address] = reach_module.Path.PEER
 
     def _try_direct(self, service: str, address: http.Address) -> bool:
+        deadline = self._clock.monotonic() + TRIAL_TIMEOUT
         try:
-            self._open_direct(address, TRIAL_TIMEOUT).close()
+            opened = self._open_direct(address, TRIAL_TIMEOUT)
         except http.NotSentError:
             return False
+        if not self._has_answered(service, opened, deadline):
+            return False
         accepted = self._accepted.setdefault(service, {})
         accepted[address] = self._clock.monotonic()
         return True
 
     def _try_peer(self, service: str, address: http.Address) -> bool:
+        deadline = self._clock.monotonic() + 2 * TRIAL_TIMEOUT
         try:
-            self._open_through_peer(service, address, TRIAL_TIMEOUT).close()
+            opened = self._open_through_peer(service, address, TRIAL_TIMEOUT)
         except http.NotSentError:
             return False
-        return True
+        return self._has_answered(service, opened, deadline)
+
+    def _has_answered(
+        self,
+        service: str,
+        opened: connection.Connection,
+        deadline: datetime.timedelta,
+    ) -> bool:
+        """Returns whether an upstream answers, and closes the connection."""
+        try:
+            left = deadline - self._clock.monotonic()
+            return self._is_answered(service, opened, left)
+        finally:
+            opened.close()
 
     def _find_unreached(self) -> list[str]:
         return [
--- a/arbutuscove/paths/tests/scripts.py
+++ b/arbutuscove/paths/tests/scripts.py
@@ -70,6 +70,7 @@
     def __init__(self, address, carrier=None):
         self.address = address
         self.carrier = carrier
+        self.exchange_count = 1
         self.idle_since = ms(0)
         self.max_idle_time = None
         self.is_closed = False
@@ -222,6 +223,9 @@
         return self.monitor.confirm_reach(SERVICE, since or now)
 
     def check_out(self, index=0, **options):
-        return self.connections.check_out(
+        """Opens a connection, on which the upstream then answers."""
+        opened = self.connections.check_out(
             SERVICE, self.addresses[index], **options
         )
+        self.connections.record_answer(SERVICE, opened)
+        return opened
--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -207,6 +207,9 @@
             self._list_service_vms,
             self._peer_paths.open,
             self._generator,
+            is_answered=engine.TrialClient(
+                self._catalog, self._clock
+            ).is_answered,
         )
         self._paths.add_change_handler(self._apply_verdict)
         self._upstreams = path_connections.UpstreamConnections(
--- a/arbutuscove/platform/configuration.py
+++ b/arbutuscove/platform/configuration.py
@@ -95,6 +95,7 @@
     name: decoding.Text
     max_connections: decoding.Count = 100
     engine: _Engine | None = None
+    health_path: _Line = "/"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -211,6 +212,7 @@
     return model.Service(
         name=service.name,
         connections=service.max_connections,
+        health_path=service.health_path,
         engine=None if engine is None else _convert_engine(engine),
     )
 
--- a/arbutuscove/platform/engine.py
+++ b/arbutuscove/platform/engine.py
@@ -7,6 +7,7 @@
 import eliot
 import msgspec
 
+from arbutuscove.catalog import holder as catalog_holder
 from arbutuscove.crashes import liveness
 from arbutuscove.fleet import model
 from arbutuscove.fleet import orders
@@ -25,6 +26,7 @@
 # A responsive server answers a status request within some milliseconds.
 REPORT_TIMEOUT = datetime.timedelta(milliseconds=300)
 MAX_REPORT_BYTES = 65536
+REPORT_PATH = "/report"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -38,6 +40,51 @@
 _DECODER = decoding.JsonDecoder[_Report](_Report, MAX_REPORT_BYTES)
 
 
+class TrialClient:
+    """Checks whether an upstream answers on a new connection.
+
+    Model servers are asked for their report and the others for their health;
+    neither runs anything, and any response is an answer.
+    """
+
+    def __init__(
+        self, catalog: catalog_holder.CatalogHolder, clock: clock_module.Clock
+    ) -> None:
+        self._catalog = catalog
+        self._clock = clock
+
+    def is_answered(
+        self,
+        service: str,
+        opened: connection.Connection,
+        timeout: datetime.timedelta,
+    ) -> bool:
+        """Returns whether the head of a response arrives within a timeout."""
+        deadline = self._clock.monotonic() + timeout
+        data = connection.encode_request(
+            "GET",
+            self._find_path(service),
+            [("Host", str(opened.address))],
+            b"",
+        )
+        try:
+            opened.send("GET", data)
+            while not opened.receive(
+                deadline - self._clock.monotonic()
+            ).has_head():
+                pass
+        except http.NoResponseError:
+            return False
+        return True
+
+    def _find_path(self, service: str) -> str:
+        catalog = self._catalog.get_current()
+        spec = None if catalog is None else catalog.services.get(service)
+        if spec is None or spec.engine is not None:
+            return REPORT_PATH
+        return spec.health_path
+
+
 class HttpOrderClient:
     """Sends orders and status requests to model servers over HTTP."""
 
@@ -86,7 +133,7 @@
         """Returns the VM's status, None if it sends no valid report."""
         try:
             status, answer = self._call(
-                vm, "GET", "/report", b"", REPORT_TIMEOUT
+                vm, "GET", REPORT_PATH, b"", REPORT_TIMEOUT
             )
             if status != 200:
                 return None
@@ -107,7 +154,7 @@
         """
         try:
             status, answer = self._call(
-                vm, "GET", "/report", b"", REPORT_TIMEOUT, pool.NEVER_IDLE
+                vm, "GET", REPORT_PATH, b"", REPORT_TIMEOUT, pool.NEVER_IDLE
             )
         except http.RefusedError:
             return liveness.Liveness.DEAD
@@ -163,6 +210,7 @@
         except BaseException:
             client_connection.close()
             raise
+        self._connections.record_answer(vm.service, client_connection)
         self._connections.check_in(
             client_connection, pool.parse_keep_alive_timeout(parser)
         )
--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -58,6 +58,8 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Pause between two probes of a group that was marked as a member was silent.
 STALL_RECHECK_INTERVAL = datetime.timedelta(milliseconds=500)
+# Silence before the head after which the path of an attempt is examined.
+SUSPECT_PATH_TIMEOUT = datetime.timedelta(milliseconds=300)
 # Silence on a direct connection while this daemon is cut off from the service.
 LOST_PATH_TIMEOUT = datetime.timedelta(milliseconds=300)
 # How often a waiting attempt checks whether its backend is stalled.
@@ -587,6 +589,7 @@
                         " request"
                     )
                 self._head_at = self._context.clock.monotonic()
+                self._context.connections.record_answer(self._service, upstream)
                 self.record_progress()
                 return reply
             # A late answer to an earlier request; the expected one follows.
@@ -664,10 +667,19 @@
                 return
             except connection.ResponseTimeoutError:
                 context.probe(self._service, self.backend)
+                if self.reply is None and waited >= SUSPECT_PATH_TIMEOUT:
+                    self._suspect_path()
             finally:
                 passed = context.clock.monotonic() - now
                 self._read_wait += min(passed, 2 * STALL_CHECK_INTERVAL)
 
+    def _suspect_path(self) -> None:
+        """Has the path examined, as this attempt fails or is silent."""
+        if self._connection is not None:
+            self._context.connections.suspect(
+                self._service, self._connection, self._started_at
+            )
+
     def _has_lost_path(self) -> bool:
         """Returns whether a failure may be one of the path alone."""
         return (
@@ -702,6 +714,8 @@
         )
         if not has_lost_path:
             self._context.states.record_failure(self.backend.key)
+        if isinstance(error, http.NoResponseError):
+            self._suspect_path()
         now = self._context.clock.monotonic()
         head_at = self._head_at
         eliot.log_message(
