Know a daemon by its own address, and ask plain services for their health

A carrier closed tunnels of daemons that connect from another address of their VM than the one they register, and a trial of a plain service asked for a path that a service may run.

Change: tunnels are opened from the daemon's own address. The health path of a service is read from its configuration; without one, an open connection counts as an answer. The stand-ins of the users' platform serve their health.

--- a/arbutuscove/catalog/model.py
+++ b/arbutuscove/catalog/model.py
@@ -143,13 +143,13 @@
     """A service.
 
     `engine` is None for a plain service. `health_path` is the path at which its
-    upstreams tell whether they are healthy.
+    upstreams tell whether they are healthy, empty if they do not.
     """
 
     name: str
     connections: int
     engine: Engine | None = None
-    health_path: str = "/"
+    health_path: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import datetime
+import functools
 import random
 import time
 from collections import abc
@@ -200,7 +201,10 @@
         self._gossip = self._build_gossip()
         self._tunnels = pool.ConnectionPool(self._clock)
         self._peer_paths = peer_paths.PeerPaths(
-            self._clock, settings.name, self._list_carriers
+            self._clock,
+            settings.name,
+            self._list_carriers,
+            functools.partial(tunnel.open_tunnel, source_host=settings.ip),
         )
         self._paths = path_monitor.ReachMonitor(
             self._clock,
--- a/arbutuscove/platform/configuration.py
+++ b/arbutuscove/platform/configuration.py
@@ -95,7 +95,7 @@
     name: decoding.Text
     max_connections: decoding.Count = 100
     engine: _Engine | None = None
-    health_path: _Line = "/"
+    health_path: _Line = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/arbutuscove/platform/engine.py
+++ b/arbutuscove/platform/engine.py
@@ -44,7 +44,8 @@
     """Checks whether an upstream answers on a new connection.
 
     Model servers are asked for their report and the others for their health;
-    neither runs anything, and any response is an answer.
+    neither runs anything, and any response is an answer. Without a path to ask
+    for, an open connection counts.
     """
 
     def __init__(
@@ -61,12 +62,11 @@
     ) -> bool:
         """Returns whether the head of a response arrives within a timeout."""
         deadline = self._clock.monotonic() + timeout
-        data = connection.encode_request(
-            "GET",
-            self._find_path(service),
-            [("Host", str(opened.address))],
-            b"",
-        )
+        path = self._find_path(service)
+        if not path:
+            return True
+        fields = [("Host", str(opened.address))]
+        data = connection.encode_request("GET", path, fields, b"")
         try:
             opened.send("GET", data)
             while not opened.receive(
--- a/arbutuscove/standins/users_platform.py
+++ b/arbutuscove/standins/users_platform.py
@@ -227,6 +227,9 @@
             case "/report":
                 report = self.build_report() | {"sequence": self.accepted}
                 return users_store.send_json(start_response, (200, report))
+            case "/health":
+                status = 503 if self.leaving else 200
+                return users_store.send_json(start_response, (status, {}))
             case "/order":
                 reply = self._handle_order(msgspec.json.decode(body))
                 return users_store.send_json(start_response, reply)
@@ -556,6 +559,7 @@
         "services": [
             {
                 "name": models,
+                "health_path": "/health",
                 "max_connections": 100,
                 "engine": {
                     "slots": 4,
@@ -567,7 +571,7 @@
                     "models": [spec | {"load_s": 0.4, "warm_s": 0.1}],
                 },
             },
-            {"name": desk, "max_connections": 100},
+            {"name": desk, "health_path": "/health", "max_connections": 100},
         ],
         "tenants": [{"name": "acme", "api_keys": ["key-1"]}],
     }
--- a/arbutuscove/transport/connection.py
+++ b/arbutuscove/transport/connection.py
@@ -275,9 +275,17 @@
         return self._socket
 
 
-def connect(address: http.Address, timeout: datetime.timedelta) -> Connection:
+def connect(
+    address: http.Address, timeout: datetime.timedelta, source_host: str = ""
+) -> Connection:
     """Opens a connection.
 
+    Args:
+        address: the address of the peer.
+        timeout: longest time until the connection is established.
+        source_host: own IP address to connect from; the kernel chooses it if
+            this is empty.
+
     Raises:
         RefusedError: no process listens on the port.
         NoSocketError: this process has no file descriptor left for it.
@@ -290,6 +298,8 @@
     try:
         set_options(sock)
         sock.settimeout(timeout.total_seconds())
+        if source_host:
+            sock.bind((source_host, 0))
         sock.connect((address.host, address.port))
     except ConnectionRefusedError as error:
         sock.close()
--- a/arbutuscove/transport/tests/test_tunnel.py
+++ b/arbutuscove/transport/tests/test_tunnel.py
@@ -877,3 +877,22 @@
     assert read(used) == b"ab"
     assert not used.is_still_idle()
     used.close()
+
+
+def test_tunnel_is_opened_from_the_own_address():
+    """Guards against a daemon that its carrier takes for a stranger.
+
+    A VM may have several addresses; the daemons know each other by one.
+    """
+    upstream = Double(answer(b"a"))
+    carrier = Carrier()
+    carrier.strangers.add("127.0.0.1")
+    try:
+        with pytest.raises(tunnel.CarrierError):
+            tunnel.open_tunnel(carrier.address, upstream.address, SECOND)
+        tunnel.open_tunnel(
+            carrier.address, upstream.address, SECOND, "127.0.0.2"
+        ).close()
+    finally:
+        carrier.stop()
+        upstream.stop()
--- a/arbutuscove/transport/tunnel.py
+++ b/arbutuscove/transport/tunnel.py
@@ -156,7 +156,10 @@
 
 
 def open_tunnel(
-    carrier: http.Address, target: http.Address, timeout: datetime.timedelta
+    carrier: http.Address,
+    target: http.Address,
+    timeout: datetime.timedelta,
+    source_host: str = "",
 ) -> connection.Connection:
     """Opens a connection to an upstream through another daemon.
 
@@ -165,6 +168,8 @@
         target: the address of the upstream.
         timeout: limit of the whole call. Below `CONNECT_TIMEOUT` an upstream
             that does not answer is reported as a silent carrier.
+        source_host: own IP address, by which the carrier knows this daemon; the
+            kernel chooses it if this is empty.
 
     Raises:
         RefusedError: the target refused the carrier's connection.
@@ -176,7 +181,7 @@
         raise http.NotSentError(f"{target}: no time is left")
     timer = gevent.Timeout(timeout.total_seconds(), TimeoutError("timed out"))
     with timer, contextlib.ExitStack() as cleanup:
-        sock = _connect_to_carrier(carrier, timeout)
+        sock = _connect_to_carrier(carrier, timeout, source_host)
         cleanup.callback(sock.close)
         try:
             sock.sendall(_encode_line(OpenRequest(target=str(target))))
@@ -438,10 +443,10 @@
 
 
 def _connect_to_carrier(
-    carrier: http.Address, timeout: datetime.timedelta
+    carrier: http.Address, timeout: datetime.timedelta, source_host: str
 ) -> gevent_socket.socket:
     try:
-        return connection.connect(carrier, timeout).detach()
+        return connection.connect(carrier, timeout, source_host).detach()
     except connection.NoSocketError:
         raise
     except http.NotSentError as error:
--- a/soak/world.py
+++ b/soak/world.py
@@ -175,7 +175,13 @@
         self, body: dict[str, typing.Any], added_prefixes: list[str]
     ) -> int:
         """Stores a configuration with more routes like `safe`."""
-        body["services"].append({"name": SPARE_SERVICE, "max_connections": 100})
+        body["services"].append(
+            {
+                "name": SPARE_SERVICE,
+                "health_path": "/health",
+                "max_connections": 100,
+            }
+        )
         for prefix in added_prefixes:
             added_route = dict(body["routes"][2])
             added_route |= {"prefix": prefix, "name": f"added-{prefix[2:-1]}"}
