--- a/arbutuscove/transport/connection.py
+++ b/arbutuscove/transport/connection.py
@@ -27,8 +27,11 @@
 # Body bytes that were received and not yet read with `pop_body`.
 MAX_BUFFERED_BODY_BYTES = 131072
 ZERO = datetime.timedelta()
-# A peer that has lost power or network sends neither an answer nor a reset. TCP
-# keep-alive probes each second end such a connection within three seconds.
+# A peer that has lost power or network sends neither an answer nor a reset. On
+# Linux, TCP_USER_TIMEOUT decides in both cases: a connection with
+# unacknowledged data ends after it, an idle one when the first keep-alive probe
+# after it is due, three seconds after the last byte. The number of probes has
+# no effect beside it; it would give the same time.
 KEEP_ALIVE_IDLE_SECONDS = 1
 KEEP_ALIVE_INTERVAL_SECONDS = 1
 KEEP_ALIVE_PROBES = 2
