Notice the silent loss of a plain service within three seconds

Seen: a caller of a plain service whose VM had lost power or network waited for its answer until its deadline, 120 s by default and 600 s at most.

Cause: the connections of upstreams/plain had neither keep-alive probes nor TCP_USER_TIMEOUT; only those of transport had.

Change: the options of transport are set on them. A failure to set them is a call that was not sent.

Conclusion: a loss is seen as that of an engine on the users' platform; what may not be repeated is still sent once.

--- a/arbutuscove/transport/connection.py
+++ b/arbutuscove/transport/connection.py
@@ -330,7 +330,7 @@
     return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
 
 
-def set_options(sock: gevent_socket.socket) -> None:
+def set_options(sock: socket.socket) -> None:
     """Sets the options by which the loss of a peer is noticed.
 
     Raises:
--- a/arbutuscove/transport/tests/test_silent_loss.py
+++ b/arbutuscove/transport/tests/test_silent_loss.py
@@ -8,6 +8,7 @@
 
 import gevent
 import pytest
+from gevent import event
 from gevent import server
 from gevent import socket as gevent_socket
 
@@ -18,6 +19,7 @@
 from arbutuscove.transport import connection
 from arbutuscove.transport import tunnel
 from arbutuscove.transport.tests import sockets
+from arbutuscove.upstreams import plain
 
 PAGE = pathlib.Path(__file__).parents[3] / "docs" / "OPERATIONS.md"
 HEADING = "## After how long a silent loss is noticed"
@@ -67,6 +69,27 @@
         carrier.stop()
 
 
+@contextlib.contextmanager
+def open_plain():
+    received = event.Event()
+
+    def serve(sock, _):
+        sock.recv(1)
+        received.set()
+        gevent.sleep(GIVE_UP_SECONDS)
+
+    call = plain.PlainCall(
+        attempt_id="a", method="GET", path="/", content_type="", body=b""
+    )
+    with listen(serve) as address:
+        greenlet = gevent.spawn(
+            plain.send_call, str(address), call, GIVE_UP_SECONDS * SECOND
+        )
+        assert received.wait(GIVE_UP_SECONDS)
+        yield {"peer_port": address.port}
+        greenlet.kill()
+
+
 KINDS = {
     "to an upstream or the store": open_direct,
     "tunnel, from the daemon that is cut off to the carrier": (
@@ -78,6 +101,7 @@
     "tunnel, from the carrier to the upstream": (
         lambda: open_tunnel(lambda carrier, upstream: {"peer_port": upstream})
     ),
+    "to a plain service (`arbutuscoved`)": open_plain,
 }
 
 
--- a/arbutuscove/upstreams/plain.py
+++ b/arbutuscove/upstreams/plain.py
@@ -67,14 +67,17 @@
     )
     try:
         connection.connect()
+        assert isinstance(connection.sock, socket.socket)
+        # The deadline of a call may be minutes after the loss of its service.
+        transport.set_options(connection.sock)
     except OSError as error:
+        connection.close()
         return expression.Error(errors.NotDispatchedError(str(error)))
     # The timer limits the time to the complete answer; a socket timeout starts
     # again whenever bytes are received. The connection is not reused.
     timer = gevent.Timeout(timeout.total_seconds(), TimeoutError("deadline"))
     try:
         with timer:
-            assert isinstance(connection.sock, socket.socket)
             connection.sock.settimeout(timeout.total_seconds())
             headers = {
                 "Content-Type": call.content_type,
