Notice the silent loss of a caller within 20 seconds

Seen: a request whose caller had lost power or network ran on until its deadline (600 s at most in arbutuscoved, the route's on the users' platform) and held its slot at an engine, as the connection stayed open.

Cause: accepted connections had neither keep-alive probes nor TCP_USER_TIMEOUT, so presence.watch saw nothing, and writes went into the kernel's buffer.

Ruled out: the times of connections to upstreams. The time-out also ends the connection of a caller that has had no room for data, so it has to be longer than write_timeout (10 s), after which a caller that does not read is given up.

Change: Bounds.loss_timeout (20 s) sets probes each 5 s and TCP_USER_TIMEOUT, in both programs. A connection that the kernel gave up is counted as client_lost, not as write_stalled.

Conclusion: a caller that pauses its reading for 20 s with a full receive buffer is taken for lost; before, one that paused so long was only cut if the daemon's own buffer was full, too.

--- a/arbutuscove/entry/connections.py
+++ b/arbutuscove/entry/connections.py
@@ -9,6 +9,7 @@
 import collections
 import dataclasses
 import datetime
+import errno
 import http.client
 import re
 import socket
@@ -30,6 +31,8 @@
 # How long a refused connection stays open, so that its client can read the
 # refusal.
 LINGER_TIMEOUT = datetime.timedelta(seconds=1)
+# Keep-alive probes of an idle connection within `Bounds.loss_timeout`.
+KEEP_ALIVE_PROBES = 4
 MAX_LINGERING = 256  # concurrently lingering refused connections
 READ_SIZE_BYTES = 65536
 HEADER_NAME_PATTERN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
@@ -44,7 +47,10 @@
     `head_timeout` runs from the first byte of a request to the end of its
     headers, `body_timeout` from the first read of the body to its end;
     `idle_timeout` limits the wait for a request, and `write_timeout` one write
-    to a client that does not read.
+    to a client that does not read. `loss_timeout` limits the silence of a
+    client that acknowledges neither data nor keep-alive probes, or has no room
+    for data; it is longer than `write_timeout`, so that a client that pauses is
+    not taken for lost.
     """
 
     max_header_bytes: int = 32768  # the largest documented header is 2 KB
@@ -52,6 +58,7 @@
     body_timeout: datetime.timedelta = datetime.timedelta(seconds=20)
     idle_timeout: datetime.timedelta = datetime.timedelta(seconds=60)
     write_timeout: datetime.timedelta = datetime.timedelta(seconds=10)
+    loss_timeout: datetime.timedelta = datetime.timedelta(seconds=20)
     max_connections: int = 4096
     # A quarter of all, so that one client host cannot lock out the others.
     max_connections_per_address: int = 1024
@@ -211,7 +218,11 @@
         if isinstance(error[1], ConnectionError | TimeoutError) or (
             isinstance(error[1], OSError) and self.headers_sent
         ):
-            is_stalled = isinstance(error[1], TimeoutError)
+            # ETIMEDOUT: the kernel gave the connection up.
+            is_stalled = (
+                isinstance(error[1], TimeoutError)
+                and error[1].errno != errno.ETIMEDOUT
+            )
             self.server.count("write_stalled" if is_stalled else "client_lost")
             self.close_connection = True
             return
@@ -283,6 +294,7 @@
         # Without this the second small write of a response waits up to 40 ms
         # for the client's delayed acknowledgement of the first.
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        _limit_silence(sock, self.bounds.loss_timeout)
         self._open_by_address[host] += 1
         try:
             super().handle(sock, address)
@@ -339,6 +351,20 @@
             sock.close()
 
 
+def _limit_silence(sock: typing.Any, timeout: datetime.timedelta) -> None:
+    """Makes the kernel end a connection whose client is lost silently."""
+    seconds = timeout.total_seconds()
+    # The last probe of an idle connection is due when the time is over.
+    interval = max(1, round(seconds / KEEP_ALIVE_PROBES))
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, interval),
+        (socket.TCP_KEEPINTVL, interval),
+        (socket.TCP_USER_TIMEOUT, round(seconds * 1000)),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 def _check_headers(message: typing.Any) -> None:
     """Rejects heads that HTTP parsers may interpret differently (RFC 9112)."""
     is_malformed = bool(message.defects) or bool(message.get_payload())
--- a/arbutuscove/entry/tests/test_connections.py
+++ b/arbutuscove/entry/tests/test_connections.py
@@ -9,12 +9,15 @@
 import msgspec
 import pytest
 from gevent import event
+from gevent import queue
 
 from arbutuscove.entry import app
 from arbutuscove.entry import connections
 from arbutuscove.entry.tests import serving
+from arbutuscove.requests import presence
 from arbutuscove.standins import cluster
 from arbutuscove.storage import http
+from arbutuscove.transport.tests import sockets
 
 SHORT = datetime.timedelta(milliseconds=200)
 BOUNDS = connections.Bounds(
@@ -372,3 +375,44 @@
         server.flow.release.set()
         assert b"one " in serving.read_all(active)
         draining.join()
+
+
+def wait_for_caller(environ, start_response):
+    with environ[connections.PRESENCE_KEY].watch():
+        gevent.sleep(30)
+    return [b""]
+
+
+def stream_endlessly(environ, start_response):
+    start_response("200 OK", [])
+    while True:
+        gevent.sleep(0.01)
+        yield b"x"
+
+
+@pytest.mark.parametrize(
+    ("application", "outcome"),
+    [(wait_for_caller, "left"), (stream_endlessly, "client_lost")],
+)
+def test_request_of_a_caller_lost_without_a_word_ends(application, outcome):
+    """Guards against work until the deadline for a caller that is gone."""
+    outcomes = queue.Queue()
+
+    def serve(environ, start_response):
+        try:
+            yield from application(environ, start_response)
+        except presence.CallerLeftError as error:
+            outcomes.put("left")
+            raise ConnectionResetError(errno.ECONNRESET, "left") from error
+
+    bounds = connections.Bounds(loss_timeout=datetime.timedelta(seconds=1))
+    entry = connections.CallerServer(
+        http.Address("127.0.0.1", 0), serve, bounds, outcomes.put
+    )
+    entry.start()
+    with socket.create_connection(("127.0.0.1", entry.server_port)) as caller:
+        caller.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        gevent.sleep(0.1)
+        sockets.make_silent(caller)
+        assert outcomes.get(timeout=10) == outcome
+    entry.stop(timeout=0.1)
--- a/arbutuscove/transport/tests/test_silent_loss.py
+++ b/arbutuscove/transport/tests/test_silent_loss.py
@@ -12,6 +12,7 @@
 from gevent import server
 from gevent import socket as gevent_socket
 
+from arbutuscove.entry import connections
 from arbutuscove.gossip import digest
 from arbutuscove.kernel import services
 from arbutuscove.membership import swim
@@ -90,6 +91,18 @@
         greenlet.kill()
 
 
+@contextlib.contextmanager
+def open_caller():
+    entry = connections.CallerServer(
+        http.Address("127.0.0.1", 0), None, connections.Bounds(), print
+    )
+    entry.start()
+    with gevent_socket.create_connection(("127.0.0.1", entry.server_port)):
+        gevent.sleep(0.1)
+        yield {"own_port": entry.server_port}
+    entry.stop(timeout=0.1)
+
+
 KINDS = {
     "to an upstream or the store": open_direct,
     "tunnel, from the daemon that is cut off to the carrier": (
@@ -102,6 +115,7 @@
         lambda: open_tunnel(lambda carrier, upstream: {"peer_port": upstream})
     ),
     "to a plain service (`arbutuscoved`)": open_plain,
+    "from a caller, both programs": open_caller,
 }
 
 
