Close copies of descriptors in the tests' list of sockets

The list copied each descriptor of the process and left the copies of those open that are no sockets. A trial that listed them in a loop ended with too many open files.

--- a/arbutuscove/transport/tests/sockets.py
+++ b/arbutuscove/transport/tests/sockets.py
@@ -15,8 +15,13 @@
     found = []
     for number in os.listdir("/proc/self/fd"):
         try:
-            sock = socket.socket(fileno=os.dup(int(number)))
+            copy = os.dup(int(number))
         except OSError:
+            continue  # that of the listing itself
+        try:
+            sock = socket.socket(fileno=copy)
+        except OSError:
+            os.close(copy)
             continue
         try:
             sock.getpeername()
