Notice the silent loss of a gRPC peer within seconds, on both sides

Seen: after a silent loss, all calls of arbutuscoved to that peer failed by their own time-outs until the kernel gave the connection up, a quarter of an hour by default, also when the peer could be reached again by a new connection. The called peer kept the descriptor for two hours (keep-alive of gRPC's servers).

Cause: gRPC's clients set no TCP_USER_TIMEOUT unless keep-alive is on; its servers ping only while calls run.

Ruled out: pings of clients.

Change: keepalive options of channels (2.5 s) and servers (a ping each 10 s, answered within 2.5 s, without calls, too).

Conclusion: 12.5 s idle at the called peer, 2.5 s with data on both sides.

--- a/arbutuscove/peers/client.py
+++ b/arbutuscove/peers/client.py
@@ -12,10 +12,17 @@
 
 SERVICE_NAME = "peer-client"
 MAX_CHANNELS = 64  # the least recently used channel is closed
+KEEP_ALIVE_TIME_MS = 600_000
+LOSS_TIMEOUT_MS = 2500  # as `transport.connection.TCP_USER_TIMEOUT_MS`
 CHANNEL_OPTIONS = [
     ("grpc.enable_retries", 0),
     ("grpc.initial_reconnect_backoff_ms", 200),
     ("grpc.max_reconnect_backoff_ms", 2000),
+    # gRPC sets TCP_USER_TIMEOUT to the keep-alive time-out once pings are on.
+    # Calls notice a lost peer, so that pings beside them are not needed; a
+    # server rejects more than one in five minutes.
+    ("grpc.keepalive_time_ms", KEEP_ALIVE_TIME_MS),
+    ("grpc.keepalive_timeout_ms", LOSS_TIMEOUT_MS),
 ]
 
 
--- a/arbutuscove/peers/server.py
+++ b/arbutuscove/peers/server.py
@@ -11,6 +11,16 @@
 
 SERVICE_NAME = "peer-server"
 MAX_WORKERS = 16  # greenlets; further calls wait for a free one
+# Pings on connections without calls, too: a peer that is lost makes none.
+KEEP_ALIVE_TIME_MS = 10_000
+LOSS_TIMEOUT_MS = 2500  # of a ping, and TCP_USER_TIMEOUT
+SERVER_OPTIONS = [
+    ("grpc.so_reuseport", 0),
+    ("grpc.keepalive_time_ms", KEEP_ALIVE_TIME_MS),
+    ("grpc.keepalive_timeout_ms", LOSS_TIMEOUT_MS),
+    ("grpc.keepalive_permit_without_calls", 1),
+    ("grpc.http2.max_pings_without_data", 0),
+]
 STOP_GRACE_SECONDS = 1.0  # for calls in progress
 
 
@@ -107,7 +117,7 @@
     ) -> None:
         self._server = grpc.server(
             futures.ThreadPoolExecutor(max_workers=MAX_WORKERS),
-            options=[("grpc.so_reuseport", 0)],
+            options=SERVER_OPTIONS,
         )
         peer_pb2_grpc.add_PeerServicer_to_server(
             _Servicer(handler, statuses, rows), self._server
