Remove the mechanisms of paths and tunnels one at a time

The catalog of mutations had none for paths/, transport/frames and transport/tunnel.

Change: six for paths, two for frames, five for tunnels, and two for the silent loss of peers and callers.

Measured: bin/mutate's program on just these 15, two at a time: 15 of 15 noticed by the named tests. The options of gRPC and of plain services have none, as their tests read a page that the runner does not copy.

Conclusion: each mechanism named is guarded by a test.

--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -884,21 +884,24 @@
         "not in blame[key]\n"
         "        ]",
         new="        answers = {**answers, key: culprits[key].last_death}",
-        test="crashes/tests/test_evidence.py::test_evidence_convicts_the_part_and_not_its_companions",
+        test="crashes/tests/test_evidence.py::"
+        "test_evidence_convicts_the_part_and_not_its_companions",
     ),
     Mutation(
         promise="an answer refutes earlier blame",
         path="crashes/evidence.py",
         old="return answered is not None and answered >= death.at",
         new="return False",
-        test="crashes/tests/test_evidence.py::test_evidence_of_an_answer_refutes_earlier_deaths_only",
+        test="crashes/tests/test_evidence.py::"
+        "test_evidence_of_an_answer_refutes_earlier_deaths_only",
     ),
     Mutation(
         promise="all daemons count a death once",
         path="crashes/evidence.py",
         old="merged = death if known is None else known.merge(death)",
         new="merged = death",
-        test="crashes/tests/test_evidence.py::test_evidence_of_pieces_of_one_death_is_merged",
+        test="crashes/tests/test_evidence.py::"
+        "test_evidence_of_pieces_of_one_death_is_merged",
     ),
     Mutation(
         promise="a broken connection is no death",
@@ -909,14 +912,16 @@
         "                self._record_death(death, request)\n"
         "            case liveness.Liveness.UNKNOWN:\n"
         "                self._watched",
-        test="crashes/tests/test_tracker.py::test_tracker_blames_nothing_for_a_cut_connection",
+        test="crashes/tests/test_tracker.py::"
+        "test_tracker_blames_nothing_for_a_cut_connection",
     ),
     Mutation(
         promise="a request that may have crashed a VM is not repeated",
         path="crashes/tracker.py",
         old="if any(self._evidence.is_suspect(key) for key in keys):",
         new="if False:",
-        test="crashes/tests/test_tracker.py::test_tracker_repeats_no_request_that_may_have_crashed_a_vm",
+        test="crashes/tests/test_tracker.py::"
+        "test_tracker_repeats_no_request_that_may_have_crashed_a_vm",
     ),
     Mutation(
         promise="one daemon tries a culprit",
@@ -924,21 +929,24 @@
         old="if now < culprit.trial_due or not self._is_trial_owner("
         "culprit.key):",
         new="if now < culprit.trial_due:",
-        test="crashes/tests/test_tracker.py::test_tracker_tries_a_culprit_once_and_at_one_daemon",
+        test="crashes/tests/test_tracker.py::"
+        "test_tracker_tries_a_culprit_once_and_at_one_daemon",
     ),
     Mutation(
         promise="a death is sent to the other daemons",
         path="crashes/tracker.py",
         old="self._send(self._evidence.encode_evidence(death.identity))",
         new="return",
-        test="crashes/tests/test_tracker.py::test_tracker_tells_the_other_daemons",
+        test="crashes/tests/test_tracker.py::"
+        "test_tracker_tells_the_other_daemons",
     ),
     Mutation(
         promise="daemons with other evidence are sent it",
         path="gossip/service.py",
         old="        if source.get_fingerprint() == sender.evidence:\n",
         new="        if True:\n",
-        test="gossip/tests/test_service.py::test_gossip_brings_evidence_to_a_daemon_that_starts",
+        test="gossip/tests/test_service.py::"
+        "test_gossip_brings_evidence_to_a_daemon_that_starts",
     ),
     Mutation(
         promise="a quarantined part is refused at arrival",
@@ -947,28 +955,32 @@
         "            raise refusals.build_quarantine_refusal(retry_after)",
         new="        if False:\n"
         "            raise refusals.build_quarantine_refusal(retry_after)",
-        test="relay/tests/test_crashing_part.py::test_crashing_part_is_refused_without_a_send",
+        test="relay/tests/test_crashing_part.py::"
+        "test_crashing_part_is_refused_without_a_send",
     ),
     Mutation(
         promise="a stream without framing needs an event",
         path="relay/streams.py",
         old="if not has_events and attempt.is_unframed():",
         new="if False:",
-        test="relay/tests/test_troubled.py::test_stream_without_framing_or_events_is_no_success",
+        test="relay/tests/test_troubled.py::"
+        "test_stream_without_framing_or_events_is_no_success",
     ),
     Mutation(
         promise="a crashing message is refused",
         path="requests/suspects.py",
         old="        culprit = self._find_culprit(work)\n        if",
         new="        culprit = None\n        if",
-        test="requests/tests/test_quarantine.py::test_quarantine_crashing_part_costs_two_replicas",
+        test="requests/tests/test_quarantine.py::"
+        "test_quarantine_crashing_part_costs_two_replicas",
     ),
     Mutation(
         promise="only requests without an event are blamed",
         path="requests/suspects.py",
         old="            if attempt.answered_at is None\n",
         new="",
-        test="requests/tests/test_quarantine.py::test_quarantine_part_that_has_been_answered_is_not_blamed",
+        test="requests/tests/test_quarantine.py::"
+        "test_quarantine_part_that_has_been_answered_is_not_blamed",
     ),
     Mutation(
         promise="a request that may have crashed a replica is not retried",
@@ -977,7 +989,8 @@
         "                work\n"
         "            ) or not",
         new="            if not",
-        test="requests/tests/test_quarantine.py::test_quarantine_lost_request_with_a_part_is_not_retried",
+        test="requests/tests/test_quarantine.py::"
+        "test_quarantine_lost_request_with_a_part_is_not_retried",
     ),
     Mutation(
         promise="a position of an earlier era is not used",
@@ -1019,4 +1032,126 @@
         test="platform/tests/test_followers.py::"
         "test_reader_passes_on_a_vm_that_returns",
     ),
+    Mutation(
+        promise="a peer's path is the proof of a cut",
+        path="paths/reach.py",
+        old="is_cut_off = has_peer_path or keeps_cut",
+        new="is_cut_off = bool(keeps_cut)",
+        test="relay/tests/test_cut_off.py::"
+        "test_request_is_served_through_a_peer",
+    ),
+    Mutation(
+        promise="the direct path is used again after a cut",
+        path="paths/reach.py",
+        old="    if direct >= needed:",
+        new="    if direct >= needed and reach.verdict is not Verdict.CUT_OFF:",
+        test="relay/tests/test_cut_off.py::"
+        "test_requests_take_the_direct_path_after_the_cut",
+    ),
+    Mutation(
+        promise="a failed path is no failure of an upstream",
+        path="paths/connections.py",
+        old="if self._monitor.confirm_reach(service, started):",
+        new="if True:",
+        test="relay/tests/test_cut_off.py::"
+        "test_path_that_fails_is_no_failure_of_the_upstreams",
+    ),
+    Mutation(
+        promise="peers are asked while no path was found",
+        path="paths/monitor.py",
+        old="            gevent.spawn(self._try_peer, service, address) for address in sample\n"
+        "",
+        new="            gevent.spawn(bool) for address in sample\n",
+        test="relay/tests/test_cut_off.py::"
+        "test_request_is_served_through_a_peer",
+    ),
+    Mutation(
+        promise="a silent direct connection is replaced while cut off",
+        path="paths/connections.py",
+        old="return used.carrier is None and self._monitor.is_cut_off(service)",
+        new="return False",
+        test="relay/tests/test_cut_off.py::test_stream_goes_on_through_a_peer",
+    ),
+    Mutation(
+        promise="a group is not stalled for a daemon without contact",
+        path="paths/monitor.py",
+        old="return self._confirm(service, since, "
+        "lambda reach: reach.contact_at)",
+        new="return True",
+        test="relay/tests/test_cut_off.py::"
+        "test_group_is_not_stalled_because_the_path_has_failed",
+    ),
+    Mutation(
+        promise="bytes after the last frame are odd",
+        path="transport/frames.py",
+        old="if self._is_invalid or self.is_ended:",
+        new="if self._is_invalid:",
+        test="transport/tests/test_frames.py::"
+        "test_frames_that_are_odd_are_errors",
+    ),
+    Mutation(
+        promise="the length of a frame is bounded",
+        path="transport/frames.py",
+        old="if self._remaining > MAX_FRAME_BYTES:",
+        new="if False:",
+        test="transport/tests/test_frames.py::"
+        "test_frames_that_are_odd_are_errors",
+    ),
+    Mutation(
+        promise="a tunnel that ends without its last frame was lost",
+        path="transport/tunnel.py",
+        old='raise ConnectionResetError("the tunnel was lost")',
+        new='return b""',
+        test="transport/tests/test_tunnel.py::"
+        "test_answer_without_a_length_is_lost_with_its_carrier",
+    ),
+    Mutation(
+        promise="a carrier serves daemons only",
+        path="transport/tunnel.py",
+        old="if not self._is_daemon(host):",
+        new="if False:",
+        test="transport/tests/test_tunnel.py::"
+        "test_handshake_of_unknown_peer_is_closed_at_once",
+    ),
+    Mutation(
+        promise="a carrier connects to listed addresses only",
+        path="transport/tunnel.py",
+        old="if not self._is_upstream(target):",
+        new="if False:",
+        test="transport/tests/test_tunnel.py::"
+        "test_handshake_for_unlisted_address_is_denied",
+    ),
+    Mutation(
+        promise="the number of tunnels is bounded",
+        path="transport/tunnel.py",
+        old="or self._open_count >= self._max_tunnels:",
+        new=":",
+        test="transport/tests/test_tunnel.py::"
+        "test_handshake_beyond_the_most_tunnels_is_denied",
+    ),
+    Mutation(
+        promise="an initiator that does not read loses its tunnel",
+        path="transport/tunnel.py",
+        old="        with _limit_time(INITIATOR_WRITE_TIMEOUT):\n"
+        "            sock.sendall(frames.encode(data))",
+        new="        sock.sendall(frames.encode(data))",
+        test="transport/tests/test_tunnel.py::"
+        "test_initiator_that_does_not_read_loses_its_tunnel",
+    ),
+    Mutation(
+        promise="a connection with lost data ends",
+        path="transport/connection.py",
+        old="        (socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),\n",
+        new="",
+        test="transport/tests/test_silent_loss.py::"
+        "test_silent_peer_ends_its_connection_with_and_without_data",
+    ),
+    Mutation(
+        promise="a silently lost caller ends its request",
+        path="entry/connections.py",
+        old="        _limit_silence(sock, self.bounds.loss_timeout)\n",
+        new="",
+        test="entry/tests/test_connections.py::"
+        "test_request_of_a_caller_lost_without_a_word_ends",
+    ),
 )
