--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -1059,9 +1059,8 @@
     Mutation(
         promise="peers are asked while no path was found",
         path="paths/monitor.py",
-        old="            gevent.spawn(self._try_peer, service, address) for address in sample\n"
-        "",
-        new="            gevent.spawn(bool) for address in sample\n",
+        old="gevent.spawn(self._try_peer, service, address)",
+        new="gevent.spawn(bool)",
         test="relay/tests/test_cut_off.py::"
         "test_request_is_served_through_a_peer",
     ),
