Take no connection opened for a peer as a sign of the own path

A cut-off daemon that carried connections for another one never found itself cut off: each connection that something on the path accepted for the peer counted as contact.

Change: a connection opened for a peer is no evidence; answers on own connections and trials are.

--- a/arbutuscove/paths/connections.py
+++ b/arbutuscove/paths/connections.py
@@ -130,14 +130,12 @@
         if self._monitor.get_verdict(service) is not reach.Verdict.REACHED:
             raise errors.NoPathError(f"{address}: the service is not reached")
         try:
-            opened = self._direct.open(address, timeout)
+            return self._direct.open(address, timeout)
         except http.NotSentError as error:
             if self._monitor.was_opened(service, started):
                 raise
             self._monitor.suspect(service, started)
             raise errors.NoPathError(str(error)) from error
-        self._monitor.record_open(service)
-        return opened
 
     def record_answer(self, service: str, used: connection.Connection) -> None:
         """Records that an upstream answered on a connection.
