Tell peers where tunnels are accepted and which services are not reached

What callers saw: nothing yet; this is the knowledge that a way through a peer needs.

Cause: members of `arbutuscoved` knew of each other who lives, but not who carries connections or whose own paths to upstreams have failed.

Ruled out: a gRPC call of its own; the fact is a hint of some bytes that belongs to the member's record, like its load. A new incarnation for each change, which would spread it in a large fleet at once.

Change: a record has the tunnel address and up to 32 services that the member does not reach; the member's own word replaces what was known, a copy of a third daemon does not. Both fields are new numbers of the message, so a daemon of an older version ignores them, and its own record says that it carries nothing.

Conclusion: in a fleet of more than 16 peers the others learn of a change with the member's next probes of them only.

--- a/arbutuscove/membership/service.py
+++ b/arbutuscove/membership/service.py
@@ -110,6 +110,7 @@
         self._config = config
         self._lag = lag
         self._rank_loads: tuple[int, ...] = ()
+        self._list_unreached: abc.Callable[[], tuple[str, ...]] = tuple
         self._is_fetching = False
         self._suspicions: Suspicions | None = None
         self._evidence: EvidenceSource | None = None
@@ -166,6 +167,12 @@
         """Publishes the number of requests running and waiting by priority."""
         self._rank_loads = swim.bound_loads(loads)
 
+    def set_unreached_source(
+        self, list_unreached: abc.Callable[[], tuple[str, ...]]
+    ) -> None:
+        """Sets the source of the services that this daemon does not reach."""
+        self._list_unreached = list_unreached
+
     def get_own(self) -> swim.Member:
         """Returns this daemon's own record."""
         self._refresh_own()
@@ -406,14 +413,15 @@
         own = self._view.own
         loads = self._rank_loads
         sequence = self._config.get_snapshot().sequence
-        if (loads, sequence) != (own.rank_loads, own.config_sequence):
-            own = dataclasses.replace(
-                own,
-                load=sum(loads),
-                rank_loads=loads,
-                config_sequence=sequence,
-            )
-            self._view = dataclasses.replace(self._view, own=own)
+        refreshed = dataclasses.replace(
+            own,
+            load=sum(loads),
+            rank_loads=loads,
+            config_sequence=sequence,
+            unreached=self._list_unreached()[: swim.MAX_UNREACHED],
+        )
+        if refreshed != own:
+            self._view = dataclasses.replace(self._view, own=refreshed)
 
     def _confirm_config(self) -> None:
         contact_at = swim.estimate_majority_contact(
--- a/arbutuscove/membership/swim.py
+++ b/arbutuscove/membership/swim.py
@@ -50,6 +50,7 @@
 # Loads by rank in a record: at most 42 bytes. Both users have three ranks,
 # plus one number for work beyond its urgent entitlement.
 MAX_RANK_LOADS = 8
+MAX_UNREACHED = 32  # services in a record that a member does not reach
 MAX_OUTCOMES = 16  # probe outcomes kept; more than fit into CONTACT_WINDOW
 
 
@@ -67,7 +68,10 @@
     """The membership record of one daemon.
 
     `load` counts its requests running and waiting. `rank_loads` has the same
-    count by priority and is empty if the daemon has not reported it.
+    count by priority and is empty if the daemon has not reported it. On
+    `tunnel_address` it carries connections of other daemons to upstreams; it
+    carries none if this is empty. `unreached` names the services to whose
+    upstreams its own paths have failed.
     """
 
     name: str
@@ -80,6 +84,8 @@
     load: int = 0
     config_sequence: int = 0
     rank_loads: tuple[int, ...] = ()
+    tunnel_address: str = ""
+    unreached: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -576,20 +582,16 @@
     sequence = max(known.config_sequence, update.config_sequence)
     is_newer = _get_precedence(update) > _get_precedence(known)
     base = update if is_newer else known
-    load_source = update if is_direct or is_newer else known
-    merged = (sequence, load_source.load, load_source.rank_loads)
-    if not is_newer and merged == (
-        known.config_sequence,
-        known.load,
-        known.rank_loads,
-    ):
-        return known
-    return dataclasses.replace(
+    source = update if is_direct or is_newer else known
+    merged = dataclasses.replace(
         base,
         config_sequence=sequence,
-        load=load_source.load,
-        rank_loads=load_source.rank_loads,
+        load=source.load,
+        rank_loads=source.rank_loads,
+        tunnel_address=source.tunnel_address,
+        unreached=source.unreached,
     )
+    return known if merged == known else merged
 
 
 def _refute(own: Member, update: Member) -> Member:
--- a/arbutuscove/membership/wire.py
+++ b/arbutuscove/membership/wire.py
@@ -28,6 +28,8 @@
         load=member.load,
         config_sequence=member.config_sequence,
         rank_loads=member.rank_loads,
+        tunnel_address=member.tunnel_address,
+        unreached=member.unreached,
     )
 
 
@@ -44,6 +46,8 @@
         member.entry_address,
         member.region,
         member.failure_domain,
+        member.tunnel_address,
+        *member.unreached,
     ):
         decoding.convert(text, decoding.Text)
     if member.state not in set(swim.State):
@@ -59,6 +63,8 @@
         load=member.load,
         config_sequence=member.config_sequence,
         rank_loads=swim.bound_loads(member.rank_loads),
+        tunnel_address=member.tunnel_address,
+        unreached=tuple(member.unreached[: swim.MAX_UNREACHED]),
     )
 
 
