Open connections of arbutuscoved through a peer when its own path fails

What callers saw: at one of three daemons whose connections to all upstreams were cut for six seconds, none of the streamed requests was answered, and plain calls failed, while the two other daemons reached every engine. With resets and refused connections, the daemon took the refusals for deaths of engines.

Cause: engines and plain services were only ever called directly, and a refused connection was believed whatever else this daemon reached.

Ruled out: a request that is handed to a peer: slots, limits, claims, deadlines and resumption would be at two daemons. The service of a replica as the unit of a verdict: VMs change it, and what fails is the network to a fabric domain.

Change: connections of engine clients (statuses, orders, streams, resumption, cancellation) and of plain calls are opened by `paths.UpstreamConnections`, as on the users' platform. Its unit is the engines of one fabric domain, or one plain service. A refused connection is reported as one only while this daemon, or the peer that was asked, reaches another upstream of it. A lost connection begins a round of trial connections; a change of the verdict drops idle connections and is told to peers at once. `--tunnel-listen` (ARBUTUSCOVE_TUNNEL_LISTEN) is where a daemon carries connections: for the IP addresses of live members, to registered addresses, an eighth of its descriptors and at most 1,024, and not while it drains or its loop is 100 ms late. Engine connections get the keep-alive and time-out options of `transport`, so a silent loss ends them after 3 s. A connect attempt has 500 ms on the direct path and 1 s in all. `standins/cut_daemon` cuts the connections of one daemon process.

Measured: python -m pytest standins/tests/test_daemon_cut.py.

A direct stream that falls silent is resumed after 3 to 5 s, not at the verdict.

--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -8,6 +8,8 @@
 from arbutuscove.admin import operations as operations_module
 from arbutuscove.admission import service as admission_service
 from arbutuscove.config import follower
+from arbutuscove.daemon import listing as listing_module
+from arbutuscove.daemon import paths as paths_module
 from arbutuscove.daemon import settings as settings_module
 from arbutuscove.entry import app
 from arbutuscove.entry import chat
@@ -71,7 +73,14 @@
         config,
         lag_monitor,
     )
-    engines = pool.EnginePool()
+    listing = listing_module.UpstreamListing(
+        lambda: board.get_vms(), config.get_snapshot
+    )
+    paths = paths_module.DaemonPaths(
+        settings, clock, membership, lag_monitor, listing, generator
+    )
+    engines = pool.EnginePool(paths.upstreams)
+    paths.add_idle_closer(engines.close_idle)
     board = board_module.StatusBoard(
         inventory,
         engines,
@@ -92,7 +101,14 @@
         identity, table, clock, lag_monitor, get_era=table.get_era
     )
     replica_controller = controller.ReplicaController(
-        identity, table, clock, config, leases, board, directory, engines
+        identity,
+        table,
+        clock,
+        config,
+        leases,
+        board,
+        directory,
+        engines,
     )
     limits = limits_service.Limits(
         table, clock, config, generator, table.get_era
@@ -152,7 +168,12 @@
             clock, request_flow, at_most_once, resume_tokens, metrics
         ),
         plain.PlainHandler(
-            at_most_once, generator, clock, limits, retry_budget
+            at_most_once,
+            generator,
+            clock,
+            limits,
+            retry_budget,
+            paths.upstreams,
         ),
         lambda: _list_entries(membership),
         metrics,
@@ -172,6 +193,7 @@
                 settings.peer_listen, membership, board, directory
             ),
         ),
+        *paths.list_services(),
         (pool.SERVICE_NAME, engines),
         (board_module.SERVICE_NAME, board),
         (directory_module.SERVICE_NAME, directory),
@@ -205,6 +227,7 @@
         region=settings.region,
         failure_domain=settings.failure_domain,
         state=peer_pb2.ALIVE,
+        tunnel_address=settings_module.get_tunnel_address(settings),
     )
 
 
--- a/arbutuscove/daemon/main.py
+++ b/arbutuscove/daemon/main.py
@@ -49,6 +49,13 @@
         envvar="ARBUTUSCOVE_PEER_LISTEN",
         help="Address for other daemons.",
     ),
+    click.option(
+        "--tunnel-listen",
+        envvar="ARBUTUSCOVE_TUNNEL_LISTEN",
+        default="",
+        help="Address to carry other daemons' connections to upstreams on; "
+        "none are carried by default.",
+    ),
     click.option(
         "--advertise",
         envvar="ARBUTUSCOVE_ADVERTISE",
--- a/arbutuscove/daemon/settings.py
+++ b/arbutuscove/daemon/settings.py
@@ -11,6 +11,7 @@
 
 DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
 MIN_SECRET_CHARS = 16
+ANY_HOST = "0.0.0.0"  # listens on all addresses of the VM
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -51,6 +52,8 @@
         resume_secret: secret shared by all daemons, which signs tokens.
         admin_key_digest: SHA-256 digest of the first operator's key.
         keep_seconds: how long callers may use an entry address, in seconds.
+        tunnel_listen: address on which connections of other daemons to
+            upstreams are carried; empty to carry none.
     """
 
     name: str
@@ -68,6 +71,7 @@
     resume_secret: str
     admin_key_digest: str
     keep_seconds: float
+    tunnel_listen: str = ""
 
 
 def validate(settings: Settings) -> list[Fault]:
@@ -82,6 +86,7 @@
         "--table": settings.table,
         "--objects": settings.objects,
         "--inventory": settings.inventory,
+        **_list_optional_addresses(settings),
     }
     for flag, value in addresses.items():
         if not _is_address(value):
@@ -122,10 +127,29 @@
     return datetime.timedelta(seconds=settings.keep_seconds)
 
 
+def get_tunnel_address(settings: Settings) -> str:
+    """Returns where peers ask for tunnels, empty if none are carried.
+
+    A daemon that listens on all addresses is reached at that for peers.
+    """
+    if not settings.tunnel_listen:
+        return ""
+    host, port = http.Address.parse(settings.tunnel_listen)
+    if host == ANY_HOST:
+        host = http.Address.parse(settings.peer_advertise).host
+    return f"{host}:{port}"
+
+
 def _build_fault(flag: str, value: str, expected: str) -> Fault:
     return Fault(flag=flag, value=value, expected=expected)
 
 
+def _list_optional_addresses(settings: Settings) -> dict[str, str]:
+    if not settings.tunnel_listen:
+        return {}
+    return {"--tunnel-listen": settings.tunnel_listen}
+
+
 def _is_address(text: str) -> bool:
     try:
         http.Address.parse(text)
--- a/arbutuscove/entry/plain.py
+++ b/arbutuscove/entry/plain.py
@@ -20,6 +20,7 @@
 from arbutuscove.requests import failures
 from arbutuscove.requests import once as once_module
 from arbutuscove.upstreams import errors
+from arbutuscove.upstreams import paths as paths_module
 from arbutuscove.upstreams import plain as plain_upstream
 
 RETRY_AFTER = datetime.timedelta(seconds=2)
@@ -38,6 +39,7 @@
         clock: the clock.
         limits: token budgets.
         budget: retry budget.
+        paths: opens connections to upstreams; None opens direct ones.
     """
 
     def __init__(
@@ -47,7 +49,9 @@
         clock: clock_module.Clock,
         limits: limits_module.Limits,
         budget: attempts_module.RetryBudget,
+        paths: paths_module.Paths | None = None,
     ) -> None:
+        self._paths = paths
         self._once = once
         self._random = generator
         self._clock = clock
@@ -189,7 +193,9 @@
         while True:
             address = addresses[attempts.count % len(addresses)]
             remaining = work.deadline - self._clock.monotonic()
-            result = plain_upstream.send_call(address, call, remaining)
+            result = plain_upstream.send_call(
+                address, call, remaining, self._paths
+            )
             if result.is_ok():
                 self._cooldown_until.pop(address, None)
                 return result.ok
--- a/arbutuscove/standins/cluster.py
+++ b/arbutuscove/standins/cluster.py
@@ -30,6 +30,7 @@
 WAIT_SECONDS = 60.0  # default timeout of waits for an expected state
 STOP_SECONDS = 30.0  # until a process that does not exit is killed
 POLL_SECONDS = 0.05
+DAEMON_MODULE = "arbutuscove.daemon.main"
 CALL_TIMEOUT = datetime.timedelta(seconds=10)  # exceeds the longest acceptance
 
 
@@ -140,10 +141,12 @@
         layout: Number and settings of the processes.
         directory: Directory of logs and of the record file.
         record: File to which engines and plain services append what they ran.
-        addresses: Addresses by process; those of a daemon's administration
-            and peer interfaces have the suffixes `.admin` and `.peer`.
+        addresses: Addresses by process; those of a daemon's administration,
+            peer and tunnel interfaces have the suffixes `.admin`, `.peer` and
+            `.tunnel`.
         processes: Processes by name.
         overrides: Flags by daemon that differ from the layout.
+        modules: Modules by daemon that are run in place of the product's.
     """
 
     def __init__(self, directory: pathlib.Path, layout: Layout) -> None:
@@ -153,6 +156,7 @@
         self.addresses: dict[str, str] = {}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.overrides: dict[str, dict[str, str]] = {}
+        self.modules: dict[str, str] = {}
         self._commands: dict[str, list[str]] = {}
 
     def start(self) -> None:
@@ -245,6 +249,7 @@
             "--listen": self.get_address(name),
             "--admin-listen": self.get_address(name + ".admin"),
             "--peer-listen": self.get_address(name + ".peer"),
+            "--tunnel-listen": self.get_address(name + ".tunnel"),
             "--peers": ",".join(peers),
             "--table": self.get_address("table"),
             "--objects": self.get_address("objects"),
@@ -254,7 +259,8 @@
             "--keep-seconds": str(layout.keep_seconds),
             **self.overrides.get(name, {}),
         }
-        command = [sys.executable, "-m", "arbutuscove.daemon.main", "serve"]
+        module = self.modules.get(name, DAEMON_MODULE)
+        command = [sys.executable, "-m", module, "serve"]
         for flag, value in flags.items():
             command += [flag, value]
         self._spawn(name, command)
--- /dev/null
+++ b/arbutuscove/standins/tests/test_daemon_cut.py
@@ -0,0 +1,97 @@
+"""Guards against failures at a daemon that is cut off from all upstreams."""
+
+import http.client
+import pathlib
+import tempfile
+import time
+
+import gevent
+import pytest
+
+from arbutuscove.standins import cluster as cluster_module
+from arbutuscove.standins import cut_daemon
+from arbutuscove.standins import demo
+from arbutuscove.standins.tests import scene as scene_module
+from arbutuscove.storage import http as storage_http
+
+CUT = 0  # number of the daemon that is cut off
+LAYOUT = cluster_module.Layout(check_fencing=False)
+CUT_SECONDS = 6.0  # longer than a status stays valid
+HEADERS = {"Authorization": f"Bearer {demo.API_KEY}"}
+MODES = [
+    cut_daemon.Mode.SILENT,
+    cut_daemon.Mode.RESET,
+    cut_daemon.Mode.REFUSED,
+]
+
+
+@pytest.fixture(name="cut_scene", scope="module")
+def build_scene():
+    with (
+        tempfile.TemporaryDirectory() as directory,
+        pytest.MonkeyPatch.context() as patch,
+    ):
+        path = pathlib.Path(directory) / "cut.json"
+        patch.setenv(cut_daemon.CUT_FILE_VARIABLE, str(path))
+        cluster = cluster_module.Cluster(pathlib.Path(directory), LAYOUT)
+        cluster.modules[f"entry-{CUT}"] = "arbutuscove.standins.cut_daemon"
+        scene = scene_module.Scene(cluster)
+        try:
+            scene.set_up()
+            yield scene
+        finally:
+            codes = cluster.stop()
+    assert set(codes.values()) == {0}, codes
+
+
+@pytest.fixture(name="scene")
+def build_serving_scene(cut_scene):
+    cut_scene.wait_until_serving()
+    yield cut_scene
+    _write_cut(cut_scene, cut_daemon.Mode.NONE)
+    scene_module.check_vms_exclusive(cut_scene.read_table_log())
+
+
+def _write_cut(scene, mode):
+    addresses = scene.cluster.addresses
+    names = [vm.name for vm in scene.cluster.list_vms()] + ["plain-0"]
+    ports = [storage_http.Address.parse(addresses[n]).port for n in names]
+    cut_daemon.write_cut(
+        scene.cluster.directory / "cut.json",
+        cut_daemon.Cut(mode=mode, ports=frozenset(ports)),
+    )
+
+
+def _call_plain(scene, name):
+    address = storage_http.Address.parse(scene.get_address(CUT))
+    connection = http.client.HTTPConnection(*address, timeout=30)
+    path = f"/plain/{demo.PLAIN_SERVICE}/call/{name}"
+    connection.request("GET", path, headers=HEADERS)
+    response = connection.getresponse()
+    response.read()
+    connection.close()
+    return response.status
+
+
+@pytest.mark.parametrize("mode", MODES)
+def test_daemon_cut_from_upstreams_serves_through_peers(scene, mode):
+    """Guards against refusals at a daemon that alone is cut off."""
+    rows = scene.read_replica_rows()
+    running = gevent.spawn(scene.send, CUT, f"running-{mode}", 400)
+    gevent.sleep(0.5)
+    _write_cut(scene, mode)
+    load = scene_module.Load(lambda _: scene.get_address(CUT), name=mode)
+    ends_at = time.monotonic() + CUT_SECONDS
+    statuses = []
+    while time.monotonic() < ends_at:
+        statuses.append(_call_plain(scene, mode))
+        gevent.sleep(0.2)
+    serving = scene.cluster.count_serving(demo.SERVICE, CUT)
+    answers = [*load.stop(), running.get()]
+    _write_cut(scene, cut_daemon.Mode.NONE)
+    wrong = [answer for answer in answers if not answer.is_correct()]
+    assert not wrong, (len(wrong), len(answers), wrong[0])
+    assert set(statuses) == {200}
+    assert serving == demo.REPLICAS
+    assert scene.read_replica_rows() == rows
+    assert scene.send(CUT, f"after-{mode}").is_correct()
--- a/arbutuscove/storage/http.py
+++ b/arbutuscove/storage/http.py
@@ -14,6 +14,7 @@
 
 import geventhttpclient
 import msgspec
+from gevent import socket
 from geventhttpclient import connectionpool
 from geventhttpclient import response as response_module
 
@@ -121,6 +122,9 @@
     return True
 
 
+OpenSocket = abc.Callable[[Address, datetime.timedelta], typing.Any]
+
+
 class Reply(typing.NamedTuple):
     """Status, body and headers of a complete HTTP response."""
 
@@ -153,7 +157,49 @@
             raise NoResponseError(f"response is invalid: {error}") from error
 
 
-class _SingleUsePool(connectionpool.ConnectionPool):
+class _Pool(connectionpool.ConnectionPool):
+    """Opens connections with a function, if one is given."""
+
+    def __init__(
+        self,
+        address: Address,
+        open_socket: OpenSocket | None,
+        **options: typing.Any,
+    ) -> None:
+        super().__init__(
+            address.host,
+            address.port,
+            address.host,
+            address.port,
+            size=options["concurrency"],
+            connection_timeout=options["connection_timeout"],
+            network_timeout=options["network_timeout"],
+        )
+        self._address = address
+        self._open_socket = open_socket
+
+    def close_idle(self) -> None:
+        """Closes the connections that are kept for reuse."""
+        while not self._socket_queue.empty():
+            self._socket_queue.get(block=False).close()
+
+    def return_socket(self, sock: typing.Any) -> None:
+        """Keeps a direct connection for reuse and closes any other one."""
+        if isinstance(sock, socket.socket):
+            super().return_socket(sock)
+        else:
+            self.release_socket(sock)
+
+    def _create_socket(self) -> typing.Any:
+        if self._open_socket is None:
+            return super()._create_socket()
+        timeout = datetime.timedelta(seconds=self.connection_timeout)
+        sock = self._open_socket(self._address, timeout)
+        sock.settimeout(self.network_timeout)
+        return sock
+
+
+class _SingleUsePool(_Pool):
     """Limits the number of connections and keeps none for reuse."""
 
     def __init__(self, *args: typing.Any, **options: typing.Any) -> None:
@@ -167,20 +213,14 @@
         self.release_socket(sock)
 
 
-class _SingleUseClient(geventhttpclient.HTTPClient):
-    """Sends each request on a new connection."""
+class _Client(geventhttpclient.HTTPClient):
+    """Sends requests on the connections of a pool."""
 
-    def __init__(self, address: Address, **options: typing.Any) -> None:
+    def __init__(
+        self, address: Address, sockets: _Pool, **options: typing.Any
+    ) -> None:
         super().__init__(address.host, port=address.port, **options)
-        self._connection_pool = _SingleUsePool(
-            address.host,
-            address.port,
-            address.host,
-            address.port,
-            size=options["concurrency"],
-            connection_timeout=options["connection_timeout"],
-            network_timeout=options["network_timeout"],
-        )
+        self._connection_pool = sockets
 
 
 class JsonClient:
@@ -197,20 +237,28 @@
         connections: int = MAX_CONNECTIONS,
         connect_timeout: datetime.timedelta = CONNECT_TIMEOUT,
         is_single_use: bool = False,
+        open_socket: OpenSocket | None = None,
     ) -> None:
+        """Creates a client without connections.
+
+        Args:
+            address: the address of the server.
+            timeout: longest wait for bytes of a response.
+            connections: most connections at once.
+            connect_timeout: longest time to open a connection.
+            is_single_use: whether each request has a new connection.
+            open_socket: opens a connection within a time; raises NotSentError
+                if it cannot. None opens direct connections.
+        """
         self.address = address
         options: dict[str, typing.Any] = {
             "concurrency": connections,
             "connection_timeout": connect_timeout.total_seconds(),
             "network_timeout": timeout.total_seconds(),
         }
-        self._client = (
-            _SingleUseClient(address, **options)
-            if is_single_use
-            else geventhttpclient.HTTPClient(
-                address.host, port=address.port, **options
-            )
-        )
+        pool_class = _SingleUsePool if is_single_use else _Pool
+        self._sockets = pool_class(address, open_socket, **options)
+        self._client = _Client(address, self._sockets, **options)
 
     def send(
         self,
@@ -275,6 +323,10 @@
         except READ_ERRORS as error:
             raise NoResponseError(f"{self.address}: {error}") from error
 
+    def close_idle(self) -> None:
+        """Closes the connections that no request uses."""
+        self._sockets.close_idle()
+
     def close(self) -> None:
         """Closes the pooled connections."""
         self._client.close()
--- a/arbutuscove/upstreams/engine.py
+++ b/arbutuscove/upstreams/engine.py
@@ -4,6 +4,7 @@
 import datetime
 import typing
 import urllib.parse
+from collections import abc
 
 import expression
 from geventhttpclient import response as response_module
@@ -11,6 +12,7 @@
 from arbutuscove.kernel import decoding
 from arbutuscove.storage import http
 from arbutuscove.upstreams import errors
+from arbutuscove.upstreams import paths as paths_module
 from arbutuscove.upstreams import protocol
 
 STATUS_TIMEOUT = datetime.timedelta(seconds=1)
@@ -33,8 +35,13 @@
 class EventReader:
     """Reads raw events from one connection to an engine."""
 
-    def __init__(self, response: response_module.HTTPSocketPoolResponse):
+    def __init__(
+        self,
+        response: response_module.HTTPSocketPoolResponse,
+        report_loss: abc.Callable[[], None],
+    ) -> None:
         self._response = response
+        self._report_loss = report_loss
 
     def read(self) -> bytes:
         """Returns the next event with its terminator, or b"" at the end.
@@ -45,6 +52,7 @@
         try:
             return self._response.readline(protocol.EVENT_END)
         except http.READ_ERRORS as error:
+            self._report_loss()
             raise errors.StreamBrokenError(str(error)) from error
 
     def close(self) -> None:
@@ -60,12 +68,24 @@
 class EngineClient:
     """Sends dispatches, orders and status requests to one engine."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, paths: paths_module.Paths | None = None
+    ) -> None:
         parsed = http.Address.parse(address)
-        self._control = http.JsonClient(parsed, ORDER_TIMEOUT)
-        self._status = http.JsonClient(parsed, STATUS_TIMEOUT, 2)
+        self._address = parsed
+        self._paths = paths or paths_module.DirectPaths()
+        self._control = http.JsonClient(
+            parsed, ORDER_TIMEOUT, open_socket=self._paths.open
+        )
+        self._status = http.JsonClient(
+            parsed, STATUS_TIMEOUT, 2, open_socket=self._paths.open
+        )
         self._streams = http.JsonClient(
-            parsed, STALL_TIMEOUT, MAX_STREAM_CONNECTIONS, is_single_use=True
+            parsed,
+            STALL_TIMEOUT,
+            MAX_STREAM_CONNECTIONS,
+            is_single_use=True,
+            open_socket=self._paths.open,
         )
 
     def read_status(self) -> protocol.Status:
@@ -81,6 +101,7 @@
         except http.RefusedError as error:
             raise errors.NotListeningError(str(error)) from error
         except http.HttpError as error:
+            self._report_loss()
             raise errors.UnreachableError(str(error)) from error
 
     def send_order(
@@ -99,6 +120,7 @@
             refusal = reply.decode(_Refusal)
             return expression.Error(errors.OrderRefused(code=refusal.code))
         except http.HttpError as error:
+            self._report_loss()
             raise errors.UnreachableError(str(error)) from error
 
     def open_stream(
@@ -123,9 +145,10 @@
         except http.NotSentError as error:
             raise errors.NotDispatchedError(str(error)) from error
         except http.HttpError as error:
+            self._report_loss()
             raise errors.DispatchUnknownError(str(error)) from error
         if response.status_code == 200:
-            return expression.Ok(EventReader(response))
+            return expression.Ok(EventReader(response, self._report_loss))
         _drain_body(response)
         return expression.Error(
             errors.DispatchRefused(status=response.status_code)
@@ -146,9 +169,10 @@
         try:
             response = self._streams.open("GET", path)
         except http.HttpError as error:
+            self._report_loss()
             raise errors.StreamBrokenError(str(error)) from error
         if response.status_code == 200:
-            return EventReader(response)
+            return EventReader(response, self._report_loss)
         _drain_body(response)
         raise errors.StreamLostError(f"status {response.status_code}")
 
@@ -163,11 +187,19 @@
         except http.HttpError:
             return
 
+    def close_idle(self) -> None:
+        """Closes the connections that no call uses."""
+        for client in (self._control, self._status):
+            client.close_idle()
+
     def close(self) -> None:
         """Closes all pooled connections."""
         for client in (self._control, self._status, self._streams):
             client.close()
 
+    def _report_loss(self) -> None:
+        self._paths.suspect(self._address)
+
 
 def _drain_body(response: response_module.HTTPSocketPoolResponse) -> None:
     """Reads the rest of a response, so that its connection can be reused."""
--- a/arbutuscove/upstreams/plain.py
+++ b/arbutuscove/upstreams/plain.py
@@ -10,7 +10,7 @@
 import dataclasses
 import datetime
 import http.client
-import socket
+import typing
 
 import expression
 import gevent
@@ -18,6 +18,7 @@
 from arbutuscove.storage import http as storage_http
 from arbutuscove.transport import connection as transport
 from arbutuscove.upstreams import errors
+from arbutuscove.upstreams import paths as paths_module
 
 CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
 # A timeout of zero would make the socket non-blocking.
@@ -46,7 +47,10 @@
 
 
 def send_call(
-    address: str, call: PlainCall, timeout: datetime.timedelta
+    address: str,
+    call: PlainCall,
+    timeout: datetime.timedelta,
+    paths: paths_module.Paths | None = None,
 ) -> expression.Result[PlainAnswer, errors.UpstreamError]:
     """Sends a call once and waits for the complete answer.
 
@@ -55,6 +59,7 @@
         call: the call.
         timeout: longest wait for the complete answer after the connection was
             made; also limits the time to connect.
+        paths: opens the connection; None opens it directly.
 
     Returns:
         The answer, `NotDispatchedError` if nothing ran, or
@@ -62,16 +67,11 @@
     """
     parsed = storage_http.Address.parse(address)
     connect_timeout = max(MIN_CONNECT_TIMEOUT, min(CONNECT_TIMEOUT, timeout))
-    connection = http.client.HTTPConnection(
-        parsed.host, parsed.port, timeout=connect_timeout.total_seconds()
-    )
+    connection = http.client.HTTPConnection(parsed.host, parsed.port)
+    paths = paths or paths_module.DirectPaths()
     try:
-        connection.connect()
-        assert isinstance(connection.sock, socket.socket)
-        # The deadline of a call may be minutes after the loss of its service.
-        transport.set_options(connection.sock)
-    except OSError as error:
-        connection.close()
+        connection.sock = paths.open(parsed, connect_timeout)
+    except storage_http.NotSentError as error:
         return expression.Error(errors.NotDispatchedError(str(error)))
     # The timer limits the time to the complete answer; a socket timeout starts
     # again whenever bytes are received. The connection is not reused.
@@ -90,12 +90,13 @@
         http.client.HTTPException,
         storage_http.NoResponseError,
     ) as error:
+        paths.suspect(parsed)
         return expression.Error(errors.DispatchUnknownError(str(error)))
     finally:
         connection.close()
 
 
-def _read_answer(sock: socket.socket, method: str) -> PlainAnswer:
+def _read_answer(sock: typing.Any, method: str) -> PlainAnswer:
     """Returns the complete answer.
 
     Raises:
--- a/arbutuscove/upstreams/pool.py
+++ b/arbutuscove/upstreams/pool.py
@@ -1,7 +1,10 @@
 """Pool of engine clients, one per address, shared by all services."""
 
+from collections import abc
+
 from arbutuscove.kernel import services
 from arbutuscove.upstreams import engine
+from arbutuscove.upstreams import paths as paths_module
 
 SERVICE_NAME = "engines"
 MAX_CLIENTS = 4096  # if exceeded, the client created first is closed
@@ -10,20 +13,28 @@
 class EnginePool(services.BaseService):
     """Creates a client on first use and closes all clients at `stop`."""
 
-    def __init__(self) -> None:
+    def __init__(self, paths: paths_module.Paths | None = None) -> None:
+        self._paths = paths
         self._clients: dict[str, engine.EngineClient] = {}
 
     def get(self, address: str) -> engine.EngineClient:
         """Returns the client of an address, creating it if necessary."""
         client = self._clients.get(address)
         if client is None:
-            client = engine.EngineClient(address)
+            client = engine.EngineClient(address, self._paths)
             self._clients[address] = client
             if len(self._clients) > MAX_CLIENTS:
                 oldest = next(iter(self._clients))
                 self._clients.pop(oldest).close()
         return client
 
+    def close_idle(self, addresses: abc.Iterable[str]) -> None:
+        """Closes the connections to some addresses that no call uses."""
+        for address in addresses:
+            client = self._clients.get(address)
+            if client is not None:
+                client.close_idle()
+
     def stop(self) -> None:
         """Closes all clients."""
         for client in self._clients.values():
