Repair nothing whose silence is that of the daemon's own paths

What callers saw: a replica that served at all other daemons was dissolved and built anew in another fabric domain, if the daemon that held the duty of its domain reached none of its VMs for ten seconds.

Cause: the controller takes the age of the statuses that this daemon has for the state of the VMs. A path through a peer keeps them young, but there may be none: peers of an older version, or peers that carry nothing.

Ruled out: a longer time until a domain counts as failed; a real failure would be repaired later. Repairs by a holder that is cut off and reaches the VMs through a peer: its statuses and orders are as good as others'.

Change: `paths.judgement.may_judge`: while no path leads to the engines of a domain, its rows stay as they are if a live peer does not say the same, or if no path leads to any domain. The controller asks before each round, also during an outage of the table. Tunnels may listen on any free port.

--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -109,6 +109,7 @@
         board,
         directory,
         engines,
+        paths.may_judge,
     )
     limits = limits_service.Limits(
         table, clock, config, generator, table.get_era
--- a/arbutuscove/daemon/paths.py
+++ b/arbutuscove/daemon/paths.py
@@ -20,6 +20,7 @@
 from arbutuscove.membership import swim
 from arbutuscove.paths import carriers
 from arbutuscove.paths import connections as path_connections
+from arbutuscove.paths import judgement
 from arbutuscove.paths import monitor as path_monitor
 from arbutuscove.paths import peers as path_peers
 from arbutuscove.storage import http
@@ -78,7 +79,7 @@
         ]
         if self._settings.tunnel_listen:
             server = tunnel.TunnelServer(
-                http.Address.parse(self._settings.tunnel_listen),
+                http.Address.parse_listen(self._settings.tunnel_listen),
                 self._is_daemon,
                 lambda address: self._listing.find_service(address) is not None,
                 self._may_carry,
@@ -102,6 +103,20 @@
             )
         )
 
+    def may_judge(self, fabric_domain: str) -> bool:
+        """Returns whether silent VMs of a fabric domain are to be replaced.
+
+        The silence may be that of this daemon's paths.
+        """
+        return judgement.may_judge(
+            listing_module.name_engine_service(fabric_domain),
+            {
+                service: self.monitor.get_verdict(service)
+                for service in self._listing.list_engine_services()
+            },
+            [member.unreached for member in self._membership.get_alive()],
+        )
+
     def _list_carriers(self) -> list[carriers.Carrier]:
         members = self._membership.get_alive()
         region = self._membership.get_own().region
--- a/arbutuscove/replicas/controller.py
+++ b/arbutuscove/replicas/controller.py
@@ -12,6 +12,7 @@
 
 import dataclasses
 import datetime
+from collections import abc
 
 import eliot
 import gevent
@@ -72,7 +73,23 @@
         board: board_module.StatusBoard,
         directory: directory_module.ReplicaDirectory,
         engines: pool.EnginePool,
+        may_judge: abc.Callable[[str], bool] = lambda _: True,
     ) -> None:
+        """Creates a controller.
+
+        Args:
+            identity: identity of this process as a holder of leases.
+            table: the table service.
+            clock: the clock.
+            config: the configuration in force.
+            leases: the leases of this daemon.
+            board: VM list and statuses.
+            directory: the replica rows.
+            engines: clients of the engines.
+            may_judge: returns whether the silence of the VMs of a fabric
+                domain says something of them, not of this daemon's paths.
+        """
+        self._may_judge = may_judge
         self._identity = identity
         self._table = table
         self._clock = clock
@@ -112,8 +129,11 @@
         """Runs one control round for a fabric domain.
 
         Repairs from reserved spares only while the table is unavailable.
-        Errors of the table are logged.
+        Errors of the table are logged. Does nothing while no path leads to the
+        VMs from here: their replicas may serve at other daemons.
         """
+        if not self._may_judge(domain):
+            return
         try:
             if self._is_table_down():
                 self.repair_during_outage(domain)
--- a/arbutuscove/standins/fleet.py
+++ b/arbutuscove/standins/fleet.py
@@ -364,7 +364,11 @@
 
 
 class Daemon:
-    """Control plane of one daemon: leases, statuses and replica controller."""
+    """Control plane of one daemon: leases, statuses and replica controller.
+
+    Attributes:
+        unjudged: Fabric domains whose silence says nothing of their VMs here.
+    """
 
     def __init__(
         self,
@@ -374,6 +378,7 @@
         fleet: Fleet,
     ) -> None:
         self.name = name
+        self.unjudged: set[str] = set()
         self.table = DaemonTable(table)
         self.engines = Engines(fleet)
         self.config = follower.ConfigFollower(self.table, clock)
@@ -400,6 +405,7 @@
             self.board,
             self.directory,
             self.engines,  # type: ignore[arg-type]
+            lambda domain: domain not in self.unjudged,
         )
 
     def observe(self) -> None:
