Leave daemons that reach no upstreams out of the list of entries

What callers saw: /v1/entries went on to name a daemon that was cut off from all upstreams, so new callers came to it and their connections took a second hop.

Cause: the list had every live daemon.

Ruled out: leaving them out whenever they are cut off; if most are, the few others could not serve the callers of all.

Change: `paths.preference.prefer_reaching`: daemons that do not reach a service are left out unless less than half of the daemons would remain.

--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -23,6 +23,7 @@
 from arbutuscove.membership import service as membership_service
 from arbutuscove.observe import journal as journal_module
 from arbutuscove.observe import metrics as metrics_module
+from arbutuscove.paths import preference
 from arbutuscove.peers import client as peer_client
 from arbutuscove.peers import peer_pb2
 from arbutuscove.peers import server as peer_server
@@ -262,5 +263,5 @@
             failure_domain=member.failure_domain,
             load=member.load,
         )
-        for member in members
+        for member in preference.prefer_reaching(members)
     ]
--- /dev/null
+++ b/arbutuscove/paths/tests/test_preference.py
@@ -0,0 +1,31 @@
+"""Guards against callers that are sent to daemons that can't serve them."""
+
+import pytest
+
+from arbutuscove.paths import carriers
+from arbutuscove.paths import preference
+
+
+def _build_daemon(number, unreached=frozenset()):
+    return carriers.Carrier(
+        name=str(number), host="h", port=1, capacity=1, unreached=unreached
+    )
+
+
+@pytest.mark.parametrize(
+    ("total", "cut", "left"), [(7, 0, 7), (7, 3, 4), (7, 4, 7), (7, 7, 7)]
+)
+def test_preference_for_daemons_that_reach_all(total, cut, left):
+    """Guards against a few daemons that get the callers of all."""
+    daemons = [
+        _build_daemon(n, frozenset({"chat"}) if n < cut else frozenset())
+        for n in range(total)
+    ]
+    assert len(preference.prefer_reaching(daemons)) == left
+    assert preference.prefer_reaching(daemons)[-1] == daemons[-1]
+
+
+def test_preference_with_half_of_the_daemons():
+    """Guards against callers that stay although half could serve all."""
+    daemons = [_build_daemon(0), _build_daemon(1, frozenset({"chat"}))]
+    assert preference.prefer_reaching(daemons) == daemons[:1]
--- a/arbutuscove/standins/tests/test_daemon_cut.py
+++ b/arbutuscove/standins/tests/test_daemon_cut.py
@@ -6,6 +6,7 @@
 import time
 
 import gevent
+import msgspec
 import pytest
 
 from arbutuscove.standins import cluster as cluster_module
@@ -15,6 +16,7 @@
 from arbutuscove.storage import http as storage_http
 
 CUT = 0  # number of the daemon that is cut off
+OTHER = 1
 LAYOUT = cluster_module.Layout(check_fencing=False)
 CUT_SECONDS = 6.0  # longer than a status stays valid
 HEADERS = {"Authorization": f"Bearer {demo.API_KEY}"}
@@ -73,6 +75,15 @@
     return response.status
 
 
+def _read_entries(scene):
+    reply = cluster_module.call(
+        scene.get_address(OTHER), "GET", "/v1/entries", headers=HEADERS
+    )
+    return [
+        entry["url"] for entry in msgspec.json.decode(reply.body)["entries"]
+    ]
+
+
 @pytest.mark.parametrize("mode", MODES)
 def test_daemon_cut_from_upstreams_serves_through_peers(scene, mode):
     """Guards against refusals at a daemon that alone is cut off."""
@@ -87,6 +98,7 @@
         statuses.append(_call_plain(scene, mode))
         gevent.sleep(0.2)
     serving = scene.cluster.count_serving(demo.SERVICE, CUT)
+    entries = _read_entries(scene)
     answers = [*load.stop(), running.get()]
     _write_cut(scene, cut_daemon.Mode.NONE)
     wrong = [answer for answer in answers if not answer.is_correct()]
@@ -94,4 +106,11 @@
     assert set(statuses) == {200}
     assert serving == demo.REPLICAS
     assert scene.read_replica_rows() == rows
+    assert not any(scene.get_address(CUT) in url for url in entries)
+    cluster_module.wait_for(
+        "the daemon to be listed again",
+        lambda: any(
+            scene.get_address(CUT) in url for url in _read_entries(scene)
+        ),
+    )
     assert scene.send(CUT, f"after-{mode}").is_correct()
