Suspect no request while no path leads to its upstream

What callers saw: requests whose engines were cut off from all daemons were suspected of having crashed a replica; sent again, they were refused with `request_suspected` or ran only alone as a trial.

Cause: a replica whose state is unknown after three seconds of probes counts as one death for a request without an earlier one. While no path leads to its fabric domain, that it is unknown says nothing of the replica.

Ruled out: counting no unknown state at all; a VM that dies silently is known dead only when the list says so, and the request would be sent on.

Change: without any path, an attempt is watched, as that of a request that is suspected already, until its replica answers or is known dead. `standins/cut_daemon` reads a file for each daemon, and two more tests cut two of three daemons, and all.

If all VMs of a fabric domain die by requests within the same second, these are counted only when the VMs come back or are replaced.

--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -131,6 +131,7 @@
         directory.list_serving,
         membership.probe_peers,
         table.get_era,
+        paths.upstreams.has_path,
     )
     membership.set_suspicion_source(suspect_tracker)
     membership.set_evidence_source(suspect_tracker.evidence)
--- a/arbutuscove/requests/suspects.py
+++ b/arbutuscove/requests/suspects.py
@@ -117,7 +117,10 @@
         list_serving: ListServing,
         send_gossip: abc.Callable[[], None],
         get_era: abc.Callable[[], int] = lambda: 0,
+        has_path: abc.Callable[[str], bool] = lambda _: True,
     ) -> None:
+        # Whether any path leads to the upstreams near an address.
+        self._has_path = has_path
         self._table = table
         # The newest known era of the table; 0 if it has none.
         self._get_era = get_era
@@ -464,7 +467,9 @@
         counted = []
         for attempt in attempts:
             known = self._records.get_record(attempt.digest)
-            if liveness == liveness_module.Liveness.UNKNOWN and known.count:
+            if liveness == liveness_module.Liveness.UNKNOWN and (
+                known.count or not self._may_have_died(attempt)
+            ):
                 # Detached: keeps its trial until check_detached determines the
                 # liveness of the replica.
                 attempt.detached_until = self._clock.monotonic() + TRIAL_TTL
@@ -485,6 +490,11 @@
             if attempt.trial is not None:
                 self._end_trial(attempt, is_cleared=False)
 
+    def _may_have_died(self, attempt: TrackedAttempt) -> bool:
+        # Without any path, the silence says nothing of the replica.
+        replica = attempt.replica
+        return replica is not None and self._has_path(replica.leader.address)
+
     def _blame_parts(self, death: str, attempts: list[TrackedAttempt]) -> None:
         """Blames the prompt parts of the attempts without a first event."""
         suspects = {
--- a/arbutuscove/standins/cut_daemon.py
+++ b/arbutuscove/standins/cut_daemon.py
@@ -14,6 +14,7 @@
 import os  # noqa: E402
 import pathlib  # noqa: E402
 import socket  # noqa: E402
+import sys  # noqa: E402
 import typing  # noqa: E402
 import weakref  # noqa: E402
 
@@ -21,7 +22,7 @@
 import msgspec  # noqa: E402
 from gevent import socket as gevent_socket  # noqa: E402
 
-CUT_FILE_VARIABLE = "ARBUTUSCOVE_TEST_CUT_FILE"
+DIRECTORY_VARIABLE = "ARBUTUSCOVE_TEST_CUTS"
 POLL_SECONDS = 0.02
 
 
@@ -42,13 +43,18 @@
     ports: frozenset[int] = frozenset()
 
 
-def write_cut(path: pathlib.Path, cut: Cut) -> None:
-    """Applies a cut to the daemon that reads the file."""
+def write_cut(directory: pathlib.Path, daemon: str, cut: Cut) -> None:
+    """Applies a cut to a daemon, which reads it from its file."""
+    path = _build_path(directory, daemon)
     changed = path.with_suffix(".new")
     changed.write_bytes(msgspec.json.encode(cut))
     changed.replace(path)
 
 
+def _build_path(directory: pathlib.Path, daemon: str) -> pathlib.Path:
+    return directory / f"{daemon}.cut.json"
+
+
 class _Link:
     """The connections of this process, and the cut."""
 
@@ -138,7 +144,9 @@
     # The command line is read after the sockets have been replaced.
     from arbutuscove.daemon import main  # noqa: PLC0415
 
-    link = _Link(pathlib.Path(os.environ[CUT_FILE_VARIABLE]))
+    name = sys.argv[sys.argv.index("--name") + 1]
+    directory = pathlib.Path(os.environ[DIRECTORY_VARIABLE])
+    link = _Link(_build_path(directory, name))
     _patch_sockets(link)
     gevent.spawn(link.run)
     main.main()
--- a/arbutuscove/standins/tests/test_daemon_cut.py
+++ b/arbutuscove/standins/tests/test_daemon_cut.py
@@ -17,6 +17,8 @@
 
 CUT = 0  # number of the daemon that is cut off
 OTHER = 1
+ALL = (0, 1, 2)
+CUT_MODULE = "arbutuscove.standins.cut_daemon"
 LAYOUT = cluster_module.Layout(check_fencing=False)
 CUT_SECONDS = 6.0  # longer than a status stays valid
 HEADERS = {"Authorization": f"Bearer {demo.API_KEY}"}
@@ -33,10 +35,10 @@
         tempfile.TemporaryDirectory() as directory,
         pytest.MonkeyPatch.context() as patch,
     ):
-        path = pathlib.Path(directory) / "cut.json"
-        patch.setenv(cut_daemon.CUT_FILE_VARIABLE, str(path))
+        patch.setenv(cut_daemon.DIRECTORY_VARIABLE, directory)
         cluster = cluster_module.Cluster(pathlib.Path(directory), LAYOUT)
-        cluster.modules[f"entry-{CUT}"] = "arbutuscove.standins.cut_daemon"
+        for number in ALL:
+            cluster.modules[f"entry-{number}"] = CUT_MODULE
         scene = scene_module.Scene(cluster)
         try:
             scene.set_up()
@@ -50,18 +52,29 @@
 def build_serving_scene(cut_scene):
     cut_scene.wait_until_serving()
     yield cut_scene
-    _write_cut(cut_scene, cut_daemon.Mode.NONE)
+    _write_cut(cut_scene, cut_daemon.Mode.NONE, ALL)
     scene_module.check_vms_exclusive(cut_scene.read_table_log())
 
 
-def _write_cut(scene, mode):
+def _write_cut(scene, mode, daemons=(CUT,)):
     addresses = scene.cluster.addresses
     names = [vm.name for vm in scene.cluster.list_vms()] + ["plain-0"]
     ports = [storage_http.Address.parse(addresses[n]).port for n in names]
-    cut_daemon.write_cut(
-        scene.cluster.directory / "cut.json",
-        cut_daemon.Cut(mode=mode, ports=frozenset(ports)),
-    )
+    cut = cut_daemon.Cut(mode=mode, ports=frozenset(ports))
+    for number in daemons:
+        name = f"entry-{number}"
+        cut_daemon.write_cut(scene.cluster.directory, name, cut)
+
+
+def _list_blamed(scene):
+    """Returns the rows of requests that are taken for crashes' causes."""
+    return [
+        row
+        for prefix in ("quarantine/", "crash/")
+        for row in scene.call_standin(
+            "table", "GET", f"/scan?prefix={prefix}&after=&limit=100"
+        )
+    ]
 
 
 def _call_plain(scene, name):
@@ -106,6 +119,7 @@
     assert set(statuses) == {200}
     assert serving == demo.REPLICAS
     assert scene.read_replica_rows() == rows
+    assert _list_blamed(scene) == []
     assert not any(scene.get_address(CUT) in url for url in entries)
     cluster_module.wait_for(
         "the daemon to be listed again",
@@ -114,3 +128,41 @@
         ),
     )
     assert scene.send(CUT, f"after-{mode}").is_correct()
+
+
+@pytest.mark.parametrize("mode", MODES)
+def test_daemons_cut_at_once_serve_through_the_one_left(scene, mode):
+    """Guards against a search for a path among those that have none."""
+    cut = (CUT, OTHER)
+    _write_cut(scene, mode, cut)
+    load = scene_module.Load(
+        lambda caller: scene.get_address(cut[caller % 2]), name=f"two-{mode}"
+    )
+    gevent.sleep(CUT_SECONDS)
+    answers = load.stop()
+    wrong = [answer for answer in answers if not answer.is_correct()]
+    assert not wrong, (len(wrong), len(answers), wrong[0])
+    assert _list_blamed(scene) == []
+
+
+@pytest.mark.parametrize("mode", MODES)
+def test_daemons_that_are_all_cut_judge_nothing(scene, mode):
+    """Guards against blame and repairs for a failure of all paths.
+
+    Also against a service that does not come back by itself after it.
+    """
+    rows = scene.read_replica_rows()
+    load = scene_module.Load(
+        lambda caller: scene.get_address(caller % 3), name=f"all-{mode}"
+    )
+    load.wait_for(12)
+    _write_cut(scene, mode, ALL)
+    gevent.sleep(2 * CUT_SECONDS)
+    assert _list_blamed(scene) == []
+    _write_cut(scene, cut_daemon.Mode.NONE, ALL)
+    load.stop()
+    assert scene.read_replica_rows() == rows
+    assert _list_blamed(scene) == []
+    scene.wait_until_serving()
+    for number in ALL:
+        assert scene.send(number, f"healed-{mode}-{number}").is_correct()
--- a/arbutuscove/upstreams/paths.py
+++ b/arbutuscove/upstreams/paths.py
@@ -111,6 +111,16 @@
             raise http.NotSentError(f"{address}: not registered")
         return self._connections.connect_for_peer(service, address, timeout)
 
+    def has_path(self, address: str) -> bool:
+        """Returns whether a path leads to the service of an address.
+
+        So it is assumed for an address that is not registered.
+        """
+        service = self._find_service(http.Address.parse(address))
+        return service is None or (
+            self._monitor.get_verdict(service) is not monitor_module.UNREACHED
+        )
+
     def suspect(self, address: http.Address) -> None:
         """Examines the own paths after a connection was lost."""
         service = self._find_service(address)
