Believe no silence on a path that is not used any more

When a daemon found itself cut off, it marked its groups as stalled in the same moment and told all others: healthy daemons had no backend left until their own events came.

Cause: the members had been asked on the direct path, which had failed; the connection through a peer that proved the cut counted as contact since then.

Change: contact confirms a silence only if the verdict on the service has not changed since the upstream was asked.

Measured: paths/tests/test_monitor.py::test_contact_on_another_path_than_before_confirms_nothing failed before and passes now; paths: 133 passed.

--- a/arbutuscove/paths/monitor.py
+++ b/arbutuscove/paths/monitor.py
@@ -86,6 +86,8 @@
         self._rounds: dict[str, gevent.Greenlet] = {}
         # When upstreams accepted direct trials of the last round.
         self._accepted: dict[str, dict[http.Address, datetime.timedelta]] = {}
+        # When the verdict on each service changed last.
+        self._changed_at: dict[str, datetime.timedelta] = {}
         self._handlers: list[abc.Callable[[str], None]] = []
 
     def start(self, kernel: services.Kernel) -> None:
@@ -208,7 +210,9 @@
     def confirm_contact(self, service: str, since: datetime.timedelta) -> bool:
         """Returns whether a connection was opened since, on any path.
 
-        Only then does the silence of one upstream say something about it.
+        Only then does the silence of one upstream say something about it, and
+        only if the verdict has not changed since: the upstream may have been
+        asked on a path that is not used any more.
         While the service is cut off, the next round may have to be waited for,
         which is at most `reach.ROUND_INTERVAL` away.
         """
@@ -220,7 +224,11 @@
             and self._begin_round(service) is None
         ):
             self._clock.sleep(SEARCH_INTERVAL)
-        return self._confirm(service, since, lambda reach: reach.contact_at)
+        is_contacted = self._confirm(
+            service, since, lambda reach: reach.contact_at
+        )
+        has_changed = _is_since(self._changed_at.get(service), since)
+        return is_contacted and not has_changed
 
     def _confirm(
         self,
@@ -389,6 +397,7 @@
         self._reaches[service] = reach
         if reach.verdict is before:
             return
+        self._changed_at[service] = self._clock.monotonic()
         eliot.log_message(
             "paths:verdict",
             service=service,
@@ -413,12 +422,15 @@
                 }
                 for service in self._accepted.keys() - self._reaches.keys():
                     del self._accepted[service]
+                for service in self._changed_at.keys() - self._reaches.keys():
+                    del self._changed_at[service]
             for service in self._find_unreached():
                 if self._list_upstreams(service):
                     self._begin_round(service)
                 else:
                     del self._reaches[service]
                     self._accepted.pop(service, None)
+                    self._changed_at.pop(service, None)
 
 
 def _is_since(
--- a/arbutuscove/paths/tests/test_monitor.py
+++ b/arbutuscove/paths/tests/test_monitor.py
@@ -468,3 +468,20 @@
     daemon.stop()
     waiting.join()
     assert waiting.value is False
+
+
+def test_contact_on_another_path_than_before_confirms_nothing():
+    """Guards against sound groups marked as stalled as the cut is found.
+
+    Their members were asked on the path that has failed, and a peer has
+    opened a connection since.
+    """
+    daemon = scripts.Daemon()
+    since = daemon.clock.monotonic()
+    daemon.cut()
+    assert daemon.monitor.is_cut_off(SERVICE)
+    assert not daemon.monitor.confirm_contact(SERVICE, since)
+    daemon.clock.advance(ms(1))
+    later = daemon.clock.monotonic()
+    daemon.monitor.record_contact(SERVICE)
+    assert daemon.monitor.confirm_contact(SERVICE, later)
