Use one rule for the daemons that callers are sent to

Both interfaces had a function of their own for it. The one of paths/preference serves both; its tests take over the cases of the other, with the names of the daemons that remain. No behaviour changes.

--- a/arbutuscove/gossip/digest.py
+++ b/arbutuscove/gossip/digest.py
@@ -404,19 +404,6 @@
     return [ip for _, _, ip in best.values()]
 
 
-def select_reaching(heartbeats: abc.Sequence[Heartbeat]) -> list[Heartbeat]:
-    """Returns the daemons to which callers should connect.
-
-    Those that do not reach a service themselves are left out, unless fewer than
-    half would remain, which could not serve the callers of all.
-    """
-    reaching = [
-        heartbeat for heartbeat in heartbeats if not heartbeat.unreached
-    ]
-    is_enough = 2 * len(reaching) >= len(heartbeats)
-    return reaching if is_enough else list(heartbeats)
-
-
 def rank_for_duty(own: Heartbeat, live: abc.Iterable[Heartbeat]) -> int:
     """Returns how many live daemons precede this one as candidates for a duty.
 
--- a/arbutuscove/gossip/tests/test_digest.py
+++ b/arbutuscove/gossip/tests/test_digest.py
@@ -397,24 +397,6 @@
         digest.decode(zlib.compress(data) if compressed else data)
 
 
-@pytest.mark.parametrize(
-    ("unreached", "expected"),
-    [("", "abcdefg"), ("abc", "defg"), ("abcd", "abcdefg"), ("abcdefg",) * 2],
-)
-def test_callers_are_sent_to_daemons_that_reach_all_services(
-    unreached, expected
-):
-    """Guards against callers of a daemon that needs peers, and of too few."""
-    heartbeats = [
-        create_heartbeat(
-            name=name, unreached=("chat",) if name in unreached else ()
-        )
-        for name in "abcdefg"
-    ]
-    selected = digest.select_reaching(heartbeats)
-    assert "".join(heartbeat.name for heartbeat in selected) == expected
-
-
 def test_a_daemon_that_does_not_reach_a_service_applies_for_the_duty_last():
     """Guards against orders by a daemon that reaches no VM."""
     cut_off = create_heartbeat(name="c", capacity=9, unreached=("chat",))
--- a/arbutuscove/paths/tests/test_preference.py
+++ b/arbutuscove/paths/tests/test_preference.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from arbutuscove.gossip.tests import test_digest
 from arbutuscove.paths import carriers
 from arbutuscove.paths import preference
 
@@ -29,3 +30,21 @@
     """Guards against callers that stay although half could serve all."""
     daemons = [_build_daemon(0), _build_daemon(1, frozenset({"chat"}))]
     assert preference.prefer_reaching(daemons) == daemons[:1]
+
+
+@pytest.mark.parametrize(
+    ("unreached", "expected"),
+    [("", "abcdefg"), ("abc", "defg"), ("abcd", "abcdefg"), ("abcdefg",) * 2],
+)
+def test_callers_are_sent_to_daemons_that_reach_all_services(
+    unreached, expected
+):
+    """Guards against callers of a daemon that needs peers, and of too few."""
+    heartbeats = [
+        test_digest.create_heartbeat(
+            name=name, unreached=("chat",) if name in unreached else ()
+        )
+        for name in "abcdefg"
+    ]
+    selected = preference.prefer_reaching(heartbeats)
+    assert "".join(heartbeat.name for heartbeat in selected) == expected
--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -34,6 +34,7 @@
 from arbutuscove.paths import connections as path_connections
 from arbutuscove.paths import monitor as path_monitor
 from arbutuscove.paths import peers as peer_paths
+from arbutuscove.paths import preference
 from arbutuscove.platform import engine
 from arbutuscove.platform import followers
 from arbutuscove.platform import listener as listener_module
@@ -559,7 +560,7 @@
         ]
         if self._is_ready() and self._caller_address:
             heartbeats.append(self._gossip.get_own())
-        heartbeats = digest.select_reaching(heartbeats)
+        heartbeats = preference.prefer_reaching(heartbeats)
         near = [
             heartbeat
             for heartbeat in heartbeats
