Wait in a planned stop for connections carried for other daemons

A daemon that stopped cut the connections that it carried as soon as its own requests had ended, among them requests that may not be repeated.

--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -56,11 +56,13 @@
 
 REGISTRY_SERVICE = "registry"
 DRAIN_ANNOUNCER_SERVICE = "leaving"
+CARRIER_DRAIN_SERVICE = "carried-connections"
 TUNNEL_POOL_SERVICE = "tunnel-connections"
 # With at least this number of daemons in their failure domain, callers get no
 # addresses in other domains.
 MIN_NEAR_DAEMONS = 4
 MAX_LOADS_AGE = datetime.timedelta(milliseconds=100)
+DRAIN_POLL_INTERVAL = datetime.timedelta(milliseconds=50)
 # A carried connection takes two file descriptors; the others serve callers.
 DESCRIPTORS_PER_TUNNEL = 8
 # A daemon whose loop is later than this carries no further connections.
@@ -310,6 +312,10 @@
             (TUNNEL_POOL_SERVICE, self._tunnels),
             (path_monitor.SERVICE_NAME, self._paths),
             (tunnel.SERVICE_NAME, self._tunnel_server),
+            (
+                CARRIER_DRAIN_SERVICE,
+                CarrierDrain(self._clock, self._tunnel_server, self._shutdown),
+            ),
             (followers.CONFIGURATION_SERVICE, configuration),
             (followers.SERVERS_SERVICE, servers),
             (gossip_service.SERVICE_NAME, self._gossip),
@@ -579,6 +585,35 @@
     return _Assembly(settings).build()
 
 
+class CarrierDrain(services.BaseService):
+    """Waits in a planned stop for connections carried for other daemons.
+
+    These open no further ones through a daemon that leaves, and close their
+    idle ones.
+    """
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        server: tunnel.TunnelServer,
+        stop: shutdown.Shutdown,
+    ) -> None:
+        self._clock = clock
+        self._server = server
+        self._stop = stop
+
+    def drain(self) -> None:
+        """Returns once no connection is carried, or the process has to end."""
+        schedule = self._stop.get_schedule()
+        if schedule is None:
+            return
+        while (
+            self._server.open_count
+            and self._clock.monotonic() < schedule.exit_at
+        ):
+            self._clock.sleep(DRAIN_POLL_INTERVAL)
+
+
 class _DrainAnnouncer(services.BaseService):
     """Notifies the peers of a drain before the listener drains."""
 
