--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -1,16 +1,11 @@
 """Construction of the services of a daemon on the platform."""
 
 import collections
-import dataclasses
 import datetime
-import functools
 import random
 import time
-from collections import abc
 
-import eliot
 import msgspec
-from gevent import event
 
 from arbutuscove.catalog import holder as catalog_holder
 from arbutuscove.crashes import holder as crash_holder
@@ -23,21 +18,18 @@
 from arbutuscove.gossip import digest
 from arbutuscove.gossip import service as gossip_service
 from arbutuscove.kernel import clock as clock_module
-from arbutuscove.kernel import decoding
 from arbutuscove.kernel import loop
 from arbutuscove.kernel import services
 from arbutuscove.kernel import shutdown
 from arbutuscove.leases import holder as lease_holder
 from arbutuscove.leases import lease
 from arbutuscove.observe import metrics as metrics_module
-from arbutuscove.paths import carriers
-from arbutuscove.paths import connections as path_connections
-from arbutuscove.paths import monitor as path_monitor
-from arbutuscove.paths import peers as peer_paths
 from arbutuscove.paths import preference
 from arbutuscove.platform import engine
 from arbutuscove.platform import followers
 from arbutuscove.platform import listener as listener_module
+from arbutuscove.platform import paths as paths_module
+from arbutuscove.platform import registry as registry_module
 from arbutuscove.platform import settings as settings_module
 from arbutuscove.platform import store as store_module
 from arbutuscove.platform import table as platform_table
@@ -49,26 +41,13 @@
 from arbutuscove.relay import model as relay_model
 from arbutuscove.relay import placement
 from arbutuscove.relay import waiting
-from arbutuscove.storage import http
-from arbutuscove.transport import connection
 from arbutuscove.transport import pool
-from arbutuscove.transport import tunnel
 
-REGISTRY_SERVICE = "registry"
 DRAIN_ANNOUNCER_SERVICE = "leaving"
-CARRIER_DRAIN_SERVICE = "carried-connections"
-TUNNEL_POOL_SERVICE = "tunnel-connections"
 # With at least this number of daemons in their failure domain, callers get no
 # addresses in other domains.
 MIN_NEAR_DAEMONS = 4
 MAX_LOADS_AGE = datetime.timedelta(milliseconds=100)
-DRAIN_POLL_INTERVAL = datetime.timedelta(milliseconds=50)
-# A carried connection takes two file descriptors; the others serve callers.
-DESCRIPTORS_PER_TUNNEL = 8
-# A daemon whose loop is later than this carries no further connections.
-MAX_CARRIER_LAG = datetime.timedelta(milliseconds=100)
-DAEMON_PREFIX = "daemon/"
-MAX_REGISTRATION_BYTES = 4096  # a row with the address of one daemon
 # Upstreams check fencing tokens, so a new holder need not wait until the orders
 # of an earlier holder have timed out. The guard covers the time between the
 # check of the lease and the send of an order.
@@ -81,97 +60,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _Registration:
-    ip: decoding.Ipv4Address
-
-
-_REGISTRATION_DECODER = decoding.JsonDecoder[_Registration](
-    _Registration, MAX_REGISTRATION_BYTES
-)
-
-
-class Registry(services.LoopService):
-    """Writes this daemon's IP address to the store and reads its table.
-
-    Passes the addresses in it to gossip as those of possible peers, and adds
-    the verdicts on crashes of upstreams to the evidence.
-    """
-
-    RETRY_INTERVAL = datetime.timedelta(milliseconds=300)
-
-    def __init__(
-        self,
-        settings: settings_module.Settings,
-        store: store_module.Store,
-        clock: clock_module.Clock,
-        gossip: gossip_service.Gossip,
-        evidence: crash_holder.EvidenceHolder,
-    ) -> None:
-        self._evidence = evidence
-        self._key = DAEMON_PREFIX + settings.name
-        self._ip = settings.ip
-        self._store = store
-        self._clock = clock
-        self._gossip = gossip
-        self._is_due = event.Event()
-
-    def start(self, kernel: services.Kernel) -> None:
-        """Starts the registration, which is retried until it succeeds.
-
-        It is done again in each later era of the store, which may have lost it.
-        """
-        self._store.add_era_listener(self._is_due.set)
-        self.run_loop(self._run)
-
-    def _run(self) -> None:
-        self._add_verdicts(self._register())
-        while True:
-            self._is_due.wait()
-            self._register()
-            eliot.log_message("registry:written_again", key=self._key)
-
-    def _register(self) -> tuple[store_module.Row, ...]:
-        """Writes the own row and returns the rows of the table."""
-        table = platform_table.OWN_TABLE
-        content = msgspec.json.encode({"ip": self._ip})
-        while True:
-            self._is_due.clear()
-            try:
-                # The write comes first: of two daemons that start at the same
-                # time, the one that reads last finds the other's address.
-                self._store.transact(table, {}, {self._key: content})
-                rows = self._store.read_rows(table).rows
-                break
-            except store_module.StoreError as error:
-                eliot.log_message("registry:failed", reason=str(error))
-                self._clock.sleep(self.RETRY_INTERVAL)
-        self._gossip.add_peers(_list_peer_ips(rows))
-        return rows
-
-    def _add_verdicts(self, rows: abc.Iterable[store_module.Row]) -> None:
-        self._evidence.restore(
-            platform_table.decode_row(row)
-            for row in rows
-            if row.key.startswith(verdicts.KEY_PREFIX)
-        )
-
-
-def _list_peer_ips(rows: abc.Iterable[store_module.Row]) -> list[str]:
-    """Returns the IP addresses in the rows of daemons."""
-    ips: list[str] = []
-    for row in rows:
-        if not row.key.startswith(DAEMON_PREFIX) or row.content is None:
-            continue
-        try:
-            ips.append(_REGISTRATION_DECODER.decode(row.content).ip)
-        except decoding.DecodingError as error:
-            eliot.log_message(
-                "registry:row_skipped", key=row.key, reason=str(error)
-            )
-    return ips
-
-
 class _Assembly:
     """The services of one daemon and the callbacks between them."""
 
@@ -185,9 +73,6 @@
         self._identity = f"{settings.name}.{self._process_start_us}"
         self._peer_loads = placement.PeerLoads(running={}, daemons=0)
         self._peer_loads_read_at: datetime.timedelta | None = None
-        # The service of each listed VM by its address, at one revision.
-        self._services: dict[http.Address, str] = {}
-        self._service_revision = -1
         self._generator = random.Random(self._identity)
         self._metrics = metrics_module.Metrics()
         self._lag = loop.LagMonitor(self._clock)
@@ -202,32 +87,21 @@
             "" if not settings.caller_address else str(settings.caller_address)
         )
         self._gossip = self._build_gossip()
-        self._tunnels = pool.ConnectionPool(self._clock)
-        self._peer_paths = peer_paths.PeerPaths(
-            self._clock,
-            settings.name,
-            self._list_carriers,
-            functools.partial(tunnel.open_tunnel, source_host=settings.ip),
-        )
-        self._paths = path_monitor.ReachMonitor(
+        self._shutdown = shutdown.Shutdown()
+        self._paths = paths_module.Paths(
+            settings,
             self._clock,
-            self._list_service_vms,
-            self._peer_paths.open,
             self._generator,
-            is_answered=engine.TrialClient(
-                self._catalog, self._clock
-            ).is_answered,
-        )
-        self._paths.add_change_handler(self._apply_verdict)
-        self._upstreams = path_connections.UpstreamConnections(
-            self._clock,
             self._connections,
-            self._tunnels,
-            self._paths,
-            self._peer_paths,
+            self._catalog,
+            self._inventory,
+            self._gossip,
+            self._lag,
+            self._shutdown,
+        )
+        self._orders = engine.HttpOrderClient(
+            self._paths.connections, self._clock
         )
-        self._orders = engine.HttpOrderClient(self._upstreams, self._clock)
-        self._tunnel_server = self._build_tunnel_server()
         self._verdicts = verdicts.VerdictKeeper(
             platform_table.StoreTable(self._store),
             self._clock,
@@ -262,12 +136,11 @@
             self._leases,
             self._orders,
             self._list_stalled_groups,
-            self._upstreams.confirm_contact,
+            self._paths.connections.confirm_contact,
         )
         if not settings.is_first_start:
             # Callers may have sent requests before this process started.
             self._controller.record_traffic()
-        self._shutdown = shutdown.Shutdown()
         self._dispatcher = waiting.RequestDispatcher(
             self._clock,
             self._catalog,
@@ -297,7 +170,7 @@
             self._gossip,
             self._is_lease_holder,
         )
-        registry = Registry(
+        registry = registry_module.Registry(
             self._settings,
             self._store,
             self._clock,
@@ -309,19 +182,13 @@
             (loop.SERVICE_NAME, self._lag),
             (metrics_module.SERVICE_NAME, self._metrics),
             (pool.SERVICE_NAME, self._connections),
-            (TUNNEL_POOL_SERVICE, self._tunnels),
-            (path_monitor.SERVICE_NAME, self._paths),
-            (tunnel.SERVICE_NAME, self._tunnel_server),
-            (
-                CARRIER_DRAIN_SERVICE,
-                CarrierDrain(self._clock, self._tunnel_server, self._shutdown),
-            ),
+            *self._paths.list_services(),
             (followers.CONFIGURATION_SERVICE, configuration),
             (followers.SERVERS_SERVICE, servers),
             (gossip_service.SERVICE_NAME, self._gossip),
             (verdicts.SERVICE_NAME, self._verdicts),
             (crash_tracker.SERVICE_NAME, self._crashes),
-            (REGISTRY_SERVICE, registry),
+            (registry_module.SERVICE_NAME, registry),
             (lease_holder.SERVICE_NAME, self._leases),
             (controller_module.SERVICE_NAME, self._controller),
             (waiting.SERVICE_NAME, self._dispatcher),
@@ -360,65 +227,6 @@
             self._record_not_stalled,
         )
 
-    def _build_tunnel_server(self) -> tunnel.TunnelServer:
-        settings = self._settings
-        return tunnel.TunnelServer(
-            http.Address(settings.ip, settings.tunnel_port),
-            self._gossip.is_known,
-            lambda address: self._find_service(address) is not None,
-            self._may_carry,
-            settings.max_descriptors // DESCRIPTORS_PER_TUNNEL,
-            self._connect_for_peer,
-        )
-
-    def _may_carry(self) -> bool:
-        lag = self._lag.get_sustained_lag()
-        return lag < MAX_CARRIER_LAG and not self._listener.is_draining()
-
-    def _connect_for_peer(
-        self, address: http.Address, timeout: datetime.timedelta
-    ) -> connection.Connection:
-        service = self._find_service(address)
-        if service is None:
-            raise http.NotSentError(f"{address}: not listed")
-        return self._upstreams.connect_for_peer(service, address, timeout)
-
-    def _find_service(self, address: http.Address) -> str | None:
-        """Returns the service of a listed VM by its address."""
-        if self._service_revision != self._inventory.revision:
-            self._service_revision = self._inventory.revision
-            self._services = {
-                vm.address: vm.service for vm in self._inventory.list_vms()
-            }
-        return self._services.get(address)
-
-    def _list_service_vms(self, service: str) -> list[fleet_model.Vm]:
-        return [
-            vm
-            for vm in self._inventory.list_vms()
-            if vm.service == service and not vm.leaving
-        ]
-
-    def _list_carriers(self) -> list[carriers.Carrier]:
-        return [
-            carriers.Carrier(
-                name=heartbeat.name,
-                host=heartbeat.ip,
-                port=heartbeat.tunnel_port,
-                capacity=heartbeat.capacity,
-                unreached=frozenset(heartbeat.unreached),
-                is_leaving=heartbeat.leaving,
-            )
-            for heartbeat in self._gossip.get_live()
-        ]
-
-    def _apply_verdict(self, service: str) -> None:
-        """Tells the peers, and drops connections that may have been lost."""
-        self._upstreams.close_idle(
-            vm.address for vm in self._list_service_vms(service)
-        )
-        self._gossip.broadcast()
-
     def _build_flow(self) -> flow_module.Flow:
         bounds = self._settings.bounds
         context = attempt.AttemptContext(
@@ -426,7 +234,7 @@
             self._catalog,
             self._dispatcher,
             self._states,
-            self._upstreams,
+            self._paths.connections,
             upstreams.HttpCodec(),
             self._gossip.broadcast,
             self._probe_members,
@@ -490,7 +298,7 @@
             slow=tuple(
                 self._states.list_locally_slow()[: digest.MAX_REPORTED_GROUPS]
             ),
-            unreached=self._paths.list_unreached(),
+            unreached=self._paths.monitor.list_unreached(),
         )
 
     def _observe_peer(self, heartbeat: digest.Heartbeat) -> None:
@@ -498,7 +306,7 @@
         self._store.observe_peer(heartbeat.name, heartbeat.store_ok)
         if heartbeat.leaving:
             # It waits for the connections that it carries.
-            self._upstreams.close_idle_through(heartbeat.ip)
+            self._paths.connections.close_idle_through(heartbeat.ip)
 
     def _is_ready(self) -> bool:
         return (
@@ -585,35 +393,6 @@
     return _Assembly(settings).build()
 
 
-class CarrierDrain(services.BaseService):
-    """Waits in a planned stop for connections carried for other daemons.
-
-    These open no further ones through a daemon that leaves, and close their
-    idle ones.
-    """
-
-    def __init__(
-        self,
-        clock: clock_module.Clock,
-        server: tunnel.TunnelServer,
-        stop: shutdown.Shutdown,
-    ) -> None:
-        self._clock = clock
-        self._server = server
-        self._stop = stop
-
-    def drain(self) -> None:
-        """Returns once no connection is carried, or the process has to end."""
-        schedule = self._stop.get_schedule()
-        if schedule is None:
-            return
-        while (
-            self._server.open_count
-            and self._clock.monotonic() < schedule.exit_at
-        ):
-            self._clock.sleep(DRAIN_POLL_INTERVAL)
-
-
 class _DrainAnnouncer(services.BaseService):
     """Notifies the peers of a drain before the listener drains."""
 
--- a/arbutuscove/platform/tests/test_carrier_drain.py
+++ b/arbutuscove/platform/tests/test_carrier_drain.py
@@ -6,7 +6,7 @@
 
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import shutdown
-from arbutuscove.platform import assembly
+from arbutuscove.platform import paths
 
 SECOND = datetime.timedelta(seconds=1)
 
@@ -34,6 +34,6 @@
     stop = shutdown.Shutdown()
     stop.begin(shutdown.plan_stop(begun_at, 8 * SECOND, 3 * SECOND))
     server = Server(clock, begun_at + lasting * SECOND)
-    assembly.CarrierDrain(clock, server, stop).drain()
+    paths.CarrierDrain(clock, server, stop).drain()
     passed = clock.monotonic() - begun_at
-    assert abs(passed - expected * SECOND) <= assembly.DRAIN_POLL_INTERVAL
+    assert abs(passed - expected * SECOND) <= paths.DRAIN_POLL_INTERVAL
--- a/arbutuscove/platform/tests/test_rewritten_rows.py
+++ b/arbutuscove/platform/tests/test_rewritten_rows.py
@@ -10,12 +10,13 @@
 from arbutuscove.crashes import verdicts
 from arbutuscove.kernel import services
 from arbutuscove.platform import assembly
+from arbutuscove.platform import registry
 from arbutuscove.platform import table as platform_table
 from arbutuscove.platform.tests import test_settings
 from arbutuscove.standins import users_store
 
 TABLE = platform_table.OWN_TABLE
-REGISTRATION = assembly.DAEMON_PREFIX + test_settings.FIELDS["node"]
+REGISTRATION = registry.DAEMON_PREFIX + test_settings.FIELDS["node"]
 VERDICT = f"{verdicts.KEY_PREFIX}{7:016x}"
 TIMEOUT = 5.0  # seconds
 
@@ -33,7 +34,7 @@
     kernel = daemon.build()
     running = [
         kernel.get_service(name, services.LoopService)
-        for name in (verdicts.SERVICE_NAME, assembly.REGISTRY_SERVICE)
+        for name in (verdicts.SERVICE_NAME, registry.SERVICE_NAME)
     ]
     for item in running:
         item.start(kernel)
--- a/arbutuscove/platform/tests/test_store.py
+++ b/arbutuscove/platform/tests/test_store.py
@@ -13,7 +13,7 @@
 from arbutuscove.crashes import verdicts
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.leases import lease
-from arbutuscove.platform import assembly
+from arbutuscove.platform import registry
 from arbutuscove.platform import store as store_module
 from arbutuscove.platform import table as platform_table
 from arbutuscove.platform.tests import test_entries
@@ -164,7 +164,7 @@
         platform_table.StoreTable(store), clock, lambda key: True
     )
     evidence = crash_holder.EvidenceHolder(clock, keeper)
-    assembly.Registry(Settings, store, clock, peers, evidence)._register()
+    registry.Registry(Settings, store, clock, peers, evidence)._register()
     return peers.ips, evidence
 
 
