Let the mutations of paths match the code after the merges

Four texts had changed with the fixes of the review; three mutations are new (silence on an old path, idle connections of further attempts, the time left after a search).

--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -1035,24 +1035,25 @@
     Mutation(
         promise="a peer's path is the proof of a cut",
         path="paths/reach.py",
-        old="is_cut_off = has_peer_path or keeps_cut",
-        new="is_cut_off = bool(keeps_cut)",
+        old="    is_cut_off = through_peer > 0",
+        new="    is_cut_off = False",
         test="relay/tests/test_cut_off.py::"
         "test_request_is_served_through_a_peer",
     ),
     Mutation(
         promise="the direct path is used again after a cut",
         path="paths/reach.py",
-        old="    if direct >= needed:",
-        new="    if direct >= needed and reach.verdict is not Verdict.CUT_OFF:",
-        test="relay/tests/test_cut_off.py::"
-        "test_requests_take_the_direct_path_after_the_cut",
+        old="        is_reached = direct > through_peer",
+        new="        is_reached = False",
+        test="paths/tests/test_reach.py",
     ),
     Mutation(
         promise="a failed path is no failure of an upstream",
         path="paths/connections.py",
-        old="if self._monitor.confirm_reach(service, started):",
-        new="if True:",
+        old="                if (\n"
+        "                    is_reached\n"
+        "                    and not self._monitor.is_cut_off(service)\n",
+        new="                if (\n                    True\n",
         test="relay/tests/test_cut_off.py::"
         "test_path_that_fails_is_no_failure_of_the_upstreams",
     ),
@@ -1074,12 +1075,38 @@
     Mutation(
         promise="a group is not stalled for a daemon without contact",
         path="paths/monitor.py",
-        old="return self._confirm(service, since, "
-        "lambda reach: reach.contact_at)",
+        old="return is_contacted and not has_changed",
         new="return True",
         test="relay/tests/test_cut_off.py::"
         "test_group_is_not_stalled_because_the_path_has_failed",
     ),
+    Mutation(
+        promise="silence on a path that is not used any more is not believed",
+        path="paths/monitor.py",
+        old="return is_contacted and not has_changed",
+        new="return is_contacted",
+        test="paths/tests/test_monitor.py::"
+        "test_contact_on_another_path_than_before_confirms_nothing",
+    ),
+    Mutation(
+        promise="a further attempt takes no idle connection",
+        path="relay/attempt.py",
+        old="if not repeat.is_idempotent or excluded:",
+        new="if not repeat.is_idempotent:",
+        test="relay/tests/test_lost_connections.py::"
+        "test_repeated_request_does_not_fail_with_an_idle_connection",
+    ),
+    Mutation(
+        promise="upstreams are told the time that is left after the search",
+        path="relay/attempt.py",
+        old="        left = request.deadline - context.clock.monotonic()\n"
+        "        if left <= MIN_TIME_LEFT:\n"
+        '            raise NotRunError("no time is left")\n'
+        "        self._was_sent = True\n",
+        new="        self._was_sent = True\n",
+        test="relay/tests/test_cut_off.py::"
+        "test_upstream_is_not_given_the_time_of_the_search",
+    ),
     Mutation(
         promise="bytes after the last frame are odd",
         path="transport/frames.py",
