--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -398,7 +398,7 @@
             raise UnsentError(str(error)) from error
         self._connection = upstream
         # Opening a connection may have taken a part of the time.
-        left = request.deadline - context.clock.monotonic()
+        left = context.compute_end(request) - context.clock.monotonic()
         if left <= MIN_TIME_LEFT:
             raise NotRunError("no time is left")
         self._was_sent = True
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -1099,7 +1099,8 @@
     Mutation(
         promise="upstreams are told the time that is left after the search",
         path="relay/attempt.py",
-        old="        left = request.deadline - context.clock.monotonic()\n"
+        old="        left = context.compute_end(request) - "
+        "context.clock.monotonic()\n"
         "        if left <= MIN_TIME_LEFT:\n"
         '            raise NotRunError("no time is left")\n'
         "        self._was_sent = True\n",
