--- a/arbutuscove/paths/reach.py
+++ b/arbutuscove/paths/reach.py
@@ -6,11 +6,14 @@
 connections to some upstreams, first directly and then through peers, and the
 outcome of the round decides:
 
-- `REACHED`: an upstream accepted a direct connection.
-- `CUT_OFF`: none did, but one accepted a connection through a peer. The path of
-  this daemon has failed and not the upstreams.
+- `REACHED`: an upstream answered on a direct connection.
+- `CUT_OFF`: none did, but one answered on a connection through a peer. The path
+  of this daemon has failed and not the upstreams.
 - `UNREACHED`: none did at all. Nothing is known of the upstreams.
 
+An accepted connection alone proves nothing: something on the path may accept
+connections and lose them.
+
 A daemon without peers can therefore not find itself cut off.
 """
 
