--- a/review/common/world.py
+++ b/review/common/world.py
@@ -820,7 +820,7 @@
 
     def memory_mb(self):
         for line in open(f"/proc/{self.process.pid}/status"):
-            if line.startswith("VmRSS:"):
+            if line.startswith("RssAnon:"):
                 return int(line.split()[1]) / 1024
         return 0.0
 
