Review case 1: a request whose head breaks off is run, with what there was of it

Clients leave while they send the heads of their requests. The daemon takes the end of the connection for the end of the head: servers run filings with empty bodies and under ids that no client sent.

--- a/review/common/world.py
+++ b/review/common/world.py
@@ -288,6 +288,7 @@
         self.leaving = False
         self.running = {}
         self.runs = []  # (time, request id)
+        self.requests = []  # (time, request id, method, path, body)
         self.done = set()
         self.server = None
         self.writers = set()
@@ -358,6 +359,10 @@
             return encode(503, common + [("X-Not-Run", "1")], b"")
         self.record.write(f"{self.name} runs {request_id}")
         self.runs.append((self.record.now(), request_id))
+        method, path, _ = line.split(" ", 2)
+        self.requests.append(
+            (self.record.now(), request_id, method, path, body)
+        )
         self.running[request_id] = time.monotonic()
         try:
             await asyncio.sleep(self.work_s)
