--- a/review/5/case.py
+++ b/review/5/case.py
@@ -55,13 +55,13 @@
 
 
 async def main(record, directory, daemons, trouble):
-    store_address = ("127.0.0.1", world.free_ports("127.0.0.1", 1))
+    store_address = (world.ip(1), world.free_ports(world.ip(1), 1))
     store = world.Store(record)
     await store.start(*store_address)
     await store.put("op", "config", build_configuration())
     servers = []
     for number in range(3):
-        ip = f"127.0.0.{11 + number}"
+        ip = world.ip(11 + number)
         port = world.free_ports(ip, 1)
         server = world.PlainServer(
             record, f"i-{number}", "wuno96b", ip, port, WORK_S
@@ -78,12 +78,12 @@
             await asyncio.sleep(1.2)
 
     beats = asyncio.create_task(beat())
-    base = world.free_ports("127.0.0.21", 24)
+    base = world.free_ports(world.ip(21), 24)
     for number in range(2):
         daemon = world.Daemon(
             directory,
             f"front-a-{number + 1}",
-            f"127.0.0.{21 + number}",
+            world.ip(21 + number),
             base,
             store_address,
         )
--- a/review/common/world.py
+++ b/review/common/world.py
@@ -50,9 +50,18 @@
 }
 
 
+def ip(number):
+    """Returns a loopback address; another process has other ones."""
+    pid = os.getpid()
+    return f"127.{20 + pid // 250 % 200}.{1 + pid % 250}.{number}"
+
+
 def free_ports(ip, count):
-    """Returns `count` consecutive ports that are free for TCP and UDP."""
-    first = 20000 + os.getpid() % 20000
+    """Returns `count` consecutive ports that are free for TCP and UDP.
+
+    They are below the range from which the kernel takes ports.
+    """
+    first = 20000 + os.getpid() * 37 % 8000
     while True:
         held = []
         try:
@@ -354,6 +363,8 @@
         if line.split(" ")[1] == "/health":
             status = 503 if self.leaving else 200
             return encode(status, common + [("X-Instance-Id", self.name)], b"")
+        if not request_id:
+            return encode(400, common + [("X-Not-Run", "1")], b"")
         common.append(("X-Request-Id", request_id))
         if len(self.running) >= self.slots + 24:
             return encode(503, common + [("X-Not-Run", "1")], b"")
@@ -895,6 +906,8 @@
 def run(main, folder):
     """Runs a case; exits with 0 if the rule held, 1 if not, 2 if it couldn't."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # Ends the daemons, too, if this process is to end.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(pathlib.Path(folder) / "record.txt")
     with tempfile.TemporaryDirectory() as directory:
         daemons = []
