Review: an endless answer stops a whole daemon (CONFIG)

One answer of comments without end blocks the process until that request's deadline, 8 s: all other requests of the machine, its readiness, heartbeats and lease stand still.

--- a/review/common/world.py
+++ b/review/common/world.py
@@ -50,6 +50,10 @@
 }
 
 
+# Chunks of nine bytes each: comments in a stream, which are no event.
+ENDLESS_BYTES = b"9\r\n: wait \n\n\r\n" * 20000
+
+
 def ip(number):
     """Returns a loopback address; another process has other ones."""
     pid = os.getpid()
@@ -419,6 +423,9 @@
         self.on_order = lambda peer: None
         self.violations = []
         self.crashing_parts = frozenset()
+        self.events_before_crash = 0
+        self.endless = 0  # so many of the next answers never end
+        self.endless_ids = []
         self.crashes = []  # times
         self.arrivals = []  # (time, request id) of requests with such a part
         self.is_up = True
@@ -685,13 +692,28 @@
         ]
         try:
             writer.write("\r\n".join(lines).encode())
+            if self.endless:
+                self.endless -= 1
+                self.endless_ids.append(request_id)
+                self.record.write(f"{self.name} answers without end")
+                try:
+                    while not self.is_cut(peer):
+                        writer.write(ENDLESS_BYTES)
+                        await writer.drain()
+                finally:
+                    self.record.write(f"{request_id}: the caller has closed")
+            first = int(fields.get("last-event-id") or 0) + 1
             if is_crashing:
+                # It begins to write: so many events, then the process ends.
+                for number in range(first, first + self.events_before_crash):
+                    await asyncio.sleep(self.EVENT_S)
+                    data = f"id: {number}\ndata: {request_id}.{number}\n\n"
+                    writer.write(f"{len(data):x}\r\n{data}\r\n".encode())
                 await writer.drain()
                 await asyncio.sleep(self.EVENT_S)
                 if self.is_up:
                     self.crash(3.0)
                 raise ConnectionResetError
-            first = int(fields.get("last-event-id") or 0) + 1
             for number in range(first, self.EVENTS + 1):
                 await asyncio.sleep(self.EVENT_S)
                 while True:
