--- a/review/2/case.py
+++ b/review/2/case.py
@@ -190,9 +190,7 @@
                 await store.put("servers", server.name, server.entry())
             await asyncio.sleep(0.05)
 
-    beats = [
-        asyncio.create_task(beat(s)) for s in [*fleet.values(), *desk]
-    ]
+    beats = [asyncio.create_task(beat(s)) for s in [*fleet.values(), *desk]]
     base = world.free_ports(world.ip(21), 24)
     for number in range(MACHINES):
         daemon = world.Daemon(
