--- a/arbutuscove/crashes/evidence.py
+++ b/arbutuscove/crashes/evidence.py
@@ -1,10 +1,15 @@
 """Evidence on what crashes upstreams, and the decision that follows from it.
 
 A *trait* is what requests can have in common: one part of their prompt, or
-their whole content. A *death* of a VM blames the traits of the requests whose
-answers had begun there without a first event. An answer to a request with a
-trait refutes all earlier blame of the trait, since a trait that crashes
-upstreams crashes each of them.
+their whole content. An answer is *exposed* from its head until it is complete,
+which the VM has then *survived*. A *death* of a VM blames the traits of all
+requests that were exposed there. A survived request with a trait refutes all
+earlier blame of the trait, since a trait that crashes upstreams crashes each of
+them.
+
+While no upstream is left to answer, nothing refutes the blame of sound traits.
+A verdict therefore weighs deaths against survivals from before them, too: a
+trait that many requests survived needs many deaths.
 
 Daemons exchange deaths and answers rather than verdicts. Each of them observes
 only its own requests at a VM, so the blame of one death is the union of what
@@ -15,6 +20,7 @@
 import dataclasses
 import datetime
 import functools
+import math
 from collections import abc
 
 import msgspec
@@ -26,16 +32,19 @@
 # it, and if one is known from before the deaths.
 MIN_DEATHS_UNANSWERED = 2
 MIN_DEATHS_ANSWERED = 3
+# A trait needs one death for each so many survivals, beyond the minimum.
+SURVIVALS_PER_DEATH = 4
 # Depth of the trait of a whole request. Parts have depths from 0.
 WHOLE_DEPTH = -1
 # All deaths with their suspects fit into one datagram.
 MAX_DEATHS = 64  # the oldest that convicts no trait is evicted first
-MAX_SUSPECTS = 16  # traits blamed for one death; parts precede whole requests
+MAX_SUSPECTS = 16  # traits blamed for one death; those never survived first
+# More survivals change nothing: they need more deaths than are held.
+MAX_SURVIVALS = (MAX_DEATHS + 1) * SURVIVALS_PER_DEATH
 MAX_ANSWERS = 8192  # traits with a known answer; the oldest is evicted first
 DEATH_TTL = datetime.timedelta(minutes=10)
 ANSWER_TTL = datetime.timedelta(minutes=5)
-# A VM that still sends events of an answer after this time has survived it.
-MIN_SURVIVAL = datetime.timedelta(milliseconds=300)
+SURVIVALS_HALF_LIFE = ANSWER_TTL
 # Time without a death after which one request tries a culprit. It doubles with
 # each death beyond the second, since each failed trial costs a replica.
 MIN_TRIAL_DELAY = datetime.timedelta(seconds=60)
@@ -80,14 +89,26 @@
 
     def merge(self, other: "Death") -> "Death":
         """Returns the death with the blame of two reports of it."""
-        suspects = {**other.suspects, **self.suspects}
         return Death(
             identity=self.identity,
             at=min(self.at, other.at),
-            suspects=limit_suspects(suspects),
+            suspects={**other.suspects, **self.suspects},
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Survivals:
+    """What is known of the answers to requests with a trait.
+
+    Attributes:
+        newest: monotonic time at which the newest of them began.
+        count: how many one daemon saw, halved each `SURVIVALS_HALF_LIFE`.
+    """
+
+    newest: datetime.timedelta
+    count: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Culprit:
     """A trait that crashes upstreams, with the crashes that it explains."""
@@ -113,10 +134,14 @@
 
 
 class AnswerReport(msgspec.Struct, frozen=True, array_like=True):
-    """The newest answer to a request with a trait."""
+    """The newest answer to a request with a trait, and the survivals.
+
+    Daemons of earlier versions neither send nor read `count`.
+    """
 
     key: int
     age_ms: int
+    count: int = 1
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True):
@@ -126,28 +151,41 @@
     answers: tuple[AnswerReport, ...] = ()
 
 
-def limit_suspects(suspects: Suspects) -> Suspects:
-    """Returns at most `MAX_SUSPECTS` of the traits, deeper parts first."""
+def limit_suspects(
+    suspects: Suspects,
+    survivals: abc.Mapping[TraitKey, Survivals] | None = None,
+) -> Suspects:
+    """Returns at most `MAX_SUSPECTS` of the traits.
+
+    Traits with fewer survivals precede the others, then deeper parts.
+    """
     if len(suspects) <= MAX_SUSPECTS:
         return suspects
-    ranked = sorted(suspects.items(), key=lambda item: (-item[1], item[0]))
-    return dict(ranked[:MAX_SUSPECTS])
+    known = survivals or {}
+
+    def rank(item: tuple[TraitKey, int]) -> tuple[int, int, TraitKey]:
+        key, depth = item
+        return (known[key].count if key in known else 0, -depth, key)
+
+    return dict(sorted(suspects.items(), key=rank)[:MAX_SUSPECTS])
 
 
 def find_culprits(
     deaths: abc.Iterable[Death],
     answers: abc.Mapping[TraitKey, datetime.timedelta],
+    counts: abc.Mapping[TraitKey, int] | None = None,
 ) -> dict[TraitKey, Culprit]:
     """Returns the traits that crash upstreams.
 
-    The trait that explains most deaths is found first. Its deaths do not blame
-    the other traits of the same requests: these share their first part with
-    sound requests. Among equals, a trait without any answer precedes one with
-    an answer, and a deeper part precedes one that more requests share.
+    The trait with most deaths for its survivals is found first. Its deaths do
+    not blame the other traits of the same requests: these share their first
+    part with sound requests. Among equals, a trait without any answer precedes
+    one with an answer, and a deeper part precedes one that more requests share.
 
     Args:
         deaths: the known deaths.
         answers: the time of the newest answer by trait.
+        counts: the survivals by trait; 1 for an answered trait that it lacks.
 
     Example:
         >>> second = datetime.timedelta(seconds=1)
@@ -162,6 +200,7 @@
     """
     unexplained = list(deaths)
     culprits: dict[TraitKey, Culprit] = {}
+    survivals = dict.fromkeys(answers, 1) | dict(counts or {})
     while True:
         blame: dict[TraitKey, list[Death]] = collections.defaultdict(list)
         depths: dict[TraitKey, int] = {}
@@ -171,9 +210,14 @@
                     blame[key].append(death)
                     depths[key] = depth
         ranked = [
-            (len(blamed), key not in answers, depths[key], key)
+            (
+                len(blamed) / (1 + survivals.get(key, 0)),
+                key not in answers,
+                depths[key],
+                key,
+            )
             for key, blamed in blame.items()
-            if len(blamed) >= _get_required(depths[key], key in answers)
+            if len(blamed) >= _get_required(depths[key], survivals.get(key, 0))
         ]
         if not ranked:
             return culprits
@@ -192,11 +236,11 @@
     return answered is not None and answered >= death.at
 
 
-def _get_required(depth: int, is_answered: bool) -> int:
+def _get_required(depth: int, survivals: int) -> int:
     """Returns the number of deaths that makes a trait a culprit."""
-    if depth == WHOLE_DEPTH or is_answered:
-        return MIN_DEATHS_ANSWERED
-    return MIN_DEATHS_UNANSWERED
+    if depth != WHOLE_DEPTH and not survivals:
+        return MIN_DEATHS_UNANSWERED
+    return max(MIN_DEATHS_ANSWERED, math.ceil(survivals / SURVIVALS_PER_DEATH))
 
 
 class Evidence:
@@ -204,7 +248,8 @@
 
     def __init__(self) -> None:
         self._deaths: dict[str, Death] = {}
-        self._answers: dict[TraitKey, datetime.timedelta] = {}
+        self._answers: dict[TraitKey, Survivals] = {}
+        self._halved_at: datetime.timedelta | None = None
         self._culprits: dict[TraitKey, Culprit] = {}
         # The newest death that blames each trait, refuted or not.
         self._blamed: dict[TraitKey, datetime.timedelta] = {}
@@ -241,10 +286,17 @@
         """Returns whether a death blames the trait and no answer is known."""
         return key in self._blamed and key not in self._answers
 
+    def limit_suspects(self, suspects: Suspects) -> Suspects:
+        """Returns the traits to blame for one death, as `limit_suspects`."""
+        return limit_suspects(suspects, self._answers)
+
     def record_death(self, death: Death) -> bool:
         """Adds a death; returns whether it was unknown or blames more."""
         known = self._deaths.pop(death.identity, None)
         merged = death if known is None else known.merge(death)
+        merged = dataclasses.replace(
+            merged, suspects=self.limit_suspects(merged.suspects)
+        )
         self._deaths[death.identity] = merged
         if len(self._deaths) > MAX_DEATHS:
             self._evict_death()
@@ -254,21 +306,47 @@
         return is_new
 
     def record_answer(self, key: TraitKey, at: datetime.timedelta) -> None:
-        """Records when an answer began to a request with a trait."""
+        """Records a request with a trait that an upstream survived.
+
+        Args:
+            key: the trait.
+            at: monotonic time at which the answer began.
+        """
+        known = self._answers.get(key)
+        count = 1 if known is None else known.count + 1
+        self._put_survivals(key, Survivals(newest=at, count=count))
+
+    def _put_survivals(self, key: TraitKey, added: Survivals) -> None:
+        """Merges what this daemon or another one knows of a trait."""
         known = self._answers.pop(key, None)
-        self._answers[key] = at if known is None else max(at, known)
+        count = min(added.count, MAX_SURVIVALS)
+        if known is not None:
+            # Reports of other daemons may include those of this one, so that
+            # counts can't be added up.
+            added = Survivals(
+                newest=max(added.newest, known.newest),
+                count=max(count, known.count),
+            )
+        else:
+            added = Survivals(newest=added.newest, count=count)
+        self._answers[key] = added
         if len(self._answers) > MAX_ANSWERS:
             self._answers.pop(next(iter(self._answers)))
         blamed_at = self._blamed.get(key)
-        if blamed_at is not None and (known is None or known < blamed_at):
+        if blamed_at is not None and (
+            known is None or known.newest < blamed_at
+        ):
             self._decide()
 
     def merge(self, report: Report, now: datetime.timedelta) -> None:
         """Adds the evidence received from another daemon."""
         for answer in report.answers:
             age = _convert_age(answer.age_ms)
-            if age < ANSWER_TTL:
-                self.record_answer(answer.key, now - age)
+            if age < DEATH_TTL:
+                survivals = Survivals(
+                    newest=now - age, count=max(1, answer.count)
+                )
+                self._put_survivals(answer.key, survivals)
         for death in report.deaths:
             age = _convert_age(death.age_ms)
             if age < DEATH_TTL:
@@ -276,7 +354,7 @@
                     Death(
                         identity=death.identity,
                         at=now - age,
-                        suspects=limit_suspects(death.suspects),
+                        suspects=death.suspects,
                     )
                 )
 
@@ -306,14 +384,22 @@
                 for name, blame in deaths.items()
             ),
             answers=tuple(
-                AnswerReport(key, _compute_age(self._answers[key], now))
+                AnswerReport(
+                    key,
+                    _compute_age(self._answers[key].newest, now),
+                    self._answers[key].count,
+                )
                 for key in keys
                 if key in self._answers
             ),
         )
 
     def expire(self, now: datetime.timedelta) -> None:
-        """Removes deaths and answers after their lifetimes."""
+        """Removes deaths and answers after their lifetimes.
+
+        Args:
+            now: the monotonic time.
+        """
         expired = [
             death.identity
             for death in self._deaths.values()
@@ -321,13 +407,32 @@
         ]
         for identity in expired:
             del self._deaths[identity]
+        if expired:
+            self._decide()
+        # The answers to a blamed trait weigh against its deaths for as long as
+        # these count: while no upstream is left, there are no new ones.
         outdated = [
-            key for key, at in self._answers.items() if now - at >= ANSWER_TTL
+            key
+            for key, survivals in self._answers.items()
+            if now - survivals.newest >= ANSWER_TTL and key not in self._blamed
         ]
         for key in outdated:
             del self._answers[key]
-        if expired or any(key in self._blamed for key in outdated):
-            self._decide()
+        self._halve_counts(now)
+
+    def _halve_counts(self, now: datetime.timedelta) -> None:
+        """Halves the counts of survivals once a `SURVIVALS_HALF_LIFE`."""
+        if self._halved_at is None:
+            self._halved_at = now
+        if now - self._halved_at < SURVIVALS_HALF_LIFE:
+            return
+        self._halved_at = now
+        self._answers = {
+            key: dataclasses.replace(
+                survivals, count=max(1, survivals.count // 2)
+            )
+            for key, survivals in self._answers.items()
+        }
 
     def _evict_death(self) -> None:
         """Removes the oldest death, if possible one that convicts no trait."""
@@ -343,14 +448,22 @@
     def _decide(self) -> None:
         self._blamed = {}
         self._open_blame = {}
+        answers: dict[TraitKey, datetime.timedelta] = {}
+        counts: dict[TraitKey, int] = {}
+        for death in self._deaths.values():
+            for key in death.suspects:
+                survivals = self._answers.get(key)
+                if survivals is not None:
+                    answers[key] = survivals.newest
+                    counts[key] = survivals.count
         for death in self._deaths.values():
             for key, depth in death.suspects.items():
                 newest = self._blamed.get(key, death.at)
                 self._blamed[key] = max(newest, death.at)
-                if not _is_refuted(death, self._answers.get(key)):
+                if not _is_refuted(death, answers.get(key)):
                     blame = self._open_blame.setdefault(death.identity, {})
                     blame[key] = depth
-        self._culprits = find_culprits(self._deaths.values(), self._answers)
+        self._culprits = find_culprits(self._deaths.values(), answers, counts)
         facts = sorted(
             (identity, sorted(blame))
             for identity, blame in self._open_blame.items()
--- a/arbutuscove/crashes/holder.py
+++ b/arbutuscove/crashes/holder.py
@@ -83,6 +83,12 @@
         """Returns whether a death blames the trait and no answer is known."""
         return self._evidence.is_suspect(key)
 
+    def limit_suspects(
+        self, suspects: evidence_module.Suspects
+    ) -> evidence_module.Suspects:
+        """Returns the traits to blame for one death, at most so many."""
+        return self._evidence.limit_suspects(suspects)
+
     def record_death(self, death: evidence_module.Death) -> bool:
         """Adds a death that this daemon observed.
 
@@ -97,7 +103,7 @@
     def record_answer(
         self, keys: abc.Iterable[int], at: datetime.timedelta
     ) -> None:
-        """Records when an answer began to a request with these traits."""
+        """Records a survived request with these traits, as it began."""
         before = self.culprits
         for key in keys:
             self._evidence.record_answer(key, at)
--- a/arbutuscove/crashes/tracker.py
+++ b/arbutuscove/crashes/tracker.py
@@ -1,6 +1,6 @@
 """Tracks which requests crash upstreams, and keeps them from further ones.
 
-When an answer has begun and is lost before its first event, the VM is probed.
+When an answer has begun and is lost before its end, the VM is probed.
 Only a VM that is known to have crashed counts as a death: a connection also
 breaks without one. If the probe decides nothing, the list of VMs does, once it
 shows a later start of the VM.
@@ -111,6 +111,8 @@
         self._is_trial_owner = is_trial_owner
         self._evidence = evidence
         self._trials: dict[int, _Trial] = {}
+        # The stream that may be resumed, by the suspect trait that it has.
+        self._resumed: dict[int, Request] = {}
         self._watched: list[_Loss] = []
         self._has_watched = event.Event()
         self._probes: dict[str, event.AsyncResult] = {}
@@ -147,6 +149,27 @@
             return False
         return self.find_culprit(request) is None
 
+    def may_resume(self, request: Request) -> bool:
+        """Returns whether a stream that was lost midway may go on elsewhere.
+
+        Of the streams that share a suspect trait, one may: a death is no
+        verdict, but each of them may cost another VM.
+        """
+        if self.find_culprit(request) is not None:
+            return False
+        suspects = [
+            key
+            for key in map(evidence_module.hash_part, request.prompt_parts)
+            if self._evidence.is_suspect(key)
+        ]
+        if any(
+            self._resumed.get(key, request) is not request for key in suspects
+        ):
+            return False
+        for key in suspects:
+            self._resumed[key] = request
+        return True
+
     def check(self, request: Request) -> datetime.timedelta | None:
         """Returns None if a request may run, else when it may come again."""
         culprit = self.find_culprit(request)
@@ -165,7 +188,7 @@
         return retry_after
 
     def record_answer(self, request: Request, at: datetime.timedelta) -> None:
-        """Records that an upstream answers a request and survives it.
+        """Records that an upstream has answered a request and survived it.
 
         Args:
             request: the request.
@@ -185,14 +208,14 @@
         not sent again before.
 
         Args:
-            request: the request, whose answer had begun without an event.
+            request: the request, whose answer had begun.
             vm: the VM that the request was sent to.
         """
         now = self._clock.monotonic()
         death = evidence_module.Death(
             identity=f"{vm.name}@{vm.started_at_ms}",
             at=now,
-            suspects=evidence_module.limit_suspects(_list_traits(request)),
+            suspects=self._evidence.limit_suspects(_list_traits(request)),
         )
         match self._determine_liveness(vm, death.identity):
             case liveness.Liveness.DEAD:
@@ -285,6 +308,14 @@
             if key in self._evidence.culprits
         }
 
+    def _drop_resumed(self) -> None:
+        """Forgets the resumed streams of traits that are no suspects now."""
+        self._resumed = {
+            key: request
+            for key, request in self._resumed.items()
+            if self._evidence.is_suspect(key)
+        }
+
     def _run(self) -> None:
         expiry_due = self._clock.monotonic()
         while True:
@@ -296,6 +327,7 @@
                 expiry_due = now + EXPIRY_INTERVAL
                 self._evidence.expire()
                 self._drop_trials()
+                self._drop_resumed()
                 self._probed = {
                     identity: probed
                     for identity, probed in self._probed.items()
--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -16,7 +16,6 @@
 import gevent
 
 from arbutuscove.catalog import holder as catalog_holder
-from arbutuscove.crashes import evidence
 from arbutuscove.crashes import tracker
 from arbutuscove.fleet import model as fleet_model
 from arbutuscove.kernel import clock as clock_module
@@ -310,11 +309,9 @@
         self._is_released = False
         self._was_sent = False
         self._has_answer_begun = False
-        self._is_resumed = False
         self._head_at: datetime.timedelta | None = None
         self._event_count = 0
         self._first_event_at: datetime.timedelta | None = None
-        self._is_survival_recorded = False
         # Time spent waiting for bytes since the last progress. It leaves out
         # time in which the caller reads slowly or this process is suspended, as
         # the upstream is not silent then.
@@ -346,7 +343,6 @@
         """
         context = self._context
         request = self._request
-        self._is_resumed = bool(last_event or request.last_event)
         self.backend = context.dispatcher.acquire(
             request,
             self._service,
@@ -471,16 +467,9 @@
         )
 
     def _record_event(self) -> None:
-        now = self._context.clock.monotonic()
         self._event_count += 1
         if self._first_event_at is None:
-            self._first_event_at = now
-        # Once is enough; the other events come too often to record them all.
-        elif (
-            not self._is_survival_recorded
-            and now - self._first_event_at >= evidence.MIN_SURVIVAL
-        ):
-            self._record_survival(self._first_event_at)
+            self._first_event_at = self._context.clock.monotonic()
 
     def record_loss(
         self, reason: str, is_cut: bool = False
@@ -522,7 +511,7 @@
             begun_at = self._head_at
         is_success = self.reply is not None and self.reply.status < 300
         if is_success and begun_at is not None:
-            self._record_survival(begun_at)
+            self._context.crashes.record_answer(self._request, begun_at)
         upstream, self._connection = self._connection, None
         if upstream is not None and self.parser is not None:
             self._context.connections.check_in(
@@ -537,11 +526,6 @@
             upstream.close()
         self._release(tokens=0)
 
-    def _record_survival(self, begun_at: datetime.timedelta) -> None:
-        if not self._is_survival_recorded:
-            self._is_survival_recorded = True
-            self._context.crashes.record_answer(self._request, begun_at)
-
     def _record_first_byte(self) -> None:
         if self._has_answer_begun:
             return
@@ -737,14 +721,12 @@
         return AttemptLostError(str(error))
 
     def _report_crash(self, backend: model.Backend) -> None:
-        """Reports an answer that was lost after it had begun, without an event.
+        """Reports an answer that was lost after it had begun.
 
         An engine sends the head when it begins to run a request; plain services
-        send it with the answer. The events of a resumed stream have shown
-        before that its request is sound.
+        send it with the answer.
         """
-        has_begun = self._head_at is not None or not backend.model
-        if not has_begun or self._event_count or self._is_resumed:
+        if self._head_at is None and backend.model:
             return
         # A greenlet of its own completes the report if the caller leaves now.
         gevent.spawn(
--- a/arbutuscove/relay/flow.py
+++ b/arbutuscove/relay/flow.py
@@ -51,14 +51,25 @@
         return self._serve_buffered(request, service)
 
     def is_safe_to_repeat(
-        self, request: model.Request, error: attempt_module.FailedAttempt
+        self,
+        request: model.Request,
+        error: attempt_module.FailedAttempt,
+        has_delivered: bool = False,
     ) -> bool:
-        """Returns whether another attempt crashes no upstream, as known now."""
+        """Returns whether another attempt crashes no upstream, as known now.
+
+        Args:
+            request: the request.
+            error: how its last attempt failed.
+            has_delivered: whether the caller has received a part of a stream.
+        """
         match error:
             case attempt_module.QuarantinedError():
                 return False
             case attempt_module.NotRunError():
                 return True
+            case attempt_module.AttemptLostError() if has_delivered:
+                return self.context.crashes.may_resume(request)
             case attempt_module.AttemptLostError():
                 return self.context.crashes.may_repeat(request)
 
--- a/arbutuscove/relay/streams.py
+++ b/arbutuscove/relay/streams.py
@@ -34,7 +34,10 @@
     clock: clock_module.Clock
 
     def is_safe_to_repeat(
-        self, request: model.Request, error: attempt_module.FailedAttempt
+        self,
+        request: model.Request,
+        error: attempt_module.FailedAttempt,
+        has_delivered: bool = False,
     ) -> bool:
         """Returns whether another attempt crashes no upstream, as known now."""
 
@@ -303,7 +306,7 @@
         # An answered replacement is used in any case: its backend has survived
         # the request.
         if replacement.reply is None and not self._policy.is_safe_to_repeat(
-            self._request, error
+            self._request, error, self._has_delivered
         ):
             self._cancel_replacement()
             return None
@@ -343,7 +346,9 @@
             self._excluded |= {attempt.backend.key}
         if not self._may_begin_attempt():
             return False
-        if not self._policy.is_safe_to_repeat(self._request, error):
+        if not self._policy.is_safe_to_repeat(
+            self._request, error, self._has_delivered
+        ):
             return False
         if not self._policy.acquire_retry(self._service):
             return False
--- a/arbutuscove/relay/tests/test_crashing_part.py
+++ b/arbutuscove/relay/tests/test_crashing_part.py
@@ -1,5 +1,6 @@
 """Guards against requests sent on although a part of them crashes upstreams."""
 
+import collections
 import dataclasses
 import random
 
@@ -42,6 +43,21 @@
     yield faulty_upstream.Ending.CLOSE
 
 
+def build_midway_crash():
+    """Returns a behaviour that ends each connection after one more event."""
+    attempts = collections.Counter()
+
+    def crash_midway(request_id):
+        event = faulty_upstream.EVENTS[attempts[request_id]]
+        attempts[request_id] += 1
+        yield faulty_upstream.build_head(request_id, faulty_upstream.CHUNKED)
+        yield faulty_upstream.build_chunk(event)
+        yield faulty_upstream.PAUSE_SECONDS
+        yield faulty_upstream.Ending.CLOSE
+
+    return crash_midway
+
+
 class Scene:
     """A flow before several upstreams of one plain service."""
 
@@ -173,6 +189,23 @@
     assert scene.send(CRASHING).code == "request_quarantined"
 
 
+def test_part_that_crashes_after_an_event_is_refused_without_a_send():
+    """Guards against a part that crashes upstreams after the first event.
+
+    The first stream goes on at one other upstream, and no more.
+    """
+    scene = Scene(build_midway_crash())
+    try:
+        with pytest.raises(model.BrokenAnswerError):
+            scene.send(CRASHING)
+        assert scene.count_requests() == 2
+        for _ in range(3):
+            assert scene.send(CRASHING).code == "request_quarantined"
+        assert scene.count_requests() == 2
+    finally:
+        scene.stop()
+
+
 def test_cut_stream_of_a_living_upstream_is_sent_again(scene):
     """Guards against requests given up since a connection broke."""
     scene.liveness = liveness.Liveness.ALIVE
@@ -271,7 +304,7 @@
 def test_request_queued_in_an_engine_is_not_blamed(scene):
     """Guards against blame of requests whose answer had not begun.
 
-    Nor is a resumed stream blamed: its events have shown it to be sound.
+    An answer is blamed from its head on, after events and as a resumed one.
     """
     reports = []
     scene.tracker.report_loss = lambda request, vm: reports.append(request)
@@ -289,6 +322,6 @@
     lost._head_at = scene.clock.monotonic()
     lost.record_loss("cut", is_cut=True)
     assert len(reports) == 1
-    lost._is_resumed = True
+    lost._event_count = 20
     lost.record_loss("cut", is_cut=True)
-    assert len(reports) == 1
+    assert len(reports) == 2
--- a/arbutuscove/requests/suspects.py
+++ b/arbutuscove/requests/suspects.py
@@ -8,7 +8,7 @@
 trial) but never as the second.
 
 Requests that differ may share a part of their prompt that crashes replicas.
-A death therefore blames the parts of the requests without a first event, too;
+A death therefore blames the parts of the requests that were not complete, too;
 `crashes.evidence` decides which part is at fault.
 """
 
@@ -90,8 +90,6 @@
         detached_until: when the watch ends, if the stream is no longer read.
         prompt_parts: parts of the prompt that other requests may have, too.
         answered_at: when the first event arrived, if it did.
-        is_survival_recorded: whether the replica is known to have survived the
-            request.
     """
 
     digest: str
@@ -102,7 +100,6 @@
     detached_until: datetime.timedelta | None = None
     prompt_parts: tuple[str, ...] = ()
     answered_at: datetime.timedelta | None = None
-    is_survival_recorded: bool = False
 
 
 class SuspectTracker(services.LoopService):
@@ -187,16 +184,10 @@
 
     def record_event(self, attempt: TrackedAttempt) -> None:
         """Records that an event of the answer arrived."""
-        if attempt.is_survival_recorded:
-            return
-        now = self._clock.monotonic()
         if attempt.answered_at is None:
-            attempt.answered_at = now
-        elif now - attempt.answered_at >= evidence_module.MIN_SURVIVAL:
-            self._record_survival(attempt)
+            attempt.answered_at = self._clock.monotonic()
 
     def _record_survival(self, attempt: TrackedAttempt) -> None:
-        attempt.is_survival_recorded = True
         if attempt.answered_at is None:
             return
         keys = map(evidence_module.hash_part, attempt.prompt_parts)
@@ -276,7 +267,7 @@
             attempt: the attempt.
             is_complete: whether its answer was delivered to the end.
         """
-        if is_complete and not attempt.is_survival_recorded:
+        if is_complete:
             self._record_survival(attempt)
         if is_complete or attempt.replica is None:
             self._attempts.discard(attempt)
@@ -496,18 +487,17 @@
         return replica is not None and self._has_path(replica.leader.address)
 
     def _blame_parts(self, death: str, attempts: list[TrackedAttempt]) -> None:
-        """Blames the prompt parts of the attempts without a first event."""
+        """Blames the prompt parts of the attempts that are not complete."""
         suspects = {
             evidence_module.hash_part(part): depth
             for attempt in attempts
-            if attempt.answered_at is None
             for depth, part in enumerate(attempt.prompt_parts)
         }
         self.evidence.record_death(
             evidence_module.Death(
                 identity=death,
                 at=self._clock.monotonic(),
-                suspects=evidence_module.limit_suspects(suspects),
+                suspects=suspects,
             )
         )
 
--- a/arbutuscove/requests/tests/test_quarantine.py
+++ b/arbutuscove/requests/tests/test_quarantine.py
@@ -140,9 +140,15 @@
 
 
 def test_quarantine_part_that_has_been_answered_is_not_blamed():
-    """Long answers at replicas that die must not get their parts refused."""
+    """Long answers at replicas that die must not get their parts refused.
+
+    Other answers with the part are complete, before the first death or since.
+    """
     system = _System(replicas=2)
     for number in range(4):
+        assert system.try_send(1, f"short {number}", None, ("popular",)) is None
+        for engine in system.fleet.engines.values():
+            engine.streams.clear()
         request = fleet_module.build_request(
             system.fleet, f"long {number}", parts=("popular",)
         )
@@ -152,8 +158,29 @@
         engine.die()
         assert _read(events) == "incomplete"
         system.settle()
-    assert not system.daemons[0].suspects.evidence.get_fingerprint()
+        assert not system.daemons[0].suspects.evidence.culprits
     assert system.try_send(1, "q", None, ("popular",)) is None
+    assert system.try_send(0, "q2", None, ("popular",)) is None
+
+
+def test_quarantine_part_that_crashes_after_events_costs_two_replicas():
+    """A part must not crash replica after replica since answers had begun."""
+    system = _System(replicas=2)
+    for number in range(4):
+        request = fleet_module.build_request(
+            system.fleet, f"long {number}", parts=("first", "bad")
+        )
+        try:
+            events = system.daemons[number % DAEMONS].flow.run(request).events
+        except failures.RequestFailedError as error:
+            assert error.refusal.code == "request_quarantined"
+            continue
+        next(events)
+        (engine,) = (e for e in system.fleet.engines.values() if e.streams)
+        engine.die()
+        assert _read(events) == "incomplete"
+        system.settle()
+    assert len(system.fleet.deaths) <= quarantine.DEATHS_TO_QUARANTINE
 
 
 def test_quarantine_crashing_part_survives_restart_of_all_daemons():
