--- a/arbutuscove/fleet/inventory.py
+++ b/arbutuscove/fleet/inventory.py
@@ -7,6 +7,9 @@
 
 The list may also come back as it was some seconds ago. It then *settles* for as
 long: an entry that is older than the one known here does not replace it.
+
+A VM may say in its answers that it leaves before the list does. It then counts
+as leaving until it starts again.
 """
 
 import dataclasses
@@ -17,6 +20,7 @@
 from gevent import event
 
 from arbutuscove.fleet import model
+from arbutuscove.fleet import notices
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
 
@@ -27,6 +31,10 @@
 OUTAGE_THRESHOLD = datetime.timedelta(seconds=2)
 # Number of VMs recorded after they have left the list.
 MAX_DEPARTED_VMS = 512
+# Starts of VMs that said themselves that they leave; the oldest is dropped.
+MAX_NOTIFIED_VMS = 4096
+# A VM that is still there says it again with its next answer.
+NOTICE_TTL = datetime.timedelta(minutes=10)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -59,6 +67,11 @@
         self._vms: dict[str, model.Vm] = {}
         self._grace_deadlines: dict[str, datetime.timedelta] = {}
         self._departed: dict[str, Departed] = {}
+        # When each start of a VM last said that it leaves, and whether to this
+        # daemon.
+        self._notified: dict[
+            notices.VmIdentity, tuple[datetime.timedelta, bool]
+        ] = {}
         self._read_at: datetime.timedelta | None = None
         self._recovered_at: datetime.timedelta | None = None
         self._settled_at: datetime.timedelta | None = None
@@ -93,6 +106,7 @@
         """
         if self._is_outdated(vm):
             return False
+        vm = self._apply_notice(vm)
         before = self._vms.get(vm.name)
         if before is None or vm.name in self._grace_deadlines:
             return True
@@ -144,6 +158,59 @@
             self._remove(name)
         self._finish()
 
+    def record_leaving(
+        self, identity: notices.VmIdentity, is_local: bool
+    ) -> None:
+        """Records that a VM says that it leaves.
+
+        Args:
+            identity: the name and start of the VM; a later start of it does
+                not leave.
+            is_local: whether this daemon received the notice, not a peer.
+        """
+        known = self._notified.get(identity)
+        if known is not None and not is_local:
+            return
+        self._notified.pop(identity, None)
+        self._notified[identity] = (self._clock.monotonic(), is_local)
+        if len(self._notified) > MAX_NOTIFIED_VMS:
+            del self._notified[next(iter(self._notified))]
+        vm = self._vms.get(identity[0])
+        if vm is None or vm.identity != identity or vm.leaving:
+            return
+        self._vms[vm.name] = dataclasses.replace(vm, leaving=True)
+        self.revision += 1
+        self._changed.set()
+        eliot.log_message(
+            "fleet:vm_leaving",
+            vm=vm.name,
+            born=vm.started_at_ms,
+            source="own answer" if is_local else "peer",
+        )
+
+    def list_notified(self, limit: int) -> list[notices.VmIdentity]:
+        """Returns the VMs whose notice of leaving this daemon received last."""
+        now = self._clock.monotonic()
+        recent = [
+            identity
+            for identity, (at, is_local) in self._notified.items()
+            if is_local and now - at < NOTICE_TTL and self._is_listed(identity)
+        ]
+        return recent[-limit:]
+
+    def _is_listed(self, identity: notices.VmIdentity) -> bool:
+        vm = self._vms.get(identity[0])
+        return vm is not None and vm.identity == identity
+
+    def _apply_notice(self, vm: model.Vm) -> model.Vm:
+        """Returns a VM as leaving if it said so since its start."""
+        at, _ = self._notified.get(vm.identity, (None, False))
+        if at is None or vm.leaving:
+            return vm
+        if self._clock.monotonic() - at >= NOTICE_TTL:
+            return vm
+        return dataclasses.replace(vm, leaving=True)
+
     def _record_read(self) -> None:
         now = self._clock.monotonic()
         if self._read_at is None or now - self._read_at > OUTAGE_THRESHOLD:
@@ -154,6 +221,7 @@
         if self._is_outdated(vm):
             return
         before = self._vms.get(vm.name)
+        vm = self._apply_notice(vm)
         vm = _carry_last_model(before, self._departed.get(vm.name), vm)
         self._grace_deadlines.pop(vm.name, None)
         if before is None or not _has_same_routing(before, vm):
--- a/arbutuscove/fleet/model.py
+++ b/arbutuscove/fleet/model.py
@@ -9,6 +9,7 @@
 import enum
 from collections import abc
 
+from arbutuscove.fleet import notices
 from arbutuscove.storage import http
 
 
@@ -70,6 +71,11 @@
     last_model: str = ""
     sequence: int = dataclasses.field(default=0, compare=False)
 
+    @property
+    def identity(self) -> notices.VmIdentity:
+        """Name and start, which tell this start of the VM from others."""
+        return (self.name, self.started_at_ms)
+
     def precedes(self, other: "Vm") -> bool:
         """Returns whether this report of a VM was made before another one.
 
--- a/arbutuscove/fleet/tests/test_inventory.py
+++ b/arbutuscove/fleet/tests/test_inventory.py
@@ -143,3 +143,46 @@
     assert not vm_list.is_settling()
     vm_list.begin_settling()
     assert vm_list.is_settling()
+
+
+def test_inventory_keeps_a_vm_leaving_that_says_so_itself():
+    """Guards against requests to a VM whose entry still says ready."""
+    clock, vm_list = create_inventory()
+    revision = vm_list.revision
+    vm_list.record_leaving(("a", 1), is_local=True)
+    assert vm_list.find("a").leaving
+    assert vm_list.revision > revision
+    assert vm_list.list_notified(4) == [("a", 1)]
+    ready = test_planner.create_vm("a", sequence=9)
+    assert not vm_list.has_changed(ready)
+    vm_list.update([ready], [])
+    vm_list.replace([ready, test_planner.create_vm("b")])
+    assert vm_list.find("a").leaving and not vm_list.find("b").leaving
+
+
+def test_inventory_uses_a_new_start_of_a_vm_that_left():
+    """Guards against an old notice that takes out the VM's next start."""
+    _, vm_list = create_inventory()
+    restarted = test_planner.create_vm("a", started_at_ms=2)
+    vm_list.record_leaving(("a", 1), is_local=True)
+    vm_list.update([restarted], [])
+    assert not vm_list.find("a").leaving
+    vm_list.record_leaving(("a", 1), is_local=False)
+    assert not vm_list.find("a").leaving
+    assert not vm_list.list_notified(4)
+
+
+def test_inventory_learns_a_notice_before_the_entry_and_forgets_it():
+    """Guards against notices of peers lost, passed on or kept for ever."""
+    clock, vm_list = create_inventory()
+    vm_list.record_leaving(("c", 5), is_local=False)
+    vm_list.update([test_planner.create_vm("c", started_at_ms=5)], [])
+    assert vm_list.find("c").leaving
+    assert not vm_list.list_notified(4)
+    clock.advance(inventory.NOTICE_TTL)
+    vm_list.update([test_planner.create_vm("c", started_at_ms=5)], [])
+    assert not vm_list.find("c").leaving
+    for number in range(inventory.MAX_NOTIFIED_VMS + 1):
+        vm_list.record_leaving(("d", number), is_local=True)
+    vm_list.update([test_planner.create_vm("d", started_at_ms=0)], [])
+    assert not vm_list.find("d").leaving
--- a/arbutuscove/gossip/digest.py
+++ b/arbutuscove/gossip/digest.py
@@ -42,6 +42,7 @@
 MAX_PEERS = 4096  # daemons in a `PeerTable`
 # Stalled groups in one heartbeat, and as many slow ones.
 MAX_REPORTED_GROUPS = 16
+MAX_REPORTED_VMS = 16  # leaving VMs in one heartbeat
 # An update is ended and the next one begun once its entries reach this size.
 # Compression reduces it to about an eighth, which fits into one packet.
 TARGET_UPDATE_BYTES = 8192
@@ -67,6 +68,8 @@
     highest era of the store that it knows, 0 for none. `tunnel_port` is the TCP
     port on which it carries connections of other daemons, 0 if it carries none.
     `unreached` names the services that its own connections do not reach.
+    `leaving_vms` are VMs, each with its start in Unix milliseconds, that told
+    this daemon themselves that they leave.
     """
 
     name: decoding.Text
@@ -89,6 +92,7 @@
     era: decoding.Count = 0
     tunnel_port: decoding.Count = 0
     unreached: tuple[decoding.Name, ...] = ()
+    leaving_vms: tuple[tuple[decoding.Name, decoding.Count], ...] = ()
 
 
 class Datagram(
--- a/arbutuscove/gossip/tests/test_digest.py
+++ b/arbutuscove/gossip/tests/test_digest.py
@@ -409,7 +409,21 @@
     """Guards against versions that do not hear each other."""
     new = create_heartbeat(tunnel_port=7340, unreached=("chat",))
     encoded = msgspec.to_builtins(new)
-    old = msgspec.convert(encoded[:-2], digest.Heartbeat)
+    fields = digest.Heartbeat.__struct_fields__
+    known = encoded[: fields.index("tunnel_port")]
+    old = msgspec.convert(known, digest.Heartbeat)
     assert (old.tunnel_port, old.unreached) == (0, ())
     later = msgspec.convert([*encoded, "more"], digest.Heartbeat)
     assert later == new
+
+
+def test_heartbeats_name_leaving_vms_only_to_those_who_read_them():
+    """Guards against an upgrade whose daemons do not hear each other."""
+    heartbeat = create_heartbeat(leaving_vms=(("vm", 5),))
+    data = digest.ENCODER.encode(digest.Datagram(sender=heartbeat))
+    assert digest.decode(data).sender.leaving_vms == (("vm", 5),)
+    tag, sender, others, counters = msgspec.msgpack.decode(data)
+    earlier = msgspec.msgpack.encode([tag, sender[:-1], others, counters])
+    assert digest.decode(earlier).sender.leaving_vms == ()
+    later = msgspec.msgpack.encode([tag, [*sender, "x"], others, counters])
+    assert digest.decode(later).sender == heartbeat
--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -15,6 +15,7 @@
 from arbutuscove.fleet import health
 from arbutuscove.fleet import inventory as inventory_module
 from arbutuscove.fleet import model as fleet_model
+from arbutuscove.fleet import notices
 from arbutuscove.gossip import digest
 from arbutuscove.gossip import service as gossip_service
 from arbutuscove.kernel import clock as clock_module
@@ -98,9 +99,12 @@
             self._gossip,
             self._lag,
             self._shutdown,
+            self._record_notice,
         )
         self._orders = engine.HttpOrderClient(
-            self._paths.connections, self._clock
+            self._paths.connections,
+            self._clock,
+            self._record_notice,
         )
         self._verdicts = verdicts.VerdictKeeper(
             platform_table.StoreTable(self._store),
@@ -299,11 +303,21 @@
                 self._states.list_locally_slow()[: digest.MAX_REPORTED_GROUPS]
             ),
             unreached=self._paths.monitor.list_unreached(),
+            leaving_vms=tuple(
+                self._inventory.list_notified(digest.MAX_REPORTED_VMS)
+            ),
         )
 
+    def _record_notice(
+        self, vm: fleet_model.Vm, notice: notices.Notice
+    ) -> None:
+        self._dispatcher.record_notice(vm, notice)
+
     def _observe_peer(self, heartbeat: digest.Heartbeat) -> None:
         self._store.observe_era(heartbeat.era, heartbeat.name)
         self._store.observe_peer(heartbeat.name, heartbeat.store_ok)
+        for identity in heartbeat.leaving_vms[: digest.MAX_REPORTED_VMS]:
+            self._inventory.record_leaving(identity, is_local=False)
         if heartbeat.leaving:
             # It waits for the connections that it carries.
             self._paths.connections.close_idle_through(heartbeat.ip)
--- a/arbutuscove/platform/engine.py
+++ b/arbutuscove/platform/engine.py
@@ -3,6 +3,7 @@
 import dataclasses
 import datetime
 import typing
+from collections import abc
 
 import eliot
 import msgspec
@@ -10,12 +11,14 @@
 from arbutuscove.catalog import holder as catalog_holder
 from arbutuscove.crashes import liveness
 from arbutuscove.fleet import model
+from arbutuscove.fleet import notices as notices_module
 from arbutuscove.fleet import orders
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import decoding
 from arbutuscove.paths import connections as connections_module
 from arbutuscove.platform import entries
 from arbutuscove.platform import headers
+from arbutuscove.platform import notices
 from arbutuscove.storage import http
 from arbutuscove.transport import connection
 from arbutuscove.transport import pool
@@ -40,6 +43,10 @@
 _DECODER = decoding.JsonDecoder[_Report](_Report, MAX_REPORT_BYTES)
 
 
+# Called with the VM that was asked and with its notice.
+RecordNotice = abc.Callable[[model.Vm, notices_module.Notice], None]
+
+
 class TrialClient:
     """Checks whether an upstream answers on a new connection.
 
@@ -49,10 +56,16 @@
     """
 
     def __init__(
-        self, catalog: catalog_holder.CatalogHolder, clock: clock_module.Clock
+        self,
+        catalog: catalog_holder.CatalogHolder,
+        clock: clock_module.Clock,
+        find_vm: abc.Callable[[str], model.Vm | None] = lambda name: None,
+        record_notice: RecordNotice = lambda vm, notice: None,
     ) -> None:
         self._catalog = catalog
         self._clock = clock
+        self._find_vm = find_vm
+        self._record_notice = record_notice
 
     def is_answered(
         self,
@@ -69,12 +82,16 @@
         data = connection.encode_request("GET", path, fields, b"")
         try:
             opened.send("GET", data)
-            while not opened.receive(
-                deadline - self._clock.monotonic()
-            ).has_head():
-                pass
+            parser = opened.receive(deadline - self._clock.monotonic())
+            while not parser.has_head():
+                parser = opened.receive(deadline - self._clock.monotonic())
         except http.NoResponseError:
             return False
+        notice = notices.decode(parser)
+        # An address says nothing of the VM: only a name does.
+        vm = self._find_vm(notice.sender)
+        if vm is not None and vm.address == opened.address:
+            self._record_notice(vm, notice)
         return True
 
     def _find_path(self, service: str) -> str:
@@ -92,9 +109,11 @@
         self,
         connections: connections_module.UpstreamConnections,
         clock: clock_module.Clock,
+        record_notice: RecordNotice = lambda vm, notice: None,
     ) -> None:
         self._connections = connections
         self._clock = clock
+        self._record_notice = record_notice
 
     def send(
         self, order: orders.Order, fence: int, accepted: int
@@ -210,6 +229,7 @@
         except BaseException:
             client_connection.close()
             raise
+        self._record_notice(vm, notices.decode(parser))
         self._connections.record_answer(vm.service, client_connection)
         self._connections.check_in(
             client_connection, pool.parse_keep_alive_timeout(parser)
--- a/arbutuscove/platform/headers.py
+++ b/arbutuscove/platform/headers.py
@@ -16,6 +16,9 @@
 LOAD = "X-Server-Load"  # counts of running and waiting requests and of slots
 NOT_RUN = "X-Not-Run"  # present if the upstream did not run the request
 FAULT_AT = "At-Server"  # name of the VM that caused a group to stall
+# Seconds: to callers, when to come back; of an upstream that answers 503, how
+# long it wants no requests from this daemon.
 RETRY_AFTER = "Retry-After"
+LEAVING = "Server-Leaving"  # "1" if the upstream leaves
 INSTANCE = "X-Instance-Id"
 KEY_SCHEME = "Token "
--- a/arbutuscove/platform/paths.py
+++ b/arbutuscove/platform/paths.py
@@ -56,6 +56,7 @@
         gossip: gossip_service.Gossip,
         lag: loop.LagMonitor,
         stop: shutdown.Shutdown,
+        record_notice: engine.RecordNotice = lambda vm, notice: None,
     ) -> None:
         """Builds the services.
 
@@ -69,6 +70,7 @@
             gossip: the heartbeats of the peers.
             lag: how late the loop is.
             stop: the planned stop of this daemon.
+            record_notice: called with what VMs say about themselves.
         """
         self._clock = clock
         self._inventory = inventory
@@ -90,7 +92,9 @@
             self._list_service_vms,
             peer_paths.open,
             generator,
-            is_answered=engine.TrialClient(catalog, clock).is_answered,
+            is_answered=engine.TrialClient(
+                catalog, clock, inventory.find, record_notice
+            ).is_answered,
         )
         self.monitor.add_change_handler(self._apply_verdict)
         self.connections = connections_module.UpstreamConnections(
--- a/arbutuscove/platform/upstreams.py
+++ b/arbutuscove/platform/upstreams.py
@@ -4,6 +4,7 @@
 import re
 
 from arbutuscove.platform import headers
+from arbutuscove.platform import notices
 from arbutuscove.relay import attempt
 from arbutuscove.relay import model
 from arbutuscove.relay import occupancy
@@ -133,6 +134,7 @@
             not_run=not_run,
             is_busy=not_run and status in (429, 503),
             load=_parse_load(parser.get_header(headers.LOAD)),
+            notice=notices.decode(parser),
         )
 
 
--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -18,6 +18,7 @@
 from arbutuscove.catalog import holder as catalog_holder
 from arbutuscove.crashes import tracker
 from arbutuscove.fleet import model as fleet_model
+from arbutuscove.fleet import notices
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.paths import connections as connections_module
 from arbutuscove.paths import errors as path_errors
@@ -126,6 +127,7 @@
         not_run: whether the upstream did not run the request.
         is_busy: whether the upstream had no capacity for the request.
         load: the load that the engine reports, None if it reports none.
+        notice: what the upstream says about itself.
     """
 
     status: int
@@ -136,6 +138,7 @@
     not_run: bool
     is_busy: bool
     load: occupancy.EngineLoad | None = None
+    notice: notices.Notice = notices.Notice()
 
 
 class Codec(typing.Protocol):
@@ -397,6 +400,8 @@
         left = context.compute_end(request) - context.clock.monotonic()
         if left <= MIN_TIME_LEFT:
             raise NotRunError("no time is left")
+        if context.states.is_paused(self.backend.vm):
+            raise UnsentError("the upstream has asked for a pause")
         self._was_sent = True
         try:
             upstream.send(
@@ -564,6 +569,11 @@
             if not self.parser.has_head():
                 continue
             reply = self._context.codec.read_reply(self._request, self.parser)
+            # Also of a late answer to another request: the same VM sent it.
+            assert self.backend is not None
+            self._context.dispatcher.record_notice(
+                self.backend.vm, reply.notice
+            )
             if reply.is_matching:
                 if not reply.is_named and upstream.exchange_count > 1:
                     # It may be a copy of an answer to an earlier request, while
--- a/arbutuscove/relay/backends.py
+++ b/arbutuscove/relay/backends.py
@@ -19,6 +19,7 @@
 import eliot
 
 from arbutuscove.fleet import model as fleet_model
+from arbutuscove.fleet import notices
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.relay import model
 
@@ -38,6 +39,7 @@
 # failure.
 MIN_COOLDOWN = datetime.timedelta(milliseconds=500)
 MAX_COOLDOWN = datetime.timedelta(seconds=4)
+MAX_PAUSED_VMS = 4096  # the pause that was recorded first is dropped
 PAUSE_WEIGHT = 0.15  # weight of a new pause in the moving mean
 # Full batches and long prompts do not explain a mean pause of this many times
 # the expected one: a member of the group is slow.
@@ -75,6 +77,8 @@
     def __init__(self, clock: clock_module.Clock) -> None:
         self._clock = clock
         self._states: dict[model.BackendKey, State] = {}
+        # Until when a VM wants no requests, by its name and start.
+        self._paused: dict[notices.VmIdentity, datetime.timedelta] = {}
 
     def __getitem__(self, key: model.BackendKey) -> State:
         state = self._states.get(key)
@@ -297,6 +301,37 @@
             if state.is_stall_local and self.is_stalled(key)
         ]
 
+    def pause(self, vm: fleet_model.Vm, pause: datetime.timedelta) -> None:
+        """Sends no requests to a VM for some time, as it asks for.
+
+        Args:
+            vm: the VM that receives the requests of a backend.
+            pause: the time from now on.
+        """
+        until = self._clock.monotonic() + pause
+        if not self.is_paused(vm):
+            eliot.log_message(
+                "backend:paused", vm=vm.name, seconds=pause.total_seconds()
+            )
+        known = self._paused.pop(vm.identity, until)
+        self._paused[vm.identity] = max(known, until)
+        if len(self._paused) > MAX_PAUSED_VMS:
+            del self._paused[next(iter(self._paused))]
+
+    def is_paused(self, vm: fleet_model.Vm) -> bool:
+        """Returns whether a VM has asked for a pause that is not over."""
+        return self.get_pause(vm) > datetime.timedelta()
+
+    def get_pause(self, vm: fleet_model.Vm) -> datetime.timedelta:
+        """Returns the rest of the pause of a VM, 0 without one."""
+        until = self._paused.get(vm.identity)
+        if until is None:
+            return datetime.timedelta()
+        rest = until - self._clock.monotonic()
+        if rest <= datetime.timedelta():
+            del self._paused[vm.identity]
+        return max(rest, datetime.timedelta())
+
     def is_cooling_down(self, key: model.BackendKey) -> bool:
         """Returns whether a backend is avoided after recent failures."""
         state = self._states.get(key)
--- a/arbutuscove/relay/flow.py
+++ b/arbutuscove/relay/flow.py
@@ -146,7 +146,10 @@
                     request, service, attempts_made, unsent_count, error
                 ):
                     raise refusals.build_not_run_refusal(
-                        request, error, has_lost_attempt
+                        request,
+                        error,
+                        has_lost_attempt,
+                        self.context.dispatcher.get_pause(service, request),
                     ) from error
             except attempt_module.AttemptLostError as error:
                 reason = str(error)
--- a/arbutuscove/relay/refusals.py
+++ b/arbutuscove/relay/refusals.py
@@ -29,6 +29,7 @@
     request: model.Request,
     error: attempt_module.NotRunError,
     has_lost_attempt: bool,
+    pause: datetime.timedelta | None = None,
 ) -> model.RefusedError:
     """Returns the error for a request whose last attempt did not run.
 
@@ -36,6 +37,8 @@
         request: the request.
         error: why the last attempt did not run.
         has_lost_attempt: whether an earlier attempt may have run.
+        pause: until an upstream accepts requests again, if all have asked for
+            a pause.
     """
     if has_lost_attempt:
         return build_failure(request, 502, str(error))
@@ -46,7 +49,7 @@
             status=503,
             code="upstream_busy" if error.is_busy else "upstream_unavailable",
             not_run=True,
-            retry_after=RETRY_AFTER,
+            retry_after=pause or RETRY_AFTER,
         )
     )
 
--- a/arbutuscove/relay/streams.py
+++ b/arbutuscove/relay/streams.py
@@ -145,7 +145,12 @@
                     return replaced
                 if not self._may_go_on(attempt, error):
                     raise refusals.build_not_run_refusal(
-                        self._request, error, self._has_lost_attempt
+                        self._request,
+                        error,
+                        self._has_lost_attempt,
+                        self._policy.context.dispatcher.get_pause(
+                            self._service, self._request
+                        ),
                     ) from error
             except attempt_module.AttemptLostError as error:
                 self._has_lost_attempt = True
--- a/arbutuscove/relay/waiting.py
+++ b/arbutuscove/relay/waiting.py
@@ -22,6 +22,8 @@
 from arbutuscove.catalog import model as catalog_model
 from arbutuscove.config import model as config_model
 from arbutuscove.fleet import inventory as inventory_module
+from arbutuscove.fleet import model as fleet_model
+from arbutuscove.fleet import notices
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
 from arbutuscove.kernel import shutdown as shutdown_module
@@ -150,6 +152,9 @@
             request, excluded, pool, is_resumed, may_have_run
         )
         self._check_shutdown(waiter)
+        paused = self._find_pause_refusal(waiter)
+        if paused is not None:
+            raise model.RefusedError(paused)
         now = self._clock.monotonic()
         refusal = queue.push(waiter.work, now)
         if refusal is not None:
@@ -201,6 +206,37 @@
         )
         pool_occupancy.record(load, self._clock.monotonic())
 
+    def record_notice(self, vm: fleet_model.Vm, notice: notices.Notice) -> None:
+        """Records what a VM says about itself in an answer.
+
+        Args:
+            vm: the VM that the request was sent to, as it was listed then.
+            notice: the notice; it is ignored if another VM sent it.
+        """
+        if notice.is_empty() or not notice.is_from(vm.name):
+            return
+        if notice.leaving:
+            self._inventory.record_leaving(vm.identity, is_local=True)
+        if notice.pause is not None:
+            self._states.pause(vm, notice.pause)
+
+    def get_pause(
+        self, service: str, request: model.Request
+    ) -> datetime.timedelta | None:
+        """Returns when the first backend of a request ends its pause.
+
+        Returns None if a backend is usable now, or if none has paused.
+        """
+        return self._get_pause(self._get_pool(service, request))
+
+    def _get_pause(self, pool: PoolKey) -> datetime.timedelta | None:
+        pauses = [
+            self._states.get_pause(backend.vm)
+            for backend in self.list_backends(pool)
+            if not self._states.is_stalled(backend.key)
+        ]
+        return min(pauses, default=None) or None
+
     def record_first_byte(
         self, request: model.Request, service: str, duration: datetime.timedelta
     ) -> None:
@@ -311,7 +347,7 @@
         if not len(queue):
             return
         now = self._clock.monotonic()
-        backends = self._list_unstalled(pool)
+        backends = self._list_usable(pool)
         usage = self._read_usage(pool, backends)
         # Computed only if a slot is free, as most calls find none while all
         # engines are full.
@@ -384,12 +420,13 @@
             for backend in backends
         ]
 
-    def _list_unstalled(self, pool: PoolKey) -> list[model.Backend]:
-        """Returns the backends that are not marked as stalled."""
+    def _list_usable(self, pool: PoolKey) -> list[model.Backend]:
+        """Returns the backends that are neither stalled nor paused."""
         return [
             backend
             for backend in self.list_backends(pool)
             if not self._states.is_stalled(backend.key)
+            and not self._states.is_paused(backend.vm)
         ]
 
     def _read_usage(
@@ -397,8 +434,8 @@
     ) -> placement.Usage:
         """Returns the slots of a service and model, and their use.
 
-        `backends` leaves out stalled groups, so their slots do not count; the
-        requests there go to other backends.
+        `backends` leaves out stalled and paused groups, so their slots do not
+        count; the requests there go to other backends.
         """
         loads = self._read_loads()
         own = sum(self._states[backend.key].running for backend in backends)
@@ -465,8 +502,9 @@
                         self._build_refusal(waiter, refused.refusal)
                     )
                 )
-        if self._list_unstalled(pool):
+        if self._list_usable(pool):
             return
+        self._reject_paused(pool, queue)
         for waiter in list(self._waiters.values()):
             target = (
                 waiter.request.route.first_byte_target
@@ -485,6 +523,38 @@
                 )
                 waiter.assignment.set_exception(model.RefusedError(refusal))
 
+    def _reject_paused(
+        self, pool: PoolKey, queue: queue_module.WorkQueue
+    ) -> None:
+        """Refuses what waits for a service of which all backends pause."""
+        for waiter in list(self._waiters.values()):
+            if waiter.pool != pool:
+                continue
+            refusal = self._find_pause_refusal(waiter)
+            if refusal is not None and queue.withdraw(waiter.work.request_id):
+                waiter.assignment.set_exception(model.RefusedError(refusal))
+
+    def _find_pause_refusal(self, waiter: _Waiter) -> model.Refusal | None:
+        """Returns a refusal if all backends pause for too long, else None.
+
+        A pause within the time that a request may wait for a backend is waited
+        out.
+        """
+        pause = self._get_pause(waiter.pool)
+        target = (
+            waiter.request.route.first_byte_target * NO_BACKEND_TIMEOUT_SHARE
+        )
+        if pause is None or pause <= target:
+            return None
+        eliot.log_message(
+            "waiting:paused",
+            request_id=waiter.request.request_id,
+            service=waiter.pool[0],
+            model=waiter.pool[1],
+            pause=round(pause.total_seconds(), 3),
+        )
+        return build_pause_refusal(pause)
+
     def _reject_stopped(
         self, pool: PoolKey, queue: queue_module.WorkQueue
     ) -> None:
@@ -526,7 +596,7 @@
         self, waiter: _Waiter, refusal: work_module.Refusal
     ) -> model.Refusal:
         """Returns the response of a refusal and logs the state behind it."""
-        backends = self._list_unstalled(waiter.pool)
+        backends = self._list_usable(waiter.pool)
         usage = self._read_usage(waiter.pool, backends)
         age = self._inventory.get_age()
         eliot.log_message(
@@ -557,6 +627,20 @@
         return max(min(retry_after, left * RETRY_AFTER_SHARE), MIN_RETRY_AFTER)
 
 
+def build_pause_refusal(pause: datetime.timedelta) -> model.Refusal:
+    """Returns the refusal of a request for which all upstreams pause.
+
+    Args:
+        pause: until the first of them accepts requests again.
+    """
+    return model.Refusal(
+        status=503,
+        code="upstream_paused",
+        not_run=True,
+        retry_after=pause,
+    )
+
+
 def build_stop_refusal() -> model.Refusal:
     """Returns the refusal of a request that a planned stop may cut."""
     return model.Refusal(
