--- a/arbutuscove/entry/connections.py
+++ b/arbutuscove/entry/connections.py
@@ -11,6 +11,7 @@
 import datetime
 import errno
 import http.client
+import math
 import re
 import socket
 import time
@@ -23,6 +24,7 @@
 
 from arbutuscove.admission import work as work_module
 from arbutuscove.entry import refusals
+from arbutuscove.kernel import turns
 from arbutuscove.requests import failures
 from arbutuscove.requests import presence
 from arbutuscove.storage import http as storage_http
@@ -34,7 +36,11 @@
 # Keep-alive probes of an idle connection within `Bounds.loss_timeout`.
 KEEP_ALIVE_PROBES = 4
 MAX_LINGERING = 256  # concurrently lingering refused connections
-READ_SIZE_BYTES = 65536
+READ_SIZE_BYTES = turns.TURN_BYTES
+REQUEST_BYTES = 4096  # a request counts as so much work beside its body
+# Body bytes in chunks that are read in one turn: chunks may have a byte each,
+# which costs some microseconds.
+CHUNKED_READ_SIZE_BYTES = 1024
 HEADER_NAME_PATTERN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 PRESENCE_KEY = "arbutuscove.presence"  # key in the WSGI environment
 TRANSFER_ENCODINGS = ("", "chunked")
@@ -114,7 +120,24 @@
             408, "body_timeout", "the request body did not arrive in time"
         )
         with gevent.Timeout(remaining, timeout_error):
-            return bytes(super().read(length))
+            return b"".join(self._read_pieces(length))
+
+    def _read_pieces(self, length: int | None) -> abc.Iterator[bytes]:
+        """Yields the body in pieces, between which other greenlets run."""
+        size = READ_SIZE_BYTES
+        if self.chunked_input:
+            size = CHUNKED_READ_SIZE_BYTES
+        turn = turns.Turn()
+        left = math.inf if length is None else length
+        while left > 0:
+            wanted = int(min(size, left))
+            piece = bytes(super().read(wanted))
+            yield piece
+            if len(piece) < wanted:
+                return
+            left -= wanted
+            # Chunks count as much as they may cost.
+            turn.spend(READ_SIZE_BYTES)
 
     def has_unread_bytes(self) -> bool:
         """Returns whether part of the body was not read."""
@@ -132,9 +155,15 @@
 class CallerHandler(pywsgi.WSGIHandler):
     """Serves the requests of one connection."""
 
+    def __init__(self, *args: typing.Any, **kwargs: typing.Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.turn = turns.Turn()
+
     def handle_one_request(self) -> typing.Any:
         """Serves one request; returns None to end the connection."""
         bounds = self.server.bounds
+        # The next request may have arrived already.
+        self.turn.spend(REQUEST_BYTES)
         try:
             timeout = bounds.idle_timeout.total_seconds()
             # A server that closes still serves requests that have arrived.
@@ -435,7 +464,8 @@
         try:
             if is_shutdown_needed:
                 sock.shutdown(socket.SHUT_WR)
-            while sock.recv(READ_SIZE_BYTES):
-                pass
+            turn = turns.Turn()
+            while data := sock.recv(READ_SIZE_BYTES):
+                turn.spend(len(data))
         except OSError:
             return
--- a/arbutuscove/gossip/service.py
+++ b/arbutuscove/gossip/service.py
@@ -13,6 +13,7 @@
 from arbutuscove.gossip import digest
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
+from arbutuscove.kernel import turns
 
 SERVICE_NAME = "gossip"
 MAX_DATAGRAM_BYTES = 65000  # bytes
@@ -329,9 +330,11 @@
 
     def _receive(self) -> None:
         assert self._socket is not None
+        turn = turns.Turn()
         while True:
             try:
                 data = self._socket.recv(MAX_DATAGRAM_BYTES)
+                turn.spend(len(data))
                 message = digest.decode(data)
             except digest.MessageError as error:
                 eliot.log_message("gossip:unreadable", reason=str(error))
--- a/arbutuscove/relay/streams.py
+++ b/arbutuscove/relay/streams.py
@@ -376,6 +376,8 @@
         attempt = self._attempt
         assert attempt is not None
         pending = bytearray()
+        # Bytes of comments since the last event.
+        idle_size = 0
         is_continued, has_events = self._has_delivered, False
         while data := self._read_more(attempt):
             search_start = max(
@@ -383,17 +385,21 @@
             )
             pending += data
             end = pending.rfind(continuation.EVENT_END, search_start)
+            if idle_size + len(pending) > continuation.MAX_EVENT_BYTES and (
+                end < 0 or continuation.is_comment(bytes(pending))
+            ):
+                raise attempt.record_loss("an event passes the bound")
             if end < 0:
-                if len(pending) > continuation.MAX_EVENT_BYTES:
-                    raise attempt.record_loss("an event passes the bound")
                 continue
             events = bytes(pending[: end + len(continuation.EVENT_END)])
             del pending[: end + len(continuation.EVENT_END)]
+            is_idle = continuation.is_comment(events)
+            idle_size = idle_size + len(events) if is_idle else 0
             if is_continued:
                 self._check_events(attempt, events, has_events)
-                if not has_events and continuation.is_comment(events):
+                if not has_events and is_idle:
                     continue
-            self._record_events(attempt, events)
+            self._record_events(attempt, events, is_idle)
             has_events = True
             yield events
         if pending.strip():
@@ -423,12 +429,18 @@
             raise attempt.record_loss(fault)
 
     def _record_events(
-        self, attempt: attempt_module.Attempt, events: bytes
+        self, attempt: attempt_module.Attempt, events: bytes, is_idle: bool
     ) -> None:
-        """Records events that the caller is about to receive."""
+        """Records events that the caller is about to receive.
+
+        Args:
+            attempt: the attempt that received them.
+            events: the events.
+            is_idle: whether they are nothing but comments.
+        """
         if continuation.EVENT_ID.search(events):
             attempt.record_progress()
-        if not continuation.is_comment(events):
+        if not is_idle:
             # The replacement was asked to go on after an earlier event.
             self._cancel_replacement()
         self._position = self._position.advance(events)
--- a/arbutuscove/standins/faulty_upstream.py
+++ b/arbutuscove/standins/faulty_upstream.py
@@ -155,6 +155,13 @@
         yield PAUSE_SECONDS
 
 
+def send_endless_comments(request_id: bytes) -> Pieces:
+    """Starts a stream, then sends comments without a pause."""
+    yield from _stream(request_id, EVENTS[:2])
+    while True:
+        yield build_chunk(b":\n\n") * 1000
+
+
 def end_stream_within_event(request_id: bytes) -> Pieces:
     """Sends a properly terminated body that ends within an event."""
     yield from _stream(request_id, (*EVENTS[:2], EVENTS[2][:-3]))
@@ -220,6 +227,7 @@
     send_endless_foreign_answer,
     send_bytes_slowly,
     send_comments,
+    send_endless_comments,
     end_stream_within_event,
     end_unframed_stream_within_event,
     end_unframed_stream_before_events,
--- a/arbutuscove/storage/http.py
+++ b/arbutuscove/storage/http.py
@@ -19,6 +19,7 @@
 from geventhttpclient import response as response_module
 
 from arbutuscove.kernel import decoding
+from arbutuscove.kernel import turns
 
 CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
 REQUEST_TIMEOUT = datetime.timedelta(seconds=2)
@@ -157,6 +158,57 @@
             raise NoResponseError(f"response is invalid: {error}") from error
 
 
+class _BoundedSocket:
+    """A socket that limits the bytes of a response, used like a plain one.
+
+    The HTTP library keeps whole heads, bodies and lines; a faulty server may
+    send them without an end.
+    """
+
+    def __init__(self, sock: typing.Any, max_bytes: int) -> None:
+        self.is_direct = isinstance(sock, socket.socket)
+        self._socket = sock
+        self._max_bytes = max_bytes
+        self._received = 0
+        self._turn = turns.Turn()
+
+    def __getattr__(self, name: str) -> typing.Any:
+        return getattr(self._socket, name)
+
+    def begin_part(self) -> None:
+        """Begins to count anew: what was received has been used."""
+        self._received = 0
+
+    def sendall(self, data: bytes) -> None:
+        """Sends a request, whose response is then counted.
+
+        Raises:
+            OSError: sending failed.
+        """
+        self.begin_part()
+        self._socket.sendall(data)
+
+    def recv(self, size: int, flags: int = 0) -> bytes:
+        """Returns received bytes; b"" means that the peer has closed.
+
+        Raises:
+            OSError: the connection failed.
+            ValueError: the response exceeds its limit; it may be endless.
+        """
+        data: bytes = self._socket.recv(size, flags)
+        self._received += len(data)
+        if self._received > self._max_bytes:
+            raise ValueError(f"response of more than {self._max_bytes} bytes")
+        self._turn.spend(len(data))
+        return data
+
+
+def begin_part(response: response_module.HTTPSocketPoolResponse) -> None:
+    """Applies the limit of a response to what follows, as in a stream."""
+    if isinstance(response._sock, _BoundedSocket):
+        response._sock.begin_part()
+
+
 class _Pool(connectionpool.ConnectionPool):
     """Opens connections with a function, if one is given."""
 
@@ -177,6 +229,7 @@
         )
         self._address = address
         self._open_socket = open_socket
+        self._max_bytes = int(options["max_bytes"])
 
     def close_idle(self) -> None:
         """Closes the connections that are kept for reuse."""
@@ -185,18 +238,18 @@
 
     def return_socket(self, sock: typing.Any) -> None:
         """Keeps a direct connection for reuse and closes any other one."""
-        if isinstance(sock, socket.socket):
+        if sock.is_direct:
             super().return_socket(sock)
         else:
             self.release_socket(sock)
 
     def _create_socket(self) -> typing.Any:
         if self._open_socket is None:
-            return super()._create_socket()
+            return _BoundedSocket(super()._create_socket(), self._max_bytes)
         timeout = datetime.timedelta(seconds=self.connection_timeout)
         sock = self._open_socket(self._address, timeout)
         sock.settimeout(self.network_timeout)
-        return sock
+        return _BoundedSocket(sock, self._max_bytes)
 
 
 class _SingleUsePool(_Pool):
@@ -238,6 +291,7 @@
         connect_timeout: datetime.timedelta = CONNECT_TIMEOUT,
         is_single_use: bool = False,
         open_socket: OpenSocket | None = None,
+        max_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         """Creates a client without connections.
 
@@ -249,6 +303,8 @@
             is_single_use: whether each request has a new connection.
             open_socket: opens a connection within a time; raises NotSentError
                 if it cannot. None opens direct connections.
+            max_bytes: limit of a response with its head and framing; of a
+                stream, from one `begin_part` to the next.
         """
         self.address = address
         options: dict[str, typing.Any] = {
@@ -257,7 +313,9 @@
             "network_timeout": timeout.total_seconds(),
         }
         pool_class = _SingleUsePool if is_single_use else _Pool
-        self._sockets = pool_class(address, open_socket, **options)
+        self._sockets = pool_class(
+            address, open_socket, max_bytes=max_bytes, **options
+        )
         self._client = _Client(address, self._sockets, **options)
 
     def send(
--- a/arbutuscove/transport/connection.py
+++ b/arbutuscove/transport/connection.py
@@ -13,9 +13,10 @@
 from gevent import socket as gevent_socket
 from geventhttpclient import response as response_module
 
+from arbutuscove.kernel import turns
 from arbutuscove.storage import http
 
-READ_SIZE_BYTES = 65536
+READ_SIZE_BYTES = turns.TURN_BYTES
 TRANSFER_ENCODING = "transfer-encoding"
 # The response heads of model engines and stores have some hundred bytes.
 # Informational responses before a final one count as part of its head.
@@ -157,6 +158,7 @@
         self.idle_since = ZERO
         self.max_idle_time: datetime.timedelta | None = None
         self._socket = sock
+        self._turn = turns.Turn()
         self._parser: ResponseParser | None = None
 
     def send(
@@ -224,6 +226,7 @@
             raise http.NoResponseError(f"{self.address}: {error}") from error
         if not data and not parser.is_complete():
             raise http.NoResponseError(f"{self.address}: closed early")
+        self._turn.spend(len(data))
         return parser
 
     def discard_response(self) -> None:
--- a/arbutuscove/transport/tunnel.py
+++ b/arbutuscove/transport/tunnel.py
@@ -28,6 +28,7 @@
 
 from arbutuscove.kernel import decoding
 from arbutuscove.kernel import services
+from arbutuscove.kernel import turns
 from arbutuscove.storage import http
 from arbutuscove.transport import connection
 from arbutuscove.transport import frames
@@ -411,25 +412,30 @@
 def _copy_to_target(
     sock: gevent_socket.socket, upstream: gevent_socket.socket
 ) -> None:
+    turn = turns.Turn()
     while data := sock.recv(connection.READ_SIZE_BYTES):
         with _limit_time(TARGET_WRITE_TIMEOUT):
             upstream.sendall(data)
+        turn.spend(len(data))
 
 
 def _copy_to_initiator(
     upstream: gevent_socket.socket, sock: gevent_socket.socket
 ) -> None:
-    while data := upstream.recv(frames.MAX_FRAME_BYTES):
+    turn = turns.Turn()
+    while data := upstream.recv(connection.READ_SIZE_BYTES):
         with _limit_time(INITIATOR_WRITE_TIMEOUT):
             sock.sendall(frames.encode(data))
+        turn.spend(len(data))
     with _limit_time(INITIATOR_WRITE_TIMEOUT):
         sock.sendall(frames.END_FRAME)
 
 
 def _linger(sock: gevent_socket.socket) -> None:
     with gevent.Timeout(LINGER_TIMEOUT.total_seconds(), False):
-        while sock.recv(connection.READ_SIZE_BYTES):
-            pass
+        turn = turns.Turn()
+        while data := sock.recv(connection.READ_SIZE_BYTES):
+            turn.spend(len(data))
 
 
 def _limit_time(timeout: datetime.timedelta) -> gevent.Timeout:
--- a/arbutuscove/upstreams/engine.py
+++ b/arbutuscove/upstreams/engine.py
@@ -18,6 +18,8 @@
 STATUS_TIMEOUT = datetime.timedelta(seconds=1)
 ORDER_TIMEOUT = datetime.timedelta(seconds=2)
 STALL_TIMEOUT = datetime.timedelta(seconds=5)  # maximum gap between events
+# Of a status, the answer to an order, or an event of a stream.
+MAX_ANSWER_BYTES = 1024 * 1024
 MAX_STREAM_CONNECTIONS = 512  # per engine; limits the sockets of a daemon
 
 
@@ -50,7 +52,9 @@
             StreamBrokenError: the connection was lost or stalled.
         """
         try:
-            return self._response.readline(protocol.EVENT_END)
+            event = self._response.readline(protocol.EVENT_END)
+            http.begin_part(self._response)
+            return event
         except http.READ_ERRORS as error:
             self._report_loss()
             raise errors.StreamBrokenError(str(error)) from error
@@ -75,10 +79,17 @@
         self._address = parsed
         self._paths = paths or paths_module.DirectPaths()
         self._control = http.JsonClient(
-            parsed, ORDER_TIMEOUT, open_socket=self._paths.open
+            parsed,
+            ORDER_TIMEOUT,
+            open_socket=self._paths.open,
+            max_bytes=MAX_ANSWER_BYTES,
         )
         self._status = http.JsonClient(
-            parsed, STATUS_TIMEOUT, 2, open_socket=self._paths.open
+            parsed,
+            STATUS_TIMEOUT,
+            2,
+            open_socket=self._paths.open,
+            max_bytes=MAX_ANSWER_BYTES,
         )
         self._streams = http.JsonClient(
             parsed,
@@ -86,6 +97,7 @@
             MAX_STREAM_CONNECTIONS,
             is_single_use=True,
             open_socket=self._paths.open,
+            max_bytes=MAX_ANSWER_BYTES,
         )
 
     def read_status(self) -> protocol.Status:
--- a/arbutuscove/upstreams/plain.py
+++ b/arbutuscove/upstreams/plain.py
@@ -15,6 +15,7 @@
 import expression
 import gevent
 
+from arbutuscove.kernel import turns
 from arbutuscove.storage import http as storage_http
 from arbutuscove.transport import connection as transport
 from arbutuscove.upstreams import errors
@@ -104,6 +105,7 @@
         NoResponseError: the answer is malformed, too large or cut short.
     """
     parser = transport.ResponseParser(method, MAX_ANSWER_BYTES)
+    turn = turns.Turn()
     while not parser.is_complete():
         data = sock.recv(transport.READ_SIZE_BYTES)
         try:
@@ -112,6 +114,7 @@
             raise storage_http.NoResponseError(str(error)) from error
         if not data and not parser.is_complete():
             raise storage_http.NoResponseError("the connection closed early")
+        turn.spend(len(data))
     return PlainAnswer(
         status=parser.get_code(),
         content_type=parser.get_header("Content-Type") or "",
