--- a/arbutuscove/platform/listener.py
+++ b/arbutuscove/platform/listener.py
@@ -48,7 +48,7 @@
 # Limit on bodies before a configuration is in force.
 DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
 # Further parts of a prompt are not tracked.
-MAX_PROMPT_PARTS = 32
+MAX_PROMPT_PARTS = 128
 MAX_PART_ID_CHARS = 64
 # Larger values of callers are not used.
 MILLISECONDS = re.compile("[0-9]{1,13}")
--- a/arbutuscove/platform/tests/test_listener.py
+++ b/arbutuscove/platform/tests/test_listener.py
@@ -43,3 +43,10 @@
     """Guards against requests whose stated size is lost."""
     fields = {"x-token-counts": "900, 100"}
     assert listener._parse_token_counts(fields) == (900, 100)
+
+
+def test_all_parts_of_a_long_prompt_are_tracked():
+    """Guards against a crashing part that is never blamed as it comes late."""
+    prefix = ",".join(f"p{number}:35" for number in range(41))
+    parts = listener._parse_prompt_parts({"x-prompt-prefix": prefix})
+    assert parts == tuple(f"p{number}" for number in range(40))
