--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -88,6 +88,9 @@
             "" if not settings.caller_address else str(settings.caller_address)
         )
         self._gossip = self._build_gossip()
+        self._fleet_size = budget.FleetSize(
+            self._clock, lambda: len(self._gossip.get_live()) + 1
+        )
         self._shutdown = shutdown.Shutdown()
         self._paths = paths_module.Paths(
             settings,
@@ -245,6 +248,10 @@
             self._generator,
             self._crashes,
         )
+        # What an earlier process of this daemon has spent is not known.
+        slack_from = self._clock.monotonic()
+        if not self._settings.is_first_start:
+            slack_from += bounds.retry_window
         return flow_module.Flow(
             context,
             budget.RetryAllowance(
@@ -252,8 +259,9 @@
                 slack=bounds.retry_slack,
                 window=bounds.retry_window,
             ),
-            lambda: len(self._gossip.get_live()) + 1,
+            self._fleet_size.get,
             self._generator,
+            slack_from,
         )
 
     def _build_listener(self) -> listener_module.Listener:
@@ -279,6 +287,7 @@
     def _update_own_heartbeat(
         self, heartbeat: digest.Heartbeat
     ) -> digest.Heartbeat:
+        self._fleet_size.get()
         # By the number in a backend's key, which is unique among backends.
         loads = {
             key[1]: state.running
--- a/arbutuscove/relay/flow.py
+++ b/arbutuscove/relay/flow.py
@@ -3,6 +3,7 @@
 The route determines which requests may be retried.
 """
 
+import datetime
 import random
 from collections import abc
 
@@ -27,10 +28,21 @@
         allowance: budget_module.RetryAllowance,
         count_daemons: abc.Callable[[], int],
         generator: random.Random,
+        slack_from: datetime.timedelta = datetime.timedelta(),
     ) -> None:
+        """Creates a flow without requests.
+
+        Args:
+            context: what all attempts share.
+            allowance: the retries that the fleet may send.
+            count_daemons: returns how many daemons share them.
+            generator: source of random choices.
+            slack_from: monotonic time from which the slack may be used.
+        """
         self.context = context
         self.clock = context.clock
         self._allowance = allowance
+        self._slack_from = slack_from
         self._count_daemons = count_daemons
         self._generator = generator
         self._budgets: dict[str, budget_module.RetryBudget] = {}
@@ -100,7 +112,9 @@
     def _get_budget(self, service: str) -> budget_module.RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            budget = budget_module.RetryBudget(self._allowance)
+            budget = budget_module.RetryBudget(
+                self._allowance, self._slack_from
+            )
             self._budgets[service] = budget
         return budget
 
--- a/arbutuscove/standins/users_platform.py
+++ b/arbutuscove/standins/users_platform.py
@@ -28,6 +28,10 @@
 RESTART_SECONDS = 1.0  # after a crash by a prompt part
 EVENT_INTERVAL_SECONDS = 0.02  # between two events of a stream
 EVENTS_PER_STREAM = 8
+# Retries that the fleet may send to a service in any window.
+RETRY_RATIO = 0.2
+RETRY_SLACK = 100
+RETRY_WINDOW_SECONDS = 10
 # A server with this number plus two of open streams refuses requests. Plain
 # servers open no streams, so that this does not limit them.
 MAX_QUEUED_REQUESTS = 4
@@ -62,6 +66,21 @@
                 continue  # the peer closed it first
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Arrival:
+    """The arrival of a request at a server, which may reject it.
+
+    Attributes:
+        request_id: Identifier of the request.
+        service: Service of the server.
+        at: Monotonic time in seconds.
+    """
+
+    request_id: str
+    service: str
+    at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Run:
     """One run of a request, as recorded by its server.
@@ -336,6 +355,13 @@
         request_id = environ.get("HTTP_X_REQUEST_ID", "")
         fields = [("X-Request-Id", request_id)]
         self._requests += 1
+        self._platform.arrivals.append(
+            Arrival(
+                request_id=request_id,
+                service=self.service,
+                at=time.monotonic(),
+            )
+        )
         is_open = self.group is not None and self.group["state"] == "open"
         is_full = self.running >= MAX_QUEUED_REQUESTS + 2
         if self.is_refusing or is_full or (self.domain and not is_open):
@@ -392,6 +418,7 @@
         store: Store that servers, operator and daemons share.
         servers: Servers by name.
         runs: Runs of requests in order of their start.
+        arrivals: Arrivals of requests at servers, in order.
         violations: Violations that the servers observed.
         crashing_parts: Ids of prompt parts that crash each server that begins
             to answer a prompt with one of them.
@@ -403,6 +430,7 @@
         self.store = users_store.Store()
         self.servers: dict[str, Server] = {}
         self.runs: list[Run] = []
+        self.arrivals: list[Arrival] = []
         self.violations: list[Violation] = []
         self.crashing_parts: set[str] = set()
         self.deaths: list[float] = []
@@ -608,9 +636,9 @@
             "config_apply_ms": 2000,
             "grace_s": 8,
             "stall_ms": STALL_SECONDS * 1000,
-            "retry_budget_ratio": 0.2,
-            "retry_budget_slack": 100,
-            "budget_window_s": 10,
+            "retry_budget_ratio": RETRY_RATIO,
+            "retry_budget_slack": RETRY_SLACK,
+            "budget_window_s": RETRY_WINDOW_SECONDS,
         },
         "platform": {"address": store},
     }
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,6 +14,7 @@
 from soak import ends
 from soak import faults
 from soak import partitions
+from soak import retries
 from soak import world as world_module
 
 START_TIMEOUT_SECONDS = 30.0
@@ -139,6 +140,12 @@
         *ends.check_ends(
             clients.outcomes, world.platform.runs, records, world.changes
         ),
+        *retries.check_retries(
+            world.platform.arrivals,
+            users_platform.RETRY_RATIO,
+            users_platform.RETRY_SLACK,
+            users_platform.RETRY_WINDOW_SECONDS,
+        ),
         *partitions.check_cuts(clients.outcomes + clients.unsent, records),
         *check_exits(world),
     ]
