--- a/arbutuscove/fleet/inventory.py
+++ b/arbutuscove/fleet/inventory.py
@@ -168,11 +168,12 @@
                 not leave.
             is_local: whether this daemon received the notice, not a peer.
         """
+        now = self._clock.monotonic()
         known = self._notified.get(identity)
-        if known is not None and not is_local:
+        if not is_local and known is not None and now - known[0] < NOTICE_TTL:
             return
         self._notified.pop(identity, None)
-        self._notified[identity] = (self._clock.monotonic(), is_local)
+        self._notified[identity] = (now, is_local)
         if len(self._notified) > MAX_NOTIFIED_VMS:
             del self._notified[next(iter(self._notified))]
         vm = self._vms.get(identity[0])
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -40,6 +40,12 @@
     is_flag=True,
     help="Random faults also cut daemons from all servers.",
 )
+@click.option(
+    "--beside",
+    type=click.Path(path_type=pathlib.Path, exists=True),
+    default=None,
+    help="Checkout of another version, which every second start runs.",
+)
 def main(
     seed: int,
     count: int,
@@ -48,16 +54,22 @@
     crashing_part: bool,
     planned_only: bool,
     partitions: bool,
+    beside: pathlib.Path | None,
 ) -> None:
     """Runs daemons under random faults; exit code 1 if a promise broke."""
     failed_seeds = []
     for current_seed in range(seed, seed + count):
         log_directory = None if logs is None else logs / str(current_seed)
         if crashing_part:
-            broken = _run_crashing_part(current_seed, log_directory)
+            broken = _run_crashing_part(current_seed, log_directory, beside)
         else:
             report = run.run_seed(
-                current_seed, seconds, log_directory, planned_only, partitions
+                current_seed,
+                seconds,
+                log_directory,
+                planned_only,
+                partitions,
+                beside,
             )
             click.echo(report.describe())
             broken = bool(report.violations)
@@ -67,13 +79,18 @@
     sys.exit(1 if failed_seeds else 0)
 
 
-def _run_crashing_part(seed: int, logs: pathlib.Path | None) -> bool:
+def _run_crashing_part(
+    seed: int, logs: pathlib.Path | None, beside: pathlib.Path | None
+) -> bool:
     """Runs one seed, every second one with forwarders; returns if it broke."""
     with tempfile.TemporaryDirectory() as directory:
         log_directory = pathlib.Path(directory) if logs is None else logs
         log_directory.mkdir(parents=True, exist_ok=True)
         report = crashing.run_seed(
-            log_directory, seed, has_server_links=bool(seed % 2)
+            log_directory,
+            seed,
+            has_server_links=bool(seed % 2),
+            beside=beside,
         )
     broken = report.list_broken()
     click.echo(f"seed {seed}: broken {broken or 'none'}; {report}")
--- a/soak/crashing.py
+++ b/soak/crashing.py
@@ -81,7 +81,10 @@
 
 
 def run_seed(
-    directory: pathlib.Path, seed: int, has_server_links: bool
+    directory: pathlib.Path,
+    seed: int,
+    has_server_links: bool,
+    beside: pathlib.Path | None = None,
 ) -> Report:
     """Runs three daemons before servers that the part crashes.
 
@@ -90,8 +93,9 @@
         seed: seed of the random generators.
         has_server_links: whether servers are reached through forwarders, which
             accept connections for a crashed server and then close them.
+        beside: checkout of another version, which every second daemon runs.
     """
-    world = world_module.World(directory, seed, has_server_links)
+    world = world_module.World(directory, seed, has_server_links, beside)
     prompts = _Prompts(seed)
     try:
         for daemon in world.daemons:
--- a/soak/run.py
+++ b/soak/run.py
@@ -65,6 +65,7 @@
     logs: pathlib.Path | None,
     is_planned_only: bool = False,
     has_partitions: bool = False,
+    beside: pathlib.Path | None = None,
 ) -> Report:
     """Runs the system under the faults of one seed.
 
@@ -78,6 +79,7 @@
             sound servers, so that each request gets an answer.
         has_partitions: whether daemons are also cut from all servers. Each
             daemon is then called at a steady rate, too.
+        beside: checkout of another version, which every second start runs.
 
     Returns:
         The faults, outcomes and violations of the run.
@@ -88,7 +90,7 @@
     with tempfile.TemporaryDirectory() as directory:
         log_directory = pathlib.Path(directory) if logs is None else logs
         log_directory.mkdir(parents=True, exist_ok=True)
-        world = world_module.World(log_directory, seed)
+        world = world_module.World(log_directory, seed, beside=beside)
         try:
             return _run(world, seed, seconds, is_planned_only, has_partitions)
         finally:
--- a/soak/world.py
+++ b/soak/world.py
@@ -92,6 +92,7 @@
         directory: pathlib.Path,
         seed: int,
         has_server_links: bool = True,
+        beside: pathlib.Path | None = None,
     ) -> None:
         """Creates the stand-ins; `start` then starts each daemon.
 
@@ -100,7 +101,10 @@
             seed: chooses the loopback addresses.
             has_server_links: whether daemons reach servers through forwarders.
                 A forwarder accepts connections for a server that has crashed.
+            beside: checkout of another version, which every second start of a
+                daemon runs, so that both versions run side by side.
         """
+        self._beside = beside
         self._has_server_links = has_server_links
         self._root = pathlib.Path(__file__).parent.parent
         self._directory = directory
@@ -202,18 +206,25 @@
         """Starts a process for the daemon."""
         environment = dict(os.environ)
         environment[settings.SETTINGS_FILE_VARIABLE] = str(daemon.settings)
-        environment["PYTHONPATH"] = str(self._root)
+        root = self._choose_root()
+        environment["PYTHONPATH"] = str(root)
         daemon.started_at = time.monotonic()
         with daemon.log.open("ab") as log:
             daemon.process = subprocess.Popen(
                 [sys.executable, "-m", "arbutuscove.platform"],
-                cwd=self._root,
+                cwd=root,
                 env=environment,
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
         self._processes.append(daemon.process)
 
+    def _choose_root(self) -> pathlib.Path:
+        """Returns the checkout that the next process runs."""
+        if self._beside is not None and len(self._processes) % 2 == 0:
+            return self._beside
+        return self._root
+
     def signal(self, daemon: Daemon, number: signal.Signals) -> None:
         """Sends a signal to the daemon's process if it is running."""
         if daemon.process is not None and daemon.process.poll() is None:
