--- a/arbutuscove/entry/connections.py
+++ b/arbutuscove/entry/connections.py
@@ -81,9 +81,15 @@
         """Returns the next line, of at most `limit` bytes.
 
         Raises:
-            BadRequestError: the headers are too large.
+            BadRequestError: the headers are too large, or the connection ended
+                within them. The parser takes an empty line for their end.
         """
-        line: bytes = self._stream.readline(min(limit, self._remaining + 1))
+        wanted = min(limit, self._remaining + 1)
+        line: bytes = self._stream.readline(wanted)
+        if len(line) < wanted and not line.endswith(b"\n"):
+            raise refusals.BadRequestError(
+                400, "invalid_headers", "the request head is incomplete"
+            )
         self._remaining -= len(line)
         if self._remaining < 0:
             raise refusals.BadRequestError(
--- a/arbutuscove/entry/tests/test_connections.py
+++ b/arbutuscove/entry/tests/test_connections.py
@@ -416,3 +416,26 @@
         sockets.make_silent(caller)
         assert outcomes.get(timeout=10) == outcome
     entry.stop(timeout=0.1)
+
+
+def test_request_whose_head_is_cut_is_not_served():
+    """Guards against what a caller that left had not asked for (review/1).
+
+    The end of the connection was taken for the end of the head, so that a
+    request ran without its body or under a shortened id.
+    """
+    running = serving.Server(connections.Bounds())
+    request = (
+        "GET /v1/entries HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+        f"Authorization: Bearer {serving.KEY}\r\nX-Request-Id: abcdef\r\n\r\n"
+    ).encode()
+    try:
+        assert running.exchange(request).startswith(b"HTTP/1.1 200")
+        for end in range(1, len(request), 3):
+            with running.connect() as client:
+                client.sendall(request[:end])
+                client.shutdown(socket.SHUT_WR)
+                answer = serving.read_all(client)
+            assert answer.startswith(b"HTTP/1.1 400"), request[:end]
+    finally:
+        running.entry.stop()
