--- a/arbutuscove/platform/configuration.py
+++ b/arbutuscove/platform/configuration.py
@@ -10,7 +10,9 @@
 from arbutuscove.catalog import model
 from arbutuscove.kernel import decoding
 
-MAX_CONFIGURATION_BYTES = 1024 * 1024
+# As large as the platform's objects. A configuration with 5,600 routes has more
+# than 1 MiB.
+MAX_CONFIGURATION_BYTES = 8 * 1024 * 1024
 MAX_LINE_LENGTH = 4096  # characters of a path or an API key
 MAX_SIZE = 65535  # VMs of a group, or requests that an engine runs at once
 MAX_STRIDE = 1024  # token steps between two events
--- a/arbutuscove/platform/store.py
+++ b/arbutuscove/platform/store.py
@@ -29,8 +29,9 @@
 CALL_TIMEOUT = datetime.timedelta(seconds=1)
 FEED_TIMEOUT_MARGIN = datetime.timedelta(seconds=1)  # beyond the requested wait
 MAX_PAGE_ROWS = 500  # rows that the store returns in one answer
-# A page contains at most 1 MB of rows, with their values as base64 in JSON.
-MAX_ANSWER_BYTES = 4 * 1024 * 1024
+# A page contains at most 1 MB of rows, or a single larger one, a configuration.
+# Values are base64 in JSON, which makes them a third larger.
+MAX_ANSWER_BYTES = 12 * 1024 * 1024
 # After a failure the store may fail again, or for some calls only.
 DOUBT_PERIOD = datetime.timedelta(seconds=1)
 MAX_UNAVAILABLE_PEERS = 4096
--- a/arbutuscove/platform/tests/test_configuration.py
+++ b/arbutuscove/platform/tests/test_configuration.py
@@ -12,6 +12,7 @@
 from arbutuscove.catalog import holder
 from arbutuscove.catalog import model
 from arbutuscove.platform import configuration
+from arbutuscove.platform import store
 from arbutuscove.platform.tests import test_entries
 
 ROUTE = {
@@ -45,6 +46,24 @@
     assert catalog.find_route("other", "/a/") is None
 
 
+def test_large_configuration_is_taken():
+    """Guards against acknowledged changes that never come in force (review/3).
+
+    Its row also fits into an answer of the store.
+    """
+    routes = [
+        ROUTE | {"name": f"r{n}", "prefix": f"/{n:06}/{'x' * 40}/"}
+        for n in range(30_000)
+    ]
+    body = {"version": 7, "routes": routes, "services": [{"name": "s"}]}
+    content = msgspec.json.encode(body)
+    assert 6 * 1024 * 1024 < len(content) < 8 * 1024 * 1024
+    catalog = configuration.decode(content)
+    target = routes[-1]["prefix"]
+    assert catalog.find_route("h.example", target).name == "r29999"
+    assert len(content) * 4 / 3 + 1024 < store.MAX_ANSWER_BYTES
+
+
 @pytest.mark.parametrize(
     ("change", "expected"),
     [
