--- a/arbutuscove/crashes/tests/test_exposure.py
+++ b/arbutuscove/crashes/tests/test_exposure.py
@@ -24,7 +24,7 @@
 WARM_TICKS = 10 * TICKS_PER_SECOND
 TICKS = 60 * TICKS_PER_SECOND
 DAEMONS = 2
-# Of the letters: requests with the part after the fifth crash and the window.
+# After so many crashes hardly any request with the part may be sent.
 MAX_CRASHES_BY_PART = 5
 
 
@@ -99,9 +99,8 @@
             vm.name, started_at_ms=vm.started_at_ms + 1
         )
         for request in lost:
-            if request.events > BEFORE_HEAD + 1 or request.crashes_after != (
-                BEFORE_HEAD
-            ):
+            has_head = request.crashes_after != BEFORE_HEAD
+            if has_head:
                 request.daemon.tracker.report_loss(request, vm)
         self.exchange()
         for request in lost:
