Move errors, heads and stall probes out of relay/attempt

Change: relay/outcomes has the errors, relay/replies the head and the codec's interface, relay/stalls the probes. No behavior changes; the mutation of the probe names its new place.

--- a/arbutuscove/platform/tests/test_unanswered.py
+++ b/arbutuscove/platform/tests/test_unanswered.py
@@ -13,7 +13,7 @@
 from arbutuscove.platform import configuration
 from arbutuscove.platform import listener as listener_module
 from arbutuscove.platform.tests import test_endings
-from arbutuscove.relay import attempt
+from arbutuscove.relay import outcomes
 from arbutuscove.standins import cluster
 from arbutuscove.storage import http
 
@@ -97,7 +97,7 @@
         BrokenPipeError(32, "pipe"),
         TimeoutError("timed out"),
         OSError(24, "no descriptor left"),
-        attempt.AttemptLostError("lost"),
+        outcomes.AttemptLostError("lost"),
         KeyError("service"),
         gevent.Timeout(),
     ],
--- a/arbutuscove/platform/upstreams.py
+++ b/arbutuscove/platform/upstreams.py
@@ -5,9 +5,9 @@
 
 from arbutuscove.platform import headers
 from arbutuscove.platform import notices
-from arbutuscove.relay import attempt
 from arbutuscove.relay import model
 from arbutuscove.relay import occupancy
+from arbutuscove.relay import replies
 from arbutuscove.transport import connection
 
 # Headers that apply to a single connection (RFC 9110, section 7.6.1), among
@@ -109,7 +109,7 @@
 
     def read_reply(
         self, request: model.Request, parser: connection.ResponseParser
-    ) -> attempt.Reply:
+    ) -> replies.Reply:
         """Returns the head of a response.
 
         A response promises that the request did not run if its status is 421
@@ -125,7 +125,7 @@
         not_run = (
             parser.get_header(headers.NOT_RUN) is not None or status == 421
         )
-        return attempt.Reply(
+        return replies.Reply(
             status=status,
             fields=select_fields(list(parser.items()), INTERNAL_FIELDS),
             is_matching=is_matching,
--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -6,10 +6,8 @@
 stalled.
 """
 
-import dataclasses
 import datetime
 import random
-import typing
 from collections import abc
 
 import eliot
@@ -18,13 +16,14 @@
 from arbutuscove.catalog import holder as catalog_holder
 from arbutuscove.crashes import tracker
 from arbutuscove.fleet import model as fleet_model
-from arbutuscove.fleet import notices
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.paths import connections as connections_module
 from arbutuscove.paths import errors as path_errors
 from arbutuscove.relay import backends as backends_module
 from arbutuscove.relay import model
-from arbutuscove.relay import occupancy
+from arbutuscove.relay import outcomes
+from arbutuscove.relay import replies
+from arbutuscove.relay import stalls
 from arbutuscove.relay import waiting
 from arbutuscove.storage import http
 from arbutuscove.transport import connection
@@ -51,13 +50,8 @@
 # Limit for the bodies of late answers to earlier requests that are read on a
 # connection before the expected answer.
 MAX_UNMATCHED_BODY_BYTES = 1024 * 1024
-# Range of the random delay before a probe, which spreads the daemons' probes of
-# a silent group.
-PROBE_JITTER = datetime.timedelta(milliseconds=200)
 # To callers, each of these promises that the request did not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
-# Pause between two probes of a group that was marked as a member was silent.
-STALL_RECHECK_INTERVAL = datetime.timedelta(milliseconds=500)
 # Silence before the head after which the path of an attempt is examined.
 SUSPECT_PATH_TIMEOUT = datetime.timedelta(milliseconds=300)
 # Silence on a direct connection while this daemon is cut off from the service.
@@ -66,47 +60,6 @@
 STALL_CHECK_INTERVAL = datetime.timedelta(milliseconds=150)
 
 
-class NotRunError(Exception):
-    """The upstream did not run the request and never will.
-
-    `is_busy` says that the upstream rejected the request for lack of capacity.
-    """
-
-    def __init__(self, reason: str, is_busy: bool = False) -> None:
-        super().__init__(reason)
-        self.is_busy = is_busy
-
-
-class UnsentError(NotRunError):
-    """The upstream accepted no connection, so that nothing was sent to it.
-
-    It does not count as an attempt of the route, nor as a retry.
-    """
-
-
-class NoPathError(UnsentError):
-    """No path leads to the service, after a search; no upstream was reached."""
-
-
-class QuarantinedError(NotRunError):
-    """The request did not run, since requests like it crash upstreams."""
-
-    def __init__(self, retry_after: datetime.timedelta) -> None:
-        super().__init__("requests like it crash upstreams")
-        self.retry_after = retry_after
-
-
-class AttemptLostError(Exception):
-    """The attempt failed; the upstream may have run the request."""
-
-
-FailedAttempt = NotRunError | AttemptLostError
-
-
-class StalledError(AttemptLostError):
-    """The backend makes no progress, and another attempt replaces this one."""
-
-
 IsReplaced = abc.Callable[[], bool]
 
 
@@ -114,64 +67,11 @@
     return False
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Reply:
-    """The head of an upstream's response.
-
-    Attributes:
-        status: HTTP status.
-        fields: the headers to forward.
-        is_matching: whether it may answer the request that was sent.
-        is_named: whether it names the request that was sent.
-        is_signed: whether it carries an upstream's signature.
-        not_run: whether the upstream did not run the request.
-        is_busy: whether the upstream had no capacity for the request.
-        load: the load that the engine reports, None if it reports none.
-        notice: what the upstream says about itself.
-    """
-
-    status: int
-    fields: model.Fields
-    is_matching: bool
-    is_named: bool
-    is_signed: bool
-    not_run: bool
-    is_busy: bool
-    load: occupancy.EngineLoad | None = None
-    notice: notices.Notice = notices.Notice()
-
-
-class Codec(typing.Protocol):
-    """Encodes requests to upstreams and decodes the heads of responses."""
-
-    def encode(
-        self,
-        request: model.Request,
-        backend: model.Backend,
-        left: datetime.timedelta,
-        last_event: str,
-    ) -> bytes:
-        """Returns the encoded request.
-
-        Args:
-            request: the request.
-            backend: the backend that the request is sent to.
-            left: time left to the deadline.
-            last_event: id of the event after which a stream resumes, or empty.
-        """
-
-    def read_reply(
-        self, request: model.Request, parser: connection.ResponseParser
-    ) -> Reply:
-        """Returns the head of a response."""
-
-
 class AttemptContext:
-    """Services that all attempts share, and the probes of silent backends.
+    """Services that all attempts share.
 
-    `notify_peers` sends this daemon's state to the other daemons at once;
-    `probe_members` returns the members of a group that do not confirm their
-    membership.
+    `notify_peers`, `probe_members` and `generator` are for the probes of silent
+    groups, see `stalls.StallProbes`.
     """
 
     def __init__(
@@ -181,7 +81,7 @@
         request_dispatcher: waiting.RequestDispatcher,
         states: backends_module.BackendStates,
         connections: connections_module.UpstreamConnections,
-        codec: Codec,
+        codec: replies.Codec,
         notify_peers: abc.Callable[[], None],
         probe_members: abc.Callable[[model.Backend], list[str]],
         generator: random.Random,
@@ -194,9 +94,15 @@
         self.connections = connections
         self.codec = codec
         self._catalog = catalog
-        self._notify_peers = notify_peers
-        self._probe_members = probe_members
-        self._generator = generator
+        self._stall_probes = stalls.StallProbes(
+            clock,
+            request_dispatcher,
+            states,
+            connections,
+            notify_peers,
+            probe_members,
+            generator,
+        )
 
     def get_expected_pause(
         self, service: str, model_name: str
@@ -230,72 +136,9 @@
 
     def probe(self, service: str, backend: model.Backend) -> None:
         """Starts a probe of the backend's group if it is silent and due."""
-        if backend.model and self.states.start_probe_if_due(backend.key):
-            gevent.spawn(self._probe, service, backend)
-
-    def _probe(self, service: str, backend: model.Backend) -> None:
-        key = backend.key
-        # Many daemons find the same group silent at the same time. The first
-        # that has probed it notifies the others.
-        self.clock.sleep(PROBE_JITTER * self._generator.random())
-        if self.states.is_stalled(key) or not self.states.is_silent(key):
-            return
-        started_at = self.clock.monotonic()
-        unresponsive = self._probe_members(backend)
-        if not self.states.is_silent(key):
-            return
-        if unresponsive:
-            reason = f"no response from {unresponsive[0]}"
-        elif self.states.is_past_stall_timeout(
-            key, self.get_longest_pause(service, backend.model)
-        ):
-            reason = "silence"
-        else:
-            return
-        if not self._is_path_sound(service, started_at, bool(unresponsive)):
-            return
-        if not self.states.mark_stalled(key, reason):
-            return
-        self._notify_peers()
-        if unresponsive:
-            self._recheck_stall(service, backend, reason)
-
-    def _is_path_sound(
-        self, service: str, since: datetime.timedelta, has_probed: bool
-    ) -> bool:
-        """Returns whether silence is one of the group and not of the path.
-
-        Args:
-            service: the service of the group.
-            since: monotonic time of the begin of the probe.
-            has_probed: whether members were silent to the probe, which takes
-                the path in use now; else requests that began before were.
-        """
-        if has_probed:
-            return self.connections.confirm_contact(service, since)
-        return self.connections.confirm_reach(service, since)
-
-    def _recheck_stall(
-        self, service: str, backend: model.Backend, reason: str
-    ) -> None:
-        """Clears the mark of a stalled group once all its members respond.
-
-        A marked group gets no requests that could show its progress.
-        """
-        key = backend.key
-        while self.states.is_stalled(key):
-            self.clock.sleep(STALL_RECHECK_INTERVAL)
-            if not self.states.is_stalled(key) or self._probe_members(backend):
-                continue
-            # A member that has left the list since then is not probed.
-            current = self.dispatcher.list_backends((service, backend.model))
-            if any(
-                found.key == key and found.members >= backend.members
-                for found in current
-            ):
-                if self.states.clear_stalled(key, reason):
-                    self._notify_peers()
-                return
+        self._stall_probes.probe(
+            service, backend, self.get_longest_pause(service, backend.model)
+        )
 
 
 class Attempt:
@@ -320,7 +163,7 @@
         # the upstream is not silent then.
         self._read_wait = ZERO
         self.backend: model.Backend | None = None
-        self.reply: Reply | None = None
+        self.reply: replies.Reply | None = None
         self.parser: connection.ResponseParser | None = None
 
     def open(
@@ -329,7 +172,7 @@
         last_event: str,
         is_replaced: IsReplaced = _never_replace,
         may_have_run: bool = False,
-    ) -> Reply:
+    ) -> replies.Reply:
         """Sends the request and returns the head of the response.
 
         Args:
@@ -370,10 +213,10 @@
         )
         left = context.compute_end(request) - self._started_at
         if left <= MIN_TIME_LEFT:
-            raise NotRunError("no time is left")
+            raise outcomes.NotRunError("no time is left")
         retry_after = context.crashes.check(request)
         if retry_after is not None:
-            raise QuarantinedError(retry_after)
+            raise outcomes.QuarantinedError(retry_after)
         repeat = request.route.repeat
         max_idle_time = pool_module.MAX_IDLE_TIME
         # The upstream may close an idle connection while the request is sent,
@@ -389,17 +232,17 @@
                 request.deadline,
             )
         except path_errors.UnreachedError as error:
-            raise NoPathError(str(error)) from error
+            raise outcomes.NoPathError(str(error)) from error
         except path_errors.NoPathError as error:
-            raise UnsentError(str(error)) from error
+            raise outcomes.UnsentError(str(error)) from error
         except http.NotSentError as error:
             context.states.record_failure(self.backend.key)
-            raise UnsentError(str(error)) from error
+            raise outcomes.UnsentError(str(error)) from error
         self._connection = upstream
         # Opening a connection may have taken a part of the time.
         left = context.compute_end(request) - context.clock.monotonic()
         if left <= MIN_TIME_LEFT:
-            raise NotRunError("no time is left")
+            raise outcomes.NotRunError("no time is left")
         self._check_still_usable(self.backend)
         self._was_sent = True
         try:
@@ -418,9 +261,9 @@
         The greenlet must not switch between this check and the send.
         """
         if self._context.states.is_paused(backend.vm):
-            raise UnsentError("the upstream has asked for a pause")
+            raise outcomes.UnsentError("the upstream has asked for a pause")
         if self._context.dispatcher.is_evacuated(backend):
-            raise UnsentError("the failure domain is evacuated")
+            raise outcomes.UnsentError("the failure domain is evacuated")
 
     def was_sent(self) -> bool:
         """Returns whether any byte of the request may have left."""
@@ -487,7 +330,7 @@
 
     def record_loss(
         self, reason: str, is_cut: bool = False
-    ) -> AttemptLostError:
+    ) -> outcomes.AttemptLostError:
         """Counts a failure of the backend and returns the error to raise.
 
         Args:
@@ -570,7 +413,7 @@
 
     def _read_head(
         self, upstream: connection.Connection, is_replaced: IsReplaced
-    ) -> Reply:
+    ) -> replies.Reply:
         unmatched, unmatched_bytes = 0, 0
         while True:
             self._receive(is_replaced)
@@ -639,7 +482,7 @@
             left = context.compute_end(self._request) - now
             if left <= datetime.timedelta():
                 is_late = now >= self._request.deadline
-                raise AttemptLostError(
+                raise outcomes.AttemptLostError(
                     "the deadline has passed" if is_late else "the daemon stops"
                 )
             # A request that waits in an engine may have become known to crash
@@ -648,7 +491,9 @@
                 self.reply is None
                 and context.crashes.check(self._request) is not None
             ):
-                raise AttemptLostError("requests like it crash upstreams")
+                raise outcomes.AttemptLostError(
+                    "requests like it crash upstreams"
+                )
             # Checked even while bytes arrive, as they may belong to no event.
             waited = self._read_wait
             has_lost_path = (
@@ -662,7 +507,7 @@
                 or has_lost_path
             )
             if stalled and waited >= STALL_CHECK_INTERVAL and is_replaced():
-                raise StalledError(f"{key[0]} moves nothing")
+                raise outcomes.StalledError(f"{key[0]} moves nothing")
             try:
                 self.parser = self._connection.receive(
                     min(left, STALL_CHECK_INTERVAL)
@@ -710,7 +555,7 @@
         )
         return None if expected is None else pause / expected
 
-    def _record_loss(self, error: Exception) -> AttemptLostError:
+    def _record_loss(self, error: Exception) -> outcomes.AttemptLostError:
         assert self.backend is not None
         has_lost_path = (
             isinstance(error, http.NoResponseError) and self._has_lost_path()
@@ -737,7 +582,7 @@
         )
         if isinstance(error, http.NoResponseError):
             self._report_crash(self.backend)
-        return AttemptLostError(str(error))
+        return outcomes.AttemptLostError(str(error))
 
     def _report_crash(self, backend: model.Backend) -> None:
         """Reports an answer that was lost after it had begun.
@@ -752,7 +597,7 @@
             self._context.crashes.report_loss, self._request, backend.vm
         ).join()
 
-    def _check_reply(self, reply: Reply) -> Reply:
+    def _check_reply(self, reply: replies.Reply) -> replies.Reply:
         assert self.backend is not None
         if reply.load is not None:
             self._context.dispatcher.record_load(
@@ -764,7 +609,7 @@
         if reply.not_run:
             if not reply.is_busy:
                 self._context.states.record_failure(self.backend.key)
-            raise NotRunError(
+            raise outcomes.NotRunError(
                 f"upstream answered {reply.status}", reply.is_busy
             )
         if reply.status in NOT_RUN_STATUSES:
--- a/arbutuscove/relay/bodies.py
+++ b/arbutuscove/relay/bodies.py
@@ -4,9 +4,11 @@
 
 from arbutuscove.relay import attempt as attempt_module
 from arbutuscove.relay import model
+from arbutuscove.relay import outcomes
+from arbutuscove.relay import replies
 
 
-def build_answer(reply: attempt_module.Reply, body: bytes) -> model.Answer:
+def build_answer(reply: replies.Reply, body: bytes) -> model.Answer:
     """Returns an answer whose body has been read."""
     return model.Answer(
         status=reply.status,
@@ -17,7 +19,7 @@
 
 
 def relay_answer(
-    attempt: attempt_module.Attempt, reply: attempt_module.Reply, body: bytes
+    attempt: attempt_module.Attempt, reply: replies.Reply, body: bytes
 ) -> model.Answer:
     """Returns an answer whose body is too long to buffer, as it arrives."""
 
@@ -27,7 +29,7 @@
             while data := attempt.read_more():
                 yield data
             attempt.finish()
-        except attempt_module.AttemptLostError as error:
+        except outcomes.AttemptLostError as error:
             raise model.BrokenAnswerError(str(error)) from error
         finally:
             attempt.close()
--- a/arbutuscove/relay/continuation.py
+++ b/arbutuscove/relay/continuation.py
@@ -3,7 +3,7 @@
 import dataclasses
 import re
 
-from arbutuscove.relay import attempt as attempt_module
+from arbutuscove.relay import replies
 
 EVENT_STREAM = "text/event-stream"
 EVENT_END = b"\n\n"
@@ -59,9 +59,7 @@
         )
 
 
-def is_continuation(
-    first: attempt_module.Reply, following: attempt_module.Reply
-) -> bool:
+def is_continuation(first: replies.Reply, following: replies.Reply) -> bool:
     """Returns whether an answer may go on with a stream, judged by its head.
 
     Args:
@@ -130,15 +128,15 @@
     return before
 
 
-def _read_kind(reply: attempt_module.Reply) -> str:
+def _read_kind(reply: replies.Reply) -> str:
     return _get_field(reply, "content-type").partition(";")[0].strip()
 
 
-def _read_encoding(reply: attempt_module.Reply) -> str:
+def _read_encoding(reply: replies.Reply) -> str:
     return _get_field(reply, "content-encoding")
 
 
-def _get_field(reply: attempt_module.Reply, name: str) -> str:
+def _get_field(reply: replies.Reply, name: str) -> str:
     """Returns a header in lower case, empty if it is missing."""
     for key, value in reply.fields:
         if key.lower() == name:
--- a/arbutuscove/relay/flow.py
+++ b/arbutuscove/relay/flow.py
@@ -13,7 +13,9 @@
 from arbutuscove.relay import bodies
 from arbutuscove.relay import budget as budget_module
 from arbutuscove.relay import model
+from arbutuscove.relay import outcomes
 from arbutuscove.relay import refusals
+from arbutuscove.relay import replies
 from arbutuscove.relay import streams
 
 SERVICE_NAME = "flow"
@@ -65,7 +67,7 @@
     def is_safe_to_repeat(
         self,
         request: model.Request,
-        error: attempt_module.FailedAttempt,
+        error: outcomes.FailedAttempt,
         has_delivered: bool = False,
     ) -> bool:
         """Returns whether another attempt crashes no upstream, as known now.
@@ -76,13 +78,13 @@
             has_delivered: whether the caller has received a part of a stream.
         """
         match error:
-            case attempt_module.QuarantinedError():
+            case outcomes.QuarantinedError():
                 return False
-            case attempt_module.NotRunError():
+            case outcomes.NotRunError():
                 return True
-            case attempt_module.AttemptLostError() if has_delivered:
+            case outcomes.AttemptLostError() if has_delivered:
                 return self.context.crashes.may_resume(request)
-            case attempt_module.AttemptLostError():
+            case outcomes.AttemptLostError():
                 return self.context.crashes.may_repeat(request)
 
     def may_try_elsewhere(
@@ -151,9 +153,9 @@
                     return bodies.build_answer(reply, body)
                 has_lost_attempt = True
                 reason = f"status {reply.status}"
-            except attempt_module.NotRunError as error:
+            except outcomes.NotRunError as error:
                 reason = str(error)
-                is_unsent = isinstance(error, attempt_module.UnsentError)
+                is_unsent = isinstance(error, outcomes.UnsentError)
                 unsent_count += is_unsent
                 attempts_made += not is_unsent
                 if not self._may_go_on(
@@ -165,7 +167,7 @@
                         has_lost_attempt,
                         self.context.dispatcher.get_pause(service, request),
                     ) from error
-            except attempt_module.AttemptLostError as error:
+            except outcomes.AttemptLostError as error:
                 reason = str(error)
                 attempts_made += 1
                 has_lost_attempt = True
@@ -187,7 +189,7 @@
         request: model.Request,
         service: str,
         attempts_made: int,
-        reply: attempt_module.Reply,
+        reply: replies.Reply,
     ) -> bool:
         """Returns whether the caller gets this answer, without another attempt.
 
@@ -205,16 +207,16 @@
         service: str,
         attempts_made: int,
         unsent_count: int,
-        error: attempt_module.NotRunError,
+        error: outcomes.NotRunError,
     ) -> bool:
         """Returns whether a request that did not run may try another upstream.
 
         Acquires a retry from the budget if an upstream received the request.
         """
         match error:
-            case attempt_module.NoPathError():
+            case outcomes.NoPathError():
                 return False
-            case attempt_module.UnsentError():
+            case outcomes.UnsentError():
                 return self.may_try_elsewhere(request, unsent_count)
             case _:
                 return self._may_retry(request, service, attempts_made, error)
@@ -224,7 +226,7 @@
         request: model.Request,
         service: str,
         attempts_made: int,
-        error: attempt_module.FailedAttempt,
+        error: outcomes.FailedAttempt,
     ) -> bool:
         if attempts_made >= request.route.attempts:
             return False
--- a/arbutuscove/relay/refusals.py
+++ b/arbutuscove/relay/refusals.py
@@ -6,8 +6,8 @@
 
 import eliot
 
-from arbutuscove.relay import attempt as attempt_module
 from arbutuscove.relay import model
+from arbutuscove.relay import outcomes
 
 RETRY_AFTER = datetime.timedelta(milliseconds=200)
 
@@ -27,7 +27,7 @@
 
 def build_not_run_refusal(
     request: model.Request,
-    error: attempt_module.NotRunError,
+    error: outcomes.NotRunError,
     has_lost_attempt: bool,
     pause: datetime.timedelta | None = None,
 ) -> model.RefusedError:
@@ -42,7 +42,7 @@
     """
     if has_lost_attempt:
         return build_failure(request, 502, str(error))
-    if isinstance(error, attempt_module.QuarantinedError):
+    if isinstance(error, outcomes.QuarantinedError):
         return build_quarantine_refusal(error.retry_after)
     return model.RefusedError(
         model.Refusal(
--- a/arbutuscove/relay/replacement.py
+++ b/arbutuscove/relay/replacement.py
@@ -12,6 +12,8 @@
 from arbutuscove.relay import attempt as attempt_module
 from arbutuscove.relay import continuation
 from arbutuscove.relay import model
+from arbutuscove.relay import outcomes
+from arbutuscove.relay import replies
 
 
 class Replacement:
@@ -27,7 +29,7 @@
         attempt: attempt_module.Attempt,
         excluded: frozenset[model.BackendKey],
         last_event: str,
-        is_usable: abc.Callable[[attempt_module.Reply], bool],
+        is_usable: abc.Callable[[replies.Reply], bool],
         find_fault: abc.Callable[[bytes], str],
     ) -> None:
         """Begins the attempt.
@@ -41,7 +43,7 @@
                 used, "" if they can.
         """
         self.attempt = attempt
-        self.reply: attempt_module.Reply | None = None
+        self.reply: replies.Reply | None = None
         self.data = b""
         self.reason = ""
         self.is_unsent = False
@@ -54,7 +56,7 @@
         """Returns whether the answer was accepted or cannot be used."""
         return bool(self._greenlet.ready())
 
-    def wait(self) -> attempt_module.Reply | None:
+    def wait(self) -> replies.Reply | None:
         """Returns the head of the accepted answer, None if there is none."""
         self._greenlet.join()
         return self.reply
@@ -70,7 +72,7 @@
     def _open(
         self, excluded: frozenset[model.BackendKey], last_event: str
     ) -> None:
-        reply: attempt_module.Reply | None = None
+        reply: replies.Reply | None = None
         try:
             opened = self.attempt.open(excluded, last_event, may_have_run=True)
             if self._is_usable(opened):
@@ -80,11 +82,11 @@
                 self.reason = f"status {opened.status}"
         except (
             model.RefusedError,
-            attempt_module.NotRunError,
-            attempt_module.AttemptLostError,
+            outcomes.NotRunError,
+            outcomes.AttemptLostError,
         ) as error:
             self.reason = str(error)
-            self.is_unsent = isinstance(error, attempt_module.UnsentError)
+            self.is_unsent = isinstance(error, outcomes.UnsentError)
         finally:
             if reply is None or self._is_cancelled:
                 self.attempt.close()
--- a/arbutuscove/relay/streams.py
+++ b/arbutuscove/relay/streams.py
@@ -14,8 +14,10 @@
 from arbutuscove.relay import bodies
 from arbutuscove.relay import continuation
 from arbutuscove.relay import model
+from arbutuscove.relay import outcomes
 from arbutuscove.relay import refusals
 from arbutuscove.relay import replacement as replacement_module
+from arbutuscove.relay import replies
 
 # Pause between two replacements of one silent attempt, of which the first got
 # no slot.
@@ -36,7 +38,7 @@
     def is_safe_to_repeat(
         self,
         request: model.Request,
-        error: attempt_module.FailedAttempt,
+        error: outcomes.FailedAttempt,
         has_delivered: bool = False,
     ) -> bool:
         """Returns whether another attempt crashes no upstream, as known now."""
@@ -74,7 +76,7 @@
         # Bytes that a replacement has read of its answer.
         self._read_ahead = b""
         # The head of the stream that the caller receives.
-        self._first: attempt_module.Reply | None = None
+        self._first: replies.Reply | None = None
         self._has_delivered = False
 
     def start(self) -> model.Answer:
@@ -91,7 +93,7 @@
                 if not self._attempt.has_ended():
                     raise self._attempt.record_loss("a failure is too long")
                 self._attempt.finish()
-            except attempt_module.AttemptLostError as error:
+            except outcomes.AttemptLostError as error:
                 raise refusals.build_failure(
                     self._request, 502, str(error)
                 ) from error
@@ -121,7 +123,7 @@
             self._request.route.repeat.is_idempotent and self._position.is_known
         )
 
-    def _open(self) -> attempt_module.Reply:
+    def _open(self) -> replies.Reply:
         """Makes attempts until one returns the head of a response."""
         while True:
             attempt = self._begin_attempt()
@@ -139,7 +141,7 @@
                     )
                 self._cancel_replacement()
                 return reply
-            except attempt_module.NotRunError as error:
+            except outcomes.NotRunError as error:
                 replaced = self._switch(error)
                 if replaced is not None:
                     return replaced
@@ -152,7 +154,7 @@
                             self._service, self._request
                         ),
                     ) from error
-            except attempt_module.AttemptLostError as error:
+            except outcomes.AttemptLostError as error:
                 self._has_lost_attempt = True
                 replaced = self._switch(error)
                 if replaced is not None:
@@ -179,14 +181,14 @@
     def _may_go_on(
         self,
         attempt: attempt_module.Attempt,
-        error: attempt_module.NotRunError,
+        error: outcomes.NotRunError,
     ) -> bool:
         """Returns whether another attempt may follow one that did not run."""
         match error:
-            case attempt_module.UnsentError():
+            case outcomes.UnsentError():
                 self._attempts_begun -= 1
                 self._unsent_count += 1
-                if isinstance(error, attempt_module.NoPathError):
+                if isinstance(error, outcomes.NoPathError):
                     return False
                 if attempt.backend is not None:
                     self._excluded |= {attempt.backend.key}
@@ -251,7 +253,7 @@
             self._find_fault,
         )
 
-    def _is_usable(self, reply: attempt_module.Reply) -> bool:
+    def _is_usable(self, reply: replies.Reply) -> bool:
         """Returns whether an answer may go on with the stream."""
         if self._first is None:
             return reply.status == 200
@@ -294,9 +296,7 @@
         replacement.cancel()
         replacement_module.log_step(self._request, "cancelled")
 
-    def _switch(
-        self, error: attempt_module.FailedAttempt
-    ) -> attempt_module.Reply | None:
+    def _switch(self, error: outcomes.FailedAttempt) -> replies.Reply | None:
         """Closes a failed attempt and waits for its replacement.
 
         Returns:
@@ -340,7 +340,7 @@
     def _record_failed_attempt(
         self,
         attempt: attempt_module.Attempt,
-        error: attempt_module.FailedAttempt,
+        error: outcomes.FailedAttempt,
     ) -> bool:
         """Records a failed attempt and excludes its backend.
 
@@ -367,7 +367,7 @@
                 try:
                     yield from self._relay_attempt()
                     return
-                except attempt_module.AttemptLostError as error:
+                except outcomes.AttemptLostError as error:
                     self._resume(error)
         finally:
             self._close()
@@ -446,7 +446,7 @@
         self._position = self._position.advance(events)
         self._has_delivered = True
 
-    def _resume(self, error: attempt_module.AttemptLostError) -> None:
+    def _resume(self, error: outcomes.AttemptLostError) -> None:
         """Goes on with another attempt after the last event.
 
         Raises:
@@ -468,7 +468,7 @@
                 continue
             if self._is_usable(reply):
                 return
-            error = attempt_module.AttemptLostError(
+            error = outcomes.AttemptLostError(
                 f"status {reply.status} does not go on with the stream"
             )
 
--- a/arbutuscove/relay/tests/test_continuation.py
+++ b/arbutuscove/relay/tests/test_continuation.py
@@ -6,9 +6,9 @@
 
 from arbutuscove.catalog import model as catalog_model
 from arbutuscove.fleet.tests import test_planner
-from arbutuscove.relay import attempt
 from arbutuscove.relay import continuation
 from arbutuscove.relay import model
+from arbutuscove.relay import replies
 from arbutuscove.relay.tests import test_troubled
 from arbutuscove.standins import faulty_upstream
 from arbutuscove.storage import http
@@ -241,7 +241,7 @@
     """Guards against a second page joined to a page that broke off."""
 
     def build_reply(**fields):
-        return attempt.Reply(
+        return replies.Reply(
             status=200,
             fields=tuple(fields.items()),
             is_matching=True,
--- a/arbutuscove/relay/tests/test_cut_off.py
+++ b/arbutuscove/relay/tests/test_cut_off.py
@@ -17,6 +17,7 @@
 from arbutuscove.relay import attempt
 from arbutuscove.relay import backends
 from arbutuscove.relay import model
+from arbutuscove.relay import stalls
 from arbutuscove.relay.tests import test_troubled
 from arbutuscove.standins import faulty_upstream
 from arbutuscove.storage import http
@@ -320,5 +321,5 @@
     states.begin_answer(key)
     states[key].last_progress = clock.monotonic() - 3 * test_troubled.SECOND
     context.probe("models", backend)
-    gevent.sleep(2 * attempt.PROBE_JITTER.total_seconds())
+    gevent.sleep(2 * stalls.PROBE_JITTER.total_seconds())
     assert not states.is_stalled(key)
--- a/arbutuscove/relay/tests/test_silence.py
+++ b/arbutuscove/relay/tests/test_silence.py
@@ -14,6 +14,7 @@
 from arbutuscove.relay import backends
 from arbutuscove.relay import budget
 from arbutuscove.relay import model
+from arbutuscove.relay import stalls
 from arbutuscove.relay.tests import test_troubled
 from arbutuscove.standins import faulty_upstream
 
@@ -159,7 +160,7 @@
     states.begin_request(key)
     states[key].last_progress = clock.monotonic() - test_troubled.SECOND
     context.probe("models", create_backend(2))
-    gevent.sleep(3 * attempt.STALL_RECHECK_INTERVAL.total_seconds())
+    gevent.sleep(3 * stalls.STALL_RECHECK_INTERVAL.total_seconds())
     is_sound = listed_members == 2
     assert states.is_stalled(key) != is_sound
     assert notified == ([True, False] if is_sound else [True])
--- a/arbutuscove/relay/tests/test_troubled.py
+++ b/arbutuscove/relay/tests/test_troubled.py
@@ -24,6 +24,7 @@
 from arbutuscove.relay import flow
 from arbutuscove.relay import model
 from arbutuscove.relay import placement
+from arbutuscove.relay import stalls
 from arbutuscove.relay import waiting
 from arbutuscove.relay.tests import test_waiting
 from arbutuscove.standins import faulty_upstream
@@ -388,6 +389,6 @@
         states[KEY].last_progress = clock.monotonic() - 2 * SECOND
         jobs.append(gevent.spawn(shared.probe, "models", backend))
     gevent.joinall(jobs)
-    gevent.sleep(2 * attempt.PROBE_JITTER.total_seconds())
+    gevent.sleep(2 * stalls.PROBE_JITTER.total_seconds())
     assert 1 <= len(probed) <= len(daemons) / 4
     assert all(states.is_stalled(KEY) for states in daemons)
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -850,9 +850,10 @@
     ),
     Mutation(
         promise="one daemon's probe of a stalled group suffices for all",
-        path="relay/attempt.py",
-        old="if self.states.is_stalled(key) or not self.states.is_silent(key):",
-        new="if not self.states.is_silent(key):",
+        path="relay/stalls.py",
+        old="if self._states.is_stalled(key) "
+        "or not self._states.is_silent(key):",
+        new="if not self._states.is_silent(key):",
         test="relay/tests/test_troubled.py::"
         "test_daemons_do_not_all_ask_the_members_of_a_silent_group",
     ),
