Move the structure of waiting work out of admission/queue

Change: admission/backlog holds the work and decides nothing; a rank's queue moves its accounts' counters itself. No behavior changes; two mutations name the new lines.

--- a/arbutuscove/admission/queue.py
+++ b/arbutuscove/admission/queue.py
@@ -35,14 +35,12 @@
 import math
 from collections import abc
 
-import sortedcontainers
-
+from arbutuscove.admission import backlog
 from arbutuscove.admission import outlook
 from arbutuscove.admission import rates
 from arbutuscove.admission import subqueues
 from arbutuscove.admission import work as work_module
 from arbutuscove.balancing import returns
-from arbutuscove.config import model as config_model
 
 SECOND = datetime.timedelta(seconds=1)
 ZERO = datetime.timedelta()
@@ -132,14 +130,10 @@
 
     def __init__(self, settings: QueueSettings | None = None) -> None:
         self._settings = settings or QueueSettings()
-        self._entries: dict[str, subqueues.Entry] = {}
-        self._ranks: sortedcontainers.SortedDict = sortedcontainers.SortedDict()
-        self._latest_starts: sortedcontainers.SortedList = (
-            sortedcontainers.SortedList()
-        )
-        # Waiting work by the time after which it is late.
-        self._on_time_starts: sortedcontainers.SortedList = (
-            sortedcontainers.SortedList()
+        self._backlog = backlog.Backlog(
+            self._settings.floor_window,
+            self._settings.drain_window,
+            self._settings.rank_limit,
         )
         self._entitlements: dict[str, rates.TokenBucket] = {}
         self._evicted: list[_Removal] = []
@@ -150,16 +144,16 @@
         self._rank_count = 0
 
     def __len__(self) -> int:
-        return len(self._entries)
+        return len(self._backlog.entries)
 
     def __contains__(self, request_id: str) -> bool:
-        return request_id in self._entries
+        return request_id in self._backlog.entries
 
     def push(
         self, work: work_module.Work, now: datetime.timedelta
     ) -> work_module.Refusal | None:
         """Enqueues work, or returns the reason why it is refused."""
-        if work.request_id in self._entries:
+        if work.request_id in self._backlog.entries:
             return work_module.Refusal(
                 status=409,
                 code="duplicate",
@@ -170,10 +164,12 @@
         self._rank_count = len(work.service.ranks)
         work = self._reassign_beyond_entitlement(work, now)
         self._returns.record_arrival(work.rank.priority, now)
-        rank_queue = self._get_or_create_rank(work)
+        rank_queue = self._backlog.get_or_create_rank(work)
         rank_queue.arrived_tokens.add(work.tokens, now)
         self._arrived_tokens.add(work.tokens, now)
-        account_queue = self._get_or_create_account(rank_queue, work.account)
+        account_queue = self._backlog.get_or_create_account(
+            rank_queue, work.account
+        )
         is_late = (
             work.latest_on_time_start is not None
             and work.latest_on_time_start <= now
@@ -188,7 +184,7 @@
         if refusal is None:
             refusal = self._make_room(rank_queue, account_queue, entry, now)
         if refusal is None:
-            self._insert(rank_queue, account_queue, entry, now)
+            self._backlog.insert(rank_queue, account_queue, entry, now)
         return refusal
 
     def predict_refusal(
@@ -201,9 +197,7 @@
             now: monotonic time.
         """
         work = self._predict_rank(work, now)
-        rank_queue = self._ranks.get(
-            _make_rank_key(work)
-        ) or subqueues.RankQueue(self._settings.floor_window)
+        rank_queue = self._backlog.find_rank(work)
         account_queue = rank_queue.accounts.get(
             work.account.name
         ) or subqueues.AccountQueue(work.account.name)
@@ -232,7 +226,7 @@
                 entry.work.latest_on_time_start is None
                 or entry.work.latest_on_time_start > now
             )
-            for entry in self._entries.values()
+            for entry in self._backlog.entries.values()
         )
 
     def select(
@@ -255,12 +249,12 @@
         Returns:
             The work, or None if none can be dispatched.
         """
-        self._demote_late(now)
+        self._backlog.demote_late(now)
         total = self._dispatched_tokens.read(now)
         first: work_module.Work | None = None
         best: tuple[int, float] | None = None
         floors = capacity.floors if capacity else ()
-        for (priority, is_excess), rank_queue in self._ranks.items():
+        for (priority, is_excess), rank_queue in self._backlog.ranks.items():
             if priority in blocked or not rank_queue.active:
                 continue
             if not self._is_below_ceiling(priority, capacity):
@@ -289,18 +283,18 @@
 
         The end of each dequeued work must be reported with `finish`.
         """
-        entry = self._entries.get(request_id)
+        entry = self._backlog.entries.get(request_id)
         if entry is None:
             return False
         work = entry.work
-        rank_queue = self._ranks[_make_rank_key(work)]
+        rank_queue = self._backlog.get_rank(work)
         account_queue = rank_queue.accounts[work.account.name]
-        self._remove(entry)
+        self._backlog.remove(entry)
         rank_queue.virtual_time = max(
             rank_queue.virtual_time, account_queue.virtual_counter
         )
-        self._add_to_counter(
-            rank_queue, account_queue, work.tokens / work.account.weight
+        rank_queue.add_to_counter(
+            account_queue, work.tokens / work.account.weight
         )
         account_queue.last_delay = now - work.arrived
         account_queue.drain_rate.add(work.tokens, now)
@@ -323,15 +317,14 @@
                 account's virtual counter at dispatch are subtracted again.
             duration: time from dispatch to the end.
         """
-        rank_queue = self._ranks[_make_rank_key(work)]
+        rank_queue = self._backlog.get_rank(work)
         rank_queue.running = max(0, rank_queue.running - 1)
         if tokens:
             self._returns.record_end(duration)
         if tokens == 0:
             account_queue = rank_queue.accounts.get(work.account.name)
             if account_queue is not None:
-                self._add_to_counter(
-                    rank_queue,
+                rank_queue.add_to_counter(
                     account_queue,
                     -work.tokens / work.account.weight,
                 )
@@ -352,7 +345,7 @@
         which must not claim the capacity that is reserved for a rank's floor.
         """
         counts = [0] * (self._rank_count + 1)
-        for (priority, is_excess), rank_queue in self._ranks.items():
+        for (priority, is_excess), rank_queue in self._backlog.ranks.items():
             if priority < self._rank_count:
                 position = self._rank_count if is_excess else priority
                 counts[position] += rank_queue.running + rank_queue.length
@@ -360,10 +353,10 @@
 
     def withdraw(self, request_id: str) -> bool:
         """Removes work whose caller left; returns whether it was waiting."""
-        entry = self._entries.get(request_id)
+        entry = self._backlog.entries.get(request_id)
         if entry is None:
             return False
-        self._remove(entry)
+        self._backlog.remove(entry)
         return True
 
     def reject_unservable(self, now: datetime.timedelta) -> list[RefusedWork]:
@@ -375,15 +368,11 @@
         """
         removals = self._evicted
         self._evicted = []
-        while self._latest_starts and self._latest_starts[0][0] <= now:
-            entry = self._entries[self._latest_starts[0][1]]
-            self._remove(entry)
-            removals.append(
-                _Removal(
-                    entry=entry, earliest=ZERO, certain_at=entry.latest_start
-                )
-            )
-        for rank_queue in self._ranks.values():
+        removals.extend(
+            _Removal(entry=entry, earliest=ZERO, certain_at=entry.latest_start)
+            for entry in self._backlog.pop_past_start(now)
+        )
+        for rank_queue in self._backlog.ranks.values():
             for _, _, name in list(rank_queue.active):
                 removals.extend(
                     self._remove_predicted_misses(
@@ -441,22 +430,11 @@
         )
         return copied._reassign_beyond_entitlement(work, now)
 
-    def _get_or_create_rank(
-        self, work: work_module.Work
-    ) -> subqueues.RankQueue:
-        queue = self._ranks.get(_make_rank_key(work))
-        if queue is None:
-            queue = subqueues.RankQueue(self._settings.floor_window)
-            self._ranks[_make_rank_key(work)] = queue
-        queue.floor = work.rank.floor_share if work.is_entitled else 0.0
-        queue.ceiling = work.rank.ceiling_share
-        return queue
-
     def _is_below_ceiling(
         self, priority: int, capacity: work_module.Capacity | None
     ) -> bool:
         """Returns whether the rank's running requests are below its ceiling."""
-        rank_queues = self._get_rank_queues(priority)
+        rank_queues = self._backlog.list_ranks(priority)
         ceiling = min(queue.ceiling for queue in rank_queues)
         if capacity is None or ceiling >= 1.0:
             return True
@@ -473,26 +451,6 @@
         share = rank_queue.arrived_tokens.read(now) / arrived
         return self._settings.demand_floor * share
 
-    def _get_rank_queues(self, priority: int) -> list[subqueues.RankQueue]:
-        keys = ((priority, False), (priority, True))
-        return [self._ranks[key] for key in keys if key in self._ranks]
-
-    def _get_or_create_account(
-        self,
-        rank_queue: subqueues.RankQueue,
-        account: config_model.Account,
-    ) -> subqueues.AccountQueue:
-        queue = rank_queue.accounts.get(account.name)
-        if queue is not None:
-            return queue
-        if len(rank_queue.accounts) >= self._settings.rank_limit:
-            idle = [n for n, a in rank_queue.accounts.items() if not a.entries]
-            if idle:
-                rank_queue.accounts.pop(idle[0])
-        queue = subqueues.AccountQueue(account.name)
-        rank_queue.accounts[account.name] = queue
-        return queue
-
     def _check_delay(
         self,
         account_queue: subqueues.AccountQueue,
@@ -546,10 +504,10 @@
             if len(largest.entries) <= len(account_queue.entries) + 1:
                 return self._refuse_queue_full(entry, "rank", now)
             self._evict_last(largest, now)
-        if len(self._entries) >= settings.service_limit:
+        if len(self._backlog.entries) >= settings.service_limit:
             lower_queues = [
                 lower_queue
-                for (priority, _), lower_queue in self._ranks.items()
+                for (priority, _), lower_queue in self._backlog.ranks.items()
                 if priority > entry.work.rank.priority and lower_queue.length
             ]
             if not lower_queues:
@@ -572,7 +530,7 @@
         self, account_queue: subqueues.AccountQueue, now: datetime.timedelta
     ) -> None:
         entry = account_queue.entries.peekitem(-1)[1]
-        self._remove(entry)
+        self._backlog.remove(entry)
         self._evicted.append(
             _Removal(entry=entry, earliest=ZERO, certain_at=now)
         )
@@ -590,83 +548,12 @@
             left = entry.latest_start - now
             if wait <= left * self._settings.overrun_tolerance:
                 break
-            self._remove(entry)
+            self._backlog.remove(entry)
             removals.append(
                 _Removal(entry=entry, earliest=wait - left, certain_at=now)
             )
         return removals
 
-    def _insert(
-        self,
-        rank_queue: subqueues.RankQueue,
-        account_queue: subqueues.AccountQueue,
-        entry: subqueues.Entry,
-        now: datetime.timedelta,
-    ) -> None:
-        work = entry.work
-        if not account_queue.entries:
-            # An idle account accumulates no credit: its counter is raised to
-            # that of the account served next, or to the rank's virtual time.
-            virtual_time = (
-                rank_queue.active[0][1]
-                if rank_queue.active
-                else rank_queue.virtual_time
-            )
-            account_queue.virtual_counter = max(
-                account_queue.virtual_counter, virtual_time
-            )
-            account_queue.drain_rate = rates.BusyRate(
-                self._settings.drain_window, now
-            )
-            account_queue.last_delay = datetime.timedelta()
-        account_queue.entries[entry.key] = entry
-        account_queue.waiting_tokens += work.tokens
-        rank_queue.reposition(account_queue)
-        rank_queue.length += 1
-        self._entries[work.request_id] = entry
-        self._latest_starts.add((entry.latest_start, work.request_id))
-        if work.latest_on_time_start is not None and not entry.key[0]:
-            self._on_time_starts.add(
-                (work.latest_on_time_start, work.request_id)
-            )
-
-    def _remove(self, entry: subqueues.Entry) -> None:
-        work = entry.work
-        rank_queue = self._ranks[_make_rank_key(work)]
-        account_queue = rank_queue.accounts[work.account.name]
-        del account_queue.entries[entry.key]
-        account_queue.waiting_tokens -= work.tokens
-        rank_queue.length -= 1
-        del self._entries[work.request_id]
-        self._latest_starts.remove((entry.latest_start, work.request_id))
-        if work.latest_on_time_start is not None and not entry.key[0]:
-            self._on_time_starts.remove(
-                (work.latest_on_time_start, work.request_id)
-            )
-        rank_queue.reposition(account_queue)
-
-    def _demote_late(self, now: datetime.timedelta) -> None:
-        """Moves work that has become late behind the work that is not late."""
-        while self._on_time_starts and self._on_time_starts[0][0] <= now:
-            _, request_id = self._on_time_starts.pop(0)
-            entry = self._entries[request_id]
-            rank_queue = self._ranks[_make_rank_key(entry.work)]
-            account_queue = rank_queue.accounts[entry.work.account.name]
-            del account_queue.entries[entry.key]
-            late_entry = dataclasses.replace(entry, key=(True, *entry.key[1:]))
-            account_queue.entries[late_entry.key] = late_entry
-            self._entries[request_id] = late_entry
-            rank_queue.reposition(account_queue)
-
-    def _add_to_counter(
-        self,
-        rank_queue: subqueues.RankQueue,
-        account_queue: subqueues.AccountQueue,
-        amount: float,
-    ) -> None:
-        account_queue.virtual_counter += amount
-        rank_queue.reposition(account_queue)
-
     def _select_first(
         self,
         priority: int,
@@ -686,13 +573,16 @@
     ) -> returns.Return:
         """Returns when the caller of refused work is to come back."""
         waiting: collections.Counter[int] = collections.Counter()
-        for (priority, _), rank_queue in self._ranks.items():
+        for (priority, _), rank_queue in self._backlog.ranks.items():
             waiting[priority] += rank_queue.length
         left = entry.work.deadline - now
         return self._returns.plan(
             entry.work.rank.priority,
             waiting,
-            sum(rank_queue.running for rank_queue in self._ranks.values()),
+            sum(
+                rank_queue.running
+                for rank_queue in self._backlog.ranks.values()
+            ),
             now,
             max(earliest, self._settings.min_retry_after),
             # A caller that comes back may have to wait as long as others.
@@ -703,11 +593,6 @@
         )
 
 
-def _make_rank_key(work: work_module.Work) -> tuple[int, bool]:
-    """Returns the key of the rank queue in which the work waits."""
-    return (work.rank.priority, not work.is_entitled)
-
-
 def _compute_latest_start(
     rank_queue: subqueues.RankQueue, work: work_module.Work
 ) -> datetime.timedelta:
--- a/arbutuscove/admission/subqueues.py
+++ b/arbutuscove/admission/subqueues.py
@@ -95,3 +95,8 @@
             is_late = account.entries.peekitem(0)[0][0]
             account.position = (is_late, account.virtual_counter, account.name)
             self.active.add(account.position)
+
+    def add_to_counter(self, account: AccountQueue, amount: float) -> None:
+        """Adds to the virtual token counter of an account."""
+        account.virtual_counter += amount
+        self.reposition(account)
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -507,7 +507,7 @@
     Mutation(
         promise="requests past their target time are dispatched last",
         path="admission/queue.py",
-        old="        self._demote_late(now)\n",
+        old="        self._backlog.demote_late(now)\n",
         new="",
         test="admission/tests/test_queue.py::"
         "test_queue_late_work_goes_after_work_that_can_be_on_time",
@@ -1661,9 +1661,8 @@
     Mutation(
         promise="accounts share by tokens",
         path="admission/queue.py",
-        old="            rank_queue, account_queue, "
-        "work.tokens / work.account.weight\n",
-        new="            rank_queue, account_queue, 0.0\n",
+        old="            account_queue, work.tokens / work.account.weight\n",
+        new="            account_queue, 0.0\n",
         test="relay/tests/test_fairness.py::"
         "test_accounts_share_by_tokens_and_none_starves",
     ),
