Move the exchange of the list between daemons to gossip

Cause: list_start, list_exchange and list_history decide when and whom a daemon asks for the list of VMs, and lay in platform/, which only translates.

--- a/arbutuscove/platform/list_exchange.py
+++ b/arbutuscove/gossip/list_exchange.py
@@ -11,9 +11,9 @@
 import eliot
 
 from arbutuscove.gossip import digest
+from arbutuscove.gossip import list_history
 from arbutuscove.gossip import service as gossip_service
 from arbutuscove.kernel import clock as clock_module
-from arbutuscove.platform import list_history
 
 # Answers begun in one interval, which fill a link of 20 Mbit/s: some four whole
 # lists of 3,000 VMs. Those who get none ask another daemon, of which there are
--- a/arbutuscove/platform/tests/test_list_history.py
+++ b/arbutuscove/gossip/tests/test_list_history.py
@@ -5,7 +5,7 @@
 import pytest
 
 from arbutuscove.gossip import digest
-from arbutuscove.platform import list_history
+from arbutuscove.gossip import list_history
 
 
 def create_row(name, version, content=b"x"):
--- a/arbutuscove/platform/tests/test_list_start.py
+++ b/arbutuscove/gossip/tests/test_list_start.py
@@ -6,9 +6,9 @@
 
 import pytest
 
+from arbutuscove.gossip import list_exchange
+from arbutuscove.gossip import list_start
 from arbutuscove.gossip.tests import test_digest
-from arbutuscove.platform import list_exchange
-from arbutuscove.platform import list_start
 
 MILLISECOND = datetime.timedelta(milliseconds=1)
 ANSWERS = 4  # lists that a daemon gives in one interval
--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -21,6 +21,7 @@
 from arbutuscove.fleet import model as fleet_model
 from arbutuscove.fleet import notices
 from arbutuscove.gossip import digest
+from arbutuscove.gossip import list_exchange
 from arbutuscove.gossip import service as gossip_service
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import loop
@@ -36,7 +37,6 @@
 from arbutuscove.platform import explaining
 from arbutuscove.platform import followers
 from arbutuscove.platform import leaving
-from arbutuscove.platform import list_exchange
 from arbutuscove.platform import listener as listener_module
 from arbutuscove.platform import paths as paths_module
 from arbutuscove.platform import peer_loads
--- a/arbutuscove/platform/servers.py
+++ b/arbutuscove/platform/servers.py
@@ -10,13 +10,13 @@
 from arbutuscove.fleet import inventory as inventory_module
 from arbutuscove.fleet import model as fleet_model
 from arbutuscove.gossip import digest
+from arbutuscove.gossip import list_exchange
+from arbutuscove.gossip import list_history
+from arbutuscove.gossip import list_start
 from arbutuscove.gossip import service as gossip_service
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.platform import entries
 from arbutuscove.platform import followers
-from arbutuscove.platform import list_exchange
-from arbutuscove.platform import list_history
-from arbutuscove.platform import list_start
 from arbutuscove.platform import store as store_module
 
 SERVICE_NAME = "servers-follower"
--- a/arbutuscove/platform/tests/test_servers.py
+++ b/arbutuscove/platform/tests/test_servers.py
@@ -7,10 +7,10 @@
 
 from arbutuscove.fleet import inventory as inventory_module
 from arbutuscove.gossip import digest
+from arbutuscove.gossip import list_exchange
+from arbutuscove.gossip import list_start
 from arbutuscove.gossip.tests import test_digest
 from arbutuscove.kernel import clock as clock_module
-from arbutuscove.platform import list_exchange
-from arbutuscove.platform import list_start
 from arbutuscove.platform import servers
 from arbutuscove.platform import store as store_module
 from arbutuscove.platform.tests import test_followers
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -1580,18 +1580,18 @@
     ),
     Mutation(
         promise="a part of an answer is not taken for the list",
-        path="platform/list_history.py",
+        path="gossip/list_history.py",
         old="    return reached == target\n",
         new="    return True\n",
-        test="platform/tests/test_list_history.py::"
+        test="gossip/tests/test_list_history.py::"
         "test_answer_is_used_whole_in_any_order",
     ),
     Mutation(
         promise="a daemon does not answer for removals that it has not seen",
-        path="platform/list_history.py",
+        path="gossip/list_history.py",
         old="        if version < self._floor:",
         new="        if False:",
-        test="platform/tests/test_list_history.py::"
+        test="gossip/tests/test_list_history.py::"
         "test_history_does_not_answer_for_times_that_it_has_not_seen",
     ),
     Mutation(
@@ -1604,7 +1604,7 @@
     ),
     Mutation(
         promise="a daemon answers few whole lists at a time",
-        path="platform/list_exchange.py",
+        path="gossip/list_exchange.py",
         old="        return self._answered_bytes < MAX_ANSWER_BYTES",
         new="        return True",
         test="platform/tests/test_servers.py::"
@@ -1612,10 +1612,10 @@
     ),
     Mutation(
         promise="a daemon whose peers do not answer reads the list itself",
-        path="platform/list_start.py",
+        path="gossip/list_start.py",
         old="            if self._asked_ready >= MAX_ASKED:",
         new="            if self._asked_ready >= 10 * MAX_ASKED:",
-        test="platform/tests/test_list_start.py::"
+        test="gossip/tests/test_list_start.py::"
         "test_daemon_whose_peers_do_not_answer_reads_soon",
     ),
     Mutation(
