Move the commands for VMs and failure domains out of tool/main

Change: tool/withdrawals has the groups drains and domains, tool/calls prints responses. Commands, options and output are the same.

--- a/arbutuscove/tool/calls.py
+++ b/arbutuscove/tool/calls.py
@@ -2,14 +2,18 @@
 
 import sys
 import typing
+from collections import abc
 
 import click
+import msgspec
 
 from arbutuscove.tool import client as client_module
 
 EXIT_REFUSED = 3  # the administration API rejected the call
 EXIT_UNREACHABLE = 5  # no complete response from the administration API
 
+Render = abc.Callable[[dict[str, typing.Any]], str]
+
 
 class Context(typing.NamedTuple):
     """Options that apply to all commands."""
@@ -43,3 +47,19 @@
         for detail in error.details.values():
             click.echo(f"  {detail}", err=True)
         sys.exit(EXIT_REFUSED)
+
+
+def print_response(
+    context: Context, response: dict[str, typing.Any], render: Render
+) -> None:
+    """Prints a response as JSON, or as the text that a function builds."""
+    if context.output == "json":
+        print_json(response)
+    else:
+        click.echo(render(response))
+
+
+def print_json(value: typing.Any) -> None:
+    """Prints a value as indented JSON."""
+    encoded = msgspec.json.encode(value)
+    click.echo(msgspec.json.format(encoded, indent=2).decode())
--- a/arbutuscove/tool/main.py
+++ b/arbutuscove/tool/main.py
@@ -9,7 +9,6 @@
 import time
 import typing
 import urllib.parse
-from collections import abc
 
 import click
 import msgspec
@@ -28,6 +27,7 @@
 from arbutuscove.tool import logs as logs_module
 from arbutuscove.tool import report as report_module
 from arbutuscove.tool import routes
+from arbutuscove.tool import withdrawals
 
 EXIT_ANSWERS = 4  # the answers contradict each other or cannot be read
 KEY_BYTES = 32
@@ -35,7 +35,6 @@
 
 ANSWER_FILE = click.Path(dir_okay=False, path_type=pathlib.Path)
 OUTPUT_FILE = click.Path(dir_okay=False, writable=True, path_type=pathlib.Path)
-Render = abc.Callable[[dict[str, typing.Any]], str]
 
 
 @click.group(
@@ -96,13 +95,13 @@
 @main.command()
 def schema() -> None:
     """Prints the JSON schema of answer files."""
-    _print_json(msgspec.json.schema(answers_module.Answers))
+    calls.print_json(msgspec.json.schema(answers_module.Answers))
 
 
 @main.command("openapi")
 def print_openapi() -> None:
     """Prints the OpenAPI description of the administration API."""
-    _print_json(openapi.build_description())
+    calls.print_json(openapi.build_description())
 
 
 @main.command("new-key")
@@ -129,7 +128,7 @@
     """
     parsed = _read_answers(answers)
     if not trace:
-        _print_json(generation.generate(parsed))
+        calls.print_json(generation.generate(parsed))
         return
     rows = [
         (item.setting, item.value, item.answer)
@@ -148,7 +147,7 @@
     """
     service = generation.generate(_read_answers(answers))
     path = f"/services/{service.name}/review"
-    _print_response(
+    calls.print_response(
         context,
         calls.call(context, "POST", path, service),
         display.format_review,
@@ -187,7 +186,7 @@
         reason=reason,
     )
     response = calls.call(context, "PUT", "/services/" + service.name, proposal)
-    _print_response(context, response, _describe_acceptance)
+    calls.print_response(context, response, _describe_acceptance)
 
 
 @main.command()
@@ -211,7 +210,7 @@
     body = {"base_version": base_version, "key_digests": digests}
     path = f"/services/{service}/accounts/{account}/keys"
     response = calls.call(context, "PUT", path, body)
-    _print_response(context, response, _describe_acceptance)
+    calls.print_response(context, response, _describe_acceptance)
 
 
 @main.command()
@@ -232,7 +231,7 @@
     ]
     titles = ["service", "team", "version"]
     response = {"items": items}
-    _print_response(
+    calls.print_response(
         context, response, lambda _: display.build_table(titles, rows)
     )
 
@@ -247,7 +246,7 @@
         response = calls.call(context, "GET", "/status")
         if watch and context.output == "text":
             click.clear()
-        _print_response(context, response, display.format_status)
+        calls.print_response(context, response, display.format_status)
         if not watch:
             return
         time.sleep(interval)
@@ -281,7 +280,7 @@
         if not events:
             raise click.ClickException(f"no line names request {request_id}")
         response = {"request_id": request_id, "events": events}
-    _print_response(context, response, display.format_explanation)
+    calls.print_response(context, response, display.format_explanation)
 
 
 @main.command()
@@ -297,85 +296,16 @@
         response = calls.call(context, "GET", "/audit")
         rows = sorted(response["newest"].items())
         titles = ["scope", "newest"]
-        _print_response(
+        calls.print_response(
             context, response, lambda _: display.build_table(titles, rows)
         )
         return
     path = f"/audit/{urllib.parse.quote(scope)}?after={after}"
-    _print_response(
+    calls.print_response(
         context, calls.call(context, "GET", path), display.format_audit
     )
 
 
-@main.group()
-def drains() -> None:
-    """Takes VMs out of service and returns them."""
-
-
-@drains.command("list")
-@click.pass_obj
-def list_drains(context: calls.Context) -> None:
-    """Lists the VMs being drained."""
-    _print_response(
-        context, calls.call(context, "GET", "/drains"), _describe_drains
-    )
-
-
-@drains.command("add")
-@click.argument("vm")
-@click.option("--reason", default="")
-@click.pass_obj
-def add_drain(context: calls.Context, vm: str, reason: str) -> None:
-    """Takes a VM out of service; its replica is repaired without it."""
-    body = {"vm": vm, "reason": reason}
-    response = calls.call(context, "PUT", "/drains/" + vm, body)
-    _print_response(context, response, _describe_drains)
-
-
-@drains.command("remove")
-@click.argument("vm")
-@click.pass_obj
-def remove_drain(context: calls.Context, vm: str) -> None:
-    """Returns a VM to service."""
-    response = calls.call(context, "DELETE", "/drains/" + vm)
-    _print_response(context, response, _describe_drains)
-
-
-@main.group()
-def domains() -> None:
-    """Evacuates failure domains and restores them."""
-
-
-@domains.command("list")
-@click.pass_obj
-def list_domains(context: calls.Context) -> None:
-    """Lists the failure domains that have VMs or are evacuated."""
-    response = calls.call(context, "GET", "/evacuations")
-    _print_response(context, response, _describe_evacuations)
-
-
-@domains.command("evacuate")
-@click.argument("name")
-@click.option("--reason", default="")
-@click.pass_obj
-def evacuate_domain(context: calls.Context, name: str, reason: str) -> None:
-    """Sends nothing more to a failure domain; its replicas are kept."""
-    path = "/evacuations/" + urllib.parse.quote(name, safe="")
-    body = {"domain": name, "reason": reason}
-    response = calls.call(context, "PUT", path, body)
-    _print_response(context, response, _describe_evacuations)
-
-
-@domains.command("restore")
-@click.argument("name")
-@click.pass_obj
-def restore_domain(context: calls.Context, name: str) -> None:
-    """Lets requests and repairs begin again in a failure domain."""
-    path = "/evacuations/" + urllib.parse.quote(name, safe="")
-    response = calls.call(context, "DELETE", path)
-    _print_response(context, response, _describe_evacuations)
-
-
 @main.group()
 def keys() -> None:
     """Administration keys, by digest."""
@@ -391,7 +321,7 @@
         for k in response["items"]
     ]
     titles = ["digest", "name", "role"]
-    _print_response(
+    calls.print_response(
         context, response, lambda _: display.build_table(titles, rows)
     )
 
@@ -412,7 +342,7 @@
     """Adds or changes an administration key (see new-key)."""
     body = {"name": name, "role": role, "team": team}
     response = calls.call(context, "PUT", "/keys/" + digest, body)
-    _print_response(context, response, lambda _: "done")
+    calls.print_response(context, response, lambda _: "done")
 
 
 @keys.command("remove")
@@ -421,7 +351,7 @@
 def remove_key(context: calls.Context, digest: str) -> None:
     """Removes an administration key."""
     response = calls.call(context, "DELETE", "/keys/" + digest)
-    _print_response(context, response, lambda _: "done")
+    calls.print_response(context, response, lambda _: "done")
 
 
 @main.command()
@@ -429,7 +359,7 @@
 def quarantine(context: calls.Context) -> None:
     """Lists digests of requests that crash upstreams."""
     response = calls.call(context, "GET", "/quarantine")
-    _print_response(context, response, lambda a: "\n".join(a["digests"]))
+    calls.print_response(context, response, lambda a: "\n".join(a["digests"]))
 
 
 @main.command()
@@ -474,6 +404,8 @@
 
 
 main.add_command(routes.explain_route)
+main.add_command(withdrawals.drains)
+main.add_command(withdrawals.domains)
 
 
 def _read_answers(path: pathlib.Path) -> answers_module.Answers:
@@ -501,33 +433,5 @@
     )
 
 
-def _describe_evacuations(response: dict[str, typing.Any]) -> str:
-    reasons = {item["domain"]: item["reason"] for item in response["items"]}
-    rows = [
-        (name, "evacuated" if name in reasons else "", reasons.get(name, ""))
-        for name in sorted({*response["domains"], *reasons})
-    ]
-    return display.build_table(["failure domain", "state", "reason"], rows)
-
-
-def _describe_drains(response: dict[str, typing.Any]) -> str:
-    rows = [(item["vm"], item["reason"]) for item in response["items"]]
-    return display.build_table(["VM", "reason"], rows)
-
-
-def _print_response(
-    context: calls.Context, response: dict[str, typing.Any], render: Render
-) -> None:
-    if context.output == "json":
-        _print_json(response)
-    else:
-        click.echo(render(response))
-
-
-def _print_json(value: typing.Any) -> None:
-    encoded = msgspec.json.encode(value)
-    click.echo(msgspec.json.format(encoded, indent=2).decode())
-
-
 if __name__ == "__main__":
     main()
