--- a/arbutuscove/admission/queue.py
+++ b/arbutuscove/admission/queue.py
@@ -603,9 +603,9 @@
 ) -> datetime.timedelta:
     """Returns the last time at which a start is of use to the caller."""
     latest = _compute_deadline_start(rank_queue, work)
-    return (
-        latest if work.latest_start is None else min(latest, work.latest_start)
-    )
+    if work.latest_start is None:
+        return latest
+    return min(latest, work.latest_start)
 
 
 def _compute_deadline_start(
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -1699,4 +1699,28 @@
         test="platform/tests/test_servers.py::"
         "test_answer_of_a_peer_is_no_word_of_a_reader",
     ),
+    Mutation(
+        promise="a stream is refused before its caller gives it up",
+        path="relay/works.py",
+        old="            latest_start=latest_start,\n",
+        new="",
+        test="relay/tests/test_waiting.py::"
+        "test_stream_is_refused_before_its_caller_gives_it_up",
+    ),
+    Mutation(
+        promise="work whose caller has given up is not dispatched",
+        path="admission/queue.py",
+        old="    if work.latest_start is None:\n",
+        new="    if True:\n",
+        test="admission/tests/test_queue.py::"
+        "test_queue_refuses_what_its_caller_gives_up",
+    ),
+    Mutation(
+        promise="callers of a stream wait as long as the protocol says",
+        path="platform/configuration.py",
+        old="        MIN_STREAM_SILENCE,\n",
+        new="",
+        test="platform/tests/test_configuration.py::"
+        "test_configuration_tells_when_callers_give_a_stream_up",
+    ),
 )
