Let connections without progress give way, also within a body

Cause: a connection whose head had arrived kept its place until its request ended or body_timeout (20 s) was over. Bodies of a byte a second took all places of an address or of the daemon, and ordinary callers beside them got 503, too_many_connections.

Change: entry/places decides on all places, pure, with the clock passed in. The connection that has gone longest without a whole request or 16 KiB of a body gives way, after 250 ms at least; within a body it is refused first (503, not run). A whole request never gives way. Refused connections that linger are an eighth of the places at most, as they take descriptors beside them. connections.MIN_HEAD_TIME is places.MIN_TIME now; the tests that read it do so there, unchanged otherwise.

--- a/arbutuscove/entry/bodies.py
+++ b/arbutuscove/entry/bodies.py
@@ -9,6 +9,7 @@
 
 from arbutuscove.admission import work as work_module
 from arbutuscove.entry import memory
+from arbutuscove.entry import places
 from arbutuscove.entry import refusals
 from arbutuscove.entry import sockets
 from arbutuscove.kernel import clock as clock_module
@@ -111,7 +112,7 @@
     """A request body with a read deadline, left unread if it is refused.
 
     Its bytes are reserved in the budget of the server, and given back when the
-    request has ended.
+    request has ended. Until it is complete, its connection may lose its place.
     """
 
     def __init__(
@@ -120,7 +121,9 @@
         stream: typing.Any,
         chunked: bool,
         budget: memory.ByteBudget | None = None,
+        place: places.Place | None = None,
     ) -> None:
+        self._place = place
         self._chunks = _ChunkReader(stream)
         super().__init__(
             self._chunks if chunked else stream,
@@ -158,8 +161,8 @@
         try:
             with gevent.Timeout(remaining, timeout_error):
                 self._read_pieces(length)
-            if self._reservation is not None and not self.has_unread_bytes():
-                self._reservation.complete()
+            if not self.has_unread_bytes():
+                self._complete()
             return b"".join(self._arriving)
         finally:
             self._arriving.clear()
@@ -203,6 +206,12 @@
         if self._reservation is not None:
             self._reservation.release()
 
+    def _complete(self) -> None:
+        if self._reservation is not None:
+            self._reservation.complete()
+        if self._place is not None:
+            self._place.complete()
+
     def _give_way(self) -> None:
         """Frees the bytes of an incomplete body, and ends its read."""
         self._arriving.clear()
@@ -226,14 +235,14 @@
                 piece = bytes(super().read(wanted))
             except (OSError, ValueError) as error:
                 # The read ends like this, too, if the body has given way.
-                self._confirm_reservation()
+                self._confirm(0)
                 if _is_malformed(error):
                     self._handler.close_connection = True
                     raise refusals.BadRequestError(
                         400, "invalid_request", "the chunks are malformed"
                     ) from error
                 raise
-            self._confirm_reservation()
+            self._confirm(len(piece))
             self._append(piece)
             if not piece or len(piece) < wanted:
                 return
@@ -266,12 +275,16 @@
             self.release()
             raise _build_memory_error(str(error)) from error
 
-    def _confirm_reservation(self) -> None:
+    def _confirm(self, size: int) -> None:
         """Records the arrival of the bytes that were reserved last.
 
         Raises:
-            BadRequestError: the body has given way.
+            BadRequestError: the body or its connection has given way.
         """
+        if self._place is not None:
+            if self._place.is_lost:
+                raise _build_place_error()
+            self._place.record_bytes(size)
         if self._reservation is None:
             return
         if self._reservation.is_revoked:
@@ -292,7 +305,11 @@
         self.release()
         if self.has_unread_bytes():
             self._handler.close_connection = True
-            sockets.linger(self._handler.socket, is_shutdown_needed=False)
+            sockets.linger(
+                self._handler.socket,
+                is_shutdown_needed=False,
+                is_over=lambda: self._place is not None and self._place.is_lost,
+            )
 
 
 def _is_malformed(error: Exception) -> bool:
@@ -305,3 +322,12 @@
 
 def _build_memory_error(message: str) -> refusals.BadRequestError:
     return refusals.BadRequestError(503, "memory_full", message, RETRY_AFTER)
+
+
+def _build_place_error() -> refusals.BadRequestError:
+    return refusals.BadRequestError(
+        503,
+        "too_many_connections",
+        "the connection gave way to others",
+        RETRY_AFTER,
+    )
--- a/arbutuscove/entry/connections.py
+++ b/arbutuscove/entry/connections.py
@@ -6,7 +6,6 @@
 reason code. Exceeding a limit ends only the connection that exceeded it.
 """
 
-import collections
 import dataclasses
 import datetime
 import errno
@@ -23,6 +22,7 @@
 from arbutuscove.admission import work as work_module
 from arbutuscove.entry import bodies
 from arbutuscove.entry import memory
+from arbutuscove.entry import places
 from arbutuscove.entry import refusals
 from arbutuscove.entry import sockets
 from arbutuscove.kernel import clock as clock_module
@@ -34,7 +34,10 @@
 RETRY_AFTER = datetime.timedelta(seconds=2)
 # Keep-alive probes of an idle connection within `Bounds.loss_timeout`.
 KEEP_ALIVE_PROBES = 4
-MAX_LINGERING = 256  # concurrently lingering refused connections
+# Refused connections that stay open so that their clients read the refusal, at
+# most, and as a part of those that are served: each takes a descriptor.
+MAX_LINGERING = 256
+LINGERING_SHARE = 0.125
 # A quarter of all, so that one client host cannot lock out the others.
 MAX_CONNECTIONS_PER_ADDRESS = memory.MAX_CONNECTIONS // 4
 # Part of the connections that one address may open where they are few. Callers
@@ -45,9 +48,6 @@
 # Of callers' sockets; the kernel doubles them. They bound the bytes that have
 # arrived and are not yet read, and those that a caller has not yet taken.
 SOCKET_BUFFER_BYTES = 65536
-# A connection has at least this long to send a head before it makes room for
-# another one.
-MIN_HEAD_TIME = datetime.timedelta(milliseconds=250)
 PRESENCE_KEY = "arbutuscove.presence"  # key in the WSGI environment
 TRANSFER_ENCODINGS = ("", "chunked")
 
@@ -184,12 +184,14 @@
         The headers have arrived completely when pywsgi calls this.
         """
         self._head_timer.close()
-        self.server.record_head(self.socket)
+        place = self.server.get_place(self.socket)
         environ: dict[str, typing.Any] = super().get_environ()
         is_chunked = self.headers.get("Transfer-Encoding", "") != ""
         self.wsgi_input = bodies.RequestBody(
-            self, self.rfile, is_chunked, self.server.budget
+            self, self.rfile, is_chunked, self.server.budget, place
         )
+        if place is not None and not self.wsgi_input.has_unread_bytes():
+            place.complete()
         environ["wsgi.input"] = self.wsgi_input
         environ["wsgi.input_terminated"] = True
         environ[PRESENCE_KEY] = presence.SocketPresence(self.socket)
@@ -236,7 +238,8 @@
         ) from error
 
     def _refuse(self, error: refusals.BadRequestError) -> None:
-        if self.server.is_evicted(self.socket):
+        place = self.server.get_place(self.socket)
+        if place is not None and place.is_lost:
             return
         self.server.count(error.refusal.code)
         _send_refusal(self.socket, error.refusal)
@@ -280,16 +283,19 @@
         self.bounds = bounds
         self.count = count
         self.budget = budget
-        self._open_by_address: collections.Counter[str] = collections.Counter()
+        self._places = places.Places(
+            bounds.max_connections,
+            bounds.max_connections_per_address,
+            clock_module.SystemClock(),
+        )
+        self._places_by_socket: dict[typing.Any, places.Place] = {}
         self._lingering = 0
+        self._max_lingering = min(
+            MAX_LINGERING,
+            max(1, int(bounds.max_connections * LINGERING_SHARE)),
+        )
         self.is_closing = False
         self._idle: set[typing.Any] = set()  # sockets
-        self._hosts: dict[typing.Any, str] = {}  # by socket
-        # Connections without a whole head of a request, by socket, with the
-        # time since when; the one that has waited longest comes first.
-        self._headless: dict[typing.Any, datetime.timedelta] = {}
-        self._evicted: set[typing.Any] = set()  # sockets
-        self._clock = clock_module.SystemClock()
 
     def init_socket(self) -> None:
         """Opens the listening socket; connections inherit its options."""
@@ -301,75 +307,31 @@
 
     def handle(self, sock: typing.Any, address: typing.Any) -> None:
         """Serves a connection, or refuses it if too many are open."""
-        host = address[0]
-        if not self._make_room(host):
+        try:
+            place = self._places.open(address[0], lambda: self._evict(sock))
+        except places.NoPlaceError:
             self._refuse_connection(sock)
             return
         # Without this the second small write of a response waits up to 40 ms
         # for the client's delayed acknowledgement of the first.
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         _limit_silence(sock, self.bounds.loss_timeout)
-        self._open_by_address[host] += 1
-        self._hosts[sock] = host
-        self._headless[sock] = self._clock.monotonic()
+        self._places_by_socket[sock] = place
         try:
             super().handle(sock, address)
         finally:
-            del self._hosts[sock]
-            self._headless.pop(sock, None)
-            if sock in self._evicted:
-                self._evicted.discard(sock)
-            else:
-                self._forget(host)
-
-    def record_head(self, sock: typing.Any) -> None:
-        """Records that the head of a request has arrived completely."""
-        self._headless.pop(sock, None)
-
-    def is_evicted(self, sock: typing.Any) -> bool:
-        """Returns whether a connection was closed to make room for others."""
-        return sock in self._evicted
-
-    def _make_room(self, host: str) -> bool:
-        """Returns whether a connection of a host may be opened.
-
-        If too many are open, the one that has waited longest for a whole head
-        is closed.
-        """
-        bounds, opened = self.bounds, self._open_by_address
-        if opened[host] >= bounds.max_connections_per_address:
-            return self._evict(host)
-        if opened.total() >= bounds.max_connections:
-            return self._evict(None)
-        return True
+            del self._places_by_socket[sock]
+            place.leave()
 
-    def _evict(self, host: str | None) -> bool:
-        """Closes a connection without a whole head; returns if there is one.
+    def get_place(self, sock: typing.Any) -> places.Place | None:
+        """Returns the place of a connection."""
+        return self._places_by_socket.get(sock)
 
-        Args:
-            host: the host whose connection is closed; None for any.
-        """
-        for sock, since in self._headless.items():
-            if self._clock.monotonic() - since < MIN_HEAD_TIME:
-                return False
-            if host in (None, self._hosts[sock]):
-                break
-        else:
-            return False
+    def _evict(self, sock: typing.Any) -> None:
+        """Ends the wait of a handler, which closes its connection."""
         self.count("connection_evicted")
-        owner = self._hosts[sock]
-        del self._headless[sock]
         self._idle.discard(sock)
-        self._evicted.add(sock)
-        self._forget(owner)
-        # Ends the wait of the handler, which closes the connection.
         sockets.stop_reading(sock)
-        return True
-
-    def _forget(self, host: str) -> None:
-        self._open_by_address[host] -= 1
-        if not self._open_by_address[host]:
-            del self._open_by_address[host]
 
     def close(self) -> None:
         """Stops accepting and closes idle connections.
@@ -395,11 +357,12 @@
         Returns:
             Whether a request begins.
         """
+        place = self.get_place(sock)
+        if place is not None:
+            if place.is_lost:
+                return False
+            place.begin()
         self._idle.add(sock)
-        if sock in self._hosts and sock not in self._evicted:
-            # Moved to the end: it has just been served.
-            self._headless.pop(sock, None)
-            self._headless[sock] = self._clock.monotonic()
         try:
             # A request that begins after its connection was closed is not read.
             return bool(stream.peek(1)) and sock in self._idle
@@ -415,7 +378,7 @@
             retry_after=RETRY_AFTER,
         )
         try:
-            if self._lingering < MAX_LINGERING:
+            if self._lingering < self._max_lingering:
                 self._lingering += 1
                 _send_refusal(sock, refusal)
                 self._lingering -= 1
--- a/arbutuscove/entry/reasons.py
+++ b/arbutuscove/entry/reasons.py
@@ -70,7 +70,7 @@
     ),
     Reason(
         code="connection_evicted",
-        meaning="The connection sent no whole head while others needed room.",
+        meaning="The connection sent no whole request; others needed room.",
         advice="Open a new one; only logs and metrics show this code.",
     ),
     Reason(
--- a/arbutuscove/entry/tests/test_body_budget.py
+++ b/arbutuscove/entry/tests/test_body_budget.py
@@ -11,6 +11,7 @@
 from arbutuscove.entry import bodies
 from arbutuscove.entry import connections
 from arbutuscove.entry import memory
+from arbutuscove.entry import places
 from arbutuscove.entry import refusals
 from arbutuscove.entry.tests import serving
 from arbutuscove.kernel import clock as clock_module
@@ -98,7 +99,7 @@
 def test_connection_without_a_head_makes_room(server):
     """Guards against idle connections that keep callers out."""
     clients = [server.connect() for _ in range(BOUNDS.max_connections)]
-    gevent.sleep(2 * connections.MIN_HEAD_TIME / datetime.timedelta(seconds=1))
+    gevent.sleep(2 * places.MIN_TIME / datetime.timedelta(seconds=1))
     assert b" 200 " in server.exchange(serving.build_request())
     assert serving.read_all(clients[0]) == b""
     clients[1].sendall(serving.build_request())
@@ -108,13 +109,34 @@
         client.close()
 
 
+def test_body_that_trickles_makes_room(server):
+    """Guards against bodies of a byte a second that keep callers out.
+
+    Their clients are told truthfully that the requests have not run.
+    """
+    clients = [server.connect() for _ in range(BOUNDS.max_connections)]
+    for client in clients:
+        client.sendall(serving.build_request()[:-10])
+    gevent.sleep(2 * places.MIN_TIME / datetime.timedelta(seconds=1))
+    for client in clients:
+        client.sendall(b" ")
+    assert b" 200 " in server.exchange(serving.build_request())
+    status, head, error = _read_refusal(serving.read_all(clients[0]))
+    assert (status, error["code"]) == (503, "too_many_connections")
+    assert error["run"] == "not_run"
+    assert b"\r\nConnection: close" in head
+    assert server.flow.run_count == 1
+    for client in clients:
+        client.close()
+
+
 def test_connection_within_a_request_does_not_make_room(server):
     """Guards against a request that is cut to let another one in."""
     server.flow.release = event.Event()
     clients = [server.connect() for _ in range(BOUNDS.max_connections)]
     for client in clients:
         client.sendall(serving.build_request(serving.build_body(stream=True)))
-    gevent.sleep(2 * connections.MIN_HEAD_TIME / datetime.timedelta(seconds=1))
+    gevent.sleep(2 * places.MIN_TIME / datetime.timedelta(seconds=1))
     response = server.exchange(serving.build_request())
     assert _read_refusal(response)[2]["code"] == "too_many_connections"
     server.flow.release.set()
--- a/arbutuscove/standins/tests/hostile.py
+++ b/arbutuscove/standins/tests/hostile.py
@@ -30,6 +30,8 @@
 MAX_DESCRIPTORS = 400
 CROWD = 40  # clients of a kind
 CONNECTION_CROWD = 480
+TRICKLE_CROWD = 300  # twice the connections that `MAX_DESCRIPTORS` leave
+TRICKLE_SECONDS = 1.0  # between two bytes
 MAX_BODY_BYTES = 4 << 20
 CHUNK_BYTES = 65536
 # A client whose bytes are not read for so long sends no more.
@@ -123,12 +125,93 @@
 ]
 
 
+def trickle_announced_body(head):
+    """Announces what is allowed, then sends a byte a second."""
+    yield _announce(head, MAX_BODY_BYTES) + bytes(1000)
+    while True:
+        gevent.sleep(TRICKLE_SECONDS)
+        yield b"x"
+
+
+def trickle_small_body(head):
+    """Announces a body of usual size, then sends a byte a second."""
+    yield _announce(head, 1000) + bytes(100)
+    while True:
+        gevent.sleep(TRICKLE_SECONDS)
+        yield b"x"
+
+
+def trickle_chunks(head):
+    """Sends a chunk of one byte a second."""
+    yield _begin_chunks(head)
+    while True:
+        gevent.sleep(TRICKLE_SECONDS)
+        yield _encode_chunk(b"x")
+
+
+def trickle_head(head):
+    """Sends a byte of a head a second."""
+    yield head + b"X-Padding: "
+    while True:
+        gevent.sleep(TRICKLE_SECONDS)
+        yield b"x"
+
+
+def stand_still_in_the_body(head):
+    """Sends half of a small body."""
+    yield _announce(head, 100) + bytes(50)
+
+
+def send_refused_body(head):
+    """Begins a body on a path that does not exist, then sends a byte a second.
+
+    It is refused unread.
+    """
+    _, _, fields = head.partition(b"\r\n")
+    yield _announce(b"POST /nowhere HTTP/1.1\r\n" + fields, 1000)
+    while True:
+        gevent.sleep(TRICKLE_SECONDS)
+        yield b"x"
+
+
+def ask_once_and_stay(head):
+    """Sends a whole request that is refused, and keeps its connection."""
+    _, _, fields = head.partition(b"\r\n")
+    yield b"GET /nowhere HTTP/1.1\r\n" + fields + b"\r\n"
+
+
+def send_nothing(_head):
+    """Only connects."""
+    yield b""
+
+
+TRICKLES = [
+    trickle_announced_body,
+    trickle_small_body,
+    trickle_chunks,
+    trickle_head,
+    stand_still_in_the_body,
+    send_refused_body,
+    ask_once_and_stay,
+    send_nothing,
+]
+
+
 class Crowd:
     """Connected clients; the connections stay open until `leave`."""
 
     def __init__(self, daemon):
         self._daemon = daemon
         self._sockets: list[typing.Any] = []
+        self._trickles: list[gevent.Greenlet] = []
+
+    def begin(self, kinds, seconds):
+        """Lets one client of each kind send until `leave`.
+
+        Returns after `seconds`.
+        """
+        self._trickles = [gevent.spawn(self._send, kind) for kind in kinds]
+        gevent.sleep(seconds)
 
     def send(self, kinds):
         """Sends the bytes of one client for each kind, all at once."""
@@ -164,6 +247,7 @@
 
     def leave(self):
         """Closes all connections."""
+        gevent.killall(self._trickles)
         for client in self._sockets:
             client.close()
         self._sockets.clear()
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -1529,6 +1529,32 @@
         new='        """Records that a body has arrived completely."""\n',
         test="entry/tests/test_memory.py::test_complete_body_does_not_give_way",
     ),
+    Mutation(
+        promise="a connection keeps its place only with progress",
+        path="entry/places.py",
+        old="        if self._new_bytes >= PROGRESS_BYTES:\n",
+        new="        if self._new_bytes:\n",
+        test="entry/tests/test_places.py::"
+        "test_connection_longest_without_progress_gives_way",
+    ),
+    Mutation(
+        promise="a complete request keeps its place",
+        path="entry/places.py",
+        old='        """Records that a request is complete."""\n'
+        "        self._incomplete.pop(place, None)\n",
+        new='        """Records that a request is complete."""\n',
+        test="entry/tests/test_places.py::"
+        "test_complete_requests_keep_their_places",
+    ),
+    Mutation(
+        promise="a body without progress gives its place to a caller",
+        path="entry/connections.py",
+        old="        if place is not None and not "
+        "self.wsgi_input.has_unread_bytes():\n",
+        new="        if place is not None:\n",
+        test="entry/tests/test_body_budget.py::"
+        "test_body_that_trickles_makes_room",
+    ),
     Mutation(
         promise="a finished request gives its memory back",
         path="entry/bodies.py",
