Judge silence only once it has lasted since the paths are back

Cause: as soon as a path led to a fabric domain again, silent VMs were judged by all of the time in which none did. A control round between the first and the last status that a daemon read then formed a sound replica anew, and the newer generation blamed the request that ran there.

--- a/arbutuscove/replicas/controller.py
+++ b/arbutuscove/replicas/controller.py
@@ -32,6 +32,7 @@
 from arbutuscove.replicas import model
 from arbutuscove.replicas import readiness
 from arbutuscove.replicas import serving
+from arbutuscove.replicas import silence
 from arbutuscove.replicas import trust
 from arbutuscove.replicas import worth
 from arbutuscove.storage import table as table_module
@@ -89,7 +90,7 @@
             may_judge: returns whether the silence of the VMs of a fabric
                 domain says something of them, not of this daemon's paths.
         """
-        self._may_judge = may_judge
+        self._judge = silence.Judge(may_judge)
         self._identity = identity
         self._table = table
         self._clock = clock
@@ -129,10 +130,10 @@
         """Runs one control round for a fabric domain.
 
         Repairs from reserved spares only while the table is unavailable.
-        Errors of the table are logged. Does nothing while no path leads to the
-        VMs from here: their replicas may serve at other daemons.
+        Errors of the table are logged. Does nothing while the silence of the
+        VMs says nothing of them: their replicas may serve at other daemons.
         """
-        if not self._may_judge(domain):
+        if not self._judge.may_judge(domain, self._clock.monotonic()):
             return
         if self._is_evacuated(domain):
             # Its replicas come back as they are.
--- a/arbutuscove/replicas/tests/test_own_paths.py
+++ b/arbutuscove/replicas/tests/test_own_paths.py
@@ -3,6 +3,7 @@
 from arbutuscove.replicas.tests import world as world_module
 
 SILENT_SECONDS = 60  # longer than a domain may be silent
+CUT_SECONDS = 12  # longer than a VM may be silent
 
 
 def _build_silent_world():
@@ -39,3 +40,41 @@
     assert {row.fabric_domain for row in world.rows()} != {
         rows[0].fabric_domain
     }
+
+
+def _play_return(seconds):
+    """Returns the rows before and after all paths to a domain fail and return.
+
+    Two of three VMs answer at once then, a member only after some seconds.
+
+    Args:
+        seconds: time after which the member answers.
+    """
+    service = world_module.build_service(replicas=1)
+    world = world_module.World({"a": 3}, [service])
+    world.advance(60)
+    rows = world.rows()
+    (daemon,) = world.daemons
+    daemon.engines.unreachable = set(world.fleet.vms)
+    daemon.unjudged = {"a"}
+    world.advance(CUT_SECONDS)
+    daemon.unjudged = set()
+    daemon.engines.unreachable = {rows[0].members[1].name}
+    world.advance(seconds)
+    daemon.engines.unreachable = set()
+    world.advance(60)
+    return rows, world.rows()
+
+
+def test_member_that_is_read_last_after_a_cut_keeps_its_place():
+    """Guards against replicas formed anew as not all members are read yet."""
+    before, after = _play_return(seconds=2)
+    assert len(before) == 1
+    assert after == before
+
+
+def test_member_that_stays_silent_after_a_cut_is_replaced():
+    """Guards against a cut that hides a lost member for good."""
+    before, after = _play_return(seconds=15)
+    assert after[0].generation == before[0].generation + 1
+    assert before[0].members[1] not in after[0].members
--- a/arbutuscove/standins/tests/test_daemon_cut.py
+++ b/arbutuscove/standins/tests/test_daemon_cut.py
@@ -21,6 +21,7 @@
 CUT_MODULE = "arbutuscove.standins.cut_daemon"
 LAYOUT = cluster_module.Layout(check_fencing=False)
 CUT_SECONDS = 6.0  # longer than a status stays valid
+READ_SECONDS = 1.5  # in which each VM is read, and three control rounds come
 HEADERS = {"Authorization": f"Bearer {demo.API_KEY}"}
 MODES = [
     cut_daemon.Mode.SILENT,
@@ -56,9 +57,10 @@
     scene_module.check_vms_exclusive(cut_scene.read_table_log())
 
 
-def _write_cut(scene, mode, daemons=(CUT,)):
+def _write_cut(scene, mode, daemons=(CUT,), names=None):
     addresses = scene.cluster.addresses
-    names = [vm.name for vm in scene.cluster.list_vms()] + ["plain-0"]
+    if names is None:
+        names = [vm.name for vm in scene.cluster.list_vms()] + ["plain-0"]
     ports = [storage_http.Address.parse(addresses[n]).port for n in names]
     cut = cut_daemon.Cut(mode=mode, ports=frozenset(ports))
     for number in daemons:
@@ -166,3 +168,21 @@
     scene.wait_until_serving()
     for number in ALL:
         assert scene.send(number, f"healed-{mode}-{number}").is_correct()
+
+
+def test_member_whose_path_returns_last_keeps_its_place(scene):
+    """Guards against a replica formed anew as not all members are read yet.
+
+    Each VM is read once a second, so that after a cut the first statuses are
+    new beside others that are as old as the cut.
+    """
+    rows = scene.read_replica_rows()
+    last = rows[0]["members"][-1]["name"]
+    _write_cut(scene, cut_daemon.Mode.SILENT, ALL)
+    gevent.sleep(2 * CUT_SECONDS)
+    _write_cut(scene, cut_daemon.Mode.SILENT, ALL, names=[last])
+    gevent.sleep(READ_SECONDS)
+    _write_cut(scene, cut_daemon.Mode.NONE, ALL)
+    scene.wait_until_serving()
+    assert scene.read_replica_rows() == rows
+    assert _list_blamed(scene) == []
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -900,6 +900,14 @@
         test="crashes/tests/test_evidence.py::"
         "test_evidence_convicts_the_part_and_not_its_companions",
     ),
+    Mutation(
+        promise="silence from before the paths returned replaces no member",
+        path="replicas/silence.py",
+        old="if now - unjudged_at < formation.UNRESPONSIVE_AFTER:",
+        new="if False:",
+        test="replicas/tests/test_own_paths.py::"
+        "test_member_that_is_read_last_after_a_cut_keeps_its_place",
+    ),
     Mutation(
         promise="sends before the news that a VM became cold use the turns",
         path="balancing/cold.py",
