Let plain services of arbutuscoved obey evacuations

`arbutuscove domains evacuate` had no effect on plain services, as their addresses had no failure domain. An operator now names the domains of the addresses (`plain.failure_domains`, optional, one for each address); an address of a listed VM has that VM's domain. Addresses in an evacuated domain are left out of each attempt and checked once more when the connection is open. If none is left, the call is refused at once: 503 `evacuated`, not run, with a time to come back. Services without these names are served as before.

Not shown with real processes.

--- a/arbutuscove/config/model.py
+++ b/arbutuscove/config/model.py
@@ -62,10 +62,25 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PlainBackend:
-    """A service beside the engines; `host:port` addresses."""
+    """A service beside the engines; `host:port` addresses.
+
+    `failure_domains` are those of the addresses, in the same order; empty if
+    they are not known. An address beyond the last of them, or with an empty
+    name, belongs to none.
+    """
 
     addresses: tuple[str, ...]
     repeatable_methods: tuple[str, ...] = ("GET", "HEAD")
+    failure_domains: tuple[str, ...] = ()
+
+    def get_failure_domain(self, address: str) -> str:
+        """Returns the failure domain of an address, empty if none is known."""
+        for known, domain in zip(
+            self.addresses, self.failure_domains, strict=False
+        ):
+            if known == address:
+                return domain
+        return ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -195,6 +195,10 @@
             limits,
             retry_budget,
             paths.upstreams,
+            lambda address, domain: (
+                board.is_domain_evacuated(domain)
+                or board.is_address_evacuated(address)
+            ),
         ),
         lambda: _list_entries(membership),
         metrics,
--- a/arbutuscove/entry/plain.py
+++ b/arbutuscove/entry/plain.py
@@ -2,8 +2,10 @@
 
 import dataclasses
 import datetime
+import functools
 import random
 import uuid
+from collections import abc
 
 import msgspec
 from werkzeug import wrappers
@@ -42,6 +44,8 @@
         limits: token budgets.
         budget: retry budget.
         paths: opens connections to upstreams; None opens direct ones.
+        is_evacuated: whether nothing may be sent to an address in a failure
+            domain, which is empty if it is not known.
     """
 
     def __init__(
@@ -52,8 +56,12 @@
         limits: limits_module.Limits,
         budget: attempts_module.RetryBudget,
         paths: paths_module.Paths | None = None,
+        is_evacuated: abc.Callable[[str, str], bool] = (
+            lambda address, domain: False
+        ),
     ) -> None:
         self._paths = paths
+        self._is_evacuated = is_evacuated
         self._once = once
         self._random = generator
         self._clock = clock
@@ -204,10 +212,15 @@
         addresses = self._order_addresses(backend)
         attempts = attempts_module.Attempts()
         while True:
-            address = addresses[attempts.count % len(addresses)]
+            address = self._pick_address(backend, addresses, attempts)
             remaining = work.deadline - self._clock.monotonic()
             result = plain_upstream.send_call(
-                address, call, remaining, self._paths, answer_memory.reserve
+                address,
+                call,
+                remaining,
+                self._paths,
+                answer_memory.reserve,
+                functools.partial(self._is_withheld, backend, address),
             )
             if result.is_ok():
                 self._cooldown_until.pop(address, None)
@@ -235,6 +248,41 @@
                 attempts_module.draw_backoff(attempts.count, self._random)
             )
 
+    def _pick_address(
+        self,
+        backend: config_model.PlainBackend,
+        addresses: list[str],
+        attempts: attempts_module.Attempts,
+    ) -> str:
+        """Returns the address of the next attempt.
+
+        Raises:
+            RequestFailedError: all addresses are in evacuated domains.
+        """
+        usable = [
+            address
+            for address in addresses
+            if not self._is_withheld(backend, address)
+        ]
+        if not usable:
+            raise failures.RequestFailedError(
+                work_module.Refusal(
+                    status=503,
+                    code="evacuated",
+                    message="all upstreams are in evacuated failure domains",
+                    retry_after=RETRY_AFTER,
+                ),
+                attempts.run,
+            )
+        return usable[attempts.count % len(usable)]
+
+    def _is_withheld(
+        self, backend: config_model.PlainBackend, address: str
+    ) -> bool:
+        """Returns whether nothing may be sent to an address."""
+        domain = backend.get_failure_domain(address)
+        return self._is_evacuated(address, domain)
+
     def _order_addresses(self, backend: config_model.PlainBackend) -> list[str]:
         """Returns the addresses in random order, recently failed ones last.
 
--- a/arbutuscove/entry/reasons.py
+++ b/arbutuscove/entry/reasons.py
@@ -88,6 +88,11 @@
         meaning="A request with this id is waiting already; not run.",
         advice="Send each request under an id of its own.",
     ),
+    Reason(
+        code="evacuated",
+        meaning="All addresses of the service are in evacuated domains.",
+        advice="Come back after Retry-After.",
+    ),
     Reason(
         code="headers_timeout",
         meaning="The headers did not arrive in time.",
--- a/arbutuscove/entry/tests/test_plain.py
+++ b/arbutuscove/entry/tests/test_plain.py
@@ -46,24 +46,80 @@
         self._server.stop()
 
 
-def _send(addresses, repeatable, handler=None, seconds=5):
+def _send(addresses, repeatable, handler=None, seconds=5, domains=()):
     handler = handler or _build_handler()
     fleet = fleet_module.Fleet()
     work = fleet_module.build_request(fleet, seconds=seconds).work
-    backend = model.PlainBackend(addresses=tuple(addresses))
+    backend = model.PlainBackend(
+        addresses=tuple(addresses), failure_domains=tuple(domains)
+    )
     return handler._send(backend, CALL, work, repeatable)
 
 
-def _build_handler():
+def _build_handler(**options):
     return plain.PlainHandler(
         None,
         random.Random(1),
         clock_module.ManualClock(),
         fleet_module.Limits(),
         attempts.RetryBudget(),
+        **options,
     )
 
 
+class _Evacuations:
+    """Evacuated failure domains, some of them from the nth look on."""
+
+    def __init__(self, *domains, after=0):
+        self._domains = domains
+        self._looks = -after
+
+    def is_evacuated(self, address, domain):
+        self._looks += 1
+        return self._looks > 0 and domain in self._domains
+
+
+def test_plain_call_is_not_sent_to_an_evacuated_domain():
+    """Guards against calls that an operator has asked to keep away."""
+    evacuated, good = _Server(WHOLE), _Server(WHOLE)
+    handler = _build_handler(is_evacuated=_Evacuations("a").is_evacuated)
+    addresses = [evacuated.address, good.address]
+    for _ in range(20):
+        _send(addresses, False, handler, domains=("a", "b"))
+    assert (evacuated.calls, good.calls) == (0, 20)
+    for domains in ((), ("",), ("b",)):
+        _send([evacuated.address], False, handler, domains=domains)
+    assert evacuated.calls == 3
+    evacuated.stop()
+    good.stop()
+
+
+def test_plain_call_is_refused_if_all_its_domains_are_evacuated():
+    """Guards against callers that wait until their deadline."""
+    server = _Server(WHOLE)
+    handler = _build_handler(is_evacuated=_Evacuations("a").is_evacuated)
+    with pytest.raises(failures.RequestFailedError) as caught:
+        _send([server.address], True, handler, domains=("a",))
+    server.stop()
+    refusal = caught.value.refusal
+    assert (refusal.status, refusal.code) == (503, "evacuated")
+    assert caught.value.run == failures.RunStatus.NOT_RUN
+    assert refusal.retry_after == plain.RETRY_AFTER
+    assert not server.calls
+
+
+def test_plain_call_is_not_sent_if_the_evacuation_begins_meanwhile():
+    """Guards against a call that is sent once its connection is open."""
+    server = _Server(WHOLE)
+    after_choice = _Evacuations("a", after=1)
+    handler = _build_handler(is_evacuated=after_choice.is_evacuated)
+    with pytest.raises(failures.RequestFailedError) as caught:
+        _send([server.address], False, handler, domains=("a",))
+    server.stop()
+    assert caught.value.run == failures.RunStatus.NOT_RUN
+    assert not server.calls
+
+
 @pytest.mark.parametrize(("repeatable", "calls"), [(False, 1), (True, 3)])
 def test_plain_lost_call_is_sent_again_only_if_repeatable(repeatable, calls):
     """A non-repeatable call whose answer was lost must not run again."""
--- a/arbutuscove/questionnaire/answers.py
+++ b/arbutuscove/questionnaire/answers.py
@@ -64,10 +64,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Plain:
-    """A plain service; methods that are safe to repeat."""
+    """A plain service; methods that are safe to repeat.
+
+    The failure domains are those of the addresses, in the same order.
+    """
 
     addresses: tuple[str, ...]
     repeatable_methods: tuple[str, ...] = ("GET", "HEAD")
+    failure_domains: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/arbutuscove/questionnaire/checks.py
+++ b/arbutuscove/questionnaire/checks.py
@@ -55,9 +55,24 @@
     faults += _check_callers(answers.callers)
     if answers.model is not None:
         faults += _check_model(answers.model, answers.approval)
+    if answers.plain is not None:
+        faults += _check_plain(answers.plain)
     return faults
 
 
+def _check_plain(plain: answers_module.Plain) -> list[Fault]:
+    domains = len(plain.failure_domains)
+    if domains in (0, len(plain.addresses)):
+        return []
+    return [
+        Fault(
+            answer="plain.failure_domains",
+            problem=f"{domains} names for {len(plain.addresses)} addresses; "
+            "name one for each address, or none",
+        )
+    ]
+
+
 def _check_work(work: tuple[answers_module.Work, ...]) -> list[Fault]:
     if not work:
         return [Fault(answer="work", problem="name at least one kind of work")]
--- a/arbutuscove/questionnaire/generation.py
+++ b/arbutuscove/questionnaire/generation.py
@@ -109,6 +109,7 @@
     return model.PlainBackend(
         addresses=answer.addresses,
         repeatable_methods=answer.repeatable_methods,
+        failure_domains=answer.failure_domains,
     )
 
 
--- a/arbutuscove/questionnaire/interview.py
+++ b/arbutuscove/questionnaire/interview.py
@@ -40,6 +40,7 @@
     "keep_free_percent": "Percent of each replica that other work leaves free",
     "addresses": "Addresses, separated by commas",
     "repeatable_methods": "HTTP methods that may be repeated",
+    "failure_domains": "Failure domain of each address (none: unknown)",
     "accelerators": "Accelerators approved",
     "tokens_per_day": "Generated tokens a day (0: no limit)",
     "price_per_accelerator_hour": "Price of one accelerator for one hour",
--- a/arbutuscove/questionnaire/tests/test_questionnaire.py
+++ b/arbutuscove/questionnaire/tests/test_questionnaire.py
@@ -46,6 +46,27 @@
     }
 
 
+def test_plain_service_names_a_failure_domain_for_each_address_or_none():
+    """Guards against an address that is not evacuated with its domain."""
+    answers = answers_module.read_answers(EXAMPLES / "demo-plain.yaml")
+
+    def find_faults(*domains):
+        plain = answers_module.Plain(
+            addresses=("h:1", "h:2"), failure_domains=domains
+        )
+        faults = checks.find_faults(dataclasses.replace(answers, plain=plain))
+        return [fault.answer for fault in faults]
+
+    assert find_faults() == find_faults("a", "b") == []
+    assert find_faults("a") == ["plain.failure_domains"]
+    plain = answers_module.Plain(
+        addresses=("h:1", "h:2"), failure_domains=("a", "b")
+    )
+    service = generation.generate(dataclasses.replace(answers, plain=plain))
+    domains = map(service.plain.get_failure_domain, ("h:1", "h:2", "h:3"))
+    assert list(domains) == ["a", "b", ""]
+
+
 def test_questionnaire_traces_every_setting():
     """A generated value without an origin cannot be reviewed."""
     answers = answers_module.read_answers(EXAMPLES / "siam.yaml")
--- a/arbutuscove/replicas/board.py
+++ b/arbutuscove/replicas/board.py
@@ -95,6 +95,10 @@
         listed = self._vms.get(vm)
         return listed is not None and listed.failure_domain in self._evacuated
 
+    def is_domain_evacuated(self, domain: str) -> bool:
+        """Returns whether nothing may be sent to a failure domain."""
+        return domain in self._evacuated
+
     def is_address_evacuated(self, address: str) -> bool:
         """Returns whether no request may be sent to the VM at an address."""
         return bool(self._evacuated) and any(
--- a/arbutuscove/replicas/tests/test_evacuations.py
+++ b/arbutuscove/replicas/tests/test_evacuations.py
@@ -91,6 +91,10 @@
     world.advance(60)
     assert world.rows() == rows
     assert {replica.fabric_domain for replica in world.serving()} == {"b"}
+    near = {vm.failure_domain: vm for vm in daemon.board.get_vms().values()}
+    withheld = [name for name in near if daemon.board.is_domain_evacuated(name)]
+    assert withheld == ["a"]
+    assert daemon.board.is_address_evacuated(near["a"].address)
     evacuated.clear()
     world.advance(120)
     assert {replica.fabric_domain for replica in world.serving()} == {"a", "b"}
--- a/arbutuscove/upstreams/plain.py
+++ b/arbutuscove/upstreams/plain.py
@@ -54,6 +54,7 @@
     timeout: datetime.timedelta,
     paths: paths_module.Paths | None = None,
     reserve: abc.Callable[[int], None] = lambda size: None,
+    is_evacuated: abc.Callable[[], bool] = lambda: False,
 ) -> expression.Result[PlainAnswer, errors.UpstreamError]:
     """Sends a call once and waits for the complete answer.
 
@@ -64,6 +65,8 @@
             made; also limits the time to connect.
         paths: opens the connection; None opens it directly.
         reserve: called with a number of bytes before they are kept.
+        is_evacuated: whether nothing may be sent to the address; opening a
+            connection takes time.
 
     Returns:
         The answer, `NotDispatchedError` if nothing ran, or
@@ -80,6 +83,9 @@
         connection.sock = paths.open(parsed, connect_timeout)
     except storage_http.NotSentError as error:
         return expression.Error(errors.NotDispatchedError(str(error)))
+    if is_evacuated():
+        connection.close()
+        return expression.Error(errors.NotDispatchedError("evacuated"))
     # The timer limits the time to the complete answer; a socket timeout starts
     # again whenever bytes are received. The connection is not reused.
     timer = gevent.Timeout(timeout.total_seconds(), TimeoutError("deadline"))
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -1724,4 +1724,20 @@
         test="gossip/tests/test_order_exchange.py::"
         "test_agent_sends_no_order_of_an_earlier_holder",
     ),
+    Mutation(
+        promise="a plain call is not sent to an evacuated domain",
+        path="entry/plain.py",
+        old="            if not self._is_withheld(backend, address)",
+        new="            if True",
+        test="entry/tests/test_plain.py::"
+        "test_plain_call_is_refused_if_all_its_domains_are_evacuated",
+    ),
+    Mutation(
+        promise="a plain call is held back if an evacuation begins meanwhile",
+        path="upstreams/plain.py",
+        old="    if is_evacuated():",
+        new="    if False:",
+        test="entry/tests/test_plain.py::"
+        "test_plain_call_is_not_sent_if_the_evacuation_begins_meanwhile",
+    ),
 )
