--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -1757,4 +1757,45 @@
         test="platform/tests/test_configuration.py::"
         "test_configuration_tells_when_callers_give_a_stream_up",
     ),
+    Mutation(
+        promise="the holder sends few orders itself",
+        path="gossip/order_agents.py",
+        old="if self._own.try_acquire(1.0, OWN_ORDERS_PER_SECOND, now):",
+        new="if True:",
+        test="gossip/tests/test_order_exchange.py::"
+        "test_connections_of_the_holder_do_not_grow_with_the_fleet",
+    ),
+    Mutation(
+        promise="an order is not lost with the message that asks for it",
+        path="gossip/order_exchange.py",
+        old="        self._count(Sender.AGAIN)\n"
+        "        return self._client.send(order, fence, accepted)",
+        new="        return orders.Outcome.UNKNOWN",
+        test="gossip/tests/test_order_exchange.py::"
+        "test_agent_without_answer_costs_no_order",
+    ),
+    Mutation(
+        promise="an agent sends no order of an earlier holder",
+        path="gossip/order_exchange.py",
+        old="        if message.fence < self._highest_fence or self",
+        new="        if self",
+        test="gossip/tests/test_order_exchange.py::"
+        "test_agent_sends_no_order_of_an_earlier_holder",
+    ),
+    Mutation(
+        promise="a plain call is not sent to an evacuated domain",
+        path="entry/plain.py",
+        old="            if not self._is_withheld(backend, address)",
+        new="            if True",
+        test="entry/tests/test_plain.py::"
+        "test_plain_call_is_refused_if_all_its_domains_are_evacuated",
+    ),
+    Mutation(
+        promise="a plain call is held back if an evacuation begins meanwhile",
+        path="upstreams/plain.py",
+        old="    if is_evacuated():",
+        new="    if False:",
+        test="entry/tests/test_plain.py::"
+        "test_plain_call_is_not_sent_if_the_evacuation_begins_meanwhile",
+    ),
 )
