--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -554,7 +554,7 @@
     ),
     Mutation(
         promise="the daemon with the largest VM reads the list",
-        path="gossip/digest.py",
+        path="gossip/roles.py",
         old="rank = (-own.capacity, own.name)",
         new="rank = (0, own.name)",
         test="gossip/tests/test_digest.py::test_a_large_vm_reads_the_"
@@ -595,9 +595,9 @@
     ),
     Mutation(
         promise="an unresponsive VM does not delay the others",
-        path="fleet/controller.py",
-        old="gevent.joinall(jobs, timeout=PLAN_INTERVAL.total_seconds())",
-        new="gevent.joinall(jobs)",
+        path="fleet/sending.py",
+        old="self._idle.wait(timeout.total_seconds())",
+        new="self._idle.wait()",
         test="fleet/tests/test_controller.py::test_controller_goes_on"
         "_while_one_vm_does_not_answer",
     ),
@@ -1203,7 +1203,7 @@
         old="        left = context.compute_end(request) - "
         "context.clock.monotonic()\n"
         "        if left <= MIN_TIME_LEFT:\n"
-        '            raise NotRunError("no time is left")\n'
+        '            raise outcomes.NotRunError("no time is left")\n'
         "        self._check_still_usable(self.backend)\n",
         new="        self._check_still_usable(self.backend)\n",
         test="relay/tests/test_cut_off.py::"
