Share the places of connections among all addresses of a daemon

Cause: on the users' platform a daemon listens at up to three addresses, and each of them had all places that descriptors and memory allow. Three crowds take more descriptors than the process may have.

Change: one entry/places.Places for all addresses. Those for status requests have an eighth more, so that whole requests in all places do not make a daemon look dead.

--- a/arbutuscove/entry/connections.py
+++ b/arbutuscove/entry/connections.py
@@ -92,6 +92,15 @@
     )
 
 
+def create_places(bounds: Bounds) -> places.Places:
+    """Returns the places of a daemon's connections."""
+    return places.Places(
+        bounds.max_connections,
+        bounds.max_connections_per_address,
+        clock_module.SystemClock(),
+    )
+
+
 class _HeadReader:
     """Reads header lines up to a total number of bytes."""
 
@@ -256,6 +265,9 @@
             request head, and of each client that was lost or stalled while
             a response was sent.
         budget: memory for the bodies of requests; None for no bound.
+        shared_places: places that it shares with other servers of the daemon;
+            None for own ones, as `bounds` has them.
+        is_status: whether its connections may take the spare places.
 
     Attributes:
         is_closing: whether no more requests begin.
@@ -270,6 +282,8 @@
         bounds: Bounds,
         count: abc.Callable[[str], None],
         budget: memory.ByteBudget | None = None,
+        shared_places: places.Places | None = None,
+        is_status: bool = False,
     ) -> None:
         # Without these names the server looks up its host in the DNS.
         names = {"SERVER_NAME": listen.host, "SERVER_PORT": str(listen.port)}
@@ -283,11 +297,8 @@
         self.bounds = bounds
         self.count = count
         self.budget = budget
-        self._places = places.Places(
-            bounds.max_connections,
-            bounds.max_connections_per_address,
-            clock_module.SystemClock(),
-        )
+        self._places = shared_places or create_places(bounds)
+        self._is_status = is_status
         self._places_by_socket: dict[typing.Any, places.Place] = {}
         self._lingering = 0
         self._max_lingering = min(
@@ -308,7 +319,9 @@
     def handle(self, sock: typing.Any, address: typing.Any) -> None:
         """Serves a connection, or refuses it if too many are open."""
         try:
-            place = self._places.open(address[0], lambda: self._evict(sock))
+            place = self._places.open(
+                address[0], lambda: self._evict(sock), self._is_status
+            )
         except places.NoPlaceError:
             self._refuse_connection(sock)
             return
--- a/arbutuscove/entry/places.py
+++ b/arbutuscove/entry/places.py
@@ -17,6 +17,9 @@
 MIN_TIME = datetime.timedelta(milliseconds=250)
 # So many bytes of a body are progress; fewer are not, unless they complete it.
 PROGRESS_BYTES = 16384
+# Further places, as a part of all, so that whole requests in all places do not
+# make a daemon look dead.
+SPARE_SHARE = 0.125
 
 
 class NoPlaceError(Exception):
@@ -85,6 +88,7 @@
         self, limit: int, host_limit: int, clock: clock_module.Clock
     ) -> None:
         self._limit = limit
+        self._spare = max(1, int(limit * SPARE_SHARE))
         self._host_limit = host_limit
         self._clock = clock
         self._counts: collections.Counter[str] = collections.Counter()
@@ -92,19 +96,27 @@
         # earliest comes first.
         self._incomplete: dict[Place, datetime.timedelta] = {}
 
-    def open(self, host: str, give_way: abc.Callable[[], None]) -> Place:
+    def open(
+        self,
+        host: str,
+        give_way: abc.Callable[[], None],
+        is_status: bool = False,
+    ) -> Place:
         """Returns a place for a connection; another one may have to give way.
 
         Args:
             host: the address of the client.
             give_way: called once when the connection has to close.
+            is_status: whether it asks for the status of this daemon only, and
+                may take the spare places.
 
         Raises:
             NoPlaceError: no connection gives way.
         """
-        if self._counts[host] >= self._host_limit:
+        spare = self._spare if is_status else 0
+        if self._counts[host] >= self._host_limit + spare:
             self._find_idlest(host).lose()
-        elif self._counts.total() >= self._limit:
+        elif self._counts.total() >= self._limit + spare:
             self._find_idlest(None).lose()
         place = Place(self, host, give_way)
         self._counts[host] += 1
--- a/arbutuscove/entry/tests/test_places.py
+++ b/arbutuscove/entry/tests/test_places.py
@@ -25,9 +25,9 @@
 class Connection:
     """A connection with its place."""
 
-    def __init__(self, shared, host="a"):
+    def __init__(self, shared, host="a", is_status=False):
         self.given = 0
-        self.place = shared.open(host, self._give)
+        self.place = shared.open(host, self._give, is_status)
 
     def _give(self):
         self.given += 1
@@ -113,6 +113,22 @@
     assert [each.given for each in own] == [1, 0, 0]
 
 
+def test_status_has_spare_places(clock, shared):
+    """Guards against a daemon full of whole requests that looks dead.
+
+    The spare places are bounded, too.
+    """
+    for _ in range(LIMIT):
+        Connection(shared).place.complete()
+    clock.advance(TIME)
+    status = Connection(shared, is_status=True)
+    status.place.complete()
+    with pytest.raises(places.NoPlaceError):
+        Connection(shared, is_status=True)
+    with pytest.raises(places.NoPlaceError):
+        Connection(shared)
+
+
 @hypothesis.given(
     strategies.lists(
         strategies.tuples(
--- a/arbutuscove/platform/listener.py
+++ b/arbutuscove/platform/listener.py
@@ -9,7 +9,6 @@
 import enum
 import errno
 import http.client
-import re
 import typing
 import urllib.parse
 from collections import abc
@@ -27,6 +26,7 @@
 from arbutuscove.kernel import services
 from arbutuscove.kernel import shutdown as shutdown_module
 from arbutuscove.observe import metrics as metrics_module
+from arbutuscove.platform import fields as fields_module
 from arbutuscove.platform import headers
 from arbutuscove.platform import upstreams
 from arbutuscove.relay import blocking
@@ -48,12 +48,6 @@
 DRAIN_POLL_INTERVAL = datetime.timedelta(milliseconds=50)
 # Retry-After of a daemon that cannot serve yet.
 UNAVAILABLE_RETRY_AFTER = datetime.timedelta(milliseconds=100)
-# Further parts of a prompt are not tracked.
-MAX_PROMPT_PARTS = 128
-MAX_PART_ID_CHARS = 64
-# Larger values of callers are not used.
-MILLISECONDS = re.compile("[0-9]{1,13}")
-TOKENS = re.compile(" *[0-9]{1,9} *")
 JSON_TYPE = "application/json"
 DEFAULT_BOUNDS = connections.Bounds()
 FAULT_REFUSAL = model.Refusal(status=502, code="fault", not_run=False)
@@ -130,7 +124,11 @@
 
 
 class Listener(services.BaseService):
-    """Serves callers and the platform's status requests on one daemon."""
+    """Serves callers and the platform's status requests on one daemon.
+
+    The first of `addresses` is that for callers' requests. All share the places
+    of `bounds`.
+    """
 
     def __init__(
         self,
@@ -148,7 +146,7 @@
         budget: memory_module.ByteBudget | None = None,
     ) -> None:
         self._clock = clock
-        self._addresses = set(addresses)
+        self._addresses = tuple(dict.fromkeys(addresses))
         self._catalog = catalog
         self._flow = flow
         self._metrics = metrics
@@ -165,13 +163,16 @@
 
     def start(self, kernel: services.Kernel) -> None:
         """Starts to accept connections on all addresses."""
-        for address in self._addresses:
+        shared_places = connections.create_places(self._bounds)
+        for index, address in enumerate(self._addresses):
             server = _Server(
                 address,
                 self._serve,
                 self._bounds,
                 self._count_refusal,
                 self._budget,
+                shared_places,
+                is_status=index > 0,
             )
             server.start()
             self._servers.append(server)
@@ -377,7 +378,7 @@
         # The body may have taken a while.
         self._check_stop(head.deadline)
         headers_by_name, route = head.headers_by_name, head.route
-        prompt, answer = _parse_token_counts(headers_by_name)
+        prompt, answer = fields_module.parse_token_counts(headers_by_name)
         return model.Request(
             request_id=headers_by_name.get(headers.REQUEST_ID.lower(), ""),
             method=environ["REQUEST_METHOD"],
@@ -392,7 +393,7 @@
             prompt_tokens=prompt,
             answer_tokens=answer,
             last_event=headers_by_name.get(headers.LAST_EVENT_ID.lower(), ""),
-            prompt_parts=_parse_prompt_parts(headers_by_name),
+            prompt_parts=fields_module.parse_prompt_parts(headers_by_name),
         )
 
     def _check_head(
@@ -417,7 +418,7 @@
         if route is None:
             raise _Refused(404, "no_route")
         account = _find_account(catalog, route, headers_by_name)
-        deadline = now + _parse_timeout(headers_by_name, route)
+        deadline = now + fields_module.parse_timeout(headers_by_name, route)
         self._check_stop(deadline)
         return _Head(
             headers_by_name=headers_by_name,
@@ -499,37 +500,6 @@
     return account
 
 
-def _parse_timeout(
-    headers_by_name: dict[str, str], route: catalog_model.Route
-) -> datetime.timedelta:
-    """Returns the shorter of the time-outs of the caller and of the route."""
-    text = headers_by_name.get(headers.DEADLINE.lower(), "")
-    if not MILLISECONDS.fullmatch(text):
-        return route.timeout
-    return min(route.timeout, datetime.timedelta(milliseconds=int(text)))
-
-
-def _parse_token_counts(headers_by_name: dict[str, str]) -> tuple[int, int]:
-    """Returns prompt and maximum answer tokens, zeros if not stated."""
-    prompt, _, answer = headers_by_name.get(
-        headers.TOKEN_COUNTS.lower(), ""
-    ).partition(",")
-    if not (TOKENS.fullmatch(prompt) and TOKENS.fullmatch(answer)):
-        return 0, 0
-    return int(prompt), int(answer)
-
-
-def _parse_prompt_parts(headers_by_name: dict[str, str]) -> tuple[str, ...]:
-    """Returns the ids of all parts of the prompt but the last one."""
-    text = headers_by_name.get(headers.PROMPT_PREFIX.lower(), "")
-    parts = [entry.partition(":")[0].strip() for entry in text.split(",")]
-    return tuple(
-        part
-        for part in parts[:-1][:MAX_PROMPT_PARTS]
-        if 0 < len(part) <= MAX_PART_ID_CHARS
-    )
-
-
 def _format_status(status: int) -> str:
     return f"{status} {http.client.responses.get(status, 'Unknown')}"
 
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -1555,6 +1555,22 @@
         test="entry/tests/test_body_budget.py::"
         "test_body_that_trickles_makes_room",
     ),
+    Mutation(
+        promise="all addresses of a daemon share the places of connections",
+        path="platform/listener.py",
+        old="                shared_places,\n",
+        new="                None,\n",
+        test="platform/tests/test_shared_places.py::"
+        "test_addresses_share_the_places_of_connections",
+    ),
+    Mutation(
+        promise="a daemon full of whole requests still says that it is ready",
+        path="entry/places.py",
+        old="        spare = self._spare if is_status else 0\n",
+        new="        spare = 0\n",
+        test="platform/tests/test_shared_places.py::"
+        "test_addresses_share_the_places_of_connections",
+    ),
     Mutation(
         promise="a finished request gives its memory back",
         path="entry/bodies.py",
