Bound calls and messages of arbutuscoved's peers

Cause: the gRPC server of peers took any number of calls, whose requests wait for one of 16 greenlets, and messages up to gRPC's default of 4 MiB.

Change: grpcio's own options: 64 calls at once, 16 streams of a connection, requests of 1 MiB, 8 KiB of metadata; the client states 4 MiB for answers.

--- a/arbutuscove/peers/client.py
+++ b/arbutuscove/peers/client.py
@@ -13,6 +13,8 @@
 SERVICE_NAME = "peer-client"
 MAX_CHANNELS = 64  # the least recently used channel is closed
 KEEP_ALIVE_TIME_MS = 600_000
+# Of an answer, for example a whole configuration.
+MAX_ANSWER_BYTES = 4 << 20
 LOSS_TIMEOUT_MS = 2500  # as `transport.connection.TCP_USER_TIMEOUT_MS`
 CHANNEL_OPTIONS = [
     ("grpc.enable_retries", 0),
@@ -23,6 +25,7 @@
     # server rejects more than one in five minutes.
     ("grpc.keepalive_time_ms", KEEP_ALIVE_TIME_MS),
     ("grpc.keepalive_timeout_ms", LOSS_TIMEOUT_MS),
+    ("grpc.max_receive_message_length", MAX_ANSWER_BYTES),
 ]
 
 
--- a/arbutuscove/peers/server.py
+++ b/arbutuscove/peers/server.py
@@ -11,6 +11,14 @@
 
 SERVICE_NAME = "peer-server"
 MAX_WORKERS = 16  # greenlets; further calls wait for a free one
+# Running and waiting; further ones fail at once, as those to a peer that does
+# not answer. All daemons of the largest fleet call a peer a few times a second.
+MAX_CALLS = 64
+MAX_STREAMS = 16  # calls at once on the connection of one peer
+# Of a request. A probe carries six records and what is known of crashes, which
+# has at most 1,024 traits.
+MAX_REQUEST_BYTES = 1 << 20
+MAX_METADATA_BYTES = 8192
 # Pings on connections without calls, too: a peer that is lost makes none.
 KEEP_ALIVE_TIME_MS = 10_000
 LOSS_TIMEOUT_MS = 2500  # of a ping, and TCP_USER_TIMEOUT
@@ -20,6 +28,10 @@
     ("grpc.keepalive_timeout_ms", LOSS_TIMEOUT_MS),
     ("grpc.keepalive_permit_without_calls", 1),
     ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.max_receive_message_length", MAX_REQUEST_BYTES),
+    ("grpc.max_concurrent_streams", MAX_STREAMS),
+    ("grpc.max_metadata_size", MAX_METADATA_BYTES),
+    ("grpc.absolute_max_metadata_size", MAX_METADATA_BYTES),
 ]
 STOP_GRACE_SECONDS = 1.0  # for calls in progress
 
@@ -118,6 +130,7 @@
         self._server = grpc.server(
             futures.ThreadPoolExecutor(max_workers=MAX_WORKERS),
             options=SERVER_OPTIONS,
+            maximum_concurrent_rpcs=MAX_CALLS,
         )
         peer_pb2_grpc.add_PeerServicer_to_server(
             _Servicer(handler, statuses, rows), self._server
--- a/conftest.py
+++ b/conftest.py
@@ -23,6 +23,7 @@
 # the other, apart from all others.
 PROCESS_TESTS = (
     "arbutuscove/admin/tests/test_api.py",
+    "arbutuscove/peers/tests/test_bounds.py",
     "arbutuscove/peers/tests/test_silent_peer.py",
     "arbutuscove/platform/tests/test_signals.py",
     "arbutuscove/platform/tests/test_start.py",
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -1571,6 +1571,27 @@
         test="platform/tests/test_shared_places.py::"
         "test_addresses_share_the_places_of_connections",
     ),
+    Mutation(
+        promise="messages of peers are bounded",
+        path="peers/server.py",
+        old='    ("grpc.max_receive_message_length", MAX_REQUEST_BYTES),\n',
+        new="",
+        test="peers/tests/test_bounds.py::test_large_request_is_refused",
+    ),
+    Mutation(
+        promise="calls of peers are bounded",
+        path="peers/server.py",
+        old="            maximum_concurrent_rpcs=MAX_CALLS,\n",
+        new="",
+        test="peers/tests/test_bounds.py::test_calls_are_bounded",
+    ),
+    Mutation(
+        promise="one peer does not take the calls of all",
+        path="peers/server.py",
+        old='    ("grpc.max_concurrent_streams", MAX_STREAMS),\n',
+        new="",
+        test="peers/tests/test_bounds.py::test_calls_are_bounded",
+    ),
     Mutation(
         promise="a finished request gives its memory back",
         path="entry/bodies.py",
