--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -1563,6 +1563,43 @@
         test="entry/tests/test_body_budget.py::"
         "test_body_that_trickles_makes_room",
     ),
+    Mutation(
+        promise="all addresses of a daemon share the places of connections",
+        path="platform/listener.py",
+        old="                shared_places,\n",
+        new="                None,\n",
+        test="platform/tests/test_shared_places.py::"
+        "test_addresses_share_the_places_of_connections",
+    ),
+    Mutation(
+        promise="a daemon full of whole requests still says that it is ready",
+        path="entry/places.py",
+        old="        spare = self._spare if is_status else 0\n",
+        new="        spare = 0\n",
+        test="platform/tests/test_shared_places.py::"
+        "test_addresses_share_the_places_of_connections",
+    ),
+    Mutation(
+        promise="messages of peers are bounded",
+        path="peers/server.py",
+        old='    ("grpc.max_receive_message_length", MAX_REQUEST_BYTES),\n',
+        new="",
+        test="peers/tests/test_bounds.py::test_large_request_is_refused",
+    ),
+    Mutation(
+        promise="calls of peers are bounded",
+        path="peers/server.py",
+        old="            maximum_concurrent_rpcs=MAX_CALLS,\n",
+        new="",
+        test="peers/tests/test_bounds.py::test_calls_are_bounded",
+    ),
+    Mutation(
+        promise="one peer does not take the calls of all",
+        path="peers/server.py",
+        old='    ("grpc.max_concurrent_streams", MAX_STREAMS),\n',
+        new="",
+        test="peers/tests/test_bounds.py::test_calls_are_bounded",
+    ),
     Mutation(
         promise="a finished request gives its memory back",
         path="entry/bodies.py",
