Run no control round of a test daemon within another of its rounds

Rounds of the product do not overlap: one greenlet runs them, and LoopService begins no second one, also after a failure.

Change: the stand-in's daemon begins no round within a round; its reads and leases go on there. The second flush_journal of a round, which step called again, is gone.

--- a/arbutuscove/replicas/controller.py
+++ b/arbutuscove/replicas/controller.py
@@ -175,7 +175,6 @@
             or not self._config.is_loaded()
         ):
             return
-        self.flush_journal()
         for _ in range(MAX_DECISIONS_PER_STEP):
             rows = self._read_rows(fabric_domain)
             view = self._build_view(fabric_domain, rows)
--- a/arbutuscove/replicas/tests/test_fencing.py
+++ b/arbutuscove/replicas/tests/test_fencing.py
@@ -8,6 +8,7 @@
 
 import datetime
 
+import gevent
 import hypothesis
 import pytest
 from hypothesis import stateful
@@ -387,6 +388,56 @@
     assert len(world.serving(daemon=1)) == 1
 
 
+def test_round_within_a_round_is_not_run():
+    """Guards against a world in which a daemon has two control loops.
+
+    The other daemon sleeps inside a transaction, within a transaction of this
+    one that writes an audit entry of an outage.
+    """
+    service = world_module.build_service(replicas=1, spares_per_fabric_domain=1)
+    world = world_module.World({"a": 4}, [service])
+    world.advance(90)
+    (daemon,) = world.daemons
+    daemon.table.down = True
+    world.advance(10)
+    world.fleet.vms[world.rows()[0].members[1].name].up = False
+    world.advance(40)
+    daemon.table.down = False
+    daemon.observe()
+    daemon.table.before_transact = daemon.control
+    daemon.control()
+    scope = controller.DUTY_PREFIX + "a"
+    actions = [
+        item.entry.action
+        for item in trail.read_scope(world.table, scope, limit=99)
+    ]
+    assert actions.count("replica.repaired_from_plan") == 1
+
+
+def test_rounds_of_the_control_loop_follow_each_other():
+    """Guards against rounds that share a transaction of the journal."""
+    world = world_module.World({"a": 2, "b": 2}, [])
+    (daemon,) = world.daemons
+    daemon.observe()
+    running, seen = set(), []
+
+    def run_domain(domain):
+        seen.append((domain, frozenset(running)))
+        running.add(domain)
+        gevent.sleep(0)
+        running.remove(domain)
+        if len(seen) % 3 == 0:
+            raise ValueError("a round that fails")
+
+    daemon.controller.run_domain = run_domain
+    daemon.controller.start(None)
+    with gevent.Timeout(30):
+        while len(seen) < 8:
+            gevent.sleep(0.01)
+    daemon.controller.stop()
+    assert {before for _, before in seen} == {frozenset()}
+
+
 def test_order_in_flight_of_a_former_holder_is_refused():
     """A late order without its epoch would undo one of the next holder."""
     service = world_module.build_service(replicas=1)
--- a/arbutuscove/standins/fleet.py
+++ b/arbutuscove/standins/fleet.py
@@ -378,6 +378,7 @@
         fleet: Fleet,
     ) -> None:
         self.name = name
+        self._is_controlling = False
         self.unjudged: set[str] = set()
         self.table = DaemonTable(table)
         self.engines = Engines(fleet)
@@ -434,9 +435,19 @@
                 continue
 
     def control(self) -> None:
-        """Runs the controller once for each fabric domain."""
-        for domain in self.controller.list_domains():
-            self.controller.run_domain(domain)
+        """Runs the controller once for each fabric domain.
+
+        Does nothing within such a round: a daemon has one control loop, whose
+        rounds follow each other (see `ReplicaController.start`).
+        """
+        if self._is_controlling:
+            return
+        self._is_controlling = True
+        try:
+            for domain in self.controller.list_domains():
+                self.controller.run_domain(domain)
+        finally:
+            self._is_controlling = False
 
 
 def accept(
