Ask a VM that did not answer through a peer before it counts as ended

Cause: a head whose entry had lapsed and that was silent to the holder of the duty for a second counted as ended, though other daemons had requests there, and its members were ordered into another group (TWO). Detours go through a peer only if a direct connection is not accepted; here it is, and nothing comes back.

Change: paths/detours remembers VMs that did not answer on the direct path, and the next call to one goes through a peer; platform/engine asks it. A VM that does not answer there either is asked on both paths by turns.

--- a/arbutuscove/paths/detours.py
+++ b/arbutuscove/paths/detours.py
@@ -6,14 +6,20 @@
 tells. So one is tried for a domain whose upstreams accept no direct connection,
 at most once in `TRIAL_INTERVAL`. Once one succeeds, connections to the domain
 take the detour, except for one in `DIRECT_INTERVAL` that tries the direct path.
+
+A second load pattern: a single VM accepts direct connections, or something on
+the path does, and does not answer on them, while peers reach it. So the call
+after one that was not answered goes through a peer.
 """
 
+import collections
 import datetime
 
 TRIAL_INTERVAL = datetime.timedelta(milliseconds=500)
 DIRECT_INTERVAL = datetime.timedelta(seconds=2)
 # Names of domains come from entries. A full map is emptied.
 MAX_DOMAINS = 64
+MAX_SILENT_VMS = 4096  # the one that was silent first is dropped
 
 
 class Detours:
@@ -75,3 +81,43 @@
         """
         self._next_trial.pop(domain, None)
         return self._next_direct.pop(domain, None) is not None
+
+
+class SilentVms:
+    """The VMs to which the next calls go through peers, as direct ones failed.
+
+    Times are monotonic. A VM that does not answer through a peer either is
+    asked directly again, so that a dead one is asked on both paths by turns.
+    """
+
+    def __init__(self) -> None:
+        self._until: collections.OrderedDict[str, datetime.timedelta] = (
+            collections.OrderedDict()
+        )
+
+    def must_take_peer(self, vm: str, now: datetime.timedelta) -> bool:
+        """Returns whether the next call to a VM goes through a peer."""
+        until = self._until.get(vm)
+        return until is not None and now < until
+
+    def record_silence(
+        self, vm: str, is_direct: bool, now: datetime.timedelta
+    ) -> None:
+        """Records a call that was not answered.
+
+        Args:
+            vm: name of the VM.
+            is_direct: whether the call took the direct path.
+            now: monotonic time.
+        """
+        self._until.pop(vm, None)
+        if not is_direct:
+            return
+        self._until[vm] = now + DIRECT_INTERVAL
+        if len(self._until) > MAX_SILENT_VMS:
+            self._until.popitem(last=False)
+
+    def record_answer(self, vm: str, is_direct: bool) -> None:
+        """Records a call that was answered; see `record_silence`."""
+        if is_direct:
+            self._until.pop(vm, None)
--- a/arbutuscove/paths/tests/test_detours.py
+++ b/arbutuscove/paths/tests/test_detours.py
@@ -46,3 +46,16 @@
         state.begin(f"d{number}", SECOND)
     assert len(state._next_trial) <= detours.MAX_DOMAINS
     assert len(state._next_direct) <= detours.MAX_DOMAINS
+
+
+def test_number_of_silent_vms_is_bounded():
+    """Guards against memory that grows with the names in entries."""
+    silent = detours.SilentVms()
+    for number in range(detours.MAX_SILENT_VMS + 9):
+        silent.record_silence(f"vm-{number}", True, SECOND)
+    assert not silent.must_take_peer("vm-8", SECOND)
+    assert silent.must_take_peer("vm-9", SECOND)
+    silent.record_answer("vm-9", is_direct=False)
+    assert silent.must_take_peer("vm-9", SECOND)
+    silent.record_answer("vm-9", is_direct=True)
+    assert not silent.must_take_peer("vm-9", SECOND)
--- a/arbutuscove/platform/engine.py
+++ b/arbutuscove/platform/engine.py
@@ -120,6 +120,7 @@
         self._clock = clock
         self._record_notice = record_notice
         self._detours = detours.Detours()
+        self._silent = detours.SilentVms()
 
     def send(
         self, order: orders.Order, fence: int, accepted: int
@@ -215,6 +216,7 @@
         if body:
             fields.append(("Content-Type", "application/json"))
         client_connection = self._check_out(vm, timeout, max_idle_time)
+        is_direct = client_connection.carrier is None
         try:
             data = connection.encode_request(method, target, fields, body)
             client_connection.send(method, data)
@@ -230,9 +232,13 @@
             ):
                 # A late answer to an earlier request on this connection.
                 raise http.NoResponseError("received another request's answer")
-        except BaseException:
+        except BaseException as error:
             client_connection.close()
+            if isinstance(error, http.HttpError):
+                now = self._clock.monotonic()
+                self._silent.record_silence(vm.name, is_direct, now)
             raise
+        self._silent.record_answer(vm.name, is_direct)
         self._record_notice(vm, notices.decode(parser))
         self._connections.record_answer(vm.service, client_connection)
         self._connections.check_in(
@@ -253,13 +259,28 @@
             NotSentError: the VM accepted no connection.
         """
         started = self._clock.monotonic()
+        if self._silent.must_take_peer(vm.name, started):
+            try:
+                return self._connections.check_out_through_peer(
+                    vm.service,
+                    vm.address,
+                    vm.failure_domain,
+                    (1 - DIRECT_TIME_SHARE) * timeout,
+                    max_idle_time,
+                )
+            except http.RefusedError:
+                raise
+            except http.NotSentError:
+                # There may be no peer at all.
+                self._silent.record_silence(vm.name, False, started)
         is_direct = not self._detours.must_take(vm.failure_domain, started)
         if is_direct:
+            now = self._clock.monotonic()
             try:
                 opened = self._connections.check_out(
                     vm.service,
                     vm.address,
-                    DIRECT_TIME_SHARE * timeout,
+                    min(DIRECT_TIME_SHARE * timeout, started + timeout - now),
                     max_idle_time,
                     started + timeout,
                 )
--- a/arbutuscove/platform/tests/test_detours.py
+++ b/arbutuscove/platform/tests/test_detours.py
@@ -4,6 +4,7 @@
 its paths to the service count as sound.
 """
 
+import msgspec
 import pytest
 
 from arbutuscove.fleet.tests import test_planner
@@ -106,3 +107,91 @@
     scene.network.direct[scene.vms[0].address] = http.RefusedError
     assert scene.check_out(scene.vms[0]) is None
     assert not scene.network.count_tunnels()
+
+
+class _Answer:
+    """A complete report of a VM."""
+
+    def get_code(self):
+        return 200
+
+    def get_header(self, name):
+        return None
+
+    def is_complete(self):
+        return True
+
+    def pop_body(self):
+        return msgspec.json.encode({"sequence": 3, "born": 0, "models": []})
+
+
+class _SilentScene(_Scene):
+    """A daemon that a single VM accepts but does not answer.
+
+    Attributes:
+        reaching: hosts of the carriers on whose connections the VM answers.
+        has_direct_path: whether it answers on direct connections, too.
+    """
+
+    def __init__(self, peers, reaching):
+        super().__init__(peers)
+        self.network.direct.clear()
+        self.reaching = reaching
+        self.has_direct_path = False
+        open_connection = self.network._open
+
+        def open_with_answers(step, timeout, opened):
+            opened.send = lambda method, data: None
+            opened.receive = lambda left: self._receive(opened)
+            opened.has_been_closed_by_peer = False
+            return open_connection(step, timeout, opened)
+
+        self.network._open = open_with_answers
+        self.vm = self.vms[0]
+
+    def _receive(self, opened):
+        silent = opened.address == self.vm.address and (
+            not self.has_direct_path
+            if opened.carrier is None
+            else opened.carrier.host not in self.reaching
+        )
+        if silent:
+            self.daemon.clock.advance(engine.REPORT_TIMEOUT)
+            raise http.NoResponseError("silent")
+        return _Answer()
+
+    def ask(self):
+        return self.client.read_status(self.vm) is not None
+
+
+def test_vm_that_does_not_answer_directly_is_asked_through_a_peer():
+    """Guards against a sound head that is taken for ended by one daemon.
+
+    Its VM and the path accept connections. The others of its failure domain
+    answer, so that neither the service nor the domain counts as cut off.
+    """
+    scene = _SilentScene([_create_carrier("near", CUT)], {"near"})
+    assert not scene.ask()
+    for vm in scene.vms[1:9]:
+        assert scene.client.read_status(vm) is not None
+    assert scene.ask()
+    assert scene.ask()
+    scene.has_direct_path = True
+    scene.daemon.clock.advance(detours.DIRECT_INTERVAL)
+    assert scene.ask()
+    assert scene.network.calls[-1][0] == "direct"
+
+
+def test_vm_that_answers_nobody_is_asked_on_both_paths_by_turns():
+    """Guards against a VM whose direct path is back and is not used."""
+    scene = _SilentScene([_create_carrier("near", CUT)], set())
+    assert not any(scene.ask() for _ in range(6))
+    assert [call[0] for call in scene.network.calls] == ["direct", "near"] * 3
+
+
+def test_silent_vm_of_a_lone_daemon_is_asked_directly():
+    """Guards against calls that are lost where there is no peer."""
+    scene = _SilentScene([], set())
+    assert not scene.ask()
+    scene.has_direct_path = True
+    assert scene.ask()
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -900,10 +900,19 @@
         test="crashes/tests/test_evidence.py::"
         "test_evidence_convicts_the_part_and_not_its_companions",
     ),
+    Mutation(
+        promise="a VM that is silent to one daemon is asked through a peer",
+        path="platform/engine.py",
+        old="if self._silent.must_take_peer(vm.name, started):",
+        new="if False:",
+        test="platform/tests/test_detours.py::"
+        "test_vm_that_does_not_answer_directly_is_asked_through_a_peer",
+    ),
     Mutation(
         promise="a replacement that asked no upstream uses no attempt",
         path="relay/streams.py",
-        old="        self._attempts_begun -= 1\n        self._policy.give_retry",
+        old="        self._attempts_begun -= 1\n"
+        "        self._policy.give_retry",
         new="        self._policy.give_retry",
         test="relay/tests/test_replacement.py::"
         "test_replacement_that_asked_no_upstream_uses_no_attempt",
