Let daemons whose near places are slow borrow in any failure domain

`placement.must_borrow` does not count places at backends to be avoided while others near are good. If all near are avoided, the draw stands as before.

Both new patterns failed before the change.

--- a/arbutuscove/relay/domains.py
+++ b/arbutuscove/relay/domains.py
@@ -60,7 +60,11 @@
 
 
 class DomainFlows:
-    """The shares of each service and model that stay or leave."""
+    """The shares of each service and model that stay or leave.
+
+    Attributes:
+        domain: the failure domain of this daemon, empty if it has none.
+    """
 
     def __init__(
         self,
@@ -79,7 +83,7 @@
             metrics: where choices are counted.
             log: logs changes of the shares.
         """
-        self._domain = domain
+        self.domain = domain
         self._log = log
         self._clock = clock
         self._catalog = catalog
@@ -91,7 +95,7 @@
     def copy(self) -> "DomainFlows":
         """Returns flows that change apart from these, uncounted and silent."""
         copied = DomainFlows(
-            self._domain, self._clock, self._catalog, log=log_nothing
+            self.domain, self._clock, self._catalog, log=log_nothing
         )
         copied._flows = {
             pool: copy.copy(flow) for pool, flow in self._flows.items()
@@ -128,7 +132,7 @@
         """Returns whether the shares are to be updated."""
         flow = self._flows.get(pool)
         if flow is None:
-            if not self._domain or len(self._flows) >= MAX_FLOWS:
+            if not self.domain or len(self._flows) >= MAX_FLOWS:
                 return False
             domains = {backend.vm.failure_domain for backend in backends}
             return len(domains) > 1
@@ -138,18 +142,18 @@
         """Updates the shares of a service and model."""
         flow = self._flows.get(pool)
         if flow is None:
-            flow = self._flows[pool] = locality.DomainFlow(self._domain)
+            flow = self._flows[pool] = locality.DomainFlow(self.domain)
         loads = self._read_loads(pool, fleet)
         now = self._clock.monotonic()
         if not flow.update(now, loads, self._get_delays(pool)):
             return
         shares = flow.shares
-        near = None if shares is None else shares.get(self._domain, 0.0)
+        near = None if shares is None else shares.get(self.domain, 0.0)
         self._log(
             "locality:shares",
             service=pool[0],
             model=pool[1],
-            domain=self._domain,
+            domain=self.domain,
             shares=None
             if shares is None
             else {name: round(share, 3) for name, share in shares.items()},
@@ -180,9 +184,9 @@
             domain: the domain that it is sent to.
             is_borrowed: whether all places that this daemon owns were in use.
         """
-        if self._metrics is None or not self._domain:
+        if self._metrics is None or not self.domain:
             return
-        if domain == self._domain:
+        if domain == self.domain:
             reason = "near"
         elif is_borrowed:
             reason = "borrowed"
@@ -216,13 +220,13 @@
             )
         numbers = [backend.key[1] for backend in fleet.listed]
         demands: dict[str, float] = dict.fromkeys(
-            sorted(domains | {self._domain} | by_domain.keys()), 0.0
+            sorted(domains | {self.domain} | by_domain.keys()), 0.0
         )
         for domain, running in by_domain.items():
             demands[domain] += sum(running.get(number, 0) for number in numbers)
             waiting = fleet.loads.waiting.get(domain, {})
             demands[domain] += waiting.get(pool, 0.0)
-        demands[self._domain] += fleet.waiting + sum(
+        demands[self.domain] += fleet.waiting + sum(
             fleet.running.get(number, 0) for number in numbers
         )
         return {
--- a/arbutuscove/relay/placement.py
+++ b/arbutuscove/relay/placement.py
@@ -198,21 +198,31 @@
         return min(self.places, math.ceil(share)) if self.places else share
 
 
-def must_borrow(candidates: abc.Sequence[Candidate], usage: Usage) -> bool:
+def must_borrow(
+    candidates: abc.Sequence[Candidate], usage: Usage, domain: str
+) -> bool:
     """Returns whether a daemon that owns places has none free.
 
     A further request is not kept near, nor sent to a drawn domain: the other
     slots there are places of the daemons of that domain, which hold their own
     part of its demand. Under waves of demand, daemons that borrow near fill
     groups beyond their slots while groups of other domains have free ones.
+    While some backends near are to be avoided, daemons whose places are there
+    fill the few others near in the same way, so these places do not count. If
+    all near are to be avoided, no demand is kept near, and the draw divides it
+    among the other domains by what they lack.
 
     Args:
         candidates: the usable backends.
         usage: slots of these backends and their use.
+        domain: the daemon's failure domain.
     """
-    return usage.places > 0 and all(
-        candidate.free_places <= 0 for candidate in candidates
-    )
+    if not usage.places:
+        return False
+    preferred = [option for option in candidates if not option.is_avoided]
+    if any(option.backend.vm.failure_domain == domain for option in preferred):
+        candidates = preferred
+    return all(candidate.free_places <= 0 for candidate in candidates)
 
 
 def bound_peer_usage(usage: Usage) -> float:
--- a/arbutuscove/relay/selection.py
+++ b/arbutuscove/relay/selection.py
@@ -161,7 +161,9 @@
         """
         engine = self.get_engine(pool[0])
         domain = self._flows.draw(pool, prompt_tokens, self._generator)
-        is_borrowed = placement.must_borrow(candidates, usage)
+        is_borrowed = placement.must_borrow(
+            candidates, usage, self._flows.domain
+        )
         if is_borrowed:
             domain = None
         chosen = placement.choose_candidate(
--- a/arbutuscove/relay/tests/test_domain_replay.py
+++ b/arbutuscove/relay/tests/test_domain_replay.py
@@ -42,12 +42,15 @@
             third of a period between two domains.
         parts: part of the demand of each domain.
         missing: domain whose groups may not be used, empty if there is none.
+        slow: numbers of the groups that get requests only as far as the others
+            lack slots.
     """
 
     fill: float
     swing: float = 0.0
     parts: tuple[float, float, float] = (1 / 3, 1 / 3, 1 / 3)
     missing: str = ""
+    slow: tuple[int, ...] = ()
 
 
 class Replay(test_scarce_room.Replay):
@@ -122,6 +125,7 @@
                 backend
                 for backend in self.open
                 if backend.vm.failure_domain == name
+                and backend.key[1] not in self.load.slow
             ]
             demand = (
                 float(self.domain_demand[name])
@@ -201,13 +205,13 @@
                 backend=backend,
                 running=own[backend.key[1]] + others[backend.vm.failure_domain],
                 slowness=1.0,
-                is_avoided=False,
+                is_avoided=backend.key[1] in self.load.slow,
                 free_places=self.places[daemon].get(backend.key[1], 0)
                 - own[backend.key[1]],
             )
             for backend in self.open
         ]
-        if placement.must_borrow(candidates, usage):
+        if placement.must_borrow(candidates, usage, domain):
             drawn = None
         chosen = placement.choose_candidate(
             candidates,
@@ -240,6 +244,13 @@
     "waves": Load(fill=0.7, swing=SWING),
     "two full": Load(fill=0.6, parts=(0.5, 0.4, 0.1)),
     "a domain without groups": Load(fill=0.8, missing="a"),
+    "a domain and half of one slow": Load(
+        fill=0.4, slow=(*range(0, 24, 3), 1, 4, 7, 10)
+    ),
+    "half of a domain slow": Load(fill=0.6, slow=(0, 3, 6, 9)),
+    "waves, a third slow": Load(
+        fill=0.5, swing=SWING, slow=(0, 3, 6, 9, 1, 4, 7, 10)
+    ),
 }
 
 
--- a/arbutuscove/relay/tests/test_domains.py
+++ b/arbutuscove/relay/tests/test_domains.py
@@ -169,6 +169,36 @@
     assert scene.metrics.domain_choices.get(key) == 1
 
 
+@pytest.mark.parametrize(
+    ("slow", "expected"), [("", False), ("a", True), ("aa", False)]
+)
+def test_places_at_slow_upstreams_do_not_keep_a_request_near(slow, expected):
+    """Guards against few good upstreams near that others' daemons fill.
+
+    The daemon owns a place at the first of two upstreams near, and none far.
+    If both near are slow, the domain keeps nothing, and the draw decides.
+    """
+    listed = [
+        placement.Candidate(
+            backend=model.Backend(
+                key=(f"g{number}", number),
+                vm=test_planner.create_vm(f"v{number}", failure_domain=name),
+                model="",
+                slots=SLOTS,
+            ),
+            running=0.0,
+            slowness=1.0,
+            is_avoided=name == "a" and number < len(slow),
+            free_places=number == 0,
+        )
+        for number, name in enumerate("aab")
+    ]
+    usage = placement.Usage(
+        total_slots=3 * SLOTS, own=0, others=0.0, daemons=8, places=1
+    )
+    assert placement.must_borrow(listed, usage, "a") == expected
+
+
 def test_requests_are_even_while_the_others_are_unknown():
     """Guards against a full near domain that a cut off daemon does not see."""
     scene = Scene()
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -1451,6 +1451,14 @@
         test="relay/tests/test_domains.py::"
         "test_a_borrowed_slot_is_sought_in_all_domains",
     ),
+    Mutation(
+        promise="daemons whose near places are slow fill no few others near",
+        path="relay/placement.py",
+        old="        candidates = preferred\n",
+        new="        pass\n",
+        test="relay/tests/test_domain_replay.py::"
+        "test_shares_let_no_more_requests_wait_beside_free_slots",
+    ),
     Mutation(
         promise="an explanation leaves the marks of backends as they are",
         path="relay/selection.py",
