Share arbutuscoved's places of connections with the operators' address

Cause: the operators' address took 256 connections beside all those of callers, as each address of the users' platform did before.

Change: both servers of arbutuscoved draw on one entry/places.Places; operators may take the eighth that is spare. The new test sends crowds from nine hosts to all addresses of a daemon; bounds and crowds are those of the file.

--- a/arbutuscove/admin/api.py
+++ b/arbutuscove/admin/api.py
@@ -15,6 +15,7 @@
 from arbutuscove.entry import callers
 from arbutuscove.entry import connections
 from arbutuscove.entry import memory
+from arbutuscove.entry import places
 from arbutuscove.entry import refusals
 from arbutuscove.kernel import decoding
 from arbutuscove.kernel import services
@@ -38,6 +39,8 @@
         operations: the calls.
         count: called with the reason code of each refused connection.
         budget: memory for the bodies of requests; None for no bound.
+        shared_places: places of connections that it shares with the callers'
+            server; None for own ones.
     """
 
     def __init__(
@@ -46,10 +49,17 @@
         operations: operations_module.Operations,
         count: abc.Callable[[str], None],
         budget: memory.ByteBudget | None = None,
+        shared_places: places.Places | None = None,
     ) -> None:
         self._operations = operations
         self._server = connections.CallerServer(
-            listen, self, BOUNDS, count, budget
+            listen,
+            self,
+            BOUNDS,
+            count,
+            budget,
+            shared_places,
+            is_status=True,
         )
         self._url_map = routing.Map(
             [
--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -175,11 +175,16 @@
     )
     memory_bytes = settings.memory_mb * memory.MEGABYTE
     budget = memory.create_budget(memory_bytes, clock, BODY_COPIES)
+    bounds = connections.compute_bounds(
+        memory_bytes, resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    )
+    shared_places = connections.create_places(bounds)
     admin = admin_api.AdminServer(
         http.Address.parse_listen(settings.admin_listen),
         operations,
         lambda code: metrics.refusals.inc({"code": code}),
         budget,
+        shared_places,
     )
     entry = app.EntryServer(
         http.Address.parse_listen(settings.listen),
@@ -200,10 +205,9 @@
         metrics,
         journal.create_id,
         settings_module.get_address_ttl(settings),
-        connections.compute_bounds(
-            memory_bytes, resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-        ),
+        bounds,
         budget,
+        shared_places,
     )
     kernel = services.Kernel()
     for name, service in (
--- a/arbutuscove/entry/app.py
+++ b/arbutuscove/entry/app.py
@@ -20,6 +20,7 @@
 from arbutuscove.entry import entries as entries_module
 from arbutuscove.entry import headers
 from arbutuscove.entry import memory
+from arbutuscove.entry import places
 from arbutuscove.entry import plain
 from arbutuscove.entry import refusals
 from arbutuscove.kernel import clock as clock_module
@@ -101,6 +102,7 @@
         address_ttl: datetime.timedelta = entries_module.ADDRESS_TTL,
         bounds: connections.Bounds = DEFAULT_BOUNDS,
         budget: memory.ByteBudget | None = None,
+        shared_places: places.Places | None = None,
     ) -> None:
         self._clock = clock
         self._config = config
@@ -115,7 +117,7 @@
         self._draining = False
         self._has_drained = False
         self._server = connections.CallerServer(
-            listen, self, bounds, self._count_refusal, budget
+            listen, self, bounds, self._count_refusal, budget, shared_places
         )
         self._url_map = routing.Map(
             [
--- a/arbutuscove/standins/tests/hostile.py
+++ b/arbutuscove/standins/tests/hostile.py
@@ -213,6 +213,15 @@
         self._trickles = [gevent.spawn(self._send, kind) for kind in kinds]
         gevent.sleep(seconds)
 
+    def begin_everywhere(self, kind, seconds):
+        """Lets clients of many hosts send to each address of the daemon."""
+        self._trickles = [
+            gevent.spawn(self._send, kind, address, f"127.0.9.{1 + number % 9}")
+            for address in self._daemon.list_addresses()
+            for number in range(TRICKLE_CROWD)
+        ]
+        gevent.sleep(seconds)
+
     def send(self, kinds):
         """Sends the bytes of one client for each kind, all at once."""
         clients = [gevent.spawn(self._send, kind) for kind in kinds]
@@ -231,10 +240,12 @@
             unchanged = unchanged + POLL_SECONDS if now_queued == queued else 0
             queued = now_queued
 
-    def _send(self, kind):
+    def _send(self, kind, address=None, source="127.0.0.1"):
         try:
             client = socket.create_connection(
-                tuple(self._daemon.address), timeout=SEND_SECONDS
+                tuple(address or self._daemon.address),
+                timeout=SEND_SECONDS,
+                source_address=(source, 0),
             )
         except OSError:
             return
@@ -379,6 +390,11 @@
                 stderr=subprocess.STDOUT,
             )
 
+    def list_addresses(self):
+        """Returns the addresses that it serves HTTP at."""
+        host, port = self.address
+        return [storage_http.Address(host, port + more) for more in range(3)]
+
     def wait_until_serving(self):
         """Waits for the first answer."""
         cluster_module.wait_for("an answer", self._is_serving)
@@ -427,6 +443,11 @@
         )
         cluster_module.wait_for("an answer", lambda: self.send(b"{}")[0] == 200)
 
+    def list_addresses(self):
+        """Returns the addresses that it serves HTTP at."""
+        admin = self._cluster.addresses["entry-0.admin"]
+        return [self.address, storage_http.Address.parse(admin)]
+
     def find_plain_address(self):
         """Returns the address of the plain service."""
         return self._cluster.addresses["plain-0"]
--- a/arbutuscove/standins/tests/test_trickling_clients.py
+++ b/arbutuscove/standins/tests/test_trickling_clients.py
@@ -41,17 +41,21 @@
     crowd = hostile.Crowd(daemon)
     crowd.begin(kinds, BEGIN_SECONDS)
     try:
-        for _ in range(ORDINARY_REQUESTS):
-            status, body = daemon.send(b'{"small": 1}')
-            assert status == 200, body
-            assert b"small" in body
-        assert daemon.is_alive()
-        assert daemon.measure_peak_mb() < hostile.MEMORY_MB
-        assert daemon.count_descriptors() < hostile.MAX_DESCRIPTORS
+        _check_served(daemon)
     finally:
         crowd.leave()
 
 
+def _check_served(daemon):
+    for _ in range(ORDINARY_REQUESTS):
+        status, body = daemon.send(b'{"small": 1}')
+        assert status == 200, body
+        assert b"small" in body
+    assert daemon.is_alive()
+    assert daemon.measure_peak_mb() < hostile.MEMORY_MB
+    assert daemon.count_descriptors() < hostile.MAX_DESCRIPTORS
+
+
 @pytest.mark.parametrize(
     "kind", hostile.TRICKLES, ids=lambda kind: kind.__name__
 )
@@ -64,3 +68,21 @@
     """Guards against an order of giving way that spares one of them."""
     count = hostile.TRICKLE_CROWD // len(hostile.TRICKLES) + 1
     _check(daemon, hostile.TRICKLES * count)
+
+
+@pytest.mark.parametrize(
+    "kind",
+    [hostile.trickle_small_body, hostile.send_nothing],
+    ids=lambda kind: kind.__name__,
+)
+def test_crowds_at_all_addresses_leave_descriptors(daemon, kind):
+    """Guards against places that each address of a daemon has once more.
+
+    The crowds come from many hosts, so that no rule by address helps.
+    """
+    crowd = hostile.Crowd(daemon)
+    crowd.begin_everywhere(kind, BEGIN_SECONDS)
+    try:
+        _check_served(daemon)
+    finally:
+        crowd.leave()
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -1592,6 +1592,15 @@
         new="",
         test="peers/tests/test_bounds.py::test_calls_are_bounded",
     ),
+    Mutation(
+        promise="operators' address and callers' share the places",
+        path="daemon/assembly.py",
+        old="        budget,\n        shared_places,\n    )\n"
+        "    entry = app.EntryServer(\n",
+        new="        budget,\n    )\n    entry = app.EntryServer(\n",
+        test="standins/tests/test_trickling_clients.py::"
+        "test_crowds_at_all_addresses_leave_descriptors[own-send_nothing]",
+    ),
     Mutation(
         promise="a finished request gives its memory back",
         path="entry/bodies.py",
