--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -1503,8 +1503,8 @@
     Mutation(
         promise="an explanation logs nothing",
         path="relay/domains.py",
-        old="self._domain, self._clock, self._catalog, log=log_nothing\n",
-        new="self._domain, self._clock, self._catalog\n",
+        old="self.domain, self._clock, self._catalog, log=log_nothing\n",
+        new="self.domain, self._clock, self._catalog\n",
         test="relay/tests/test_explanation.py::"
         "test_an_explanation_changes_nothing",
     ),
