Build all refusals of waiting requests in one place

Cause: six refusals repeated the status and the promise that nothing has run.

Change: relay/blocking.build_refusal; no behavior changes.

Measured: bin/check passes; bin/test of relay/tests/test_{waiting,warming, explanation,evacuation,notices,refusals}.py passes.

--- a/arbutuscove/relay/blocking.py
+++ b/arbutuscove/relay/blocking.py
@@ -128,11 +128,8 @@
             model=waiter.pool[1],
             wait=round(wait.total_seconds(), 3),
         )
-        return model.Refusal(
-            status=503,
-            code="upstream_warming",
-            not_run=True,
-            retry_after=self.bound_retry_after(waiter, wait),
+        return build_refusal(
+            "upstream_warming", self.bound_retry_after(waiter, wait)
         )
 
     def _find_pause_refusal(self, waiter: Waiter) -> model.Refusal | None:
@@ -170,11 +167,8 @@
             service=waiter.pool[0],
             model=waiter.pool[1],
         )
-        return model.Refusal(
-            status=503,
-            code="evacuated",
-            not_run=True,
-            retry_after=self.bound_retry_after(waiter, NO_BACKEND_RETRY_AFTER),
+        return build_refusal(
+            "evacuated", self.bound_retry_after(waiter, NO_BACKEND_RETRY_AFTER)
         )
 
     def bound_retry_after(
@@ -192,28 +186,27 @@
         return max(min(retry_after, left * RETRY_AFTER_SHARE), MIN_RETRY_AFTER)
 
 
+def build_refusal(
+    code: str, retry_after: datetime.timedelta | None
+) -> model.Refusal:
+    """Returns the refusal of a request that has not run."""
+    return model.Refusal(
+        status=503, code=code, not_run=True, retry_after=retry_after
+    )
+
+
 def build_pause_refusal(pause: datetime.timedelta) -> model.Refusal:
     """Returns the refusal of a request for which all upstreams pause.
 
     Args:
         pause: until the first of them accepts requests again.
     """
-    return model.Refusal(
-        status=503,
-        code="upstream_paused",
-        not_run=True,
-        retry_after=pause,
-    )
+    return build_refusal("upstream_paused", pause)
 
 
 def build_stop_refusal() -> model.Refusal:
     """Returns the refusal of a request that a planned stop may cut."""
-    return model.Refusal(
-        status=503,
-        code="draining",
-        not_run=True,
-        retry_after=DRAINING_RETRY_AFTER,
-    )
+    return build_refusal("draining", DRAINING_RETRY_AFTER)
 
 
 def build_unknown_refusal(
@@ -225,9 +218,4 @@
         request_id=request.request_id,
         model=request.model[:MAX_LOGGED_NAME_CHARS],
     )
-    return model.Refusal(
-        status=503,
-        code="no_backend",
-        not_run=True,
-        retry_after=NO_BACKEND_RETRY_AFTER,
-    )
+    return build_refusal("no_backend", NO_BACKEND_RETRY_AFTER)
--- a/arbutuscove/relay/waiting.py
+++ b/arbutuscove/relay/waiting.py
@@ -388,11 +388,9 @@
             if waiter.pool != pool or now - waiter.enqueued_at < target:
                 continue
             if queue.withdraw(waiter.work.request_id):
-                refusal = model.Refusal(
-                    status=503,
-                    code="no_backend",
-                    not_run=True,
-                    retry_after=self._blocking.bound_retry_after(
+                refusal = blocking.build_refusal(
+                    "no_backend",
+                    self._blocking.bound_retry_after(
                         waiter, blocking.NO_BACKEND_RETRY_AFTER
                     ),
                 )
