Bound the lines of the log, which may have values of callers

Cause: a refused request is logged with the id that its caller sent; the queue counted lines, not bytes.

Change: lines of more than 4 KiB are shortened value by value, so that the queue takes 8 MB at most instead of 56.

--- a/arbutuscove/observe/output.py
+++ b/arbutuscove/observe/output.py
@@ -25,6 +25,12 @@
 BURST_LINES = 1000.0  # capacity of the token bucket
 STOP_TIMEOUT = datetime.timedelta(milliseconds=200)
 WRITE_SIZE_BYTES = 65536  # at most, per write
+# Longer lines are shortened, since values of callers may be in them: the queue
+# takes 8 MB at most.
+MAX_LINE_BYTES = 4096
+# Of a value in a line that is shortened.
+BEGIN_CHARS = 256
+END_CHARS = 768  # a traceback ends with its error
 # Fields that add no information to the others of a line.
 OMITTED_FIELDS = frozenset({"task_uuid", "task_level"})
 
@@ -75,8 +81,14 @@
         if self._dropped_count:
             fields["lines_dropped"] = self._dropped_count
             self._dropped_count = 0
-        line = msgspec.json.encode(fields, enc_hook=str)
-        self._lines.append(line + b"\n")
+        line = msgspec.json.encode(fields, enc_hook=str) + b"\n"
+        if len(line) > MAX_LINE_BYTES:
+            shortened = {key: _shorten(fields[key]) for key in fields}
+            line = msgspec.json.encode(shortened, enc_hook=str) + b"\n"
+        if len(line) > MAX_LINE_BYTES:
+            self._dropped_count += 1
+            return
+        self._lines.append(line)
         self._has_lines.set()
 
     def _try_acquire_token(self) -> bool:
@@ -113,3 +125,13 @@
                 self._lines[0] = data[written:]
             else:
                 self._lines.popleft()
+
+
+def _shorten(value: typing.Any) -> typing.Any:
+    """Returns a short value as it is, of others the begin and the end."""
+    text = value
+    if not isinstance(value, str):
+        text = msgspec.json.encode(value, enc_hook=str).decode()
+    if len(text) <= BEGIN_CHARS + END_CHARS:
+        return value
+    return f"{text[:BEGIN_CHARS]} ... {text[-END_CHARS:]}"
--- a/arbutuscove/observe/tests/test_output.py
+++ b/arbutuscove/observe/tests/test_output.py
@@ -62,3 +62,33 @@
     assert len(lines) == output_module.BURST_LINES + 1
     assert lines[-1]["lines_dropped"] == 5
     output.stop()
+
+
+def test_lines_of_callers_bytes_are_bounded(pipe):
+    """Guards against long values of callers that fill the memory or the disk.
+
+    Nobody reads here, so that all lines stay in the process.
+    """
+    clock = clock_module.ManualClock()
+    output = output_module.LineOutput(pipe[1], clock)
+    for _ in range(output_module.MAX_QUEUED_LINES):
+        clock.advance(datetime.timedelta(milliseconds=10))
+        output.enqueue({"request_id": "x" * 28_000, "outcome": "no_route"})
+        output.enqueue({"nested": [{"name": "\u00e4" * 28_000}], "outcome": 1})
+    sizes = [len(line) for line in output._lines]
+    assert len(sizes) == output_module.MAX_QUEUED_LINES
+    assert max(sizes) <= 4096
+    for line in list(output._lines)[:2]:
+        assert "outcome" in msgspec.json.decode(line)
+    output._lines.clear()
+
+
+def test_end_of_a_long_text_is_kept(pipe):
+    """Guards against tracebacks without the error that they are about."""
+    output = output_module.LineOutput(pipe[1], clock_module.ManualClock())
+    output.enqueue({"traceback": "begin" + "x" * 28_000 + "the error"})
+    (line,) = output._lines
+    text = msgspec.json.decode(line)["traceback"]
+    assert text.startswith("begin")
+    assert text.endswith("the error")
+    output._lines.clear()
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -1601,6 +1601,14 @@
         test="standins/tests/test_trickling_clients.py::"
         "test_crowds_at_all_addresses_leave_descriptors[own-send_nothing]",
     ),
+    Mutation(
+        promise="long values of callers do not fill the log's queue",
+        path="observe/output.py",
+        old="        if len(line) > MAX_LINE_BYTES:\n            shortened",
+        new="        if False:\n            shortened",
+        test="observe/tests/test_output.py::"
+        "test_lines_of_callers_bytes_are_bounded",
+    ),
     Mutation(
         promise="a finished request gives its memory back",
         path="entry/bodies.py",
