--- a/arbutuscove/standins/tests/hostile.py
+++ b/arbutuscove/standins/tests/hostile.py
@@ -345,7 +345,13 @@
     key = "key-1"
     key_scheme = headers.KEY_SCHEME
 
-    def __init__(self, directory):
+    def __init__(
+        self,
+        directory,
+        memory_mb=MEMORY_MB,
+        max_descriptors=MAX_DESCRIPTORS,
+        server_type=users_platform.Server,
+    ):
         super().__init__()
         port = cluster_module.find_port()
         self.platform = users_platform.UsersPlatform("127.77.1.1", port)
@@ -360,7 +366,7 @@
         )
         for number, service in enumerate(("desk", "other")):
             self.platform.add(
-                users_platform.Server(
+                server_type(
                     self.platform,
                     f"srv-{number}",
                     service,
@@ -372,8 +378,8 @@
             "front-0", "127.77.3.1", f"127.77.1.1:{port}", port
         )
         settings["limits"] = {
-            "max_fds": MAX_DESCRIPTORS,
-            "memory_mb": MEMORY_MB,
+            "max_fds": max_descriptors,
+            "memory_mb": memory_mb,
         }
         self.address = storage_http.Address("127.77.3.1", port)
         file = directory / "settings.json"
