Move the states of replicas out of routing/choice

Change: routing/model has the settings and the request, routing/states what a daemon knows of each replica. No behavior changes.

--- a/arbutuscove/routing/service.py
+++ b/arbutuscove/routing/service.py
@@ -12,6 +12,7 @@
 from arbutuscove.replicas import model
 from arbutuscove.routing import choice
 from arbutuscove.routing import credits
+from arbutuscove.routing import model as routing_model
 
 SERVICE_NAME = "routing"
 # Maximum age of the view of replicas that choices use. Building a view reads
@@ -31,7 +32,7 @@
         directory: directory_module.ReplicaDirectory,
         read_demands: abc.Callable[[], credits.Demands] | None = None,
         generator: random.Random | None = None,
-        settings: choice.ChoiceSettings | None = None,
+        settings: routing_model.ChoiceSettings | None = None,
     ) -> None:
         # Explicit settings override the service configuration.
         self._clock = clock
@@ -139,8 +140,8 @@
 
 def _build_request(
     work: work_module.Work, is_below_floor: bool = False
-) -> choice.Request:
-    return choice.Request(
+) -> routing_model.Request:
+    return routing_model.Request(
         priority=work.rank.priority,
         prefix=work.prefix,
         excluded=work.excluded,
--- a/arbutuscove/routing/tests/test_choice.py
+++ b/arbutuscove/routing/tests/test_choice.py
@@ -10,12 +10,13 @@
 from arbutuscove.replicas import model
 from arbutuscove.routing import choice
 from arbutuscove.routing import credits
+from arbutuscove.routing import model as routing_model
 from arbutuscove.upstreams import protocol
 
 SECOND = datetime.timedelta(seconds=1)
 ZERO = datetime.timedelta()
-BULK = choice.Request(priority=1)
-URGENT = choice.Request(priority=0)
+BULK = routing_model.Request(priority=1)
+URGENT = routing_model.Request(priority=0)
 FLOORS = (0.4, 0.2, 0.1)
 
 
@@ -71,14 +72,14 @@
 def test_choice_excluded_replicas_are_not_used():
     """A retry must not be sent to the replica on which it failed."""
     chooser = _build([_serve("a"), _serve("b", running=5)])
-    request = choice.Request(priority=0, excluded=frozenset({"a"}))
+    request = routing_model.Request(priority=0, excluded=frozenset({"a"}))
     assert set(_fill(chooser, request)) == {"b"}
 
 
 def test_choice_suspect_runs_alone():
     """A request that may crash its replica must run there alone."""
     chooser = _build([_serve("a"), _serve("b", running=1)])
-    suspect = choice.Request(priority=0, is_suspect=True)
+    suspect = routing_model.Request(priority=0, is_suspect=True)
     assert chooser.choose(suspect, ZERO).replica == "a"
     assert chooser.choose(suspect, ZERO) is None
     assert set(_fill(chooser, URGENT)) == {"b"}
@@ -95,7 +96,7 @@
     assert len(_fill(chooser, URGENT)) < len(names)
     used = {name for name in names if chooser.get_load(name)}
     free = next(name for name in names if name not in used)
-    suspect = choice.Request(
+    suspect = routing_model.Request(
         priority=1, excluded=frozenset(names) - {free}, is_suspect=True
     )
     assert chooser.choose(suspect, ZERO).replica == free
@@ -104,9 +105,9 @@
 def test_choice_waiting_suspect_keeps_its_replica_free():
     """A continuous flow of own work must not starve a suspect request."""
     chooser = _build([_serve("a"), _serve("b")])
-    work = choice.Request(priority=0, excluded=frozenset({"b"}))
+    work = routing_model.Request(priority=0, excluded=frozenset({"b"}))
     chooser.choose(work, ZERO)
-    suspect = choice.Request(
+    suspect = routing_model.Request(
         priority=0, excluded=frozenset({"b"}), is_suspect=True
     )
     assert chooser.choose(suspect, ZERO) is None
@@ -118,7 +119,7 @@
 def test_choice_replica_kept_for_suspect_is_used_again():
     """A reservation must expire if the caller of the suspect request left."""
     chooser = _build([_serve("a", running=1), _serve("b")])
-    suspect = choice.Request(
+    suspect = routing_model.Request(
         priority=0, excluded=frozenset({"b"}), is_suspect=True
     )
     assert chooser.choose(suspect, ZERO) is None
@@ -133,7 +134,7 @@
     """A popular prefix must not overload its replica."""
     names = [f"r{number}" for number in range(10)]
     chooser = _build([_serve(name, slots=64) for name in names])
-    request = choice.Request(priority=1, prefix="p")
+    request = routing_model.Request(priority=1, prefix="p")
     counts = collections.Counter(
         chooser.choose(request, ZERO).replica for _ in range(200)
     )
@@ -144,7 +145,7 @@
 def test_choice_prefix_returns_to_its_replica():
     """Without affinity every replica would compute every prefix."""
     chooser = _build([_serve(f"r{number}") for number in range(10)])
-    request = choice.Request(priority=1, prefix="p")
+    request = routing_model.Request(priority=1, prefix="p")
     replicas = set()
     for _ in range(50):
         replica = chooser.choose(request, ZERO).replica
@@ -207,7 +208,7 @@
     names = [f"r{number}" for number in range(24)]
     loads = {"own": (0, 2, 2, 0), "large": (900, 900, 900, 900)}
     demands = credits.Demands(own="own", loads=loads)
-    settings = choice.ChoiceSettings(handover_divisions=1)
+    settings = routing_model.ChoiceSettings(handover_divisions=1)
     chooser = _build([_serve(name) for name in names], demands, settings)
     assert _fill(chooser, BULK)
     full = [_serve(name, running=8) for name in names[1:]]
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -16,8 +16,8 @@
 from arbutuscove.admission import dispatch as dispatch_module
 from arbutuscove.admission import queue
 from arbutuscove.admission import work as work_module
-from arbutuscove.routing import choice
 from arbutuscove.routing import credits
+from arbutuscove.routing import model as routing_model
 from arbutuscove.routing import service as routing_service
 from bench import events
 from bench import fakes
@@ -75,7 +75,7 @@
         directory: fakes.Directory,
         read_demands: abc.Callable[[], credits.Demands],
         generator: random.Random,
-        settings: choice.ChoiceSettings | None = None,
+        settings: routing_model.ChoiceSettings | None = None,
     ) -> None:
         self.name = name
         self._clock = loop.clock
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -12,8 +12,8 @@
 from arbutuscove.admission import queue
 from arbutuscove.admission import work as work_module
 from arbutuscove.config import model as config_model
-from arbutuscove.routing import choice
 from arbutuscove.routing import credits
+from arbutuscove.routing import model as routing_model
 from bench import events
 from bench import fakes
 from bench import policies
@@ -105,7 +105,7 @@
         scenario: Scenario,
         policy: str,
         seed: int,
-        settings: choice.ChoiceSettings | None = None,
+        settings: routing_model.ChoiceSettings | None = None,
     ) -> None:
         self.user = user
         self.scenario = scenario
@@ -235,7 +235,7 @@
         policy: str,
         name: str,
         seed: int,
-        settings: choice.ChoiceSettings | None,
+        settings: routing_model.ChoiceSettings | None,
     ) -> policies.Policy:
         generator = random.Random(f"{seed}/{name}")
         directory = fakes.Directory(
