Avoid a replica that rejected a request until its next status

Cause: a replica that has lost a member rejects requests at once, so that it has the least load and got all further requests of a daemon first, up to nine in a row within a second. Each used a retry, and with none left callers were refused: the failure of test_upstream_member_dies_and_is_replaced.

Change: routing/rejections keeps when a replica rejected a request, not for its load; the daemon avoids it until its leader has reported later, while another replica serves. requests/flow reports rejections.

--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -157,6 +157,7 @@
         generator,
         retry_budget,
         suspect_tracker,
+        routing.record_rejection,
     )
     at_most_once = once.AtMostOnce(
         claims.Claims(table, clock, identity, table.get_era), objects
--- a/arbutuscove/requests/flow.py
+++ b/arbutuscove/requests/flow.py
@@ -41,6 +41,7 @@
 )
 ANSWER_LENGTH_FIELDS = ("max_tokens", "max_completion_tokens")
 NOT_RUN_STATUSES = (409, 429, 503)  # an engine sends these before a run
+FULL_STATUS = 429
 MAX_REPORT_BYTES = 1024 * 1024  # of the last event of an answer
 MAX_TOKENS = 1_000_000_000  # of one answer
 
@@ -83,11 +84,14 @@
         replica: the replica of the attempt.
         rejected_status: the status with which the engine rejected the request
             as faulty, otherwise 0.
+        is_unfit: whether the engine would not run any request now, for another
+            reason than its load.
     """
 
     run: failures.RunStatus
     replica: str
     rejected_status: int = 0
+    is_unfit: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -154,7 +158,11 @@
         generator: random.Random,
         budget: attempts_module.RetryBudget,
         suspects: suspects_module.SuspectTracker,
+        record_rejection: abc.Callable[[work_module.Ticket], None] = (
+            lambda ticket: None
+        ),
     ) -> None:
+        self._record_rejection = record_rejection
         self._clock = clock
         self._admission = admission
         self._limits = limits
@@ -267,6 +275,8 @@
             used_by_lost_attempt: int | None = 0
             if outcome.run == failures.RunStatus.NOT_RUN:
                 self._suspects.cancel(begun.ok)
+                if outcome.is_unfit:
+                    self._record_rejection(resources.ticket)
             else:
                 used_by_lost_attempt = None
                 self._suspects.report_loss(begun.ok, work.deadline)
@@ -326,7 +336,9 @@
             reader = opened.ok
         except errors.NotDispatchedError:
             return _LostAttempt(
-                run=failures.RunStatus.NOT_RUN, replica=replica.replica
+                run=failures.RunStatus.NOT_RUN,
+                replica=replica.replica,
+                is_unfit=True,
             )
         except errors.DispatchUnknownError as error:
             # The engine may be running the request: its stream is resumed from
@@ -445,7 +457,11 @@
     502, may be sent after the request has begun to run.
     """
     if status in NOT_RUN_STATUSES:
-        return _LostAttempt(run=failures.RunStatus.NOT_RUN, replica=replica)
+        return _LostAttempt(
+            run=failures.RunStatus.NOT_RUN,
+            replica=replica,
+            is_unfit=status != FULL_STATUS,
+        )
     if 400 <= status < 500:
         return _LostAttempt(
             run=failures.RunStatus.NOT_RUN,
--- a/arbutuscove/requests/tests/test_flow.py
+++ b/arbutuscove/requests/tests/test_flow.py
@@ -216,3 +216,21 @@
     list(daemon.flow.run(request).events)
     lengths = {k: v for k, v in bodies[0].items() if k.startswith("max_")}
     assert lengths == sent
+
+
+@pytest.mark.parametrize(
+    ("status", "expected"), [(503, ["r0"]), (409, ["r0"]), (429, []), (500, [])]
+)
+def test_flow_replica_that_rejects_is_reported(fleet, daemon, status, expected):
+    """Guards against further requests to a replica that runs none.
+
+    One that is full is chosen by its load, and one whose attempt was lost may
+    have run it.
+    """
+    rejected = []
+    daemon.flow._record_rejection = lambda ticket: rejected.append(
+        ticket.replica.replica
+    )
+    fleet.engines["r0"].status = status
+    list(daemon.flow.run(fleet_module.build_request(fleet)).events)
+    assert rejected == expected
--- a/arbutuscove/routing/service.py
+++ b/arbutuscove/routing/service.py
@@ -12,6 +12,7 @@
 from arbutuscove.replicas import model
 from arbutuscove.routing import choice
 from arbutuscove.routing import credits
+from arbutuscove.routing import rejections
 
 SERVICE_NAME = "routing"
 # Maximum age of the view of replicas that choices use. Building a view reads
@@ -41,6 +42,9 @@
         self._settings = settings
         self._choosers: dict[str, choice.Chooser] = {}
         self._refreshed_at: dict[str, datetime.timedelta] = {}
+        self._rejections: dict[str, rejections.Rejections] = {}
+        # Replicas to avoid and all that serve, as last read, by service.
+        self._avoided: dict[str, tuple[frozenset[str], frozenset[str]]] = {}
 
     def choose(
         self, work: work_module.Work, is_below_floor: bool = False
@@ -54,7 +58,7 @@
         """
         now = self._clock.monotonic()
         chooser = self._get_refreshed_chooser(work.service, now)
-        serving = chooser.choose(_build_request(work, is_below_floor), now)
+        serving = chooser.choose(self._build_request(work, is_below_floor), now)
         if serving is None:
             return None
         return work_module.Ticket(work=work, replica=serving, admitted=now)
@@ -70,7 +74,7 @@
         """
         now = self._clock.monotonic()
         chooser = self._get_refreshed_chooser(work.service, now)
-        chosen = chooser.preview(_build_request(work), now, generator)
+        chosen = chooser.preview(self._build_request(work), now, generator)
         return chosen, chooser.list_uses()
 
     def release(self, ticket: work_module.Ticket, tokens: int = 0) -> None:
@@ -86,12 +90,22 @@
         now = self._clock.monotonic()
         chooser.record_end(
             ticket.replica.replica,
-            _build_request(ticket.work),
+            self._build_request(ticket.work),
             tokens,
             now - ticket.admitted,
             now,
         )
 
+    def record_rejection(self, ticket: work_module.Ticket) -> None:
+        """Records that a ticket's replica rejected the work, not for its load.
+
+        The replica is avoided until a later status of it is known.
+        """
+        name = ticket.work.service.name
+        known = self._rejections.setdefault(name, rejections.Rejections())
+        known.record(ticket.replica.replica, self._clock.monotonic())
+        self._refreshed_at.pop(name, None)
+
     def compute_capacity(
         self, service: config_model.Service
     ) -> work_module.Capacity:
@@ -127,23 +141,39 @@
                 chooser.set_shares(backend.urgent_share, backend.headroom)
             chooser.refresh(servings, self._read_demands(), floors, now)
             self._refreshed_at[name] = now
+            known = self._rejections.get(name)
+            if known is not None:
+                self._avoided[name] = (
+                    known.list_avoided(servings),
+                    frozenset(item.replica for item in servings),
+                )
         return chooser
 
     def _drop_idle_chooser(self) -> None:
         for name, chooser in list(self._choosers.items()):
             if chooser.count_in_progress() == 0:
                 del self._choosers[name]
-                self._refreshed_at.pop(name, None)
+                for by_service in (
+                    self._refreshed_at,
+                    self._rejections,
+                    self._avoided,
+                ):
+                    by_service.pop(name, None)
                 return
 
-
-def _build_request(
-    work: work_module.Work, is_below_floor: bool = False
-) -> choice.Request:
-    return choice.Request(
-        priority=work.rank.priority,
-        prefix=work.prefix,
-        excluded=work.excluded,
-        is_suspect=work.is_suspect,
-        is_below_floor=is_below_floor,
-    )
+    def _build_request(
+        self, work: work_module.Work, is_below_floor: bool = False
+    ) -> choice.Request:
+        excluded = work.excluded
+        avoided, names = self._avoided.get(
+            work.service.name, (frozenset[str](), frozenset[str]())
+        )
+        if avoided and not names <= excluded | avoided:
+            excluded |= avoided
+        return choice.Request(
+            priority=work.rank.priority,
+            prefix=work.prefix,
+            excluded=excluded,
+            is_suspect=work.is_suspect,
+            is_below_floor=is_below_floor,
+        )
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -908,6 +908,14 @@
         test="platform/tests/test_detours.py::"
         "test_vm_that_does_not_answer_directly_is_asked_through_a_peer",
     ),
+    Mutation(
+        promise="a replica that rejects gets no more before its next status",
+        path="routing/rejections.py",
+        old="self._rejected_at[name] >= reported_at",
+        new="False",
+        test="routing/tests/test_rejections.py::"
+        "test_replica_that_rejects_gets_no_more_before_its_next_status",
+    ),
     Mutation(
         promise="a replacement that asked no upstream uses no attempt",
         path="relay/streams.py",
