Deal the whole bound for a second after a VM has ceased to warm

Change: for a second after the end, rate times overshoot and slack are dealt like the turns.

What is left: the entry stays, as requests before the news of a VM that becomes cold at another moment have no bound. The news is in the entry and in health answers only, so that there is nothing sooner to pass on between daemons.

--- a/arbutuscove/balancing/cold.py
+++ b/arbutuscove/balancing/cold.py
@@ -17,6 +17,10 @@
 A VM may become cold as it runs, and a daemon hears of it later. What it sent
 there meanwhile counts as a turn: its next one comes a space after the last
 send. So a daemon whose turn was used before the news adds none to the sum.
+
+A VM that becomes cold again within a second of its end has got the rate in that
+second already. So for a second after the end the whole bound is dealt in the
+same way, instead of no limit at all: more than a warm VM serves as a rule.
 Daemons that have ended, but are still counted, leave their part unused. A
 fleet of which each part knows only itself sends the rate once for each part, so
 callers keep daemons in `FleetView.others` long after they fell silent.
@@ -33,6 +37,9 @@
 # Requests are spaced for slightly more than a second, as their times of arrival
 # vary a little.
 WINDOW = datetime.timedelta(milliseconds=1020)
+# After a VM has ceased to warm, the whole bound is dealt for this time, as the
+# requests of the last second count if the VM becomes cold again.
+TAIL = WINDOW
 # VMs whose next turn is known; the one that was used first is dropped.
 MAX_VMS = 4096
 
@@ -76,7 +83,11 @@
 
     def limit(self, rate: float) -> float:
         """Returns the rate to aim at, which is the VM's own unless above."""
-        return max(MIN_RATE, min(rate, rate * self.overshoot + self.slack))
+        return max(MIN_RATE, min(rate, self.allow(rate)))
+
+    def allow(self, rate: float) -> float:
+        """Returns the rate that must not be passed, by the VM's own."""
+        return max(MIN_RATE, rate * self.overshoot + self.slack)
 
 
 def create_lone_view() -> FleetView:
--- a/arbutuscove/relay/warming.py
+++ b/arbutuscove/relay/warming.py
@@ -2,8 +2,9 @@
 
 A backend warms while a VM of it does. Each request that is assigned to it takes
 one of this daemon's turns at the VM that receives the requests;
-`balancing.cold` deals the turns. Services without a warming rate, and
-deployments without a bound on requests to warming VMs, have no warming
+`balancing.cold` deals the turns. For a second after its end the backend has
+more of them, as its VM may become cold again. Services without a warming rate,
+and deployments without a bound on requests to warming VMs, have no warming
 backends.
 """
 
@@ -63,6 +64,7 @@
         self._bound = bound
         self._read_view = read_view
         self._turns = cold.Turns()
+        # Until when backends warm; kept for `cold.TAIL` longer.
         self._ends: dict[model.BackendKey, datetime.timedelta] = {}
         self._cached_for: tuple[int, int, int] = (-1, -1, -1)
         self._pruned_at: datetime.timedelta | None = None
@@ -79,38 +81,48 @@
         return self.get_left(key) > datetime.timedelta()
 
     def list_keys(self) -> abc.Set[model.BackendKey]:
-        """Returns the keys of the backends that warm."""
-        if self._bound is None or self._inventory.warming.is_empty():
+        """Returns the keys of the backends that get requests by turns only."""
+        if self._is_idle():
             return NOTHING
         self._refresh()
         now = self._clock.monotonic()
-        return {key for key, end in self._ends.items() if end > now}
+        return {key for key, end in self._ends.items() if end + cold.TAIL > now}
 
     def get_left(self, key: model.BackendKey) -> datetime.timedelta:
         """Returns for how long the backend warms, 0 if it does not."""
-        if self._bound is None or self._inventory.warming.is_empty():
-            return datetime.timedelta()
+        return max(self._get_left(key), datetime.timedelta())
+
+    def _get_left(self, key: model.BackendKey) -> datetime.timedelta:
+        """Returns the same, below 0 after the end; `-cold.TAIL` without one."""
+        if self._is_idle():
+            return -cold.TAIL
         self._refresh()
-        now = self._clock.monotonic()
-        end = self._ends.get(key, now)
-        return max(end - now, datetime.timedelta())
+        end = self._ends.get(key)
+        if end is None:
+            return -cold.TAIL
+        return max(end - self._clock.monotonic(), -cold.TAIL)
+
+    def _is_idle(self) -> bool:
+        return self._bound is None or (
+            not self._ends and self._inventory.warming.is_empty()
+        )
 
     def has_turn(self, backend: model.Backend) -> bool:
-        """Returns whether this daemon may send to a warming backend now."""
+        """Returns whether this daemon may send to such a backend now."""
         return self._turns.is_due(
             backend.vm.identity,
-            self._get_rate(backend.vm),
+            self._get_turn_rate(backend),
             self._read_view(),
             self._clock.monotonic(),
         )
 
     def take_turn(self, backend: model.Backend) -> None:
-        """Records that a request is assigned to a backend if it warms."""
-        if not self.is_warming(backend.key):
+        """Records that a request is assigned to a backend if it has turns."""
+        if self._get_left(backend.key) <= -cold.TAIL:
             return
         self._turns.take(
             backend.vm.identity,
-            self._get_rate(backend.vm),
+            self._get_turn_rate(backend),
             self._read_view(),
             self._clock.monotonic(),
         )
@@ -136,12 +148,14 @@
 
     def get_wait(self, backend: model.Backend) -> datetime.timedelta:
         """Returns the time until this daemon may send to a backend."""
-        left = self.get_left(backend.key)
-        if not left:
-            return left
+        left = self._get_left(backend.key)
+        if left <= -cold.TAIL:
+            return datetime.timedelta()
+        if left <= datetime.timedelta():
+            left += cold.TAIL
         wait = self._turns.get_wait(
             backend.vm.identity,
-            self._get_rate(backend.vm),
+            self._get_turn_rate(backend),
             self._read_view(),
             self._clock.monotonic(),
         )
@@ -158,12 +172,16 @@
         if is_pruned and self._read_revisions() == self._cached_for:
             return
         self._pruned_at = now
+        self._ends = {
+            key: end for key, end in self._ends.items() if end + cold.TAIL > now
+        }
         ends = reports.list_ends()
         silent = reports.list_silent()
         revisions = self._read_revisions()
         if revisions == self._cached_for:
             return
         self._cached_for = revisions
+        past = {key: min(end, now) for key, end in self._ends.items()}
         self._ends = {}
         for (name, started_at_ms), since in silent.items():
             vm = self._inventory.find(name)
@@ -184,6 +202,7 @@
             key = vm.identity if member is None else member.key
             self._ends[key] = max(end, self._ends.get(key, end))
         self.metrics.warming_backends.set({}, len(self._ends))
+        self._ends = {**past, **self._ends}
 
     def _read_revisions(self) -> tuple[int, int, int]:
         return (
@@ -192,10 +211,23 @@
             self._catalog.get_version(),
         )
 
-    def _get_rate(self, vm: fleet_model.Vm) -> float:
-        """Returns the requests a second that a VM bears, 0 for any number."""
+    def _get_turn_rate(self, backend: model.Backend) -> float:
+        """Returns the requests a second of all daemons' turns at a backend."""
+        if self.is_warming(backend.key):
+            return self._get_rate(backend.vm)
+        return self._get_rate(backend.vm, is_past=True)
+
+    def _get_rate(self, vm: fleet_model.Vm, is_past: bool = False) -> float:
+        """Returns the requests a second that a VM bears, 0 for any number.
+
+        Args:
+            vm: the VM.
+            is_past: whether it has just ceased to warm.
+        """
         catalog = self._catalog.get_current()
         spec = None if catalog is None else catalog.services.get(vm.service)
         if spec is None or self._bound is None or spec.warming_rate <= 0:
             return 0.0
+        if is_past:
+            return self._bound.allow(spec.warming_rate)
         return self._bound.limit(spec.warming_rate)
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -933,6 +933,14 @@
         test="replicas/tests/test_own_paths.py::"
         "test_member_that_is_read_last_after_a_cut_keeps_its_place",
     ),
+    Mutation(
+        promise="a VM gets no more than the bound in the second after its end",
+        path="balancing/cold.py",
+        old="TAIL = WINDOW",
+        new="TAIL = 0 * WINDOW",
+        test="relay/tests/test_warming.py::"
+        "test_vm_that_becomes_cold_soon_after_its_end_gets_the_bound",
+    ),
     Mutation(
         promise="sends before the news that a VM became cold use the turns",
         path="balancing/cold.py",
