--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -908,6 +908,14 @@
         test="platform/tests/test_detours.py::"
         "test_vm_that_does_not_answer_directly_is_asked_through_a_peer",
     ),
+    Mutation(
+        promise="a replica that rejects gets no more before its next status",
+        path="routing/rejections.py",
+        old="self._rejected_at[name] >= reported_at",
+        new="False",
+        test="routing/tests/test_rejections.py::"
+        "test_replica_that_rejects_gets_no_more_before_its_next_status",
+    ),
     Mutation(
         promise="a replacement that asked no upstream uses no attempt",
         path="relay/streams.py",
@@ -925,6 +933,14 @@
         test="replicas/tests/test_own_paths.py::"
         "test_member_that_is_read_last_after_a_cut_keeps_its_place",
     ),
+    Mutation(
+        promise="a VM gets no more than the bound in the second after its end",
+        path="balancing/cold.py",
+        old="TAIL = WINDOW",
+        new="TAIL = 0 * WINDOW",
+        test="relay/tests/test_warming.py::"
+        "test_vm_that_becomes_cold_soon_after_its_end_gets_the_bound",
+    ),
     Mutation(
         promise="sends before the news that a VM became cold use the turns",
         path="balancing/cold.py",
