Bound the connections of arbutuscoved's peers

Cause: gRPC bounds no connections. 500 that send nothing took all 400 descriptors of a daemon, whose callers got no answer.

Change: options of grpcio bound them to an eighth of the descriptors, 64 at least and 512 at most, and to 5 s for their first frame.

Measured (bin/test arbutuscove/standins/tests/test_trickling_clients.py -k peers, no seed): the new test failed before (time-out of 30 s) and passes now, one run each; in a trial 400 descriptors before and 67 with a bound of 50. bin/test arbutuscove/peers arbutuscove/daemon arbutuscove/membership: 94 passed.

--- a/arbutuscove/daemon/assembly.py
+++ b/arbutuscove/daemon/assembly.py
@@ -175,9 +175,8 @@
     )
     memory_bytes = settings.memory_mb * memory.MEGABYTE
     budget = memory.create_budget(memory_bytes, clock, BODY_COPIES)
-    bounds = connections.compute_bounds(
-        memory_bytes, resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-    )
+    max_descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    bounds = connections.compute_bounds(memory_bytes, max_descriptors)
     shared_places = connections.create_places(bounds)
     admin = admin_api.AdminServer(
         http.Address.parse_listen(settings.admin_listen),
@@ -219,7 +218,11 @@
         (
             peer_server.SERVICE_NAME,
             peer_server.PeerServer(
-                settings.peer_listen, membership, board, directory
+                settings.peer_listen,
+                membership,
+                board,
+                directory,
+                peer_server.compute_max_connections(max_descriptors),
             ),
         ),
         *paths.list_services(),
--- a/arbutuscove/peers/server.py
+++ b/arbutuscove/peers/server.py
@@ -19,6 +19,12 @@
 # has at most 1,024 traits.
 MAX_REQUEST_BYTES = 1 << 20
 MAX_METADATA_BYTES = 8192
+# Connections of peers, at most, and as a part of the descriptors. A daemon
+# keeps 64 channels to others, so that in the mean as many lead to it.
+MAX_CONNECTIONS = 512
+MIN_CONNECTIONS = 64
+DESCRIPTORS_PER_CONNECTION = 8
+HANDSHAKE_TIMEOUT_MS = 5000  # until the first frame of HTTP/2
 # Pings on connections without calls, too: a peer that is lost makes none.
 KEEP_ALIVE_TIME_MS = 10_000
 LOSS_TIMEOUT_MS = 2500  # of a ping, and TCP_USER_TIMEOUT
@@ -32,10 +38,21 @@
     ("grpc.max_concurrent_streams", MAX_STREAMS),
     ("grpc.max_metadata_size", MAX_METADATA_BYTES),
     ("grpc.absolute_max_metadata_size", MAX_METADATA_BYTES),
+    ("grpc.server_handshake_timeout_ms", HANDSHAKE_TIMEOUT_MS),
 ]
 STOP_GRACE_SECONDS = 1.0  # for calls in progress
 
 
+def compute_max_connections(max_descriptors: int) -> int:
+    """Returns how many connections of peers may be open at once.
+
+    Args:
+        max_descriptors: most open descriptors of the process.
+    """
+    count = max_descriptors // DESCRIPTORS_PER_CONNECTION
+    return max(MIN_CONNECTIONS, min(MAX_CONNECTIONS, count))
+
+
 class MembershipHandler(typing.Protocol):
     """Answers probes and requests for configuration changes."""
 
@@ -118,6 +135,7 @@
         handler: answers probes and requests for configuration changes.
         statuses: answers requests for VM statuses.
         rows: answers requests for replica rows.
+        max_connections: the most connections of peers at once.
     """
 
     def __init__(
@@ -126,10 +144,12 @@
         handler: MembershipHandler,
         statuses: StatusSource,
         rows: RowSource,
+        max_connections: int = MAX_CONNECTIONS,
     ) -> None:
+        connections = ("grpc.max_allowed_incoming_connections", max_connections)
         self._server = grpc.server(
             futures.ThreadPoolExecutor(max_workers=MAX_WORKERS),
-            options=SERVER_OPTIONS,
+            options=[*SERVER_OPTIONS, connections],
             maximum_concurrent_rpcs=MAX_CALLS,
         )
         peer_pb2_grpc.add_PeerServicer_to_server(
--- a/arbutuscove/standins/tests/hostile.py
+++ b/arbutuscove/standins/tests/hostile.py
@@ -32,6 +32,7 @@
 CONNECTION_CROWD = 480
 TRICKLE_CROWD = 300  # twice the connections that `MAX_DESCRIPTORS` leave
 TRICKLE_SECONDS = 1.0  # between two bytes
+PEER_CROWD = 500  # more than all descriptors
 MAX_BODY_BYTES = 4 << 20
 CHUNK_BYTES = 65536
 # A client whose bytes are not read for so long sends no more.
@@ -205,12 +206,14 @@
         self._sockets: list[typing.Any] = []
         self._trickles: list[gevent.Greenlet] = []
 
-    def begin(self, kinds, seconds):
+    def begin(self, kinds, seconds, address=None):
         """Lets one client of each kind send until `leave`.
 
         Returns after `seconds`.
         """
-        self._trickles = [gevent.spawn(self._send, kind) for kind in kinds]
+        self._trickles = [
+            gevent.spawn(self._send, kind, address) for kind in kinds
+        ]
         gevent.sleep(seconds)
 
     def begin_everywhere(self, kind, seconds):
@@ -454,6 +457,12 @@
         admin = self._cluster.addresses["entry-0.admin"]
         return [self.address, storage_http.Address.parse(admin)]
 
+    def find_peer_address(self):
+        """Returns the address for calls of other daemons."""
+        return storage_http.Address.parse(
+            self._cluster.addresses["entry-0.peer"]
+        )
+
     def find_plain_address(self):
         """Returns the address of the plain service."""
         return self._cluster.addresses["plain-0"]
--- a/arbutuscove/standins/tests/test_trickling_clients.py
+++ b/arbutuscove/standins/tests/test_trickling_clients.py
@@ -86,3 +86,15 @@
         _check_served(daemon)
     finally:
         crowd.leave()
+
+
+@pytest.mark.parametrize("daemon", ["own"], indirect=True)
+def test_silent_connections_of_peers_leave_descriptors(daemon):
+    """Guards against connections to the address for peers without a bound."""
+    crowd = hostile.Crowd(daemon)
+    kinds = [hostile.send_nothing] * hostile.PEER_CROWD
+    crowd.begin(kinds, BEGIN_SECONDS, daemon.find_peer_address())
+    try:
+        _check_served(daemon)
+    finally:
+        crowd.leave()
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -1609,6 +1609,14 @@
         test="observe/tests/test_output.py::"
         "test_lines_of_callers_bytes_are_bounded",
     ),
+    Mutation(
+        promise="connections of peers leave descriptors for callers",
+        path="peers/server.py",
+        old="            options=[*SERVER_OPTIONS, connections],\n",
+        new="            options=SERVER_OPTIONS,\n",
+        test="standins/tests/test_trickling_clients.py::"
+        "test_silent_connections_of_peers_leave_descriptors",
+    ),
     Mutation(
         promise="a finished request gives its memory back",
         path="entry/bodies.py",
