Log the places that are lent to a daemon that refuses

Cause: an operator could not see whether a daemon that refuses had a loan of idle places.

Change: waiting:refused has the field lent.

Result: bin/test of relay/tests/test_{waiting,lending,refusals,notices}.py passes (64).

--- a/arbutuscove/relay/waiting.py
+++ b/arbutuscove/relay/waiting.py
@@ -454,6 +454,7 @@
             running=round(usage.own + placement.bound_peer_usage(usage)),
             own=usage.own,
             places=usage.places,
+            lent=round(usage.loan.slots, 1),
             is_hopeless=refusal.is_hopeless,
             list_age=None if age is None else round(age.total_seconds(), 3),
         )
