Check descriptors while silent connections of peers are open

The mutation that removes the bound on connections passed the test, as the 5 s for the first frame had closed them before the check. The test now checks descriptors also before its request; nothing else of it changes.

Measured (bin/test arbutuscove/standins/tests/test_trickling_clients.py -k peers): passes, and fails with the mutation, one run each.

--- a/arbutuscove/standins/tests/test_trickling_clients.py
+++ b/arbutuscove/standins/tests/test_trickling_clients.py
@@ -95,6 +95,8 @@
     kinds = [hostile.send_nothing] * hostile.PEER_CROWD
     crowd.begin(kinds, BEGIN_SECONDS, daemon.find_peer_address())
     try:
+        # While all are open, and not only once they have timed out.
+        assert daemon.count_descriptors() < hostile.MAX_DESCRIPTORS
         _check_served(daemon)
     finally:
         crowd.leave()
