Make four tests independent of pauses of the process

Cause: test_feed_sent_during_a_failure_is_short failed once in 1 of 1 runs of several packages beside load.

Change: the silence begins as a feed has arrived; requests that have to be on time get a target of 10 s; the clock stands while a turn is explained. All assertions are the same.

--- a/arbutuscove/platform/tests/test_configuration_feed.py
+++ b/arbutuscove/platform/tests/test_configuration_feed.py
@@ -102,7 +102,11 @@
     monkeypatch.setattr(followers, "CONFIGURATION_FEED_WAIT", short_wait)
     scene.change()  # ends the pending feed
     assert scene.wait_until_in_force()
-    gevent.sleep(0.1)
+    # The silence begins as a feed has just arrived: if it were answered at that
+    # moment, the next one would be the first to be lost, and a long one.
+    calls = scene.service.feed_calls["op"]
+    while scene.service.feed_calls["op"] == calls:
+        gevent.sleep(0.001)
     scene.service.faults.is_swallowing = True
     monkeypatch.setattr(followers, "CONFIGURATION_FEED_WAIT", long_wait)
     timeout = short_wait + store_module.FEED_TIMEOUT_MARGIN
--- a/arbutuscove/relay/tests/test_explanation.py
+++ b/arbutuscove/relay/tests/test_explanation.py
@@ -205,7 +205,7 @@
     assert not scene.dispatcher._queues
 
 
-def test_a_turn_is_named_and_not_taken():
+def test_a_turn_is_named_and_not_taken(monkeypatch):
     """Guards against a look that costs a warming backend its request."""
     scene = test_warming.Scene()
     scene.list(warm=2 * SECOND)
@@ -216,7 +216,11 @@
     assert (option.state, option.turn_in) == ("warming", 0.0)
     assert scene.acquire() == "warm"
     # The next turn comes later than the request may wait for it.
-    found = explain(scene)
+    with monkeypatch.context() as patch:
+        # The time to the turn is read twice.
+        now = scene.clock.monotonic()
+        patch.setattr(scene.clock, "monotonic", lambda: now)
+        found = explain(scene)
     assert found.verdict == explanation.Refused(
         status=503,
         code="upstream_warming",
--- a/arbutuscove/relay/tests/test_waiting.py
+++ b/arbutuscove/relay/tests/test_waiting.py
@@ -20,6 +20,7 @@
 from arbutuscove.relay import waiting
 
 SECOND = datetime.timedelta(seconds=1)
+TIMELY = 10 * SECOND
 ROUTE = catalog_model.Route(
     name="r",
     host="h",
@@ -64,9 +65,23 @@
         vm = test_planner.create_vm("p", fabric_domain="", slots=2)
         self.inventory.replace([vm])
 
-    def create_request(self, name="x", priority=1, **fields):
+    def create_request(self, name="x", priority=1, target=None, **fields):
+        """Returns a request, which is late after some milliseconds.
+
+        Args:
+            name: its id.
+            priority: its priority.
+            target: time to the first byte for which it is on time. Tests whose
+                requests have to be on time pass a longer one, as a pause of
+                the process would make them late.
+            fields: further fields of the request.
+        """
         now = self.clock.monotonic()
-        route = dataclasses.replace(ROUTE, priority=priority)
+        route = dataclasses.replace(
+            ROUTE,
+            priority=priority,
+            first_byte_target=target or ROUTE.first_byte_target,
+        )
         values = {"arrived": now, "deadline": now + 2 * SECOND}
         return model.Request(
             request_id=name,
@@ -121,8 +136,8 @@
         scene.dispatcher.release(request, "models", backend, 1, SECOND / 100)
 
     jobs = [
-        gevent.spawn(wait, scene.create_request("late", priority=2)),
-        gevent.spawn(wait, scene.create_request("urgent", priority=0)),
+        gevent.spawn(wait, scene.create_request(name, priority, target=TIMELY))
+        for name, priority in (("late", 2), ("urgent", 0))
     ]
     gevent.sleep(0.01)
     scene.dispatcher.release(
@@ -221,7 +236,7 @@
     waiters = [
         gevent.spawn(
             scene.dispatcher.acquire,
-            scene.create_request(str(number)),
+            scene.create_request(str(number), target=TIMELY),
             "models",
         )
         for number in range(9)
