Log attempts that end before their answer, and what probes of lost ones find

Change: flow:attempt_left names request, VM, its start, and how far the attempt had come; crash:examined names what was found of the VM of a lost answer.

--- a/arbutuscove/crashes/tracker.py
+++ b/arbutuscove/crashes/tracker.py
@@ -227,7 +227,14 @@
             at=now,
             suspects=self._evidence.limit_suspects(_list_traits(request)),
         )
-        match self._determine_liveness(vm, death.identity):
+        state = self._determine_liveness(vm, death.identity)
+        eliot.log_message(
+            "crash:examined",
+            request_id=request.request_id,
+            vm=death.identity,
+            liveness=state.name.lower(),
+        )
+        match state:
             case liveness.Liveness.DEAD:
                 self._record_death(death, request)
             case liveness.Liveness.UNKNOWN:
--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -154,6 +154,8 @@
         self._connection: connection.Connection | None = None
         self._is_released = False
         self._was_sent = False
+        # Whether the end of the answer, or its loss, has been recorded.
+        self._has_end = False
         self._has_answer_begun = False
         self._head_at: datetime.timedelta | None = None
         self._event_count = 0
@@ -363,6 +365,7 @@
 
     def finish(self) -> None:
         """Returns the connection to the pool and frees the slot."""
+        self._has_end = True
         begun_at = self._first_event_at
         if not self._request.route.repeat.is_streamed:
             begun_at = self._head_at
@@ -378,6 +381,9 @@
 
     def close(self) -> None:
         """Ends the attempt in any state; may be called more than once."""
+        if self._was_sent and not self._has_end:
+            self._has_end = True
+            self._log_end("flow:attempt_left")
         upstream, self._connection = self._connection, None
         if upstream is not None:
             upstream.close()
@@ -564,25 +570,33 @@
             self._context.states.record_failure(self.backend.key)
         if isinstance(error, http.NoResponseError):
             self._suspect_path()
+        self._has_end = True
+        self._log_end(
+            "flow:attempt_lost", reason=str(error), has_lost_path=has_lost_path
+        )
+        if isinstance(error, http.NoResponseError):
+            self._report_crash(self.backend)
+        return outcomes.AttemptLostError(str(error))
+
+    def _log_end(self, name: str, **fields: str | bool) -> None:
+        """Logs the end of an attempt that was sent and not answered."""
+        assert self.backend is not None
         now = self._context.clock.monotonic()
         head_at = self._head_at
         eliot.log_message(
-            "flow:attempt_lost",
+            name,
             request_id=self._request.request_id,
             backend=self.backend.key[0],
             vm=self.backend.vm.name,
-            reason=str(error),
-            has_lost_path=has_lost_path,
+            born=self.backend.vm.started_at_ms,
             since_sent=(now - self._started_at).total_seconds(),
             since_head=(
                 None if head_at is None else (now - head_at).total_seconds()
             ),
             events=self._event_count,
             prompt_parts=self._request.prompt_parts,
+            **fields,
         )
-        if isinstance(error, http.NoResponseError):
-            self._report_crash(self.backend)
-        return outcomes.AttemptLostError(str(error))
 
     def _report_crash(self, backend: model.Backend) -> None:
         """Reports an answer that was lost after it had begun.
@@ -607,6 +621,7 @@
                 self.backend.vm.failure_domain,
             )
         if reply.not_run:
+            self._has_end = True
             if not reply.is_busy:
                 self._context.states.record_failure(self.backend.key)
             raise outcomes.NotRunError(
