Show with real processes that contents go on crashing servers

Cause: a request whose caller has left, or that crashes servers before the head of its answer, is never blamed.

--- a/arbutuscove/standins/users_platform.py
+++ b/arbutuscove/standins/users_platform.py
@@ -101,6 +101,7 @@
         at: Monotonic time of the start, in seconds.
         prompt_parts: Ids of all parts of the prompt, in order.
         members: Names of the servers of its group; empty for a plain server.
+        content: Body of the request.
     """
 
     request_id: str
@@ -110,6 +111,40 @@
     at: float
     prompt_parts: tuple[str, ...] = ()
     members: tuple[str, ...] = ()
+    content: bytes = b""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Crash:
+    """The crash of a server by the content of a request.
+
+    Attributes:
+        content: Body of the request.
+        at: Monotonic time in seconds.
+    """
+
+    content: bytes
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CrashPlan:
+    """When a server ends that runs a crashing content, and how it returns.
+
+    Attributes:
+        delay_seconds: Time from the start of the run to the crash, or from the
+            head or the last event of a stream.
+        has_head: Whether a stream's head is sent before the crash.
+        events: Events of a stream that are sent before the crash.
+        restart_seconds: Time from the crash to the next start.
+        is_renamed: Whether the next start has another name.
+    """
+
+    delay_seconds: float = CRASH_DELAY_SECONDS
+    has_head: bool = True
+    events: int = 0
+    restart_seconds: float = RESTART_SECONDS
+    is_renamed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -186,6 +221,7 @@
         self.leaving = False
         self._platform = platform
         self._requests = 0
+        self._crash_count = 0
         self._server: _Server | None = None
         self._reset()
         self.start()
@@ -217,19 +253,33 @@
         if self._server is not None:
             self._server.close()
 
-    def die(self) -> None:
-        """Crashes with all connections cut, and restarts soon afterwards."""
+    def die(self, content: bytes = b"") -> None:
+        """Crashes with all connections cut, and restarts soon afterwards.
+
+        Args:
+            content: Body of the request that causes the crash.
+        """
         if not self.is_alive:
             return
-        self._platform.deaths.append(time.monotonic())
+        now = time.monotonic()
+        self._platform.deaths.append(now)
+        self._platform.crashes.append(Crash(content=content, at=now))
+        self._crash_count += 1
         self.crash()
         if self._server is not None:
             self._server.cut_connections()
-        gevent.spawn_later(RESTART_SECONDS, self._restart)
+        plan = self._platform.crash_plan
+        gevent.spawn_later(plan.restart_seconds, self._restart)
 
     def _restart(self) -> None:
-        if not self._platform.stopped:
-            self.start()
+        if self._platform.stopped:
+            return
+        if self._platform.crash_plan.is_renamed:
+            first_name = self.name.partition("-again-")[0]
+            self._platform.rename(
+                self, f"{first_name}-again-{self._crash_count}"
+            )
+        self.start()
 
     def _reset(self) -> None:
         self.born = time.time_ns() // 1_000_000
@@ -265,8 +315,11 @@
         # A silent server may become cold before it reads the request.
         arrived_at = time.monotonic()
         cold_left = max(0.0, self.cold_until - arrived_at)
+        crash_count = self._crash_count
         self._block_while_unresponsive()
         body = environ["wsgi.input"].read()
+        if self._crash_count != crash_count:
+            raise ConnectionResetError(errno.ECONNRESET, "crashed")
         expected = environ.get("HTTP_X_EXPECT_INSTANCE", self.name)
         if expected != self.name:
             fields = [("Content-Length", "0"), ("X-Instance-Id", self.name)]
@@ -353,7 +406,9 @@
     def _check_members(self) -> None:
         own = self.build_report()["group"]["name"]
         for name in self.members:
-            other = self._platform.servers[name]
+            other = self._platform.servers.get(name)
+            if other is None:
+                continue
             state = other.build_report().get("group", {})
             is_member = other.is_alive and state.get("name") == own
             if is_member and state["state"] == "joining":
@@ -364,9 +419,14 @@
     def is_progressing(self) -> bool:
         """Returns whether the group is open and all members are alive in it."""
         for name in self.members:
-            other = self._platform.servers[name]
-            joined = other.group
-            if not other.is_alive or joined is None or self.group is None:
+            other = self._platform.servers.get(name)
+            joined = None if other is None else other.group
+            if (
+                other is None
+                or not other.is_alive
+                or joined is None
+                or self.group is None
+            ):
                 return False
             if joined["name"] != self.group["name"]:
                 return False
@@ -413,12 +473,18 @@
             fields += [("X-Not-Run", "1"), ("Content-Length", "0")]
             start_response(status, fields)
             return []
-        self._platform.record_run(self, environ, request_id)
+        self._platform.record_run(self, environ, request_id, body)
         self._block_while_unresponsive()
         fields.append((STAMP, f"{self.name}.{request_id}"))
+        plan = self._platform.crash_plan
+        is_crashing = body in self._platform.crashing_contents
+        if is_crashing and not (self.domain and plan.has_head):
+            gevent.sleep(plan.delay_seconds)
+            self.die(body)
+            raise ConnectionResetError(errno.ECONNRESET, "crashed")
         if self.domain:
             start_response("200 -", fields)
-            return self._stream(environ, request_id)
+            return self._stream(environ, request_id, body, is_crashing)
         gevent.sleep(EVENT_INTERVAL_SECONDS)
         self._block_while_unresponsive()
         data = f"{self.name}:{request_id}".encode() + body
@@ -429,18 +495,29 @@
         start_response("500 -" if fails else "200 -", fields)
         return [data]
 
-    def _stream(self, environ: Environ, request_id: str) -> abc.Iterator[bytes]:
+    def _stream(
+        self,
+        environ: Environ,
+        request_id: str,
+        content: bytes,
+        is_crashing: bool,
+    ) -> abc.Iterator[bytes]:
+        plan = self._platform.crash_plan
         first = int(environ.get("HTTP_LAST_EVENT_ID") or 0) + 1
         self.running += 1
         try:
-            if self._platform.crashing_parts.intersection(
-                read_prompt_parts(environ)
-            ):
+            is_crashing = is_crashing or bool(
+                self._platform.crashing_parts.intersection(
+                    read_prompt_parts(environ)
+                )
+            )
+            if is_crashing:
                 yield b" "  # sends the head; a space is no event
-                gevent.sleep(CRASH_DELAY_SECONDS)
-                self.die()
-                raise ConnectionResetError(errno.ECONNRESET, "crashed")
             for number in range(first, EVENTS_PER_STREAM + 1):
+                if is_crashing and number >= first + plan.events:
+                    gevent.sleep(plan.delay_seconds)
+                    self.die(content)
+                    raise ConnectionResetError(errno.ECONNRESET, "crashed")
                 gevent.sleep(EVENT_INTERVAL_SECONDS)
                 self._block_while_unresponsive()
                 while not self.is_progressing():
@@ -467,7 +544,11 @@
         violations: Violations that the servers observed.
         crashing_parts: Ids of prompt parts that crash each server that begins
             to answer a prompt with one of them.
-        deaths: Monotonic times, in seconds, of the crashes by such parts.
+        crashing_contents: Bodies of requests that crash each server that runs
+            them.
+        crash_plan: When and how such requests crash a server.
+        deaths: Monotonic times, in seconds, of the crashes by requests.
+        crashes: The same with their causes.
         cold_start_seconds: For how long a server that starts is cold.
         stopped: Whether `stop` was called.
     """
@@ -479,6 +560,9 @@
         self.arrivals: list[Arrival] = []
         self.violations: list[Violation] = []
         self.crashing_parts: set[str] = set()
+        self.crashing_contents: set[bytes] = set()
+        self.crash_plan = CrashPlan()
+        self.crashes: list[Crash] = []
         self.deaths: list[float] = []
         self.cold_start_seconds = 0.0
         self.stopped = False
@@ -486,6 +570,8 @@
         self._store_server.start()
         self._heartbeats = gevent.spawn(self._run_heartbeats)
         self._last_alive: dict[str, float] = {}
+        # Names of servers that crashed and have started again under another.
+        self._ended: list[str] = []
         self._pass_count = 0
 
     def add(self, server: Server) -> None:
@@ -504,8 +590,19 @@
         """Records the violation of a guarantee."""
         self.violations.append(Violation(name=name, detail=detail))
 
+    def rename(self, server: Server, name: str) -> None:
+        """Gives a server another name; the entry of the former one expires."""
+        self._ended.append(server.name)
+        del self.servers[server.name]
+        server.name = name
+        self.servers[name] = server
+
     def record_run(
-        self, server: Server, environ: Environ, request_id: str
+        self,
+        server: Server,
+        environ: Environ,
+        request_id: str,
+        content: bytes = b"",
     ) -> None:
         """Records a run and checks the headers of its request."""
         if "HTTP_AUTHORIZATION" in environ:
@@ -523,6 +620,7 @@
                 at=time.monotonic(),
                 prompt_parts=read_prompt_parts(environ),
                 members=server.members,
+                content=content,
             )
         )
 
@@ -531,8 +629,8 @@
         former = server.group
         if former is None or former["name"] == group:
             return
-        head = self.servers[server.members[0]]
-        if not head.is_alive or head.group is None:
+        head = self.servers.get(server.members[0])
+        if head is None or not head.is_alive or head.group is None:
             return
         if head.group["name"] != former["name"]:
             return
@@ -555,6 +653,10 @@
                     > ENTRY_EXPIRY_SECONDS
                 ):
                     self.store.drop("servers", server.name)
+            for name in list(self._ended):
+                if now - self._last_alive.get(name, 0) > ENTRY_EXPIRY_SECONDS:
+                    self.store.drop("servers", name)
+                    self._ended.remove(name)
             gevent.sleep(HEARTBEAT_SECONDS / 3)
 
     def write_entry(self, server: Server) -> None:
--- a/soak/world.py
+++ b/soak/world.py
@@ -101,6 +101,8 @@
         beside: pathlib.Path | None = None,
         has_zones: bool = False,
         memory_mb: int | None = None,
+        grouped_count: int = GROUPED_SERVER_COUNT,
+        plain_count: int = PLAIN_SERVER_COUNT,
     ) -> None:
         """Creates the stand-ins; `start` then starts each daemon.
 
@@ -115,6 +117,8 @@
                 that start are cold.
             memory_mb: memory of each daemon's VM, as its settings state it;
                 None if they state none.
+            grouped_count: servers that form groups.
+            plain_count: servers of the plain service.
         """
         self._memory_mb = memory_mb
         self._zones = ZONES if has_zones else ZONES[:1]
@@ -130,20 +134,18 @@
             f"127.{subnet}.1.1", self.port
         )
         self.links: dict[str, forwarder.Forwarder] = {}
-        for number in range(GROUPED_SERVER_COUNT):
+        for number in range(grouped_count):
             # Two servers in a row can form a group.
             index = number // 2 % len(self._zones)
             self._add_server(
                 subnet, number, "models", f"d{index}", self._zones[index]
             )
-        for number in range(
-            GROUPED_SERVER_COUNT, GROUPED_SERVER_COUNT + PLAIN_SERVER_COUNT
-        ):
+        for number in range(grouped_count, grouped_count + plain_count):
             zone = self._zones[number % len(self._zones)]
             self._add_server(subnet, number, "desk", "", zone)
         self._add_server(
             subnet,
-            GROUPED_SERVER_COUNT + PLAIN_SERVER_COUNT,
+            grouped_count + plain_count,
             SPARE_SERVICE,
             "",
             self._zones[0],
