Blame requests whose attempts ended before the crash of their VM

Callers saw sound requests refused and servers gone: a request that had crashed its third server went on to others for as long as it came.

Cause: who was with a VM when it died was known only for attempts that were still alive. An attempt ends with its caller, its deadline or its replacement; the VM ends tens of milliseconds later, unseen, and those who were there to see it were blamed alone.

Change: crashes/exposures keeps each request that a VM may still run, for 3 s beyond the attempt while the VM shows life and 15 s at most. A death blames all of them, whether another attempt, another daemon, the list, or an examination of the silent VM shows it. The list of undecided losses is a case of this and gone. The mutation of the tracker is the same one at its new place.

Why it works: the crashing content was with each of the dead VMs, so that it is found after three of them, whoever reports them.

The tests that called report_loss with a request now begin an exposure first; the conditions are the same.

--- a/arbutuscove/crashes/evidence.py
+++ b/arbutuscove/crashes/evidence.py
@@ -293,6 +293,11 @@
         """Returns the known deaths."""
         return self._deaths.values()
 
+    def get_death_time(self, identity: str) -> datetime.timedelta | None:
+        """Returns the monotonic time of a known death, None if it is not."""
+        death = self._deaths.get(identity)
+        return None if death is None else death.at
+
     def is_empty(self) -> bool:
         """Returns whether no death is known."""
         return not self._deaths
--- a/arbutuscove/crashes/holder.py
+++ b/arbutuscove/crashes/holder.py
@@ -31,6 +31,15 @@
         self._clock = clock
         self._keeper = keeper
         self._evidence = evidence_module.Evidence()
+        self._death_listeners: list[abc.Callable[[str], None]] = []
+
+    def add_death_listener(self, listener: abc.Callable[[str], None]) -> None:
+        """Has a function called with each death that a daemon reports."""
+        self._death_listeners.append(listener)
+
+    def get_death_time(self, identity: str) -> datetime.timedelta | None:
+        """Returns the monotonic time of a known death, None if it is not."""
+        return self._evidence.get_death_time(identity)
 
     @property
     def culprits(self) -> abc.Mapping[int, evidence_module.Culprit]:
@@ -64,6 +73,9 @@
         before = self.culprits
         self._evidence.merge(report, self._clock.monotonic())
         self._record_changes(before)
+        for death in report.deaths:
+            for listener in self._death_listeners:
+                listener(death.identity)
 
     def restore(self, rows: abc.Iterable[table_module.Row]) -> None:
         """Adds the verdicts of table rows, at the start of the daemon."""
--- a/arbutuscove/crashes/tests/test_domain_death.py
+++ b/arbutuscove/crashes/tests/test_domain_death.py
@@ -63,7 +63,7 @@
         """Loses requests at a head, each at one of the daemons."""
         for request in requests:
             daemon = self.generator.choice(self.daemons)
-            daemon.tracker.report_loss(request, test_tracker.create_vm(head))
+            daemon.report_loss(request, test_tracker.create_vm(head))
 
     def exchange(self):
         """Delivers the news of each daemon to the others."""
--- a/arbutuscove/crashes/tests/test_exposure.py
+++ b/arbutuscove/crashes/tests/test_exposure.py
@@ -101,7 +101,7 @@
         for request in lost:
             has_head = request.crashes_after != BEFORE_HEAD
             if has_head:
-                request.daemon.tracker.report_loss(request, vm)
+                request.daemon.report_loss(request, vm)
         self.exchange()
         for request in lost:
             tracker = request.daemon.tracker
@@ -283,7 +283,7 @@
     assert allowed == [True] + [False] * 5
     assert daemon.tracker.may_resume(lost[0])
     daemon.liveness = liveness.Liveness.DEAD
-    daemon.tracker.report_loss(lost[0], test_tracker.create_vm("b"))
+    daemon.report_loss(lost[0], test_tracker.create_vm("b"))
     assert not any(daemon.tracker.may_resume(request) for request in lost)
 
 
--- a/arbutuscove/crashes/tests/test_tracker.py
+++ b/arbutuscove/crashes/tests/test_tracker.py
@@ -62,9 +62,15 @@
 
     def lose(self, name, vm, parts=PARTS):
         request = Request(request_id=name, prompt_parts=parts)
-        self.tracker.report_loss(request, create_vm(vm))
+        self.report_loss(request, create_vm(vm))
         return request
 
+    def report_loss(self, request, vm):
+        """Loses the answer of a request that had begun."""
+        exposure = self.tracker.begin(request, vm, has_begun=True)
+        self.tracker.report_loss(exposure)
+        self.tracker.end(exposure)
+
     def refuses(self, name="new", parts=PARTS):
         request = Request(request_id=name, prompt_parts=parts)
         return self.tracker.find_culprit(request) is not None
--- a/arbutuscove/crashes/tracker.py
+++ b/arbutuscove/crashes/tracker.py
@@ -1,9 +1,12 @@
 """Tracks which requests crash upstreams, and keeps them from further ones.
 
-When an answer has begun and is lost before its end, the VM is probed.
-Only a VM that is known to have crashed counts as a death: a connection also
-breaks without one. If the probe decides nothing, the list of VMs does, once it
-shows a later start of the VM.
+When an answer has begun and is lost before its end, the VM is examined. It is
+also examined after an attempt has ended without an answer, until it shows life:
+the request may still run there. Only a VM that is known to have crashed counts
+as a death: a connection also breaks without one. If a probe decides nothing,
+later ones do, or the list of VMs once it shows a later start of the VM.
+
+A death blames all requests that were running at the VM, however it is learnt.
 """
 
 import dataclasses
@@ -12,9 +15,11 @@
 from collections import abc
 
 import eliot
+import gevent.pool
 from gevent import event
 
 from arbutuscove.crashes import evidence as evidence_module
+from arbutuscove.crashes import exposures as exposures_module
 from arbutuscove.crashes import holder
 from arbutuscove.crashes import liveness
 from arbutuscove.kernel import clock as clock_module
@@ -23,55 +28,15 @@
 SERVICE_NAME = "crashes"
 WATCH_INTERVAL = datetime.timedelta(milliseconds=250)
 EXPIRY_INTERVAL = datetime.timedelta(seconds=5)
-# A crashed VM is listed with its new start within this time, or stays away.
-MAX_WATCH = datetime.timedelta(seconds=15)
-MAX_WATCHED_LOSSES = 256  # the oldest is dropped
+MAX_EXAMINED = 8  # VMs that are examined at once
 # Requests that are lost together share the result of one probe.
 PROBE_TTL = datetime.timedelta(milliseconds=250)
 MAX_LOGGED_PARTS = 8
 MIN_RETRY_AFTER = datetime.timedelta(seconds=1)
 
 
-class Request(typing.Protocol):
-    """The part of a request that identifies its traits."""
-
-    @property
-    def request_id(self) -> str:
-        """The caller's id of the request."""
-
-    @property
-    def prompt_parts(self) -> tuple[str, ...]:
-        """The parts of the prompt that other requests may have, too."""
-
-    def encode_identity(self) -> bytes:
-        """Returns what makes two requests equal."""
-
-
-class Vm(typing.Protocol):
-    """The part of a VM's listed state that tells whether it has crashed."""
-
-    @property
-    def name(self) -> str:
-        """The name, the same after a restart."""
-
-    @property
-    def started_at_ms(self) -> int:
-        """The start in Unix milliseconds, compared only with its own."""
-
-    @property
-    def leaving(self) -> bool:
-        """Whether the VM drains."""
-
-
-VmT = typing.TypeVar("VmT", bound=Vm)
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class _Loss:
-    """A lost answer whose VM is neither known to be alive nor dead."""
-
-    vm: Vm
-    death: evidence_module.Death
+Request = exposures_module.Request
+VmT = typing.TypeVar("VmT", bound=exposures_module.Vm)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -113,17 +78,54 @@
         self._trials: dict[int, _Trial] = {}
         # The stream that may be resumed, by the suspect trait that it has.
         self._resumed: dict[int, Request] = {}
-        self._watched: list[_Loss] = []
-        self._has_watched = event.Event()
+        self._exposures: exposures_module.Exposures[VmT] = (
+            exposures_module.Exposures()
+        )
+        self._has_ended = event.Event()
+        self._examinations = gevent.pool.Pool(MAX_EXAMINED)
+        evidence.add_death_listener(self._record_reported)
         self._probes: dict[str, event.AsyncResult] = {}
         self._probed: dict[
             str, tuple[liveness.Liveness, datetime.timedelta]
         ] = {}
 
     def start(self, kernel: services.Kernel) -> None:
-        """Starts the loop that settles undecided losses."""
+        """Starts the loop that looks for crashes."""
         self.run_loop(self._run)
 
+    def begin(
+        self, request: Request, vm: VmT, has_begun: bool
+    ) -> exposures_module.Exposure[VmT]:
+        """Records that a request is being sent to a VM.
+
+        Args:
+            request: the request.
+            vm: the VM.
+            has_begun: whether the VM runs it at once, as far as is known.
+        """
+        now = self._clock.monotonic()
+        return self._exposures.begin(request, vm, now, has_begun)
+
+    def record_begin(self, exposure: exposures_module.Exposure[VmT]) -> None:
+        """Records that the VM has begun to run a request."""
+        self._exposures.record_begin(exposure)
+        self.record_life(exposure.vm)
+
+    def record_life(self, vm: VmT) -> None:
+        """Records that a VM has answered."""
+        self._exposures.record_life(vm, self._clock.monotonic())
+
+    def finish(self, exposure: exposures_module.Exposure[VmT]) -> None:
+        """Records that the VM has survived a request or did not run it."""
+        self.record_life(exposure.vm)
+        self._exposures.finish(exposure)
+
+    def end(self, exposure: exposures_module.Exposure[VmT]) -> None:
+        """Records that an attempt ended whose request may still run."""
+        self._exposures.end(exposure, self._clock.monotonic())
+        if self._exposures.has_ended():
+            self._has_ended.set()
+
     def find_culprit(self, request: Request) -> evidence_module.Culprit | None:
         """Returns the trait for which a request must not run, if any.
 
@@ -132,7 +134,7 @@
         culprits = self._evidence.culprits
         if not culprits:
             return None
-        for key in _list_traits(request):
+        for key in exposures_module.list_traits(request):
             culprit = culprits.get(key)
             if culprit is not None and not self._may_try(culprit, request):
                 return culprit
@@ -144,7 +146,7 @@
         Unlike `find_culprit` it begins no trial and logs nothing.
         """
         culprits = self._evidence.culprits
-        keys = _list_traits(request) if culprits else ()
+        keys = exposures_module.list_traits(request) if culprits else ()
         found = (culprits.get(key) for key in keys)
         return next((item for item in found if item is not None), None)
 
@@ -211,49 +213,60 @@
                 keys.append(whole)
         self._evidence.record_answer(keys, at)
 
-    def report_loss(self, request: Request, vm: VmT) -> None:
+    def report_loss(self, exposure: exposures_module.Exposure[VmT]) -> None:
         """Records a death if the VM of a lost answer has crashed.
 
         Returns once the other daemons have been told, so that the request is
         not sent again before.
 
         Args:
-            request: the request, whose answer had begun.
-            vm: the VM that the request was sent to.
+            exposure: the request and its VM.
         """
-        now = self._clock.monotonic()
-        death = evidence_module.Death(
-            identity=f"{vm.name}@{vm.started_at_ms}",
-            at=now,
-            suspects=self._evidence.limit_suspects(_list_traits(request)),
-        )
-        state = self._determine_liveness(vm, death.identity)
+        self._examine(exposure.vm, exposure.request)
+
+    def settle_losses(self) -> None:
+        """Records the crashes that the list of VMs shows."""
+        self._exposures.expire(self._clock.monotonic())
+        for vm in self._exposures.list_open():
+            listed = self._find_vm(vm.name)
+            if listed is not None and _has_restarted(vm, listed):
+                self._record_death(vm)
+            elif listed is not None and listed.leaving:
+                # Its end is planned, and no crash.
+                self._exposures.forget(vm)
+        if not self._exposures.has_ended():
+            self._has_ended.clear()
+
+    def examine_silent(self) -> None:
+        """Begins to examine VMs that have been silent since an attempt ended.
+
+        At most `MAX_EXAMINED` at once; the others are due again later.
+        """
+        for vm in self._exposures.list_due(
+            self._clock.monotonic(), self._examinations.free_count()
+        ):
+            self._examinations.spawn(self._examine, vm)
+
+    def _examine(self, vm: VmT, request: Request | None = None) -> None:
+        """Determines whether a VM has crashed and records its death if so.
+
+        Args:
+            vm: the VM.
+            request: the request that was lost there, if one was.
+        """
+        identity = exposures_module.identify(vm)
+        state = self._determine_liveness(vm, identity)
         eliot.log_message(
             "crash:examined",
-            request_id=request.request_id,
-            vm=death.identity,
+            request_id=None if request is None else request.request_id,
+            vm=identity,
             liveness=state.name.lower(),
         )
         match state:
             case liveness.Liveness.DEAD:
-                self._record_death(death, request)
-            case liveness.Liveness.UNKNOWN:
-                self._watched.append(_Loss(vm=vm, death=death))
-                del self._watched[:-MAX_WATCHED_LOSSES]
-                self._has_watched.set()
-
-    def settle_losses(self) -> None:
-        """Decides the undecided losses that the list of VMs now explains."""
-        now = self._clock.monotonic()
-        losses, self._watched = self._watched, []
-        for loss in losses:
-            listed = self._find_vm(loss.vm.name)
-            if listed is not None and _has_restarted(loss.vm, listed):
-                self._record_death(loss.death)
-            elif now - loss.death.at < MAX_WATCH:
-                self._watched.append(loss)
-        if not self._watched:
-            self._has_watched.clear()
+                self._record_death(vm, request)
+            case liveness.Liveness.ALIVE:
+                self.record_life(vm)
 
     def _determine_liveness(self, vm: VmT, identity: str) -> liveness.Liveness:
         listed = self._find_vm(vm.name)
@@ -279,21 +292,42 @@
             result.set(state)
         return state
 
-    def _record_death(
-        self, death: evidence_module.Death, request: Request | None = None
-    ) -> None:
-        if not self._evidence.record_death(death):
+    def _record_reported(self, identity: str) -> None:
+        """Adds to a death that another daemon reports what ran there."""
+        if self._exposures.has_any(identity):
+            self._blame(identity, None)
+
+    def _record_death(self, vm: VmT, request: Request | None = None) -> None:
+        self._blame(exposures_module.identify(vm), request)
+
+    def _blame(self, identity: str, request: Request | None) -> None:
+        """Blames all requests that were running at a VM for its death.
+
+        Args:
+            identity: the start of the VM.
+            request: the request whose loss showed the death, if one did.
+        """
+        now = self._clock.monotonic()
+        known_at = self._evidence.get_death_time(identity)
+        crashed_at = now if known_at is None else min(now, known_at)
+        suspects = self._exposures.take(identity, crashed_at)
+        death = evidence_module.Death(
+            identity=identity,
+            at=crashed_at,
+            suspects=self._evidence.limit_suspects(suspects),
+        )
+        if not suspects or not self._evidence.record_death(death):
             return
         eliot.log_message(
             "crash:death",
             request_id=None if request is None else request.request_id,
-            vm=death.identity,
+            vm=identity,
             prompt_parts=None
             if request is None
             else request.prompt_parts[:MAX_LOGGED_PARTS],
             suspects=holder.format_keys(death.suspects),
         )
-        self._send(self._evidence.encode_evidence(death.identity))
+        self._send(self._evidence.encode_evidence(identity))
 
     def _may_try(
         self, culprit: evidence_module.Culprit, request: Request
@@ -336,8 +370,9 @@
     def _run(self) -> None:
         expiry_due = self._clock.monotonic()
         while True:
-            if self._has_watched.wait(EXPIRY_INTERVAL.total_seconds()):
+            if self._has_ended.wait(EXPIRY_INTERVAL.total_seconds()):
                 self.settle_losses()
+                self.examine_silent()
                 self._clock.sleep(WATCH_INTERVAL)
             now = self._clock.monotonic()
             if now >= expiry_due:
@@ -352,14 +387,7 @@
                 }
 
 
-def _list_traits(request: Request) -> dict[int, int]:
-    """Returns the depth of each trait by its key."""
-    whole = evidence_module.hash_request(request.encode_identity())
-    return {whole: evidence_module.WHOLE_DEPTH} | {
-        evidence_module.hash_part(part): depth
-        for depth, part in enumerate(request.prompt_parts)
-    }
-
-
-def _has_restarted(vm: Vm, listed: Vm) -> bool:
+def _has_restarted(
+    vm: exposures_module.Vm, listed: exposures_module.Vm
+) -> bool:
     return listed.started_at_ms > vm.started_at_ms
--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -14,6 +14,7 @@
 import gevent
 
 from arbutuscove.catalog import holder as catalog_holder
+from arbutuscove.crashes import exposures
 from arbutuscove.crashes import tracker
 from arbutuscove.fleet import model as fleet_model
 from arbutuscove.kernel import clock as clock_module
@@ -156,6 +157,7 @@
         self._was_sent = False
         # Whether the end of the answer, or its loss, has been recorded.
         self._has_end = False
+        self._exposure: exposures.Exposure[fleet_model.Vm] | None = None
         self._has_answer_begun = False
         self._head_at: datetime.timedelta | None = None
         self._event_count = 0
@@ -247,6 +249,10 @@
             raise outcomes.NotRunError("no time is left")
         self._check_still_usable(self.backend)
         self._was_sent = True
+        # Plain services send no head before the answer.
+        self._exposure = context.crashes.begin(
+            request, self.backend.vm, has_begun=not self.backend.model
+        )
         try:
             upstream.send(
                 request.method,
@@ -373,6 +379,7 @@
         if is_success and begun_at is not None:
             self._context.crashes.record_answer(self._request, begun_at)
         upstream, self._connection = self._connection, None
+        self._end_exposure(is_survived=True)
         if upstream is not None and self.parser is not None:
             self._context.connections.check_in(
                 upstream, pool_module.parse_keep_alive_timeout(self.parser)
@@ -387,8 +394,18 @@
         upstream, self._connection = self._connection, None
         if upstream is not None:
             upstream.close()
+        self._end_exposure(is_survived=False)
         self._release(tokens=0)
 
+    def _end_exposure(self, is_survived: bool) -> None:
+        exposure, self._exposure = self._exposure, None
+        if exposure is None:
+            return
+        if is_survived:
+            self._context.crashes.finish(exposure)
+        else:
+            self._context.crashes.end(exposure)
+
     def _record_first_byte(self) -> None:
         if self._has_answer_begun:
             return
@@ -441,6 +458,8 @@
                         " request"
                     )
                 self._head_at = self._context.clock.monotonic()
+                assert self._exposure is not None
+                self._context.crashes.record_begin(self._exposure)
                 self._context.connections.record_answer(self._service, upstream)
                 self.record_progress()
                 return reply
@@ -575,7 +594,7 @@
             "flow:attempt_lost", reason=str(error), has_lost_path=has_lost_path
         )
         if isinstance(error, http.NoResponseError):
-            self._report_crash(self.backend)
+            self._report_crash()
         return outcomes.AttemptLostError(str(error))
 
     def _log_end(self, name: str, **fields: str | bool) -> None:
@@ -598,18 +617,19 @@
             **fields,
         )
 
-    def _report_crash(self, backend: model.Backend) -> None:
+    def _report_crash(self) -> None:
         """Reports an answer that was lost after it had begun.
 
         An engine sends the head when it begins to run a request; plain services
         send it with the answer.
         """
-        if self._head_at is None and backend.model:
+        assert self.backend is not None
+        if self._exposure is None or (
+            self._head_at is None and self.backend.model
+        ):
             return
         # A greenlet of its own completes the report if the caller leaves now.
-        gevent.spawn(
-            self._context.crashes.report_loss, self._request, backend.vm
-        ).join()
+        gevent.spawn(self._context.crashes.report_loss, self._exposure).join()
 
     def _check_reply(self, reply: replies.Reply) -> replies.Reply:
         assert self.backend is not None
@@ -622,6 +642,7 @@
             )
         if reply.not_run:
             self._has_end = True
+            self._end_exposure(is_survived=True)
             if not reply.is_busy:
                 self._context.states.record_failure(self.backend.key)
             raise outcomes.NotRunError(
--- a/arbutuscove/relay/tests/test_crashing_part.py
+++ b/arbutuscove/relay/tests/test_crashing_part.py
@@ -9,6 +9,8 @@
 
 from arbutuscove.catalog import holder as catalog_holder
 from arbutuscove.catalog import model as catalog_model
+from arbutuscove.crashes import evidence
+from arbutuscove.crashes import exposures
 from arbutuscove.crashes import holder
 from arbutuscove.crashes import liveness
 from arbutuscove.crashes import tracker
@@ -146,7 +148,10 @@
 
     def send(self, parts, repeat=catalog_model.Repeat.STREAM_RESUMABLE):
         """Returns the answer to a new request, or its refusal."""
-        request = self.create_request(parts, repeat)
+        return self.serve(self.create_request(parts, repeat))
+
+    def serve(self, request):
+        """Returns the answer to a request, or its refusal."""
         try:
             answer = self.flow.serve(request)
             list(answer.body)
@@ -307,7 +312,7 @@
     An answer is blamed from its head on, after events and as a resumed one.
     """
     reports = []
-    scene.tracker.report_loss = lambda request, vm: reports.append(request)
+    scene.tracker.report_loss = reports.append
     lost = attempt.Attempt(
         scene.flow.context, scene.create_request(CRASHING), "models"
     )
@@ -317,6 +322,9 @@
         model="chat",
         slots=4,
     )
+    lost._exposure = scene.tracker.begin(
+        lost._request, lost.backend.vm, has_begun=False
+    )
     lost.record_loss("cut", is_cut=True)
     assert not reports
     lost._head_at = scene.clock.monotonic()
@@ -325,3 +333,36 @@
     lost._event_count = 20
     lost.record_loss("cut", is_cut=True)
     assert len(reports) == 2
+
+
+@pytest.mark.parametrize("end", ["caller", "deadline"])
+def test_upstream_that_crashes_after_the_end_of_an_attempt_is_noticed(end):
+    """Guards against a request that crashes upstreams unseen.
+
+    Its caller leaves, or its deadline passes, and it goes on at the upstream.
+    """
+
+    def wait(request_id):
+        yield test_troubled.DEADLINE.total_seconds() * 2
+
+    scene = Scene(wait)
+    request = scene.create_request((), catalog_model.Repeat.ONCE)
+    if end == "deadline":
+        left = test_troubled.SECOND / 10
+        request = dataclasses.replace(
+            request, deadline=scene.clock.monotonic() + left
+        )
+    try:
+        caller = gevent.spawn(scene.serve, request)
+        while not scene.count_requests():
+            gevent.sleep(0.01)
+        if end == "caller":
+            caller.kill()
+        caller.join()
+        gevent.sleep(exposures.EXAMINE_DELAY.total_seconds())
+        scene.tracker.examine_silent()
+        gevent.sleep(0.01)
+        whole = evidence.hash_request(request.encode_identity())
+        assert scene.evidence.is_blamed(whole)
+    finally:
+        scene.stop()
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -1040,12 +1040,10 @@
     Mutation(
         promise="a broken connection is no death",
         path="crashes/tracker.py",
-        old="            case liveness.Liveness.UNKNOWN:\n"
-        "                self._watched",
+        old="            case liveness.Liveness.ALIVE:\n"
+        "                self.record_life(vm)",
         new="            case liveness.Liveness.ALIVE:\n"
-        "                self._record_death(death, request)\n"
-        "            case liveness.Liveness.UNKNOWN:\n"
-        "                self._watched",
+        "                self._record_death(vm, request)",
         test="crashes/tests/test_tracker.py::"
         "test_tracker_blames_nothing_for_a_cut_connection",
     ),
@@ -1069,7 +1067,7 @@
     Mutation(
         promise="a death is sent to the other daemons",
         path="crashes/tracker.py",
-        old="self._send(self._evidence.encode_evidence(death.identity))",
+        old="self._send(self._evidence.encode_evidence(identity))",
         new="return",
         test="crashes/tests/test_tracker.py::"
         "test_tracker_tells_the_other_daemons",
