Blame requests that crash VMs before the head of their answer

Callers of sound requests were refused: a content that crashed engines before the head of its answer went on, and the parts that it shares with sound requests were convicted in its place.

Cause: an engine sends the head when it begins to run a request, and one without a head may only have waited, so that it was not blamed at all. All blame fell on those beside it that had their heads.

Change: a request without a head is blamed as waiting: three deaths convict it, one keeps nothing from its next attempt, and among equals a running one goes before it. For a part that was survived, deaths that one never-survived trait explains count as one, so that two contents that crash VMs in turn do not convict what they share with sound requests. The traits blamed for one death are those with fewest survivals, then with most deaths; some places are kept for whole requests. Daemons exchange waiting traits in a field that earlier versions skip.

Why it works: the company of a crashing content changes from death to death, the content does not.

test_request_queued_in_an_engine_is_not_blamed asserted the fault; two tests replace it: one and two deaths of a queued request have no effect, three have, and a running one counts from its head.

--- a/arbutuscove/crashes/evidence.py
+++ b/arbutuscove/crashes/evidence.py
@@ -22,13 +22,14 @@
 import datetime
 import functools
 import math
+import typing
 from collections import abc
 
 import msgspec
 import xxhash
 
 from arbutuscove.crashes import moments as moments_module
-from arbutuscove.kernel import decoding
+from arbutuscove.crashes import reports
 
 # Deaths that make a trait a culprit, if no answer is known to a request with
 # it, and if one is known from before the deaths.
@@ -40,7 +41,10 @@
 WHOLE_DEPTH = -1
 # All deaths with their suspects fit into one datagram.
 MAX_DEATHS = 64  # the oldest that convicts no trait is evicted first
-MAX_SUSPECTS = 16  # traits blamed for one death; those never survived first
+# Traits blamed for one death, running and waiting each; those never survived
+# first.
+MAX_SUSPECTS = 16
+MIN_WHOLE_SUSPECTS = 4  # of them, if so many whole requests are blamed
 # More survivals change nothing: they need more deaths than are held.
 MAX_SURVIVALS = (MAX_DEATHS + 1) * SURVIVALS_PER_DEATH
 MAX_ANSWERS = 8192  # traits with a known answer; the oldest is evicted first
@@ -81,13 +85,21 @@
     Attributes:
         identity: the VM and its start, the same at all daemons.
         at: monotonic time of the crash at this daemon.
-        suspects: depth by key of the traits that it blames. The depth is the
-            position of a part in the prompt, or `WHOLE_DEPTH`.
+        suspects: depth by key of the traits of requests that were running
+            there. The depth is the position of a part in the prompt, or
+            `WHOLE_DEPTH`.
+        waiting: the same of requests that may have waited to run.
     """
 
     identity: str
     at: datetime.timedelta
     suspects: Suspects
+    waiting: Suspects = dataclasses.field(default_factory=dict)
+
+    @property
+    def blame(self) -> Suspects:
+        """Depth by key of all traits that it blames."""
+        return {**self.waiting, **self.suspects}
 
     def merge(self, other: "Death") -> "Death":
         """Returns the death with the blame of two reports of it."""
@@ -95,6 +107,7 @@
             identity=self.identity,
             at=min(self.at, other.at),
             suspects={**other.suspects, **self.suspects},
+            waiting={**other.waiting, **self.waiting},
         )
 
 
@@ -133,49 +146,36 @@
         return self.last_death + delay
 
 
-class DeathReport(msgspec.Struct, frozen=True, array_like=True):
-    """A death as daemons exchange it; `age_ms` is the time since then."""
-
-    identity: decoding.Text
-    age_ms: int
-    suspects: dict[int, int]
-
-
-class AnswerReport(msgspec.Struct, frozen=True, array_like=True):
-    """The newest answer to a request with a trait, and the survivals.
-
-    Daemons of earlier versions neither send nor read `count`.
-    """
-
-    key: int
-    age_ms: int
-    count: int = 1
-
-
-class Report(msgspec.Struct, frozen=True, array_like=True):
-    """Evidence that one daemon sends to others."""
-
-    deaths: tuple[DeathReport, ...] = ()
-    answers: tuple[AnswerReport, ...] = ()
-
-
 def limit_suspects(
     suspects: Suspects,
     survivals: abc.Mapping[TraitKey, Survivals] | None = None,
+    deaths: abc.Mapping[TraitKey, int] | None = None,
 ) -> Suspects:
     """Returns at most `MAX_SUSPECTS` of the traits.
 
-    Traits with fewer survivals precede the others, then deeper parts.
+    Traits with fewer survivals precede the others, then those that more deaths
+    blame, then deeper parts. Whole requests keep some places.
+
+    Args:
+        suspects: depth by key.
+        survivals: what is known of the answers to requests with a trait.
+        deaths: the number of deaths that blame a trait.
     """
     if len(suspects) <= MAX_SUSPECTS:
         return suspects
     known = survivals or {}
+    counts = deaths or {}
 
-    def rank(item: tuple[TraitKey, int]) -> tuple[int, int, TraitKey]:
+    def rank(item: tuple[TraitKey, int]) -> tuple[int, int, int, TraitKey]:
         key, depth = item
-        return (known[key].count if key in known else 0, -depth, key)
+        survived = known[key].count if key in known else 0
+        return (survived, -counts.get(key, 0), -depth, key)
 
-    return dict(sorted(suspects.items(), key=rank)[:MAX_SUSPECTS])
+    ranked = sorted(suspects.items(), key=rank)
+    whole = [item for item in ranked if item[1] == WHOLE_DEPTH]
+    first = whole[:MIN_WHOLE_SUSPECTS]
+    others = [item for item in ranked if item not in first]
+    return dict([*first, *others[: MAX_SUSPECTS - len(first)]])
 
 
 def find_culprits(
@@ -185,10 +185,12 @@
 ) -> dict[TraitKey, Culprit]:
     """Returns the traits that crash upstreams.
 
-    The trait with most deaths for its survivals is found first. Its deaths do
-    not blame the other traits of the same requests: these share their first
-    part with sound requests. Among equals, a trait without any answer precedes
-    one with an answer, and a deeper part precedes one that more requests share.
+    For a trait with answers, deaths that one trait without any explains count
+    as one. The trait with most deaths for its survivals is found first. Its
+    deaths do not blame the other traits of the same requests: these share their
+    first part with sound requests. Among equals, a trait of running requests
+    precedes one of waiting requests, then a trait without any answer one with
+    an answer, and a deeper part one that more requests share.
 
     Args:
         deaths: the known deaths.
@@ -216,31 +218,43 @@
         blame: dict[TraitKey, list[Death]] = collections.defaultdict(list)
         depths: dict[TraitKey, int] = {}
         for death in unexplained:
-            for key, depth in death.suspects.items():
+            for key, depth in death.blame.items():
                 if not _is_refuted(death, answers.get(key)):
                     blame[key].append(death)
                     depths[key] = depth
-        # A weight is at most the number of deaths.
-        weights = {
-            key: moments.weigh(
-                (death.identity for death in blamed), key in answers
+        weights: dict[TraitKey, int] = {}
+        ranked = []
+        for key, blamed in blame.items():
+            # A weight is at most the number of deaths.
+            if len(blamed) < MIN_DEATHS_UNANSWERED:
+                continue
+            is_answered = key in answers
+            weight = moments.weigh(
+                (death.identity for death in blamed), is_answered
             )
-            for key, blamed in blame.items()
-            if len(blamed) >= _get_required(depths[key], survivals.get(key, 0))
-        }
-        ranked = [
-            (
-                weight / (1 + survivals.get(key, 0)),
-                key not in answers,
-                depths[key],
-                key,
+            running = moments.weigh(
+                (item.identity for item in blamed if key in item.suspects),
+                is_answered,
             )
-            for key, weight in weights.items()
-            if weight >= _get_required(depths[key], survivals.get(key, 0))
-        ]
+            if is_answered:
+                weight = min(weight, _count_causes(blamed, answers))
+            required = _get_required(
+                depths[key], survivals.get(key, 0), running
+            )
+            if weight >= required:
+                weights[key] = weight
+                ranked.append(
+                    (
+                        weight / (1 + survivals.get(key, 0)),
+                        running / weight,
+                        not is_answered,
+                        depths[key],
+                        key,
+                    )
+                )
         if not ranked:
             return culprits
-        key = max(ranked)[3]
+        key = max(ranked)[-1]
         culprits[key] = Culprit(
             key=key,
             deaths=weights[key],
@@ -255,9 +269,39 @@
     return answered is not None and answered >= death.at
 
 
-def _get_required(depth: int, survivals: int) -> int:
-    """Returns the number of deaths that makes a trait a culprit."""
-    if depth != WHOLE_DEPTH and not survivals:
+def _count_causes(
+    deaths: abc.Iterable[Death],
+    answers: abc.Mapping[TraitKey, datetime.timedelta],
+) -> int:
+    """Returns how many traits without any answer explain the deaths.
+
+    A trait that was often survived has to explain more than some few contents
+    that come again and again, and were never survived, do by themselves.
+    """
+    left = list(deaths)
+    count = 0
+    while left:
+        explained = collections.Counter(
+            key for death in left for key in death.blame if key not in answers
+        )
+        if not explained:
+            return count + len(left)
+        key, _ = max(explained.items(), key=lambda item: (item[1], item[0]))
+        left = [death for death in left if key not in death.blame]
+        count += 1
+    return count
+
+
+def _get_required(depth: int, survivals: int, running: int) -> int:
+    """Returns the number of deaths that makes a trait a culprit.
+
+    Args:
+        depth: the depth of the trait.
+        survivals: the survivals of requests with it.
+        running: the deaths at which such a request was running.
+    """
+    is_part = depth != WHOLE_DEPTH
+    if is_part and not survivals and running >= MIN_DEATHS_UNANSWERED:
         return MIN_DEATHS_UNANSWERED
     return max(MIN_DEATHS_ANSWERED, math.ceil(survivals / SURVIVALS_PER_DEATH))
 
@@ -272,8 +316,12 @@
         self._culprits: dict[TraitKey, Culprit] = {}
         # The newest death that blames each trait, refuted or not.
         self._blamed: dict[TraitKey, datetime.timedelta] = {}
-        # The blame that no answer refutes, by the identity of the death.
-        self._open_blame: dict[str, dict[TraitKey, int]] = {}
+        # How many deaths blame each trait, and those that may keep a request
+        # from another attempt.
+        self._counts: collections.Counter[TraitKey] = collections.Counter()
+        self._suspects: set[TraitKey] = set()
+        # The deaths that no answer refutes, with what is left of their blame.
+        self._open: dict[str, Death] = {}
         self._fingerprint = 0
 
     @property
@@ -307,24 +355,37 @@
         return key in self._blamed
 
     def is_suspect(self, key: TraitKey) -> bool:
-        """Returns whether a death blames the trait and no answer is known."""
-        return key in self._blamed and key not in self._answers
+        """Returns whether a request with the trait may have caused a death.
+
+        Not if an answer is known. One death is enough for a part of a request
+        that was running, two for a waiting or a whole request.
+        """
+        return key in self._suspects and key not in self._answers
 
     def limit_suspects(self, suspects: Suspects) -> Suspects:
         """Returns the traits to blame for one death, as `limit_suspects`."""
-        return limit_suspects(suspects, self._answers)
+        return limit_suspects(suspects, self._answers, self._counts)
 
     def record_death(self, death: Death) -> bool:
         """Adds a death; returns whether it was unknown or blames more."""
         known = self._deaths.pop(death.identity, None)
         merged = death if known is None else known.merge(death)
+        waiting = {
+            key: depth
+            for key, depth in merged.waiting.items()
+            if key not in merged.suspects
+        }
         merged = dataclasses.replace(
-            merged, suspects=self.limit_suspects(merged.suspects)
+            merged,
+            suspects=self.limit_suspects(merged.suspects),
+            waiting=self.limit_suspects(waiting),
         )
         self._deaths[death.identity] = merged
         if len(self._deaths) > MAX_DEATHS:
             self._evict_death()
-        is_new = known is None or known.suspects != merged.suspects
+        is_new = known is None or (
+            (known.suspects, known.waiting) != (merged.suspects, merged.waiting)
+        )
         if is_new:
             self._decide()
         return is_new
@@ -362,55 +423,55 @@
         ):
             self._decide()
 
-    def merge(self, report: Report, now: datetime.timedelta) -> None:
+    def merge(self, report: reports.Report, now: datetime.timedelta) -> None:
         """Adds the evidence received from another daemon."""
         for answer in report.answers:
-            age = _convert_age(answer.age_ms)
+            age = reports.convert_age(answer.age_ms)
             if age < DEATH_TTL:
                 survivals = Survivals(
                     newest=now - age, count=max(1, answer.count)
                 )
                 self._put_survivals(answer.key, survivals)
         for death in report.deaths:
-            age = _convert_age(death.age_ms)
+            age = reports.convert_age(death.age_ms)
             if age < DEATH_TTL:
                 self.record_death(
                     Death(
                         identity=death.identity,
                         at=now - age,
                         suspects=death.suspects,
+                        waiting=death.waiting,
                     )
                 )
 
     def build_report(
         self, now: datetime.timedelta, identity: str | None = None
-    ) -> Report:
+    ) -> reports.Report:
         """Returns the open blame, and the answers to all blamed traits.
 
         Args:
             now: the monotonic time.
             identity: a death to which the report is limited; None for all.
         """
-        identities = self._open_blame if identity is None else (identity,)
-        deaths = {
-            name: self._open_blame[name]
-            for name in identities
-            if name in self._open_blame
-        }
+        identities = self._open if identity is None else (identity,)
+        deaths = [self._open[name] for name in identities if name in self._open]
         keys: abc.Iterable[TraitKey] = self._blamed
         if identity is not None:
-            keys = [key for blame in deaths.values() for key in blame]
-        return Report(
+            keys = [key for death in deaths for key in death.blame]
+        return reports.Report(
             deaths=tuple(
-                DeathReport(
-                    name, _compute_age(self._deaths[name].at, now), blame
+                reports.DeathReport(
+                    death.identity,
+                    reports.compute_age(death.at, now),
+                    dict(death.suspects),
+                    dict(death.waiting),
                 )
-                for name, blame in deaths.items()
+                for death in deaths
             ),
             answers=tuple(
-                AnswerReport(
+                reports.AnswerReport(
                     key,
-                    _compute_age(self._answers[key].newest, now),
+                    reports.compute_age(self._answers[key].newest, now),
                     self._answers[key].count,
                 )
                 for key in keys
@@ -464,46 +525,69 @@
         removable = [
             death
             for death in deaths
-            if not death.suspects.keys() & self._culprits.keys()
+            if not death.blame.keys() & self._culprits.keys()
         ]
         oldest = min(removable or deaths, key=_get_time)
         del self._deaths[oldest.identity]
 
     def _decide(self) -> None:
+        blame = {item.identity: item.blame for item in self._deaths.values()}
+        self._counts = collections.Counter(
+            key for keys in blame.values() for key in keys
+        )
+        answers = {
+            key: self._answers[key].newest
+            for key in self._counts
+            if key in self._answers
+        }
+        counts = {key: self._answers[key].count for key in answers}
         self._blamed = {}
-        self._open_blame = {}
-        answers: dict[TraitKey, datetime.timedelta] = {}
-        counts: dict[TraitKey, int] = {}
-        for death in self._deaths.values():
-            for key in death.suspects:
-                survivals = self._answers.get(key)
-                if survivals is not None:
-                    answers[key] = survivals.newest
-                    counts[key] = survivals.count
+        self._open = {}
+        self._suspects = set()
         for death in self._deaths.values():
-            for key, depth in death.suspects.items():
+            for key, depth in blame[death.identity].items():
                 newest = self._blamed.get(key, death.at)
                 self._blamed[key] = max(newest, death.at)
-                if not _is_refuted(death, answers.get(key)):
-                    blame = self._open_blame.setdefault(death.identity, {})
-                    blame[key] = depth
+                is_running_part = key in death.suspects and depth != WHOLE_DEPTH
+                if is_running_part or self._counts[key] > 1:
+                    self._suspects.add(key)
+            left = dataclasses.replace(
+                death,
+                suspects=_select_open(death, death.suspects, answers),
+                waiting=_select_open(death, death.waiting, answers),
+            )
+            if left.blame:
+                self._open[death.identity] = left
         self._culprits = find_culprits(self._deaths.values(), answers, counts)
-        facts = sorted(
-            (identity, sorted(blame))
-            for identity, blame in self._open_blame.items()
-        )
-        content = msgspec.msgpack.encode(facts)
-        self._fingerprint = xxhash.xxh3_64_intdigest(content) if facts else 0
+        self._fingerprint = _hash_blame(self._open.values())
 
 
-def _get_time(death: Death) -> datetime.timedelta:
-    return death.at
+def _select_open(
+    death: Death,
+    suspects: Suspects,
+    answers: abc.Mapping[TraitKey, datetime.timedelta],
+) -> Suspects:
+    """Returns those traits whose blame no answer refutes."""
+    return {
+        key: depth
+        for key, depth in suspects.items()
+        if not _is_refuted(death, answers.get(key))
+    }
+
 
+def _hash_blame(deaths: abc.Iterable[Death]) -> int:
+    """Returns a hash of the blame of deaths, 0 without any.
 
-def _compute_age(at: datetime.timedelta, now: datetime.timedelta) -> int:
-    return max(0, (now - at) // datetime.timedelta(milliseconds=1))
+    Daemons of earlier versions compute the same one if nothing was waiting.
+    """
+    facts: list[tuple[typing.Any, ...]] = []
+    for death in deaths:
+        fact = (death.identity, sorted(death.suspects))
+        facts.append((*fact, sorted(death.waiting)) if death.waiting else fact)
+    if not facts:
+        return 0
+    return xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(sorted(facts)))
 
 
-def _convert_age(age_ms: int) -> datetime.timedelta:
-    # A damaged report must not overflow the range of timedelta.
-    return datetime.timedelta(milliseconds=min(max(0, age_ms), 10**10))
+def _get_time(death: Death) -> datetime.timedelta:
+    return death.at
--- a/arbutuscove/crashes/exposures.py
+++ b/arbutuscove/crashes/exposures.py
@@ -228,7 +228,7 @@
 
     def take(
         self, identity: VmIdentity, crashed_at: datetime.timedelta
-    ) -> evidence_module.Suspects:
+    ) -> tuple[evidence_module.Suspects, evidence_module.Suspects]:
         """Removes all exposures at a start of a VM that has crashed.
 
         Args:
@@ -237,16 +237,20 @@
                 later has not run there.
 
         Returns:
-            The traits of the requests that were running there.
+            The traits of the requests that were running there, and of those
+            that may have waited to run.
         """
-        blamed: dict[evidence_module.TraitKey, int] = {}
+        running: dict[evidence_module.TraitKey, int] = {}
+        waiting: dict[evidence_module.TraitKey, int] = {}
         for item in self._pop_ended(identity):
-            if item.has_begun and not self._is_survived(item, crashed_at):
-                blamed |= item.traits
+            if not self._is_survived(item, crashed_at):
+                target = running if item.has_begun else waiting
+                target |= item.traits
         for exposure in self._active.pop(identity, {}).values():
-            if exposure.has_begun and exposure.sent_at <= crashed_at:
-                blamed |= list_traits(exposure.request)
-        return blamed
+            if exposure.sent_at <= crashed_at:
+                target = running if exposure.has_begun else waiting
+                target |= list_traits(exposure.request)
+        return running, waiting
 
     def has_any(self, identity: VmIdentity) -> bool:
         """Returns whether any request may be running at a start of a VM."""
--- a/arbutuscove/crashes/holder.py
+++ b/arbutuscove/crashes/holder.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from arbutuscove.crashes import evidence as evidence_module
+from arbutuscove.crashes import reports
 from arbutuscove.crashes import verdicts
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import decoding
@@ -17,8 +18,8 @@
 
 MAX_REPORT_BYTES = 65536  # one datagram holds a report
 
-_DECODER = decoding.MessagePackDecoder[evidence_module.Report](
-    evidence_module.Report, MAX_REPORT_BYTES
+_DECODER = decoding.MessagePackDecoder[reports.Report](
+    reports.Report, MAX_REPORT_BYTES
 )
 
 
--- a/arbutuscove/crashes/tests/test_evidence.py
+++ b/arbutuscove/crashes/tests/test_evidence.py
@@ -4,19 +4,27 @@
 import random
 
 import hypothesis
+import msgspec
 import pytest
 from hypothesis import strategies
 
 from arbutuscove.crashes import evidence
+from arbutuscove.crashes import holder
 
 SECOND = datetime.timedelta(seconds=1)
 FIRST, CRASHING, OTHER = 1, 2, 3
 WHOLE = 99
+WAITING = 5
 
 
-def build_death(number, suspects, at=None):
+def build_death(number, suspects, waiting=None, at=None):
     at = number * SECOND if at is None else at
-    return evidence.Death(identity=f"vm{number}@1", at=at, suspects=suspects)
+    return evidence.Death(
+        identity=f"vm{number}@1",
+        at=at,
+        suspects=suspects,
+        waiting=waiting or {},
+    )
 
 
 def find(deaths, answers=None):
@@ -122,18 +130,115 @@
     known = evidence.Evidence()
     for number in range(3 * evidence.MAX_DEATHS):
         suspects = {number * 1000 + part: part for part in range(200)}
+        waiting = {number * 1000 + 500 + part: part for part in range(200)}
         known.record_death(
-            build_death(number, evidence.limit_suspects(suspects))
+            build_death(number, evidence.limit_suspects(suspects), waiting)
         )
     report = known.build_report(SECOND)
     assert len(report.deaths) == evidence.MAX_DEATHS
-    assert all(
-        len(death.suspects) <= evidence.MAX_SUSPECTS for death in report.deaths
-    )
+    for death in report.deaths:
+        assert len(death.suspects) <= evidence.MAX_SUSPECTS
+        assert len(death.waiting) <= evidence.MAX_SUSPECTS
     for key in range(3 * evidence.MAX_ANSWERS):
         known.record_answer(key, SECOND)
     report = known.build_report(SECOND)
-    assert len(report.answers) <= evidence.MAX_DEATHS * evidence.MAX_SUSPECTS
+    blamed = 2 * evidence.MAX_DEATHS * evidence.MAX_SUSPECTS
+    assert len(report.answers) <= blamed
+
+
+def test_evidence_at_its_bounds_fits_into_one_datagram():
+    """Guards against evidence that reaches no other daemon."""
+    known = evidence.Evidence()
+    generator = random.Random(1)
+    for number in range(evidence.MAX_DEATHS):
+        running, waiting = (
+            {generator.getrandbits(64): part for part in range(40)}
+            for _ in range(2)
+        )
+        for key in (*running, *waiting):
+            known.record_answer(key, SECOND)
+        known.record_death(build_death(100 + number, running, waiting))
+    report = known.build_report(1000 * SECOND)
+    assert len(report.answers) >= evidence.MAX_DEATHS * evidence.MAX_SUSPECTS
+    assert len(msgspec.msgpack.encode(report)) <= holder.MAX_REPORT_BYTES - 1024
+
+
+def test_evidence_of_waiting_requests_alone_needs_three_deaths():
+    """Guards against refusals of what waited in the queues of dead VMs."""
+    deaths = [build_death(n, {}, {WAITING: 1}) for n in (1, 2)]
+    assert not find(deaths)
+    assert find([*deaths, build_death(3, {}, {WAITING: 1})]) == {WAITING}
+    assert find([deaths[0], build_death(2, {WAITING: 1})]) == set()
+
+
+def test_evidence_convicts_what_waits_before_what_was_often_survived():
+    """Guards against blame of sound requests beside crashes before the head.
+
+    The sound ones had their heads; the crashing ones never get any.
+    """
+    known = evidence.Evidence()
+    for _ in range(8):
+        known.record_answer(FIRST, SECOND / 2)
+    for number in range(1, 10):
+        sound = {FIRST: 0, 100 + number: 1}
+        known.record_death(build_death(number, sound, {FIRST: 0, WAITING: 1}))
+    assert set(known.culprits) == {WAITING}
+
+
+def test_few_contents_that_crash_do_not_convict_what_they_share():
+    """Guards against refusals of sound requests with the same first part.
+
+    Each content crashed two VMs; the part that they share was survived.
+    """
+    known = evidence.Evidence()
+    for _ in range(8):
+        known.record_answer(FIRST, SECOND / 2)
+    contents = (CRASHING, OTHER, CRASHING, OTHER)
+    for number, content in enumerate(contents, 1):
+        waiting = {FIRST: 0, content: 1}
+        known.record_death(build_death(number, {FIRST: 0}, waiting))
+    assert not known.culprits
+    known.record_death(build_death(5, {}, {FIRST: 0, CRASHING: 1}))
+    assert set(known.culprits) == {CRASHING}
+
+
+def test_part_that_was_survived_is_convicted_by_many_contents():
+    """Guards against a part that crashes VMs from some moment on for ever."""
+    known = evidence.Evidence()
+    for _ in range(8):
+        known.record_answer(FIRST, SECOND / 2)
+    for number in range(1, 7):
+        waiting = {FIRST: 0, 1000 + number // 2: 1}
+        known.record_death(build_death(number, {}, waiting))
+    assert set(known.culprits) == {FIRST}
+
+
+def test_evidence_prefers_what_was_running_to_what_was_waiting():
+    """Guards against a queued part that is refused in place of the cause."""
+    deaths = [build_death(n, {CRASHING: 1}, {WAITING: 1}) for n in (1, 2, 3)]
+    assert find(deaths) == {CRASHING}
+
+
+def test_waiting_request_is_a_suspect_after_its_second_death():
+    """Guards against sound requests that get no other attempt after a crash."""
+    known = evidence.Evidence()
+    known.record_death(build_death(1, {FIRST: 0}, {WAITING: 1, WHOLE: -1}))
+    assert known.is_suspect(FIRST)
+    assert not known.is_suspect(WAITING)
+    known.record_death(build_death(2, {}, {WAITING: 1, WHOLE: -1}))
+    assert known.is_suspect(WAITING)
+    assert known.is_suspect(WHOLE)
+
+
+def test_trait_that_recurs_keeps_its_place_among_new_ones():
+    """Guards against a culprit that is dropped from each of its deaths."""
+    known = evidence.Evidence()
+    lowest_rank = 2**63
+    known.record_death(build_death(1, {lowest_rank: -1}))
+    for number in (2, 3):
+        others = {number * 1000 + part: part % 3 - 1 for part in range(60)}
+        known.record_death(build_death(number, {**others, lowest_rank: -1}))
+    assert set(known.culprits) == {lowest_rank}
 
 
 def test_evidence_of_a_culprit_is_not_displaced():
@@ -190,9 +295,9 @@
                 continue
             if is_crashing:
                 self.crashes += 1
-                self.known.record_death(build_death(number, parts, now))
+                self.known.record_death(build_death(number, parts, at=now))
             elif number in self.unrelated_deaths:
-                self.known.record_death(build_death(number, parts, now))
+                self.known.record_death(build_death(number, parts, at=now))
             else:
                 self.known.record_answer(first, now)
 
--- a/arbutuscove/crashes/tests/test_exposure.py
+++ b/arbutuscove/crashes/tests/test_exposure.py
@@ -12,6 +12,7 @@
 
 from arbutuscove.crashes import evidence
 from arbutuscove.crashes import liveness
+from arbutuscove.crashes import reports
 from arbutuscove.crashes.tests import test_tracker
 from arbutuscove.kernel import clock as clock_module
 
@@ -309,8 +310,14 @@
     age_ms: int
 
 
+class _EarlierDeath(msgspec.Struct, frozen=True, array_like=True):
+    identity: str
+    age_ms: int
+    suspects: dict[int, int]
+
+
 class _EarlierReport(msgspec.Struct, frozen=True, array_like=True):
-    deaths: tuple[evidence.DeathReport, ...] = ()
+    deaths: tuple[_EarlierDeath, ...] = ()
     answers: tuple[_EarlierAnswer, ...] = ()
 
 
@@ -329,5 +336,15 @@
     assert earlier.answers == (_EarlierAnswer(1, 2000),)
     data = msgspec.msgpack.encode(earlier)
     other = evidence.Evidence()
-    other.merge(msgspec.msgpack.decode(data, type=evidence.Report), 3 * second)
+    other.merge(msgspec.msgpack.decode(data, type=reports.Report), 3 * second)
+    assert other.fingerprint == known.fingerprint
+    known.record_death(
+        evidence.Death(
+            identity="vm@2", at=2 * second, suspects={5: 1}, waiting={6: 1}
+        )
+    )
+    data = msgspec.msgpack.encode(known.build_report(3 * second))
+    earlier = msgspec.msgpack.decode(data, type=_EarlierReport)
+    assert [death.suspects for death in earlier.deaths][1] == {5: 1}
+    other.merge(msgspec.msgpack.decode(data, type=reports.Report), 3 * second)
     assert other.fingerprint == known.fingerprint
--- a/arbutuscove/crashes/tracker.py
+++ b/arbutuscove/crashes/tracker.py
@@ -156,7 +156,7 @@
         A request does not if a death blames a part of its prompt and no answer
         to a request with that part is known: it may have caused the death.
         """
-        keys = map(evidence_module.hash_part, request.prompt_parts)
+        keys = exposures_module.list_traits(request)
         if any(self._evidence.is_suspect(key) for key in keys):
             return False
         return self.find_culprit(request) is None
@@ -171,7 +171,7 @@
             return False
         suspects = [
             key
-            for key in map(evidence_module.hash_part, request.prompt_parts)
+            for key in exposures_module.list_traits(request)
             if self._evidence.is_suspect(key)
         ]
         if any(
@@ -310,13 +310,14 @@
         now = self._clock.monotonic()
         known_at = self._evidence.get_death_time(identity)
         crashed_at = now if known_at is None else min(now, known_at)
-        suspects = self._exposures.take(identity, crashed_at)
+        running, waiting = self._exposures.take(identity, crashed_at)
         death = evidence_module.Death(
             identity=identity,
             at=crashed_at,
-            suspects=self._evidence.limit_suspects(suspects),
+            suspects=self._evidence.limit_suspects(running),
+            waiting=self._evidence.limit_suspects(waiting),
         )
-        if not suspects or not self._evidence.record_death(death):
+        if not death.blame or not self._evidence.record_death(death):
             return
         eliot.log_message(
             "crash:death",
@@ -326,6 +327,7 @@
             if request is None
             else request.prompt_parts[:MAX_LOGGED_PARTS],
             suspects=holder.format_keys(death.suspects),
+            waiting=holder.format_keys(death.waiting),
         )
         self._send(self._evidence.encode_evidence(identity))
 
--- a/arbutuscove/crashes/verdicts.py
+++ b/arbutuscove/crashes/verdicts.py
@@ -188,11 +188,9 @@
 
 
 def _describe(evidence: evidence_module.Evidence, key: int) -> Verdict:
-    deaths = [
-        death for death in evidence.list_deaths() if key in death.suspects
-    ]
+    deaths = [death for death in evidence.list_deaths() if key in death.blame]
     return Verdict(
-        depth=deaths[0].suspects[key],
+        depth=deaths[0].blame[key],
         deaths=tuple(death.identity for death in deaths),
     )
 
--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -51,6 +51,8 @@
 # Limit for the bodies of late answers to earlier requests that are read on a
 # connection before the expected answer.
 MAX_UNMATCHED_BODY_BYTES = 1024 * 1024
+# A VM that has crashed refuses a connection within less time.
+MAX_REPORT_WAIT = datetime.timedelta(milliseconds=50)
 # To callers, each of these promises that the request did not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Silence before the head after which the path of an attempt is examined.
@@ -594,7 +596,7 @@
             "flow:attempt_lost", reason=str(error), has_lost_path=has_lost_path
         )
         if isinstance(error, http.NoResponseError):
-            self._report_crash()
+            self._report_crash(has_lost_path)
         return outcomes.AttemptLostError(str(error))
 
     def _log_end(self, name: str, **fields: str | bool) -> None:
@@ -617,19 +619,21 @@
             **fields,
         )
 
-    def _report_crash(self) -> None:
-        """Reports an answer that was lost after it had begun.
+    def _report_crash(self, has_lost_path: bool) -> None:
+        """Has the VM examined whose answer was lost.
 
         An engine sends the head when it begins to run a request; plain services
-        send it with the answer.
+        send it with the answer. Without it, the request may have waited, so
+        that one death says little of it, and its next attempt does not wait
+        long for the examination.
         """
         assert self.backend is not None
-        if self._exposure is None or (
-            self._head_at is None and self.backend.model
-        ):
+        has_begun = self._head_at is not None or not self.backend.model
+        if self._exposure is None or (has_lost_path and not has_begun):
             return
         # A greenlet of its own completes the report if the caller leaves now.
-        gevent.spawn(self._context.crashes.report_loss, self._exposure).join()
+        report = gevent.spawn(self._context.crashes.report_loss, self._exposure)
+        report.join(None if has_begun else MAX_REPORT_WAIT.total_seconds())
 
     def _check_reply(self, reply: replies.Reply) -> replies.Reply:
         assert self.backend is not None
--- a/arbutuscove/relay/tests/test_crashing_part.py
+++ b/arbutuscove/relay/tests/test_crashing_part.py
@@ -306,33 +306,46 @@
         scene.stop()
 
 
-def test_request_queued_in_an_engine_is_not_blamed(scene):
-    """Guards against blame of requests whose answer had not begun.
-
-    An answer is blamed from its head on, after events and as a resumed one.
-    """
-    reports = []
-    scene.tracker.report_loss = reports.append
+def lose_at(scene, vm_number, has_head):
+    """Loses a request at a crashed engine; returns the request."""
     lost = attempt.Attempt(
         scene.flow.context, scene.create_request(CRASHING), "models"
     )
     lost.backend = model.Backend(
-        key=("chat~1", 1),
-        vm=test_planner.create_vm("vm0"),
+        key=(f"chat~{vm_number}", 1),
+        vm=test_planner.create_vm(f"engine{vm_number}"),
         model="chat",
         slots=4,
     )
     lost._exposure = scene.tracker.begin(
         lost._request, lost.backend.vm, has_begun=False
     )
+    if has_head:
+        lost._head_at = scene.clock.monotonic()
+        scene.tracker.record_begin(lost._exposure)
     lost.record_loss("cut", is_cut=True)
-    assert not reports
-    lost._head_at = scene.clock.monotonic()
-    lost.record_loss("cut", is_cut=True)
-    assert len(reports) == 1
-    lost._event_count = 20
-    lost.record_loss("cut", is_cut=True)
-    assert len(reports) == 2
+    return lost._request
+
+
+def test_request_queued_in_an_engine_is_not_blamed_like_a_running_one(scene):
+    """Guards against refusals of requests that waited where a VM crashed.
+
+    Two deaths convict a part that was running, but none that may have waited.
+    """
+    queued = lose_at(scene, 1, has_head=False)
+    assert scene.tracker.may_repeat(queued)
+    lose_at(scene, 2, has_head=False)
+    assert not scene.evidence.culprits
+    lose_at(scene, 3, has_head=False)
+    assert scene.tracker.check(queued) is not None
+
+
+def test_running_request_is_blamed_from_its_head_on(scene):
+    """Guards against blame of requests whose answer had not begun."""
+    running = lose_at(scene, 1, has_head=True)
+    assert not scene.tracker.may_repeat(running)
+    lose_at(scene, 2, has_head=True)
+    assert scene.tracker.check(running) is not None
 
 
 @pytest.mark.parametrize("end", ["caller", "deadline"])
--- a/bench/evidence.py
+++ b/bench/evidence.py
@@ -23,15 +23,19 @@
     tracemalloc.start()
     known = evidence.Evidence()
     for number in range(evidence.MAX_DEATHS):
-        suspects = {
-            generator.getrandbits(64): depth
-            for depth in range(evidence.MAX_SUSPECTS)
-        }
+        suspects, waiting = (
+            {
+                generator.getrandbits(64): depth
+                for depth in range(evidence.MAX_SUSPECTS)
+            }
+            for _ in range(2)
+        )
         known.record_death(
             evidence.Death(
                 identity=f"i-{generator.getrandbits(40):010x}@1792178439056",
                 at=number * SECOND,
                 suspects=suspects,
+                waiting=waiting,
             )
         )
         report = msgspec.msgpack.encode(known.build_report(100 * SECOND))
