Split the decision on crashes and the traits of requests from the evidence

Change: crashes/traits (what requests can have in common), crashes/judgement (the decision, without state) and crashes/evidence (what a daemon knows); nothing else changes.

--- a/arbutuscove/crashes/exposures.py
+++ b/arbutuscove/crashes/exposures.py
@@ -17,7 +17,7 @@
 import itertools
 import typing
 
-from arbutuscove.crashes import evidence as evidence_module
+from arbutuscove.crashes import traits
 
 # For how long a VM may go on with a request after its connection has closed.
 RUN_GRACE = datetime.timedelta(seconds=3)
@@ -33,21 +33,6 @@
 VmIdentity = str
 
 
-class Request(typing.Protocol):
-    """The part of a request that identifies its traits."""
-
-    @property
-    def request_id(self) -> str:
-        """The caller's id of the request."""
-
-    @property
-    def prompt_parts(self) -> tuple[str, ...]:
-        """The parts of the prompt that other requests may have, too."""
-
-    def encode_identity(self) -> bytes:
-        """Returns what makes two requests equal."""
-
-
 class Vm(typing.Protocol):
     """The part of a VM's listed state that tells whether it has crashed."""
 
@@ -81,7 +66,7 @@
 
     number: int
     vm: VmT
-    request: Request
+    request: traits.Request
     sent_at: datetime.timedelta
     has_begun: bool
 
@@ -101,7 +86,7 @@
     """
 
     vm: VmT
-    traits: evidence_module.Suspects
+    traits: traits.Suspects
     sent_at: datetime.timedelta
     ended_at: datetime.timedelta
     has_begun: bool
@@ -125,7 +110,7 @@
 
     def begin(
         self,
-        request: Request,
+        request: traits.Request,
         vm: VmT,
         now: datetime.timedelta,
         has_begun: bool,
@@ -164,7 +149,7 @@
             return
         self._ended[active.number] = _Ended(
             vm=active.vm,
-            traits=evidence_module.limit_suspects(list_traits(active.request)),
+            traits=traits.limit_suspects(traits.list_traits(active.request)),
             sent_at=active.sent_at,
             ended_at=now,
             has_begun=active.has_begun,
@@ -228,7 +213,7 @@
 
     def take(
         self, identity: VmIdentity, crashed_at: datetime.timedelta
-    ) -> tuple[evidence_module.Suspects, evidence_module.Suspects]:
+    ) -> tuple[traits.Suspects, traits.Suspects]:
         """Removes all exposures at a start of a VM that has crashed.
 
         Args:
@@ -240,8 +225,8 @@
             The traits of the requests that were running there, and of those
             that may have waited to run.
         """
-        running: dict[evidence_module.TraitKey, int] = {}
-        waiting: dict[evidence_module.TraitKey, int] = {}
+        running: dict[traits.TraitKey, int] = {}
+        waiting: dict[traits.TraitKey, int] = {}
         for item in self._pop_ended(identity):
             if not self._is_survived(item, crashed_at):
                 target = running if item.has_begun else waiting
@@ -249,7 +234,7 @@
         for exposure in self._active.pop(identity, {}).values():
             if exposure.sent_at <= crashed_at:
                 target = running if exposure.has_begun else waiting
-                target |= list_traits(exposure.request)
+                target |= traits.list_traits(exposure.request)
         return running, waiting
 
     def has_any(self, identity: VmIdentity) -> bool:
@@ -284,12 +269,3 @@
 def identify(vm: Vm) -> VmIdentity:
     """Returns what tells one start of a VM from all others."""
     return f"{vm.name}@{vm.started_at_ms}"
-
-
-def list_traits(request: Request) -> dict[evidence_module.TraitKey, int]:
-    """Returns the depth of each trait by its key."""
-    whole = evidence_module.hash_request(request.encode_identity())
-    return {whole: evidence_module.WHOLE_DEPTH} | {
-        evidence_module.hash_part(part): depth
-        for depth, part in enumerate(request.prompt_parts)
-    }
--- a/arbutuscove/crashes/holder.py
+++ b/arbutuscove/crashes/holder.py
@@ -10,7 +10,9 @@
 import msgspec
 
 from arbutuscove.crashes import evidence as evidence_module
+from arbutuscove.crashes import judgement
 from arbutuscove.crashes import reports
+from arbutuscove.crashes import traits
 from arbutuscove.crashes import verdicts
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import decoding
@@ -43,7 +45,7 @@
         return self._evidence.get_death_time(identity)
 
     @property
-    def culprits(self) -> abc.Mapping[int, evidence_module.Culprit]:
+    def culprits(self) -> abc.Mapping[int, judgement.Culprit]:
         """The traits that crash upstreams, by key."""
         return self._evidence.culprits
 
@@ -96,13 +98,11 @@
         """Returns whether a death blames the trait and no answer is known."""
         return self._evidence.is_suspect(key)
 
-    def limit_suspects(
-        self, suspects: evidence_module.Suspects
-    ) -> evidence_module.Suspects:
+    def limit_suspects(self, suspects: traits.Suspects) -> traits.Suspects:
         """Returns the traits to blame for one death, at most so many."""
         return self._evidence.limit_suspects(suspects)
 
-    def record_death(self, death: evidence_module.Death) -> bool:
+    def record_death(self, death: judgement.Death) -> bool:
         """Adds a death that this daemon observed.
 
         Returns:
@@ -130,7 +130,7 @@
 
     def _record_changes(
         self,
-        before: abc.Mapping[int, evidence_module.Culprit],
+        before: abc.Mapping[int, judgement.Culprit],
         is_own: bool = False,
     ) -> None:
         after = self.culprits
--- a/arbutuscove/crashes/tests/test_domain_death.py
+++ b/arbutuscove/crashes/tests/test_domain_death.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from arbutuscove.crashes import evidence
 from arbutuscove.crashes import moments
+from arbutuscove.crashes import traits
 from arbutuscove.crashes.tests import test_tracker
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.storage import table as table_module
@@ -128,7 +128,7 @@
     fleet.clock.advance(SECOND)
     fleet.lose("other-2", [fleet.create_request("tenant-1", CRASHING)])
     fleet.exchange()
-    assert fleet.list_culprits() == {evidence.hash_part(CRASHING)}
+    assert fleet.list_culprits() == {traits.hash_part(CRASHING)}
 
 
 @pytest.mark.parametrize("crashes", [2, 4, 12])
@@ -144,7 +144,7 @@
         crashing = fleet.create_request("tenant-0", CRASHING)
         fleet.lose(f"head-{number}", [*beside, crashing])
     fleet.exchange()
-    assert fleet.list_culprits() == {evidence.hash_part(CRASHING)}
+    assert fleet.list_culprits() == {traits.hash_part(CRASHING)}
 
 
 def test_two_parts_that_crash_in_one_moment_are_convicted():
@@ -157,8 +157,8 @@
         fleet.lose(f"head-{number}", [crashing])
     fleet.exchange()
     assert fleet.list_culprits() == {
-        evidence.hash_part(CRASHING),
-        evidence.hash_part("another"),
+        traits.hash_part(CRASHING),
+        traits.hash_part("another"),
     }
 
 
@@ -180,7 +180,7 @@
             fleet.exchange()
             crashes += 1
         fleet.clock.advance(2 * TICK)
-    assert fleet.list_culprits() == {evidence.hash_part(CRASHING)}
+    assert fleet.list_culprits() == {traits.hash_part(CRASHING)}
 
 
 def test_verdicts_of_many_parts_are_known_after_a_restart():
@@ -198,5 +198,5 @@
     started = test_tracker.Daemon(fleet.clock)
     started.evidence.restore(table_module.read_all(daemon.table, ""))
     assert set(started.evidence.culprits) == {
-        evidence.hash_part(f"bad-{part}") for part in range(6)
+        traits.hash_part(f"bad-{part}") for part in range(6)
     }
--- a/arbutuscove/crashes/tests/test_evidence.py
+++ b/arbutuscove/crashes/tests/test_evidence.py
@@ -10,6 +10,8 @@
 
 from arbutuscove.crashes import evidence
 from arbutuscove.crashes import holder
+from arbutuscove.crashes import judgement
+from arbutuscove.crashes import traits
 
 SECOND = datetime.timedelta(seconds=1)
 FIRST, CRASHING, OTHER = 1, 2, 3
@@ -19,7 +21,7 @@
 
 def build_death(number, suspects, waiting=None, at=None):
     at = number * SECOND if at is None else at
-    return evidence.Death(
+    return judgement.Death(
         identity=f"vm{number}@1",
         at=at,
         suspects=suspects,
@@ -28,7 +30,7 @@
 
 
 def find(deaths, answers=None):
-    return set(evidence.find_culprits(deaths, answers or {}))
+    return set(judgement.find_culprits(deaths, answers or {}))
 
 
 def test_evidence_convicts_the_part_and_not_its_companions():
@@ -72,7 +74,7 @@
 
 def test_evidence_of_a_whole_request_needs_three_deaths():
     """Guards against requests refused since they were lost twice."""
-    deaths = [build_death(n, {WHOLE: evidence.WHOLE_DEPTH}) for n in (1, 2)]
+    deaths = [build_death(n, {WHOLE: traits.WHOLE_DEPTH}) for n in (1, 2)]
     assert not find(deaths)
     assert find([*deaths, build_death(3, {WHOLE: -1})]) == {WHOLE}
 
@@ -120,7 +122,7 @@
     known.record_death(build_death(1, {CRASHING: 1}))
     known.record_death(build_death(2, {CRASHING: 1}))
     assert known.culprits
-    known.expire(3 * SECOND + evidence.DEATH_TTL)
+    known.expire(3 * SECOND + judgement.DEATH_TTL)
     assert not known.culprits
     assert known.fingerprint == 0
 
@@ -132,17 +134,17 @@
         suspects = {number * 1000 + part: part for part in range(200)}
         waiting = {number * 1000 + 500 + part: part for part in range(200)}
         known.record_death(
-            build_death(number, evidence.limit_suspects(suspects), waiting)
+            build_death(number, traits.limit_suspects(suspects), waiting)
         )
     report = known.build_report(SECOND)
     assert len(report.deaths) == evidence.MAX_DEATHS
     for death in report.deaths:
-        assert len(death.suspects) <= evidence.MAX_SUSPECTS
-        assert len(death.waiting) <= evidence.MAX_SUSPECTS
+        assert len(death.suspects) <= traits.MAX_SUSPECTS
+        assert len(death.waiting) <= traits.MAX_SUSPECTS
     for key in range(3 * evidence.MAX_ANSWERS):
         known.record_answer(key, SECOND)
     report = known.build_report(SECOND)
-    blamed = 2 * evidence.MAX_DEATHS * evidence.MAX_SUSPECTS
+    blamed = 2 * evidence.MAX_DEATHS * traits.MAX_SUSPECTS
     assert len(report.answers) <= blamed
 
 
@@ -159,7 +161,7 @@
             known.record_answer(key, SECOND)
         known.record_death(build_death(100 + number, running, waiting))
     report = known.build_report(1000 * SECOND)
-    assert len(report.answers) >= evidence.MAX_DEATHS * evidence.MAX_SUSPECTS
+    assert len(report.answers) >= evidence.MAX_DEATHS * traits.MAX_SUSPECTS
     assert len(msgspec.msgpack.encode(report)) <= holder.MAX_REPORT_BYTES - 1024
 
 
@@ -254,14 +256,14 @@
 def test_culprit_is_tried_ever_more_rarely():
     """Guards against trials that crash a replica each minute."""
     delays = [
-        evidence.Culprit(key=1, deaths=deaths, last_death=SECOND).trial_due
+        judgement.Culprit(key=1, deaths=deaths, last_death=SECOND).trial_due
         - SECOND
         for deaths in (2, 3, 4, 40)
     ]
     assert delays[:3] == [
-        evidence.MIN_TRIAL_DELAY * factor for factor in (1, 2, 4)
+        judgement.MIN_TRIAL_DELAY * factor for factor in (1, 2, 4)
     ]
-    assert delays[3] == evidence.DEATH_TTL
+    assert delays[3] == judgement.DEATH_TTL
 
 
 class _Fleet:
@@ -283,11 +285,11 @@
     def run(self, requests):
         for number in range(requests):
             now = number * SECOND / 20
-            first = evidence.hash_part(f"f{self.generator.randrange(60)}")
+            first = traits.hash_part(f"f{self.generator.randrange(60)}")
             parts = {first: 0}
             is_crashing = self.generator.random() < self.crashing_share
             if is_crashing:
-                parts[evidence.hash_part("crash")] = 1
+                parts[traits.hash_part("crash")] = 1
             else:
                 self.sound += 1
             if self.known.culprits.keys() & parts.keys():
@@ -318,5 +320,5 @@
     }
     fleet = _Fleet(seed, crashing_share, unrelated)
     fleet.run(1200)
-    assert fleet.crashes <= evidence.MIN_DEATHS_ANSWERED
+    assert fleet.crashes <= judgement.MIN_DEATHS_ANSWERED
     assert fleet.refused_sound <= 0.05 * fleet.sound
--- a/arbutuscove/crashes/tests/test_exposure.py
+++ b/arbutuscove/crashes/tests/test_exposure.py
@@ -11,8 +11,10 @@
 import pytest
 
 from arbutuscove.crashes import evidence
+from arbutuscove.crashes import judgement
 from arbutuscove.crashes import liveness
 from arbutuscove.crashes import reports
+from arbutuscove.crashes import traits
 from arbutuscove.crashes.tests import test_tracker
 from arbutuscove.kernel import clock as clock_module
 
@@ -195,7 +197,7 @@
     fleet = _Fleet()
     serve(fleet, count, position, crashes_after, beside)
     assert fleet.crashes <= MAX_CRASHES_BY_PART
-    assert fleet.list_culprits() == {evidence.hash_part("bad")}
+    assert fleet.list_culprits() == {traits.hash_part("bad")}
     assert get_sound_share(fleet) == 1.0
 
 
@@ -206,8 +208,8 @@
     serve(fleet, 3, 1, crashes_after, bads=("bad", "worse"))
     assert fleet.crashes <= 2 * MAX_CRASHES_BY_PART
     assert fleet.list_culprits() == {
-        evidence.hash_part("bad"),
-        evidence.hash_part("worse"),
+        traits.hash_part("bad"),
+        traits.hash_part("worse"),
     }
     assert get_sound_share(fleet) == 1.0
 
@@ -234,7 +236,7 @@
             for upstream in up:
                 fleet.crash(upstream)
         fleet.step()
-    assert fleet.list_culprits() == {evidence.hash_part("bad")}
+    assert fleet.list_culprits() == {traits.hash_part("bad")}
     assert get_sound_share(fleet) == 1.0
 
 
@@ -246,7 +248,7 @@
         known.record_answer(1, number * second / 10)
     for number in range(evidence.MAX_DEATHS):
         known.record_death(
-            evidence.Death(
+            judgement.Death(
                 identity=f"vm{number}@1",
                 at=(120 + number) * second,
                 suspects={1: 0},
@@ -272,7 +274,7 @@
         for _ in range(4):
             fleet.step()
     for daemon in fleet.daemons:
-        assert set(daemon.evidence.culprits) == {evidence.hash_part("bad")}
+        assert set(daemon.evidence.culprits) == {traits.hash_part("bad")}
 
 
 def test_one_stream_with_a_suspect_part_is_resumed():
@@ -328,7 +330,7 @@
     for _ in range(3):
         known.record_answer(1, second)
     known.record_death(
-        evidence.Death(identity="vm@1", at=2 * second, suspects={1: 0, 2: 1})
+        judgement.Death(identity="vm@1", at=2 * second, suspects={1: 0, 2: 1})
     )
     data = msgspec.msgpack.encode(known.build_report(3 * second))
     earlier = msgspec.msgpack.decode(data, type=_EarlierReport)
@@ -339,7 +341,7 @@
     other.merge(msgspec.msgpack.decode(data, type=reports.Report), 3 * second)
     assert other.fingerprint == known.fingerprint
     known.record_death(
-        evidence.Death(
+        judgement.Death(
             identity="vm@2", at=2 * second, suspects={5: 1}, waiting={6: 1}
         )
     )
--- a/arbutuscove/crashes/tests/test_exposures.py
+++ b/arbutuscove/crashes/tests/test_exposures.py
@@ -5,13 +5,13 @@
 import gevent
 import pytest
 
-from arbutuscove.crashes import evidence
 from arbutuscove.crashes import exposures
+from arbutuscove.crashes import judgement
 from arbutuscove.crashes.tests import test_tracker
 from arbutuscove.kernel import clock as clock_module
 
 SECOND = datetime.timedelta(seconds=1)
-MINIMUM = evidence.MIN_DEATHS_ANSWERED
+MINIMUM = judgement.MIN_DEATHS_ANSWERED
 
 
 @pytest.fixture(name="clock")
--- a/arbutuscove/crashes/tests/test_tracker.py
+++ b/arbutuscove/crashes/tests/test_tracker.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from arbutuscove.crashes import evidence
 from arbutuscove.crashes import holder
+from arbutuscove.crashes import judgement
 from arbutuscove.crashes import liveness
 from arbutuscove.crashes import tracker
 from arbutuscove.crashes import verdicts
@@ -136,7 +136,7 @@
 
 def test_tracker_stops_one_request_that_crashes_vm_after_vm(daemon):
     """Guards against retries of one request without any shared part."""
-    for number in range(evidence.MIN_DEATHS_ANSWERED):
+    for number in range(judgement.MIN_DEATHS_ANSWERED):
         daemon.lose("same", f"vm{number}", parts=())
     assert daemon.refuses("same", parts=())
     assert not daemon.refuses("another", parts=())
@@ -180,7 +180,7 @@
     for daemon in (owner, other):
         daemon.lose("r1", "a")
         daemon.lose("r2", "b")
-    clock.advance(evidence.MIN_TRIAL_DELAY - SECOND)
+    clock.advance(judgement.MIN_TRIAL_DELAY - SECOND)
     assert owner.refuses("trial")
     clock.advance(2 * SECOND)
     assert other.refuses("trial")
@@ -208,7 +208,7 @@
     started = Daemon(clock)
     started.evidence.restore(rows)
     assert started.refuses()
-    clock.advance(evidence.MIN_TRIAL_DELAY)
+    clock.advance(judgement.MIN_TRIAL_DELAY)
     assert not started.refuses("trial")
     started.tracker.record_answer(
         Request(request_id="trial"), clock.monotonic()
--- a/arbutuscove/crashes/tracker.py
+++ b/arbutuscove/crashes/tracker.py
@@ -18,10 +18,11 @@
 import gevent.pool
 from gevent import event
 
-from arbutuscove.crashes import evidence as evidence_module
 from arbutuscove.crashes import exposures as exposures_module
 from arbutuscove.crashes import holder
+from arbutuscove.crashes import judgement
 from arbutuscove.crashes import liveness
+from arbutuscove.crashes import traits
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
 
@@ -35,7 +36,7 @@
 MIN_RETRY_AFTER = datetime.timedelta(seconds=1)
 
 
-Request = exposures_module.Request
+Request = traits.Request
 VmT = typing.TypeVar("VmT", bound=exposures_module.Vm)
 
 
@@ -126,7 +127,7 @@
         if self._exposures.has_ended():
             self._has_ended.set()
 
-    def find_culprit(self, request: Request) -> evidence_module.Culprit | None:
+    def find_culprit(self, request: Request) -> judgement.Culprit | None:
         """Returns the trait for which a request must not run, if any.
 
         Once a culprit is due for a trial, one daemon admits one request.
@@ -134,19 +135,19 @@
         culprits = self._evidence.culprits
         if not culprits:
             return None
-        for key in exposures_module.list_traits(request):
+        for key in traits.list_traits(request):
             culprit = culprits.get(key)
             if culprit is not None and not self._may_try(culprit, request):
                 return culprit
         return None
 
-    def find_blamed(self, request: Request) -> evidence_module.Culprit | None:
+    def find_blamed(self, request: Request) -> judgement.Culprit | None:
         """Returns the trait that a request is refused for, without a trial.
 
         Unlike `find_culprit` it begins no trial and logs nothing.
         """
         culprits = self._evidence.culprits
-        keys = exposures_module.list_traits(request) if culprits else ()
+        keys = traits.list_traits(request) if culprits else ()
         found = (culprits.get(key) for key in keys)
         return next((item for item in found if item is not None), None)
 
@@ -156,7 +157,7 @@
         A request does not if a death blames a part of its prompt and no answer
         to a request with that part is known: it may have caused the death.
         """
-        keys = exposures_module.list_traits(request)
+        keys = traits.list_traits(request)
         if any(self._evidence.is_suspect(key) for key in keys):
             return False
         return self.find_culprit(request) is None
@@ -171,7 +172,7 @@
             return False
         suspects = [
             key
-            for key in exposures_module.list_traits(request)
+            for key in traits.list_traits(request)
             if self._evidence.is_suspect(key)
         ]
         if any(
@@ -206,9 +207,9 @@
             request: the request.
             at: monotonic time at which the answer began.
         """
-        keys = list(map(evidence_module.hash_part, request.prompt_parts))
+        keys = list(map(traits.hash_part, request.prompt_parts))
         if self._evidence.get_fingerprint():
-            whole = evidence_module.hash_request(request.encode_identity())
+            whole = traits.hash_request(request.encode_identity())
             if self._evidence.is_blamed(whole):
                 keys.append(whole)
         self._evidence.record_answer(keys, at)
@@ -311,7 +312,7 @@
         known_at = self._evidence.get_death_time(identity)
         crashed_at = now if known_at is None else min(now, known_at)
         running, waiting = self._exposures.take(identity, crashed_at)
-        death = evidence_module.Death(
+        death = judgement.Death(
             identity=identity,
             at=crashed_at,
             suspects=self._evidence.limit_suspects(running),
@@ -331,16 +332,14 @@
         )
         self._send(self._evidence.encode_evidence(identity))
 
-    def _may_try(
-        self, culprit: evidence_module.Culprit, request: Request
-    ) -> bool:
+    def _may_try(self, culprit: judgement.Culprit, request: Request) -> bool:
         """Returns whether the request is the trial of a culprit."""
         now = self._clock.monotonic()
         trial = self._trials.get(culprit.key)
         if trial is not None:
             if trial.request is request:
                 return True
-            if now - trial.started_at < evidence_module.MIN_TRIAL_DELAY:
+            if now - trial.started_at < judgement.MIN_TRIAL_DELAY:
                 return False
         if now < culprit.trial_due or not self._is_trial_owner(culprit.key):
             return False
--- a/arbutuscove/crashes/verdicts.py
+++ b/arbutuscove/crashes/verdicts.py
@@ -14,6 +14,7 @@
 from gevent import event
 
 from arbutuscove.crashes import evidence as evidence_module
+from arbutuscove.crashes import judgement
 from arbutuscove.crashes import moments
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import decoding
@@ -179,7 +180,7 @@
         identities = verdict.deaths[: evidence_module.MAX_DEATHS]
         for number, identity in enumerate(identities):
             evidence.record_death(
-                evidence_module.Death(
+                judgement.Death(
                     identity=identity,
                     at=now - number * moments.MOMENT,
                     suspects={key: verdict.depth},
--- a/arbutuscove/platform/tests/test_explaining.py
+++ b/arbutuscove/platform/tests/test_explaining.py
@@ -8,7 +8,7 @@
 from click import testing
 from hypothesis import strategies
 
-from arbutuscove.crashes import evidence
+from arbutuscove.crashes import traits
 from arbutuscove.crashes.tests import test_tracker
 from arbutuscove.platform import explaining
 from arbutuscove.platform.tests import test_configuration
@@ -115,7 +115,7 @@
     for number, name in enumerate(("v1", "v2")):
         vm = test_tracker.create_vm(name)
         scene.crashes.lose(f"r{number}", vm, ("bad",))
-    key = evidence.hash_part("bad")
+    key = traits.hash_part("bad")
     assert key in scene.crashes.evidence.culprits
     _, found = scene.ask(QUERY + "&prompt_part=bad")
     verdict = found["verdict"]
--- a/arbutuscove/platform/tests/test_rewritten_rows.py
+++ b/arbutuscove/platform/tests/test_rewritten_rows.py
@@ -6,7 +6,7 @@
 import pytest
 from gevent import pywsgi
 
-from arbutuscove.crashes import evidence as evidence_module
+from arbutuscove.crashes import judgement
 from arbutuscove.crashes import verdicts
 from arbutuscove.kernel import services
 from arbutuscove.platform import assembly
@@ -51,9 +51,9 @@
 
 
 def _record_verdict(daemon):
-    for number in range(evidence_module.MIN_DEATHS_ANSWERED):
+    for number in range(judgement.MIN_DEATHS_ANSWERED):
         daemon._evidence.record_death(
-            evidence_module.Death(
+            judgement.Death(
                 identity=f"vm{number}@1",
                 at=datetime.timedelta(),
                 suspects={7: 0},
--- a/arbutuscove/relay/tests/test_crashing_part.py
+++ b/arbutuscove/relay/tests/test_crashing_part.py
@@ -9,11 +9,11 @@
 
 from arbutuscove.catalog import holder as catalog_holder
 from arbutuscove.catalog import model as catalog_model
-from arbutuscove.crashes import evidence
 from arbutuscove.crashes import exposures
 from arbutuscove.crashes import holder
 from arbutuscove.crashes import liveness
 from arbutuscove.crashes import tracker
+from arbutuscove.crashes import traits
 from arbutuscove.crashes import verdicts
 from arbutuscove.fleet import inventory as inventory_module
 from arbutuscove.fleet.tests import test_planner
@@ -375,7 +375,7 @@
         gevent.sleep(exposures.EXAMINE_DELAY.total_seconds())
         scene.tracker.examine_silent()
         gevent.sleep(0.01)
-        whole = evidence.hash_request(request.encode_identity())
+        whole = traits.hash_request(request.encode_identity())
         assert scene.evidence.is_blamed(whole)
     finally:
         scene.stop()
--- a/arbutuscove/requests/suspects.py
+++ b/arbutuscove/requests/suspects.py
@@ -23,9 +23,10 @@
 from gevent import event
 
 from arbutuscove.admission import work as work_module
-from arbutuscove.crashes import evidence as evidence_module
 from arbutuscove.crashes import holder as holder_module
+from arbutuscove.crashes import judgement
 from arbutuscove.crashes import liveness as liveness_module
+from arbutuscove.crashes import traits
 from arbutuscove.crashes import verdicts
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import services
@@ -176,7 +177,7 @@
         It may not if a death blames a part of its prompt and no answer to a
         request with that part is known: the request may have caused the death.
         """
-        keys = list(map(evidence_module.hash_part, work.prompt_parts))
+        keys = list(map(traits.hash_part, work.prompt_parts))
         return not any(
             self.evidence.is_suspect(key) or key in self.evidence.culprits
             for key in keys
@@ -190,7 +191,7 @@
     def _record_survival(self, attempt: TrackedAttempt) -> None:
         if attempt.answered_at is None:
             return
-        keys = map(evidence_module.hash_part, attempt.prompt_parts)
+        keys = map(traits.hash_part, attempt.prompt_parts)
         self.evidence.record_answer(keys, attempt.answered_at)
 
     def exclude_replica(self, service: str, replica: str) -> frozenset[str]:
@@ -240,11 +241,9 @@
             return expression.Error(refusal)
         return expression.Ok(attempt)
 
-    def _find_culprit(
-        self, work: work_module.Work
-    ) -> evidence_module.Culprit | None:
+    def _find_culprit(self, work: work_module.Work) -> judgement.Culprit | None:
         """Returns the part of the prompt that crashes replicas, if any."""
-        for key in map(evidence_module.hash_part, work.prompt_parts):
+        for key in map(traits.hash_part, work.prompt_parts):
             culprit = self.evidence.culprits.get(key)
             if culprit is not None:
                 return culprit
@@ -489,12 +488,12 @@
     def _blame_parts(self, death: str, attempts: list[TrackedAttempt]) -> None:
         """Blames the prompt parts of the attempts that are not complete."""
         suspects = {
-            evidence_module.hash_part(part): depth
+            traits.hash_part(part): depth
             for attempt in attempts
             for depth, part in enumerate(attempt.prompt_parts)
         }
         self.evidence.record_death(
-            evidence_module.Death(
+            judgement.Death(
                 identity=death,
                 at=self._clock.monotonic(),
                 suspects=suspects,
--- a/arbutuscove/requests/tests/test_lost_verdicts.py
+++ b/arbutuscove/requests/tests/test_lost_verdicts.py
@@ -2,7 +2,7 @@
 
 import datetime
 
-from arbutuscove.crashes import evidence as evidence_module
+from arbutuscove.crashes import judgement
 from arbutuscove.crashes import verdicts
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.requests import suspects
@@ -24,9 +24,9 @@
         lambda: None,
         table.get_era,
     )
-    for number in range(evidence_module.MIN_DEATHS_ANSWERED):
+    for number in range(judgement.MIN_DEATHS_ANSWERED):
         tracker.evidence.record_death(
-            evidence_module.Death(
+            judgement.Death(
                 identity=f"vm{number}@1",
                 at=datetime.timedelta(),
                 suspects={PART: 0},
--- a/arbutuscove/requests/tests/test_quarantine.py
+++ b/arbutuscove/requests/tests/test_quarantine.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies
 
 from arbutuscove.admission import service as admission_service
-from arbutuscove.crashes import evidence
+from arbutuscove.crashes import judgement
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.kernel import loop
 from arbutuscove.peers import peer_pb2
@@ -214,7 +214,7 @@
         system.try_send(number, f"q{number}", None, ("first", CRASH))
         system.settle()
     deaths = len(system.fleet.deaths)
-    system.fleet.clock.advance(evidence.MIN_TRIAL_DELAY)
+    system.fleet.clock.advance(judgement.MIN_TRIAL_DELAY)
     codes = [
         system.try_send(number, f"t{number}", None, ("first", CRASH))
         for number in range(DAEMONS)
--- a/bench/evidence.py
+++ b/bench/evidence.py
@@ -11,6 +11,8 @@
 import msgspec
 
 from arbutuscove.crashes import evidence
+from arbutuscove.crashes import judgement
+from arbutuscove.crashes import traits
 
 SECOND = datetime.timedelta(seconds=1)
 DECISIONS = 50
@@ -26,12 +28,12 @@
         suspects, waiting = (
             {
                 generator.getrandbits(64): depth
-                for depth in range(evidence.MAX_SUSPECTS)
+                for depth in range(traits.MAX_SUSPECTS)
             }
             for _ in range(2)
         )
         known.record_death(
-            evidence.Death(
+            judgement.Death(
                 identity=f"i-{generator.getrandbits(40):010x}@1792178439056",
                 at=number * SECOND,
                 suspects=suspects,
@@ -48,7 +50,7 @@
     deaths = known.list_deaths()
     begin = time.perf_counter()
     for _ in range(DECISIONS):
-        evidence.find_culprits(deaths, {})
+        judgement.find_culprits(deaths, {})
     seconds = (time.perf_counter() - begin) / DECISIONS
     print(f"verdict: {seconds * 1e3:.2f} ms")
     keys = [generator.getrandbits(64) for _ in range(ANSWERS)]
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -891,7 +891,7 @@
     ),
     Mutation(
         promise="a culprit's deaths blame no other part",
-        path="crashes/evidence.py",
+        path="crashes/judgement.py",
         old="        unexplained = [\n"
         "            death for death in unexplained if death "
         "not in blame[key]\n"
@@ -1023,7 +1023,7 @@
     ),
     Mutation(
         promise="an answer refutes earlier blame",
-        path="crashes/evidence.py",
+        path="crashes/judgement.py",
         old="return answered is not None and answered >= death.at",
         new="return False",
         test="crashes/tests/test_evidence.py::"
@@ -1037,6 +1037,63 @@
         test="crashes/tests/test_evidence.py::"
         "test_evidence_of_pieces_of_one_death_is_merged",
     ),
+    Mutation(
+        promise="a request is blamed after its caller has left",
+        path="relay/attempt.py",
+        old="        self._end_exposure(is_survived=False)",
+        new="        self._end_exposure(is_survived=True)",
+        test="relay/tests/test_crashing_part.py::"
+        "test_upstream_that_crashes_after_the_end_of_an_attempt_is_noticed",
+    ),
+    Mutation(
+        promise="a death that a peer reports blames what ran there",
+        path="crashes/tracker.py",
+        old="evidence.add_death_listener(self._record_reported)",
+        new="pass",
+        test="crashes/tests/test_exposures.py::"
+        "test_death_that_a_peer_reports_blames_requests_of_callers_who_left",
+    ),
+    Mutation(
+        promise="what was sent after a death is not blamed for it",
+        path="crashes/exposures.py",
+        old="if exposure.sent_at <= crashed_at:",
+        new="if True:",
+        test="crashes/tests/test_exposures.py::"
+        "test_request_sent_after_the_death_is_not_blamed",
+    ),
+    Mutation(
+        promise="a VM that answers has survived what ended before",
+        path="crashes/exposures.py",
+        old="alive_at is not None and alive_at - item.ended_at > RUN_GRACE",
+        new="False",
+        test="crashes/tests/test_exposures.py::"
+        "test_vm_that_answers_later_has_survived_the_request",
+    ),
+    Mutation(
+        promise="a queued request is not blamed like a running one",
+        path="crashes/judgement.py",
+        old="if is_part and not survivals and running >= "
+        "MIN_DEATHS_UNANSWERED:",
+        new="if is_part and not survivals:",
+        test="crashes/tests/test_evidence.py::"
+        "test_evidence_of_waiting_requests_alone_needs_three_deaths",
+    ),
+    Mutation(
+        promise="few contents do not convict what they share",
+        path="crashes/judgement.py",
+        old="weight = min(weight, _count_causes(blamed, answers))",
+        new="pass",
+        test="crashes/tests/test_evidence.py::"
+        "test_few_contents_that_crash_do_not_convict_what_they_share",
+    ),
+    Mutation(
+        promise="a recurring trait keeps its place in each death",
+        path="crashes/traits.py",
+        old="return (survived, -counts.get(key, 0), -depth, key)",
+        new="return (survived, 0, -depth, key)",
+        test="crashes/tests/test_evidence.py::"
+        "test_trait_that_recurs_keeps_its_place_among_new_ones",
+    ),
     Mutation(
         promise="a broken connection is no death",
         path="crashes/tracker.py",
