Take an answer without a final status for no answer

Callers got an answer with the status 600 or 999, and 504 at their deadline after 000 or 099.

Cause: each place that asks whether a head is final compared the status with 200 alone, so that what lies below is interim and what lies above is an answer.

Change: storage/http.check_status decides for both parsers of responses, as a head is complete.

Why it works: every response passes one of the two parsers, so that streams, orders, reports, the store and plain services are covered.

--- a/arbutuscove/entry/tests/test_plain.py
+++ b/arbutuscove/entry/tests/test_plain.py
@@ -15,6 +15,7 @@
 from arbutuscove.requests import attempts
 from arbutuscove.requests import failures
 from arbutuscove.requests.tests import fleet as fleet_module
+from arbutuscove.standins import faulty_upstream
 from arbutuscove.upstreams import plain as plain_upstream
 
 CALL = plain_upstream.PlainCall(
@@ -163,6 +164,16 @@
     assert caught.value.run == failures.RunStatus.UNKNOWN
 
 
+@pytest.mark.parametrize("status", faulty_upstream.INVALID_STATUSES)
+def test_plain_answer_without_a_final_status_is_no_answer(status):
+    """A status of 000 or 600 must not reach the caller."""
+    faulty = _Server(WHOLE.replace(b"200", status))
+    with pytest.raises(failures.RequestFailedError) as caught:
+        _send([faulty.address], repeatable=False)
+    faulty.stop()
+    assert caught.value.run == failures.RunStatus.UNKNOWN
+
+
 def test_plain_trickling_answer_ends_with_the_deadline():
     """An answer that trickles in must not outlast the caller's deadline."""
     head = b"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n"
--- a/arbutuscove/relay/tests/test_troubled.py
+++ b/arbutuscove/relay/tests/test_troubled.py
@@ -212,6 +212,38 @@
     assert scene.good.requests == 0
 
 
+@pytest.mark.parametrize("status", faulty_upstream.INVALID_STATUSES)
+@pytest.mark.parametrize(
+    "repeat", [catalog_model.Repeat.ONCE, catalog_model.Repeat.STREAM_ONCE]
+)
+def test_answer_without_a_final_status_is_not_passed_on(build, repeat, status):
+    """Guards against a status of 000 or 600 that callers take as an answer.
+
+    They do not wait until their deadline for another status, either.
+    """
+    scene = build(
+        faulty_upstream.build_status_answer(status),
+        faulty_upstream.answer_completely,
+    )
+    with pytest.raises(model.RefusedError) as caught:
+        scene.serve(repeat)
+    refusal = caught.value.refusal
+    assert (refusal.status, refusal.not_run) == (502, False)
+    assert scene.bad.requests == 1
+    assert scene.states["bad", 1].failures > 0
+
+
+@pytest.mark.parametrize("status", faulty_upstream.INVALID_STATUSES)
+def test_request_without_a_final_status_is_sent_elsewhere(build, status):
+    """Guards against a faulty answer to a request that may be repeated."""
+    scene = build(
+        faulty_upstream.build_status_answer(status),
+        faulty_upstream.answer_completely,
+    )
+    answer, body = scene.serve(catalog_model.Repeat.SAFE)
+    assert (answer.status, body) == (200, WHOLE)
+
+
 def test_answers_without_framing_are_whole(build):
     """Guards against sound answers rejected as they state no length."""
     scene = build(
--- a/arbutuscove/standins/faulty_upstream.py
+++ b/arbutuscove/standins/faulty_upstream.py
@@ -208,6 +208,24 @@
 
 
 Behaviour = abc.Callable[[bytes], Pieces]
+# Statuses that no final answer has; 101 would need a request for it.
+INVALID_STATUSES = (b"000", b"099", b"101", b"20", b"600", b"999")
+
+
+def build_status_answer(status: bytes) -> Behaviour:
+    """Returns a behaviour that answers with a status and keeps the connection.
+
+    Args:
+        status: Three digits, or what stands in their place.
+    """
+
+    def answer(request_id: bytes) -> Pieces:
+        head = build_head(request_id, b"Content-Length: 5")
+        yield head.replace(b"200 OK", status + b" -", 1) + b"whole"
+
+    return answer
+
+
 FAULTY_ANSWERS: tuple[Behaviour, ...] = (
     send_endless_line,
     send_endless_head,
--- a/arbutuscove/storage/http.py
+++ b/arbutuscove/storage/http.py
@@ -35,6 +35,12 @@
 _PORT = re.compile(r"[0-9]{1,5}")
 _LABEL = re.compile(r"(?!-)[A-Za-z0-9_-]{1,63}(?<!-)")
 
+# Final statuses (RFC 9110, section 15). Anything else is no answer.
+FINAL_STATUSES = range(200, 600)
+INTERIM_STATUSES = range(100, 200)
+# Ends HTTP/1.1 on the connection, and only if a request asks for it.
+SWITCHING_PROTOCOLS = 101
+
 ValueT = typing.TypeVar("ValueT")
 
 
@@ -108,6 +114,17 @@
     return host, int(port)
 
 
+def check_status(status: int) -> None:
+    """Checks the status of a response whose head is complete.
+
+    Raises:
+        ValueError: neither an interim nor a final response has it.
+    """
+    is_interim = status in INTERIM_STATUSES and status != SWITCHING_PROTOCOLS
+    if not is_interim and status not in FINAL_STATUSES:
+        raise ValueError(f"{status} is no status of an answer")
+
+
 def _is_host(text: str) -> bool:
     """Returns whether the text is an IPv4 address or a host name."""
     labels = text.split(".")
@@ -379,7 +396,9 @@
         encoded = b"" if body is None else msgspec.json.encode(body)
         fields = {"Content-Type": "application/json", **(headers or {})}
         try:
-            return self._client.request(method, path, encoded, fields)
+            response = self._client.request(method, path, encoded, fields)
+            check_status(response.status_code)
+            return response
         except ConnectionRefusedError as error:
             raise RefusedError(f"{self.address}: {error}") from error
         except OSError as error:
--- a/arbutuscove/storage/tests/test_http.py
+++ b/arbutuscove/storage/tests/test_http.py
@@ -63,6 +63,25 @@
     gevent.sleep(0)
 
 
+@pytest.mark.parametrize("status", [b"000", b"600", b"999"])
+def test_http_answer_without_a_final_status_is_no_response(status):
+    """A peer in trouble must not answer with a status that nobody knows."""
+
+    def handle(connection, peer):
+        connection.recv(65536)
+        head = b"HTTP/1.1 " + status + b" -\r\nContent-Length: 2\r\n\r\n"
+        connection.sendall(head + b"{}")
+        connection.close()
+
+    listener = server.StreamServer(("127.0.0.1", 0), handle)
+    listener.start()
+    client = http.JsonClient(http.Address("127.0.0.1", listener.server_port))
+    with pytest.raises(http.NoResponseError):
+        client.send("GET", "/")
+    client.close()
+    listener.stop()
+
+
 def test_http_refused_connection_means_no_process():
     """A stopped engine must not be mistaken for a network partition."""
     with socket.socket() as probe:
--- a/arbutuscove/transport/connection.py
+++ b/arbutuscove/transport/connection.py
@@ -134,6 +134,7 @@
         super()._on_message_begin()
 
     def _on_headers_complete(self) -> int | bool | None:
+        http.check_status(self.get_code())
         result = super()._on_headers_complete()
         value = self.get(TRANSFER_ENCODING)
         if value is not None and (
--- a/arbutuscove/transport/tests/test_connection.py
+++ b/arbutuscove/transport/tests/test_connection.py
@@ -8,6 +8,7 @@
 from gevent import server
 
 from arbutuscove.kernel import clock as clock_module
+from arbutuscove.standins import faulty_upstream
 from arbutuscove.storage import http
 from arbutuscove.transport import connection
 from arbutuscove.transport import pool
@@ -125,6 +126,27 @@
     assert parser.pop_body() == b"cd"
 
 
+@pytest.mark.parametrize("status", faulty_upstream.INVALID_STATUSES)
+def test_connection_without_a_final_status_is_an_error(start, status):
+    """Guards against a status of 000 or 600 that passes for an answer."""
+    peer = start(OK.replace(b"200", status) + b"ab")
+    used = connection.connect(peer.address, SECOND)
+    with pytest.raises(http.NoResponseError) as caught:
+        exchange(used)
+    assert caught.type is http.NoResponseError  # and no time-out
+
+
+@pytest.mark.parametrize("interim", [b"", b"100", b"103"])
+@pytest.mark.parametrize("status", [200, 299, 304, 421, 599])
+def test_connection_reads_each_final_status(start, interim, status):
+    """Guards against sound answers that are given up for their status."""
+    head = b"HTTP/1.1 " + interim + b" -\r\n\r\n" if interim else b""
+    answer = b"HTTP/1.1 %d -\r\nContent-Length: 0\r\n\r\n" % status
+    peer = start(head + answer)
+    used = connection.connect(peer.address, SECOND)
+    assert exchange(used).get_code() == status
+
+
 def test_connection_that_ends_early_is_an_error(start):
     """Guards against a truncated response that looks complete."""
     peer = start(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab", close=True)
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -1037,6 +1037,14 @@
         test="crashes/tests/test_evidence.py::"
         "test_evidence_of_pieces_of_one_death_is_merged",
     ),
+    Mutation(
+        promise="an answer without a final status is not passed on",
+        path="transport/connection.py",
+        old="        http.check_status(self.get_code())\n",
+        new="",
+        test="relay/tests/test_troubled.py::"
+        "test_answer_without_a_final_status_is_not_passed_on",
+    ),
     Mutation(
         promise="a request is blamed after its caller has left",
         path="relay/attempt.py",
