Teach the soak contents that crash servers beside faults of the daemons

Cause: the soak crashed servers at random or by a part of a prompt whose callers stay; no run had callers who leave before the crash.

What daemons in touch send to servers later than 3 s after the third crash of a content is counted, and the sound requests beside it. A test of the own interface shows that callers who leave hide no crash by a part there.

--- a/arbutuscove/requests/tests/test_quarantine.py
+++ b/arbutuscove/requests/tests/test_quarantine.py
@@ -298,6 +298,37 @@
     assert [(h.digest, h.deaths) for h in hints] == [("slow", 1)]
 
 
+def test_quarantine_part_whose_callers_leave_costs_two_replicas():
+    """A part must not crash replica after replica unseen by its callers.
+
+    The sound requests that share another part of the prompt are served.
+    """
+    system = _System()
+    codes = []
+    for number in range(6):
+        daemon = system.daemons[number % DAEMONS]
+        request = fleet_module.build_request(
+            system.fleet, f"long {number}", parts=("first", "bad")
+        )
+        try:
+            events = daemon.flow.run(request).events
+        except failures.RequestFailedError as error:
+            codes.append(error.refusal.code)
+            continue
+        next(events)
+        events.close()
+        (engine,) = (e for e in system.fleet.engines.values() if e.streams)
+        engine.die()
+        daemon.suspects.check_detached()
+        system.gossip()
+        system.fleet.rebuild()
+        assert system.try_send(0, f"s{number}", None, ("first",)) is None
+        for engine in system.fleet.engines.values():
+            engine.streams.clear()
+    assert len(system.fleet.deaths) <= quarantine.DEATHS_TO_QUARANTINE
+    assert codes == ["request_quarantined"] * 4
+
+
 def test_quarantine_cut_connection_is_no_death():
     """A cut connection must not make its request a suspect."""
     system = _System(replicas=1)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,6 +12,7 @@
 import click
 
 from soak import crashing
+from soak import deadly as deadly_module
 from soak import run
 
 
@@ -30,6 +31,11 @@
     is_flag=True,
     help="Instead of random faults, a prompt part crashes servers.",
 )
+@click.option(
+    "--deadly",
+    is_flag=True,
+    help="Some contents crash servers, beside faults of the daemons.",
+)
 @click.option(
     "--planned-only",
     is_flag=True,
@@ -62,6 +68,7 @@
     seconds: float,
     logs: pathlib.Path | None,
     crashing_part: bool,
+    deadly: bool,
     planned_only: bool,
     partitions: bool,
     zones: bool,
@@ -74,6 +81,8 @@
         log_directory = None if logs is None else logs / str(current_seed)
         if crashing_part:
             broken = _run_crashing_part(current_seed, log_directory, beside)
+        elif deadly:
+            broken = _run_deadly(current_seed, seconds, log_directory, beside)
         else:
             report = run.run_seed(
                 current_seed,
@@ -93,6 +102,23 @@
     sys.exit(1 if failed_seeds else 0)
 
 
+def _run_deadly(
+    seed: int,
+    seconds: float,
+    logs: pathlib.Path | None,
+    beside: pathlib.Path | None,
+) -> bool:
+    """Runs one seed of a random load; returns whether it broke a promise."""
+    load = deadly_module.draw_load(seed, seconds)
+    with tempfile.TemporaryDirectory() as directory:
+        log_directory = pathlib.Path(directory) if logs is None else logs
+        log_directory.mkdir(parents=True, exist_ok=True)
+        report = deadly_module.run_seed(log_directory, seed, load, beside)
+    broken = report.list_broken()
+    click.echo(f"seed {seed}: broken {broken or 'none'}; {load}; {report}")
+    return bool(broken)
+
+
 def _run_crashing_part(
     seed: int, logs: pathlib.Path | None, beside: pathlib.Path | None
 ) -> bool:
--- a/soak/deadly.py
+++ b/soak/deadly.py
@@ -18,6 +18,7 @@
 from arbutuscove.standins import users_platform
 from arbutuscove.storage import http
 from arbutuscove.transport import connection
+from soak import faults
 from soak import run
 from soak import world as world_module
 
@@ -65,6 +66,8 @@
         plan: when and how such a request crashes a server.
         grouped_count: servers that form groups.
         plain_count: servers of the plain service.
+        daemon_count: daemons, each a process.
+        has_faults: whether random faults meet the daemons meanwhile.
     """
 
     route: str = "once"
@@ -78,6 +81,39 @@
     )
     grouped_count: int = 2
     plain_count: int = 12
+    daemon_count: int = 3
+    has_faults: bool = False
+
+
+def draw_load(seed: int, seconds: float) -> Load:
+    """Returns a random load beside random faults.
+
+    Args:
+        seed: seed of the random choices.
+        seconds: duration of the run.
+    """
+    generator = random.Random(seed)
+    route = generator.choice(("once", "safe", "stream", "stream"))
+    is_stream = route == "stream"
+    return Load(
+        route=route,
+        contents=generator.choice((1, 2, 3)),
+        per_second=generator.uniform(2.0, 5.0 if is_stream else 10.0),
+        leave_seconds=generator.choice((None, 0.03, 0.1, 0.3)),
+        seconds=seconds,
+        has_new_parts=generator.random() < 0.5,
+        plan=users_platform.CrashPlan(
+            delay_seconds=generator.choice((0.01, 0.05, 0.2, 0.5)),
+            has_head=generator.random() < 0.5,
+            events=generator.choice((0, 0, 1, 3)),
+            restart_seconds=generator.choice((0.05, 1.0, RESTART_SECONDS)),
+            is_renamed=generator.random() < 0.7,
+        ),
+        grouped_count=12 if is_stream else 2,
+        plain_count=1 if is_stream else 12,
+        daemon_count=generator.choice((3, 3, 3, 7)),
+        has_faults=True,
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -86,13 +122,15 @@
 
     Attributes:
         crashes: number of crashes by each content.
-        late: for each content, the requests that reached servers later than
-            `SETTLE_SECONDS` after its third crash.
+        late: for each content, the requests that daemons in touch sent to
+            servers later than `SETTLE_SECONDS` after its third crash.
         sound_count: sound requests sent since `SETTLE_SECONDS` after the third
             crash of the last content that had three, or since the start.
         served_count: how many of them were served.
         statuses: number of all sound requests by their status, 0 for none.
-        violations: promises that were broken, as the servers saw it.
+        violations: promises that were broken, as the servers saw it, and
+            daemons that ended by themselves.
+        faults: names of the faults that were injected.
     """
 
     crashes: tuple[int, ...]
@@ -101,6 +139,7 @@
     served_count: int
     statuses: dict[int, int]
     violations: int
+    faults: tuple[str, ...] = ()
 
     def list_broken(self) -> list[str]:
         """Returns the promises that were broken, or not tried."""
@@ -127,6 +166,8 @@
         self._numbers = itertools.count()
         # Start and status of each sound request.
         self.sound: list[tuple[float, int]] = []
+        # The daemon that each request was sent to, by its id.
+        self.called: dict[str, str] = {}
 
     def list_contents(self) -> list[bytes]:
         """Returns the bodies that crash servers."""
@@ -198,6 +239,7 @@
     ) -> int:
         """Returns the status, 0 without a complete answer."""
         address = http.Address(daemon.ip, self._world.port)
+        self.called[request_id] = daemon.name
         is_stream = self._load.route == "stream"
         prompt = ",".join(f"{part}:40" for part in parts)
         fields = (
@@ -258,6 +300,10 @@
         beside=beside,
         grouped_count=load.grouped_count,
         plain_count=load.plain_count,
+        daemon_count=load.daemon_count,
+    )
+    injector = faults.Injector(
+        world, random.Random(seed + 1), faults.DEADLY_FAULTS
     )
     clients = _Callers(world, load, seed)
     contents = clients.list_contents()
@@ -272,17 +318,34 @@
             gevent.spawn(clients.send_deadly, end),
             gevent.spawn(clients.send_sound, end),
         ]
+        if load.has_faults:
+            senders.append(gevent.spawn(injector.run, load.seconds))
         gevent.joinall(senders, raise_error=True)
         gevent.sleep(DRAIN_SECONDS)
+        exits = run.check_exits(world)
     finally:
         world.stop()
-    return _build_report(world.platform, contents, clients.sound)
+    return _build_report(
+        world.platform, contents, clients, injector.records, len(exits)
+    )
+
+
+def _is_in_touch(records: list[faults.Record], daemon: str, at: float) -> bool:
+    """Returns whether no fault excuses what a daemon sends at a time."""
+    return not any(
+        record.target == daemon
+        and record.name in faults.OUT_OF_TOUCH_FAULTS
+        and record.started_at <= at <= record.ended_at + SETTLE_SECONDS
+        for record in records
+    )
 
 
 def _build_report(
     platform: users_platform.UsersPlatform,
     contents: list[bytes],
-    sound: list[tuple[float, int]],
+    clients: _Callers,
+    records: list[faults.Record],
+    exit_count: int,
 ) -> Report:
     counted_since = 0.0
     crashes, late = [], []
@@ -297,17 +360,22 @@
             counted_since = max(counted_since, since)
         late.append(
             sum(
-                item.content == content and item.at > since
+                item.content == content
+                and item.at > since
+                and _is_in_touch(
+                    records, clients.called[item.request_id], item.at
+                )
                 for item in platform.runs
             )
         )
-    counted = [status for at, status in sound if at >= counted_since]
-    statuses = [status for _, status in sound]
+    counted = [status for at, status in clients.sound if at >= counted_since]
+    statuses = [status for _, status in clients.sound]
     return Report(
         crashes=tuple(crashes),
         late=tuple(late),
         sound_count=len(counted),
         served_count=counted.count(200),
         statuses={code: statuses.count(code) for code in sorted(set(statuses))},
-        violations=len(platform.violations),
+        violations=len(platform.violations) + exit_count,
+        faults=tuple(sorted(record.name for record in records)),
     )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -75,6 +75,22 @@
 DAEMON_FAULTS = ("kill", "pause", "store_link")
 # Faults of one server after which it breaks off answers.
 SERVER_FAULTS = ("server_crash", "server_link")
+# Beside requests that crash servers; these keep the servers' own restarts.
+DEADLY_FAULTS = (
+    "configuration_series",
+    "hup",
+    "hup",
+    "kill",
+    "pause",
+    "server_fails",
+    "server_refuses",
+    "server_silent",
+    "store_link",
+    "term",
+    "term",
+)
+# After these, and for `SETTLE_SECONDS`, a daemon does not count as in touch.
+OUT_OF_TOUCH_FAULTS = ("kill", "pause", "store_link", "term")
 SILENT_SECONDS = (0.8, 1.8)  # shortest and longest silence of a sound server
 # An interpreter that starts ends by SIGHUP before any of its program runs.
 INTERPRETER_START_SECONDS = 0.5
--- a/soak/tests/test_deadly.py
+++ b/soak/tests/test_deadly.py
@@ -35,3 +35,12 @@
     """
     report = deadly.run_seed(tmp_path, 2, LOADS[name])
     assert not report.list_broken(), report
+
+
+@pytest.mark.parametrize("seed", [100, 103])
+def test_deadly_contents_beside_faults_reach_few_servers(tmp_path, seed):
+    """Guards against evidence that restarts and pauses of daemons lose."""
+    load = deadly.draw_load(seed, seconds=10.0)
+    report = deadly.run_seed(tmp_path, seed, load)
+    assert not report.list_broken(), report
+    assert report.faults
--- a/soak/world.py
+++ b/soak/world.py
@@ -103,6 +103,7 @@
         memory_mb: int | None = None,
         grouped_count: int = GROUPED_SERVER_COUNT,
         plain_count: int = PLAIN_SERVER_COUNT,
+        daemon_count: int = DAEMON_COUNT,
     ) -> None:
         """Creates the stand-ins; `start` then starts each daemon.
 
@@ -119,6 +120,7 @@
                 None if they state none.
             grouped_count: servers that form groups.
             plain_count: servers of the plain service.
+            daemon_count: daemons, each a process.
         """
         self._memory_mb = memory_mb
         self._zones = ZONES if has_zones else ZONES[:1]
@@ -159,7 +161,7 @@
         self.change_configuration()
         self.daemons = [
             self._create_daemon(subnet, number)
-            for number in range(DAEMON_COUNT)
+            for number in range(daemon_count)
         ]
 
     def change_configuration(self) -> int:
