--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -46,9 +46,9 @@
 from arbutuscove.platform import store as store_module
 from arbutuscove.platform import table as platform_table
 from arbutuscove.platform import upstreams
-from arbutuscove.relay import attempt
 from arbutuscove.relay import backends as backends_module
 from arbutuscove.relay import budget
+from arbutuscove.relay import context as context_module
 from arbutuscove.relay import fleet_view
 from arbutuscove.relay import flow as flow_module
 from arbutuscove.relay import model as relay_model
@@ -321,7 +321,7 @@
 
     def _build_flow(self) -> flow_module.Flow:
         bounds = self._settings.bounds
-        context = attempt.AttemptContext(
+        context = context_module.AttemptContext(
             self._clock,
             self._catalog,
             self._dispatcher,
--- a/arbutuscove/relay/flow.py
+++ b/arbutuscove/relay/flow.py
@@ -12,6 +12,7 @@
 from arbutuscove.relay import attempt as attempt_module
 from arbutuscove.relay import bodies
 from arbutuscove.relay import budget as budget_module
+from arbutuscove.relay import context as context_module
 from arbutuscove.relay import model
 from arbutuscove.relay import outcomes
 from arbutuscove.relay import refusals
@@ -26,7 +27,7 @@
 
     def __init__(
         self,
-        context: attempt_module.AttemptContext,
+        context: context_module.AttemptContext,
         allowance: budget_module.RetryAllowance,
         count_daemons: abc.Callable[[], int],
         generator: random.Random,
--- a/arbutuscove/relay/streams.py
+++ b/arbutuscove/relay/streams.py
@@ -12,6 +12,7 @@
 from arbutuscove.kernel import clock as clock_module
 from arbutuscove.relay import attempt as attempt_module
 from arbutuscove.relay import bodies
+from arbutuscove.relay import context as context_module
 from arbutuscove.relay import continuation
 from arbutuscove.relay import model
 from arbutuscove.relay import outcomes
@@ -32,7 +33,7 @@
 class RetryPolicy(typing.Protocol):
     """What all requests share: services of attempts, and the retry budgets."""
 
-    context: attempt_module.AttemptContext
+    context: context_module.AttemptContext
     clock: clock_module.Clock
 
     def is_safe_to_repeat(
--- a/arbutuscove/relay/tests/test_crashing_part.py
+++ b/arbutuscove/relay/tests/test_crashing_part.py
@@ -23,6 +23,7 @@
 from arbutuscove.relay import attempt
 from arbutuscove.relay import backends
 from arbutuscove.relay import budget
+from arbutuscove.relay import context as context_module
 from arbutuscove.relay import flow
 from arbutuscove.relay import model
 from arbutuscove.relay import placement
@@ -91,7 +92,7 @@
         )
         self.dispatcher.start(None)
         self.pool = pool.ConnectionPool(clock)
-        context = attempt.AttemptContext(
+        context = context_module.AttemptContext(
             clock,
             catalog,
             self.dispatcher,
--- a/arbutuscove/relay/tests/test_cut_off.py
+++ b/arbutuscove/relay/tests/test_cut_off.py
@@ -16,6 +16,7 @@
 from arbutuscove.platform import upstreams
 from arbutuscove.relay import attempt
 from arbutuscove.relay import backends
+from arbutuscove.relay import context as context_module
 from arbutuscove.relay import model
 from arbutuscove.relay import stalls
 from arbutuscove.relay.tests import test_troubled
@@ -303,7 +304,7 @@
         random.Random(1),
         direct.open,
     )
-    context = attempt.AttemptContext(
+    context = context_module.AttemptContext(
         clock,
         catalog_holder.CatalogHolder(),
         None,
--- a/arbutuscove/relay/tests/test_silence.py
+++ b/arbutuscove/relay/tests/test_silence.py
@@ -13,6 +13,7 @@
 from arbutuscove.relay import attempt
 from arbutuscove.relay import backends
 from arbutuscove.relay import budget
+from arbutuscove.relay import context as context_module
 from arbutuscove.relay import model
 from arbutuscove.relay import stalls
 from arbutuscove.relay.tests import test_troubled
@@ -145,7 +146,7 @@
             key=key, vm=vm, model="chat", slots=9, members=members
         )
 
-    context = attempt.AttemptContext(
+    context = context_module.AttemptContext(
         clock,
         catalog_holder.CatalogHolder(),
         Dispatcher(create_backend(listed_members)),
--- a/arbutuscove/relay/tests/test_troubled.py
+++ b/arbutuscove/relay/tests/test_troubled.py
@@ -21,6 +21,7 @@
 from arbutuscove.relay import attempt
 from arbutuscove.relay import backends
 from arbutuscove.relay import budget
+from arbutuscove.relay import context
 from arbutuscove.relay import flow
 from arbutuscove.relay import model
 from arbutuscove.relay import placement
@@ -75,7 +76,7 @@
         )
         self.dispatcher.start(None)
         self.pool = pool.ConnectionPool(clock)
-        shared = attempt.AttemptContext(
+        shared = context.AttemptContext(
             clock,
             catalog,
             self.dispatcher,
@@ -405,7 +406,7 @@
     backend = model.Backend(key=KEY, vm=vm, model="chat", slots=9)
     jobs = []
     for number, states in enumerate(daemons):
-        shared = attempt.AttemptContext(
+        shared = context.AttemptContext(
             clock,
             catalog_holder.CatalogHolder(),
             None,
