Keep the deaths of a verdict until its last one has aged

Callers of a content that crashes VMs and goes on for long: it was let through again ten minutes after its first crash, and crashed more VMs than the trials.

Cause: each death ended by its own age. With the first ones gone, a verdict that failed trials had renewed had too few deaths left.

Change: a death counts for as long as a verdict that rests on it has one younger than ten minutes, at most an hour; daemons accept deaths of that age from others.

Why it works: what ends a verdict is an answer, or ten minutes without a death.

--- a/arbutuscove/crashes/evidence.py
+++ b/arbutuscove/crashes/evidence.py
@@ -30,6 +30,8 @@
 # More survivals change nothing: they need more deaths than are held.
 MAX_SURVIVALS = (MAX_DEATHS + 1) * judgement.SURVIVALS_PER_DEATH
 MAX_ANSWERS = 8192  # traits with a known answer; the oldest is evicted first
+# A verdict keeps its deaths beyond their lifetime until its last one has ended.
+MAX_DEATH_AGE = datetime.timedelta(hours=1)
 ANSWER_TTL = datetime.timedelta(minutes=5)
 SURVIVALS_HALF_LIFE = ANSWER_TTL
 
@@ -168,7 +170,7 @@
                 self._put_survivals(answer.key, survivals)
         for death in report.deaths:
             age = reports.convert_age(death.age_ms)
-            if age < judgement.DEATH_TTL:
+            if age < MAX_DEATH_AGE:
                 self.record_death(
                     judgement.Death(
                         identity=death.identity,
@@ -223,6 +225,7 @@
             death.identity
             for death in self._deaths.values()
             if now - death.at >= judgement.DEATH_TTL
+            and not self._is_needed(death, now)
         ]
         for identity in expired:
             del self._deaths[identity]
@@ -239,6 +242,18 @@
             del self._answers[key]
         self._halve_counts(now)
 
+    def _is_needed(
+        self, death: judgement.Death, now: datetime.timedelta
+    ) -> bool:
+        """Returns whether a verdict that holds rests on an old death."""
+        if now - death.at >= MAX_DEATH_AGE:
+            return False
+        return any(
+            now - self._culprits[key].last_death < judgement.DEATH_TTL
+            for key in death.blame
+            if key in self._culprits
+        )
+
     def _halve_counts(self, now: datetime.timedelta) -> None:
         """Halves the counts of survivals once a `SURVIVALS_HALF_LIFE`."""
         if self._halved_at is None:
--- a/arbutuscove/crashes/tests/test_tracker.py
+++ b/arbutuscove/crashes/tests/test_tracker.py
@@ -194,6 +194,21 @@
     assert not other.refuses("trial")
 
 
+def test_content_that_goes_on_for_long_crashes_few_more_vms(daemon, clock):
+    """Guards against a verdict that ends with the age of its first deaths.
+
+    The content comes every five seconds for twenty minutes.
+    """
+    crashes = 0
+    for _ in range(20 * 12):
+        daemon.evidence.expire()
+        if not daemon.refuses("same", parts=()):
+            daemon.lose("same", f"vm{crashes}", parts=())
+            crashes += 1
+        clock.advance(5 * SECOND)
+    assert crashes <= judgement.MIN_DEATHS_ANSWERED + 3
+
+
 def test_tracker_knows_culprits_after_a_restart_of_all_daemons(clock):
     """Guards against a part that crashes VMs anew after each restart."""
     daemon = Daemon(clock)
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -1045,6 +1045,14 @@
         test="relay/tests/test_troubled.py::"
         "test_answer_without_a_final_status_is_not_passed_on",
     ),
+    Mutation(
+        promise="a verdict does not end with the age of its first deaths",
+        path="crashes/evidence.py",
+        old="            and not self._is_needed(death, now)\n",
+        new="",
+        test="crashes/tests/test_tracker.py::"
+        "test_content_that_goes_on_for_long_crashes_few_more_vms",
+    ),
     Mutation(
         promise="a request is blamed after its caller has left",
         path="relay/attempt.py",
