Compute the identity of a VM's start once for each exposure

Cause: a pass over the ended attempts formatted it three times for each.

Change: exposures and ended attempts hold it.

--- a/arbutuscove/crashes/exposures.py
+++ b/arbutuscove/crashes/exposures.py
@@ -58,6 +58,7 @@
 
     Attributes:
         number: tells it from all others of this daemon.
+        identity: the start of the VM.
         vm: the VM that the request was sent to.
         request: the request.
         sent_at: monotonic time of the send.
@@ -65,6 +66,7 @@
     """
 
     number: int
+    identity: VmIdentity
     vm: VmT
     request: traits.Request
     sent_at: datetime.timedelta
@@ -78,6 +80,7 @@
     It keeps the traits only: the request may hold a large body.
 
     Attributes:
+        identity: the start of the VM.
         vm: the VM that the request was sent to.
         traits: depth by key.
         sent_at: monotonic time of the send.
@@ -85,6 +88,7 @@
         has_begun: whether the VM is known to have begun to run it.
     """
 
+    identity: VmIdentity
     vm: VmT
     traits: traits.Suspects
     sent_at: datetime.timedelta
@@ -118,18 +122,19 @@
         """Adds a request that is being sent to a VM."""
         exposure = Exposure(
             number=next(self._numbers),
+            identity=identify(vm),
             vm=vm,
             request=request,
             sent_at=now,
             has_begun=has_begun,
         )
-        active = self._active.setdefault(identify(vm), {})
+        active = self._active.setdefault(exposure.identity, {})
         active[exposure.number] = exposure
         return exposure
 
     def record_begin(self, exposure: Exposure[VmT]) -> None:
         """Records that the VM has begun to run the request."""
-        active = self._active.get(identify(exposure.vm), {})
+        active = self._active.get(exposure.identity, {})
         if exposure.number in active:
             active[exposure.number] = dataclasses.replace(
                 exposure, has_begun=True
@@ -148,6 +153,7 @@
         if active is None:
             return
         self._ended[active.number] = _Ended(
+            identity=active.identity,
             vm=active.vm,
             traits=traits.limit_suspects(traits.list_traits(active.request)),
             sent_at=active.sent_at,
@@ -168,9 +174,7 @@
     def list_open(self) -> list[VmT]:
         """Returns the VMs whose crash only ended attempts may show."""
         return list(
-            {
-                identify(item.vm): item.vm for item in self._ended.values()
-            }.values()
+            {item.identity: item.vm for item in self._ended.values()}.values()
         )
 
     def list_due(self, now: datetime.timedelta, limit: int) -> list[VmT]:
@@ -181,7 +185,7 @@
             limit: how many at most.
         """
         newest: dict[VmIdentity, _Ended[VmT]] = {
-            identify(item.vm): item for item in self._ended.values()
+            item.identity: item for item in self._ended.values()
         }
         due: list[VmT] = []
         for identity, item in newest.items():
@@ -201,7 +205,7 @@
             if self._is_survived(item, now):
                 del self._ended[number]
         kept = self._active.keys() | {
-            identify(item.vm) for item in self._ended.values()
+            item.identity for item in self._ended.values()
         }
         for times in (self._alive_at, self._examined_at):
             for identity in times.keys() - kept:
@@ -240,28 +244,27 @@
     def has_any(self, identity: VmIdentity) -> bool:
         """Returns whether any request may be running at a start of a VM."""
         return identity in self._active or any(
-            identify(item.vm) == identity for item in self._ended.values()
+            item.identity == identity for item in self._ended.values()
         )
 
     def _is_survived(self, item: _Ended[VmT], now: datetime.timedelta) -> bool:
-        alive_at = self._alive_at.get(identify(item.vm))
+        alive_at = self._alive_at.get(item.identity)
         return now - item.ended_at > MAX_WATCH or (
             alive_at is not None and alive_at - item.ended_at > RUN_GRACE
         )
 
     def _pop_active(self, exposure: Exposure[VmT]) -> Exposure[VmT] | None:
-        identity = identify(exposure.vm)
-        active = self._active.get(identity, {})
+        active = self._active.get(exposure.identity, {})
         found = active.pop(exposure.number, None)
         if not active:
-            self._active.pop(identity, None)
+            self._active.pop(exposure.identity, None)
         return found
 
     def _pop_ended(self, identity: VmIdentity) -> list[_Ended[VmT]]:
         numbers = [
             number
             for number, item in self._ended.items()
-            if identify(item.vm) == identity
+            if item.identity == identity
         ]
         return [self._ended.pop(number) for number in numbers]
 
