Let drawn contents crash a server that still runs them

The stand-in drops a stream whose caller has left with its next event, so that nothing crashed and the run reported that it tried nothing.

Change: events before the crash are drawn only for callers who stay.

--- a/soak/deadly.py
+++ b/soak/deadly.py
@@ -95,17 +95,22 @@
     generator = random.Random(seed)
     route = generator.choice(("once", "safe", "stream", "stream"))
     is_stream = route == "stream"
+    contents = generator.choice((1, 2, 3))
+    per_second = generator.uniform(2.0, 5.0 if is_stream else 10.0)
+    leave_seconds = generator.choice((None, 0.03, 0.1, 0.3))
+    # A server that writes an event to a caller who left drops the request.
+    event_counts = (0, 0, 1, 3) if leave_seconds is None else (0, 0, 0, 0)
     return Load(
         route=route,
-        contents=generator.choice((1, 2, 3)),
-        per_second=generator.uniform(2.0, 5.0 if is_stream else 10.0),
-        leave_seconds=generator.choice((None, 0.03, 0.1, 0.3)),
+        contents=contents,
+        per_second=per_second,
+        leave_seconds=leave_seconds,
         seconds=seconds,
         has_new_parts=generator.random() < 0.5,
         plan=users_platform.CrashPlan(
             delay_seconds=generator.choice((0.01, 0.05, 0.2, 0.5)),
             has_head=generator.random() < 0.5,
-            events=generator.choice((0, 0, 1, 3)),
+            events=generator.choice(event_counts),
             restart_seconds=generator.choice((0.05, 1.0, RESTART_SECONDS)),
             is_renamed=generator.random() < 0.7,
         ),
