Take refusals at a VM's address for no sign of its life

Cause: found while reading the change. A VM that crashed and started again at once under another name answers 421 to what is sent by the old name, and each of these refusals postponed the examination of the former start.

Change: the head of an answer that ran, and its end, are signs of life; refusals are none. Signs of life are dropped with the other evidence, also while no attempt has ended.

--- a/arbutuscove/crashes/exposures.py
+++ b/arbutuscove/crashes/exposures.py
@@ -82,7 +82,7 @@
     Attributes:
         identity: the start of the VM.
         vm: the VM that the request was sent to.
-        traits: depth by key.
+        suspects: depth by key of its traits.
         sent_at: monotonic time of the send.
         ended_at: monotonic time of the end of the attempt.
         has_begun: whether the VM is known to have begun to run it.
@@ -90,7 +90,7 @@
 
     identity: VmIdentity
     vm: VmT
-    traits: traits.Suspects
+    suspects: traits.Suspects
     sent_at: datetime.timedelta
     ended_at: datetime.timedelta
     has_begun: bool
@@ -155,7 +155,7 @@
         self._ended[active.number] = _Ended(
             identity=active.identity,
             vm=active.vm,
-            traits=traits.limit_suspects(traits.list_traits(active.request)),
+            suspects=traits.limit_suspects(traits.list_traits(active.request)),
             sent_at=active.sent_at,
             ended_at=now,
             has_begun=active.has_begun,
@@ -234,7 +234,7 @@
         for item in self._pop_ended(identity):
             if not self._is_survived(item, crashed_at):
                 target = running if item.has_begun else waiting
-                target |= item.traits
+                target |= item.suspects
         for exposure in self._active.pop(identity, {}).values():
             if exposure.sent_at <= crashed_at:
                 target = running if exposure.has_begun else waiting
--- a/arbutuscove/crashes/tests/test_exposures.py
+++ b/arbutuscove/crashes/tests/test_exposures.py
@@ -142,6 +142,28 @@
     assert 0 < daemon.probes <= exposures.RUN_GRACE // SECOND + 2
 
 
+def test_refusals_at_the_address_of_a_dead_vm_are_no_sign_of_life(
+    daemon, clock
+):
+    """Guards against another VM that takes the address and answers 421."""
+    for number in range(MINIMUM):
+        leave(daemon, f"vm{number}")
+        for _ in range(8):
+            vm = test_tracker.create_vm(f"vm{number}")
+            request = test_tracker.Request(request_id="s", prompt_parts=())
+            daemon.tracker.finish(daemon.tracker.begin(request, vm, True))
+            watch(daemon, clock, SECOND / 4)
+    assert daemon.refuses("same", parts=())
+
+
+def test_signs_of_life_take_bounded_memory(daemon, clock):
+    """Guards against a time that is kept for each start of each VM."""
+    for number in range(100):
+        daemon.tracker.record_life(test_tracker.create_vm("vm", number))
+    daemon.tracker.settle_losses()
+    assert not daemon.tracker._exposures._alive_at
+
+
 def test_vm_that_answers_is_not_examined(daemon, clock):
     """Guards against probes of VMs that other requests show to be alive."""
     leave(daemon, "vm")
--- a/arbutuscove/crashes/tracker.py
+++ b/arbutuscove/crashes/tracker.py
@@ -117,8 +117,11 @@
         self._exposures.record_life(vm, self._clock.monotonic())
 
     def finish(self, exposure: exposures_module.Exposure[VmT]) -> None:
-        """Records that the VM has survived a request or did not run it."""
-        self.record_life(exposure.vm)
+        """Records that the VM has survived a request or did not run it.
+
+        It is no sign of life: what refuses a request may be another VM that has
+        taken the address.
+        """
         self._exposures.finish(exposure)
 
     def end(self, exposure: exposures_module.Exposure[VmT]) -> None:
@@ -379,6 +382,7 @@
             if now >= expiry_due:
                 expiry_due = now + EXPIRY_INTERVAL
                 self._evidence.expire()
+                self._exposures.expire(now)
                 self._drop_trials()
                 self._drop_resumed()
                 self._probed = {
--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -292,6 +292,8 @@
     def finish(self) -> None:
         """Returns the connection to the pool and frees the slot."""
         self._has_end = True
+        if self._exposure is not None:
+            self._context.crashes.record_life(self._exposure.vm)
         begun_at = self._first_event_at
         if not self._request.route.repeat.is_streamed:
             begun_at = self._head_at
@@ -299,7 +301,7 @@
         if is_success and begun_at is not None:
             self._context.crashes.record_answer(self._request, begun_at)
         upstream, self._connection = self._connection, None
-        self._end_exposure(is_survived=True)
+        self._end_exposure(is_open=False)
         if upstream is not None and self.parser is not None:
             self._context.connections.check_in(
                 upstream, pool_module.parse_keep_alive_timeout(self.parser)
@@ -314,17 +316,18 @@
         upstream, self._connection = self._connection, None
         if upstream is not None:
             upstream.close()
-        self._end_exposure(is_survived=False)
+        self._end_exposure(is_open=True)
         self._release(tokens=0)
 
-    def _end_exposure(self, is_survived: bool) -> None:
+    def _end_exposure(self, is_open: bool) -> None:
+        """Ends the exposure, or leaves it open if the VM may go on with it."""
         exposure, self._exposure = self._exposure, None
         if exposure is None:
             return
-        if is_survived:
-            self._context.crashes.finish(exposure)
-        else:
+        if is_open:
             self._context.crashes.end(exposure)
+        else:
+            self._context.crashes.finish(exposure)
 
     def _record_first_byte(self) -> None:
         if self._has_answer_begun:
@@ -378,8 +381,8 @@
                         " request"
                     )
                 self._head_at = self._context.clock.monotonic()
-                assert self._exposure is not None
-                self._context.crashes.record_begin(self._exposure)
+                if self._exposure is not None and not reply.not_run:
+                    self._context.crashes.record_begin(self._exposure)
                 self._context.connections.record_answer(self._service, upstream)
                 self.record_progress()
                 return reply
@@ -564,7 +567,7 @@
             )
         if reply.not_run:
             self._has_end = True
-            self._end_exposure(is_survived=True)
+            self._end_exposure(is_open=False)
             if not reply.is_busy:
                 self._context.states.record_failure(self.backend.key)
             raise outcomes.NotRunError(
--- a/mutations/catalog.py
+++ b/mutations/catalog.py
@@ -1056,8 +1056,8 @@
     Mutation(
         promise="a request is blamed after its caller has left",
         path="relay/attempt.py",
-        old="        self._end_exposure(is_survived=False)",
-        new="        self._end_exposure(is_survived=True)",
+        old="        self._end_exposure(is_open=True)",
+        new="        self._end_exposure(is_open=False)",
         test="relay/tests/test_crashing_part.py::"
         "test_upstream_that_crashes_after_the_end_of_an_attempt_is_noticed",
     ),
