--- a/arbutuscove/crashes/evidence.py
+++ b/arbutuscove/crashes/evidence.py
@@ -1,9 +1,9 @@
 """Evidence on what crashes upstreams; `judgement` decides what follows.
 
 A *trait* is what requests can have in common: one part of their prompt, or
-their whole content. An answer is *exposed* from its head until it is complete,
-which the VM has then *survived*. A *death* of a VM blames the traits of all
-requests that were exposed there. A survived request with a trait refutes all
+their whole content. A VM that has answered a request completely has *survived*
+it. A *death* of a VM blames the traits of all requests that may have been
+running there (`exposures`). A survived request with a trait refutes all
 earlier blame of the trait, since a trait that crashes upstreams crashes each of
 them.
 
