Make a test of order agents independent of pauses of the process

A trial in which the process stands still for 0.3 s as the orders begin fails in the same way, 3 of 3 times: the timers of the orders begin later than that of the test.

Change: the test waits for the orders, 10 s at most, and then 0.2 s as before for any beyond the bound. The assertions are the same.

--- a/arbutuscove/gossip/tests/test_order_exchange.py
+++ b/arbutuscove/gossip/tests/test_order_exchange.py
@@ -286,11 +286,20 @@
             )
         )
 
+    sent = fleet.clients[1].sent
+
+    def wait_for(count):
+        # A pause of the process delays the orders, however long it is.
+        with gevent.Timeout(10):
+            while len(sent) < count:
+                gevent.sleep(0.01)
+        gevent.sleep(0.2)
+
     receive("10.9.9.9", 0)
     for number in range(3 * order_exchange.MAX_ORDERS_FOR_PEERS):
         receive("10.0.0.1", number)
-    gevent.sleep(0.2)
-    assert len(fleet.clients[1].sent) == order_exchange.MAX_ORDERS_FOR_PEERS
+    wait_for(order_exchange.MAX_ORDERS_FOR_PEERS)
+    assert len(sent) == order_exchange.MAX_ORDERS_FOR_PEERS
     receive("10.0.0.1", 1)
-    gevent.sleep(0.2)
-    assert len(fleet.clients[1].sent) == order_exchange.MAX_ORDERS_FOR_PEERS + 1
+    wait_for(order_exchange.MAX_ORDERS_FOR_PEERS + 1)
+    assert len(sent) == order_exchange.MAX_ORDERS_FOR_PEERS + 1
