Take events of a stream as signs of life of its VM

Cause: found while reading the change. Only heads counted, so that a VM in the middle of long streams was examined once a second after a caller had left.

Change: each event counts.

Measured: test_events_of_a_stream_are_signs_of_life failed before; the 13 tests of test_crashing_part pass.

--- a/arbutuscove/relay/attempt.py
+++ b/arbutuscove/relay/attempt.py
@@ -246,6 +246,7 @@
         assert self.backend is not None
         if self.reply is not None:
             self._record_event()
+            self._context.crashes.record_life(self.backend.vm)
         pause, self._read_wait = self._read_wait, ZERO
         self._context.states.record_progress(
             self.backend.key, self._compute_pause_ratio(pause)
--- a/arbutuscove/relay/tests/test_crashing_part.py
+++ b/arbutuscove/relay/tests/test_crashing_part.py
@@ -64,7 +64,7 @@
 class Scene:
     """A flow before several upstreams of one plain service."""
 
-    def __init__(self, behaviour):
+    def __init__(self, behaviour, count=UPSTREAMS):
         clock = clock_module.SystemClock()
         inventory = inventory_module.Inventory(clock)
         states = backends.BackendStates(clock)
@@ -111,7 +111,7 @@
         )
         self.flow = flow.Flow(context, allowance, lambda: 1, random.Random(1))
         self.upstreams = [
-            faulty_upstream.Upstream(behaviour) for _ in range(UPSTREAMS)
+            faulty_upstream.Upstream(behaviour) for _ in range(count)
         ]
         inventory.replace(
             test_planner.create_vm(
@@ -380,3 +380,36 @@
         assert scene.evidence.is_blamed(whole)
     finally:
         scene.stop()
+
+
+def test_events_of_a_stream_are_signs_of_life():
+    """Guards against examinations of a VM that sends events all the time."""
+
+    def answer(request_id):
+        if request_id == b"r1":
+            yield test_troubled.DEADLINE.total_seconds()
+        yield faulty_upstream.build_head(request_id, faulty_upstream.CHUNKED)
+        for number in range(1, 20):
+            event = b"id: %d\ndata: x\n\n" % number
+            yield faulty_upstream.build_chunk(event)
+            yield faulty_upstream.PAUSE_SECONDS
+        yield faulty_upstream.LAST_CHUNK
+
+    scene = Scene(answer, count=1)
+    examined = []
+    scene.tracker._examine = examined.append
+    try:
+        left = gevent.spawn(scene.send, ())
+        while not scene.count_requests():
+            gevent.sleep(0.01)
+        stream = gevent.spawn(scene.send, ())
+        while scene.count_requests() < 2:
+            gevent.sleep(0.01)
+        left.kill()
+        while not stream.ready():
+            gevent.sleep(faulty_upstream.PAUSE_SECONDS)
+            scene.tracker.examine_silent()
+        assert stream.get().status == 200
+        assert not examined
+    finally:
+        scene.stop()
