Count sound requests beside faults at daemons in touch only

Traced: run again, all of 24 sound requests after the contents were known and at daemons in touch were served; those without an answer were all sent to daemons that were not.

The bounds are the same: half of them served, twenty at least.

--- a/soak/deadly.py
+++ b/soak/deadly.py
@@ -28,6 +28,8 @@
 MIN_SOUND_SHARE = 0.5  # of the sound requests once the contents are known
 MIN_SOUND_REQUESTS = 20  # below that, a share says nothing
 SOUND_PER_SECOND = 12.0
+# Beside faults, many requests meet daemons that are not in touch.
+SOUND_PER_SECOND_BESIDE_FAULTS = 24.0
 SHARED_PARTS = ("aa", "ab")
 DEADLINE = datetime.timedelta(seconds=4)
 CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
@@ -129,8 +131,9 @@
         crashes: number of crashes by each content.
         late: for each content, the requests that daemons in touch sent to
             servers later than `SETTLE_SECONDS` after its third crash.
-        sound_count: sound requests sent since `SETTLE_SECONDS` after the third
-            crash of the last content that had three, or since the start.
+        sound_count: sound requests sent to daemons in touch since
+            `SETTLE_SECONDS` after the third crash of the last content that had
+            three, or since the start.
         served_count: how many of them were served.
         statuses: number of all sound requests by their status, 0 for none.
         violations: promises that were broken, as the servers saw it, and
@@ -159,6 +162,16 @@
         return [name for name, is_kept in checks.items() if not is_kept]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Sound:
+    """A sound request; times are monotonic, in seconds."""
+
+    daemon: str
+    started_at: float
+    ended_at: float
+    status: int
+
+
 class _Callers:
     """Callers at all daemons, each request on a connection of its own."""
 
@@ -169,8 +182,7 @@
         self._load = load
         self._generator = random.Random(seed)
         self._numbers = itertools.count()
-        # Start and status of each sound request.
-        self.sound: list[tuple[float, int]] = []
+        self.sound: list[_Sound] = []
         # The daemon that each request was sent to, by its id.
         self.called: dict[str, str] = {}
 
@@ -214,11 +226,14 @@
 
     def send_sound(self, end: float) -> None:
         """Sends sound requests until `end`."""
+        rate = SOUND_PER_SECOND
+        if self._load.has_faults:
+            rate = SOUND_PER_SECOND_BESIDE_FAULTS
         calls = pool.Group()
         while time.monotonic() < end:
             daemon = self._generator.choice(self._world.daemons)
             calls.spawn(self._send_sound, daemon)
-            gevent.sleep(2 * self._generator.random() / SOUND_PER_SECOND)
+            gevent.sleep(2 * self._generator.random() / rate)
         calls.join()
 
     def _send_sound(self, daemon: world_module.Daemon) -> int:
@@ -231,7 +246,14 @@
             (*SHARED_PARTS, request_id),
             None,
         )
-        self.sound.append((started_at, status))
+        self.sound.append(
+            _Sound(
+                daemon=daemon.name,
+                started_at=started_at,
+                ended_at=time.monotonic(),
+                status=status,
+            )
+        )
         return status
 
     def _send(
@@ -335,12 +357,15 @@
     )
 
 
-def _is_in_touch(records: list[faults.Record], daemon: str, at: float) -> bool:
-    """Returns whether no fault excuses what a daemon sends at a time."""
+def _is_in_touch(
+    records: list[faults.Record], daemon: str, since: float, until: float
+) -> bool:
+    """Returns whether no fault excuses what a daemon does in a time."""
     return not any(
         record.target == daemon
         and record.name in faults.OUT_OF_TOUCH_FAULTS
-        and record.started_at <= at <= record.ended_at + SETTLE_SECONDS
+        and record.started_at <= until
+        and since <= record.ended_at + SETTLE_SECONDS
         for record in records
     )
 
@@ -368,13 +393,18 @@
                 item.content == content
                 and item.at > since
                 and _is_in_touch(
-                    records, clients.called[item.request_id], item.at
+                    records, clients.called[item.request_id], item.at, item.at
                 )
                 for item in platform.runs
             )
         )
-    counted = [status for at, status in clients.sound if at >= counted_since]
-    statuses = [status for _, status in clients.sound]
+    counted = [
+        item.status
+        for item in clients.sound
+        if item.started_at >= counted_since
+        and _is_in_touch(records, item.daemon, item.started_at, item.ended_at)
+    ]
+    statuses = [item.status for item in clients.sound]
     return Report(
         crashes=tuple(crashes),
         late=tuple(late),
