--- a/arbutuscove/crashes/tracker.py
+++ b/arbutuscove/crashes/tracker.py
@@ -1,6 +1,6 @@
 """Tracks which requests crash upstreams, and keeps them from further ones.
 
-When an answer has begun and is lost before its end, the VM is examined. It is
+When an answer is lost before its end, the VM is examined. It is
 also examined after an attempt has ended without an answer, until it shows life:
 the request may still run there. Only a VM that is known to have crashed counts
 as a death: a connection also breaks without one. If a probe decides nothing,
