Name the module of a constant that a description mentions

The description moved to crashes/traits, the constant stayed in crashes/evidence.

Change: text only.

Measured: test_exposures, test_tracker and test_evidence (but for its generated loads) pass.

--- a/arbutuscove/crashes/traits.py
+++ b/arbutuscove/crashes/traits.py
@@ -62,7 +62,8 @@
 
     Attributes:
         newest: monotonic time at which the newest of them began.
-        count: how many one daemon saw, halved each `SURVIVALS_HALF_LIFE`.
+        count: how many one daemon saw, halved each
+            `evidence.SURVIVALS_HALF_LIFE`.
     """
 
     newest: datetime.timedelta
