Test that signs of life are dropped while no attempt has ended

The loop's call that drops them had no test; the test beside it passes without the call.

Change: one test, of the running loop.

--- a/arbutuscove/crashes/tests/test_exposures.py
+++ b/arbutuscove/crashes/tests/test_exposures.py
@@ -7,6 +7,7 @@
 
 from arbutuscove.crashes import exposures
 from arbutuscove.crashes import judgement
+from arbutuscove.crashes import tracker
 from arbutuscove.crashes.tests import test_tracker
 from arbutuscove.kernel import clock as clock_module
 
@@ -164,6 +165,21 @@
     assert not daemon.tracker._exposures._alive_at
 
 
+def test_signs_of_life_are_dropped_while_no_attempt_has_ended(monkeypatch):
+    """Guards against a loop that drops them beside ended attempts only."""
+    interval = datetime.timedelta(milliseconds=10)
+    monkeypatch.setattr(tracker, "EXPIRY_INTERVAL", interval)
+    daemon = test_tracker.Daemon(clock_module.SystemClock())
+    daemon.tracker.record_life(test_tracker.create_vm("vm"))
+    daemon.tracker.start(None)
+    try:
+        with gevent.Timeout(10):
+            while daemon.tracker._exposures._alive_at:
+                gevent.sleep(0.01)
+    finally:
+        daemon.tracker.stop()
+
+
 def test_vm_that_answers_is_not_examined(daemon, clock):
     """Guards against probes of VMs that other requests show to be alive."""
     leave(daemon, "vm")
