--- a/review/stand2/world.py
+++ b/review/stand2/world.py
@@ -47,11 +47,11 @@
 
     def __init__(self, folder):
         self._file = (pathlib.Path(folder) / "record.txt").open("w")
-        self._started = time.monotonic()
+        self.started = time.monotonic()
 
     def write(self, text):
         """Writes one line."""
-        passed = time.monotonic() - self._started
+        passed = time.monotonic() - self.started
         self._file.write(f"{passed:8.3f} {text}\n")
         self._file.flush()
 
@@ -80,6 +80,7 @@
 
     def __init__(self, record, daemons=3, grouped=4, plain=2):
         self.record = record
+        self.started = record.started
         self.port = find_port()
         subnet = random.randrange(1, 200)
         self._folder = pathlib.Path(tempfile.mkdtemp(prefix="review2-"))
