Break idle groups of the stand-in, and check groups that servers left

Cause: the stand-in breaks a group that has lost a member only while it has requests, and its check of TWO looks at the group that a server is in. A server that leaves its group and joins another one at once passes the check while the head of its former group is open.

The protocol says that a group which lost a member is broken after stall_ms, but not whether that holds for an idle one.

Change: a stalled group breaks with or without work, from the moment of the loss. A server remembers the groups that it has left since its start, and joining another one while the head of one of them is open breaks TWO. The check is stricter than before.

The tests of platform/, gossip/ and relay/ that start no process pass.

--- a/arbutuscove/standins/users_platform.py
+++ b/arbutuscove/standins/users_platform.py
@@ -159,7 +159,7 @@
       is, no `Authorization` header.
     - `BUDGET`: a request that runs on a server has a deadline header.
     - `TWO`: a server joins another group only after its former group has
-      stopped serving.
+      stopped serving, also if it has left that group before.
 
     Attributes:
         name: Name of the guarantee.
@@ -191,6 +191,8 @@
         fence: Greatest fencing token received.
         group: Group that it is a member of, as in its report.
         members: Names of the group's servers, its head first.
+        former_groups: Groups that it has left since its start, each with the
+            name of its head.
         running: Number of open streams.
         ready_at: Monotonic time at which its weights are loaded.
         stalled_at: Monotonic time at which its group stopped progressing.
@@ -250,6 +252,7 @@
     def crash(self) -> None:
         """Stops without a final message; open connections hang."""
         self.is_alive = False
+        self._platform.update_stalls()
         if self._server is not None:
             self._server.close()
 
@@ -287,6 +290,7 @@
         self.fence = -1
         self.group: dict[str, typing.Any] | None = None
         self.members: tuple[str, ...] = ()
+        self.former_groups: dict[str, str] = {}
         self.running = 0
         self.ready_at = 0.0
         self.stalled_at: float | None = None
@@ -295,6 +299,7 @@
 
     def build_report(self) -> dict[str, typing.Any]:
         """Returns the report of this server, with its group's state updated."""
+        self.update_stall()
         group = self.group
         if group is not None:
             is_loaded = time.monotonic() >= self.ready_at
@@ -374,7 +379,7 @@
             case "close", "open":
                 group["state"] = "ready"
             case "leave", _:
-                self.group = None
+                self._leave_group()
             case _:
                 return 409, {}
         self.accepted += 1
@@ -386,6 +391,7 @@
             return 412, {}
         if current is not None and current["name"] == order["group"]:
             return 200, {}
+        self._leave_group()
         self._platform.check_released(self, order["group"])
         is_warm = order["model"] in self.staged
         self.ready_at = time.monotonic() + (
@@ -403,6 +409,14 @@
         self.accepted += 1
         return 202, {}
 
+    def _leave_group(self) -> None:
+        if self.group is None:
+            return
+        if self.members[0] != self.name:
+            self.former_groups[self.group["name"]] = self.members[0]
+        self.group = None
+        self._platform.update_stalls()
+
     def _check_members(self) -> None:
         own = self.build_report()["group"]["name"]
         for name in self.members:
@@ -433,10 +447,13 @@
         return self.group is not None and self.group["state"] == "open"
 
     def update_stall(self) -> None:
-        """Marks the group as broken after it stalled for `STALL_SECONDS`."""
+        """Marks the group as broken after it stalled for `STALL_SECONDS`.
+
+        A group without any work breaks, too.
+        """
         if self.group is None or self.group["state"] != "open":
             return
-        if self.is_progressing() or not self.running:
+        if self.is_progressing():
             self.stalled_at = None
         elif self.stalled_at is None:
             self.stalled_at = time.monotonic()
@@ -625,19 +642,28 @@
         )
 
     def check_released(self, server: Server, group: str) -> None:
-        """Records a violation if the server's former group still serves."""
-        former = server.group
-        if former is None or former["name"] == group:
-            return
-        head = self.servers.get(server.members[0])
-        if head is None or not head.is_alive or head.group is None:
-            return
-        if head.group["name"] != former["name"]:
-            return
-        if head.group["state"] in ("open", "closing"):
-            self.record_violation(
-                "TWO", f"{server.name} joins {group} from {former['name']}"
-            )
+        """Records a violation for each former group that still serves.
+
+        A head that restarted or left its group serves it no longer.
+        """
+        for former, head_name in server.former_groups.items():
+            head = self.servers.get(head_name)
+            if head is None or not head.is_alive or former == group:
+                continue
+            reported = head.build_report().get("group")
+            if (
+                reported is not None
+                and reported["name"] == former
+                and reported["state"] in ("open", "closing")
+            ):
+                self.record_violation(
+                    "TWO", f"{server.name} joins {group} from {former}"
+                )
+
+    def update_stalls(self) -> None:
+        """Updates the groups of all servers after one has lost a member."""
+        for server in self.servers.values():
+            server.update_stall()
 
     def _run_heartbeats(self) -> None:
         while True:
