Release members of a lost head by a fence, not by its silence

Cause: GroupController._has_head_ended takes a head that left the list for ended once it has not answered for 1 s while a member does (13 s if it may be draining, or if no member answers either). From one place a head that is cut off and one that is dead look the same, so no time of silence is a proof. Class: a timeout that is taken for a fact about another process.

Ruled out: a stale list or a lost lease (the holder keeps the duty and reads the list all the while); a longer timeout, which only makes the fault rarer.

Change: what proves that a head serves no longer is the loss of a member, since the engine then breaks the group after the stall timeout, idle or not, whoever reaches the head. fleet/fencing decides, as a pure function, whether the members of a group without a listed head are released, whether the group is fenced by ordering one member that answers to leave, or neither; how long a head was silent only decides when to fence. The other members stay in the group until they are released, so that any lease holder finds them there. fleet/losses keeps at each daemon which groups have lost a member and which VMs left them, as the list shows; such a VM joins no other group until the time has passed or the head's end is known from its own report. The wait is no state of the lease holder alone.

A head that is stalled and does not answer two checks is fenced while it is still listed, as its group is ended then in any case: otherwise each crashed head would cost its members the wait in addition to the expiry of its entry. A group that this lease holder formed and never ordered to open is released at once.

Of test_controller, the tests that asserted a release after 1 s or 13 s of silence asserted the fault; they now ask that a member was ordered to leave, that nothing is released before the stall timeout after it, and that the release comes no later than 13 s for a drained or hidden head and 2 s + the fence for a crashed one. A head that no daemon reaches, nor its members, is now never released.

--- a/arbutuscove/fleet/controller.py
+++ b/arbutuscove/fleet/controller.py
@@ -17,7 +17,9 @@
 from arbutuscove.catalog import holder as catalog_holder
 from arbutuscove.catalog import model as catalog_model
 from arbutuscove.crashes import liveness
+from arbutuscove.fleet import fencing
 from arbutuscove.fleet import growth
+from arbutuscove.fleet import headless
 from arbutuscove.fleet import inventory as inventory_module
 from arbutuscove.fleet import model
 from arbutuscove.fleet import orders as orders_module
@@ -39,15 +41,9 @@
 # Low bits of an epoch, numbered by one lease holder; the bits above are the
 # fencing token.
 EPOCH_BITS = 20
-# A draining head leaves the list and refuses connections while it finishes its
-# requests, for ten seconds at most.
-DRAINED_HEAD_TIMEOUT = datetime.timedelta(seconds=13)
-# The same for a head that this lease holder has never seen.
-UNSEEN_HEAD_TIMEOUT = DRAINED_HEAD_TIMEOUT
-# A head that left the list without draining counts as dead if it is
-# unresponsive for this time while its members respond. A head that is only
-# disconnected from the list responds.
-UNRESPONSIVE_HEAD_TIMEOUT = datetime.timedelta(seconds=1)
+# After the loss of a member, the engine of a group gives it up after this time
+# unless the platform says otherwise.
+STALL_TIMEOUT = datetime.timedelta(seconds=6)
 # An unresponsive VM is excluded from plans for this time. A dead VM leaves the
 # list within it.
 UNRESPONSIVE_VM_EXCLUSION = datetime.timedelta(seconds=4)
@@ -62,9 +58,13 @@
 
     CONFIRMED = "confirmed"
     DENIED = "denied"
+    DEAD = "dead"  # it has ended, or refuses connections
     SILENT = "silent"
 
 
+_UNANSWERED = frozenset((_Answer.DEAD, _Answer.SILENT))
+
+
 class GroupController(services.LoopService):
     """Plans and sends orders while this daemon holds the lease."""
 
@@ -80,6 +80,7 @@
             [str, datetime.timedelta], bool
         ] = lambda service, since: True,
         list_evacuated: abc.Callable[[], frozenset[str]] = frozenset,
+        stall_timeout: datetime.timedelta = STALL_TIMEOUT,
     ) -> None:
         """Creates a controller.
 
@@ -95,6 +96,8 @@
                 silence of a VM shows nothing.
             list_evacuated: returns the failure domains whose VMs are to be sent
                 nothing.
+            stall_timeout: time after which an engine gives up work that depends
+                on a lost member.
         """
         self._clock = clock
         self._catalog = catalog
@@ -105,18 +108,23 @@
         self._list_stalled_groups = list_stalled_groups
         self._confirm_contact = confirm_contact
         self._list_evacuated = list_evacuated
+        self._stall_timeout = stall_timeout
+        self._headless = headless.HeadlessGroups(
+            clock,
+            inventory,
+            lambda: self._order_client,
+            self._send,
+            stall_timeout,
+        )
         self._planner_states: dict[str, state.PlannerState] = {}
         self._fence = -1
         self._next_epoch = 0
-        self._first_seen: dict[tuple[str, int], datetime.timedelta] = {}
         self._recent_loads: collections.deque[datetime.timedelta] = (
             collections.deque()
         )
         self._has_traffic = False
         self._growth = growth.ListGrowth()
         self._unresponsive: dict[str, datetime.timedelta] = {}
-        # When an unlisted head was first unresponsive, by group.
-        self._unresponsive_heads: dict[tuple[str, int], datetime.timedelta] = {}
         # When each silent member of a group did not answer first.
         self._silences: dict[
             tuple[str, int], dict[str, datetime.timedelta]
@@ -162,9 +170,7 @@
         """Evicts the records of groups and VM instances no longer known."""
         vms = list(self._inventory.list_vms())
         groups = model.collect_groups(vms)
-        for times in (self._first_seen, self._unresponsive_heads):
-            for key in times.keys() - groups.keys():
-                del times[key]
+        self._headless.forget(groups.keys())
         for key in self._silences.keys() - groups.keys():
             del self._silences[key]
         self._queue.forget({vm.name for vm in vms})
@@ -178,8 +184,7 @@
         self._fence = fence
         self._next_epoch = fence << EPOCH_BITS
         self._planner_states.clear()
-        self._first_seen.clear()
-        self._unresponsive_heads.clear()
+        self._headless.begin_term()
         self._silences.clear()
         self._accepted_counts.clear()
         self._ordered_instances.clear()
@@ -200,6 +205,7 @@
             load_limit=self._compute_load_limit(engine, len(vms)),
             stalled=self._list_stalled_groups(),
             unresponsive=self._list_unresponsive(now),
+            withheld=self._list_withheld(vms),
             is_list_stable=self._has_traffic
             or self._growth.is_stable(service, len(vms), now),
             has_traffic=self._has_traffic,
@@ -211,6 +217,9 @@
         plan = planner.plan(plan_input, planner_state)
         self._planner_states[service] = plan.next_state
         self._next_epoch = plan.next_epoch
+        for forming in plan.next_state.forming:
+            if forming.epoch >= plan_input.next_epoch:
+                self._headless.record_formed((forming.group, forming.epoch))
         self._send_all(plan.orders, engine, fence)
         self._forget_silences(service, plan.unverified)
         for group in plan.unverified:
@@ -246,6 +255,8 @@
                 ):
                     if model_name not in vm.staged:
                         self._recent_loads.append(now)
+                case orders_module.Open(group=name, epoch=epoch):
+                    self._headless.record_opening((name, epoch))
         for order in orders:
             self._queue.submit(
                 order, functools.partial(self._execute, order, fence)
@@ -386,6 +397,16 @@
         }
         return frozenset(self._unresponsive)
 
+    def _list_withheld(self, vms: abc.Iterable[model.Vm]) -> frozenset[str]:
+        """Returns the VMs in no group whose former group may still serve."""
+        timeout = fencing.compute_fence_time(self._stall_timeout)
+        return frozenset(
+            vm.name
+            for vm in vms
+            if vm.membership is None
+            and self._inventory.losses.may_be_needed(vm.identity, timeout)
+        )
+
     def _verify_group(
         self, service: str, group: model.Group, fence: int
     ) -> None:
@@ -407,13 +428,9 @@
         or the model may have been changed while all members are sound.
         """
         now = self._clock.monotonic()
-        since = self._first_seen.setdefault(group.key, now)
         head = group.head
         if head is None:
-            if self._may_release(
-                group, since, now, fence
-            ) and self._confirm_contact(service, now):
-                self._mark_released(service, group.key)
+            self._check_headless_group(service, group, fence)
             return
         answers = self._ask_members(group)
         if not answers:
@@ -434,26 +451,76 @@
             eliot.log_message("groups:no_contact", group=group.name)
             return
         is_silent = self._is_silent_for_long(group.key, answers, now)
-        if _Answer.DENIED not in answers.values() and not is_silent:
+        if is_silent or _has_lost_member(answers):
+            self._end_group(service, group, head, answers, fence)
+
+    def _check_headless_group(
+        self, service: str, group: model.Group, fence: int
+    ) -> None:
+        """Releases or fences a group whose head is not listed.
+
+        Nothing is done by a daemon that reaches no VM.
+        """
+        now = self._clock.monotonic()
+        decision = self._headless.check(group, fence)
+        if decision == fencing.Decision.WAIT:
+            return
+        if not self._confirm_contact(service, now):
             return
-        self._end_group(service, group, head, fence)
+        if decision == fencing.Decision.RELEASE:
+            self._mark_released(service, group.key)
+        else:
+            self._headless.fence_head(group, fence)
 
     def _end_group(
-        self, service: str, group: model.Group, head: model.Vm, fence: int
+        self,
+        service: str,
+        group: model.Group,
+        head: model.Vm,
+        answers: abc.Mapping[str, "_Answer"],
+        fence: int,
     ) -> None:
-        """Orders a head to leave and releases the members once it has."""
+        """Orders a head to leave and releases the members once it has.
+
+        A head that does not answer is fenced, before the order to it can time
+        out if it was silent to the check already.
+
+        Args:
+            service: the service.
+            group: the group.
+            head: its head, which is listed.
+            answers: what the members said in the check, as far as asked.
+            fence: fencing token of the lease.
+        """
+        if answers.get(head.name) in _UNANSWERED:
+            self._fence_listed_head(group, fence)
         leave = orders_module.Leave(
             vm=head, group=group.name, epoch=group.epoch
         )
-        outcome = self._send(leave, fence)
-        match outcome:
+        match self._send(leave, fence):
             case (
-                orders_module.Outcome.ACCEPTED | orders_module.Outcome.IN_EFFECT
+                orders_module.Outcome.ACCEPTED
+                | orders_module.Outcome.IN_EFFECT
+                | orders_module.Outcome.ANOTHER_VM
             ):
                 self._mark_released(service, group.key)
+            case (
+                orders_module.Outcome.UNKNOWN
+                | orders_module.Outcome.NOT_LISTENING
+            ) if head.name not in answers:
+                self._fence_listed_head(group, fence)
             case _:
                 pass
 
+    def _fence_listed_head(self, group: model.Group, fence: int) -> None:
+        """Fences a head that does not answer while it is still listed.
+
+        Its entry expires only seconds later. Until then nobody is served by a
+        group that is stalled, and the members cannot be reused sooner.
+        """
+        if self._inventory.losses.find_loss(group.key) is None:
+            self._headless.fence_head(group, fence)
+
     def _close_if_moving(
         self, group: model.Group, head: model.Vm, fence: int
     ) -> bool:
@@ -544,7 +611,7 @@
                     status = self._order_client.read_status(vm)
                 case liveness.Liveness.DEAD:
                     self._unresponsive[vm.name] = self._clock.monotonic()
-                    return _Answer.DENIED
+                    return _Answer.DEAD
         if status is None:
             self._unresponsive[vm.name] = self._clock.monotonic()
             return _Answer.SILENT
@@ -561,75 +628,9 @@
         entry = None if catalog is None else catalog.services.get(service)
         return None if entry is None else entry.engine
 
-    def _may_release(
-        self,
-        group: model.Group,
-        since: datetime.timedelta,
-        now: datetime.timedelta,
-        fence: int,
-    ) -> bool:
-        """Returns whether the members of a group without a head may be reused.
-
-        A head that left the list is ordered to leave the group. If it does not
-        confirm this, it is probed.
-
-        Args:
-            group: the group; its head is not listed.
-            since: monotonic time at which the group was first checked.
-            now: monotonic time.
-            fence: fencing token of the lease.
-        """
-        for departed in self._inventory.list_departed():
-            reported = departed.vm.membership
-            if (
-                reported is None
-                or reported.key != group.key
-                or reported.rank != 0
-            ):
-                continue
-            leave = orders_module.Leave(
-                vm=departed.vm, group=group.name, epoch=group.epoch
-            )
-            match self._send(leave, fence):
-                case (
-                    orders_module.Outcome.ACCEPTED
-                    | orders_module.Outcome.IN_EFFECT
-                    | orders_module.Outcome.ANOTHER_VM
-                ):
-                    return True
-                case orders_module.Outcome.FENCED:
-                    return False
-                case _:
-                    return self._has_head_ended(departed, group, now)
-        return now - since >= UNSEEN_HEAD_TIMEOUT
-
-    def _has_head_ended(
-        self,
-        departed: inventory_module.Departed,
-        group: model.Group,
-        now: datetime.timedelta,
-    ) -> bool:
-        """Returns whether a head that did not confirm its leaving has ended."""
-        status = self._order_client.read_status(departed.vm)
-        if status is not None:
-            # The head is only disconnected from the list. The order may take
-            # effect later.
-            self._unresponsive_heads.pop(group.key, None)
-            reported = status.membership
-            return reported is None or reported.key != group.key
-        if departed.may_be_serving():
-            return now - departed.since >= DRAINED_HEAD_TIMEOUT
-        if not any(
-            self._ask_member(vm) == _Answer.CONFIRMED for vm in group.members
-        ):
-            # This daemon may itself be disconnected from these VMs.
-            self._unresponsive_heads.pop(group.key, None)
-            return now - departed.since >= DRAINED_HEAD_TIMEOUT
-        first_unresponsive = self._unresponsive_heads.setdefault(group.key, now)
-        return now - first_unresponsive >= UNRESPONSIVE_HEAD_TIMEOUT
-
     def _mark_released(self, service: str, key: tuple[str, int]) -> None:
         eliot.log_message("groups:released", group=key[0], epoch=key[1])
+        self._inventory.losses.record_end(key)
         planner_state = self._planner_states.get(service, state.PlannerState())
         self._planner_states[service] = state.mark_released(planner_state, key)
 
@@ -646,5 +647,10 @@
                 eliot.write_traceback()
 
 
+def _has_lost_member(answers: abc.Mapping[str, _Answer]) -> bool:
+    """Returns whether a member has ended or says that it is in no group."""
+    return not {_Answer.DENIED, _Answer.DEAD}.isdisjoint(answers.values())
+
+
 def _is_head(vm: model.Vm) -> bool:
     return vm.membership is not None and vm.membership.rank == 0
--- /dev/null
+++ b/arbutuscove/fleet/headless.py
@@ -0,0 +1,232 @@
+"""Checks of groups whose head is not listed, before their members are reused.
+
+`fleet.fencing` decides; this module collects what it decides on.
+"""
+
+import datetime
+from collections import abc
+
+import eliot
+
+from arbutuscove.crashes import liveness
+from arbutuscove.fleet import fencing
+from arbutuscove.fleet import inventory as inventory_module
+from arbutuscove.fleet import model
+from arbutuscove.fleet import orders as orders_module
+from arbutuscove.kernel import clock as clock_module
+
+# Groups of which it is kept that nobody has ordered their head to open; the one
+# formed first is dropped.
+MAX_UNOPENED_GROUPS = 4096
+
+GroupKey = tuple[str, int]
+
+
+class HeadlessGroups:
+    """The checks of one lease holder."""
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        inventory: inventory_module.Inventory,
+        order_client: abc.Callable[[], orders_module.OrderClient],
+        send: abc.Callable[[orders_module.Order, int], orders_module.Outcome],
+        stall_timeout: datetime.timedelta,
+    ) -> None:
+        """Creates the checks.
+
+        Args:
+            clock: the clock.
+            inventory: the listed VMs.
+            order_client: returns the client that reads the status of VMs.
+            send: sends an order with a fencing token.
+            stall_timeout: time after which an engine gives up work that depends
+                on a lost member.
+        """
+        self._clock = clock
+        self._inventory = inventory
+        self._get_order_client = order_client
+        self._send = send
+        self._stall_timeout = stall_timeout
+        # When a head first gave its present sign, by group.
+        self._signs: dict[
+            GroupKey, tuple[fencing.HeadSign, datetime.timedelta]
+        ] = {}
+        # When a member was last ordered to leave without an answer, by name.
+        self._unanswered: dict[str, datetime.timedelta] = {}
+        # Groups formed in this term whose head was not ordered to open yet, in
+        # the order of their formation.
+        self._unopened: dict[GroupKey, None] = {}
+
+    def begin_term(self) -> None:
+        """Forgets what belongs to an earlier term of the lease."""
+        self._signs.clear()
+        self._unanswered.clear()
+        self._unopened.clear()
+
+    def record_formed(self, key: GroupKey) -> None:
+        """Records that this lease holder has chosen the members of a group."""
+        self._unopened[key] = None
+        while len(self._unopened) > MAX_UNOPENED_GROUPS:
+            del self._unopened[next(iter(self._unopened))]
+
+    def record_opening(self, key: GroupKey) -> None:
+        """Records that the head of a group is about to be ordered to open."""
+        self._unopened.pop(key, None)
+
+    def forget(self, listed: abc.Container[GroupKey]) -> None:
+        """Forgets the groups without a listed member."""
+        for key in [key for key in self._signs if key not in listed]:
+            del self._signs[key]
+
+    def check(self, group: model.Group, fence: int) -> fencing.Decision:
+        """Decides whether the members of a group may be reused.
+
+        A head that is still known is ordered to leave; if it does not confirm
+        this, it is probed.
+
+        Args:
+            group: the group; its head is not listed.
+            fence: fencing token of the lease.
+        """
+        departed = self._find_departed_head(group.key)
+        sign = self._read_sign(group, departed, fence)
+        now = self._clock.monotonic()
+        known = self._signs.get(group.key)
+        if known is None or known[0] != sign:
+            known = self._signs[group.key] = (sign, now)
+        unlisted_since = known[1] if departed is None else departed.since
+        loss = self._inventory.losses.find_loss(group.key)
+        found = fencing.HeadlessGroup(
+            sign=sign,
+            silent_for=now - known[1],
+            unlisted_for=now - unlisted_since,
+            may_be_draining=departed is not None
+            and departed.may_be_serving()
+            and _was_serving(departed.vm),
+            lost_member_for=None if loss is None else now - loss.since,
+        )
+        decision = fencing.decide(found, self._stall_timeout)
+        eliot.log_message(
+            "groups:headless",
+            group=group.name,
+            sign=sign.value,
+            silent_for=round(found.silent_for.total_seconds(), 3),
+            unlisted_for=round(found.unlisted_for.total_seconds(), 3),
+            may_be_draining=found.may_be_draining,
+            lost_member_for=None
+            if found.lost_member_for is None
+            else round(found.lost_member_for.total_seconds(), 3),
+            decision=decision.value,
+        )
+        return decision
+
+    def fence_head(self, group: model.Group, fence: int) -> bool:
+        """Orders one member of a group to leave, so that its head ends.
+
+        The others stay in the group until its head serves no longer, so that
+        another lease holder finds them in it.
+
+        Args:
+            group: the group.
+            fence: fencing token of the lease.
+
+        Returns:
+            Whether a member has confirmed that it left.
+        """
+        members = [
+            vm
+            for vm in group.members
+            if vm.membership is not None and vm.membership.rank != 0
+        ]
+        if not members:
+            return False
+        # The one that was not asked for the longest time goes first.
+        chosen = min(
+            reversed(members),
+            key=lambda vm: self._unanswered.get(vm.name, datetime.timedelta()),
+        )
+        self._unanswered[chosen.name] = self._clock.monotonic()
+        leave = orders_module.Leave(
+            vm=chosen, group=group.name, epoch=group.epoch
+        )
+        outcome = self._send(leave, fence)
+        has_left = outcome in (
+            orders_module.Outcome.ACCEPTED,
+            orders_module.Outcome.IN_EFFECT,
+            orders_module.Outcome.ANOTHER_VM,
+        )
+        if has_left:
+            self._unanswered.pop(chosen.name, None)
+            self._inventory.losses.record_loss(group.key, is_head=False)
+        eliot.log_message(
+            "groups:fenced",
+            group=group.name,
+            vm=chosen.name,
+            outcome=outcome.value,
+        )
+        return has_left
+
+    def _find_departed_head(
+        self, key: GroupKey
+    ) -> inventory_module.Departed | None:
+        for departed in self._inventory.list_departed():
+            reported = departed.vm.membership
+            if (
+                reported is not None
+                and reported.key == key
+                and reported.rank == 0
+            ):
+                return departed
+        return None
+
+    def _read_sign(
+        self,
+        group: model.Group,
+        departed: inventory_module.Departed | None,
+        fence: int,
+    ) -> fencing.HeadSign:
+        loss = self._inventory.losses.find_loss(group.key)
+        if group.key in self._unopened or (
+            loss is not None and loss.has_head_ended
+        ):
+            return fencing.HeadSign.ENDED
+        if departed is None:
+            return fencing.HeadSign.UNSEEN
+        leave = orders_module.Leave(
+            vm=departed.vm, group=group.name, epoch=group.epoch
+        )
+        outcome = self._send(leave, fence)
+        match outcome:
+            case (
+                orders_module.Outcome.ACCEPTED
+                | orders_module.Outcome.IN_EFFECT
+                | orders_module.Outcome.ANOTHER_VM
+            ):
+                return fencing.HeadSign.ENDED
+            case orders_module.Outcome.FENCED:
+                return fencing.HeadSign.RESPONSIVE
+        order_client = self._get_order_client()
+        status = order_client.read_status(departed.vm)
+        if status is not None:
+            # The head is only disconnected from the list. The order may take
+            # effect later.
+            reported = status.membership
+            if reported is None or reported.key != group.key:
+                return fencing.HeadSign.ENDED
+            return fencing.HeadSign.RESPONSIVE
+        if outcome == orders_module.Outcome.NOT_LISTENING:
+            return fencing.HeadSign.REFUSING
+        match order_client.probe_liveness(departed.vm):
+            case liveness.Liveness.DEAD:
+                return fencing.HeadSign.REFUSING
+            case liveness.Liveness.ALIVE:
+                return fencing.HeadSign.RESPONSIVE
+        return fencing.HeadSign.SILENT
+
+
+def _was_serving(vm: model.Vm) -> bool:
+    return (
+        vm.membership is not None
+        and vm.membership.state in model.SERVING_STATES
+    )
--- a/arbutuscove/fleet/inventory.py
+++ b/arbutuscove/fleet/inventory.py
@@ -19,6 +19,7 @@
 import eliot
 from gevent import event
 
+from arbutuscove.fleet import losses as losses_module
 from arbutuscove.fleet import model
 from arbutuscove.fleet import notices
 from arbutuscove.fleet import warming as warming_module
@@ -64,10 +65,12 @@
 
     Attributes:
         warming: which VMs warm, as far as they say so.
+        losses: which groups have lost members, and which VMs are in none.
     """
 
     def __init__(self, clock: clock_module.Clock) -> None:
         self.warming = warming_module.WarmingReports(clock)
+        self.losses = losses_module.GroupLosses(clock)
         self._clock = clock
         self._vms: dict[str, model.Vm] = {}
         self._grace_deadlines: dict[str, datetime.timedelta] = {}
@@ -229,10 +232,15 @@
         if self._is_outdated(vm):
             return
         before = self._vms.get(vm.name)
+        departed = self._departed.get(vm.name)
         vm = self._apply_notice(vm)
         is_new = before is None or before.identity != vm.identity
         self.warming.record(vm, is_new)
-        vm = _carry_last_model(before, self._departed.get(vm.name), vm)
+        former = before
+        if former is None and departed is not None:
+            former = departed.vm
+        self.losses.record_report(former, vm)
+        vm = _carry_last_model(former, vm)
         self._grace_deadlines.pop(vm.name, None)
         if before is None or not _has_same_routing(before, vm):
             self.revision += 1
@@ -292,6 +300,7 @@
         vm = self._vms.pop(name, None)
         if vm is None:
             return
+        self.losses.forget_vm(vm.identity)
         eliot.log_message(
             "fleet:vm_gone",
             vm=name,
@@ -322,23 +331,18 @@
     return same == before
 
 
-def _carry_last_model(
-    before: model.Vm | None, departed: Departed | None, vm: model.Vm
-) -> model.Vm:
+def _carry_last_model(before: model.Vm | None, vm: model.Vm) -> model.Vm:
     """Sets the model of a VM's last group since its start.
 
     While a VM joins a group of another model, no last model is set.
 
     Args:
-        before: the VM's previous listed state, if any.
-        departed: the record of its departure, if any.
+        before: the VM's state before, listed or departed, if any.
         vm: the VM's new state.
 
     Returns:
         The new state with `last_model` set.
     """
-    if before is None and departed is not None:
-        before = departed.vm
     model_name = ""
     if before is not None and before.started_at_ms == vm.started_at_ms:
         model_name = before.last_model
--- a/arbutuscove/fleet/planner.py
+++ b/arbutuscove/fleet/planner.py
@@ -4,7 +4,7 @@
 
 - A VM is reused for another group only if the head of its former group no
   longer serves that group: the head has reported so, has left, has restarted,
-  or was found to have ended.
+  or was found to have ended, or the group lost a member long enough before.
 - A head is opened only after each member itself has reported to be ready under
   the same group name and epoch.
 
@@ -312,6 +312,8 @@
     def _mark_free(self, vm: model.Vm) -> None:
         if vm.name in self._reserved_vms or not self._is_usable(vm):
             return
+        if vm.name in self._input.withheld:
+            return
         if self._may_send(vm):
             self._free[vm.name] = vm
 
--- a/arbutuscove/fleet/state.py
+++ b/arbutuscove/fleet/state.py
@@ -69,11 +69,12 @@
     `now` is monotonic time. `next_epoch` is greater than every epoch assigned
     before. `load_limit` is how many loads from the weight store may begin now.
     `stalled` are groups that make no progress according to the daemons that
-    use them. `unresponsive` are VMs that recently did not respond. As long as
-    `is_list_stable` is false, VMs are still being added to the list, and no
-    group is formed. `has_traffic` is true once callers have sent requests;
-    from then on, loads take their full time. `evacuated` are failure domains
-    whose VMs are to be sent nothing; what runs there comes back later.
+    use them. `unresponsive` are VMs that recently did not respond. `withheld`
+    are VMs in no group that may join none yet, as their former one may serve.
+    As long as `is_list_stable` is false, VMs are still being added to the list,
+    and no group is formed. `has_traffic` is true once callers have sent
+    requests; from then on, loads take their full time. `evacuated` are failure
+    domains whose VMs are to be sent nothing; what runs there comes back later.
     `pending` are VMs whose last order is not answered yet, and `finished` says
     when that to another VM was.
     """
@@ -85,6 +86,7 @@
     load_limit: int
     stalled: frozenset[tuple[str, int]] = frozenset()
     unresponsive: frozenset[str] = frozenset()
+    withheld: frozenset[str] = frozenset()
     is_list_stable: bool = True
     has_traffic: bool = True
     evacuated: frozenset[str] = frozenset()
--- a/arbutuscove/fleet/tests/test_controller.py
+++ b/arbutuscove/fleet/tests/test_controller.py
@@ -10,6 +10,7 @@
 from arbutuscove.catalog import model as catalog_model
 from arbutuscove.crashes import liveness
 from arbutuscove.fleet import controller
+from arbutuscove.fleet import fencing
 from arbutuscove.fleet import inventory as inventory_module
 from arbutuscove.fleet import model
 from arbutuscove.fleet import orders
@@ -19,6 +20,8 @@
 from arbutuscove.platform import engine
 
 SECOND = datetime.timedelta(seconds=1)
+# From the loss of a member until its head serves no longer.
+FENCE_TIME = fencing.compute_fence_time(controller.STALL_TIMEOUT)
 
 
 class FakeLeases:
@@ -437,11 +440,12 @@
     group_controller._confirm_contact = lambda service, since: is_in_contact
     inventory.replace([test_planner.create_member("m", 1, "ready")])
     (group,) = collect_listed_groups(inventory)
+    group_controller.run_cycle()  # begins the term of the lease
     released = []
     group_controller._mark_released = lambda service, key: released.append(key)
     for is_in_contact in (False, False, True):
         group_controller._check_group("models", group, 1)
-        clock.advance(controller.UNSEEN_HEAD_TIMEOUT)
+        clock.advance(fencing.UNSEEN_HEAD_TIMEOUT)
         inventory.update([], [])
         assert released == ([group.key] if is_in_contact else [])
 
@@ -457,9 +461,13 @@
     head = test_planner.create_member("h", 0, "open")
     member = test_planner.create_member("m", 1, "ready")
     inventory.replace([head, member, test_planner.create_vm("x")])
+    group_controller.run_cycle()  # begins the term of the lease
+    vms.sent.clear()
     for _ in range(6):
         clock.advance(SECOND / 2)
         inventory.update([], [])
+    released = []
+    group_controller._mark_released = lambda service, key: released.append(key)
 
     def lose(cut, drains=False, outage=SECOND / 2):
         if drains:
@@ -476,8 +484,8 @@
         def check_released(after):
             clock.advance(after)
             inventory.update([], [])
-            now = clock.monotonic()
-            return group_controller._may_release(group, now, now, 1)
+            group_controller._check_group("models", group, 1)
+            return released != []
 
         return check_released
 
@@ -485,48 +493,77 @@
 
 
 CUTS = pytest.mark.parametrize("cut", ["unresponsive", "resetting"])
+# The time that a draining head is given, and that it had before it was fenced.
+DRAINED_HEAD_TIMEOUT = 13 * SECOND
+
+
+def list_fenced(vms):
+    """Returns the VMs that were ordered to leave."""
+    return [o.vm.name for o in vms.sent if isinstance(o, orders.Leave)]
+
+
+def check_fence(check_released, vms, last):
+    """Checks that members are released by a fence, and by nothing sooner.
+
+    Args:
+        check_released: as returned by `headless`.
+        vms: the VMs.
+        last: the longest time until the release.
+    """
+    waited = 0 * SECOND
+    while not list_fenced(vms):
+        assert not check_released(SECOND / 4)
+        waited += SECOND / 4
+        assert waited < last
+    assert list_fenced(vms) == ["m"]
+    fenced_for = 0 * SECOND
+    while not check_released(SECOND / 4):
+        fenced_for += SECOND / 4
+    assert fenced_for >= controller.STALL_TIMEOUT
+    assert waited + fenced_for <= last
+    return waited
 
 
 @CUTS
-def test_controller_waits_for_a_drained_head(headless, cut):
+def test_controller_waits_for_a_drained_head(headless, serving_setup, cut):
     """Guards against members reused while their draining head still serves.
 
     A draining head leaves the list and stops listening before its last
     requests have ended.
     """
     check_released = headless(cut, drains=True)
-    for _ in range(20):
-        assert not check_released(SECOND / 2)
-    assert check_released(controller.DRAINED_HEAD_TIMEOUT)
+    waited = check_fence(check_released, serving_setup[3], DRAINED_HEAD_TIMEOUT)
+    assert waited >= fencing.DRAINING_HEAD_PATIENCE
 
 
 @CUTS
-def test_controller_waits_for_a_head_that_an_outage_hid(headless, cut):
+def test_controller_waits_for_a_head_that_an_outage_hid(
+    headless, serving_setup, cut
+):
     """Guards against a drain that an outage of the list concealed.
 
     The members of such a head joined another group while it was open
     (sfx-arbutus trouble-3, hunt seed 737736964669: TWO).
     """
     check_released = headless(cut, outage=5 * SECOND)
-    for _ in range(20):
-        assert not check_released(SECOND / 2)
-    assert check_released(controller.DRAINED_HEAD_TIMEOUT)
+    waited = check_fence(check_released, serving_setup[3], DRAINED_HEAD_TIMEOUT)
+    assert waited >= fencing.DRAINING_HEAD_PATIENCE
 
 
 @CUTS
-def test_controller_takes_a_crashed_head_for_dead_soon(headless, cut):
+def test_controller_fences_a_crashed_head_soon(headless, serving_setup, cut):
     """Guards against members that are idle for 13 s after each lost head.
 
     On nilavu-diary-grown quiet-1, up to 6 of 27 groups were idle for this
     reason.
     """
-    check_released = headless(cut)
-    assert not check_released(SECOND / 2)
-    assert not check_released(SECOND / 2)
-    assert check_released(SECOND)
+    last = 2 * SECOND + FENCE_TIME
+    check_fence(headless(cut), serving_setup[3], last)
 
 
-def test_controller_believes_the_report_of_a_head_that_obeys_late(headless):
+def test_controller_believes_the_report_of_a_head_that_obeys_late(
+    headless, serving_setup
+):
     """Guards against a head counted as dead because orders time out.
 
     It is disconnected from the list and slow to execute orders, but serves.
@@ -534,18 +571,25 @@
     check_released = headless("late")
     for _ in range(20):
         assert not check_released(SECOND / 2)
-    assert not check_released(controller.DRAINED_HEAD_TIMEOUT)
+    assert not check_released(DRAINED_HEAD_TIMEOUT)
+    assert list_fenced(serving_setup[3]) == []
 
 
 @CUTS
 def test_controller_distrusts_its_own_links(headless, serving_setup, cut):
-    """Guards against a head counted as dead by a disconnected daemon."""
+    """Guards against a head counted as dead by a disconnected daemon.
+
+    No time without an answer shows that it has ended.
+    """
     vms = serving_setup[3]
     check_released = headless(cut)
     vms.unresponsive.add("m")
     for _ in range(20):
         assert not check_released(SECOND / 2)
-    assert check_released(controller.DRAINED_HEAD_TIMEOUT)
+    for _ in range(4):
+        assert not check_released(DRAINED_HEAD_TIMEOUT)
+    vms.unresponsive.discard("m")
+    check_fence(check_released, vms, FENCE_TIME + SECOND)
 
 
 def collect_listed_groups(inventory):
@@ -583,13 +627,15 @@
     limit = inventory_module.MAX_DEPARTED_VMS + 2
     assert len(group_controller._accepted_counts) <= limit
     assert len(group_controller._ordered_instances) <= limit
-    group_controller._first_seen[("chat~5", 5)] = clock.monotonic()
-    group_controller._unresponsive_heads[("chat~5", 5)] = clock.monotonic()
+    assert len(inventory.losses._free) <= 2
+    member = test_planner.create_member("m", 1, "ready")
+    inventory.replace([member])
+    (group,) = collect_listed_groups(inventory)
+    group_controller._check_group("models", group, 1)
+    assert group_controller._headless._signs
+    inventory.replace([])
     group_controller.run_cycle()
-    assert (
-        not group_controller._first_seen
-        and not group_controller._unresponsive_heads
-    )
+    assert not group_controller._headless._signs
 
 
 def test_controller_sends_nothing_to_an_evacuated_domain(serving_setup):
--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -192,6 +192,7 @@
             self._list_stalled_groups,
             self._paths.connections.confirm_contact,
             self._evacuations.list_evacuated,
+            settings.bounds.stall_timeout,
         )
         if not settings.is_first_start:
             # Callers may have sent requests before this process started.
