Answer a daemon's own pages by address, not by path

Cause: Listener._serve compares the path before it looks for a route, on all addresses that the daemon listens on. Class: one handler for several interfaces that are told apart by what the client sends, not by where it connected.

Ruled out: routes that are found late or with a wrong prefix (below /safe/ the same names are served by the route); a stale configuration (the route serves other paths).

Change: platform/status says which pages each part of the settings has and which parts are served at each address; the listener knows the address of each connection. The addresses for readiness and look-ups pass nothing on any more, and a daemon without an address for callers serves no routes. If one address is given to both, a request for a configured host is a caller's.

Why it works: at the callers' address no path is compared at all.

--- a/arbutuscove/platform/assembly.py
+++ b/arbutuscove/platform/assembly.py
@@ -43,6 +43,7 @@
 from arbutuscove.platform import registry as registry_module
 from arbutuscove.platform import servers as servers_module
 from arbutuscove.platform import settings as settings_module
+from arbutuscove.platform import status
 from arbutuscove.platform import store as store_module
 from arbutuscove.platform import table as platform_table
 from arbutuscove.platform import upstreams
@@ -352,14 +353,13 @@
 
     def _build_listener(self) -> listener_module.Listener:
         settings = self._settings
-        addresses = (
-            settings.caller_address,
-            settings.ready_address,
-            settings.directory_address,
-        )
         return listener_module.Listener(
             self._clock,
-            [address for address in addresses if address is not None],
+            status.Addresses(
+                callers=settings.caller_address,
+                readiness=settings.ready_address,
+                directory=settings.directory_address,
+            ),
             self._catalog,
             self._flow,
             self._metrics,
--- a/arbutuscove/platform/listener.py
+++ b/arbutuscove/platform/listener.py
@@ -1,21 +1,21 @@
 """HTTP server for callers and for the platform's status requests.
 
 Requests of callers are converted to requests of `relay`; answers are returned
-with the upstream's status, signature and body unchanged.
+with the upstream's status, signature and body unchanged. Which requests are
+answered by the daemon itself depends on the address at which they arrive; see
+`platform.status`.
 """
 
 import dataclasses
 import datetime
 import enum
 import errno
-import http.client
+import functools
 import typing
-import urllib.parse
 from collections import abc
 
 import eliot
 import gevent
-import msgspec
 
 from arbutuscove.catalog import holder as catalog_holder
 from arbutuscove.catalog import model as catalog_model
@@ -28,12 +28,12 @@
 from arbutuscove.observe import metrics as metrics_module
 from arbutuscove.platform import fields as fields_module
 from arbutuscove.platform import headers
+from arbutuscove.platform import status as status_module
 from arbutuscove.platform import upstreams
 from arbutuscove.relay import blocking
 from arbutuscove.relay import flow as flow_module
 from arbutuscove.relay import model
 from arbutuscove.requests import presence
-from arbutuscove.storage import http as storage_http
 
 SERVICE_NAME = "listener"
 FIELDS = "arbutuscove.fields"  # key in the WSGI environment
@@ -48,7 +48,6 @@
 DRAIN_POLL_INTERVAL = datetime.timedelta(milliseconds=50)
 # Retry-After of a daemon that cannot serve yet.
 UNAVAILABLE_RETRY_AFTER = datetime.timedelta(milliseconds=100)
-JSON_TYPE = "application/json"
 DEFAULT_BOUNDS = connections.Bounds()
 FAULT_REFUSAL = model.Refusal(status=502, code="fault", not_run=False)
 
@@ -126,14 +125,13 @@
 class Listener(services.BaseService):
     """Serves callers and the platform's status requests on one daemon.
 
-    The first of `addresses` is that for callers' requests. All share the places
-    of `bounds`.
+    All addresses share the places of `bounds`.
     """
 
     def __init__(
         self,
         clock: clock_module.Clock,
-        addresses: abc.Collection[storage_http.Address],
+        addresses: status_module.Addresses,
         catalog: catalog_holder.CatalogHolder,
         flow: flow_module.Flow,
         metrics: metrics_module.Metrics,
@@ -146,7 +144,7 @@
         budget: memory_module.ByteBudget | None = None,
     ) -> None:
         self._clock = clock
-        self._addresses = tuple(dict.fromkeys(addresses))
+        self._addresses = addresses
         self._catalog = catalog
         self._flow = flow
         self._metrics = metrics
@@ -164,15 +162,15 @@
     def start(self, kernel: services.Kernel) -> None:
         """Starts to accept connections on all addresses."""
         shared_places = connections.create_places(self._bounds)
-        for index, address in enumerate(self._addresses):
+        for address, parts in self._addresses.collect_parts().items():
             server = _Server(
                 address,
-                self._serve,
+                functools.partial(self._serve, parts),
                 self._bounds,
                 self._count_refusal,
                 self._budget,
                 shared_places,
-                is_status=index > 0,
+                is_status=status_module.Part.CALLERS not in parts,
             )
             server.start()
             self._servers.append(server)
@@ -218,46 +216,89 @@
         self._metrics.refusals.inc({"code": code})
 
     def _serve(
-        self, environ: Environ, start_response: StartResponse
-    ) -> abc.Iterable[bytes]:
-        target = environ[TARGET]
-        path = target.partition("?")[0]
-        if environ["REQUEST_METHOD"] == "GET":
-            match path:
-                case "/ready":
-                    return self._answer_ready(start_response)
-                case "/resolve":
-                    return self._answer_resolve(target, start_response)
-                case "/metrics":
-                    return self._answer_metrics(start_response)
-        return self._serve_caller(environ, start_response)
-
-    def _answer_ready(
-        self, start_response: StartResponse
+        self,
+        parts: frozenset[status_module.Part],
+        environ: Environ,
+        start_response: StartResponse,
     ) -> abc.Iterable[bytes]:
-        ready = self._is_ready() and not self.is_draining()
-        return _send_json(start_response, 200 if ready else 503, {})
+        """Serves a request at an address.
 
-    def _answer_resolve(
-        self, target: str, start_response: StartResponse
+        Args:
+            parts: what is served at the address.
+            environ: the WSGI environment.
+            start_response: the WSGI callback.
+        """
+        path = environ[TARGET].partition("?")[0]
+        catalog = self._catalog.get_current()
+        is_configured_host = (
+            catalog is not None and _read_host(environ) in catalog.routes
+        )
+        page = status_module.find_page(parts, path, is_configured_host)
+        if page is not None:
+            return self._answer_page(page, environ, start_response)
+        if status_module.Part.CALLERS in parts:
+            return self._serve_caller(environ, start_response)
+        environ["wsgi.input"].discard_small()
+        return self._send_error(404, "no_page", environ, start_response)
+
+    def _answer_page(
+        self,
+        page: status_module.Page,
+        environ: Environ,
+        start_response: StartResponse,
     ) -> abc.Iterable[bytes]:
-        query = urllib.parse.parse_qs(target.partition("?")[2])
-        # "zone" is the caller's failure domain.
-        domain = query.get("zone", [""])[0]
+        method = environ["REQUEST_METHOD"]
+        if method not in status_module.PAGE_METHODS:
+            environ["wsgi.input"].discard_small()
+            allowed = ("Allow", ", ".join(status_module.PAGE_METHODS))
+            return self._send_error(
+                405, "method", environ, start_response, [allowed]
+            )
+        status = 200
+        body: dict[str, typing.Any] = {}
+        match page:
+            case status_module.Page.METRICS:
+                if self._budget is not None:
+                    self._metrics.body_bytes.set({}, self._budget.used)
+                content, fields = self._metrics.render("text/plain")
+                return status_module.send(
+                    start_response, 200, content, fields.items(), method
+                )
+            case status_module.Page.READY:
+                is_ready = self._is_ready() and not self.is_draining()
+                status = 200 if is_ready else 503
+            case status_module.Page.RESOLVE:
+                status, body = self._resolve(environ[TARGET])
+        return status_module.send_json(
+            start_response, status, body, method=method
+        )
+
+    def _resolve(self, target: str) -> tuple[int, dict[str, typing.Any]]:
+        """Returns status and body of the answer to a look-up of addresses."""
+        domain = status_module.read_failure_domain(target)
         addresses = self._list_addresses(domain)[:MAX_ADDRESSES]
         if not addresses:
-            return _send_json(start_response, 503, {})
-        body = {"addresses": addresses, "ttl_s": ADDRESS_TTL.total_seconds()}
-        return _send_json(start_response, 200, body)
+            return 503, {}
+        return 200, {
+            "addresses": addresses,
+            "ttl_s": ADDRESS_TTL.total_seconds(),
+        }
 
-    def _answer_metrics(
-        self, start_response: StartResponse
+    def _send_error(
+        self,
+        status: int,
+        code: str,
+        environ: Environ,
+        start_response: StartResponse,
+        fields: abc.Iterable[tuple[str, str]] = (),
     ) -> abc.Iterable[bytes]:
-        if self._budget is not None:
-            self._metrics.body_bytes.set({}, self._budget.used)
-        body, fields = self._metrics.render("text/plain")
-        start_response("200 OK", list(fields.items()))
-        return [body]
+        return status_module.send_json(
+            start_response,
+            status,
+            {"error": code},
+            fields,
+            environ["REQUEST_METHOD"],
+        )
 
     def _serve_caller(
         self, environ: Environ, start_response: StartResponse
@@ -275,7 +316,7 @@
                     answer = self._run(request)
                     code = str(answer.status)
                     start_response(
-                        _format_status(answer.status),
+                        status_module.format_status(answer.status),
                         self._build_headers(answer),
                     )
                     yield from _relay_body(answer)
@@ -458,7 +499,9 @@
         if self.is_draining():
             fields.append(("Connection", "close"))
         body = {"error": refusal.code, "not_run": refusal.not_run}
-        return _send_json(start_response, refusal.status, body, fields)
+        return status_module.send_json(
+            start_response, refusal.status, body, fields
+        )
 
 
 def _relay_body(answer: model.Answer) -> abc.Iterator[bytes]:
@@ -500,23 +543,7 @@
     return account
 
 
-def _format_status(status: int) -> str:
-    return f"{status} {http.client.responses.get(status, 'Unknown')}"
-
-
-def _send_json(
-    start_response: StartResponse,
-    status: int,
-    body: dict[str, typing.Any],
-    fields: abc.Iterable[tuple[str, str]] = (),
-) -> abc.Iterable[bytes]:
-    data = msgspec.json.encode(body)
-    start_response(
-        _format_status(status),
-        [
-            ("Content-Type", JSON_TYPE),
-            ("Content-Length", str(len(data))),
-            *fields,
-        ],
-    )
-    return [data]
+def _read_host(environ: Environ) -> str:
+    """Returns the host that a request names, without its port."""
+    host: str = environ.get("HTTP_HOST", "")
+    return host.partition(":")[0].lower()
