Let the soak cut off heads and kill all daemons at once

Cause: no fault of the soak made the entry of a live server expire, and none killed all daemons, so that neither form of TWO could show.

Change: a server of the stand-in may be cut from the store.

--- a/arbutuscove/standins/users_platform.py
+++ b/arbutuscove/standins/users_platform.py
@@ -186,6 +186,8 @@
         failure_period: If n > 0, each n-th request to a plain server gets
             status 500 after it ran.
         leaving: Whether its entry shows that it drains.
+        is_cut_from_store: Whether its heartbeats do not reach the store, so
+            that its entry expires. Requests and orders reach it.
         born: Start in milliseconds since 1970.
         accepted: Number of accepted orders.
         fence: Greatest fencing token received.
@@ -221,6 +223,7 @@
         self.silent_until = 0.0
         self.failure_period = 0
         self.leaving = False
+        self.is_cut_from_store = False
         self._platform = platform
         self._requests = 0
         self._crash_count = 0
@@ -243,7 +246,8 @@
     def become_cold(self, seconds: float) -> None:
         """Becomes cold without a restart, and reports it at once."""
         self.cold_until = time.monotonic() + seconds
-        self._platform.write_entry(self)
+        if not self.is_cut_from_store:
+            self._platform.write_entry(self)
 
     def get_cold_ms(self) -> int:
         """Returns the milliseconds for which the server stays cold."""
@@ -671,7 +675,7 @@
             now = time.monotonic()
             for server in list(self.servers.values()):
                 server.update_stall()
-                if server.is_alive:
+                if server.is_alive and not server.is_cut_from_store:
                     self._last_alive[server.name] = now
                     self.write_entry(server)
                 elif (
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -56,6 +56,11 @@
     is_flag=True,
     help="Crowds of clients that keep to no limit, beside planned work.",
 )
+@click.option(
+    "--heads",
+    is_flag=True,
+    help="Heads of groups are cut off, beside faults of one or all daemons.",
+)
 @click.option(
     "--beside",
     type=click.Path(path_type=pathlib.Path, exists=True),
@@ -73,6 +78,7 @@
     partitions: bool,
     zones: bool,
     hostile: bool,
+    heads: bool,
     beside: pathlib.Path | None,
 ) -> None:
     """Runs daemons under random faults; exit code 1 if a promise broke."""
@@ -93,6 +99,7 @@
                 beside,
                 zones,
                 hostile,
+                heads,
             )
             click.echo(report.describe())
             broken = bool(report.violations)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -70,6 +70,24 @@
     "term",
 )
 EVACUATION_SECONDS = (2.5, 5.0)  # shortest and longest evacuation
+# Heads of open groups are cut from the store, and from all daemons or not; all
+# daemons are killed at once.
+HEAD_CUT = "head_cut"
+HEAD_UNLISTED = "head_unlisted"
+KILL_ALL = "kill_all"
+HEAD_FAULTS = (
+    HEAD_CUT,
+    HEAD_CUT,
+    HEAD_UNLISTED,
+    HEAD_UNLISTED,
+    KILL_ALL,
+    "kill",
+    "pause",
+    "server_crash",
+    "store_link",
+    "term",
+)
+HEAD_CUT_SECONDS = (0.5, 6.0)  # shortest and longest cut
 PLANNED_FAULTS = ("configuration", "configuration", "server_silent", "term")
 # Faults of one daemon after which its requests may get no answer.
 DAEMON_FAULTS = ("kill", "pause", "store_link")
@@ -163,6 +181,9 @@
             EVACUATION: self._evacuate_zone,
             COLD_RETURN: self._restart_zone,
             COLD_AGAIN: self._cool_zone,
+            HEAD_CUT: self._cut_heads,
+            HEAD_UNLISTED: self._unlist_heads,
+            KILL_ALL: self._kill_all,
         }
 
     def run(self, seconds: float) -> None:
@@ -183,15 +204,7 @@
     def _inject(self, name: str, duration: float) -> None:
         started_at = time.monotonic()
         target = self._injectors[name](duration)
-        self.records.append(
-            Record(
-                started_at=started_at,
-                name=name,
-                target=target,
-                seconds=duration,
-                ended_at=time.monotonic(),
-            )
-        )
+        self._record(name, target, started_at, duration)
 
     def _pick_daemon(
         self, duration: float, is_planned_stop: bool = False
@@ -225,6 +238,67 @@
         self._world.start(daemon)
         return daemon.name
 
+    def _kill_all(self, duration: float) -> str:
+        """Kills all daemons, each of which counts as killed."""
+        started_at = time.monotonic()
+        killed = []
+        for daemon in self._world.daemons:
+            until = started_at + duration + SETTLE_SECONDS
+            daemon.disturbed_until = max(daemon.disturbed_until, until)
+            if daemon.process is not None:
+                killed.append((daemon, daemon.process))
+                daemon.process = None
+        for _, process in killed:
+            process.kill()
+        for _, process in killed:
+            process.wait()
+        gevent.sleep(duration)
+        for daemon, _ in killed:
+            self._world.start(daemon)
+            self._record("kill", daemon.name, started_at, duration)
+        return ",".join(daemon.name for daemon, _ in killed)
+
+    def _cut_heads(self, _: float) -> str:
+        return self._isolate_heads(is_reachable=False)
+
+    def _unlist_heads(self, _: float) -> str:
+        return self._isolate_heads(is_reachable=True)
+
+    def _isolate_heads(self, is_reachable: bool) -> str:
+        """Cuts heads from the store; their groups count as disturbed.
+
+        Args:
+            is_reachable: whether the daemons still reach them.
+        """
+        heads = self._world.list_heads()
+        if not heads:
+            return ""
+        count = self._generator.randint(1, min(2, len(heads)))
+        chosen = self._generator.sample(heads, count)
+        names = {name for head in chosen for name in head.members}
+        duration = self._generator.uniform(*HEAD_CUT_SECONDS)
+        mode = self._generator.choice(LINK_FAULT_MODES)
+        started_at = time.monotonic()
+        self._world.isolate(chosen, None if is_reachable else mode)
+        gevent.sleep(duration)
+        self._world.end_isolation(chosen)
+        for name in sorted(names):
+            self._record("server_link", name, started_at, duration)
+        return ",".join(head.name for head in chosen)
+
+    def _record(
+        self, name: str, target: str, started_at: float, duration: float
+    ) -> None:
+        self.records.append(
+            Record(
+                started_at=started_at,
+                name=name,
+                target=target,
+                seconds=duration,
+                ended_at=time.monotonic(),
+            )
+        )
+
     def _pause(self, duration: float) -> str:
         daemon = self._pick_daemon(duration)
         self._world.signal(daemon, signal.SIGSTOP)
@@ -377,15 +451,7 @@
         gevent.sleep(duration)
         for server in servers:
             server.start()
-            self.records.append(
-                Record(
-                    started_at=started_at,
-                    name="server_crash",
-                    target=server.name,
-                    seconds=duration,
-                    ended_at=time.monotonic(),
-                )
-            )
+            self._record("server_crash", server.name, started_at, duration)
         return zone
 
     def _cool_zone(self, _: float) -> str:
--- a/soak/run.py
+++ b/soak/run.py
@@ -77,6 +77,7 @@
     beside: pathlib.Path | None = None,
     has_zones: bool = False,
     has_crowds: bool = False,
+    has_lost_heads: bool = False,
 ) -> Report:
     """Runs the system under the faults of one seed.
 
@@ -95,6 +96,8 @@
             zones, beside faults of daemons.
         has_crowds: whether crowds of clients that keep to no limit meet the
             daemons, beside planned work alone.
+        has_lost_heads: whether heads of groups are cut from the store and from
+            the daemons, beside faults of daemons, which all end at once, too.
 
     Returns:
         The faults, outcomes and violations of the run.
@@ -121,6 +124,7 @@
                 has_partitions,
                 has_zones,
                 has_crowds,
+                has_lost_heads,
             )
         finally:
             world.stop()
@@ -134,6 +138,7 @@
     has_partitions: bool,
     has_zones: bool,
     has_crowds: bool,
+    has_lost_heads: bool,
 ) -> Report:
     generator = random.Random(seed)
     for daemon in world.daemons:
@@ -148,6 +153,8 @@
         random_faults = faults.PLANNED_FAULTS
     if has_zones:
         random_faults = faults.ZONE_FAULTS
+    if has_lost_heads:
+        random_faults = faults.HEAD_FAULTS
     if has_partitions:
         random_faults = faults.PARTITION_FAULTS
         clients.call_steadily()
--- a/soak/world.py
+++ b/soak/world.py
@@ -254,6 +254,42 @@
             if head.zone == zone and head.is_alive and head.is_progressing()
         }
 
+    def list_heads(self) -> list[users_platform.Server]:
+        """Returns the heads of open groups that nothing isolates, by name."""
+        return [
+            server
+            for _, server in sorted(self.platform.servers.items())
+            if server.is_alive
+            and server.is_progressing()
+            and server.members[0] == server.name
+            and not server.is_cut_from_store
+        ]
+
+    def isolate(
+        self,
+        servers: abc.Iterable[users_platform.Server],
+        mode: forwarder.Mode | None,
+    ) -> None:
+        """Cuts servers from the store until `end_isolation`.
+
+        Args:
+            servers: the servers.
+            mode: how they are cut from the daemons, too; None if they are not.
+        """
+        for server in servers:
+            server.is_cut_from_store = True
+            if mode is not None:
+                link = self.links[server.name]
+                link.set_faults(forwarder.Faults(mode=mode))
+
+    def end_isolation(
+        self, servers: abc.Iterable[users_platform.Server]
+    ) -> None:
+        """Ends what `isolate` began."""
+        for server in servers:
+            server.is_cut_from_store = False
+            self.links[server.name].set_faults(forwarder.Faults())
+
     def start(self, daemon: Daemon) -> None:
         """Starts a process for the daemon."""
         environment = dict(os.environ)
