Fence heads that are silent and refuse connections in turn

Cause: found when reading the change. A head's patience began anew with each change of its sign, so that a link that drops and refuses in turn could keep a group from ever being fenced; and what was kept of members that did not answer was never evicted in a term.

Change: silence and refusal count as one time without an answer. Records are kept by group and forgotten with it. A decision is logged when it or the sign changes, not in each check.

--- a/arbutuscove/fleet/controller.py
+++ b/arbutuscove/fleet/controller.py
@@ -114,7 +114,7 @@
         self._headless = headless.HeadlessGroups(
             clock,
             inventory,
-            lambda: self._order_client,
+            order_client,
             self._send,
             stall_timeout,
         )
--- a/arbutuscove/fleet/headless.py
+++ b/arbutuscove/fleet/headless.py
@@ -20,6 +20,7 @@
 MAX_UNOPENED_GROUPS = 4096
 
 GroupKey = tuple[str, int]
+_UNANSWERING = frozenset((fencing.HeadSign.REFUSING, fencing.HeadSign.SILENT))
 
 
 class HeadlessGroups:
@@ -29,7 +30,7 @@
         self,
         clock: clock_module.Clock,
         inventory: inventory_module.Inventory,
-        order_client: abc.Callable[[], orders_module.OrderClient],
+        order_client: orders_module.OrderClient,
         send: abc.Callable[[orders_module.Order, int], orders_module.Outcome],
         stall_timeout: datetime.timedelta,
     ) -> None:
@@ -38,22 +39,25 @@
         Args:
             clock: the clock.
             inventory: the listed VMs.
-            order_client: returns the client that reads the status of VMs.
+            order_client: reads the status of VMs.
             send: sends an order with a fencing token.
             stall_timeout: time after which an engine gives up work that depends
                 on a lost member.
         """
         self._clock = clock
         self._inventory = inventory
-        self._get_order_client = order_client
+        self._order_client = order_client
         self._send = send
         self._stall_timeout = stall_timeout
-        # When a head first gave its present sign, by group.
+        # The last sign of each head, and since when it gave none or this one.
         self._signs: dict[
             GroupKey, tuple[fencing.HeadSign, datetime.timedelta]
         ] = {}
-        # When a member was last ordered to leave without an answer, by name.
-        self._unanswered: dict[str, datetime.timedelta] = {}
+        # When members were last ordered to leave without an answer, by name.
+        self._unanswered: dict[GroupKey, dict[str, datetime.timedelta]] = {}
+        self._logged: dict[
+            GroupKey, tuple[fencing.HeadSign, fencing.Decision]
+        ] = {}
         # Groups formed in this term whose head was not ordered to open yet, in
         # the order of their formation.
         self._unopened: dict[GroupKey, None] = {}
@@ -62,6 +66,7 @@
         """Forgets what belongs to an earlier term of the lease."""
         self._signs.clear()
         self._unanswered.clear()
+        self._logged.clear()
         self._unopened.clear()
 
     def record_formed(self, key: GroupKey) -> None:
@@ -76,8 +81,9 @@
 
     def forget(self, listed: abc.Container[GroupKey]) -> None:
         """Forgets the groups without a listed member."""
-        for key in [key for key in self._signs if key not in listed]:
-            del self._signs[key]
+        for records in (self._signs, self._unanswered, self._logged):
+            for key in [key for key in records if key not in listed]:
+                del records[key]
 
     def check(self, group: model.Group, fence: int) -> fencing.Decision:
         """Decides whether the members of a group may be reused.
@@ -92,14 +98,12 @@
         departed = self._find_departed_head(group.key)
         sign = self._read_sign(group, departed, fence)
         now = self._clock.monotonic()
-        known = self._signs.get(group.key)
-        if known is None or known[0] != sign:
-            known = self._signs[group.key] = (sign, now)
-        unlisted_since = known[1] if departed is None else departed.since
+        sign_since = self._record_sign(group.key, sign, now)
+        unlisted_since = sign_since if departed is None else departed.since
         loss = self._inventory.losses.find_loss(group.key)
         found = fencing.HeadlessGroup(
             sign=sign,
-            silent_for=now - known[1],
+            silent_for=now - sign_since,
             unlisted_for=now - unlisted_since,
             may_be_draining=departed is not None
             and departed.may_be_serving()
@@ -107,18 +111,9 @@
             lost_member_for=None if loss is None else now - loss.since,
         )
         decision = fencing.decide(found, self._stall_timeout)
-        eliot.log_message(
-            "groups:headless",
-            group=group.name,
-            sign=sign.value,
-            silent_for=round(found.silent_for.total_seconds(), 3),
-            unlisted_for=round(found.unlisted_for.total_seconds(), 3),
-            may_be_draining=found.may_be_draining,
-            lost_member_for=None
-            if found.lost_member_for is None
-            else round(found.lost_member_for.total_seconds(), 3),
-            decision=decision.value,
-        )
+        if self._logged.get(group.key) != (sign, decision):
+            self._logged[group.key] = (sign, decision)
+            _log_decision(group, found, decision)
         return decision
 
     def fence_head(self, group: model.Group, fence: int) -> bool:
@@ -142,11 +137,12 @@
         if not members:
             return False
         # The one that was not asked for the longest time goes first.
+        unanswered = self._unanswered.setdefault(group.key, {})
         chosen = min(
             reversed(members),
-            key=lambda vm: self._unanswered.get(vm.name, datetime.timedelta()),
+            key=lambda vm: unanswered.get(vm.name, datetime.timedelta()),
         )
-        self._unanswered[chosen.name] = self._clock.monotonic()
+        unanswered[chosen.name] = self._clock.monotonic()
         leave = orders_module.Leave(
             vm=chosen, group=group.name, epoch=group.epoch
         )
@@ -157,7 +153,6 @@
             orders_module.Outcome.ANOTHER_VM,
         )
         if has_left:
-            self._unanswered.pop(chosen.name, None)
             self._inventory.losses.record_loss(group.key, is_head=False)
         eliot.log_message(
             "groups:fenced",
@@ -167,6 +162,23 @@
         )
         return has_left
 
+    def _record_sign(
+        self,
+        key: GroupKey,
+        sign: fencing.HeadSign,
+        now: datetime.timedelta,
+    ) -> datetime.timedelta:
+        """Records the sign of a head and returns since when it gives it.
+
+        A head that refuses connections and is silent in turn does not answer
+        all the while.
+        """
+        before, since = self._signs.get(key, (sign, now))
+        if before != sign and not {before, sign} <= _UNANSWERING:
+            since = now
+        self._signs[key] = (sign, since)
+        return since
+
     def _find_departed_head(
         self, key: GroupKey
     ) -> inventory_module.Departed | None:
@@ -206,8 +218,7 @@
                 return fencing.HeadSign.ENDED
             case orders_module.Outcome.FENCED:
                 return fencing.HeadSign.RESPONSIVE
-        order_client = self._get_order_client()
-        status = order_client.read_status(departed.vm)
+        status = self._order_client.read_status(departed.vm)
         if status is not None:
             # The head is only disconnected from the list. The order may take
             # effect later.
@@ -217,7 +228,7 @@
             return fencing.HeadSign.RESPONSIVE
         if outcome == orders_module.Outcome.NOT_LISTENING:
             return fencing.HeadSign.REFUSING
-        match order_client.probe_liveness(departed.vm):
+        match self._order_client.probe_liveness(departed.vm):
             case liveness.Liveness.DEAD:
                 return fencing.HeadSign.REFUSING
             case liveness.Liveness.ALIVE:
@@ -230,3 +241,23 @@
         vm.membership is not None
         and vm.membership.state in model.SERVING_STATES
     )
+
+
+def _log_decision(
+    group: model.Group,
+    found: fencing.HeadlessGroup,
+    decision: fencing.Decision,
+) -> None:
+    lost_for = found.lost_member_for
+    eliot.log_message(
+        "groups:headless",
+        group=group.name,
+        sign=found.sign.value,
+        silent_for=round(found.silent_for.total_seconds(), 3),
+        unlisted_for=round(found.unlisted_for.total_seconds(), 3),
+        may_be_draining=found.may_be_draining,
+        lost_member_for=None
+        if lost_for is None
+        else round(lost_for.total_seconds(), 3),
+        decision=decision.value,
+    )
--- a/arbutuscove/fleet/tests/test_disconnected_heads.py
+++ b/arbutuscove/fleet/tests/test_disconnected_heads.py
@@ -378,6 +378,17 @@
     assert [group for _, group in fleet.opened] != []
 
 
+def test_head_that_is_silent_and_refuses_in_turn_is_fenced(fleet):
+    """Guards against a head that is never silent for long enough."""
+    for name in "hi":
+        _cut(fleet, name)
+    for number in range(int(FENCED_WITHIN / STEP)):
+        for name in "hi":
+            fleet.engines[name].is_refusing = bool(number % 2)
+        fleet.run(STEP)
+    assert fleet.engines["m"].vm.membership is None
+
+
 def test_head_that_is_only_not_listed_is_ordered_to_leave(fleet):
     """Guards against a fence, and its wait, for a head that can be asked."""
     for name in "hi":
