--- a/arbutuscove/fleet/tests/test_controller.py
+++ b/arbutuscove/fleet/tests/test_controller.py
@@ -82,10 +82,8 @@
         )
 
 
-@pytest.fixture
-def starting_setup():
-    """A controller at the start of the fleet, before any traffic."""
-    clock = clock_module.ManualClock()
+def build_catalog():
+    """Returns a holder of a catalog with one service of one model."""
     catalog = catalog_holder.CatalogHolder()
     service = catalog_model.Service(
         name="models", connections=9, engine=test_planner.ONE_MODEL
@@ -100,6 +98,14 @@
         ),
         "test",
     )
+    return catalog
+
+
+@pytest.fixture
+def starting_setup():
+    """A controller at the start of the fleet, before any traffic."""
+    clock = clock_module.ManualClock()
+    catalog = build_catalog()
     inventory = inventory_module.Inventory(clock)
     leases, vms = FakeLeases(), FakeVms()
     group_controller = controller.GroupController(
--- a/arbutuscove/fleet/tests/test_disconnected_heads.py
+++ b/arbutuscove/fleet/tests/test_disconnected_heads.py
@@ -9,28 +9,26 @@
 
 import pytest
 
-from arbutuscove.catalog import holder as catalog_holder
-from arbutuscove.catalog import model as catalog_model
 from arbutuscove.crashes import liveness
 from arbutuscove.fleet import controller
 from arbutuscove.fleet import fencing
 from arbutuscove.fleet import inventory as inventory_module
 from arbutuscove.fleet import model
 from arbutuscove.fleet import orders
+from arbutuscove.fleet.tests import test_controller
 from arbutuscove.fleet.tests import test_planner
 from arbutuscove.kernel import clock as clock_module
 
 SECOND = datetime.timedelta(seconds=1)
 STALL = 6 * SECOND
 STEP = controller.VERIFY_INTERVAL / 2
-HEARTBEAT = 1.2 * SECOND
 # A head is fenced at most this long after its entry has expired.
 FENCED_WITHIN = 4 * SECOND
 
 
 @dataclasses.dataclass
 class Engine:
-    """One VM with its engine; `head` is the head of each group it has left."""
+    """One VM with its engine; `former` has the head of each group it left."""
 
     vm: model.Vm
     accepted: int = 0
@@ -58,20 +56,7 @@
     def start_daemon(self):
         """Replaces the daemon by one that knows the list alone."""
         self.fence += 1
-        catalog = catalog_holder.CatalogHolder()
-        service = catalog_model.Service(
-            name="models", connections=9, engine=test_planner.ONE_MODEL
-        )
-        catalog.apply_if_newer(
-            catalog_model.Catalog(
-                version=1,
-                routes={},
-                services={"models": service},
-                accounts=None,
-                bounds=None,
-            ),
-            "test",
-        )
+        catalog = test_controller.build_catalog()
         self.inventory = inventory_module.Inventory(self.clock)
         self.controller = controller.GroupController(
             self.clock,
